--- /dev/null
+++ b/crates/jaypin/src/frontend/mod.rs
@@ -0,0 +1,215 @@
+//! HTTP towards callers.
+//!
+//! `hyper` serves it, not `tiny_http`: a caller that never ends its header must not
+//! hold the host (see `docs/design/http-library.md`).
+
+mod read_request;
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use crossbeam::channel::Sender;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use jaypin_core::{Event, HostId, RequestId, rank_by_score};
+use jaypin_wire::{EntryAddress, EntryAnswer};
+use socket2::{Domain, Socket, TcpKeepalive, Type};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Semaphore, oneshot, watch};
+
+use crate::answer::{AnswerBody, CallerGuard, json, refusal, rejected};
+use crate::calls::{Caller, Calls, PendingCall};
+use crate::snapshot::Snapshot;
+use read_request::{ReadError, read};
+
+/// Connections that may wait to be accepted: bursts of callers come at once.
+const BACKLOG: i32 = 4_096;
+/// Time for a caller to send its whole header.
+const HEADER_TIMEOUT: Duration = Duration::from_secs(5);
+/// Largest header, in bytes.
+const MAX_HEADER: usize = 16 * 1024;
+/// Connections open at once; more are closed at once.
+const MAX_CONNECTIONS: usize = 4_000;
+/// How long an entry list holds.
+const ENTRY_VALID_FOR: Duration = Duration::from_secs(30);
+/// Time without an answer after which a silent caller's connection is given up.
+const USER_TIMEOUT: Duration = Duration::from_secs(20);
+/// Idle time before the first keep-alive probe.
+const KEEPALIVE: Duration = Duration::from_secs(15);
+
+/// Opens the callers' listener.
+pub fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+    socket.set_reuse_address(true)?;
+    socket.set_nonblocking(true)?;
+    // Accepted sockets inherit both. They end connections that go silent towards
+    // callers: no FIN arrives, writes pile up, and the call would be kept for good.
+    socket.set_tcp_keepalive(
+        &TcpKeepalive::new()
+            .with_time(KEEPALIVE)
+            .with_interval(KEEPALIVE),
+    )?;
+    socket.set_tcp_user_timeout(Some(USER_TIMEOUT))?;
+    socket.bind(&address.into())?;
+    socket.listen(BACKLOG)?;
+    TcpListener::from_std(socket.into())
+}
+
+/// The frontend of one host.
+#[derive(Debug, Clone)]
+pub struct Frontend {
+    shared: Arc<Shared>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    host: HostId,
+    incarnation: u64,
+    snapshots: watch::Receiver<Arc<Snapshot>>,
+    calls: Arc<Calls>,
+    events: Sender<Event>,
+    next_id: AtomicU64,
+}
+
+impl Frontend {
+    /// Puts the frontend together.
+    pub fn new(
+        host: HostId,
+        incarnation: u64,
+        snapshots: watch::Receiver<Arc<Snapshot>>,
+        calls: Arc<Calls>,
+        events: Sender<Event>,
+    ) -> Self {
+        let next_id = AtomicU64::new(1);
+        let shared = Shared {
+            host,
+            incarnation,
+            snapshots,
+            calls,
+            events,
+            next_id,
+        };
+        Self {
+            shared: Arc::new(shared),
+        }
+    }
+
+    /// Accepts callers until the task is dropped.
+    pub async fn accept(self, listener: TcpListener) {
+        let room = Arc::new(Semaphore::new(MAX_CONNECTIONS));
+        loop {
+            let Ok((stream, _)) = listener.accept().await else {
+                continue;
+            };
+            let Ok(permit) = room.clone().try_acquire_owned() else {
+                continue;
+            };
+            let frontend = self.clone();
+            tokio::spawn(async move {
+                frontend.connection(stream).await;
+                drop(permit);
+            });
+        }
+    }
+
+    async fn connection(self, stream: TcpStream) {
+        let _ = stream.set_nodelay(true);
+        let service = service_fn(move |req| {
+            let frontend = self.clone();
+            async move { Ok::<_, Infallible>(frontend.answer(req).await) }
+        });
+        let _ = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(HEADER_TIMEOUT)
+            .max_buf_size(MAX_HEADER)
+            .serve_connection(TokioIo::new(stream), service)
+            .await;
+    }
+
+    async fn answer(&self, req: Request<Incoming>) -> Response<AnswerBody> {
+        let snapshot = self.shared.snapshots.borrow().clone();
+        if req.uri().path() == "/v1/entry" {
+            return match *req.method() {
+                Method::GET => json(StatusCode::OK, &self.entry(&snapshot, &req)),
+                _ => ReadError::Method.answer(),
+            };
+        }
+        match read(req, &snapshot, || self.new_id()).await {
+            Ok((info, outbound)) => self.submit(info, outbound).await,
+            Err(error) => error.answer(),
+        }
+    }
+
+    async fn submit(
+        &self,
+        info: jaypin_core::RequestInfo,
+        outbound: crate::calls::Outbound,
+    ) -> Response<AnswerBody> {
+        let id = info.id.clone();
+        let (reply, answer) = oneshot::channel();
+        // Dropped with this future when the caller leaves before the head.
+        let mut watcher = CallerGuard::new(id.clone(), self.shared.events.clone());
+        let guard = CallerGuard::new(id.clone(), self.shared.events.clone());
+        let call = PendingCall {
+            outbound,
+            caller: Caller { reply, guard },
+        };
+        self.shared.calls.insert(id.clone(), call);
+        let _ = self.shared.events.send(Event::Arrived(info));
+        let answer = answer.await;
+        watcher.disarm();
+        let mut response = answer.unwrap_or_else(|_| {
+            let lost = jaypin_core::Refusal::after_dispatch(
+                jaypin_core::Reason::BackendLost,
+                jaypin_core::Ran::Unknown,
+            );
+            refusal(Some(&id), &lost)
+        });
+        if let Ok(value) = hyper::header::HeaderValue::from_str(&id) {
+            response.headers_mut().insert("x-request-id", value);
+        }
+        response
+    }
+
+    fn new_id(&self) -> RequestId {
+        let count = self.shared.next_id.fetch_add(1, Ordering::Relaxed);
+        format!("{}-{}-{count}", self.shared.host, self.shared.incarnation).into()
+    }
+
+    /// Hosts in an order that differs by caller, so that callers spread.
+    fn entry(&self, snapshot: &Snapshot, req: &Request<Incoming>) -> EntryAnswer {
+        let caller = req
+            .headers()
+            .get("authorization")
+            .and_then(|value| value.to_str().ok());
+        let names = snapshot.live_hosts.iter().map(|host| &*host.id);
+        let ranked = rank_by_score(caller.unwrap_or_default(), names);
+        let addresses = ranked
+            .into_iter()
+            .filter_map(|name| snapshot.live_hosts.iter().find(|host| &*host.id == name))
+            .map(|host| EntryAddress {
+                host: host.id.to_string(),
+                address: host.address.clone(),
+            })
+            .collect();
+        EntryAnswer {
+            addresses,
+            valid_for_s: ENTRY_VALID_FOR.as_secs(),
+            host: self.shared.host.to_string(),
+            incarnation: self.shared.incarnation.to_string(),
+            key_prefix: format!("{}-{}.", self.shared.host, self.shared.incarnation),
+        }
+    }
+}
+
+impl ReadError {
+    fn answer(&self) -> Response<AnswerBody> {
+        rejected(self.status(), self.reason(), &self.to_string())
+    }
+}
--- /dev/null
+++ b/crates/jaypin/src/serve.rs
@@ -0,0 +1,125 @@
+//! Puts an entry host together and runs it until it is told to leave.
+
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use crossbeam::channel::unbounded;
+use jaypin_core::{Config, Event, HostId, Reducer};
+use tokio::net::TcpListener;
+use tokio::runtime::{Builder, Handle};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::{Notify, watch};
+
+use crate::calls::Calls;
+use crate::frontend::Frontend;
+use crate::links::{Identity, Links};
+use crate::operator::Operator;
+use crate::runner::Runner;
+use crate::settings::Settings;
+use crate::snapshot::Snapshot;
+use crate::{frontend, platform, reducer_task};
+
+/// Worker threads; an entry host is small.
+const WORKERS: usize = 2;
+
+/// Runs a host to its end.
+pub fn run(settings: Settings) -> Result<(), String> {
+    let runtime = Builder::new_multi_thread()
+        .worker_threads(WORKERS)
+        .enable_all()
+        .build()
+        .map_err(|error| error.to_string())?;
+    let result = runtime.block_on(serve(settings));
+    runtime.shutdown_timeout(Duration::from_millis(100));
+    result
+}
+
+async fn serve(settings: Settings) -> Result<(), String> {
+    let incarnation = incarnation();
+    let host = HostId::from(settings.host.as_str());
+    let callers = frontend::listen(settings.listen)
+        .map_err(|error| format!("listen {}: {error}", settings.listen))?;
+    let peers = TcpListener::bind(settings.link_listen)
+        .await
+        .map_err(|error| format!("link-listen {}: {error}", settings.link_listen))?;
+    let (events, inbox) = unbounded();
+    let (show, snapshots) = watch::channel(Arc::new(Snapshot::default()));
+    let identity = Identity {
+        host: host.clone(),
+        incarnation,
+        fleet_key: settings.fleet_key.clone(),
+    };
+    let links = Links::new(identity, snapshots.clone(), events.clone());
+    let exit = Arc::new(Notify::new());
+    let calls = Arc::new(Calls::default());
+    let runner = Runner {
+        calls: calls.clone(),
+        links: links.clone(),
+        events: events.clone(),
+        exit: exit.clone(),
+    };
+    let reducer = Reducer::new(config(&settings, &host, incarnation));
+    reducer_task::spawn(reducer, inbox, show, Handle::current(), move |fx| {
+        runner.run(fx);
+    })
+    .map_err(|error| error.to_string())?;
+    Operator {
+        host: settings.host.clone(),
+        incarnation,
+        snapshots: snapshots.clone(),
+        events: events.clone(),
+    }
+    .spawn(settings.operator_listen)?;
+    platform::spawn_watches(&settings.platform.to_string(), &events)
+        .map_err(|error| error.to_string())?;
+    tokio::spawn(links.accept(peers));
+    let frontend = Frontend::new(host, incarnation, snapshots, calls, events.clone());
+    tokio::spawn(frontend.accept(callers));
+    log::info!(host = settings.host, incarnation, listen:% = settings.listen; "serving");
+    until_told(&events, &exit).await?;
+    log::info!(host = settings.host; "left");
+    Ok(())
+}
+
+/// Waits for a signal, drains, and waits until nothing is left.
+async fn until_told(
+    events: &crossbeam::channel::Sender<Event>,
+    exit: &Notify,
+) -> Result<(), String> {
+    let mut term = signal(SignalKind::terminate()).map_err(|error| error.to_string())?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(|error| error.to_string())?;
+    tokio::select! {
+        _ = term.recv() => {}
+        _ = interrupt.recv() => {}
+        () = exit.notified() => return Ok(()),
+    }
+    let _ = events.send(Event::Drain);
+    exit.notified().await;
+    Ok(())
+}
+
+fn config(settings: &Settings, host: &HostId, incarnation: u64) -> Config {
+    let mut cfg = Config {
+        host: host.clone(),
+        incarnation,
+        failure_domain: settings.failure_domain.as_str().into(),
+        policy: settings.policy.into(),
+        seed: settings.seed.unwrap_or(incarnation),
+        ..Config::default()
+    };
+    if let Some(size) = settings.shard_size {
+        cfg.shard_size = size;
+    }
+    if let Some(interval) = settings.report_interval_ms {
+        cfg.report_interval = Duration::from_millis(interval);
+    }
+    cfg
+}
+
+/// A number that grows with each run of a host: milliseconds since the Unix epoch.
+fn incarnation() -> u64 {
+    let since = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/jaypin/src/snapshot.rs
@@ -0,0 +1,21 @@
+//! What the reducer shows to the rest of the process, replaced as a whole.
+
+use std::sync::Arc;
+
+use jaypin_core::{HostList, HostRecord, Summary};
+use jaypin_rules::RuleSet;
+
+/// A view of the decision state after some event.
+#[derive(Debug, Clone, Default)]
+pub struct Snapshot {
+    /// Rules in force.
+    pub rules: Arc<RuleSet>,
+    /// Their version.
+    pub rules_version: u64,
+    /// The host list in use.
+    pub hosts: Arc<HostList>,
+    /// Entry hosts that take work.
+    pub live_hosts: Arc<Vec<HostRecord>>,
+    /// Counts.
+    pub summary: Summary,
+}
--- /dev/null
+++ b/crates/jaypin_bench/src/lib.rs
@@ -0,0 +1,9 @@
+//! Load tool, experiments and history checker of jaypin; never shipped.
+//!
+//! [`Fleet`] runs real host processes before stand-ins, on the loopback address.
+
+mod client;
+mod fleet;
+
+pub use client::{Answer, Client, Event, completion_body};
+pub use fleet::{ACCOUNTS, BackendSpec, Fleet, FleetConfig, Host, RULES, binary};
--- /dev/null
+++ b/crates/jaypin_core/src/config.rs
@@ -0,0 +1,54 @@
+//! What a host's reducer is told at its start.
+
+use std::time::Duration;
+
+use crate::{FailureDomain, HostId, Incarnation};
+
+/// How requests find a backend server.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Policy {
+    /// One scheduler a shard grants slots; the product's own way.
+    #[default]
+    Grants,
+    /// Each host alone: the better of two random backend servers by lagging load reports.
+    Baseline,
+}
+
+/// Configuration of a reducer, a plain value.
+#[derive(Debug, Clone)]
+pub struct Config {
+    /// This host.
+    pub host: HostId,
+    /// This run of the host's process.
+    pub incarnation: Incarnation,
+    /// Where the host stands.
+    pub failure_domain: FailureDomain,
+    /// How requests find a backend server.
+    pub policy: Policy,
+    /// Seed of all random choices.
+    pub seed: u64,
+    /// Backend servers in one shard, at most.
+    pub shard_size: usize,
+    /// How often load reports are asked for.
+    pub report_interval: Duration,
+    /// How long an owner waits for a first word from a shard scheduler.
+    pub ask_timeout: Duration,
+    /// How long a new shard scheduler collects what owners have in flight.
+    pub rebuild_window: Duration,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Self {
+            host: HostId::from("host"),
+            incarnation: 1,
+            failure_domain: FailureDomain::from("domain"),
+            policy: Policy::Grants,
+            seed: 1,
+            shard_size: 12,
+            report_interval: Duration::from_secs(1),
+            ask_timeout: Duration::from_millis(400),
+            rebuild_window: Duration::from_millis(250),
+        }
+    }
+}
--- /dev/null
+++ b/crates/jaypin_core/src/effect.rs
@@ -0,0 +1,46 @@
+//! Everything a host does, as data.
+
+use crate::{BackendId, GrantNumber, HostId, Message, Record, Refusal, RequestId};
+
+/// Something to be done by an adapter.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Effect {
+    /// Send the request to a backend server, once.
+    Dispatch {
+        /// The request.
+        id: RequestId,
+        /// The backend server.
+        backend: BackendId,
+        /// Its HTTP address.
+        address: String,
+        /// Number of the grant, for backend servers that check fencing numbers.
+        fence: Option<GrantNumber>,
+    },
+    /// Answer the caller with a refusal.
+    Refuse {
+        /// The request.
+        id: RequestId,
+        /// The answer.
+        refusal: Refusal,
+    },
+    /// Stop a running call at the backend server.
+    Cancel(RequestId),
+    /// Send a message to a peer.
+    Send {
+        /// The peer.
+        to: HostId,
+        /// What to say.
+        message: Message,
+    },
+    /// Ask a backend server for its load.
+    PollLoad {
+        /// The backend server.
+        backend: BackendId,
+        /// Its HTTP address.
+        address: String,
+    },
+    /// Write a step of a decision down.
+    Record(Record),
+    /// Nothing is left to do; the process may end.
+    Exit,
+}
--- /dev/null
+++ b/crates/jaypin_core/src/lib.rs
@@ -0,0 +1,39 @@
+//! The decisions of jaypin: one reducer from events to effects, free of I/O.
+//!
+//! [`Reducer::apply`] is the only owner of decision state. It does no I/O, reads no
+//! clock and draws random numbers from a seed in its state, so the same events give
+//! the same effects: that is what makes each routing decision explainable, replayable
+//! and testable.
+
+mod backend_model;
+mod baseline;
+mod config;
+mod effect;
+mod event;
+mod host_list;
+mod ids;
+mod membership;
+mod message;
+mod outcome;
+mod owner;
+mod record;
+mod reducer;
+mod rendezvous;
+mod request;
+mod scheduler;
+mod shard;
+
+pub use backend_model::BackendModel;
+pub use config::{Config, Policy};
+pub use effect::Effect;
+pub use event::{CallOutcome, CallProgress, Event, LoadReport};
+pub use host_list::{BackendRecord, HostList, HostRecord, Presence};
+pub use ids::{AccountId, BackendId, FailureDomain, HostId, Incarnation, RequestId, ServiceId};
+pub use membership::Membership;
+pub use message::{Ask, Candidate, Grant, GrantNumber, InFlight, Message, SlotProgress};
+pub use outcome::{Ran, Reason, Refusal};
+pub use record::{Record, Step};
+pub use reducer::{Reducer, Summary};
+pub use rendezvous::{rank_by_score, score};
+pub use request::RequestInfo;
+pub use shard::{Shard, ShardMap};
--- /dev/null
+++ b/crates/jaypin_core/src/message.rs
@@ -0,0 +1,166 @@
+//! What hosts say to each other.
+
+use std::time::Duration;
+
+use crate::{AccountId, BackendId, Incarnation, Refusal, RequestId, Shard};
+
+/// Number of a grant: greater is later, across runs of a shard scheduler's host.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct GrantNumber {
+    /// Run of the host that granted.
+    pub incarnation: Incarnation,
+    /// Count within that run.
+    pub sequence: u64,
+}
+
+/// A message between two hosts.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Message {
+    /// Owner to shard scheduler: a slot, please.
+    Ask(Ask),
+    /// Shard scheduler to owner: the request waits.
+    Queued {
+        /// The request.
+        id: RequestId,
+        /// The ask that is answered.
+        attempt: u32,
+    },
+    /// Shard scheduler to owner: a slot.
+    Grant(Grant),
+    /// Shard scheduler to owner: given up on.
+    Refused {
+        /// The request.
+        id: RequestId,
+        /// The ask that is answered.
+        attempt: u32,
+        /// The final answer.
+        refusal: Refusal,
+    },
+    /// To an owner: this host does not lead that shard.
+    NotLeader {
+        /// The request.
+        id: RequestId,
+        /// The ask that is answered.
+        attempt: u32,
+    },
+    /// Owner to shard scheduler: the request is not wanted any more.
+    Withdraw {
+        /// The shard.
+        shard: Shard,
+        /// The request.
+        id: RequestId,
+    },
+    /// Owner to shard scheduler: what became of a slot.
+    Progress {
+        /// The shard.
+        shard: Shard,
+        /// The request.
+        id: RequestId,
+        /// The grant.
+        number: GrantNumber,
+        /// What became of it.
+        progress: SlotProgress,
+    },
+    /// Owner to a new shard scheduler: what this owner has running there.
+    InFlight {
+        /// The shard.
+        shard: Shard,
+        /// The running requests.
+        running: Vec<InFlight>,
+    },
+}
+
+/// What a shard scheduler has to know of a request.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Ask {
+    /// The shard asked.
+    pub shard: Shard,
+    /// The request.
+    pub id: RequestId,
+    /// Number of the ask, echoed in the answer.
+    pub attempt: u32,
+    /// Rank of its tier.
+    pub tier: u8,
+    /// Its client account.
+    pub account: AccountId,
+    /// Estimated tokens of the prompt.
+    pub prompt_tokens: u32,
+    /// Most tokens that the answer may have.
+    pub max_tokens: u32,
+    /// Time left for the first token.
+    pub first_token_in: Duration,
+    /// Time left for the whole answer.
+    pub whole_in: Duration,
+    /// Fingerprints of the prompt's prefixes, shortest first, salted by account.
+    pub prefixes: Vec<u64>,
+}
+
+/// A numbered slot on a backend server.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Grant {
+    /// The shard.
+    pub shard: Shard,
+    /// The request.
+    pub id: RequestId,
+    /// The ask that is answered.
+    pub attempt: u32,
+    /// The grant's number.
+    pub number: GrantNumber,
+    /// The backend server.
+    pub backend: BackendId,
+    /// What was weighed, the chosen one first; for explanations.
+    pub candidates: Vec<Candidate>,
+}
+
+/// A backend server that was weighed for a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Candidate {
+    /// The backend server.
+    pub backend: BackendId,
+    /// Estimated time to the first token.
+    pub first_token: Duration,
+    /// Requests it was running.
+    pub running: u32,
+    /// Requests it may run at once.
+    pub limit: u32,
+}
+
+/// What became of a granted slot.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SlotProgress {
+    /// The owner did not use it.
+    Returned,
+    /// The first token came.
+    FirstToken {
+        /// Time from dispatch.
+        after: Duration,
+    },
+    /// The call ended.
+    Finished {
+        /// Tokens that came.
+        tokens: u32,
+        /// Time from dispatch.
+        after: Duration,
+        /// Whether the backend server broke off.
+        lost: bool,
+    },
+}
+
+/// A running request, as an owner reports it to a new shard scheduler.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct InFlight {
+    /// The request.
+    pub id: RequestId,
+    /// The grant it runs on.
+    pub number: GrantNumber,
+    /// The backend server.
+    pub backend: BackendId,
+    /// Its client account.
+    pub account: AccountId,
+    /// Rank of its tier.
+    pub tier: u8,
+    /// Estimated tokens of the prompt.
+    pub prompt_tokens: u32,
+    /// Most tokens that the answer may have.
+    pub max_tokens: u32,
+}
--- /dev/null
+++ b/crates/jaypin_core/src/rendezvous.rs
@@ -0,0 +1,17 @@
+//! Rendezvous hashing: every host ranks the same candidates in the same order.
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Score of a candidate for a key; the greatest wins.
+#[must_use]
+pub fn score(key: &str, candidate: &str) -> u64 {
+    xxh3_64_with_seed(candidate.as_bytes(), xxh3_64_with_seed(key.as_bytes(), 0))
+}
+
+/// Orders candidates by falling score for a key.
+#[must_use]
+pub fn rank_by_score<'a>(key: &str, candidates: impl Iterator<Item = &'a str>) -> Vec<&'a str> {
+    let mut ranked: Vec<_> = candidates.map(|name| (score(key, name), name)).collect();
+    ranked.sort_unstable_by(|a, b| b.cmp(a));
+    ranked.into_iter().map(|(_, name)| name).collect()
+}
--- /dev/null
+++ b/crates/jaypin_core/src/shard.rs
@@ -0,0 +1,101 @@
+//! Shards: groups of backend servers of one service with a single scheduler each.
+
+use std::collections::BTreeMap;
+use std::fmt;
+
+use crate::rendezvous::{rank_by_score, score};
+use crate::{BackendId, BackendRecord, ServiceId};
+
+/// Name of a shard.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Shard {
+    /// The service.
+    pub service: ServiceId,
+    /// Number within the service, from 0.
+    pub index: u16,
+}
+
+impl fmt::Display for Shard {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.service, self.index)
+    }
+}
+
+/// Which backend server belongs to which shard.
+///
+/// Every host derives the same map from the same host list.
+#[derive(Debug, Clone, Default)]
+pub struct ShardMap {
+    members: BTreeMap<Shard, Vec<BackendId>>,
+    of_backend: BTreeMap<BackendId, Shard>,
+}
+
+impl ShardMap {
+    /// Spreads backend servers over shards of at most `size`.
+    ///
+    /// Each goes to the shard that scores highest for it and still has room, so one
+    /// more or less moves few others.
+    #[must_use]
+    pub fn build(backends: &[BackendRecord], size: usize) -> Self {
+        let mut by_service: BTreeMap<&ServiceId, Vec<&BackendId>> = BTreeMap::new();
+        for backend in backends {
+            by_service
+                .entry(&backend.service)
+                .or_default()
+                .push(&backend.id);
+        }
+        let mut map = Self::default();
+        for (service, mut ids) in by_service {
+            ids.sort_by_key(|id| score(service, id));
+            map.spread(service, &ids, size.max(1));
+        }
+        map
+    }
+
+    fn spread(&mut self, service: &ServiceId, ids: &[&BackendId], size: usize) {
+        let count = ids.len().div_ceil(size);
+        let room = ids.len().div_ceil(count.max(1));
+        let names: Vec<String> = (0..count).map(|index| index.to_string()).collect();
+        let mut taken = vec![0; count];
+        for id in ids {
+            let ranked = rank_by_score(id, names.iter().map(String::as_str));
+            let free = ranked
+                .into_iter()
+                .filter_map(|name| name.parse::<usize>().ok())
+                .find(|index| taken[*index] < room)
+                .unwrap_or_default();
+            taken[free] += 1;
+            let index = u16::try_from(free).unwrap_or(u16::MAX);
+            let shard = Shard {
+                service: service.clone(),
+                index,
+            };
+            self.of_backend.insert((*id).clone(), shard.clone());
+            self.members.entry(shard).or_default().push((*id).clone());
+        }
+    }
+
+    /// The shards of a service, in order.
+    pub fn of_service(&self, service: &str) -> impl Iterator<Item = &Shard> {
+        self.members
+            .keys()
+            .filter(move |shard| &*shard.service == service)
+    }
+
+    /// All shards with their backend servers.
+    pub fn iter(&self) -> impl Iterator<Item = (&Shard, &Vec<BackendId>)> {
+        self.members.iter()
+    }
+
+    /// The backend servers of a shard.
+    #[must_use]
+    pub fn members(&self, shard: &Shard) -> &[BackendId] {
+        self.members.get(shard).map_or(&[], Vec::as_slice)
+    }
+
+    /// The shard of a backend server.
+    #[must_use]
+    pub fn shard_of(&self, backend: &str) -> Option<&Shard> {
+        self.of_backend.get(backend)
+    }
+}
--- /dev/null
+++ b/crates/jaypin_rules/src/lib.rs
@@ -0,0 +1,20 @@
+//! The rule file of jaypin: what operators decide, one rule a line.
+//!
+//! Each line of the file is one YAML flow mapping followed by a comment that names
+//! who asked for the rule, so that a monitor can trace every decision to a requester.
+//! This crate is free of I/O: text in, a [`RuleSet`] or a list of [`Mistake`]s out.
+
+mod digest;
+mod mistake;
+mod parse;
+mod rule;
+mod rule_set;
+
+pub use digest::{CredentialDigest, digest_credential};
+pub use mistake::Mistake;
+pub use parse::parse;
+pub use rule::{
+    AccountRule, CallerRule, FencingRule, LimitRule, Origin, QuarantineRule, Repeat, RouteRule,
+    ServiceKind, ServiceRule, TierRule,
+};
+pub use rule_set::RuleSet;
--- /dev/null
+++ b/crates/jaypin_rules/src/mistake.rs
@@ -0,0 +1,35 @@
+//! What is wrong with a rule file, and where.
+
+use std::fmt;
+
+/// One mistake in a rule file.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Mistake {
+    /// Line in the file, from 1.
+    pub line: u32,
+    /// Column in the line, from 1.
+    pub column: u32,
+    /// What was found and what was expected, in one sentence.
+    pub message: String,
+}
+
+impl Mistake {
+    /// Builds a mistake at a place in the file.
+    pub fn new(line: u32, column: u32, message: impl Into<String>) -> Self {
+        Self {
+            line,
+            column,
+            message: message.into(),
+        }
+    }
+}
+
+impl fmt::Display for Mistake {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "line {}, column {}: {}",
+            self.line, self.column, self.message
+        )
+    }
+}
--- /dev/null
+++ b/crates/jaypin_standin/src/engine.rs
@@ -0,0 +1,551 @@
+//! A continuous-batching engine: slots, prefill, a prefix cache, resumable streams.
+
+use std::collections::{HashMap, VecDeque};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::{Frame, Incoming};
+use hyper::{Method, Request, Response, StatusCode};
+use serde::{Deserialize, Serialize};
+use tokio::sync::{Notify, Semaphore, mpsc, watch};
+use tokio::task::JoinHandle;
+use tokio::time::{Instant, sleep};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::http::{Body, bind, json, query_number, serve};
+
+/// Characters of a prompt that count as one token.
+const CHARS_PER_TOKEN: usize = 4;
+/// Tokens in one block of the prefix cache.
+const CACHE_BLOCK_TOKENS: usize = 64;
+/// Text that crashes an engine which is set to be poisoned by it.
+const POISON: &str = "POISON";
+
+/// What an engine is like.
+#[derive(Debug, Clone)]
+pub struct EngineConfig {
+    /// Address to listen on.
+    pub address: String,
+    /// Requests that run at once; more wait inside.
+    pub slots: usize,
+    /// Prefill speed in tokens a second.
+    pub prefill_rate: f64,
+    /// Time between tokens of a single stream.
+    pub gap: Duration,
+    /// Share by which each further stream lengthens the gap.
+    pub gap_growth: f64,
+    /// Blocks in the prefix cache.
+    pub cache_blocks: usize,
+    /// How old a load report is.
+    pub report_lag: Duration,
+    /// How long the engine is gone after a poisonous request; none: it doesn't crash.
+    pub crash_for: Option<Duration>,
+    /// Whether an order with an old fencing number is refused.
+    pub checks_fencing: bool,
+}
+
+impl Default for EngineConfig {
+    fn default() -> Self {
+        Self {
+            address: "127.0.0.1:0".to_owned(),
+            slots: 16,
+            prefill_rate: 8_000.0,
+            gap: Duration::from_millis(20),
+            gap_growth: 0.05,
+            cache_blocks: 4_096,
+            report_lag: Duration::from_secs(1),
+            crash_for: None,
+            checks_fencing: false,
+        }
+    }
+}
+
+/// One request that the engine took up.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Execution {
+    /// Id that the caller of the engine gave.
+    pub id: String,
+    /// Tokens prefilled, without those found in the cache.
+    pub prefilled: u64,
+    /// Tokens found in the cache.
+    pub cached: u64,
+    /// Tokens generated so far.
+    pub generated: u64,
+    /// Whether it was cancelled.
+    pub cancelled: bool,
+}
+
+/// A running engine.
+#[derive(Debug)]
+pub struct Engine {
+    /// Where it listens.
+    pub address: SocketAddr,
+    state: Arc<State>,
+    server: JoinHandle<()>,
+}
+
+#[derive(Debug)]
+struct State {
+    cfg: EngineConfig,
+    admit: Semaphore,
+    prefill: tokio::sync::Mutex<()>,
+    inner: Mutex<Inner>,
+    crash: Notify,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    streams: HashMap<String, Arc<Stream>>,
+    executions: Vec<Execution>,
+    cache: VecDeque<u64>,
+    loads: VecDeque<(Option<Instant>, Load)>,
+    running: u32,
+    waiting: u32,
+    slowdown: f64,
+    greatest_fence: (u64, u64),
+    leaving: bool,
+}
+
+#[derive(Debug, Clone, Copy, Default, Serialize)]
+struct Load {
+    running: u32,
+    waiting: u32,
+    leaving: bool,
+    age_ms: u64,
+}
+
+#[derive(Debug)]
+struct Stream {
+    total: u64,
+    seed: u64,
+    index: usize,
+    made: watch::Sender<u64>,
+    cancelled: Notify,
+}
+
+#[derive(Debug, Deserialize)]
+struct Call {
+    #[serde(default)]
+    model: String,
+    #[serde(default)]
+    prompt: String,
+    #[serde(default)]
+    messages: Vec<ChatMessage>,
+    #[serde(default = "sixteen")]
+    max_tokens: u64,
+    #[serde(default)]
+    stream: bool,
+}
+
+#[derive(Debug, Deserialize)]
+struct ChatMessage {
+    #[serde(default)]
+    content: String,
+}
+
+fn sixteen() -> u64 {
+    16
+}
+
+impl Call {
+    fn text(&self) -> String {
+        let mut text = self.prompt.clone();
+        for message in &self.messages {
+            text.push_str(&message.content);
+        }
+        text
+    }
+}
+
+/// The answer that any engine gives to a text, for whoever checks answers.
+#[must_use]
+pub fn expected_answer(text: &str, max_tokens: u64) -> String {
+    let seed = xxh3_64(text.as_bytes());
+    (0..max_tokens).map(|index| token(seed, index)).collect()
+}
+
+fn token(seed: u64, index: u64) -> String {
+    format!("w{}.{index} ", seed % 100_000)
+}
+
+impl Engine {
+    /// Starts an engine.
+    ///
+    /// # Errors
+    /// When the address can't be bound.
+    pub async fn start(cfg: EngineConfig) -> std::io::Result<Self> {
+        let (listener, address) = bind(&cfg.address).await?;
+        let inner = Inner {
+            slowdown: 1.0,
+            ..Inner::default()
+        };
+        let state = Arc::new(State {
+            admit: Semaphore::new(cfg.slots),
+            prefill: tokio::sync::Mutex::new(()),
+            inner: Mutex::new(inner),
+            crash: Notify::new(),
+            cfg,
+        });
+        let server = tokio::spawn(run(state.clone(), listener, address));
+        Ok(Self {
+            address,
+            state,
+            server,
+        })
+    }
+
+    /// Everything it took up, in order.
+    #[must_use]
+    pub fn executions(&self) -> Vec<Execution> {
+        self.state.lock().executions.clone()
+    }
+
+    /// Makes every step take `factor` times as long.
+    pub fn slow_down(&self, factor: f64) {
+        self.state.lock().slowdown = factor;
+    }
+
+    /// Says in its load reports that it is leaving.
+    pub fn leave(&self) {
+        self.state.lock().leaving = true;
+    }
+
+    /// Ends it at once, cutting all connections.
+    pub fn kill(&self) {
+        self.server.abort();
+    }
+}
+
+impl Drop for Engine {
+    fn drop(&mut self) {
+        self.server.abort();
+    }
+}
+
+/// Serves, and after a crash is gone for a while and starts empty at the same address.
+async fn run(state: Arc<State>, listener: tokio::net::TcpListener, address: SocketAddr) {
+    let mut listener = Some(listener);
+    loop {
+        let Some(current) = listener.take() else {
+            return;
+        };
+        let shared = state.clone();
+        let server = AbortOnDrop(serve(current, move |req| handle(shared.clone(), req)));
+        state.crash.notified().await;
+        drop(server);
+        state.forget();
+        sleep(state.cfg.crash_for.unwrap_or_default()).await;
+        while listener.is_none() {
+            listener = tokio::net::TcpListener::bind(address).await.ok();
+            sleep(Duration::from_millis(10)).await;
+        }
+    }
+}
+
+struct AbortOnDrop(JoinHandle<()>);
+
+impl Drop for AbortOnDrop {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+impl State {
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn forget(&self) {
+        let mut inner = self.lock();
+        for stream in inner.streams.values() {
+            stream.cancelled.notify_one();
+        }
+        inner.streams.clear();
+        inner.cache.clear();
+    }
+
+    fn gap(&self) -> Duration {
+        let inner = self.lock();
+        let others = f64::from(inner.running.saturating_sub(1));
+        self.cfg
+            .gap
+            .mul_f64((1.0 + self.cfg.gap_growth * others) * inner.slowdown)
+    }
+
+    /// Counts the tokens of a text found in the cache and puts the rest there.
+    fn through_cache(&self, text: &str) -> (u64, u64) {
+        let tokens = text.len().div_ceil(CHARS_PER_TOKEN) as u64;
+        let block = CACHE_BLOCK_TOKENS * CHARS_PER_TOKEN;
+        let mut inner = self.lock();
+        let mut cached = 0;
+        let mut missed = false;
+        for end in (block..=text.len()).step_by(block) {
+            let key = xxh3_64(&text.as_bytes()[..end]);
+            if let Some(place) = inner.cache.iter().position(|other| *other == key) {
+                inner.cache.remove(place);
+                if !missed {
+                    cached += CACHE_BLOCK_TOKENS as u64;
+                }
+            } else {
+                missed = true;
+            }
+            inner.cache.push_back(key);
+        }
+        while inner.cache.len() > self.cfg.cache_blocks {
+            inner.cache.pop_front();
+        }
+        (tokens.saturating_sub(cached), cached)
+    }
+
+    fn report(&self) -> Load {
+        let mut inner = self.lock();
+        let now = Instant::now();
+        let fresh = Load {
+            running: inner.running,
+            waiting: inner.waiting,
+            leaving: inner.leaving,
+            age_ms: 0,
+        };
+        inner.loads.push_back((Some(now), fresh));
+        let lag = self.cfg.report_lag;
+        let old = |entry: Option<&(Option<Instant>, Load)>| {
+            entry
+                .and_then(|(at, _)| *at)
+                .is_some_and(|at| now.duration_since(at) >= lag)
+        };
+        while old(inner.loads.get(1)) {
+            inner.loads.pop_front();
+        }
+        let (at, load) = inner.loads.front().copied().unwrap_or((None, fresh));
+        let age = at.map_or(Duration::ZERO, |at| now.duration_since(at));
+        Load {
+            age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
+            ..load
+        }
+    }
+}
+
+async fn handle(state: Arc<State>, req: Request<Incoming>) -> Response<Body> {
+    let path = req.uri().path().to_owned();
+    match (req.method().clone(), path.as_str()) {
+        (Method::POST, "/v1/chat/completions" | "/v1/completions") => complete(state, req).await,
+        (Method::GET, "/load") => json(StatusCode::OK, &state.report()),
+        (Method::GET, "/executions") => json(StatusCode::OK, &state.lock().executions),
+        (Method::GET, other) if other.starts_with("/v1/streams/") => resume(
+            &state,
+            &other["/v1/streams/".len()..],
+            query_number(&req, "offset"),
+        ),
+        (Method::DELETE, other) if other.starts_with("/v1/streams/") => {
+            cancel(&state, &other["/v1/streams/".len()..])
+        }
+        _ => json(StatusCode::NOT_FOUND, &"no such path"),
+    }
+}
+
+async fn complete(state: Arc<State>, req: Request<Incoming>) -> Response<Body> {
+    if state.cfg.checks_fencing && !fence_is_new(&state, &req) {
+        return json(StatusCode::CONFLICT, &"old fencing number");
+    }
+    let id = header(&req, "x-request-id").unwrap_or("unnamed").to_owned();
+    let Ok(body) = req.into_body().collect().await else {
+        return json(StatusCode::BAD_REQUEST, &"body cut");
+    };
+    let Ok(call) = serde_json::from_slice::<Call>(&body.to_bytes()) else {
+        return json(StatusCode::BAD_REQUEST, &"not a completion request");
+    };
+    let text = call.text();
+    let stream = begin(&state, &id, &call, &text);
+    if state.cfg.crash_for.is_some() && text.contains(POISON) {
+        state.crash.notify_one();
+        std::future::pending::<()>().await;
+    }
+    tokio::spawn(generate(state, stream.clone(), text));
+    if call.stream {
+        events(stream, 0)
+    } else {
+        whole(stream, &call.model).await
+    }
+}
+
+fn header<'a>(req: &'a Request<Incoming>, name: &str) -> Option<&'a str> {
+    req.headers().get(name)?.to_str().ok()
+}
+
+/// A fencing number is `incarnation.sequence`; a smaller incarnation is an old holder's.
+fn fence_is_new(state: &State, req: &Request<Incoming>) -> bool {
+    let Some((incarnation, sequence)) =
+        header(req, "x-fencing-number").and_then(|value| value.split_once('.'))
+    else {
+        return true;
+    };
+    let number = (
+        incarnation.parse().unwrap_or(0),
+        sequence.parse().unwrap_or(0),
+    );
+    let mut inner = state.lock();
+    let new = number.0 >= inner.greatest_fence.0;
+    inner.greatest_fence = inner.greatest_fence.max(number);
+    new
+}
+
+fn begin(state: &State, id: &str, call: &Call, text: &str) -> Arc<Stream> {
+    let mut inner = state.lock();
+    let stream = Arc::new(Stream {
+        total: call.max_tokens,
+        seed: xxh3_64(text.as_bytes()),
+        index: inner.executions.len(),
+        made: watch::Sender::new(0),
+        cancelled: Notify::new(),
+    });
+    inner.executions.push(Execution {
+        id: id.to_owned(),
+        prefilled: 0,
+        cached: 0,
+        generated: 0,
+        cancelled: false,
+    });
+    inner.streams.insert(id.to_owned(), stream.clone());
+    stream
+}
+
+async fn generate(state: Arc<State>, stream: Arc<Stream>, text: String) {
+    state.lock().waiting += 1;
+    let permit = tokio::select! {
+        permit = state.admit.acquire() => permit,
+        () = stream.cancelled.notified() => {
+            state.lock().waiting -= 1;
+            return end(&state, &stream, true);
+        }
+    };
+    {
+        let mut inner = state.lock();
+        inner.waiting -= 1;
+        inner.running += 1;
+    }
+    let cancelled = tokio::select! {
+        () = produce(&state, &stream, &text) => false,
+        () = stream.cancelled.notified() => true,
+    };
+    state.lock().running -= 1;
+    drop(permit);
+    end(&state, &stream, cancelled);
+}
+
+fn end(state: &State, stream: &Stream, cancelled: bool) {
+    if let Some(execution) = state.lock().executions.get_mut(stream.index) {
+        execution.cancelled = cancelled;
+    }
+}
+
+async fn produce(state: &State, stream: &Stream, text: &str) {
+    let turn = state.prefill.lock().await;
+    let (prefilled, cached) = state.through_cache(text);
+    let slowdown = {
+        let mut inner = state.lock();
+        if let Some(execution) = inner.executions.get_mut(stream.index) {
+            execution.prefilled = prefilled;
+            execution.cached = cached;
+        }
+        inner.slowdown
+    };
+    #[expect(clippy::cast_precision_loss, reason = "token counts are small")]
+    let seconds = prefilled as f64 / state.cfg.prefill_rate * slowdown;
+    sleep(Duration::from_secs_f64(seconds)).await;
+    drop(turn);
+    for made in 1..=stream.total {
+        if made > 1 {
+            sleep(state.gap()).await;
+        }
+        if let Some(execution) = state.lock().executions.get_mut(stream.index) {
+            execution.generated = made;
+        }
+        stream.made.send_replace(made);
+    }
+}
+
+/// Server-sent events from an offset on, as tokens are made.
+fn events(stream: Arc<Stream>, offset: u64) -> Response<Body> {
+    let (tx, rx) = mpsc::channel::<Result<Frame<Bytes>, std::io::Error>>(16);
+    tokio::spawn(async move {
+        let mut made = stream.made.subscribe();
+        let mut next = offset;
+        while next < stream.total {
+            let upto = match made.wait_for(|made| *made > next).await {
+                Ok(made) => *made,
+                Err(_) => return,
+            };
+            while next < upto {
+                let chunk = serde_json::json!({
+                    "object": "chat.completion.chunk",
+                    "choices": [{"index": 0, "delta": {"content": token(stream.seed, next)}}],
+                });
+                let event = Bytes::from(format!("data: {chunk}\n\n"));
+                if tx.send(Ok(Frame::data(event))).await.is_err() {
+                    return;
+                }
+                next += 1;
+            }
+        }
+        let _ = tx
+            .send(Ok(Frame::data(Bytes::from_static(b"data: [DONE]\n\n"))))
+            .await;
+    });
+    let body = BodyExt::boxed_unsync(StreamBody::new(Receiver(rx)));
+    let mut response = Response::new(body);
+    let value = hyper::header::HeaderValue::from_static("text/event-stream");
+    response
+        .headers_mut()
+        .insert(hyper::header::CONTENT_TYPE, value);
+    response
+}
+
+async fn whole(stream: Arc<Stream>, model: &str) -> Response<Body> {
+    let mut made = stream.made.subscribe();
+    if made.wait_for(|made| *made >= stream.total).await.is_err() {
+        return json(StatusCode::INTERNAL_SERVER_ERROR, &"engine stopped");
+    }
+    let content: String = (0..stream.total)
+        .map(|index| token(stream.seed, index))
+        .collect();
+    let answer = serde_json::json!({
+        "object": "chat.completion",
+        "model": model,
+        "choices": [{"index": 0, "message": {"role": "assistant", "content": content}}],
+        "usage": {"completion_tokens": stream.total},
+    });
+    json(StatusCode::OK, &answer)
+}
+
+fn resume(state: &State, id: &str, offset: u64) -> Response<Body> {
+    let stream = state.lock().streams.get(id).cloned();
+    match stream {
+        Some(stream) => events(stream, offset),
+        None => json(StatusCode::NOT_FOUND, &"no such stream"),
+    }
+}
+
+fn cancel(state: &State, id: &str) -> Response<Body> {
+    let Some(stream) = state.lock().streams.remove(id) else {
+        return json(StatusCode::NOT_FOUND, &"no such stream");
+    };
+    stream.cancelled.notify_one();
+    json(StatusCode::OK, &"cancelled")
+}
+
+/// A channel's receiver as a stream of frames.
+struct Receiver<T>(mpsc::Receiver<T>);
+
+impl<T> futures_util::Stream for Receiver<T> {
+    type Item = T;
+
+    fn poll_next(
+        mut self: std::pin::Pin<&mut Self>,
+        cx: &mut std::task::Context<'_>,
+    ) -> std::task::Poll<Option<T>> {
+        self.0.poll_recv(cx)
+    }
+}
--- /dev/null
+++ b/crates/jaypin_standin/src/http.rs
@@ -0,0 +1,87 @@
+//! The small HTTP server under all stand-ins.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use serde::Serialize;
+use tokio::net::TcpListener;
+use tokio::task::{JoinHandle, JoinSet};
+
+/// Body of every answer; an error in it breaks the connection off.
+pub type Body = UnsyncBoxBody<Bytes, std::io::Error>;
+
+/// Binds a listener, on a free port of the loopback address for `127.0.0.1:0`.
+pub async fn bind(address: &str) -> std::io::Result<(TcpListener, SocketAddr)> {
+    let listener = TcpListener::bind(address).await?;
+    let address = listener.local_addr()?;
+    Ok((listener, address))
+}
+
+/// Serves until the task is aborted; aborting cuts every connection.
+pub fn serve<H, F>(listener: TcpListener, handler: H) -> JoinHandle<()>
+where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+    F: Future<Output = Response<Body>> + Send + 'static,
+{
+    tokio::spawn(async move {
+        let mut connections = JoinSet::new();
+        loop {
+            tokio::select! {
+                accepted = listener.accept() => {
+                    let Ok((stream, _)) = accepted else { continue };
+                    let _ = stream.set_nodelay(true);
+                    let handler = handler.clone();
+                    connections.spawn(async move {
+                        let service = service_fn(move |req| {
+                            let answer = handler(req);
+                            async move { Ok::<_, Infallible>(answer.await) }
+                        });
+                        let _ = hyper::server::conn::http1::Builder::new()
+                            .serve_connection(TokioIo::new(stream), service)
+                            .await;
+                    });
+                }
+                Some(_) = connections.join_next() => {}
+            }
+        }
+    })
+}
+
+/// An answer with a JSON body.
+pub fn json(status: StatusCode, value: &impl Serialize) -> Response<Body> {
+    let bytes = serde_json::to_vec(value).unwrap_or_default();
+    let body = Full::new(Bytes::from(bytes))
+        .map_err(|never| match never {})
+        .boxed_unsync();
+    let mut response = Response::new(body);
+    *response.status_mut() = status;
+    let value = hyper::header::HeaderValue::from_static("application/json");
+    response
+        .headers_mut()
+        .insert(hyper::header::CONTENT_TYPE, value);
+    response
+}
+
+/// Value of a query parameter.
+pub fn query<'a>(req: &'a Request<Incoming>, name: &str) -> Option<&'a str> {
+    let pairs = req.uri().query()?.split('&');
+    pairs
+        .filter_map(|pair| pair.split_once('='))
+        .find(|(key, _)| *key == name)
+        .map(|(_, v)| v)
+}
+
+/// Value of a numeric query parameter, 0 when absent.
+pub fn query_number(req: &Request<Incoming>, name: &str) -> u64 {
+    query(req, name)
+        .and_then(|value| value.parse().ok())
+        .unwrap_or_default()
+}
--- /dev/null
+++ b/crates/jaypin_standin/src/lib.rs
@@ -0,0 +1,15 @@
+//! Small stand-ins for the systems that jaypin meets; never shipped.
+//!
+//! Each runs inside any tokio runtime, as tasks of a test, or as a process of its own
+//! by the command `jaypin-standin`.
+
+mod app;
+mod engine;
+mod http;
+mod platform;
+mod proxy;
+
+pub use app::{App, AppCall, AppConfig};
+pub use engine::{Engine, EngineConfig, Execution, expected_answer};
+pub use platform::{Fault, Platform, PlatformCalls};
+pub use proxy::{Proxy, ProxyMode};
--- /dev/null
+++ b/crates/jaypin_wire/src/lib.rs
@@ -0,0 +1,16 @@
+//! What jaypin's processes, its platform and its callers send each other.
+//!
+//! Wire types stand apart from the types of the decisions, with `From` and `TryFrom`
+//! between them, so that either side can change without the other.
+
+mod api;
+mod codec;
+mod host_list;
+mod link;
+mod rules_object;
+
+pub use api::{EntryAddress, EntryAnswer, RefusalBody, RuleApplyBody, StatusBody};
+pub use codec::{CodecError, decode, encode};
+pub use host_list::{WireBackend, WireHost, WireHostList};
+pub use link::{Frame, Hello, LINK_VERSION, WireMessage};
+pub use rules_object::{RulesChange, RulesObject};
--- /dev/null
+++ b/crates/jaypin_wire/src/link.rs
@@ -0,0 +1,415 @@
+//! Frames of a peer link: a mutual proof of the fleet key, then messages.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use jaypin_core::{
+    Ask, Candidate, Grant, GrantNumber, InFlight, Message, Ran, Reason, Refusal, Shard,
+    SlotProgress,
+};
+use serde::{Deserialize, Serialize};
+
+/// Version of the link protocol; peers of another version are turned away.
+pub const LINK_VERSION: u16 = 1;
+
+/// One frame of a link.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum Frame {
+    /// First frame of either side.
+    Hello(Hello),
+    /// Second frame of either side: a MAC over both hellos under the fleet key.
+    Proof(Vec<u8>),
+    /// Everything after.
+    Message(WireMessage),
+}
+
+/// Who is at the other end.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Hello {
+    /// Version of the protocol.
+    pub version: u16,
+    /// Name of the host.
+    pub host: Arc<str>,
+    /// Its incarnation.
+    pub incarnation: u64,
+    /// A number used once, so that a recorded proof is worth nothing.
+    pub nonce: [u8; 16],
+}
+
+/// A message between two hosts, as it travels.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum WireMessage {
+    /// See [`Message::Ask`].
+    Ask(WireAsk),
+    /// See [`Message::Queued`].
+    Queued(Arc<str>, u32),
+    /// See [`Message::Grant`].
+    Grant(WireGrant),
+    /// See [`Message::Refused`].
+    Refused(Arc<str>, u32, WireRefusal),
+    /// See [`Message::NotLeader`].
+    NotLeader(Arc<str>, u32),
+    /// See [`Message::Withdraw`].
+    Withdraw(WireShard, Arc<str>),
+    /// See [`Message::Progress`].
+    Progress(WireShard, Arc<str>, WireNumber, WireProgress),
+    /// See [`Message::InFlight`].
+    InFlight(WireShard, Vec<WireInFlight>),
+}
+
+/// See [`Shard`].
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct WireShard(Arc<str>, u16);
+
+/// See [`GrantNumber`].
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+pub struct WireNumber(u64, u64);
+
+/// See [`Ask`].
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct WireAsk {
+    shard: WireShard,
+    id: Arc<str>,
+    attempt: u32,
+    tier: u8,
+    account: Arc<str>,
+    prompt_tokens: u32,
+    max_tokens: u32,
+    first_token_in: Duration,
+    whole_in: Duration,
+    prefixes: Vec<u64>,
+}
+
+/// See [`Grant`].
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct WireGrant {
+    shard: WireShard,
+    id: Arc<str>,
+    attempt: u32,
+    number: WireNumber,
+    backend: Arc<str>,
+    candidates: Vec<WireCandidate>,
+}
+
+/// See [`Candidate`].
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct WireCandidate(Arc<str>, Duration, u32, u32);
+
+/// See [`Refusal`].
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct WireRefusal {
+    reason: WireReason,
+    ran: WireRan,
+    retry_after: Option<Duration>,
+    rule_line: Option<u32>,
+}
+
+/// See [`SlotProgress`].
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+pub enum WireProgress {
+    /// See [`SlotProgress::Returned`].
+    Returned,
+    /// See [`SlotProgress::FirstToken`].
+    FirstToken(Duration),
+    /// See [`SlotProgress::Finished`].
+    Finished(u32, Duration, bool),
+}
+
+/// See [`InFlight`].
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct WireInFlight {
+    id: Arc<str>,
+    number: WireNumber,
+    backend: Arc<str>,
+    account: Arc<str>,
+    tier: u8,
+    prompt_tokens: u32,
+    max_tokens: u32,
+}
+
+/// Pairs each value of an enum with its wire twin, in both directions.
+macro_rules! twin_enum {
+    ($(#[$doc:meta])* $wire:ident, $core:ident, [$($name:ident),* $(,)?]) => {
+        $(#[$doc])*
+        #[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+        #[allow(missing_docs, reason = "each value is documented at its twin")]
+        pub enum $wire { $($name),* }
+
+        impl From<$core> for $wire {
+            fn from(value: $core) -> Self {
+                match value { $($core::$name => Self::$name),* }
+            }
+        }
+
+        impl From<$wire> for $core {
+            fn from(value: $wire) -> Self {
+                match value { $($wire::$name => Self::$name),* }
+            }
+        }
+    };
+}
+
+twin_enum!(
+    /// See [`Ran`].
+    WireRan, Ran, [NotRun, Ran, Unknown]
+);
+twin_enum!(
+    /// See [`Reason`].
+    WireReason,
+    Reason,
+    [
+        Draining, NotReady, NoBackend, Shed, TooLate, NoScheduler, OverLimit, Quarantined,
+        InFlight, KeyUnknown, BackendLost, BackendFailed,
+    ]
+);
+
+impl From<Shard> for WireShard {
+    fn from(shard: Shard) -> Self {
+        Self(shard.service, shard.index)
+    }
+}
+
+impl From<WireShard> for Shard {
+    fn from(wire: WireShard) -> Self {
+        Self {
+            service: wire.0,
+            index: wire.1,
+        }
+    }
+}
+
+impl From<GrantNumber> for WireNumber {
+    fn from(number: GrantNumber) -> Self {
+        Self(number.incarnation, number.sequence)
+    }
+}
+
+impl From<WireNumber> for GrantNumber {
+    fn from(wire: WireNumber) -> Self {
+        Self {
+            incarnation: wire.0,
+            sequence: wire.1,
+        }
+    }
+}
+
+impl From<Ask> for WireAsk {
+    fn from(ask: Ask) -> Self {
+        Self {
+            shard: ask.shard.into(),
+            id: ask.id,
+            attempt: ask.attempt,
+            tier: ask.tier,
+            account: ask.account,
+            prompt_tokens: ask.prompt_tokens,
+            max_tokens: ask.max_tokens,
+            first_token_in: ask.first_token_in,
+            whole_in: ask.whole_in,
+            prefixes: ask.prefixes,
+        }
+    }
+}
+
+impl From<WireAsk> for Ask {
+    fn from(wire: WireAsk) -> Self {
+        Self {
+            shard: wire.shard.into(),
+            id: wire.id,
+            attempt: wire.attempt,
+            tier: wire.tier,
+            account: wire.account,
+            prompt_tokens: wire.prompt_tokens,
+            max_tokens: wire.max_tokens,
+            first_token_in: wire.first_token_in,
+            whole_in: wire.whole_in,
+            prefixes: wire.prefixes,
+        }
+    }
+}
+
+impl From<Candidate> for WireCandidate {
+    fn from(candidate: Candidate) -> Self {
+        Self(
+            candidate.backend,
+            candidate.first_token,
+            candidate.running,
+            candidate.limit,
+        )
+    }
+}
+
+impl From<WireCandidate> for Candidate {
+    fn from(wire: WireCandidate) -> Self {
+        Self {
+            backend: wire.0,
+            first_token: wire.1,
+            running: wire.2,
+            limit: wire.3,
+        }
+    }
+}
+
+impl From<Grant> for WireGrant {
+    fn from(grant: Grant) -> Self {
+        Self {
+            shard: grant.shard.into(),
+            id: grant.id,
+            attempt: grant.attempt,
+            number: grant.number.into(),
+            backend: grant.backend,
+            candidates: grant
+                .candidates
+                .into_iter()
+                .map(WireCandidate::from)
+                .collect(),
+        }
+    }
+}
+
+impl From<WireGrant> for Grant {
+    fn from(wire: WireGrant) -> Self {
+        Self {
+            shard: wire.shard.into(),
+            id: wire.id,
+            attempt: wire.attempt,
+            number: wire.number.into(),
+            backend: wire.backend,
+            candidates: wire.candidates.into_iter().map(Candidate::from).collect(),
+        }
+    }
+}
+
+impl From<Refusal> for WireRefusal {
+    fn from(refusal: Refusal) -> Self {
+        Self {
+            reason: refusal.reason.into(),
+            ran: refusal.ran.into(),
+            retry_after: refusal.retry_after,
+            rule_line: refusal.rule_line,
+        }
+    }
+}
+
+impl From<WireRefusal> for Refusal {
+    fn from(wire: WireRefusal) -> Self {
+        Self {
+            reason: wire.reason.into(),
+            ran: wire.ran.into(),
+            retry_after: wire.retry_after,
+            rule_line: wire.rule_line,
+        }
+    }
+}
+
+impl From<SlotProgress> for WireProgress {
+    fn from(progress: SlotProgress) -> Self {
+        match progress {
+            SlotProgress::Returned => Self::Returned,
+            SlotProgress::FirstToken { after } => Self::FirstToken(after),
+            SlotProgress::Finished {
+                tokens,
+                after,
+                lost,
+            } => Self::Finished(tokens, after, lost),
+        }
+    }
+}
+
+impl From<WireProgress> for SlotProgress {
+    fn from(wire: WireProgress) -> Self {
+        match wire {
+            WireProgress::Returned => Self::Returned,
+            WireProgress::FirstToken(after) => Self::FirstToken { after },
+            WireProgress::Finished(tokens, after, lost) => Self::Finished {
+                tokens,
+                after,
+                lost,
+            },
+        }
+    }
+}
+
+impl From<InFlight> for WireInFlight {
+    fn from(entry: InFlight) -> Self {
+        Self {
+            id: entry.id,
+            number: entry.number.into(),
+            backend: entry.backend,
+            account: entry.account,
+            tier: entry.tier,
+            prompt_tokens: entry.prompt_tokens,
+            max_tokens: entry.max_tokens,
+        }
+    }
+}
+
+impl From<WireInFlight> for InFlight {
+    fn from(wire: WireInFlight) -> Self {
+        Self {
+            id: wire.id,
+            number: wire.number.into(),
+            backend: wire.backend,
+            account: wire.account,
+            tier: wire.tier,
+            prompt_tokens: wire.prompt_tokens,
+            max_tokens: wire.max_tokens,
+        }
+    }
+}
+
+impl From<Message> for WireMessage {
+    fn from(message: Message) -> Self {
+        match message {
+            Message::Ask(ask) => Self::Ask(ask.into()),
+            Message::Queued { id, attempt } => Self::Queued(id, attempt),
+            Message::Grant(grant) => Self::Grant(grant.into()),
+            Message::Refused {
+                id,
+                attempt,
+                refusal,
+            } => Self::Refused(id, attempt, refusal.into()),
+            Message::NotLeader { id, attempt } => Self::NotLeader(id, attempt),
+            Message::Withdraw { shard, id } => Self::Withdraw(shard.into(), id),
+            Message::Progress {
+                shard,
+                id,
+                number,
+                progress,
+            } => Self::Progress(shard.into(), id, number.into(), progress.into()),
+            Message::InFlight { shard, running } => Self::InFlight(
+                shard.into(),
+                running.into_iter().map(WireInFlight::from).collect(),
+            ),
+        }
+    }
+}
+
+impl From<WireMessage> for Message {
+    fn from(wire: WireMessage) -> Self {
+        match wire {
+            WireMessage::Ask(ask) => Self::Ask(ask.into()),
+            WireMessage::Queued(id, attempt) => Self::Queued { id, attempt },
+            WireMessage::Grant(grant) => Self::Grant(grant.into()),
+            WireMessage::Refused(id, attempt, refusal) => Self::Refused {
+                id,
+                attempt,
+                refusal: refusal.into(),
+            },
+            WireMessage::NotLeader(id, attempt) => Self::NotLeader { id, attempt },
+            WireMessage::Withdraw(shard, id) => Self::Withdraw {
+                shard: shard.into(),
+                id,
+            },
+            WireMessage::Progress(shard, id, number, progress) => Self::Progress {
+                shard: shard.into(),
+                id,
+                number: number.into(),
+                progress: progress.into(),
+            },
+            WireMessage::InFlight(shard, running) => Self::InFlight {
+                shard: shard.into(),
+                running: running.into_iter().map(InFlight::from).collect(),
+            },
+        }
+    }
+}
