Name every mistake of a rule file at once, with line and column

Cause: the parser stopped at the first mistake of a line, took the last `# asked by:` of a line for the comment even inside quoted text, named no field ("data did not match any variant") and walked lists to find a caller. Ruled out: serde with spans for each field (stops at the first error); an untagged enum (loses the field); finding the comment by text (a `#` may be quoted). Change: each line is loaded by marked-yaml, whose end of the mapping gives the start of the comment. Fields are taken one by one and every wrong one is noted with what was found, what was expected and the nearest name (strsim). A check over the whole file finds duplicates, rank gaps and references to nothing, and stays silent about rules whose own line is wrong already. Look-ups use maps. `difference` compares two files by lines (similar).

--- a/crates/jaypin_rules/src/lib.rs
+++ b/crates/jaypin_rules/src/lib.rs
@@ -4,13 +4,22 @@
 //! who asked for the rule, so that a monitor can trace every decision to a requester.
 //! This crate is free of I/O: text in, a [`RuleSet`] or a list of [`Mistake`]s out.
 
+mod check;
+mod difference;
 mod digest;
+mod fields;
+mod index;
+mod kinds;
+mod line;
 mod mistake;
+mod nearest;
 mod parse;
 mod rule;
 mod rule_set;
 
+pub use difference::{LineChange, difference};
 pub use digest::{CredentialDigest, digest_credential};
+pub use index::RuleIndex;
 pub use mistake::Mistake;
 pub use parse::parse;
 pub use rule::{
--- a/crates/jaypin_rules/src/rule_set.rs
+++ b/crates/jaypin_rules/src/rule_set.rs
@@ -1,8 +1,11 @@
 //! All rules of one file, with look-ups by name.
 
+use std::collections::HashMap;
+
+use crate::RuleIndex;
 use crate::rule::{
-    AccountRule, CallerRule, FencingRule, LimitRule, QuarantineRule, RouteRule, ServiceRule,
-    TierRule,
+    AccountRule, CallerRule, FencingRule, LimitRule, Origin, QuarantineRule, RouteRule,
+    ServiceRule, TierRule,
 };
 
 /// The rules in force, as one plain value.
@@ -24,6 +27,8 @@
     pub fencing: Vec<FencingRule>,
     /// When a fingerprint is quarantined.
     pub quarantine: QuarantineRule,
+    /// Places of the rules by name, as [`crate::parse`] builds it.
+    pub index: RuleIndex,
 }
 
 impl RuleSet {
@@ -48,34 +53,88 @@
     /// Finds the service whose engines serve a model.
     #[must_use]
     pub fn service_of_model(&self, model: &str) -> Option<&ServiceRule> {
-        self.services
-            .iter()
-            .find(|service| service.models.iter().any(|name| name == model))
+        let place = self.index.models.get(model);
+        place.map_or_else(
+            || {
+                self.services
+                    .iter()
+                    .find(|rule| rule.models.iter().any(|name| name == model))
+            },
+            |place| self.services.get(*place),
+        )
     }
 
     /// Finds the rule of a plain call, given as `METHOD /path`.
     #[must_use]
     pub fn route(&self, service: &str, route: &str) -> Option<&RouteRule> {
-        self.routes
-            .iter()
-            .find(|rule| rule.service == service && rule.route == route)
+        if self.index.route_count != self.routes.len() {
+            let mut routes = self.routes.iter();
+            return routes.find(|rule| rule.service == service && rule.route == route);
+        }
+        let place = self.index.routes.get(service)?.get(route)?;
+        self.routes.get(*place)
     }
 
     /// Finds an account by name.
     #[must_use]
     pub fn account(&self, name: &str) -> Option<&AccountRule> {
-        self.accounts.iter().find(|account| account.name == name)
+        find(&self.accounts, &self.index.accounts, name, |rule| {
+            &rule.name
+        })
     }
 
     /// Finds the caller that a credential's digest belongs to.
     #[must_use]
     pub fn caller(&self, digest: &str) -> Option<&CallerRule> {
-        self.callers.iter().find(|caller| caller.digest == digest)
+        find(&self.callers, &self.index.callers, digest, |rule| {
+            &rule.digest
+        })
     }
 
     /// Finds the limits of an account.
     #[must_use]
     pub fn limit(&self, account: &str) -> Option<&LimitRule> {
-        self.limits.iter().find(|limit| limit.account == account)
+        find(&self.limits, &self.index.limits, account, |rule| {
+            &rule.account
+        })
+    }
+
+    /// Who asked for each rule, by line.
+    #[must_use]
+    pub fn requesters(&self) -> HashMap<u32, &str> {
+        self.origins()
+            .map(|origin| (origin.line, &*origin.asked_by))
+            .collect()
+    }
+
+    fn origins(&self) -> impl Iterator<Item = &Origin> {
+        let tiers = self.tiers.iter().map(|rule| &rule.origin);
+        let services = self.services.iter().map(|rule| &rule.origin);
+        let routes = self.routes.iter().map(|rule| &rule.origin);
+        let accounts = self.accounts.iter().map(|rule| &rule.origin);
+        let callers = self.callers.iter().map(|rule| &rule.origin);
+        let limits = self.limits.iter().map(|rule| &rule.origin);
+        let fencing = self.fencing.iter().map(|rule| &rule.origin);
+        tiers
+            .chain(services)
+            .chain(routes)
+            .chain(accounts)
+            .chain(callers)
+            .chain(limits)
+            .chain(fencing)
+            .chain([&self.quarantine.origin])
+    }
+}
+
+/// Finds a rule by the index, or by walking when rules were added after it was built.
+fn find<'a, T>(
+    rules: &'a [T],
+    index: &HashMap<String, usize>,
+    name: &str,
+    name_of: impl Fn(&T) -> &String,
+) -> Option<&'a T> {
+    if index.len() == rules.len() {
+        return rules.get(*index.get(name)?);
     }
+    rules.iter().find(|rule| name_of(rule) == name)
 }
--- /dev/null
+++ b/crates/jaypin_rules/tests/parse.rs
@@ -0,0 +1,110 @@
+//! What the rule file may say, and how its mistakes are named.
+
+use jaypin_rules::{RuleSet, difference, parse};
+
+const LANYANG: &str = include_str!("../../../examples/lanyang-rules.yaml");
+const HANBIT: &str = include_str!("../../../examples/hanbit-rules.yaml");
+
+/// A file that is right, for single lines to be added to.
+const BASE: &str = "\
+- {tier: urgent, rank: 0, first-token-ms: 1000, gap-ms: 66, whole-ms: 5000}  # asked by: vets
+- {service: robots, kind: plain, tier: urgent}  # asked by: robot team
+";
+
+#[test]
+fn a_dozen_mistakes_are_named_at_once() {
+    let mistakes = parse(include_str!("wrong-rules.yaml")).expect_err("mistakes");
+    let lines: Vec<String> = mistakes.iter().map(ToString::to_string).collect();
+    insta::assert_snapshot!(lines.join("\n"));
+}
+
+/// Names a case, a line, and what is to be found in it.
+macro_rules! lines {
+    ($($name:ident: $line:expr => $expected:expr;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                let text = format!("{BASE}{}\n", $line);
+                let found = match parse(&text) {
+                    Ok(rules) => rules.routes.last().map(|rule| rule.origin.asked_by.clone()),
+                    Err(mistakes) => mistakes.first().map(ToString::to_string),
+                };
+                assert_eq!(found.unwrap_or_default(), $expected);
+            }
+        )*
+    };
+}
+
+lines! {
+    a_requester_may_hold_a_hash:
+        "- {route: GET /a, service: robots, repeat: never}  # asked by: vets # 7"
+        => "vets # 7";
+    a_quoted_hash_is_no_comment:
+        "- {route: 'GET /a#asked by: x', service: robots, repeat: never}"
+        => "line 3, column 11: `route`: found `GET /a#asked by: x`, expected a method and a path, for example `POST /gate`";
+    a_quoted_brace_does_not_end_the_rule:
+        "- {route: 'GET /{a}', service: robots, repeat: never}  # asked by: robot team"
+        => "robot team";
+    a_comment_without_a_name_is_wrong:
+        "- {route: GET /a, service: robots, repeat: never}  # because"
+        => "line 3, column 52: found the comment `# because`, expected `# asked by: WHO`";
+    two_rules_on_one_line_are_wrong:
+        "- {route: GET /a, service: robots, repeat: never}, {}  # asked by: vets"
+        => "line 3, column 50: not YAML: while parsing a block collection, did not find expected '-' indicator; expected `- {KIND: ..., ...}  # asked by: WHO`";
+    a_tag_is_wrong:
+        "- {route: !!str GET /a, service: robots, repeat: never}  # asked by: vets"
+        => "line 3, column 17: tags are not allowed";
+    wide_letters_are_counted_once:
+        "- {route: GET /a, service: 牛, repeat: never}  # asked by: 獣医"
+        => "line 3, column 28: `service`: found `牛`, expected a name of letters, digits, `-`, `_` and `.`";
+}
+
+#[test]
+fn the_examples_are_right_and_each_rule_has_a_requester() {
+    for text in [LANYANG, HANBIT] {
+        let rules = parse(text).expect("a right file");
+        let requesters = rules.requesters();
+        let rule_lines = text.lines().filter(|line| line.starts_with('-')).count();
+        assert_eq!(requesters.len(), rule_lines);
+        assert!(requesters.values().all(|name| !name.is_empty()));
+    }
+}
+
+#[test]
+fn rules_are_found_by_name_among_many() {
+    let mut text = BASE.to_owned();
+    for number in 0..17_000 {
+        let digest = jaypin_rules::digest_credential(&number.to_string());
+        let caller = format!("caller: {digest}, account: farm-{number}");
+        for rule in [format!("account: farm-{number}"), caller] {
+            text.push_str(&["- {", &rule, "}  # asked by: sales\n"].concat());
+        }
+    }
+    let rules = parse(&text).expect("a right file");
+    for number in 0..17_000 {
+        let digest = jaypin_rules::digest_credential(&number.to_string());
+        let caller = rules.caller(&digest).expect("a caller");
+        assert_eq!(caller.account, format!("farm-{number}"));
+        assert!(rules.account(&caller.account).is_some());
+    }
+    assert!(rules.caller("no digest").is_none());
+}
+
+#[test]
+fn rules_added_by_hand_are_found_as_well() {
+    let rules = RuleSet {
+        accounts: parse(LANYANG).expect("a right file").accounts,
+        ..RuleSet::default()
+    };
+    assert!(rules.account("farm-luodong").is_some());
+}
+
+#[test]
+fn a_difference_is_a_list_of_lines() {
+    let new = BASE.replace("rank: 0", "rank: 1") + "# a remark\n";
+    let lines: Vec<String> = difference(BASE, &new)
+        .iter()
+        .map(ToString::to_string)
+        .collect();
+    insta::assert_snapshot!(lines.join("\n"));
+}
