Make the command line one file a subcommand, and settle and audit rule changes

Cause: `rules apply` wrote blindly: a lost answer was an error, the loser of a race saw a version number, nothing waited for the hosts, and no trail was kept. Ruled out: writing through a host's operators' listener (a host that dies between write and answer leaves the change open, and the first rules would need a ready host); an audit entry only after the write (a command that dies in between leaves an accepted change without a trace); one audit object (the platform takes a megabyte). Change: `rules check|diff|apply|show|log|who`, `settings check`, `status`, `drain`, `audit`, `explain` (raw for now) with `--help`, `--json` and exit codes 0, 1, 2. Every try of a write carries the same expected version, so at most one takes effect; a conflict is read back and told apart by the apply id. The trail is written first ("proposed") and completed after; entries are kept as the text that was digested and carry the digest of the one before, in objects `audit/N` of up to 512 KiB. A rule file above a megabyte is refused in plain words so far.

--- /dev/null
+++ b/crates/jaypin/src/cli/rules/check.rs
@@ -0,0 +1,54 @@
+//! `jaypin rules check`
+
+use std::path::PathBuf;
+
+use lexopt::Parser;
+use serde::Serialize;
+
+use super::{Failure, Outcome, help, list, read_file, required};
+use crate::cli::print_json;
+use crate::cli::word::Word;
+
+const HELP: &str = "\
+usage: jaypin rules check FILE [--json]
+
+Names every mistake with its line and column; exit 2 when there is one.";
+
+/// One mistake, for programs.
+#[derive(Debug, Serialize)]
+struct MistakeBody {
+    line: u32,
+    column: u32,
+    message: String,
+}
+
+/// Checks a rule file.
+pub fn run(parser: &mut Parser) -> Outcome {
+    let mut file = None;
+    let mut json = false;
+    while let Some(word) = Word::next(parser)? {
+        match word.option() {
+            "--help" => return help(HELP),
+            "--json" => json = true,
+            _ => file = Some(PathBuf::from(word.place(file.as_ref())?)),
+        }
+    }
+    let file = required(file, "FILE")?;
+    let text = read_file(&file)?;
+    let mistakes = jaypin_rules::parse(&text).err().unwrap_or_default();
+    if json {
+        let bodies = mistakes.iter().map(|mistake| MistakeBody {
+            line: mistake.line,
+            column: mistake.column,
+            message: mistake.message.clone(),
+        });
+        print_json(&bodies.collect::<Vec<_>>())?;
+    }
+    if !mistakes.is_empty() {
+        return Err(Failure::Usage(list(&file, &mistakes)));
+    }
+    if !json {
+        println!("{}: good", file.display());
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/jaypin/src/cli/rules/diff.rs
@@ -0,0 +1,49 @@
+//! `jaypin rules diff`
+
+use std::path::PathBuf;
+
+use jaypin_rules::difference;
+use lexopt::Parser;
+
+use super::{Failure, Outcome, help, read_file, required};
+use crate::cli::print_json;
+use crate::cli::target::{TARGET_HELP, Target};
+use crate::cli::word::Word;
+use crate::rules_change::RulesStore;
+
+const HELP: &str = "\
+usage: jaypin rules diff FILE [OTHER] [OPTIONS]
+
+Lists the lines that FILE removes from (-) and adds to (+) the rules in force, or OTHER.
+";
+
+/// Compares a rule file.
+pub fn run(parser: &mut Parser) -> Outcome {
+    let mut target = Target::default();
+    let mut files = Vec::new();
+    while let Some(word) = Word::next(parser)? {
+        match word.option() {
+            "--help" => return help(&format!("{HELP}{TARGET_HELP}")),
+            _ if target.take(&word, parser)? => {}
+            _ => files.push(PathBuf::from(word.place(files.get(1))?)),
+        }
+    }
+    let new = read_file(required(files.first(), "FILE")?)?;
+    let old = if let Some(other) = files.get(1) {
+        read_file(other)?
+    } else {
+        let client = target.platform()?;
+        let (version, object) = RulesStore::new(&client).read().map_err(Failure::Failed)?;
+        eprintln!("compared with version {version}");
+        object.text
+    };
+    let changes = difference(&old, &new);
+    let lines: Vec<String> = changes.iter().map(ToString::to_string).collect();
+    if target.json {
+        return print_json(&lines);
+    }
+    for line in lines {
+        println!("{line}");
+    }
+    Ok(())
+}
--- a/crates/jaypin/src/main.rs
+++ b/crates/jaypin/src/main.rs
@@ -13,6 +13,7 @@
 mod operator;
 mod platform;
 mod reducer_task;
+mod rules_change;
 mod runner;
 mod serve;
 mod settings;
@@ -26,14 +27,7 @@
 const EXIT_FAILED: u8 = 1;
 
 fn main() -> ExitCode {
-    let command = match cli::parse(std::env::args_os().skip(1)) {
-        Ok(command) => command,
-        Err(error) => {
-            eprintln!("jaypin: {error}\ntry `jaypin --help`");
-            return ExitCode::from(EXIT_USAGE);
-        }
-    };
-    match cli::run(command) {
+    match cli::run(std::env::args_os().skip(1)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(cli::Failure::Usage(message)) => {
             eprintln!("jaypin: {message}");
--- a/crates/jaypin/src/platform.rs
+++ b/crates/jaypin/src/platform.rs
@@ -6,14 +6,14 @@
 
 use crossbeam::channel::Sender;
 use jaypin_core::Event;
-use jaypin_wire::{RulesChange, RulesObject, WireHostList};
+use jaypin_wire::{RulesObject, WireHostList};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
 /// Key of the rules.
-const RULES: &str = "rules";
+pub const RULES: &str = "rules";
 /// Key of the host list.
-const HOSTS: &str = "hosts";
+pub const HOSTS: &str = "hosts";
 /// How long one watch waits at the platform.
 const WATCH: Duration = Duration::from_secs(20);
 /// Pause after a call that failed.
@@ -118,31 +118,6 @@
             _ => PutOutcome::Conflict(answer.version),
         })
     }
-
-    /// Puts a rule file in force if it was edited from the version in force.
-    pub fn put_rules(
-        &self,
-        text: &str,
-        edited_from: u64,
-        author: &str,
-    ) -> Result<PutOutcome, String> {
-        let mut object = match self.get::<RulesObject>(RULES)? {
-            Some((_, object)) => object,
-            None => RulesObject::default(),
-        };
-        text.clone_into(&mut object.text);
-        object.changes.push(RulesChange {
-            apply_id: format!("{:016x}", rand::random::<u64>()),
-            author: author.to_owned(),
-            at: unix_seconds(),
-        });
-        self.put(RULES, edited_from, &object)
-    }
-}
-
-fn unix_seconds() -> u64 {
-    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
-    since.map_or(0, |since| since.as_secs())
 }
 
 /// Watches rules and host list, each in a thread that ends with the process.
--- /dev/null
+++ b/crates/jaypin/src/rules_change/store.rs
@@ -0,0 +1,117 @@
+//! The rules object on the platform.
+
+use std::thread;
+use std::time::Duration;
+
+use jaypin_wire::{Held, RulesChange, RulesObject};
+
+use super::settle::{Deadline, Settled, put_settled};
+use crate::platform::{PlatformClient, RULES};
+
+/// How long an old copy of the rules is waited out.
+const STALE_PATIENCE: Duration = Duration::from_secs(3);
+/// Pause between two reads of an old copy.
+const STALE_PAUSE: Duration = Duration::from_millis(200);
+/// Greatest object that the platform takes, in bytes.
+pub const MAX_OBJECT: usize = 1 << 20;
+
+/// Rules that are to be put in force.
+#[derive(Debug, Clone)]
+pub struct NewRules {
+    /// The rule file.
+    pub text: String,
+    /// The version it was edited from.
+    pub edited_from: u64,
+    /// Who applies it, for whom.
+    pub change: RulesChange,
+}
+
+/// What became of an apply.
+#[derive(Debug)]
+pub enum Applied {
+    /// It is accepted, as this version.
+    Accepted(u64),
+    /// It was accepted, and another change has followed since.
+    Superseded(u64),
+    /// Another change came first; nothing was written.
+    LostRace(u64, Box<RulesObject>),
+}
+
+/// Reads and writes the rules object.
+#[derive(Debug)]
+pub struct RulesStore<'a> {
+    client: &'a PlatformClient,
+}
+
+impl<'a> RulesStore<'a> {
+    /// Stands on a client of the platform.
+    pub fn new(client: &'a PlatformClient) -> Self {
+        Self { client }
+    }
+
+    /// Reads the rules with their version; version 0 and an empty file before the first.
+    pub fn read(&self) -> Result<(u64, RulesObject), String> {
+        let found = self.client.get::<RulesObject>(RULES)?;
+        Ok(found.unwrap_or_default())
+    }
+
+    /// Reads the rules from a copy that is not older than a version.
+    ///
+    /// Guards against a platform that answers from an old copy for a while: the change
+    /// would be compared with rules that are in force no more.
+    pub fn read_since(&self, version: u64) -> Result<(u64, RulesObject), String> {
+        let patience = Deadline::after(STALE_PATIENCE);
+        loop {
+            let (found, object) = self.read()?;
+            if found >= version {
+                return Ok((found, object));
+            }
+            if patience.is_over() {
+                return Err(format!(
+                    "the platform shows version {found}, version {version} is not there"
+                ));
+            }
+            thread::sleep(STALE_PAUSE);
+        }
+    }
+
+    /// Says whether an object fits into the platform.
+    pub fn check_size(object: &RulesObject) -> Result<(), String> {
+        let size = serde_json::to_vec(object).map_or(usize::MAX, |bytes| bytes.len());
+        if size > MAX_OBJECT {
+            return Err(format!(
+                "the rules take {size} bytes; the platform holds {MAX_OBJECT} in one object"
+            ));
+        }
+        Ok(())
+    }
+
+    /// Writes the rules if the version they were edited from is still in force.
+    pub fn write(
+        &self,
+        before: &RulesObject,
+        new: &NewRules,
+        deadline: Deadline,
+    ) -> Result<Applied, String> {
+        let object = before.changed(new.text.clone(), new.change.clone());
+        Self::check_size(&object)?;
+        let id = &new.change.apply_id;
+        let is_ours = |found: &RulesObject| found.holds(id) != Held::Never;
+        let expected = new.edited_from;
+        let settled = put_settled(self.client, RULES, expected, &object, deadline, is_ours)?;
+        Ok(match settled {
+            Settled::Written(version) => self.in_force(id, version),
+            Settled::Conflict(version, found) => Applied::LostRace(version, Box::new(found)),
+        })
+    }
+
+    /// Tells an accepted change that was replaced meanwhile from the newest one.
+    fn in_force(&self, apply_id: &str, version: u64) -> Applied {
+        match self.client.get::<RulesObject>(RULES) {
+            Ok(Some((newer, found))) if found.holds(apply_id) == Held::Earlier => {
+                Applied::Superseded(newer)
+            }
+            _ => Applied::Accepted(version),
+        }
+    }
+}
--- a/crates/jaypin/src/serve.rs
+++ b/crates/jaypin/src/serve.rs
@@ -5,6 +5,7 @@
 
 use crossbeam::channel::unbounded;
 use jaypin_core::{Config, Event, HostId, Reducer};
+use jaypin_wire::HostIdentity;
 use tokio::net::TcpListener;
 use tokio::runtime::{Builder, Handle};
 use tokio::signal::unix::{SignalKind, signal};
@@ -64,8 +65,12 @@
     })
     .map_err(|error| error.to_string())?;
     Operator {
-        host: settings.host.clone(),
-        incarnation,
+        own: HostIdentity {
+            host: settings.host.clone(),
+            incarnation,
+            failure_domain: settings.failure_domain.clone(),
+            platform: settings.platform.to_string(),
+        },
         snapshots: snapshots.clone(),
         events: events.clone(),
     }
--- /dev/null
+++ b/crates/jaypin_bench/tests/operators.rs
@@ -0,0 +1,313 @@
+//! What operators do to a running fleet, by the real command line.
+
+use std::path::PathBuf;
+use std::process::{Command, Output};
+
+use jaypin_bench::{Fleet, FleetConfig, binary};
+use jaypin_standin::Fault;
+use serde_json::Value;
+
+/// The rule file that the fleet starts with.
+const RULES: &str = jaypin_bench::RULES;
+
+/// A fleet and a directory for rule files.
+struct Bench {
+    fleet: Fleet,
+    directory: PathBuf,
+}
+
+/// What a command gave.
+struct Done {
+    code: Option<i32>,
+    stdout: String,
+    stderr: String,
+}
+
+impl Bench {
+    async fn start() -> Self {
+        let cfg = FleetConfig {
+            hosts: 2,
+            engines: Vec::new(),
+            ..FleetConfig::default()
+        };
+        let name = format!("jaypin-operators-{:x}", rand::random::<u64>());
+        let directory = std::env::temp_dir().join(name);
+        std::fs::create_dir_all(&directory).expect("a directory");
+        let fleet = Fleet::start(cfg).await.expect("fleet");
+        Self { fleet, directory }
+    }
+
+    fn file(&self, name: &str, text: &str) -> String {
+        let path = self.directory.join(name);
+        std::fs::write(&path, text).expect("a file");
+        path.display().to_string()
+    }
+
+    /// Runs `jaypin` with arguments and the first host as `--host`.
+    async fn jaypin(&self, args: &[&str]) -> Done {
+        let mut command = Command::new(binary("jaypin").expect("jaypin"));
+        command.args(args);
+        command.args(["--host", &self.fleet.hosts[0].operator.to_string()]);
+        let output = tokio::task::spawn_blocking(move || command.output());
+        let Output {
+            status,
+            stdout,
+            stderr,
+        } = output.await.expect("no panic").expect("it runs");
+        Done {
+            code: status.code(),
+            stdout: String::from_utf8_lossy(&stdout).into_owned(),
+            stderr: String::from_utf8_lossy(&stderr).into_owned(),
+        }
+    }
+
+    async fn apply(&self, file: &str, edited_from: &str, author: &str) -> Done {
+        let head = ["rules", "apply", file, "--edited-from", edited_from];
+        let args = [&head[..], &["--author", author]].concat();
+        self.jaypin(&args).await
+    }
+
+    async fn audit(&self) -> Vec<Value> {
+        let done = self.jaypin(&["audit", "--json"]).await;
+        assert_eq!(done.code, Some(0), "{}", done.stderr);
+        serde_json::from_str(&done.stdout).expect("entries")
+    }
+
+    async fn rules_versions(&self) -> Vec<u64> {
+        let mut versions = Vec::new();
+        for host in &self.fleet.hosts {
+            let (_, page) = host.page("/status").await.expect("a status");
+            versions.push(page["rules_version"].as_u64().unwrap_or_default());
+        }
+        versions
+    }
+}
+
+impl Drop for Bench {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.directory);
+    }
+}
+
+fn with_account(name: &str, requester: &str) -> String {
+    format!("{RULES}- {{account: {name}}}  # asked by: {requester}\n")
+}
+
+/// Two operators edit the same version and apply at the same time. One must win; the
+/// other must see whose change came first and what it holds, and keep its file.
+#[tokio::test]
+async fn of_two_racing_operators_one_wins_and_the_other_sees_why() {
+    let bench = Bench::start().await;
+    let one = bench.file("one.yaml", &with_account("farm-one", "sales, contract 11"));
+    let other = bench.file(
+        "other.yaml",
+        &with_account("farm-two", "sales, contract 12"),
+    );
+    let (ann, bo) = tokio::join!(
+        bench.apply(&one, "1", "ann"),
+        bench.apply(&other, "1", "bo")
+    );
+    let (winner, loser, author, added) = if ann.code == Some(0) {
+        (ann, bo, "ann", "farm-one")
+    } else {
+        (bo, ann, "bo", "farm-two")
+    };
+    assert_eq!(winner.code, Some(0), "{}", winner.stderr);
+    assert!(
+        winner
+            .stdout
+            .contains("version 2 is in force on 2 of 2 hosts")
+    );
+    assert_eq!(loser.code, Some(1));
+    assert!(
+        loser
+            .stderr
+            .contains("version 2 is in force; nothing was changed")
+    );
+    assert!(loser.stderr.contains(&format!("was changed by {author}")));
+    assert!(loser.stderr.contains(&format!("{{account: {added}}}")));
+    assert_eq!(bench.rules_versions().await, [2, 2]);
+    let entries = bench.audit().await;
+    let count = |kind: &str| entries.iter().filter(|entry| entry["kind"] == kind).count();
+    assert_eq!((count("accepted"), count("lost-race")), (1, 1));
+}
+
+/// The platform takes a write and its answer is lost. The operator must learn that the
+/// change is in force, and it must not be written a second time.
+#[tokio::test]
+async fn a_write_whose_answer_is_lost_is_settled() {
+    let bench = Bench::start().await;
+    let file = bench.file("one.yaml", &with_account("farm-one", "sales, contract 11"));
+    bench.fleet.platform.set_fault(Fault::LoseWriteAnswers);
+    let done = bench.apply(&file, "1", "ann").await;
+    assert_eq!(done.code, Some(0), "{}", done.stderr);
+    assert!(
+        done.stdout
+            .contains("version 2 is in force on 2 of 2 hosts")
+    );
+    assert_eq!(bench.rules_versions().await, [2, 2]);
+    let kinds: Vec<Value> = bench
+        .audit()
+        .await
+        .iter()
+        .map(|entry| entry["kind"].clone())
+        .collect();
+    assert_eq!(kinds, ["proposed", "accepted"]);
+}
+
+/// A host is frozen while a change is applied. The operator must be told which host
+/// does not have the change, and must not believe that it is in force everywhere.
+#[tokio::test]
+async fn a_host_that_does_not_report_the_version_is_named() {
+    let bench = Bench::start().await;
+    let file = bench.file("one.yaml", &with_account("farm-one", "sales, contract 11"));
+    bench.fleet.hosts[1].signal("STOP");
+    let args = ["rules", "apply", &file, "--edited-from", "1"];
+    let more = ["--author", "ann", "--timeout", "3"];
+    let done = bench.jaypin(&[&args[..], &more].concat()).await;
+    bench.fleet.hosts[1].signal("CONT");
+    assert_eq!(done.code, Some(1));
+    assert!(done.stdout.contains("version 2 is accepted"));
+    assert!(
+        done.stderr.contains("don't report it: host-1"),
+        "{}",
+        done.stderr
+    );
+}
+
+#[tokio::test]
+async fn a_wrong_file_changes_nothing_and_is_in_the_audit_trail() {
+    let bench = Bench::start().await;
+    let wrong = include_str!("../../jaypin_rules/tests/wrong-rules.yaml");
+    let file = bench.file("wrong.yaml", wrong);
+    let done = bench.apply(&file, "1", "ann").await;
+    assert_eq!(done.code, Some(2));
+    assert!(done.stderr.contains("30 mistakes, nothing was changed"));
+    assert_eq!(bench.rules_versions().await, [1, 1]);
+    let entries = bench.audit().await;
+    assert_eq!(entries.len(), 1);
+    assert_eq!(entries[0]["kind"], "refused");
+    assert_eq!(entries[0]["author"], "ann");
+}
+
+/// Each accepted change can be traced from the trail to who asked for it, and a change
+/// that adds no rule has to name a requester.
+#[tokio::test]
+async fn a_change_is_traced_to_its_requester() {
+    let bench = Bench::start().await;
+    let added = bench.file(
+        "added.yaml",
+        &with_account("farm-one", "sales, contract 11"),
+    );
+    let before = bench.fleet.platform.calls();
+    assert_eq!(bench.apply(&added, "1", "ann").await.code, Some(0));
+    let after = bench.fleet.platform.calls();
+    assert_eq!(after.writes - before.writes, 3);
+    let removed = bench.file("removed.yaml", RULES);
+    assert_eq!(bench.apply(&removed, "2", "bo").await.code, Some(2));
+    let args = [
+        "rules",
+        "apply",
+        &removed,
+        "--edited-from",
+        "2",
+        "--author",
+        "bo",
+    ];
+    let named = [&args[..], &["--asked-by", "sales, end of contract 11"]].concat();
+    assert_eq!(bench.jaypin(&named).await.code, Some(0));
+    let entries = bench.audit().await;
+    let proposed: Vec<_> = entries
+        .iter()
+        .filter(|entry| entry["kind"] == "proposed")
+        .collect();
+    assert_eq!(proposed[0]["requesters"][0], "sales, contract 11");
+    let line = RULES.lines().count() + 1;
+    let rule = "- {account: farm-one}  # asked by: sales, contract 11";
+    assert_eq!(proposed[0]["difference"][0], format!("+{line}: {rule}"));
+    assert_eq!(proposed[1]["requesters"][0], "sales, end of contract 11");
+    assert_eq!(proposed[1]["difference"][0], format!("-{line}: {rule}"));
+}
+
+/// Someone with access to the platform changes who applied a change. The next check of
+/// the trail must name the place.
+#[tokio::test]
+async fn a_tampered_audit_trail_is_found() {
+    let bench = Bench::start().await;
+    for (version, author) in [("1", "ann"), ("2", "bo")] {
+        let text = with_account(&format!("farm-{author}"), "sales, contract 11");
+        let file = bench.file("rules.yaml", &text);
+        assert_eq!(bench.apply(&file, version, author).await.code, Some(0));
+    }
+    let before = bench.jaypin(&["audit", "--verify"]).await;
+    assert_eq!(before.code, Some(0), "{}", before.stderr);
+    let (_, segment) = bench.fleet.platform.get("audit/0").expect("a segment");
+    let text = String::from_utf8(segment.to_vec()).expect("text");
+    bench
+        .fleet
+        .platform
+        .put("audit/0", text.replace("ann", "eve"));
+    let after = bench.jaypin(&["audit", "--verify"]).await;
+    assert_eq!(after.code, Some(1));
+    assert!(
+        after
+            .stderr
+            .contains("does not follow from the entry before it")
+    );
+}
+
+/// Someone cuts the newest entries off. The chain that is left holds together, so it
+/// shows against the last digest, noted outside the platform, and against the rules.
+#[tokio::test]
+async fn entries_cut_off_the_end_are_found() {
+    let bench = Bench::start().await;
+    let file = bench.file("one.yaml", &with_account("farm-one", "sales, contract 11"));
+    assert_eq!(bench.apply(&file, "1", "ann").await.code, Some(0));
+    let noted = bench.jaypin(&["audit", "--verify"]).await;
+    let digest = noted
+        .stderr
+        .trim()
+        .rsplit(' ')
+        .next()
+        .expect("a digest")
+        .to_owned();
+    let kept = bench
+        .jaypin(&["audit", "--verify", "--expect", &digest])
+        .await;
+    assert_eq!(kept.code, Some(0), "{}", kept.stderr);
+    bench.fleet.platform.put("audit/0", r#"{"entries":[]}"#);
+    let cut = bench.jaypin(&["audit", "--verify"]).await;
+    assert!(cut.stderr.contains("is not in the trail"), "{}", cut.stderr);
+    let cut = bench
+        .jaypin(&["audit", "--verify", "--expect", &digest])
+        .await;
+    assert_eq!(cut.code, Some(1));
+    assert!(cut.stderr.contains("no entry has the expected digest"));
+}
+
+/// Many refused changes fill the trail. The platform takes a megabyte a value, so the
+/// trail must go on in a new object, and hold together over both.
+#[tokio::test]
+async fn a_long_audit_trail_goes_on_in_a_new_object() {
+    let bench = Bench::start().await;
+    let long = format!(
+        "{}- wrong\n",
+        "# a remark of forty letters and some more\n".repeat(6_000)
+    );
+    let file = bench.file("long.yaml", &long);
+    for _ in 0..6 {
+        assert_eq!(bench.apply(&file, "1", "ann").await.code, Some(2));
+    }
+    let done = bench.jaypin(&["audit", "--verify"]).await;
+    assert!(
+        done.stderr.contains("6 entries hold together"),
+        "{}",
+        done.stderr
+    );
+    let (_, second) = bench
+        .fleet
+        .platform
+        .get("audit/1")
+        .expect("a second object");
+    assert!(second.len() < 1 << 20);
+}
--- a/crates/jaypin_rules/src/rule_set.rs
+++ b/crates/jaypin_rules/src/rule_set.rs
@@ -99,33 +99,62 @@
         })
     }
 
-    /// Who asked for each rule, by line.
+    /// Finds the rule in a line of the file.
     #[must_use]
-    pub fn requesters(&self) -> HashMap<u32, &str> {
-        self.origins()
-            .map(|origin| (origin.line, &*origin.asked_by))
-            .collect()
+    pub fn rule_at(&self, line: u32) -> Option<RuleAt<'_>> {
+        let tiers = self.tiers.iter().map(|it| ("tier", &it.name, &it.origin));
+        let services = self.services.iter();
+        let services = services.map(|it| ("service", &it.name, &it.origin));
+        let routes = self
+            .routes
+            .iter()
+            .map(|it| ("route", &it.route, &it.origin));
+        let fencing = self.fencing.iter();
+        let fencing = fencing.map(|it| ("fencing of", &it.service, &it.origin));
+        let few = tiers.chain(services).chain(routes).chain(fencing);
+        let few = few.map(|(kind, name, origin)| RuleAt::new(kind, name, origin));
+        few.chain(self.account_rule_at(line))
+            .chain([RuleAt::new("quarantine", "", &self.quarantine.origin)])
+            .find(|rule| rule.origin.line == line)
     }
 
-    fn origins(&self) -> impl Iterator<Item = &Origin> {
-        let tiers = self.tiers.iter().map(|rule| &rule.origin);
-        let services = self.services.iter().map(|rule| &rule.origin);
-        let routes = self.routes.iter().map(|rule| &rule.origin);
-        let accounts = self.accounts.iter().map(|rule| &rule.origin);
-        let callers = self.callers.iter().map(|rule| &rule.origin);
-        let limits = self.limits.iter().map(|rule| &rule.origin);
-        let fencing = self.fencing.iter().map(|rule| &rule.origin);
-        tiers
-            .chain(services)
-            .chain(routes)
-            .chain(accounts)
-            .chain(callers)
-            .chain(limits)
-            .chain(fencing)
-            .chain([&self.quarantine.origin])
+    /// Accounts may be many thousands; their rules stand in order of the file.
+    fn account_rule_at(&self, line: u32) -> impl Iterator<Item = RuleAt<'_>> {
+        let account = at(&self.accounts, line, |rule| &rule.origin);
+        let caller = at(&self.callers, line, |rule| &rule.origin);
+        let limit = at(&self.limits, line, |rule| &rule.origin);
+        let account = account.map(|it| RuleAt::new("account", &it.name, &it.origin));
+        let caller = caller.map(|it| RuleAt::new("caller of", &it.account, &it.origin));
+        let limit = limit.map(|it| RuleAt::new("limit of", &it.account, &it.origin));
+        account.into_iter().chain(caller).chain(limit)
     }
 }
 
+/// A rule with its place, for explanations.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RuleAt<'a> {
+    /// Kind and name, for example ``tier `cow-status` ``.
+    pub name: String,
+    /// Where it stands and who asked for it.
+    pub origin: &'a Origin,
+}
+
+impl<'a> RuleAt<'a> {
+    fn new(kind: &str, name: &str, origin: &'a Origin) -> Self {
+        let name = if name.is_empty() {
+            kind.to_owned()
+        } else {
+            format!("{kind} `{name}`")
+        };
+        Self { name, origin }
+    }
+}
+
+fn at<T>(rules: &[T], line: u32, origin: impl Fn(&T) -> &Origin) -> Option<&T> {
+    let place = rules.binary_search_by_key(&line, |rule| origin(rule).line);
+    rules.get(place.ok()?)
+}
+
 /// Finds a rule by the index, or by walking when rules were added after it was built.
 fn find<'a, T>(
     rules: &'a [T],
--- a/crates/jaypin_rules/tests/parse.rs
+++ b/crates/jaypin_rules/tests/parse.rs
@@ -63,10 +63,11 @@
 fn the_examples_are_right_and_each_rule_has_a_requester() {
     for text in [LANYANG, HANBIT] {
         let rules = parse(text).expect("a right file");
-        let requesters = rules.requesters();
-        let rule_lines = text.lines().filter(|line| line.starts_with('-')).count();
-        assert_eq!(requesters.len(), rule_lines);
-        assert!(requesters.values().all(|name| !name.is_empty()));
+        for (number, line) in (1..).zip(text.lines()) {
+            let rule = rules.rule_at(number).expect("a rule");
+            let (_, requester) = line.rsplit_once("# asked by: ").expect("a comment");
+            assert_eq!(rule.origin.asked_by, requester);
+        }
     }
 }
 
--- a/crates/jaypin_wire/src/api.rs
+++ b/crates/jaypin_wire/src/api.rs
@@ -1,6 +1,6 @@
 //! JSON bodies towards callers and operators.
 
-use jaypin_core::{Refusal, Summary};
+use jaypin_core::{HostList, HostRecord, Presence, Refusal, Summary};
 use serde::{Deserialize, Serialize};
 
 /// Answer of `GET /v1/entry`.
@@ -63,19 +63,6 @@
     }
 }
 
-/// Body of an operator's apply.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-pub struct RuleApplyBody {
-    /// The rule file.
-    pub text: String,
-    /// The version it was edited from; 0 for the first.
-    pub edited_from: u64,
-    /// Who applies it.
-    pub author: String,
-    /// Id of the apply.
-    pub apply_id: String,
-}
-
 /// Body of a host's status.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StatusBody {
@@ -83,6 +70,10 @@
     pub host: String,
     /// Its incarnation.
     pub incarnation: u64,
+    /// Where it stands.
+    pub failure_domain: String,
+    /// Address of the platform that it uses.
+    pub platform: String,
     /// Version of the rules in force.
     pub rules_version: u64,
     /// Version of the host list in use.
@@ -99,15 +90,73 @@
     pub granted_here: usize,
     /// Whether it is shutting down.
     pub draining: bool,
+    /// Entry hosts, as this host sees them.
+    pub hosts: Vec<HostState>,
+    /// Backend servers, as the host list names them.
+    pub backends: Vec<BackendState>,
+}
+
+/// An entry host, as another sees it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HostState {
+    /// Its name.
+    pub host: String,
+    /// `IP:port` for callers.
+    pub address: String,
+    /// `live`, `leaving` or `suspected`.
+    pub state: String,
+}
+
+/// A backend server, as the host list names it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BackendState {
+    /// Its name.
+    pub backend: String,
+    /// Its service.
+    pub service: String,
+    /// `live` or `leaving`.
+    pub state: String,
+}
+
+/// What a host knows of itself beside its counts.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HostIdentity {
+    /// Its name.
+    pub host: String,
+    /// This run of its process.
+    pub incarnation: u64,
+    /// Where it stands.
+    pub failure_domain: String,
+    /// Address of the platform that it uses.
+    pub platform: String,
 }
 
 impl StatusBody {
-    /// Joins a host's name with its counts.
+    /// Joins what a host is with its counts and its view of the fleet.
     #[must_use]
-    pub fn new(host: &str, incarnation: u64, summary: &Summary) -> Self {
+    pub fn new(
+        own: &HostIdentity,
+        summary: &Summary,
+        list: &HostList,
+        live: &[HostRecord],
+    ) -> Self {
+        let hosts = list.hosts.iter().map(|host| HostState {
+            host: host.id.to_string(),
+            address: host.address.clone(),
+            state: host_state(host, live).to_owned(),
+        });
+        let backends = list.backends.iter().map(|backend| BackendState {
+            backend: backend.id.to_string(),
+            service: backend.service.to_string(),
+            state: presence_name(backend.presence).to_owned(),
+        });
         Self {
-            host: host.to_owned(),
-            incarnation,
+            host: own.host.clone(),
+            incarnation: own.incarnation,
+            failure_domain: own.failure_domain.clone(),
+            platform: own.platform.clone(),
+            hosts: hosts.collect(),
+            backends: backends.collect(),
             rules_version: summary.rules_version,
             hosts_version: summary.hosts_version,
             shards_led: summary.shards_led,
@@ -119,3 +168,18 @@
         }
     }
 }
+
+fn host_state(host: &HostRecord, live: &[HostRecord]) -> &'static str {
+    let is_live = live.iter().any(|it| it.id == host.id);
+    match host.presence {
+        Presence::Live if !is_live => "suspected",
+        presence => presence_name(presence),
+    }
+}
+
+fn presence_name(presence: Presence) -> &'static str {
+    match presence {
+        Presence::Live => "live",
+        Presence::Leaving => "leaving",
+    }
+}
--- a/crates/jaypin_wire/src/lib.rs
+++ b/crates/jaypin_wire/src/lib.rs
@@ -4,13 +4,20 @@
 //! between them, so that either side can change without the other.
 
 mod api;
+mod audit;
 mod codec;
 mod host_list;
 mod link;
 mod rules_object;
 
-pub use api::{EntryAddress, EntryAnswer, RefusalBody, RuleApplyBody, StatusBody};
+pub use api::{
+    BackendState, EntryAddress, EntryAnswer, HostIdentity, HostState, RefusalBody, StatusBody,
+};
+pub use audit::{
+    AuditEntry, AuditFault, AuditHead, AuditKind, AuditSegment, EntryDigest, digest_entry,
+    verify_trail,
+};
 pub use codec::{CodecError, decode, encode};
 pub use host_list::{WireBackend, WireHost, WireHostList};
 pub use link::{Frame, Hello, LINK_VERSION, WireMessage};
-pub use rules_object::{RulesChange, RulesObject};
+pub use rules_object::{Held, RulesChange, RulesObject};
--- a/crates/jaypin_wire/src/rules_object.rs
+++ b/crates/jaypin_wire/src/rules_object.rs
@@ -2,6 +2,9 @@
 
 use serde::{Deserialize, Serialize};
 
+/// Changes that the object keeps; the audit trail keeps all.
+const KEPT_CHANGES: usize = 20;
+
 /// The object behind the key `rules`; its version is the platform object's.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub struct RulesObject {
@@ -21,4 +24,48 @@
     pub author: String,
     /// When, in seconds since the Unix epoch.
     pub at: u64,
+    /// Who asked for it.
+    #[serde(default)]
+    pub requesters: Vec<String>,
+    /// The version it was edited from.
+    #[serde(default)]
+    pub edited_from: u64,
+    /// Lines added.
+    #[serde(default)]
+    pub added: usize,
+    /// Lines removed.
+    #[serde(default)]
+    pub removed: usize,
+}
+
+impl RulesObject {
+    /// Gives the object after a change.
+    #[must_use]
+    pub fn changed(&self, text: String, change: RulesChange) -> Self {
+        let kept = self.changes.len().saturating_sub(KEPT_CHANGES - 1);
+        let mut changes = self.changes[kept..].to_vec();
+        changes.push(change);
+        Self { text, changes }
+    }
+
+    /// Whether the newest change is that of an apply, or an earlier one is.
+    #[must_use]
+    pub fn holds(&self, apply_id: &str) -> Held {
+        match self.changes.iter().rposition(|it| it.apply_id == apply_id) {
+            None => Held::Never,
+            Some(place) if place + 1 == self.changes.len() => Held::Newest,
+            Some(_) => Held::Earlier,
+        }
+    }
+}
+
+/// Where the change of an apply stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Held {
+    /// It is not among the last changes.
+    Never,
+    /// It was accepted, and another change followed.
+    Earlier,
+    /// It is the version in force.
+    Newest,
 }
