--- a/crates/jaypin/src/frontend/mod.rs
+++ b/crates/jaypin/src/frontend/mod.rs
@@ -3,6 +3,7 @@
 //! `hyper` serves it, not `tiny_http`: a caller that never ends its header must not
 //! hold the host (see `docs/design/http-library.md`).
 
+mod connections;
 mod read_request;
 
 use std::convert::Infallible;
@@ -21,11 +22,12 @@
 use jaypin_wire::{EntryAddress, EntryAnswer};
 use socket2::{Domain, Socket, TcpKeepalive, Type};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Semaphore, oneshot, watch};
+use tokio::sync::{oneshot, watch};
 
 use crate::answer::{AnswerBody, CallerGuard, json, refusal, rejected};
 use crate::calls::{Caller, Calls, PendingCall};
 use crate::snapshot::Snapshot;
+use connections::{Connection, Connections};
 use read_request::{ReadError, read};
 
 /// Connections that may wait to be accepted: bursts of callers come at once.
@@ -34,8 +36,8 @@
 const HEADER_TIMEOUT: Duration = Duration::from_secs(5);
 /// Largest header, in bytes.
 const MAX_HEADER: usize = 16 * 1024;
-/// Connections open at once; more are closed at once.
-const MAX_CONNECTIONS: usize = 4_000;
+/// Pause after a connection could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(5);
 /// How long an entry list holds.
 const ENTRY_VALID_FOR: Duration = Duration::from_secs(30);
 /// Time without an answer after which a silent caller's connection is given up.
@@ -102,34 +104,37 @@
 
     /// Accepts callers until the task is dropped.
     pub async fn accept(self, listener: TcpListener) {
-        let room = Arc::new(Semaphore::new(MAX_CONNECTIONS));
+        let connections = Connections::default();
         loop {
             let Ok((stream, _)) = listener.accept().await else {
+                // Out of file descriptors, for example: others have to close first.
+                tokio::time::sleep(ACCEPT_PAUSE).await;
                 continue;
             };
-            let Ok(permit) = room.clone().try_acquire_owned() else {
+            let Some(connection) = connections.admit() else {
                 continue;
             };
-            let frontend = self.clone();
-            tokio::spawn(async move {
-                frontend.connection(stream).await;
-                drop(permit);
-            });
+            tokio::spawn(self.clone().serve(stream, Arc::new(connection)));
         }
     }
 
-    async fn connection(self, stream: TcpStream) {
+    async fn serve(self, stream: TcpStream, connection: Arc<Connection>) {
         let _ = stream.set_nodelay(true);
+        let speaker = connection.clone();
         let service = service_fn(move |req| {
+            speaker.spoke();
             let frontend = self.clone();
             async move { Ok::<_, Infallible>(frontend.answer(req).await) }
         });
-        let _ = http1::Builder::new()
+        let served = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(HEADER_TIMEOUT)
             .max_buf_size(MAX_HEADER)
-            .serve_connection(TokioIo::new(stream), service)
-            .await;
+            .serve_connection(TokioIo::new(stream), service);
+        tokio::select! {
+            _ = served => {}
+            () = connection.evicted() => {}
+        }
     }
 
     async fn answer(&self, req: Request<Incoming>) -> Response<AnswerBody> {
--- a/crates/jaypin/src/serve.rs
+++ b/crates/jaypin/src/serve.rs
@@ -22,8 +22,15 @@
 /// Worker threads; an entry host is small.
 const WORKERS: usize = 2;
 
+/// Open files that a host asks for: a connection to a caller and one to a backend server
+/// for each stream, and room for silent callers.
+const OPEN_FILES: u64 = 16_384;
+
 /// Runs a host to its end.
 pub fn run(settings: Settings) -> Result<(), String> {
+    if let Err(error) = rlimit::increase_nofile_limit(OPEN_FILES) {
+        log::warn!(error:%; "can't raise the limit of open files");
+    }
     let runtime = Builder::new_multi_thread()
         .worker_threads(WORKERS)
         .enable_all()
