Explain requests: to operators at any host, to callers their own

Cause: decision steps went to the debug log only; nobody could ask why a request was decided as it was. Ruled out: keeping the rule set with each record (versions of 17,000 accounts would stay in memory); asking the owner over a link (links carry decisions and should not wait for operators); an operators' address in the host list (the list is the platform's; hosts of a fleet use one port, so the address follows). `jaypin explain` asks any host, which asks the owner named by the id. `GET /v1/explain/ID` gives callers their own record, without candidates, hosts or requesters; another account's record and none at all get the same 404. The operators' listener takes a bearer token (`operator-token-digest`), which settings demand off the loopback address.

--- a/crates/jaypin/src/cli/explain.rs
+++ b/crates/jaypin/src/cli/explain.rs
@@ -1,10 +1,11 @@
 //! `jaypin explain`
 
+use jaypin_wire::ExplainBody;
 use lexopt::Parser;
 
 use super::target::{TARGET_HELP, Target};
 use super::word::Word;
-use super::{Outcome, help, required};
+use super::{Outcome, help, print_json, required};
 
 const HELP: &str = "\
 usage: jaypin explain REQUEST_ID [OPTIONS]
@@ -26,6 +27,12 @@
         }
     }
     let id = required(id, "REQUEST_ID")?;
-    let record: serde_json::Value = target.host().get(&format!("/explain/{id}"))?;
-    super::print_json(&record)
+    let record: ExplainBody = target.host().get(&format!("/explain/{id}"))?;
+    if target.json {
+        return print_json(&record);
+    }
+    for line in record.sentences() {
+        println!("{line}");
+    }
+    Ok(())
 }
--- a/crates/jaypin/src/frontend/mod.rs
+++ b/crates/jaypin/src/frontend/mod.rs
@@ -4,6 +4,7 @@
 //! hold the host (see `docs/design/http-library.md`).
 
 mod connections;
+mod own_record;
 mod read_request;
 
 use std::convert::Infallible;
@@ -26,8 +27,10 @@
 
 use crate::answer::{AnswerBody, CallerGuard, json, refusal, rejected};
 use crate::calls::{Caller, Calls, PendingCall};
+use crate::decisions::Decisions;
 use crate::snapshot::Snapshot;
 use connections::{Connection, Connections};
+use own_record::EXPLAIN;
 use read_request::{ReadError, read};
 
 /// Connections that may wait to be accepted: bursts of callers come at once.
@@ -75,6 +78,7 @@
     incarnation: u64,
     snapshots: watch::Receiver<Arc<Snapshot>>,
     calls: Arc<Calls>,
+    decisions: Arc<Decisions>,
     events: Sender<Event>,
     next_id: AtomicU64,
 }
@@ -86,6 +90,7 @@
         incarnation: u64,
         snapshots: watch::Receiver<Arc<Snapshot>>,
         calls: Arc<Calls>,
+        decisions: Arc<Decisions>,
         events: Sender<Event>,
     ) -> Self {
         let next_id = AtomicU64::new(1);
@@ -94,6 +99,7 @@
             incarnation,
             snapshots,
             calls,
+            decisions,
             events,
             next_id,
         };
@@ -145,8 +151,15 @@
                 _ => ReadError::Method.answer(),
             };
         }
+        if req.method() == Method::GET && req.uri().path().starts_with(EXPLAIN) {
+            let path = req.uri().path();
+            return self.own_record(req.headers(), path, &snapshot).await;
+        }
         match read(req, &snapshot, || self.new_id()).await {
-            Ok((info, outbound)) => self.submit(info, outbound).await,
+            Ok((info, outbound)) => {
+                self.shared.decisions.begin(&info, &snapshot);
+                self.submit(info, outbound).await
+            }
             Err(error) => error.answer(),
         }
     }
--- a/crates/jaypin/src/frontend/read_request.rs
+++ b/crates/jaypin/src/frontend/read_request.rs
@@ -128,14 +128,16 @@
     read_completion(req, rules, caller, path, new_id).await
 }
 
+/// A caller whose credential the rules know.
 #[derive(Debug)]
-struct KnownCaller {
-    account: AccountId,
+pub struct KnownCaller {
+    /// The client account that it belongs to.
+    pub account: AccountId,
     rule_line: u32,
 }
 
 /// A digest is looked up, never a credential compared, so timing tells nothing of one.
-fn authenticate(headers: &HeaderMap, rules: &RuleSet) -> Result<KnownCaller, ReadError> {
+pub fn authenticate(headers: &HeaderMap, rules: &RuleSet) -> Result<KnownCaller, ReadError> {
     let credential = headers
         .get(AUTHORIZATION)
         .and_then(|value| value.to_str().ok()?.strip_prefix("Bearer "))
--- a/crates/jaypin/src/main.rs
+++ b/crates/jaypin/src/main.rs
@@ -7,6 +7,7 @@
 mod backend_call;
 mod calls;
 mod cli;
+mod decisions;
 mod frontend;
 mod links;
 mod logging;
--- a/crates/jaypin/src/operator/mod.rs
+++ b/crates/jaypin/src/operator/mod.rs
@@ -1,7 +1,10 @@
-//! The operators' listener: status, health, drain.
+//! The operators' listener: status, explanations, health, drain.
 //!
 //! It stands apart from the callers' address, and few use it, so `tiny_http` serves it.
 
+mod explain;
+mod token;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::thread;
@@ -12,11 +15,15 @@
 use tiny_http::{Header, Method, Request, Response, Server};
 use tokio::sync::watch;
 
+use crate::decisions::Decisions;
 use crate::snapshot::Snapshot;
 
 /// Threads that answer; one that waits for another host holds up no health check.
 const THREADS: usize = 3;
 
+/// Path below which requests are explained.
+const EXPLAIN: &str = "/explain/";
+
 /// What the operators' listener shows and does.
 #[derive(Debug, Clone)]
 pub struct Operator {
@@ -26,6 +33,12 @@
     pub snapshots: watch::Receiver<Arc<Snapshot>>,
     /// Where orders go.
     pub events: Sender<Event>,
+    /// Records of this host's requests.
+    pub decisions: Arc<Decisions>,
+    /// Port of every host's operator listener.
+    pub port: u16,
+    /// Digest of the operators' token; none asks for none.
+    pub token_digest: Option<String>,
 }
 
 /// An answer: status and JSON body.
@@ -62,15 +75,24 @@
 
     fn page(&self, req: &Request) -> Page {
         let snapshot = self.snapshots.borrow().clone();
+        match (req.method(), req.url()) {
+            (Method::Get, "/healthz") => return (200, "\"ok\"".to_owned()),
+            (Method::Get, "/readyz") => return readiness(&snapshot),
+            _ => {}
+        }
+        if !token::is_allowed(req, self.token_digest.as_deref()) {
+            return error_page(401, "the operators' token is expected");
+        }
         match (req.method(), req.url()) {
             (Method::Get, "/status") => self.status(&snapshot),
-            (Method::Get, "/healthz") => (200, "\"ok\"".to_owned()),
-            (Method::Get, "/readyz") => readiness(&snapshot),
+            (Method::Get, path) if path.starts_with(EXPLAIN) => {
+                self.explain(req, &path[EXPLAIN.len()..], &snapshot)
+            }
             (Method::Post, "/drain") => {
                 let _ = self.events.send(Event::Drain);
                 (202, "\"draining\"".to_owned())
             }
-            _ => (404, "\"no such path\"".to_owned()),
+            _ => error_page(404, "no such path"),
         }
     }
 
@@ -85,6 +107,10 @@
     }
 }
 
+fn error_page(status: u16, message: &str) -> Page {
+    (status, serde_json::to_string(message).unwrap_or_default())
+}
+
 fn readiness(snapshot: &Snapshot) -> Page {
     let summary = &snapshot.summary;
     if summary.rules_version == 0 {
--- a/crates/jaypin/src/runner.rs
+++ b/crates/jaypin/src/runner.rs
@@ -3,11 +3,12 @@
 use std::sync::Arc;
 
 use crossbeam::channel::Sender;
-use jaypin_core::{Effect, Event, Record};
+use jaypin_core::{Effect, Event};
 use tokio::sync::Notify;
 
 use crate::backend_call;
 use crate::calls::Calls;
+use crate::decisions::Decisions;
 use crate::links::Links;
 
 /// Everything that effects touch.
@@ -17,6 +18,8 @@
     pub calls: Arc<Calls>,
     /// Links to peers.
     pub links: Links,
+    /// Records of this host's requests.
+    pub decisions: Arc<Decisions>,
     /// Where news goes.
     pub events: Sender<Event>,
     /// Told when nothing is left to do.
@@ -56,19 +59,8 @@
                     self.events.clone(),
                 ));
             }
-            Effect::Record(record) => write_down(&record),
+            Effect::Record(record) => self.decisions.add(&record),
             Effect::Exit => self.exit.notify_one(),
         }
     }
 }
-
-fn write_down(record: &Record) {
-    log::debug!(
-        target: "jaypin::decision",
-        request:% = record.id,
-        account:% = record.account,
-        after_us = u64::try_from(record.after.as_micros()).unwrap_or(u64::MAX),
-        step:? = record.step;
-        "decision"
-    );
-}
--- a/crates/jaypin/src/serve.rs
+++ b/crates/jaypin/src/serve.rs
@@ -12,6 +12,7 @@
 use tokio::sync::{Notify, watch};
 
 use crate::calls::Calls;
+use crate::decisions::Decisions;
 use crate::frontend::Frontend;
 use crate::links::{Identity, Links};
 use crate::operator::Operator;
@@ -60,7 +61,9 @@
     let links = Links::new(identity, snapshots.clone(), events.clone());
     let exit = Arc::new(Notify::new());
     let calls = Arc::new(Calls::default());
+    let decisions = Arc::new(Decisions::new(snapshots.clone()));
     let runner = Runner {
+        decisions: decisions.clone(),
         calls: calls.clone(),
         links: links.clone(),
         events: events.clone(),
@@ -80,12 +83,22 @@
         },
         snapshots: snapshots.clone(),
         events: events.clone(),
+        decisions: decisions.clone(),
+        port: settings.operator_listen.port(),
+        token_digest: settings.operator_token_digest.clone(),
     }
     .spawn(settings.operator_listen)?;
     platform::spawn_watches(&settings.platform.to_string(), &events)
         .map_err(|error| error.to_string())?;
     tokio::spawn(links.accept(peers));
-    let frontend = Frontend::new(host, incarnation, snapshots, calls, events.clone());
+    let frontend = Frontend::new(
+        host,
+        incarnation,
+        snapshots,
+        calls,
+        decisions,
+        events.clone(),
+    );
     tokio::spawn(frontend.accept(callers));
     log::info!(host = settings.host, incarnation, listen:% = settings.listen; "serving");
     until_told(&events, &exit).await?;
--- a/crates/jaypin/src/settings.rs
+++ b/crates/jaypin/src/settings.rs
@@ -31,6 +31,8 @@
     pub seed: Option<u64>,
     /// Backend servers in one shard, at most.
     pub shard_size: Option<usize>,
+    /// SHA-256 of the operators' token, in lower-case hexadecimal digits.
+    pub operator_token_digest: Option<String>,
     /// Milliseconds between two load reports.
     pub report_interval_ms: Option<u64>,
 }
@@ -55,6 +57,8 @@
     }
 }
 
+/// Digits of a SHA-256 digest.
+const DIGEST_LEN: usize = 64;
 /// Shortest fleet key that is taken.
 const MIN_FLEET_KEY: usize = 16;
 
@@ -83,6 +87,24 @@
                 "fleet-key: at least {MIN_FLEET_KEY} characters are expected"
             ));
         }
-        Ok(())
+        self.check_operator_token()
     }
+
+    /// Who reaches the operators' listener may drain the host, so one that others reach
+    /// asks for a token.
+    fn check_operator_token(&self) -> Result<(), String> {
+        let expected = "operator-token-digest: 64 lower-case hexadecimal digits are expected";
+        match &self.operator_token_digest {
+            Some(digest) if !is_digest(digest) => Err(expected.to_owned()),
+            None if !self.operator_listen.ip().is_loopback() => Err(format!(
+                "{expected}, because operator-listen is not a loopback address"
+            )),
+            _ => Ok(()),
+        }
+    }
+}
+
+fn is_digest(text: &str) -> bool {
+    let is_digit = |c: char| matches!(c, '0'..='9' | 'a'..='f');
+    text.len() == DIGEST_LEN && text.chars().all(is_digit)
 }
--- a/crates/jaypin_bench/src/lib.rs
+++ b/crates/jaypin_bench/src/lib.rs
@@ -3,7 +3,9 @@
 //! [`Fleet`] runs real host processes before stand-ins, on the loopback address.
 
 mod client;
+mod command;
 mod fleet;
 
 pub use client::{Answer, Client, Event, completion_body};
+pub use command::{CommandOutput, jaypin};
 pub use fleet::{ACCOUNTS, BackendSpec, Fleet, FleetConfig, Host, RULES, binary};
--- a/crates/jaypin_bench/tests/operators.rs
+++ b/crates/jaypin_bench/tests/operators.rs
@@ -1,9 +1,8 @@
 //! What operators do to a running fleet, by the real command line.
 
 use std::path::PathBuf;
-use std::process::{Command, Output};
 
-use jaypin_bench::{Fleet, FleetConfig, binary};
+use jaypin_bench::{CommandOutput, Fleet, FleetConfig, jaypin};
 use jaypin_standin::Fault;
 use serde_json::Value;
 
@@ -16,13 +15,6 @@
     directory: PathBuf,
 }
 
-/// What a command gave.
-struct Done {
-    code: Option<i32>,
-    stdout: String,
-    stderr: String,
-}
-
 impl Bench {
     async fn start() -> Self {
         let cfg = FleetConfig {
@@ -44,24 +36,12 @@
     }
 
     /// Runs `jaypin` with arguments and the first host as `--host`.
-    async fn jaypin(&self, args: &[&str]) -> Done {
-        let mut command = Command::new(binary("jaypin").expect("jaypin"));
-        command.args(args);
-        command.args(["--host", &self.fleet.hosts[0].operator.to_string()]);
-        let output = tokio::task::spawn_blocking(move || command.output());
-        let Output {
-            status,
-            stdout,
-            stderr,
-        } = output.await.expect("no panic").expect("it runs");
-        Done {
-            code: status.code(),
-            stdout: String::from_utf8_lossy(&stdout).into_owned(),
-            stderr: String::from_utf8_lossy(&stderr).into_owned(),
-        }
+    async fn jaypin(&self, args: &[&str]) -> CommandOutput {
+        let host = self.fleet.hosts[0].operator.to_string();
+        jaypin(&[args, &["--host", &host]].concat(), None).await
     }
 
-    async fn apply(&self, file: &str, edited_from: &str, author: &str) -> Done {
+    async fn apply(&self, file: &str, edited_from: &str, author: &str) -> CommandOutput {
         let head = ["rules", "apply", file, "--edited-from", edited_from];
         let args = [&head[..], &["--author", author]].concat();
         self.jaypin(&args).await
--- a/crates/jaypin_wire/src/lib.rs
+++ b/crates/jaypin_wire/src/lib.rs
@@ -6,6 +6,7 @@
 mod api;
 mod audit;
 mod codec;
+mod explain;
 mod host_list;
 mod link;
 mod rules_object;
@@ -18,6 +19,7 @@
     verify_trail,
 };
 pub use codec::{CodecError, decode, encode};
+pub use explain::{AppliedRule, CandidateBody, ExplainBody, ExplainStep, StepBody};
 pub use host_list::{WireBackend, WireHost, WireHostList};
 pub use link::{Frame, Hello, LINK_VERSION, WireMessage};
 pub use rules_object::{Held, RulesChange, RulesObject};
