--- a/crates/jaypin/src/reducer_task.rs
+++ b/crates/jaypin/src/reducer_task.rs
@@ -41,13 +41,20 @@
     let mut next_tick = Instant::now();
     let mut snapshot = Snapshot::default();
     loop {
+        // A channel that is never empty must not keep the tick away: without ticks
+        // nothing times out.
         let wait = next_tick.saturating_duration_since(Instant::now());
+        if wait.is_zero() {
+            next_tick = Instant::now() + TICK;
+            for effect in reducer.apply(Instant::now().into_std(), Event::Tick) {
+                run(effect);
+            }
+            publish(&reducer, None, &mut snapshot, snapshots);
+            continue;
+        }
         let event = match events.recv_timeout(wait) {
             Ok(event) => event,
-            Err(RecvTimeoutError::Timeout) => {
-                next_tick = Instant::now() + TICK;
-                Event::Tick
-            }
+            Err(RecvTimeoutError::Timeout) => continue,
             Err(RecvTimeoutError::Disconnected) => return,
         };
         let rules = match &event {
@@ -69,8 +76,7 @@
 ) {
     let summary = reducer.summary();
     let members = reducer.membership();
-    let live: Vec<_> = members.live_hosts().cloned().collect();
-    if summary == last.summary && live == *last.live_hosts {
+    if summary == last.summary && members.epoch() == last.epoch {
         return;
     }
     if let Some(rules) = rules.filter(|_| summary.rules_version > last.rules_version) {
@@ -80,8 +86,9 @@
     if members.list().version != last.hosts.version {
         last.hosts = Arc::new(HostList::clone(members.list()));
     }
-    if live != *last.live_hosts {
-        last.live_hosts = Arc::new(live);
+    if members.epoch() != last.epoch {
+        last.live_hosts = Arc::new(members.live_hosts().cloned().collect());
+        last.epoch = members.epoch();
     }
     last.summary = summary;
     snapshots.send_replace(Arc::new(last.clone()));
--- a/crates/jaypin/src/snapshot.rs
+++ b/crates/jaypin/src/snapshot.rs
@@ -16,6 +16,8 @@
     pub hosts: Arc<HostList>,
     /// Entry hosts that take work.
     pub live_hosts: Arc<Vec<HostRecord>>,
+    /// Number of the membership view that `live_hosts` is of.
+    pub epoch: u64,
     /// Counts.
     pub summary: Summary,
 }
