--- a/crates/jaypin/src/settings.rs
+++ b/crates/jaypin/src/settings.rs
@@ -44,6 +44,8 @@
     Grants,
     /// See [`Policy::Baseline`].
     Baseline,
+    /// See [`Policy::Local`].
+    Local,
 }
 
 impl From<PolicySetting> for Policy {
@@ -51,6 +53,7 @@
         match setting {
             PolicySetting::Grants => Self::Grants,
             PolicySetting::Baseline => Self::Baseline,
+            PolicySetting::Local => Self::Local,
         }
     }
 }
--- a/crates/jaypin_core/src/config.rs
+++ b/crates/jaypin_core/src/config.rs
@@ -12,6 +12,8 @@
     Grants,
     /// Each host alone: the better of two random backend servers by lagging load reports.
     Baseline,
+    /// Each host alone: a fixed share of each backend server's slots and a queue of its own.
+    Local,
 }
 
 /// Configuration of a reducer, a plain value.
@@ -29,6 +31,8 @@
     pub seed: u64,
     /// Backend servers in one shard, at most.
     pub shard_size: usize,
+    /// Requests that may wait in one shard; beyond it the lowest tier is shed.
+    pub max_waiting: usize,
     /// How often load reports are asked for.
     pub report_interval: Duration,
     /// How long an owner waits for a first word from a shard scheduler.
@@ -46,6 +50,7 @@
             policy: Policy::Grants,
             seed: 1,
             shard_size: 12,
+            max_waiting: 2_000,
             report_interval: Duration::from_secs(1),
             ask_timeout: Duration::from_millis(400),
             rebuild_window: Duration::from_millis(250),
--- /dev/null
+++ b/crates/jaypin_core/src/local.rs
@@ -0,0 +1,27 @@
+//! The second comparator: each host with a fixed share of each backend server's slots.
+//!
+//! Every host leads all shards for itself and grants from its own share, so the queue,
+//! the refusals and the learned speeds are those of the shard scheduler; only the view
+//! is one host's.
+
+use crate::{BackendRecord, HostId, score};
+
+/// A backend server's record with this host's share of its slots.
+///
+/// Slots that don't divide evenly go to the hosts that rank first for the backend
+/// server, so the shares of all hosts add up to its slots.
+#[must_use]
+pub fn share_of(record: &BackendRecord, host: &HostId, hosts: &[HostId]) -> Option<BackendRecord> {
+    let count = u32::try_from(hosts.len()).unwrap_or(u32::MAX).max(1);
+    let own = score(&record.id, host);
+    let before = hosts
+        .iter()
+        .filter(|other| *other != host && score(&record.id, other) > own)
+        .count();
+    let rest = (record.slots % count) as usize;
+    let slots = record.slots / count + u32::from(before < rest);
+    (slots > 0).then(|| BackendRecord {
+        slots,
+        ..record.clone()
+    })
+}
--- a/crates/jaypin_core/src/message.rs
+++ b/crates/jaypin_core/src/message.rs
@@ -24,6 +24,8 @@
         id: RequestId,
         /// The ask that is answered.
         attempt: u32,
+        /// Wait of another request of its tier in this shard, as a hint.
+        expected_wait: Duration,
     },
     /// Shard scheduler to owner: a slot.
     Grant(Grant),
@@ -35,6 +37,8 @@
         attempt: u32,
         /// The final answer.
         refusal: Refusal,
+        /// Wait of another request of its tier in this shard, as a hint.
+        expected_wait: Duration,
     },
     /// To an owner: this host does not lead that shard.
     NotLeader {
@@ -61,6 +65,34 @@
         /// What became of it.
         progress: SlotProgress,
     },
+    /// Shard scheduler to owner: is this grant still in use? An owner that does not hold
+    /// it answers with [`SlotProgress::Returned`].
+    Confirm {
+        /// The shard.
+        shard: Shard,
+        /// The request.
+        id: RequestId,
+        /// The grant.
+        number: GrantNumber,
+    },
+    /// Shard scheduler to the keeper of an account's limits: what was asked here.
+    Usage {
+        /// The shard.
+        shard: Shard,
+        /// The account.
+        account: AccountId,
+        /// Tokens asked for since the last such message.
+        tokens: f64,
+    },
+    /// Keeper of an account's limits to a shard scheduler: its part of them.
+    Part {
+        /// The shard.
+        shard: Shard,
+        /// The account.
+        account: AccountId,
+        /// The part, 0 to 1.
+        part: f64,
+    },
     /// Owner to a new shard scheduler: what this owner has running there.
     InFlight {
         /// The shard.
@@ -110,6 +142,8 @@
     pub backend: BackendId,
     /// What was weighed, the chosen one first; for explanations.
     pub candidates: Vec<Candidate>,
+    /// How long it waited, as a hint for other requests of its tier.
+    pub expected_wait: Duration,
 }
 
 /// A backend server that was weighed for a request.
@@ -130,6 +164,8 @@
 pub enum SlotProgress {
     /// The owner did not use it.
     Returned,
+    /// The backend server could not be reached; no byte left.
+    NotReached,
     /// The first token came.
     FirstToken {
         /// Time from dispatch.
--- a/crates/jaypin_core/src/reducer/arrival.rs
+++ b/crates/jaypin_core/src/reducer/arrival.rs
@@ -5,11 +5,21 @@
 use rand::RngExt;
 
 use super::{DEFAULT_RETRY_AFTER, Reducer, record};
+use crate::rendezvous::score_index;
 use crate::request::{Granted, Request, Slot, Waiting};
 use crate::{
     Ask, Effect, HostId, Message, Policy, Reason, Refusal, RequestId, RequestInfo, Shard, Step,
 };
 
+/// Wait for which a shard that may hold the prefix is still the better one.
+const WORTH_OF_AFFINITY: Duration = Duration::from_millis(100);
+/// Place of the prefix that shards are chosen by, among the fingerprints of a prompt:
+/// longer than what most prompts of an account share, so that one account's work
+/// spreads over shards.
+const AFFINITY_PREFIX: usize = 2;
+/// Shards that may refuse a request for want of capacity before that is final.
+const MOST_REFUSALS: usize = 2;
+
 impl Reducer {
     pub(super) fn arrived(&mut self, now: Instant, info: RequestInfo, fx: &mut Vec<Effect>) {
         self.record_arrival(&info, fx);
@@ -22,7 +32,7 @@
             return self.refuse(&info, Duration::ZERO, refusal, fx);
         }
         match self.cfg.policy {
-            Policy::Grants => self.ask_first(now, info, fx),
+            Policy::Grants | Policy::Local => self.ask_first(now, info, fx),
             Policy::Baseline => self.choose_alone(now, info, fx),
         }
     }
@@ -43,7 +53,7 @@
     }
 
     pub(super) fn ask_first(&mut self, now: Instant, info: RequestInfo, fx: &mut Vec<Effect>) {
-        let Some((shard, leader)) = self.choose_shard(&info) else {
+        let Some((shard, leader)) = self.choose_shard(now, &info, &[]) else {
             let refusal = Refusal::not_run(Reason::NoBackend).retry_after(DEFAULT_RETRY_AFTER);
             return self.refuse(&info, Duration::ZERO, refusal, fx);
         };
@@ -53,6 +63,7 @@
             attempt: 1,
             asked_at: now,
             queued: false,
+            refused_by: Vec::new(),
         };
         let request = Request {
             info,
@@ -63,21 +74,75 @@
         self.owner.waiting.insert(request.info.id.clone(), request);
     }
 
-    pub(super) fn choose_shard(&mut self, info: &RequestInfo) -> Option<(Shard, HostId)> {
-        let shards: Vec<&Shard> = self.membership.shards().of_service(&info.service).collect();
-        if shards.is_empty() {
-            return None;
+    /// The shard where the request's prefix may be cached, left for another one when
+    /// the wait there outweighs the prefill that the cache saves.
+    pub(super) fn choose_shard(
+        &mut self,
+        now: Instant,
+        info: &RequestInfo,
+        refused_by: &[Shard],
+    ) -> Option<(Shard, HostId)> {
+        let key = match affinity_key(info) {
+            Some(key) => key,
+            None => self.rng.random(),
+        };
+        let shards = self.membership.shards().of_service(&info.service);
+        let mut best: [Option<(u64, &Shard)>; 2] = [None, None];
+        for shard in shards.filter(|shard| !refused_by.contains(shard)) {
+            let scored = Some((score_index(key, shard.index), shard));
+            if scored > best[0] {
+                best = [scored, best[0]];
+            } else if scored > best[1] {
+                best[1] = scored;
+            }
         }
-        let shard = shards[self.rng.random_range(0..shards.len())].clone();
-        let leader = self.membership.leader(&shard)?.clone();
-        Some((shard, leader))
+        let (_, mut shard) = best[0]?;
+        if let Some((_, second)) = best[1] {
+            let first_wait = self.shard_hints.wait(shard, info.tier, now);
+            let second_wait = self.shard_hints.wait(second, info.tier, now);
+            if first_wait > second_wait + WORTH_OF_AFFINITY {
+                shard = second;
+            }
+        }
+        let leader = self.leader(shard)?.clone();
+        Some((shard.clone(), leader))
+    }
+
+    /// Asks another shard of the service once the first has no capacity: its lower
+    /// tiers may have what this request lacks. Says whether it asked.
+    pub(super) fn ask_elsewhere(
+        &mut self,
+        now: Instant,
+        id: &RequestId,
+        refusal: &Refusal,
+        fx: &mut Vec<Effect>,
+    ) -> bool {
+        let Some(request) = self.owner.waiting.get_mut(id) else {
+            return false;
+        };
+        let refused_by = &mut request.state.refused_by;
+        let for_capacity = matches!(refusal.reason, Reason::Shed | Reason::TooLate);
+        if !for_capacity || refused_by.len() >= MOST_REFUSALS {
+            return false;
+        }
+        refused_by.push(request.state.shard.clone());
+        let shards = self.membership.shards().of_service(&request.info.service);
+        let others = shards.filter(|shard| !request.state.refused_by.contains(shard));
+        let is_late = now.duration_since(request.arrived_at) >= request.info.first_token;
+        if is_late || others.count() == 0 {
+            return false;
+        }
+        self.ask_again(now, id, fx);
+        true
     }
 
     pub(super) fn ask_again(&mut self, now: Instant, id: &RequestId, fx: &mut Vec<Effect>) {
         let Some(mut request) = self.owner.waiting.remove(id) else {
             return;
         };
-        let Some((shard, leader)) = self.choose_shard(&request.info) else {
+        let Some((shard, leader)) =
+            self.choose_shard(now, &request.info, &request.state.refused_by)
+        else {
             let refusal = Refusal::not_run(Reason::NoBackend).retry_after(DEFAULT_RETRY_AFTER);
             let after = now.duration_since(request.arrived_at);
             return self.refuse(&request.info, after, refusal, fx);
@@ -94,6 +159,7 @@
             attempt: old.attempt + 1,
             asked_at: now,
             queued: false,
+            refused_by: old.refused_by,
         };
         self.send_ask(now, &request, fx);
         self.owner.waiting.insert(id.clone(), request);
@@ -129,3 +195,9 @@
         self.send(&leader, Message::Ask(ask), fx);
     }
 }
+
+/// What a request's shard is chosen by; salted by account, as all fingerprints are.
+fn affinity_key(info: &RequestInfo) -> Option<u64> {
+    let prefix = info.prefixes.get(AFFINITY_PREFIX);
+    prefix.or(info.prefixes.last()).copied()
+}
--- a/crates/jaypin_core/src/reducer/calls.rs
+++ b/crates/jaypin_core/src/reducer/calls.rs
@@ -86,7 +86,9 @@
         let Some(request) = self.owner.dispatched.remove(id) else {
             return;
         };
-        self.return_slot(&request, fx);
+        if let Some((leader, message)) = slot_message(&request, SlotProgress::NotReached) {
+            self.send(&leader, message, fx);
+        }
         let refusal = Refusal::not_run(Reason::NoBackend).retry_after(DEFAULT_RETRY_AFTER);
         self.refuse(&request.info, elapsed(&request, now), refusal, fx);
     }
--- a/crates/jaypin_core/src/reducer/knowledge.rs
+++ b/crates/jaypin_core/src/reducer/knowledge.rs
@@ -6,8 +6,12 @@
 use jaypin_rules::RuleSet;
 
 use super::Reducer;
+use crate::local::share_of;
+use crate::rule_index::RuleIndex;
 use crate::scheduler::Scheduler;
-use crate::{Effect, HostId, HostList, LoadReport, Message, RequestId, Shard};
+use crate::{
+    BackendRecord, Effect, HostId, HostList, LoadReport, Message, Policy, RequestId, Shard,
+};
 
 impl Reducer {
     pub(super) fn rules(&mut self, version: u64, rules: Arc<RuleSet>) {
@@ -15,7 +19,11 @@
         // so an accepted rule file never reverts.
         if version > self.rules_version {
             self.rules_version = version;
+            self.rule_index = Arc::new(RuleIndex::new(rules.clone()));
             self.rules = rules;
+            for scheduler in self.schedulers.values_mut() {
+                scheduler.set_rules(self.rule_index.clone());
+            }
         }
     }
 
@@ -28,7 +36,7 @@
     pub(super) fn peer_lost(&mut self, now: Instant, host: &HostId, fx: &mut Vec<Effect>) {
         if self.membership.lose(host) {
             for scheduler in self.schedulers.values_mut() {
-                scheduler.forget_owner(host);
+                scheduler.forget_owner(host, now);
             }
             self.view_changed(now, fx);
         }
@@ -36,14 +44,23 @@
 
     pub(super) fn peer_back(&mut self, now: Instant, host: &HostId, fx: &mut Vec<Effect>) {
         if self.membership.regain(host) {
+            for scheduler in self.schedulers.values_mut() {
+                scheduler.regain_owner(host, now);
+            }
             self.view_changed(now, fx);
         }
     }
 
-    pub(super) fn load(&mut self, report: &LoadReport) {
+    pub(super) fn load(&mut self, now: Instant, report: &LoadReport) {
         self.baseline.report(report);
-        for scheduler in self.schedulers.values_mut() {
-            scheduler.report(report);
+        // A fixed share says nothing of what the other hosts run, so reports are no
+        // correction there.
+        if self.cfg.policy == Policy::Local {
+            return;
+        }
+        let shard = self.membership.shards().shard_of(&report.backend);
+        if let Some(scheduler) = shard.and_then(|shard| self.schedulers.get_mut(shard)) {
+            scheduler.report(report, now);
         }
     }
 
@@ -54,28 +71,42 @@
             .shards()
             .iter()
             .map(|(shard, _)| shard)
-            .filter(|shard| self.membership.leader(shard) == Some(&self.cfg.host))
+            .filter(|shard| self.leader(shard) == Some(&self.cfg.host))
             .cloned()
             .collect();
         self.schedulers.retain(|shard, _| led.contains(shard));
         for shard in led {
-            let scheduler = self
-                .schedulers
-                .entry(shard.clone())
-                .or_insert_with(|| Scheduler::new(shard.clone(), &self.cfg, now));
-            let members = self.membership.shards().members(&shard);
-            scheduler.set_backends(members.iter().filter_map(|id| self.membership.backend(id)));
+            let records = self.records_for(&shard);
+            let scheduler = self.schedulers.entry(shard.clone()).or_insert_with(|| {
+                let rules = self.rule_index.clone();
+                Scheduler::new(shard.clone(), &self.cfg, rules, now)
+            });
+            scheduler.set_backends(records.iter(), now);
         }
         self.report_in_flight(fx);
         self.ask_new_leaders(now, fx);
     }
 
+    /// The backend servers of a shard, with the slots that this host may grant.
+    fn records_for(&self, shard: &Shard) -> Vec<BackendRecord> {
+        let members = self.membership.shards().members(shard).iter();
+        let records = members.filter_map(|id| self.membership.backend(id));
+        if self.cfg.policy != Policy::Local {
+            return records.cloned().collect();
+        }
+        let live = self.membership.live_hosts();
+        let hosts: Vec<HostId> = live.map(|host| host.id.clone()).collect();
+        records
+            .filter_map(|record| share_of(record, &self.cfg.host, &hosts))
+            .collect()
+    }
+
     pub(super) fn report_in_flight(&mut self, fx: &mut Vec<Effect>) {
         let moved: Vec<(Shard, HostId)> = self
             .membership
             .shards()
             .iter()
-            .filter_map(|(shard, _)| Some((shard.clone(), self.membership.leader(shard)?.clone())))
+            .filter_map(|(shard, _)| Some((shard.clone(), self.leader(shard)?.clone())))
             .collect();
         for (shard, leader) in moved {
             if self.move_grants(&shard, &leader) {
@@ -105,9 +136,7 @@
             .owner
             .waiting
             .iter()
-            .filter(|(_, request)| {
-                self.membership.leader(&request.state.shard) != Some(&request.state.leader)
-            })
+            .filter(|(_, request)| self.leader(&request.state.shard) != Some(&request.state.leader))
             .map(|(id, _)| id.clone())
             .collect();
         for id in moved {
--- a/crates/jaypin_core/src/reducer/messages.rs
+++ b/crates/jaypin_core/src/reducer/messages.rs
@@ -1,10 +1,12 @@
 //! Messages between owners and shard schedulers.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use super::Reducer;
 use crate::request::Slot;
-use crate::{Ask, Effect, Grant, HostId, Message, Refusal, RequestId, SlotProgress};
+use crate::{
+    Ask, Effect, Grant, GrantNumber, HostId, Message, Refusal, RequestId, Shard, SlotProgress,
+};
 
 impl Reducer {
     pub(super) fn message(
@@ -16,15 +18,38 @@
     ) {
         match message {
             Message::Ask(ask) => self.asked(now, from, ask, fx),
-            Message::Queued { id, attempt } => self.queued(&id, attempt),
+            Message::Queued {
+                id,
+                attempt,
+                expected_wait,
+            } => self.queued(now, &id, attempt, expected_wait),
             Message::Grant(grant) => self.granted(now, from, grant, fx),
             Message::Refused {
                 id,
                 attempt,
                 refusal,
+                expected_wait,
             } => {
+                self.note_wait(now, &id, attempt, expected_wait);
                 self.refused(now, &id, attempt, refusal, fx);
             }
+            Message::Confirm { shard, id, number } => {
+                self.confirm(from, shard, id, number, fx);
+            }
+            Message::Usage {
+                shard,
+                account,
+                tokens,
+            } => self.usage(now, from, shard, account, tokens, fx),
+            Message::Part {
+                shard,
+                account,
+                part,
+            } => {
+                if let Some(scheduler) = self.schedulers.get_mut(&shard) {
+                    scheduler.set_part(&account, part);
+                }
+            }
             Message::NotLeader { id, attempt } => self.not_leader(&id, attempt),
             Message::Withdraw { shard, id } => {
                 if let Some(scheduler) = self.schedulers.get_mut(&shard) {
@@ -45,7 +70,7 @@
             }
             Message::InFlight { shard, running } => {
                 if let Some(scheduler) = self.schedulers.get_mut(&shard) {
-                    scheduler.in_flight(running);
+                    scheduler.in_flight(from, running, now);
                 }
             }
         }
@@ -65,7 +90,49 @@
         self.send_all(out, fx);
     }
 
-    pub(super) fn queued(&mut self, id: &RequestId, attempt: u32) {
+    /// Remembers how long requests of a tier wait in the shard that was asked.
+    fn note_wait(&mut self, now: Instant, id: &RequestId, attempt: u32, wait: Duration) {
+        if let Some(request) = self.owner.waiting.get(id)
+            && request.state.attempt == attempt
+        {
+            let tier = request.info.tier;
+            self.shard_hints.note(&request.state.shard, tier, wait, now);
+        }
+    }
+
+    /// Answers for a grant that this host does not hold: lost on its way, or ended
+    /// while the link was down.
+    fn confirm(
+        &mut self,
+        from: &HostId,
+        shard: Shard,
+        id: RequestId,
+        number: GrantNumber,
+        fx: &mut Vec<Effect>,
+    ) {
+        let held = self.owner.dispatched.get(&id).is_some_and(|request| {
+            let grant = request.state.slot.grant.as_ref();
+            grant.is_some_and(|(_, _, held)| *held == number)
+        });
+        if !held {
+            let back = Message::Progress {
+                shard,
+                id,
+                number,
+                progress: SlotProgress::Returned,
+            };
+            self.send(from, back, fx);
+        }
+    }
+
+    pub(super) fn queued(
+        &mut self,
+        now: Instant,
+        id: &RequestId,
+        attempt: u32,
+        expected_wait: Duration,
+    ) {
+        self.note_wait(now, id, attempt, expected_wait);
         if let Some(request) = self.owner.waiting.get_mut(id)
             && request.state.attempt == attempt
         {
@@ -107,6 +174,8 @@
             };
             return self.send(from, back, fx);
         };
+        self.shard_hints
+            .note(&grant.shard, request.info.tier, grant.expected_wait, now);
         let slot = Slot {
             backend: grant.backend,
             grant: Some((grant.shard, from.clone(), grant.number)),
@@ -127,7 +196,7 @@
             .waiting
             .get(id)
             .is_some_and(|request| request.state.attempt == attempt);
-        if !wanted {
+        if !wanted || self.ask_elsewhere(now, id, &refusal, fx) {
             return;
         }
         if let Some(request) = self.owner.waiting.remove(id) {
--- a/crates/jaypin_core/src/reducer/mod.rs
+++ b/crates/jaypin_core/src/reducer/mod.rs
@@ -3,6 +3,7 @@
 mod arrival;
 mod calls;
 mod knowledge;
+mod limits;
 mod messages;
 mod time;
 
@@ -15,12 +16,15 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::baseline::Baseline;
+use crate::limit_keeper::LimitKeeper;
 use crate::owner::Owner;
 use crate::request::{Dispatched, Request};
+use crate::rule_index::RuleIndex;
 use crate::scheduler::{Letter, Scheduler};
+use crate::shard_hints::ShardHints;
 use crate::{
-    Config, Effect, Event, HostId, Membership, Message, Record, Refusal, RequestInfo, Shard,
-    SlotProgress, Step,
+    Config, Effect, Event, HostId, Membership, Message, Policy, Record, Refusal, RequestInfo,
+    Shard, SlotProgress, Step,
 };
 
 /// Time after which a refused caller may come back, where nothing better is known.
@@ -33,6 +37,10 @@
     rng: ChaCha8Rng,
     rules_version: u64,
     rules: Arc<RuleSet>,
+    rule_index: Arc<RuleIndex>,
+    shard_hints: ShardHints,
+    limit_keeper: LimitKeeper,
+    next_usage: Option<Instant>,
     membership: Membership,
     owner: Owner,
     schedulers: BTreeMap<Shard, Scheduler>,
@@ -67,12 +75,19 @@
 impl Reducer {
     /// Starts with nothing known.
     #[must_use]
-    pub fn new(cfg: Config) -> Self {
+    pub fn new(mut cfg: Config) -> Self {
+        if cfg.policy == Policy::Local {
+            cfg.shard_size = usize::MAX;
+        }
         Self {
             rng: ChaCha8Rng::seed_from_u64(cfg.seed),
             cfg,
             rules_version: 0,
             rules: Arc::default(),
+            rule_index: Arc::default(),
+            shard_hints: ShardHints::default(),
+            limit_keeper: LimitKeeper::default(),
+            next_usage: None,
             membership: Membership::default(),
             owner: Owner::default(),
             schedulers: BTreeMap::new(),
@@ -123,7 +138,7 @@
             Event::Arrived(info) => self.arrived(now, info, fx),
             Event::CallerGone(id) => self.caller_gone(&id, fx),
             Event::Call { id, progress } => self.call(now, &id, progress, fx),
-            Event::Load(report) => self.load(&report),
+            Event::Load(report) => self.load(now, &report),
             Event::Link { from, message } => self.message(now, &from, message, fx),
             Event::PeerLost(host) => self.peer_lost(now, &host, fx),
             Event::PeerBack(host) => self.peer_back(now, &host, fx),
@@ -134,6 +149,14 @@
         }
     }
 
+    /// The host that grants slots of a shard, as the policy has it.
+    fn leader(&self, shard: &Shard) -> Option<&HostId> {
+        match self.cfg.policy {
+            Policy::Local => Some(&self.cfg.host),
+            Policy::Grants | Policy::Baseline => self.membership.leader(shard),
+        }
+    }
+
     fn send(&mut self, to: &HostId, message: Message, fx: &mut Vec<Effect>) {
         if *to == self.cfg.host {
             self.inbox.push_back(message);
--- a/crates/jaypin_core/src/reducer/time.rs
+++ b/crates/jaypin_core/src/reducer/time.rs
@@ -13,6 +13,7 @@
             scheduler.tick(now, &mut out);
         }
         self.send_all(out, fx);
+        self.tell_usage(now, fx);
         self.ask_overdue(now, fx);
         self.poll_loads(now, fx);
         if self.draining && self.owner.is_idle() && !self.exited {
--- a/crates/jaypin_core/src/request.rs
+++ b/crates/jaypin_core/src/request.rs
@@ -55,6 +55,8 @@
     pub asked_at: Instant,
     /// Whether the shard scheduler said that the request is queued.
     pub queued: bool,
+    /// Shards that refused it for want of capacity.
+    pub refused_by: Vec<Shard>,
 }
 
 /// State: a slot was granted; nothing was sent yet.
--- /dev/null
+++ b/crates/jaypin_core/src/scheduler/grants.rs
@@ -0,0 +1,323 @@
+//! Which request gets which backend server next.
+
+use std::time::{Duration, Instant};
+
+use super::queue::WaitingAsk;
+use super::running::Running;
+use super::{Backend, Letter, Scheduler};
+use crate::rule_index::TierTargets;
+use crate::{BackendId, Candidate, Grant, Message, RequestId};
+
+/// Backend servers named in a grant's explanation.
+const EXPLAINED_CANDIDATES: usize = 3;
+/// Requests of a tier that are tried before the next tier's turn.
+const TRIED_PER_TIER: usize = 4;
+/// Seconds of prefill queued at a backend server beyond which only the top tier is
+/// added: what waits inside an engine can't be overtaken.
+const MAX_BACKLOG: f64 = 0.1;
+/// Part of a higher tier's first-token time that lower tiers' prefills may take up.
+const GUARD_PART: f64 = 0.3;
+/// Backend servers, one in so many, that lower tiers leave without long prefills.
+const CALM_ONE_IN: usize = 5;
+/// Largest credit of a minimum, in times the cost of the request it is spent on.
+const MAX_CREDIT: f64 = 2.0;
+
+/// A backend server that a request could go to.
+#[derive(Debug, Clone)]
+struct Choice {
+    backend: BackendId,
+    score: f64,
+    first_token: f64,
+    running: u32,
+    limit: u32,
+}
+
+/// What a round of granting goes by.
+#[derive(Debug)]
+struct Round {
+    now: Instant,
+    strict_gap: f64,
+    strict_is_possible: bool,
+    strict_room: u32,
+    /// Whether the room that is left is kept for higher tiers.
+    is_reserved: bool,
+}
+
+impl Scheduler {
+    /// Grants while something that waits fits somewhere.
+    pub(super) fn pump(&mut self, now: Instant, out: &mut Vec<Letter>) {
+        if now < self.ready_at || self.queue.len() == 0 {
+            return;
+        }
+        while let Some((id, options)) = self.next_pair(now) {
+            self.grant(&id, options, now, out);
+        }
+    }
+
+    /// The next request and its backend servers, the chosen one first.
+    fn next_pair(&self, now: Instant) -> Option<(RequestId, Vec<Choice>)> {
+        let mut round = self.round(now)?;
+        let owed = self.owed_minimum();
+        let order = owed
+            .into_iter()
+            .chain(self.queue.ranks().filter(|rank| Some(*rank) != owed));
+        for rank in order {
+            let tier = self.rules.tier(rank);
+            round.is_reserved = round.strict_room <= self.reserved_against(rank);
+            for waiting in self.queue.in_order(rank).take(TRIED_PER_TIER) {
+                let options = self.options(waiting, &tier, &round);
+                if !options.is_empty() {
+                    return Some((waiting.ask.id.clone(), options));
+                }
+            }
+        }
+        None
+    }
+
+    /// What a round goes by; none when no backend server has room.
+    fn round(&self, now: Instant) -> Option<Round> {
+        let strict_gap = self.strict_gap();
+        let mut round = Round {
+            now,
+            strict_gap,
+            strict_is_possible: false,
+            strict_room: 0,
+            is_reserved: false,
+        };
+        let mut has_room = false;
+        for backend in self.live_backends() {
+            let is_slow = backend.model.pace.misses(strict_gap);
+            round.strict_is_possible |= !is_slow;
+            has_room |= backend.model.room(f64::MAX, now) > 0;
+            if !is_slow {
+                round.strict_room += backend.model.room(strict_gap, now);
+            }
+        }
+        has_room.then_some(round)
+    }
+
+    /// Slots that higher tiers have reserved and not in use; at least one of those that
+    /// may be used now is left over, or a backend server that is tried with a single
+    /// request would wait for a higher tier's for ever.
+    fn reserved_against(&self, rank: u8) -> u32 {
+        let higher = self.rules.tiers().iter().filter(|tier| tier.rank < rank);
+        let reserved: u32 = higher
+            .map(|tier| tier.reserve.saturating_sub(self.running.of_tier(tier.rank)))
+            .sum();
+        let slots: u32 = self
+            .live_backends()
+            .map(|backend| backend.model.limit(self.strict_gap()))
+            .sum();
+        reserved.min(slots.saturating_sub(1))
+    }
+
+    /// The tier whose minimum is due, if one is; never before the top tier.
+    fn owed_minimum(&self) -> Option<u8> {
+        let top = self.queue.ranks().next()?;
+        if self
+            .rules
+            .tiers()
+            .first()
+            .is_some_and(|tier| tier.rank == top)
+        {
+            return None;
+        }
+        self.queue.ranks().skip(1).find(|rank| {
+            let cost = self.queue.in_order(*rank).next();
+            let cost = cost.map_or(f64::MAX, |waiting| waiting.work().tokens());
+            self.credit.get(rank).is_some_and(|credit| *credit >= cost)
+        })
+    }
+
+    /// Each grant earns waiting tiers their minimum, and costs its own tier what it has.
+    fn note_minimum(&mut self, rank: u8, tokens: f64) {
+        if let Some(credit) = self.credit.get_mut(&rank) {
+            *credit = (*credit - tokens).max(0.0);
+        }
+        for tier in self.rules.tiers().iter().filter(|tier| tier.minimum > 0.0) {
+            let Some(head) = self.queue.in_order(tier.rank).next() else {
+                continue;
+            };
+            let most = head.work().tokens() * MAX_CREDIT;
+            let credit = self.credit.entry(tier.rank).or_default();
+            *credit = (*credit + tokens * tier.minimum).min(most);
+        }
+    }
+
+    // ------------------------------------------------------------------ placement
+
+    fn options(&self, waiting: &WaitingAsk, tier: &TierTargets, round: &Round) -> Vec<Choice> {
+        let guard = self.guard_for(tier.rank);
+        let mut best: Vec<Choice> = Vec::new();
+        for (id, backend) in &self.backends {
+            let Some(mut option) = self.option(backend, waiting, tier, round, guard) else {
+                continue;
+            };
+            let place = best.partition_point(|other| other.score <= option.score);
+            if place < EXPLAINED_CANDIDATES {
+                option.backend = id.clone();
+                best.insert(place, option);
+                best.truncate(EXPLAINED_CANDIDATES);
+            }
+        }
+        best
+    }
+
+    /// Weighs a backend server for a request; none when it can't serve it well.
+    fn option(
+        &self,
+        backend: &Backend,
+        waiting: &WaitingAsk,
+        tier: &TierTargets,
+        round: &Round,
+        guard: Option<f64>,
+    ) -> Option<Choice> {
+        let model = &backend.model;
+        let gap = gap_for(backend, tier, round)?;
+        if round.is_reserved && round.strict_is_possible && !model.pace.misses(round.strict_gap) {
+            return None;
+        }
+        if model.room(gap, round.now) == 0 {
+            return None;
+        }
+        let (backlog, prefill) = self.prefill_on(backend, waiting, round.now);
+        let first_token = backlog + prefill;
+        if guard.is_some() && backlog > MAX_BACKLOG {
+            return None;
+        }
+        if guard.is_some_and(|guard| self.would_crowd(backend, first_token, guard, round.now)) {
+            return None;
+        }
+        let answer = f64::from(waiting.answer_tokens) * model.pace.gap(model.running + 1);
+        let spent = round.now.saturating_duration_since(waiting.since);
+        let first_left = waiting.ask.first_token_in.saturating_sub(spent);
+        let whole_left = waiting.ask.whole_in.saturating_sub(spent);
+        if first_token > first_left.as_secs_f64() || first_token + answer > whole_left.as_secs_f64()
+        {
+            return None;
+        }
+        let limit = model.limit(gap);
+        // A prefill delays others as well as the request itself, so it counts twice; the
+        // load decides between backend servers that are as fast.
+        let load = f64::from(model.running) / f64::from(limit.max(1));
+        Some(Choice {
+            backend: BackendId::default(),
+            score: first_token + prefill + answer + load * 0.01,
+            first_token,
+            running: model.running,
+            limit,
+        })
+    }
+
+    /// Seconds of prefill before and of a request.
+    fn prefill_on(&self, backend: &Backend, waiting: &WaitingAsk, now: Instant) -> (f64, f64) {
+        if self.plain {
+            return (0.0, 0.0);
+        }
+        let tokens = self.uncached(backend, waiting);
+        (backend.model.backlog(now), backend.model.prefill(tokens))
+    }
+
+    fn uncached(&self, backend: &Backend, waiting: &WaitingAsk) -> u32 {
+        if self.plain {
+            return 0;
+        }
+        let cached = backend.prefixes.cached_tokens(&waiting.ask.prefixes);
+        waiting.ask.prompt_tokens.saturating_sub(cached).max(1)
+    }
+
+    /// Seconds of prefill that tiers above a rank can wait out; none for the top tier.
+    fn guard_for(&self, rank: u8) -> Option<f64> {
+        let higher = self.rules.tiers().iter().filter(|tier| tier.rank < rank);
+        let least = higher.map(|tier| tier.first_token).reduce(f64::min)?;
+        Some(least * GUARD_PART)
+    }
+
+    /// Whether a long prefill here would leave too few backend servers on which a
+    /// higher tier's request could start at once.
+    fn would_crowd(&self, backend: &Backend, first_token: f64, guard: f64, now: Instant) -> bool {
+        if self.plain || first_token <= guard || self.backends.len() < 2 {
+            return false;
+        }
+        let is_calm =
+            |other: &&Backend| other.model.takes_work(now) && other.model.backlog(now) <= guard;
+        let calm = self.live_backends().filter(is_calm).count();
+        let after = calm - usize::from(is_calm(&backend));
+        after < self.backends.len().div_ceil(CALM_ONE_IN)
+    }
+
+    // ------------------------------------------------------------------ granting
+
+    fn grant(&mut self, id: &RequestId, options: Vec<Choice>, now: Instant, out: &mut Vec<Letter>) {
+        let Some(waiting) = self.queue.serve(id) else {
+            return;
+        };
+        let chosen = options[0].backend.clone();
+        self.number.sequence += 1;
+        self.start(&waiting, &chosen, now);
+        self.note_minimum(waiting.ask.tier, waiting.work().tokens());
+        let candidates = options.into_iter().map(|option| Candidate {
+            backend: option.backend,
+            first_token: Duration::from_secs_f64(option.first_token),
+            running: option.running,
+            limit: option.limit,
+        });
+        let grant = Grant {
+            shard: self.shard.clone(),
+            id: waiting.ask.id,
+            attempt: waiting.ask.attempt,
+            number: self.number,
+            backend: chosen,
+            candidates: candidates.collect(),
+            expected_wait: now.saturating_duration_since(waiting.since),
+        };
+        out.push((waiting.owner, Message::Grant(grant)));
+    }
+
+    fn start(&mut self, waiting: &WaitingAsk, chosen: &BackendId, now: Instant) {
+        let Some(backend) = self.backends.get(chosen) else {
+            return;
+        };
+        let tokens = self.uncached(backend, waiting);
+        let expected = backend.model.backlog(now)
+            + backend.model.prefill(tokens)
+            + f64::from(waiting.answer_tokens) * backend.model.pace.gap(backend.model.running + 1);
+        let run = Running {
+            number: self.number,
+            attempt: waiting.ask.attempt,
+            owner: waiting.owner.clone(),
+            backend: chosen.clone(),
+            account: waiting.ask.account.clone(),
+            tier: waiting.ask.tier,
+            granted_at: now,
+            expected_end: now + Duration::from_secs_f64(expected * 1.5),
+            first_token_at: None,
+            area_at_first_token: 0.0,
+            check_at: now,
+        };
+        if let Some(backend) = self.backends.get_mut(chosen) {
+            backend.model.start(self.number.sequence, tokens, now);
+            backend.prefixes.insert(&waiting.ask.prefixes);
+        }
+        self.limits.started(&waiting.ask.account);
+        self.running.insert(waiting.ask.id.clone(), run);
+    }
+}
+
+/// The gap that a backend server is to keep for a tier; none when it can't.
+///
+/// One that is too slow for interactive work takes deferrable work up to that work's
+/// own target, and now and then a single request that shows whether it recovered.
+fn gap_for(backend: &Backend, tier: &TierTargets, round: &Round) -> Option<f64> {
+    let pace = &backend.model.pace;
+    if !round.strict_is_possible || !pace.misses(round.strict_gap) {
+        return Some(round.strict_gap);
+    }
+    if !pace.misses(tier.gap) {
+        return Some(tier.gap);
+    }
+    backend
+        .model
+        .probe_is_due(round.now)
+        .then_some(round.strict_gap)
+}
--- /dev/null
+++ b/crates/jaypin_core/src/scheduler/mod.rs
@@ -0,0 +1,384 @@
+//! The single counter and single queue of one shard.
+
+mod estimate;
+mod grants;
+mod limits;
+mod queue;
+mod running;
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use crate::prefix_index::PrefixIndex;
+use crate::rule_index::RuleIndex;
+use crate::{
+    Ask, BackendId, BackendModel, BackendRecord, Config, GrantNumber, HostId, InFlight, LoadReport,
+    Message, Presence, Reason, RequestId, Shard, SlotProgress, score,
+};
+use estimate::Demand;
+use limits::Limits;
+use queue::{WaitingAsk, WaitingQueue};
+use running::RunningTable;
+
+/// A message to a host, as schedulers produce them.
+pub type Letter = (HostId, Message);
+
+/// The scheduler of one shard; soft state on the host that leads it.
+#[derive(Debug)]
+pub struct Scheduler {
+    shard: Shard,
+    number: GrantNumber,
+    ready_at: Instant,
+    max_waiting: usize,
+    rng: ChaCha8Rng,
+    rules: Arc<RuleIndex>,
+    plain: bool,
+    backends: BTreeMap<BackendId, Backend>,
+    queue: WaitingQueue,
+    running: RunningTable,
+    demand: Demand,
+    limits: Limits,
+    credit: BTreeMap<u8, f64>,
+}
+
+/// A backend server of the shard.
+#[derive(Debug)]
+struct Backend {
+    model: BackendModel,
+    prefixes: PrefixIndex,
+}
+
+impl Scheduler {
+    /// Starts a scheduler that grants nothing until owners had time to report.
+    #[must_use]
+    pub fn new(shard: Shard, cfg: &Config, rules: Arc<RuleIndex>, now: Instant) -> Self {
+        let seed = cfg.seed ^ score(&cfg.host, &shard.to_string());
+        Self {
+            plain: rules.is_plain(&shard.service),
+            shard,
+            number: GrantNumber {
+                incarnation: cfg.incarnation,
+                sequence: 0,
+            },
+            ready_at: now + cfg.rebuild_window,
+            max_waiting: cfg.max_waiting,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            rules,
+            backends: BTreeMap::new(),
+            queue: WaitingQueue::default(),
+            running: RunningTable::default(),
+            demand: Demand::default(),
+            limits: Limits::default(),
+            credit: BTreeMap::new(),
+        }
+    }
+
+    // ------------------------------------------------------------------ knowledge
+
+    /// Takes a newer version of the rules.
+    pub fn set_rules(&mut self, rules: Arc<RuleIndex>) {
+        self.plain = rules.is_plain(&self.shard.service);
+        self.rules = rules;
+    }
+
+    /// Takes the shard's backend servers from a newer host list.
+    pub fn set_backends<'a>(
+        &mut self,
+        records: impl Iterator<Item = &'a BackendRecord>,
+        now: Instant,
+    ) {
+        let mut next = BTreeMap::new();
+        for record in records {
+            let mut backend = self
+                .backends
+                .remove(&record.id)
+                .unwrap_or_else(|| self.new_backend(record, now));
+            backend.model.presence = record.presence;
+            backend.model.slots = record.slots.max(1);
+            next.insert(record.id.clone(), backend);
+        }
+        self.backends = next;
+    }
+
+    /// A backend server without history; what runs there by earlier grants counts.
+    fn new_backend(&self, record: &BackendRecord, now: Instant) -> Backend {
+        let mut model = BackendModel::new(record.slots, record.presence);
+        for _ in 0..self.running.on_backend(&record.id) {
+            model.adopt(now);
+        }
+        Backend {
+            model,
+            prefixes: PrefixIndex::default(),
+        }
+    }
+
+    /// Takes a lagging load report.
+    pub fn report(&mut self, report: &LoadReport, now: Instant) {
+        if let Some(backend) = self.backends.get_mut(&report.backend) {
+            backend.model.report(report, now);
+        }
+    }
+
+    /// Takes what an owner has running from before this scheduler's time.
+    pub fn in_flight(&mut self, owner: &HostId, entries: Vec<InFlight>, now: Instant) {
+        for entry in entries {
+            if self.running.contains(&entry.id) {
+                continue;
+            }
+            if let Some(backend) = self.backends.get_mut(&entry.backend) {
+                backend.model.adopt(now);
+            }
+            self.limits.started(&entry.account);
+            self.running.adopt(owner, entry, now);
+        }
+    }
+
+    /// Drops what a lost owner waited for. What it has running stays counted until
+    /// its backend servers had time to end it.
+    pub fn forget_owner(&mut self, owner: &HostId, now: Instant) {
+        for id in self.queue.of_owner(owner) {
+            self.queue.remove(&id);
+        }
+        self.running.owner_lost(owner, now);
+    }
+
+    /// Counts on an owner again that was only unreachable.
+    pub fn regain_owner(&mut self, owner: &HostId, now: Instant) {
+        self.running.owner_back(owner, now);
+    }
+
+    // ------------------------------------------------------------------ requests
+
+    /// Queues, grants or refuses a request.
+    ///
+    /// A repeated ask with a greater number replaces the earlier one, whose grant the
+    /// owner will not use; one with the same number or a smaller one was duplicated or
+    /// overtaken on its way and changes nothing.
+    pub fn ask(&mut self, owner: &HostId, ask: Ask, now: Instant, out: &mut Vec<Letter>) {
+        if self.is_stale(&ask) {
+            return;
+        }
+        let id = ask.id.clone();
+        self.queue.remove(&id);
+        self.release(&id, now);
+        let waiting = self.waiting_ask(owner, ask, now);
+        if let Some(wait) = self.over_limit(&waiting.ask, now) {
+            let line = self.rules.limit(&waiting.ask.account);
+            let line = line.map(|limit| limit.origin.line);
+            return self.refuse_after(&waiting, Reason::OverLimit, wait, line, out);
+        }
+        self.note_demand(&waiting, now);
+        let share = self.rules.share(&waiting.ask.account);
+        self.queue.push(waiting, share);
+        self.pump(now, out);
+        if self.queue.get(&id).is_some() {
+            self.keep_or_refuse(&id, now, out);
+        }
+    }
+
+    fn is_stale(&self, ask: &Ask) -> bool {
+        let waiting = self.queue.get(&ask.id).map(|waiting| waiting.ask.attempt);
+        let granted = self.running.attempt(&ask.id);
+        waiting
+            .or(granted)
+            .is_some_and(|attempt| ask.attempt <= attempt)
+    }
+
+    /// A request that can't start now waits, unless it could only miss its deadline or
+    /// the queue is full.
+    fn keep_or_refuse(&mut self, id: &RequestId, now: Instant, out: &mut Vec<Letter>) {
+        let Some(waiting) = self.queue.get(id) else {
+            return;
+        };
+        if now >= self.ready_at && self.comes_too_late(waiting, now) {
+            if let Some(waiting) = self.queue.remove(id) {
+                self.refuse(&waiting, Reason::TooLate, now, out);
+            }
+            return;
+        }
+        if self.queue.len() > self.max_waiting
+            && let Some(shed) = self.queue.shed()
+        {
+            self.refuse(&shed, Reason::Shed, now, out);
+        }
+        if let Some(waiting) = self.queue.get(id) {
+            let expected_wait = self.expected_wait(waiting.ask.tier, now);
+            let queued = Message::Queued {
+                id: id.clone(),
+                attempt: waiting.ask.attempt,
+                expected_wait,
+            };
+            out.push((waiting.owner.clone(), queued));
+        }
+    }
+
+    /// Drops a request that waits.
+    pub fn withdraw(&mut self, id: &RequestId) {
+        self.queue.remove(id);
+    }
+
+    /// Learns what became of a slot, and grants it anew once it is free.
+    pub fn progress(
+        &mut self,
+        id: &RequestId,
+        number: GrantNumber,
+        progress: SlotProgress,
+        now: Instant,
+        out: &mut Vec<Letter>,
+    ) {
+        if !self.running.holds(id, number) {
+            return;
+        }
+        match progress {
+            SlotProgress::FirstToken { .. } => self.saw_first_token(id, now),
+            SlotProgress::Returned => self.release(id, now),
+            SlotProgress::NotReached => {
+                self.saw_loss(id, now);
+                self.release(id, now);
+            }
+            SlotProgress::Finished {
+                tokens,
+                after,
+                lost,
+            } => {
+                if lost {
+                    self.saw_loss(id, now);
+                } else {
+                    self.saw_end(id, tokens, after, now);
+                }
+                self.release(id, now);
+            }
+        }
+        self.pump(now, out);
+    }
+
+    /// Takes unused grants back, gives up on what is too late, and grants what is free.
+    pub fn tick(&mut self, now: Instant, out: &mut Vec<Letter>) {
+        self.check_running(now, out);
+        if now >= self.ready_at {
+            while let Some(late) = self.queue.pop_late(now) {
+                self.refuse(&late, Reason::TooLate, now, out);
+            }
+        }
+        self.pump(now, out);
+    }
+
+    /// Requests that wait.
+    #[must_use]
+    pub fn waiting_count(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Requests that run.
+    #[must_use]
+    pub fn running_count(&self) -> usize {
+        self.running.len()
+    }
+
+    /// What was learned of a backend server.
+    #[must_use]
+    pub fn model(&self, backend: &str) -> Option<&BackendModel> {
+        self.backends.get(backend).map(|backend| &backend.model)
+    }
+
+    // ------------------------------------------------------------------ inside
+
+    fn waiting_ask(&self, owner: &HostId, ask: Ask, now: Instant) -> WaitingAsk {
+        let answer_tokens = if self.plain { 0 } else { ask.max_tokens };
+        let mut waiting = WaitingAsk {
+            owner: owner.clone(),
+            ask,
+            since: now,
+            answer_tokens,
+            latest_start: now,
+        };
+        waiting.latest_start = now + self.slack(&waiting);
+        waiting
+    }
+
+    fn saw_first_token(&mut self, id: &RequestId, now: Instant) {
+        let Some(run) = self.running.get_mut(id) else {
+            return;
+        };
+        if run.first_token_at.replace(now).is_some() {
+            return;
+        }
+        if let Some(backend) = self.backends.get_mut(&run.backend) {
+            backend.model.first_token(run.number.sequence, now);
+            run.area_at_first_token = backend.model.pace.area_at(now);
+        }
+    }
+
+    fn saw_end(&mut self, id: &RequestId, tokens: u32, after: Duration, now: Instant) {
+        let Some(run) = self.running.get(id) else {
+            return;
+        };
+        self.demand
+            .served(now.saturating_duration_since(run.granted_at));
+        let (Some(backend), Some(first)) =
+            (self.backends.get_mut(&run.backend), run.first_token_at)
+        else {
+            return;
+        };
+        let since_grant = now.saturating_duration_since(run.granted_at);
+        let streaming = now
+            .saturating_duration_since(first)
+            .saturating_sub(since_grant.saturating_sub(after));
+        let streams = (backend.model.pace.area_at(now) - run.area_at_first_token)
+            / now.saturating_duration_since(first).as_secs_f64().max(1e-3);
+        let gaps = tokens.saturating_sub(1);
+        backend
+            .model
+            .pace
+            .saw(gaps, streaming.as_secs_f64(), streams);
+    }
+
+    fn saw_loss(&mut self, id: &RequestId, now: Instant) {
+        let Some(run) = self.running.get(id) else {
+            return;
+        };
+        if let Some(backend) = self.backends.get_mut(&run.backend) {
+            backend.model.lost(now);
+            backend.prefixes.clear();
+        }
+    }
+
+    fn release(&mut self, id: &RequestId, now: Instant) {
+        let Some(run) = self.running.remove(id) else {
+            return;
+        };
+        self.limits.ended(&run.account);
+        if let Some(backend) = self.backends.get_mut(&run.backend) {
+            backend.model.end(run.number.sequence, now);
+        }
+    }
+
+    /// Asks owners of grants that are overdue whether they still hold them, and frees
+    /// what lost owners had running.
+    ///
+    /// Guards against slots that stay counted for ever: a grant or a last word can be
+    /// lost with a link, and an owner can die. The owner answers from its own table, so
+    /// no running request loses its slot.
+    fn check_running(&mut self, now: Instant, out: &mut Vec<Letter>) {
+        while let Some(due) = self.running.pop_due(now) {
+            match due {
+                running::Due::Free(id) => self.release(&id, now),
+                running::Due::Confirm { owner, id, number } => {
+                    let shard = self.shard.clone();
+                    let confirm = Message::Confirm { shard, id, number };
+                    out.push((owner, confirm));
+                }
+            }
+        }
+    }
+
+    fn live_backends(&self) -> impl Iterator<Item = &Backend> {
+        self.backends
+            .values()
+            .filter(|backend| backend.model.presence == Presence::Live)
+    }
+}
--- /dev/null
+++ b/crates/jaypin_core/src/scheduler/running.rs
@@ -0,0 +1,205 @@
+//! The grants that are in use, and when to look after each.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::time::{Duration, Instant};
+
+use crate::{AccountId, BackendId, GrantNumber, HostId, InFlight, RequestId};
+
+/// Time after a grant without a first token until its owner is asked for it.
+const UNUSED_BOUND: Duration = Duration::from_secs(5);
+/// Pause between two such questions.
+const CONFIRM_PAUSE: Duration = Duration::from_secs(15);
+/// Time that backend servers get, at least, to end what a lost owner had running.
+const LOST_OWNER_HOLD: Duration = Duration::from_secs(2);
+
+/// A grant in use.
+#[derive(Debug)]
+pub struct Running {
+    /// Its number.
+    pub number: GrantNumber,
+    /// The ask it answered.
+    pub attempt: u32,
+    /// Who uses it.
+    pub owner: HostId,
+    /// Where it runs.
+    pub backend: BackendId,
+    /// Whose it is.
+    pub account: AccountId,
+    /// Rank of its tier.
+    pub tier: u8,
+    /// When it was granted, or adopted.
+    pub granted_at: Instant,
+    /// When it is expected to have ended.
+    pub expected_end: Instant,
+    /// When its first token came.
+    pub first_token_at: Option<Instant>,
+    /// Streams times seconds of its backend server at its first token.
+    pub area_at_first_token: f64,
+    /// When to look after it.
+    pub check_at: Instant,
+}
+
+/// What is to be done about a grant that nothing was heard of for long.
+#[derive(Debug)]
+pub enum Due {
+    /// Its owner is lost and the backend server had time to end it.
+    Free(RequestId),
+    /// Its owner is to be asked.
+    Confirm {
+        /// The owner.
+        owner: HostId,
+        /// The request.
+        id: RequestId,
+        /// The grant.
+        number: GrantNumber,
+    },
+}
+
+/// All grants in use.
+#[derive(Debug, Default)]
+pub struct RunningTable {
+    by_id: HashMap<RequestId, Running>,
+    checks: BTreeSet<(Instant, RequestId)>,
+    by_tier: BTreeMap<u8, u32>,
+    lost_owners: BTreeSet<HostId>,
+}
+
+impl RunningTable {
+    // ------------------------------------------------------------------ changes
+
+    /// Adds a grant.
+    pub fn insert(&mut self, id: RequestId, mut run: Running) {
+        run.check_at = run.granted_at + UNUSED_BOUND;
+        self.checks.insert((run.check_at, id.clone()));
+        *self.by_tier.entry(run.tier).or_default() += 1;
+        self.by_id.insert(id, run);
+    }
+
+    /// Adds what an owner has running from before this scheduler's time.
+    pub fn adopt(&mut self, owner: &HostId, entry: InFlight, now: Instant) {
+        let run = Running {
+            number: entry.number,
+            attempt: 0,
+            owner: owner.clone(),
+            backend: entry.backend,
+            account: entry.account,
+            tier: entry.tier,
+            granted_at: now,
+            expected_end: now,
+            first_token_at: None,
+            area_at_first_token: 0.0,
+            check_at: now,
+        };
+        self.insert(entry.id, run);
+    }
+
+    /// Takes a grant out.
+    pub fn remove(&mut self, id: &RequestId) -> Option<Running> {
+        let run = self.by_id.remove(id)?;
+        self.checks.remove(&(run.check_at, id.clone()));
+        if let Some(count) = self.by_tier.get_mut(&run.tier) {
+            *count -= 1;
+        }
+        Some(run)
+    }
+
+    /// Marks an owner as lost: its grants are freed once they must have ended.
+    pub fn owner_lost(&mut self, owner: &HostId, now: Instant) {
+        self.lost_owners.insert(owner.clone());
+        let hold = now + LOST_OWNER_HOLD;
+        self.reschedule(owner, |run| run.expected_end.max(hold));
+    }
+
+    /// Marks an owner as reachable again: its grants are confirmed.
+    pub fn owner_back(&mut self, owner: &HostId, now: Instant) {
+        if self.lost_owners.remove(owner) {
+            self.reschedule(owner, |_| now);
+        }
+    }
+
+    fn reschedule(&mut self, owner: &HostId, at: impl Fn(&Running) -> Instant) {
+        let of_owner = self.by_id.iter_mut().filter(|(_, run)| run.owner == *owner);
+        for (id, run) in of_owner {
+            self.checks.remove(&(run.check_at, id.clone()));
+            run.check_at = at(run);
+            self.checks.insert((run.check_at, id.clone()));
+        }
+    }
+
+    /// Takes the next grant that is to be looked after.
+    pub fn pop_due(&mut self, now: Instant) -> Option<Due> {
+        while self.checks.first()?.0 <= now {
+            let (_, id) = self.checks.pop_first()?;
+            let Some(run) = self.by_id.get_mut(&id) else {
+                continue;
+            };
+            if self.lost_owners.contains(&run.owner) {
+                return Some(Due::Free(id));
+            }
+            let streams = run.first_token_at.is_some();
+            let overdue = !streams || now >= run.expected_end;
+            run.check_at = now + CONFIRM_PAUSE;
+            if streams && !overdue {
+                run.check_at = run.expected_end + UNUSED_BOUND;
+            }
+            self.checks.insert((run.check_at, id.clone()));
+            if overdue {
+                let (owner, number) = (run.owner.clone(), run.number);
+                return Some(Due::Confirm { owner, id, number });
+            }
+        }
+        None
+    }
+
+    // ------------------------------------------------------------------ views
+
+    /// Grants in use.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.by_id.len()
+    }
+
+    /// Whether a request runs.
+    #[must_use]
+    pub fn contains(&self, id: &RequestId) -> bool {
+        self.by_id.contains_key(id)
+    }
+
+    /// Whether a request runs on the grant of that number.
+    #[must_use]
+    pub fn holds(&self, id: &RequestId, number: GrantNumber) -> bool {
+        self.by_id.get(id).is_some_and(|run| run.number == number)
+    }
+
+    /// The ask that a request's grant answered.
+    #[must_use]
+    pub fn attempt(&self, id: &RequestId) -> Option<u32> {
+        self.by_id.get(id).map(|run| run.attempt)
+    }
+
+    /// Finds a grant.
+    #[must_use]
+    pub fn get(&self, id: &RequestId) -> Option<&Running> {
+        self.by_id.get(id)
+    }
+
+    /// Finds a grant to change it; its tier and check time stay.
+    pub fn get_mut(&mut self, id: &RequestId) -> Option<&mut Running> {
+        self.by_id.get_mut(id)
+    }
+
+    /// Grants in use by a tier.
+    #[must_use]
+    pub fn of_tier(&self, rank: u8) -> u32 {
+        self.by_tier.get(&rank).copied().unwrap_or_default()
+    }
+
+    /// Grants in use on a backend server.
+    #[must_use]
+    pub fn on_backend(&self, backend: &BackendId) -> usize {
+        self.by_id
+            .values()
+            .filter(|run| run.backend == *backend)
+            .count()
+    }
+}
--- a/crates/jaypin_core/src/shard.rs
+++ b/crates/jaypin_core/src/shard.rs
@@ -76,10 +76,16 @@
     }
 
     /// The shards of a service, in order.
-    pub fn of_service(&self, service: &str) -> impl Iterator<Item = &Shard> {
-        self.members
-            .keys()
-            .filter(move |shard| &*shard.service == service)
+    pub fn of_service(&self, service: &ServiceId) -> impl Iterator<Item = &Shard> {
+        let first = Shard {
+            service: service.clone(),
+            index: 0,
+        };
+        let last = Shard {
+            service: service.clone(),
+            index: u16::MAX,
+        };
+        self.members.range(first..=last).map(|(shard, _)| shard)
     }
 
     /// All shards with their backend servers.
--- /dev/null
+++ b/crates/jaypin_core/src/shard_hints.rs
@@ -0,0 +1,46 @@
+//! What an owner last heard of the waits in shards.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use crate::Shard;
+
+/// Hints kept before old ones are dropped.
+const KEPT: usize = 1_024;
+
+/// Waits by shard and tier, as shard schedulers' answers carried them.
+#[derive(Debug, Default)]
+pub struct ShardHints {
+    heard: HashMap<(Shard, u8), Hint>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Hint {
+    wait: Duration,
+    at: Instant,
+}
+
+impl ShardHints {
+    /// Takes a wait that an answer carried.
+    pub fn note(&mut self, shard: &Shard, tier: u8, wait: Duration, now: Instant) {
+        self.heard
+            .insert((shard.clone(), tier), Hint { wait, at: now });
+        if self.heard.len() > KEPT {
+            self.heard.retain(|_, hint| !hint.left(now).is_zero());
+        }
+    }
+
+    /// The wait to be expected; what was heard shrinks as time passes.
+    #[must_use]
+    pub fn wait(&self, shard: &Shard, tier: u8, now: Instant) -> Duration {
+        let hint = self.heard.get(&(shard.clone(), tier));
+        hint.map_or(Duration::ZERO, |hint| hint.left(now))
+    }
+}
+
+impl Hint {
+    fn left(self, now: Instant) -> Duration {
+        self.wait
+            .saturating_sub(now.saturating_duration_since(self.at))
+    }
+}
--- a/crates/jaypin_wire/src/link.rs
+++ b/crates/jaypin_wire/src/link.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 /// Version of the link protocol; peers of another version are turned away.
-pub const LINK_VERSION: u16 = 1;
+pub const LINK_VERSION: u16 = 2;
 
 /// One frame of a link.
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -42,17 +42,23 @@
     /// See [`Message::Ask`].
     Ask(WireAsk),
     /// See [`Message::Queued`].
-    Queued(Arc<str>, u32),
+    Queued(Arc<str>, u32, Duration),
     /// See [`Message::Grant`].
     Grant(WireGrant),
     /// See [`Message::Refused`].
-    Refused(Arc<str>, u32, WireRefusal),
+    Refused(Arc<str>, u32, WireRefusal, Duration),
     /// See [`Message::NotLeader`].
     NotLeader(Arc<str>, u32),
     /// See [`Message::Withdraw`].
     Withdraw(WireShard, Arc<str>),
     /// See [`Message::Progress`].
     Progress(WireShard, Arc<str>, WireNumber, WireProgress),
+    /// See [`Message::Confirm`].
+    Confirm(WireShard, Arc<str>, WireNumber),
+    /// See [`Message::Usage`].
+    Usage(WireShard, Arc<str>, f64),
+    /// See [`Message::Part`].
+    Part(WireShard, Arc<str>, f64),
     /// See [`Message::InFlight`].
     InFlight(WireShard, Vec<WireInFlight>),
 }
@@ -89,6 +95,7 @@
     number: WireNumber,
     backend: Arc<str>,
     candidates: Vec<WireCandidate>,
+    expected_wait: Duration,
 }
 
 /// See [`Candidate`].
@@ -109,6 +116,8 @@
 pub enum WireProgress {
     /// See [`SlotProgress::Returned`].
     Returned,
+    /// See [`SlotProgress::NotReached`].
+    NotReached,
     /// See [`SlotProgress::FirstToken`].
     FirstToken(Duration),
     /// See [`SlotProgress::Finished`].
@@ -262,6 +271,7 @@
                 .into_iter()
                 .map(WireCandidate::from)
                 .collect(),
+            expected_wait: grant.expected_wait,
         }
     }
 }
@@ -275,6 +285,7 @@
             number: wire.number.into(),
             backend: wire.backend,
             candidates: wire.candidates.into_iter().map(Candidate::from).collect(),
+            expected_wait: wire.expected_wait,
         }
     }
 }
@@ -305,6 +316,7 @@
     fn from(progress: SlotProgress) -> Self {
         match progress {
             SlotProgress::Returned => Self::Returned,
+            SlotProgress::NotReached => Self::NotReached,
             SlotProgress::FirstToken { after } => Self::FirstToken(after),
             SlotProgress::Finished {
                 tokens,
@@ -319,6 +331,7 @@
     fn from(wire: WireProgress) -> Self {
         match wire {
             WireProgress::Returned => Self::Returned,
+            WireProgress::NotReached => Self::NotReached,
             WireProgress::FirstToken(after) => Self::FirstToken { after },
             WireProgress::Finished(tokens, after, lost) => Self::Finished {
                 tokens,
@@ -361,13 +374,18 @@
     fn from(message: Message) -> Self {
         match message {
             Message::Ask(ask) => Self::Ask(ask.into()),
-            Message::Queued { id, attempt } => Self::Queued(id, attempt),
+            Message::Queued {
+                id,
+                attempt,
+                expected_wait,
+            } => Self::Queued(id, attempt, expected_wait),
             Message::Grant(grant) => Self::Grant(grant.into()),
             Message::Refused {
                 id,
                 attempt,
                 refusal,
-            } => Self::Refused(id, attempt, refusal.into()),
+                expected_wait,
+            } => Self::Refused(id, attempt, refusal.into(), expected_wait),
             Message::NotLeader { id, attempt } => Self::NotLeader(id, attempt),
             Message::Withdraw { shard, id } => Self::Withdraw(shard.into(), id),
             Message::Progress {
@@ -376,6 +394,19 @@
                 number,
                 progress,
             } => Self::Progress(shard.into(), id, number.into(), progress.into()),
+            Message::Confirm { shard, id, number } => {
+                Self::Confirm(shard.into(), id, number.into())
+            }
+            Message::Usage {
+                shard,
+                account,
+                tokens,
+            } => Self::Usage(shard.into(), account, tokens),
+            Message::Part {
+                shard,
+                account,
+                part,
+            } => Self::Part(shard.into(), account, part),
             Message::InFlight { shard, running } => Self::InFlight(
                 shard.into(),
                 running.into_iter().map(WireInFlight::from).collect(),
@@ -388,12 +419,17 @@
     fn from(wire: WireMessage) -> Self {
         match wire {
             WireMessage::Ask(ask) => Self::Ask(ask.into()),
-            WireMessage::Queued(id, attempt) => Self::Queued { id, attempt },
+            WireMessage::Queued(id, attempt, expected_wait) => Self::Queued {
+                id,
+                attempt,
+                expected_wait,
+            },
             WireMessage::Grant(grant) => Self::Grant(grant.into()),
-            WireMessage::Refused(id, attempt, refusal) => Self::Refused {
+            WireMessage::Refused(id, attempt, refusal, expected_wait) => Self::Refused {
                 id,
                 attempt,
                 refusal: refusal.into(),
+                expected_wait,
             },
             WireMessage::NotLeader(id, attempt) => Self::NotLeader { id, attempt },
             WireMessage::Withdraw(shard, id) => Self::Withdraw {
@@ -406,6 +442,21 @@
                 number: number.into(),
                 progress: progress.into(),
             },
+            WireMessage::Confirm(shard, id, number) => Self::Confirm {
+                shard: shard.into(),
+                id,
+                number: number.into(),
+            },
+            WireMessage::Usage(shard, account, tokens) => Self::Usage {
+                shard: shard.into(),
+                account,
+                tokens,
+            },
+            WireMessage::Part(shard, account, part) => Self::Part {
+                shard: shard.into(),
+                account,
+                part,
+            },
             WireMessage::InFlight(shard, running) => Self::InFlight {
                 shard: shard.into(),
                 running: running.into_iter().map(InFlight::from).collect(),
