Follow the grant's expected wait in the capacity example

Cause: grants carry the wait that their scheduler expected; the example builds one. Change: the field.

--- a/crates/jaypin_core/examples/capacity.rs
+++ b/crates/jaypin_core/examples/capacity.rs
@@ -150,6 +150,7 @@
                 sequence: u64::from(index),
             },
             backend: "backend-0".into(),
+            expected_wait: Duration::ZERO,
             candidates: Vec::new(),
         });
         reducer.apply(
