Count for scraping, and name every mistake of settings

Cause: no host could be scraped, and a settings file was refused at its first mistake, without the line where a field was missing or out of range. Ruled out: serde for settings (it stops at the first error; a second table of fields beside the struct would drift); observable gauges (the counts are at hand when a scraper asks); a label for accounts, requests or keys (series must not grow with them).

--- a/crates/jaypin/src/answer.rs
+++ b/crates/jaypin/src/answer.rs
@@ -14,6 +14,9 @@
 use jaypin_wire::RefusalBody;
 use serde::Serialize;
 use tokio::sync::mpsc;
+use tokio::time::Instant;
+
+use crate::metrics;
 
 /// Body of every answer; an error in it breaks the connection off.
 pub type AnswerBody = UnsyncBoxBody<Bytes, std::io::Error>;
@@ -58,12 +61,14 @@
 pub struct Chunks {
     rx: mpsc::Receiver<Result<Bytes, std::io::Error>>,
     guard: CallerGuard,
+    last: Option<Instant>,
 }
 
 impl Chunks {
     /// Joins the receiving end with the guard.
     pub fn new(rx: mpsc::Receiver<Result<Bytes, std::io::Error>>, guard: CallerGuard) -> Self {
-        Self { rx, guard }
+        let last = None;
+        Self { rx, guard, last }
     }
 }
 
@@ -76,7 +81,13 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, std::io::Error>>> {
         match self.rx.poll_recv(cx) {
-            Poll::Ready(Some(chunk)) => Poll::Ready(Some(chunk.map(Frame::data))),
+            Poll::Ready(Some(chunk)) => {
+                let now = Instant::now();
+                if let Some(last) = self.last.replace(now) {
+                    metrics::gap(now.duration_since(last));
+                }
+                Poll::Ready(Some(chunk.map(Frame::data)))
+            }
             Poll::Ready(None) => {
                 self.guard.disarm();
                 Poll::Ready(None)
--- a/crates/jaypin/src/decisions/mod.rs
+++ b/crates/jaypin/src/decisions/mod.rs
@@ -10,6 +10,7 @@
 use jaypin_wire::{AppliedRule, ExplainBody, ExplainStep, StepBody};
 use tokio::sync::watch;
 
+use crate::metrics;
 use crate::snapshot::Snapshot;
 use ring::Ring;
 
@@ -59,7 +60,8 @@
             *rule = applied(&self.snapshots.borrow().rules, rule.line);
         }
         let step = ExplainStep::new(record.after, step);
-        self.lock().add(&record.id, step);
+        let tier = self.lock().add(&record.id, step);
+        metrics::step(&tier.unwrap_or_default(), record.after, &record.step);
     }
 
     /// Finds the record of a request.
--- a/crates/jaypin/src/decisions/ring.rs
+++ b/crates/jaypin/src/decisions/ring.rs
@@ -34,15 +34,14 @@
         }
     }
 
-    /// Adds a step, when the record is there still.
-    pub fn add(&mut self, id: &str, step: ExplainStep) {
-        let Some(body) = self.records.get_mut(id) else {
-            return;
-        };
+    /// Adds a step, when the record is there still; gives the request's tier.
+    pub fn add(&mut self, id: &str, step: ExplainStep) -> Option<String> {
+        let body = self.records.get_mut(id)?;
         if body.steps.len() < MAX_STEPS {
             self.bytes += step_bytes(&step);
             body.steps.push(step);
         }
+        Some(body.tier.clone())
     }
 
     /// Finds a record.
--- a/crates/jaypin/src/links.rs
+++ b/crates/jaypin/src/links.rs
@@ -21,6 +21,7 @@
 use tokio_tungstenite::tungstenite::Message as WsMessage;
 use tokio_tungstenite::{WebSocketStream, accept_async, client_async};
 
+use crate::metrics;
 use crate::snapshot::Snapshot;
 
 /// Messages that may wait for one peer; more are dropped and asked for again.
@@ -173,6 +174,7 @@
                 let Some(message) = message else { return Ok(()) };
                 let bytes = encode(&Frame::Message(message.into()))
                     .map_err(|error| error.to_string())?;
+                metrics::link_sent(bytes.len());
                 socket.feed(WsMessage::binary(bytes)).await.map_err(|error| error.to_string())?;
                 if rx.is_empty() {
                     socket.flush().await.map_err(|error| error.to_string())?;
@@ -216,6 +218,7 @@
         let WsMessage::Binary(bytes) = frame else {
             continue;
         };
+        metrics::link_received(bytes.len());
         match decode(&bytes) {
             Ok(Frame::Message(wire)) => {
                 let event = Event::Link {
--- a/crates/jaypin/src/main.rs
+++ b/crates/jaypin/src/main.rs
@@ -11,6 +11,7 @@
 mod frontend;
 mod links;
 mod logging;
+mod metrics;
 mod operator;
 mod platform;
 mod reducer_task;
--- a/crates/jaypin/src/operator/mod.rs
+++ b/crates/jaypin/src/operator/mod.rs
@@ -1,4 +1,4 @@
-//! The operators' listener: status, explanations, health, drain.
+//! The operators' listener: status, explanations, metrics, health, drain.
 //!
 //! It stands apart from the callers' address, and few use it, so `tiny_http` serves it.
 
@@ -16,11 +16,14 @@
 use tokio::sync::watch;
 
 use crate::decisions::Decisions;
+use crate::metrics;
 use crate::snapshot::Snapshot;
 
 /// Threads that answer; one that waits for another host holds up no health check.
 const THREADS: usize = 3;
 
+/// Type of the text format that scrapers read.
+const METRICS_TYPE: &str = "text/plain; version=0.0.4";
 /// Path below which requests are explained.
 const EXPLAIN: &str = "/explain/";
 
@@ -66,8 +69,12 @@
 
     fn answer(&self, req: Request) {
         let (status, body) = self.page(&req);
+        let content_type = match (status, req.url()) {
+            (200, "/metrics") => METRICS_TYPE,
+            _ => "application/json",
+        };
         let mut response = Response::from_string(body).with_status_code(status);
-        if let Ok(header) = Header::from_bytes("content-type", "application/json") {
+        if let Ok(header) = Header::from_bytes("content-type", content_type) {
             response.add_header(header);
         }
         let _ = req.respond(response);
@@ -84,6 +91,7 @@
             return error_page(401, "the operators' token is expected");
         }
         match (req.method(), req.url()) {
+            (Method::Get, "/metrics") => (200, metrics::render(&snapshot)),
             (Method::Get, "/status") => self.status(&snapshot),
             (Method::Get, path) if path.starts_with(EXPLAIN) => {
                 self.explain(req, &path[EXPLAIN.len()..], &snapshot)
--- a/crates/jaypin/src/platform.rs
+++ b/crates/jaypin/src/platform.rs
@@ -10,6 +10,8 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+use crate::metrics::{self, PlatformCall};
+
 /// Key of the rules.
 pub const RULES: &str = "rules";
 /// Key of the host list.
@@ -54,10 +56,10 @@
     ) -> Result<Option<(u64, T)>, String> {
         let wait = WATCH.as_millis();
         let url = format!("{}/{key}?after={after}&wait_ms={wait}", self.base);
-        let response = attohttpc::get(url)
-            .timeout(WATCH + self.timeout)
-            .send()
-            .map_err(|error| error.to_string())?;
+        let response = counted(
+            PlatformCall::Watch,
+            attohttpc::get(url).timeout(WATCH + self.timeout).send(),
+        )?;
         if response.status().as_u16() == 404 {
             return Ok(None);
         }
@@ -75,10 +77,11 @@
 
     /// Reads an object as it is.
     pub fn get<T: DeserializeOwned>(&self, key: &str) -> Result<Option<(u64, T)>, String> {
-        let response = attohttpc::get(format!("{}/{key}", self.base))
-            .timeout(self.timeout)
-            .send()
-            .map_err(|error| error.to_string())?;
+        let url = format!("{}/{key}", self.base);
+        let response = counted(
+            PlatformCall::Read,
+            attohttpc::get(url).timeout(self.timeout).send(),
+        )?;
         if response.status().as_u16() == 404 {
             return Ok(None);
         }
@@ -102,12 +105,11 @@
         struct Answer {
             version: u64,
         }
-        let response = attohttpc::put(format!("{}/{key}?if_version={expected}", self.base))
+        let req = attohttpc::put(format!("{}/{key}?if_version={expected}", self.base))
             .timeout(self.timeout)
             .json(value)
-            .map_err(|error| error.to_string())?
-            .send()
             .map_err(|error| error.to_string())?;
+        let response = counted(PlatformCall::Write, req.send())?;
         let status = response.status().as_u16();
         if status != 200 && status != 409 {
             return Err(format!("the platform answered {status}"));
@@ -120,6 +122,17 @@
     }
 }
 
+fn counted(
+    call: PlatformCall,
+    sent: attohttpc::Result<attohttpc::Response>,
+) -> Result<attohttpc::Response, String> {
+    let is_answered = sent
+        .as_ref()
+        .is_ok_and(|response| !response.status().is_server_error());
+    metrics::platform_call(call, is_answered);
+    sent.map_err(|error| error.to_string())
+}
+
 /// Watches rules and host list, each in a thread that ends with the process.
 pub fn spawn_watches(address: &str, events: &Sender<Event>) -> std::io::Result<()> {
     let client = PlatformClient::new(address, CALL_TIMEOUT);
--- a/crates/jaypin/src/serve.rs
+++ b/crates/jaypin/src/serve.rs
@@ -128,7 +128,7 @@
         host: host.clone(),
         incarnation,
         failure_domain: settings.failure_domain.as_str().into(),
-        policy: settings.policy.into(),
+        policy: settings.policy,
         seed: settings.seed.unwrap_or(incarnation),
         ..Config::default()
     };
--- /dev/null
+++ b/crates/jaypin/src/settings/reader.rs
@@ -0,0 +1,106 @@
+//! Takes settings one by one, and notes every one that is wrong with its line.
+
+use std::str::FromStr;
+
+use jaypin_rules::name_hint;
+use marked_yaml::types::{MarkedMappingNode, MarkedScalarNode};
+use marked_yaml::{LoadError, LoaderOptions, Marker, Node, Span, parse_yaml_with_options};
+
+/// The settings of a file that are not taken yet, and what is wrong so far.
+#[derive(Debug)]
+pub struct Reader {
+    mapping: MarkedMappingNode,
+    taken: Vec<&'static str>,
+    mistakes: Vec<(usize, String)>,
+}
+
+impl Reader {
+    /// Loads a file; one that is no YAML mapping has just that mistake.
+    pub fn new(text: &str) -> Result<Self, (usize, String)> {
+        let options = LoaderOptions::default().error_on_duplicate_keys(true);
+        let node =
+            parse_yaml_with_options(0, text, options).map_err(|error| load_mistake(&error))?;
+        let Node::Mapping(mapping) = node else {
+            return Err((1, "`NAME: VALUE` lines are expected".to_owned()));
+        };
+        Ok(Self {
+            mapping,
+            taken: Vec::new(),
+            mistakes: Vec::new(),
+        })
+    }
+
+    /// Takes a setting that has to be there.
+    pub fn required<T: FromStr>(&mut self, name: &'static str, expected: &str) -> Option<T> {
+        let is_there = self.mapping.get_node(name).is_some();
+        if !is_there {
+            self.mistakes
+                .push((1, format!("`{name}` is missing, expected {expected}")));
+        }
+        self.optional(name, expected)
+    }
+
+    /// Takes a setting that may be absent.
+    pub fn optional<T: FromStr>(&mut self, name: &'static str, expected: &str) -> Option<T> {
+        self.taken.push(name);
+        let node = self.mapping.get_node(name)?;
+        let text = node.as_scalar().map_or("", MarkedScalarNode::as_str);
+        let value = value_of(node);
+        if value.is_none() {
+            self.note(name, &format!("found `{text}`, expected {expected}"));
+        }
+        value
+    }
+
+    /// Whether a setting is there, right or wrong.
+    pub fn has(&self, name: &str) -> bool {
+        self.mapping.get_node(name).is_some()
+    }
+
+    /// Notes what is wrong with a setting; its value is not shown.
+    pub fn note(&mut self, name: &'static str, message: &str) {
+        let node = self.mapping.get_node(name);
+        let line = node.map_or(1, |node| line_of(node.span()));
+        self.mistakes.push((line, format!("`{name}`: {message}")));
+    }
+
+    /// Gives every mistake, with those of settings that nobody took.
+    pub fn finish(mut self) -> Vec<(usize, String)> {
+        for key in self.mapping.keys() {
+            let name = key.as_str();
+            if !self.taken.contains(&name) {
+                let hint = name_hint(name, self.taken.iter().copied());
+                let message = format!("unknown setting `{name}`{hint}");
+                self.mistakes.push((line_of(key.span()), message));
+            }
+        }
+        self.mistakes.sort();
+        self.mistakes
+    }
+}
+
+fn value_of<T: FromStr>(node: &Node) -> Option<T> {
+    let text = node.as_scalar()?.as_str();
+    text.parse().ok().filter(|_| !text.is_empty())
+}
+
+fn load_mistake(error: &LoadError) -> (usize, String) {
+    match error {
+        LoadError::DuplicateKey(pair) => (
+            line_of(pair.key.span()),
+            format!("`{}` is given twice", pair.key.as_str()),
+        ),
+        LoadError::ScanError(at, error) => (at.line(), format!("not YAML: {}", error.info())),
+        LoadError::TopLevelMustBeMapping(at)
+        | LoadError::TopLevelMustBeSequence(at)
+        | LoadError::UnexpectedAnchor(at)
+        | LoadError::MappingKeyMustBeScalar(at)
+        | LoadError::UnexpectedTag(at) => {
+            (at.line(), "`NAME: VALUE` lines are expected".to_owned())
+        }
+    }
+}
+
+fn line_of(span: &Span) -> usize {
+    span.start().map_or(1, Marker::line)
+}
--- a/crates/jaypin_rules/src/check.rs
+++ b/crates/jaypin_rules/src/check.rs
@@ -4,7 +4,7 @@
 use std::hash::Hash;
 
 use crate::fields::Places;
-use crate::nearest::hint;
+use crate::nearest::name_hint;
 use crate::rule::{Origin, ServiceKind};
 use crate::{Mistake, RuleSet};
 
@@ -157,7 +157,7 @@
         origin: &Origin,
     ) {
         if !known.contains(&name) && !self.is_faulty(kind, name) {
-            let hint = hint(name, known.iter().copied());
+            let hint = name_hint(name, known.iter().copied());
             let message = format!("`{field}`: no {kind} is named `{name}`{hint}");
             self.note(origin, field, message);
         }
@@ -171,7 +171,7 @@
     /// Accounts may be many thousands, so they are looked up by the index.
     fn account(&mut self, field: &'static str, name: &str, rules: &RuleSet, origin: &Origin) {
         if rules.account(name).is_none() && !self.is_faulty("account", name) {
-            let hint = hint(name, rules.accounts.iter().map(|rule| &*rule.name));
+            let hint = name_hint(name, rules.accounts.iter().map(|rule| &*rule.name));
             let message = format!("`{field}`: no account is named `{name}`{hint}");
             self.note(origin, field, message);
         }
--- a/crates/jaypin_rules/src/fields.rs
+++ b/crates/jaypin_rules/src/fields.rs
@@ -9,7 +9,7 @@
 
 use crate::Mistake;
 use crate::line::{RuleLine, column_of};
-use crate::nearest::hint;
+use crate::nearest::name_hint;
 
 /// What the checks over the whole file have to know beside the rules.
 #[derive(Debug, Default)]
@@ -124,7 +124,7 @@
         let scalar = self.required(field, &expected)?;
         let found = words.iter().find(|(word, _)| *word == scalar.as_str());
         if found.is_none() {
-            let hint = hint(scalar.as_str(), known);
+            let hint = name_hint(scalar.as_str(), known);
             let found = format!("`{}`", scalar.as_str());
             self.wrong(field, &found, &format!("{expected}{hint}"));
         }
@@ -163,7 +163,7 @@
             if self.taken.contains(&name) {
                 continue;
             }
-            let hint = hint(name, self.taken.iter().copied());
+            let hint = name_hint(name, self.taken.iter().copied());
             let message = format!(
                 "unknown field `{name}`, expected one of `{}`{hint}",
                 self.taken.join("`, `")
--- a/crates/jaypin_rules/src/kinds.rs
+++ b/crates/jaypin_rules/src/kinds.rs
@@ -6,7 +6,7 @@
 
 use crate::fields::{Fields, Places};
 use crate::line::{RuleLine, column_of};
-use crate::nearest::hint;
+use crate::nearest::name_hint;
 use crate::rule::{
     AccountRule, CallerRule, FencingRule, LimitRule, QuarantineRule, Repeat, RouteRule,
     ServiceKind, ServiceRule, TierRule,
@@ -65,7 +65,7 @@
             let message = format!(
                 "found the kind `{kind}`, expected the first field to be one of `{}`{}",
                 KINDS.join("`, `"),
-                hint(kind, KINDS)
+                name_hint(kind, KINDS)
             );
             let column = column_of(place.start());
             mistakes.push(Mistake::new(line.origin.line, column, message));
--- a/crates/jaypin_rules/src/lib.rs
+++ b/crates/jaypin_rules/src/lib.rs
@@ -21,6 +21,7 @@
 pub use digest::{CredentialDigest, digest_credential};
 pub use index::RuleIndex;
 pub use mistake::Mistake;
+pub use nearest::name_hint;
 pub use parse::parse;
 pub use rule::{
     AccountRule, CallerRule, FencingRule, LimitRule, Origin, QuarantineRule, Repeat, RouteRule,
--- a/crates/jaypin_rules/src/nearest.rs
+++ b/crates/jaypin_rules/src/nearest.rs
@@ -14,6 +14,7 @@
 }
 
 /// Gives the end of a message: the nearest name, or nothing.
-pub fn hint<'a>(found: &str, known: impl IntoIterator<Item = &'a str>) -> String {
+#[must_use]
+pub fn name_hint<'a>(found: &str, known: impl IntoIterator<Item = &'a str>) -> String {
     nearest(found, known).map_or_else(String::new, |name| format!("; did you mean `{name}`?"))
 }
