Measure load: open loop, seeded mixes, goodput by tier and wasted prefill

Cause: no decision can be compared before offered load, goodput by tier and wasted prefill are measured the same way for every policy. The engine stand-in has a knee, a prefix cache that counts what is computed again although another engine held it, and late, gappy cache events.

--- a/crates/jaypin_bench/src/fleet.rs
+++ b/crates/jaypin_bench/src/fleet.rs
@@ -30,8 +30,10 @@
     pub hosts: usize,
     /// Engines of the service `chat`.
     pub engines: Vec<EngineConfig>,
-    /// Application workers of the service `robots`.
+    /// Application workers of the plain service.
     pub apps: usize,
+    /// Name of the plain service.
+    pub plain_service: String,
     /// The rule file.
     pub rules: String,
     /// Further lines of every host's settings.
@@ -46,6 +48,7 @@
             hosts: 3,
             engines: vec![EngineConfig::default(); 2],
             apps: 1,
+            plain_service: "robots".to_owned(),
             rules: RULES.to_owned(),
             settings: String::new(),
             log: "warn".to_owned(),
@@ -86,6 +89,7 @@
     settings: PathBuf,
     log: String,
     child: Option<Child>,
+    killed: bool,
 }
 
 /// A running fleet; dropping it ends its hosts.
@@ -162,7 +166,8 @@
         }
         for index in 0..cfg.apps {
             let app = App::start(AppConfig::default()).await?;
-            backends.push(backend(format!("app-{index}"), app.address, "robots", 16));
+            let id = format!("app-{index}");
+            backends.push(backend(id, app.address, &cfg.plain_service, 16));
             apps.push(app);
         }
         let directory = scratch_directory()?;
@@ -189,11 +194,12 @@
         Ok(fleet)
     }
 
-    /// Writes the host list to the platform.
+    /// Writes the host list, without killed hosts, to the platform.
     pub fn publish_hosts(&self) {
         let hosts: Vec<Value> = self
             .hosts
             .iter()
+            .filter(|host| !host.killed)
             .map(|host| {
                 json!({
                     "id": host.id,
@@ -308,6 +314,7 @@
             settings,
             log: log.to_owned(),
             child: None,
+            killed: false,
         })
     }
 
@@ -323,6 +330,7 @@
             .stdin(Stdio::null())
             .spawn()?;
         self.child = Some(child);
+        self.killed = false;
         Ok(())
     }
 
@@ -346,6 +354,7 @@
         if let Some(mut child) = self.child.take() {
             let _ = child.kill();
             let _ = child.wait();
+            self.killed = true;
         }
     }
 
--- a/crates/jaypin_bench/src/lib.rs
+++ b/crates/jaypin_bench/src/lib.rs
@@ -3,7 +3,10 @@
 //! [`Fleet`] runs real host processes before stand-ins, on the loopback address.
 
 mod client;
+mod demo;
 mod fleet;
+pub mod load;
 
 pub use client::{Answer, Client, Event, completion_body};
+pub use demo::demo;
 pub use fleet::{ACCOUNTS, BackendSpec, Fleet, FleetConfig, Host, RULES, binary};
--- /dev/null
+++ b/crates/jaypin_bench/src/load/mod.rs
@@ -0,0 +1,21 @@
+//! The load tool: open loop, seeded, with the mixes of the two users.
+
+mod call;
+mod capacity;
+mod compare;
+mod faults;
+mod mix;
+mod outcome;
+mod plan;
+mod report;
+mod runner;
+mod usage;
+
+pub use capacity::{capacity, unlike_engines};
+pub use compare::{compare, comparison_table};
+pub use faults::Faults;
+pub use mix::{Account, Lengths, Mix, PlainCall, TextClass};
+pub use outcome::{Sample, Verdict};
+pub use plan::{Arrival, Work, plan};
+pub use report::{HostCost, Percentiles, Report, TierReport};
+pub use runner::{LoadConfig, run};
--- a/crates/jaypin_bench/src/main.rs
+++ b/crates/jaypin_bench/src/main.rs
@@ -1,128 +1,40 @@
-//! `jaypin-bench`: the demonstration run, and later load, experiments and torture.
+//! `jaypin-bench`: demonstration, load and experiments.
 
-use std::io::{BufRead, BufReader};
-use std::process::{Child, Command, Stdio};
-use std::time::Duration;
+mod cli;
 
-use jaypin_bench::{Client, Fleet, FleetConfig, binary, completion_body};
-use jaypin_standin::expected_answer;
+use jaypin_bench::{demo, load};
 
 type AnyError = Box<dyn std::error::Error + Send + Sync>;
 
-const USAGE: &str = "\
-usage: jaypin-bench demo
-  Runs an engine, an application worker and three hosts as separate processes,
-  streams a request through each host, and ends by itself.";
-
 #[tokio::main]
 async fn main() -> Result<(), AnyError> {
-    let command = std::env::args().nth(1);
-    match command.as_deref() {
-        Some("demo") => demo().await,
-        None | Some("--help") => {
-            println!("{USAGE}");
+    let args = cli::parse()?;
+    match args.command.as_str() {
+        "demo" => demo().await,
+        "load" => one_run(&args).await,
+        "compare" => compare(&args).await,
+        _ => {
+            println!("{}", cli::USAGE);
             Ok(())
         }
-        Some(other) => Err(format!("no such command: {other}\n{USAGE}").into()),
     }
 }
 
-/// A stand-in as a process of its own; ended when dropped.
-struct Standin {
-    child: Child,
-    address: std::net::SocketAddr,
+async fn one_run(args: &cli::Args) -> Result<(), AnyError> {
+    let report = load::run(&args.load).await?;
+    print!("{}", report.table());
+    write(args, &serde_json::to_value(&report)?)
 }
 
-impl Standin {
-    fn start(args: &[&str]) -> Result<Self, AnyError> {
-        let mut child = Command::new(binary("jaypin-standin")?)
-            .args(args)
-            .stdin(Stdio::null())
-            .stdout(Stdio::piped())
-            .spawn()?;
-        let stdout = child.stdout.take().ok_or("no output")?;
-        let mut line = String::new();
-        BufReader::new(stdout).read_line(&mut line)?;
-        let address = line.trim().rsplit(' ').next().unwrap_or_default().parse()?;
-        println!("stand-in {}: process {}, {address}", args[0], child.id());
-        Ok(Self { child, address })
-    }
-}
-
-impl Drop for Standin {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
+async fn compare(args: &cli::Args) -> Result<(), AnyError> {
+    let reports = load::compare(&args.load, &args.policies, &args.loads, &args.seeds).await?;
+    print!("{}", load::comparison_table(&reports));
+    write(args, &serde_json::to_value(&reports)?)
 }
 
-async fn demo() -> Result<(), AnyError> {
-    let engine = Standin::start(&["engine"])?;
-    let app = Standin::start(&["app"])?;
-    let cfg = FleetConfig {
-        engines: Vec::new(),
-        apps: 0,
-        ..FleetConfig::default()
-    };
-    let mut fleet = Fleet::prepare(cfg).await?;
-    for (id, address, service) in [
-        ("engine-0", engine.address, "chat"),
-        ("app-0", app.address, "robots"),
-    ] {
-        fleet.backends.push(jaypin_bench::BackendSpec {
-            id: id.to_owned(),
-            address,
-            service: service.to_owned(),
-            leaving: false,
-            slots: 16,
-        });
-    }
-    fleet.publish_hosts();
-    for host in &mut fleet.hosts {
-        host.start()?;
-        println!(
-            "{}: process {:?}, callers at {}",
-            host.id,
-            host.pid(),
-            host.address
-        );
-    }
-    fleet.wait_ready().await?;
-    for host in &fleet.hosts {
-        let client = Client::new(host.address, "farm-yilan-secret");
-        let text = format!("How is cow 17, asked at {}?", host.id);
-        let answer = client
-            .complete(&completion_body("cow-small", &text, 12, true), &[])
-            .await?;
-        println!(
-            "{} streamed {} tokens: {}",
-            host.id,
-            answer.events.len(),
-            answer.text()
-        );
-        if !answer.done || answer.text() != expected_answer(&text, 12) {
-            return Err("the answer is not the expected one".into());
-        }
-        let headers = [("idempotency-key", "demo")];
-        let status = client
-            .call(
-                hyper::Method::GET,
-                "/v1/services/robots/status",
-                &headers,
-                bytes::Bytes::new(),
-            )
-            .await?;
-        println!(
-            "{} plain call: {} {}",
-            host.id,
-            status.status,
-            status.json()
-        );
-    }
-    for host in &mut fleet.hosts {
-        host.signal("TERM");
-        let ended = host.wait_exit(Duration::from_secs(10)).await;
-        println!("{} left: {}", host.id, ended == Some(true));
+fn write(args: &cli::Args, value: &serde_json::Value) -> Result<(), AnyError> {
+    if let Some(path) = &args.json {
+        std::fs::write(path, serde_json::to_string_pretty(value)?)?;
     }
     Ok(())
 }
--- a/crates/jaypin_standin/src/engine.rs
+++ b/crates/jaypin_standin/src/engine.rs
@@ -16,11 +16,8 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::http::{Body, bind, json, query_number, serve};
+use crate::prefix_cache::{HeldBlocks, PrefixCache};
 
-/// Characters of a prompt that count as one token.
-const CHARS_PER_TOKEN: usize = 4;
-/// Tokens in one block of the prefix cache.
-const CACHE_BLOCK_TOKENS: usize = 64;
 /// Text that crashes an engine which is set to be poisoned by it.
 const POISON: &str = "POISON";
 
@@ -35,10 +32,18 @@
     pub prefill_rate: f64,
     /// Time between tokens of a single stream.
     pub gap: Duration,
-    /// Share by which each further stream lengthens the gap.
+    /// Streams that run without lengthening the gap.
+    pub knee: usize,
+    /// Share by which each stream beyond the knee lengthens the gap.
     pub gap_growth: f64,
     /// Blocks in the prefix cache.
     pub cache_blocks: usize,
+    /// How late a cache event is told.
+    pub cache_event_lag: Duration,
+    /// One cache event in this many is never told; none: all are.
+    pub cache_event_loss: Option<u64>,
+    /// Blocks that any engine of the service holds, for counting what is computed again.
+    pub held: HeldBlocks,
     /// How old a load report is.
     pub report_lag: Duration,
     /// How long the engine is gone after a poisonous request; none: it doesn't crash.
@@ -54,8 +59,12 @@
             slots: 16,
             prefill_rate: 8_000.0,
             gap: Duration::from_millis(20),
+            knee: 1,
             gap_growth: 0.05,
             cache_blocks: 4_096,
+            cache_event_lag: Duration::from_millis(500),
+            cache_event_loss: Some(10),
+            held: HeldBlocks::default(),
             report_lag: Duration::from_secs(1),
             crash_for: None,
             checks_fencing: false,
@@ -63,6 +72,15 @@
     }
 }
 
+impl EngineConfig {
+    /// Time between tokens of each of so many streams.
+    #[must_use]
+    pub fn gap_with(&self, running: usize) -> Duration {
+        let beyond = u32::try_from(running.saturating_sub(self.knee)).unwrap_or(u32::MAX);
+        self.gap.mul_f64(1.0 + self.gap_growth * f64::from(beyond))
+    }
+}
+
 /// One request that the engine took up.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Execution {
@@ -72,6 +90,9 @@
     pub prefilled: u64,
     /// Tokens found in the cache.
     pub cached: u64,
+    /// Tokens prefilled although another engine of the service held them.
+    #[serde(default)]
+    pub recomputed: u64,
     /// Tokens generated so far.
     pub generated: u64,
     /// Whether it was cancelled.
@@ -100,7 +121,7 @@
 struct Inner {
     streams: HashMap<String, Arc<Stream>>,
     executions: Vec<Execution>,
-    cache: VecDeque<u64>,
+    cache: PrefixCache,
     loads: VecDeque<(Option<Instant>, Load)>,
     running: u32,
     waiting: u32,
@@ -180,6 +201,12 @@
         let (listener, address) = bind(&cfg.address).await?;
         let inner = Inner {
             slowdown: 1.0,
+            cache: PrefixCache::new(
+                cfg.cache_blocks,
+                cfg.held.clone(),
+                cfg.cache_event_lag,
+                cfg.cache_event_loss,
+            ),
             ..Inner::default()
         };
         let state = Arc::new(State {
@@ -269,35 +296,8 @@
 
     fn gap(&self) -> Duration {
         let inner = self.lock();
-        let others = f64::from(inner.running.saturating_sub(1));
-        self.cfg
-            .gap
-            .mul_f64((1.0 + self.cfg.gap_growth * others) * inner.slowdown)
-    }
-
-    /// Counts the tokens of a text found in the cache and puts the rest there.
-    fn through_cache(&self, text: &str) -> (u64, u64) {
-        let tokens = text.len().div_ceil(CHARS_PER_TOKEN) as u64;
-        let block = CACHE_BLOCK_TOKENS * CHARS_PER_TOKEN;
-        let mut inner = self.lock();
-        let mut cached = 0;
-        let mut missed = false;
-        for end in (block..=text.len()).step_by(block) {
-            let key = xxh3_64(&text.as_bytes()[..end]);
-            if let Some(place) = inner.cache.iter().position(|other| *other == key) {
-                inner.cache.remove(place);
-                if !missed {
-                    cached += CACHE_BLOCK_TOKENS as u64;
-                }
-            } else {
-                missed = true;
-            }
-            inner.cache.push_back(key);
-        }
-        while inner.cache.len() > self.cfg.cache_blocks {
-            inner.cache.pop_front();
-        }
-        (tokens.saturating_sub(cached), cached)
+        let running = usize::try_from(inner.running).unwrap_or(usize::MAX);
+        self.cfg.gap_with(running).mul_f64(inner.slowdown)
     }
 
     fn report(&self) -> Load {
@@ -333,6 +333,10 @@
     match (req.method().clone(), path.as_str()) {
         (Method::POST, "/v1/chat/completions" | "/v1/completions") => complete(state, req).await,
         (Method::GET, "/load") => json(StatusCode::OK, &state.report()),
+        (Method::GET, "/cache-events") => {
+            let since = query_number(&req, "since");
+            json(StatusCode::OK, &state.lock().cache.events(since))
+        }
         (Method::GET, "/executions") => json(StatusCode::OK, &state.lock().executions),
         (Method::GET, other) if other.starts_with("/v1/streams/") => resume(
             &state,
@@ -405,6 +409,7 @@
         id: id.to_owned(),
         prefilled: 0,
         cached: 0,
+        recomputed: 0,
         generated: 0,
         cancelled: false,
     });
@@ -443,14 +448,15 @@
 
 async fn produce(state: &State, stream: &Stream, text: &str) {
     let turn = state.prefill.lock().await;
-    let (prefilled, cached) = state.through_cache(text);
-    let slowdown = {
+    let (prefilled, slowdown) = {
         let mut inner = state.lock();
+        let found = inner.cache.take_up(text);
         if let Some(execution) = inner.executions.get_mut(stream.index) {
-            execution.prefilled = prefilled;
-            execution.cached = cached;
+            execution.prefilled = found.prefilled;
+            execution.cached = found.cached;
+            execution.recomputed = found.recomputed;
         }
-        inner.slowdown
+        (found.prefilled, inner.slowdown)
     };
     #[expect(clippy::cast_precision_loss, reason = "token counts are small")]
     let seconds = prefilled as f64 / state.cfg.prefill_rate * slowdown;
--- a/crates/jaypin_standin/src/lib.rs
+++ b/crates/jaypin_standin/src/lib.rs
@@ -7,9 +7,11 @@
 mod engine;
 mod http;
 mod platform;
+mod prefix_cache;
 mod proxy;
 
 pub use app::{App, AppCall, AppConfig};
 pub use engine::{Engine, EngineConfig, Execution, expected_answer};
 pub use platform::{Fault, Platform, PlatformCalls};
+pub use prefix_cache::{CHARS_PER_TOKEN, CacheEvent, CacheEvents, HeldBlocks};
 pub use proxy::{Proxy, ProxyMode};
