--- a/crates/jaypin/src/operator.rs
+++ b/crates/jaypin/src/operator.rs
@@ -7,10 +7,11 @@
 
 use crossbeam::channel::Sender;
 use jaypin_core::Event;
-use jaypin_wire::StatusBody;
+use jaypin_wire::{MemberBody, StatusBody};
 use tiny_http::{Header, Method, Request, Response, Server};
 use tokio::sync::watch;
 
+use crate::links::LinkCounters;
 use crate::snapshot::Snapshot;
 
 /// What the operators' listener shows and does.
@@ -24,6 +25,8 @@
     pub snapshots: watch::Receiver<Arc<Snapshot>>,
     /// Where orders go.
     pub events: Sender<Event>,
+    /// What went over the links.
+    pub links: Arc<LinkCounters>,
 }
 
 impl Operator {
@@ -49,6 +52,14 @@
                 let body = StatusBody::new(&self.host, self.incarnation, &snapshot.summary);
                 (200, serde_json::to_string(&body).unwrap_or_default())
             }
+            (Method::Get, "/links") => {
+                let counts = self.links.counts();
+                (200, serde_json::to_string(&counts).unwrap_or_default())
+            }
+            (Method::Get, "/members") => {
+                let body = MemberBody::list(&snapshot.members);
+                (200, serde_json::to_string(&body).unwrap_or_default())
+            }
             (Method::Get, "/healthz") => (200, "\"ok\"".to_owned()),
             (Method::Get, "/readyz") => readiness(&snapshot),
             (Method::Post, "/drain") => {
@@ -71,6 +82,8 @@
         (503, "\"no rules yet\"".to_owned())
     } else if summary.hosts_version == 0 {
         (503, "\"no host list yet\"".to_owned())
+    } else if !summary.caught_up {
+        (503, "\"no peer heard yet\"".to_owned())
     } else if summary.draining {
         (503, "\"draining\"".to_owned())
     } else {
--- a/crates/jaypin/src/platform.rs
+++ b/crates/jaypin/src/platform.rs
@@ -9,17 +9,21 @@
 use jaypin_wire::{RulesChange, RulesObject, WireHostList};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use tokio::sync::watch;
+
+use crate::snapshot::Snapshot;
 
 /// Key of the rules.
 const RULES: &str = "rules";
 /// Key of the host list.
 const HOSTS: &str = "hosts";
 /// How long one watch waits at the platform.
-const WATCH: Duration = Duration::from_secs(20);
-/// Pause after a call that failed.
-const RETRY_PAUSE: Duration = Duration::from_millis(200);
-/// Time allowed beyond what a watch waits.
-const CALL_TIMEOUT: Duration = Duration::from_secs(5);
+const WATCH: Duration = Duration::from_secs(4);
+/// Pause between two watches; also after a call that failed or answered an old copy.
+const WATCH_PAUSE: Duration = Duration::from_millis(250);
+/// Time allowed beyond what a watch waits. A watch on a connection that went silent is
+/// given up after that, and the next one is on a new connection.
+const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// A client of the platform.
 #[derive(Debug, Clone)]
@@ -145,25 +149,51 @@
     since.map_or(0, |since| since.as_secs())
 }
 
+/// Where watches hear what is known and whether they are this host's to hold.
+#[derive(Debug, Clone)]
+pub struct WatchControl {
+    /// What is known already, from peers too.
+    pub snapshots: watch::Receiver<Arc<Snapshot>>,
+    /// Whether this host watches.
+    pub watching: watch::Receiver<bool>,
+}
+
 /// Watches rules and host list, each in a thread that ends with the process.
-pub fn spawn_watches(address: &str, events: &Sender<Event>) -> std::io::Result<()> {
+pub fn spawn_watches(
+    address: &str,
+    events: &Sender<Event>,
+    control: &WatchControl,
+) -> std::io::Result<()> {
     let client = PlatformClient::new(address, CALL_TIMEOUT);
     let (rules_client, rules_events) = (client.clone(), events.clone());
+    let rules_control = control.clone();
     thread::Builder::new()
         .name("watch-rules".to_owned())
         .spawn(move || {
-            watch_object(&rules_client, RULES, |version, object| {
-                rules_event(version, &object).is_none_or(|event| rules_events.send(event).is_ok())
-            });
+            let known = |snapshot: &Snapshot| snapshot.summary.rules_version;
+            watch_object(
+                &rules_client,
+                RULES,
+                &rules_control,
+                known,
+                |version, object| {
+                    let object: RulesObject = object;
+                    let events = read_rules(version, &object.text);
+                    events
+                        .into_iter()
+                        .all(|event| rules_events.send(event).is_ok())
+                },
+            );
         })?;
-    let hosts_events = events.clone();
+    let (hosts_events, control) = (events.clone(), control.clone());
     thread::Builder::new()
         .name("watch-hosts".to_owned())
         .spawn(move || {
-            watch_object(&client, HOSTS, |version, object: WireHostList| {
-                hosts_events
-                    .send(Event::Hosts(object.at_version(version)))
-                    .is_ok()
+            let known = |snapshot: &Snapshot| snapshot.summary.hosts_version;
+            watch_object(&client, HOSTS, &control, known, |version, object| {
+                let list: WireHostList = object;
+                let event = Event::Hosts(list.at_version(version));
+                hosts_events.send(event).is_ok()
             });
         })?;
     Ok(())
@@ -172,42 +202,50 @@
 fn watch_object<T: DeserializeOwned>(
     client: &PlatformClient,
     key: &str,
+    control: &WatchControl,
+    known: impl Fn(&Snapshot) -> u64,
     mut tell: impl FnMut(u64, T) -> bool,
 ) {
     let mut seen = 0;
     loop {
-        match client.watch::<T>(key, seen) {
-            Ok(Some((version, value))) if version > seen => {
-                seen = version;
-                if !tell(version, value) {
-                    return;
+        if *control.watching.borrow() {
+            seen = seen.max(known(&control.snapshots.borrow()));
+            match client.watch::<T>(key, seen) {
+                Ok(Some((version, value))) if version > seen => {
+                    seen = version;
+                    if !tell(version, value) {
+                        return;
+                    }
                 }
-            }
-            Ok(_) => {}
-            Err(error) => {
-                log::warn!(key, error; "can't watch the platform");
-                thread::sleep(RETRY_PAUSE);
+                Ok(_) => {}
+                Err(error) => log::warn!(key, error; "can't watch the platform"),
             }
         }
+        // Also after an answer: a platform that answers old copies answers at once, and
+        // without a pause the watch would turn into a stream of calls.
+        thread::sleep(WATCH_PAUSE);
     }
 }
 
-fn rules_event(version: u64, object: &RulesObject) -> Option<Event> {
-    match jaypin_rules::parse(&object.text) {
+/// Reads a rule file, whoever it came from; gives nothing when it is wrong.
+pub fn read_rules(version: u64, text: &str) -> Vec<Event> {
+    match jaypin_rules::parse(text) {
         Ok(rules) => {
             log::info!(version; "rules read");
-            Some(Event::Rules {
-                version,
-                rules: Arc::new(rules),
-            })
+            let rules = Arc::new(rules);
+            let text = Arc::from(text);
+            vec![
+                Event::RuleText { version, text },
+                Event::Rules { version, rules },
+            ]
         }
         Err(mistakes) => {
             let first = mistakes
                 .first()
                 .map(ToString::to_string)
                 .unwrap_or_default();
-            log::error!(version, first; "the platform holds a wrong rule file");
-            None
+            log::error!(version, first; "a wrong rule file");
+            Vec::new()
         }
     }
 }
--- a/crates/jaypin/src/reducer_task.rs
+++ b/crates/jaypin/src/reducer_task.rs
@@ -54,10 +54,12 @@
             Event::Rules { rules, .. } => Some(rules.clone()),
             _ => None,
         };
-        for effect in reducer.apply(Instant::now().into_std(), event) {
+        let effects = reducer.apply(Instant::now().into_std(), event);
+        // Effects look addresses up in what is published.
+        publish(&reducer, rules, &mut snapshot, snapshots);
+        for effect in effects {
             run(effect);
         }
-        publish(&reducer, rules, &mut snapshot, snapshots);
     }
 }
 
@@ -83,6 +85,11 @@
     if live != *last.live_hosts {
         last.live_hosts = Arc::new(live);
     }
+    last.members = members
+        .table()
+        .iter()
+        .map(|(host, member)| (host.clone(), *member))
+        .collect();
     last.summary = summary;
     snapshots.send_replace(Arc::new(last.clone()));
 }
--- a/crates/jaypin/src/runner.rs
+++ b/crates/jaypin/src/runner.rs
@@ -4,11 +4,12 @@
 
 use crossbeam::channel::Sender;
 use jaypin_core::{Effect, Event, Record};
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 
 use crate::backend_call;
 use crate::calls::Calls;
 use crate::links::Links;
+use crate::platform::read_rules;
 
 /// Everything that effects touch.
 #[derive(Debug, Clone)]
@@ -19,6 +20,8 @@
     pub links: Links,
     /// Where news goes.
     pub events: Sender<Event>,
+    /// Whether this host holds the platform's watches.
+    pub watching: watch::Sender<bool>,
     /// Told when nothing is left to do.
     pub exit: Arc<Notify>,
 }
@@ -49,6 +52,15 @@
             Effect::Refuse { id, refusal } => self.calls.refuse(&id, &refusal),
             Effect::Cancel(id) => self.calls.cancel(&id),
             Effect::Send { to, message } => self.links.send(&to, message),
+            Effect::KeepLinks(peers) => self.links.keep(peers),
+            Effect::Watch(on) => {
+                self.watching.send_replace(on);
+            }
+            Effect::ReadRules { version, text } => {
+                for event in read_rules(version, &text) {
+                    let _ = self.events.send(event);
+                }
+            }
             Effect::PollLoad { backend, address } => {
                 tokio::spawn(backend_call::poll_load(
                     backend,
--- a/crates/jaypin/src/serve.rs
+++ b/crates/jaypin/src/serve.rs
@@ -22,6 +22,10 @@
 /// Worker threads; an entry host is small.
 const WORKERS: usize = 2;
 
+/// Time without an event after which the reducer takes its process for paused: ticks
+/// come every 20 ms, and peers suspect a silent host a little later.
+const PAUSE_LIMIT: Duration = Duration::from_millis(500);
+
 /// Runs a host to its end.
 pub fn run(settings: Settings) -> Result<(), String> {
     let runtime = Builder::new_multi_thread()
@@ -52,10 +56,12 @@
     let links = Links::new(identity, snapshots.clone(), events.clone());
     let exit = Arc::new(Notify::new());
     let calls = Arc::new(Calls::default());
+    let watching = watch::Sender::new(true);
     let runner = Runner {
         calls: calls.clone(),
         links: links.clone(),
         events: events.clone(),
+        watching: watching.clone(),
         exit: exit.clone(),
     };
     let reducer = Reducer::new(config(&settings, &host, incarnation));
@@ -68,11 +74,18 @@
         incarnation,
         snapshots: snapshots.clone(),
         events: events.clone(),
+        links: links.counters(),
     }
     .spawn(settings.operator_listen)?;
-    platform::spawn_watches(&settings.platform.to_string(), &events)
+    let control = platform::WatchControl {
+        snapshots: snapshots.clone(),
+        watching: watching.subscribe(),
+    };
+    platform::spawn_watches(&settings.platform.to_string(), &events, &control)
         .map_err(|error| error.to_string())?;
-    tokio::spawn(links.accept(peers));
+    tokio::spawn(links.clone().accept(peers));
+    tokio::spawn(links.clone().keep_up());
+    tokio::spawn(links.meet(settings.peers.clone()));
     let frontend = Frontend::new(host, incarnation, snapshots, calls, events.clone());
     tokio::spawn(frontend.accept(callers));
     log::info!(host = settings.host, incarnation, listen:% = settings.listen; "serving");
@@ -105,6 +118,8 @@
         failure_domain: settings.failure_domain.as_str().into(),
         policy: settings.policy.into(),
         seed: settings.seed.unwrap_or(incarnation),
+        pause_limit: PAUSE_LIMIT,
+        await_peers: true,
         ..Config::default()
     };
     if let Some(size) = settings.shard_size {
--- a/crates/jaypin/src/settings.rs
+++ b/crates/jaypin/src/settings.rs
@@ -24,6 +24,9 @@
     pub platform: SocketAddr,
     /// Key shared by the fleet's hosts; proves a peer on a link.
     pub fleet_key: String,
+    /// Link addresses of some peers, to learn rules and hosts from.
+    #[serde(default)]
+    pub peers: Vec<SocketAddr>,
     /// How requests find a backend server.
     #[serde(default)]
     pub policy: PolicySetting,
--- a/crates/jaypin/src/snapshot.rs
+++ b/crates/jaypin/src/snapshot.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use jaypin_core::{HostList, HostRecord, Summary};
+use jaypin_core::{HostId, HostList, HostRecord, Member, Summary};
 use jaypin_rules::RuleSet;
 
 /// A view of the decision state after some event.
@@ -16,6 +16,8 @@
     pub hosts: Arc<HostList>,
     /// Entry hosts that take work.
     pub live_hosts: Arc<Vec<HostRecord>>,
+    /// What is believed of every host.
+    pub members: Vec<(HostId, Member)>,
     /// Counts.
     pub summary: Summary,
 }
--- a/crates/jaypin_core/src/config.rs
+++ b/crates/jaypin_core/src/config.rs
@@ -35,6 +35,14 @@
     pub ask_timeout: Duration,
     /// How long a new shard scheduler collects what owners have in flight.
     pub rebuild_window: Duration,
+    /// How often partners hear a digest, changed or not.
+    pub gossip_interval: Duration,
+    /// How long a suspect may refute before it counts as dead.
+    pub suspect_timeout: Duration,
+    /// Time between two events after which this process takes itself for paused.
+    pub pause_limit: Duration,
+    /// Whether the host is ready only after a peer told its versions.
+    pub await_peers: bool,
 }
 
 impl Default for Config {
@@ -49,6 +57,10 @@
             report_interval: Duration::from_secs(1),
             ask_timeout: Duration::from_millis(400),
             rebuild_window: Duration::from_millis(250),
+            gossip_interval: Duration::from_secs(1),
+            suspect_timeout: Duration::from_secs(5),
+            pause_limit: Duration::MAX,
+            await_peers: false,
         }
     }
 }
--- a/crates/jaypin_core/src/effect.rs
+++ b/crates/jaypin_core/src/effect.rs
@@ -1,5 +1,7 @@
 //! Everything a host does, as data.
 
+use std::sync::Arc;
+
 use crate::{BackendId, GrantNumber, HostId, Message, Record, Refusal, RequestId};
 
 /// Something to be done by an adapter.
@@ -39,6 +41,17 @@
         /// Its HTTP address.
         address: String,
     },
+    /// Keep links to these peers, whether or not there is something to say.
+    KeepLinks(Vec<HostId>),
+    /// Watch the platform, or leave that to others.
+    Watch(bool),
+    /// Read a rule file that a peer sent.
+    ReadRules {
+        /// Its version.
+        version: u64,
+        /// The file.
+        text: Arc<str>,
+    },
     /// Write a step of a decision down.
     Record(Record),
     /// Nothing is left to do; the process may end.
--- a/crates/jaypin_core/src/event.rs
+++ b/crates/jaypin_core/src/event.rs
@@ -5,7 +5,7 @@
 
 use jaypin_rules::RuleSet;
 
-use crate::{BackendId, HostId, HostList, Message, RequestId, RequestInfo};
+use crate::{BackendId, HostId, HostList, Incarnation, Message, RequestId, RequestInfo};
 
 /// Something that happened.
 #[derive(Debug, Clone)]
@@ -30,10 +30,17 @@
         /// What it said.
         message: Message,
     },
-    /// A peer can't be reached.
+    /// A peer's link was lost and a new one is refused: its process is gone.
     PeerLost(HostId),
-    /// A peer answers again.
-    PeerBack(HostId),
+    /// Nothing is heard of a peer, on an old link or a new one.
+    PeerSilent(HostId),
+    /// A link to a peer was made; both ends proved themselves.
+    PeerMet {
+        /// The peer.
+        host: HostId,
+        /// The run of its process.
+        incarnation: Incarnation,
+    },
     /// The platform's host list was read.
     Hosts(HostList),
     /// A version of the rules was read.
@@ -43,6 +50,13 @@
         /// The rules.
         rules: Arc<RuleSet>,
     },
+    /// The text of a version of the rules, kept for peers.
+    RuleText {
+        /// The version.
+        version: u64,
+        /// The file as its author wrote it.
+        text: Arc<str>,
+    },
     /// The host shall finish what it has and leave.
     Drain,
     /// Time went on.
--- /dev/null
+++ b/crates/jaypin_core/src/member.rs
@@ -0,0 +1,151 @@
+//! One host as the fleet sees it, and the table of all of them.
+
+use std::collections::BTreeMap;
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::{HostId, Incarnation};
+
+/// Buckets that the table is compared by; differing ones are exchanged whole.
+pub const BUCKETS: usize = 16;
+
+/// What is believed of a host; a later one outweighs an earlier one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum MemberStatus {
+    /// It takes work.
+    Alive,
+    /// It finishes what it has.
+    Leaving,
+    /// A peer hears nothing from it.
+    Suspect,
+    /// Its process is gone.
+    Dead,
+}
+
+impl MemberStatus {
+    /// The status in one word.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Alive => "alive",
+            Self::Leaving => "leaving",
+            Self::Suspect => "suspect",
+            Self::Dead => "dead",
+        }
+    }
+}
+
+/// The entry of one host. The greater of two entries is the newer one, on every host,
+/// so that tables converge in whatever order entries arrive.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Member {
+    /// Run of its process.
+    pub incarnation: Incarnation,
+    /// Raised by the host itself when it learns that it was taken for gone.
+    pub revision: u32,
+    /// What is believed of it.
+    pub status: MemberStatus,
+}
+
+impl Member {
+    /// The entry of a process that just started.
+    #[must_use]
+    pub fn alive(incarnation: Incarnation) -> Self {
+        Self {
+            incarnation,
+            revision: 0,
+            status: MemberStatus::Alive,
+        }
+    }
+
+    /// The same run with another status.
+    #[must_use]
+    pub fn with_status(self, status: MemberStatus) -> Self {
+        Self { status, ..self }
+    }
+
+    /// Whether a peer believes it to be gone.
+    #[must_use]
+    pub fn is_accused(&self) -> bool {
+        self.status >= MemberStatus::Suspect
+    }
+
+    fn hash(&self, host: &str) -> u64 {
+        let run = xxh3_64_with_seed(host.as_bytes(), self.incarnation);
+        let state = (u64::from(self.revision) << 8) | self.status as u64;
+        xxh3_64_with_seed(host.as_bytes(), run ^ state)
+    }
+}
+
+/// What is believed of every host that was heard of.
+#[derive(Debug, Clone, Default)]
+pub struct MemberTable {
+    entries: BTreeMap<HostId, Member>,
+}
+
+impl MemberTable {
+    /// Takes an entry; says whether it is new or newer.
+    pub fn take(&mut self, host: &HostId, member: Member) -> bool {
+        let known = self.entries.get(host);
+        if known.is_some_and(|known| *known >= member) {
+            return false;
+        }
+        self.entries.insert(host.clone(), member);
+        true
+    }
+
+    /// The entry of a host.
+    #[must_use]
+    pub fn get(&self, host: &str) -> Option<Member> {
+        self.entries.get(host).copied()
+    }
+
+    /// All entries.
+    pub fn iter(&self) -> impl Iterator<Item = (&HostId, &Member)> {
+        self.entries.iter()
+    }
+
+    /// Drops entries that are of no use any more.
+    pub fn retain(&mut self, keep: impl Fn(&HostId, &Member) -> bool) {
+        self.entries.retain(|host, member| keep(host, member));
+    }
+
+    /// Hashes of the buckets; equal tables have equal ones.
+    #[must_use]
+    pub fn bucket_hashes(&self) -> [u64; BUCKETS] {
+        let mut hashes = [0; BUCKETS];
+        for (host, member) in &self.entries {
+            hashes[bucket_of(host)] ^= member.hash(host);
+        }
+        hashes
+    }
+
+    /// Hash of the whole table.
+    #[must_use]
+    pub fn hash(&self) -> u64 {
+        self.bucket_hashes()
+            .into_iter()
+            .fold(0, |all, bucket| all ^ bucket)
+    }
+
+    /// Entries of some buckets.
+    #[must_use]
+    pub fn in_buckets(&self, buckets: &[u8]) -> Vec<(HostId, Member)> {
+        self.entries
+            .iter()
+            .filter(|(host, _)| buckets.contains(&bucket_number(host)))
+            .map(|(host, member)| (host.clone(), *member))
+            .collect()
+    }
+}
+
+/// Bucket of a host in the table.
+#[must_use]
+pub fn bucket_number(host: &str) -> u8 {
+    u8::try_from(bucket_of(host)).unwrap_or_default()
+}
+
+fn bucket_of(host: &str) -> usize {
+    let hash = xxh3_64_with_seed(host.as_bytes(), 0);
+    usize::try_from(hash % BUCKETS as u64).unwrap_or_default()
+}
--- a/crates/jaypin_core/src/message.rs
+++ b/crates/jaypin_core/src/message.rs
@@ -1,8 +1,11 @@
 //! What hosts say to each other.
 
+use std::sync::Arc;
 use std::time::Duration;
 
-use crate::{AccountId, BackendId, Incarnation, Refusal, RequestId, Shard};
+use crate::{
+    AccountId, BackendId, HostId, HostList, Incarnation, Member, Refusal, RequestId, Shard,
+};
 
 /// Number of a grant: greater is later, across runs of a shard scheduler's host.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -68,6 +71,45 @@
         /// The running requests.
         running: Vec<InFlight>,
     },
+    /// To a partner, about once a second and at every change: what the sender has.
+    Digest(Digest),
+    /// To a peer that has something newer: send it.
+    Fetch {
+        /// The rule file.
+        rules: bool,
+        /// The host list.
+        hosts: bool,
+    },
+    /// The rule file that was asked for.
+    RuleText {
+        /// Its version.
+        version: u64,
+        /// The file as its author wrote it.
+        text: Arc<str>,
+    },
+    /// The host list that was asked for.
+    Hosts(HostList),
+    /// To a peer whose table differs: hashes of the sender's buckets.
+    Buckets(Vec<u64>),
+    /// Entries of the sender's table.
+    Members {
+        /// The entries.
+        entries: Vec<(HostId, Member)>,
+        /// Buckets of which these are all entries, and of which the receiver sends back
+        /// what the sender lacks; none for mere news.
+        whole: Vec<u8>,
+    },
+}
+
+/// What a host has, in a few bytes; contents follow on demand.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Digest {
+    /// Version of the rules.
+    pub rules_version: u64,
+    /// Version of the host list.
+    pub hosts_version: u64,
+    /// Hash of the table of hosts.
+    pub members: u64,
 }
 
 /// What a shard scheduler has to know of a request.
--- a/crates/jaypin_core/src/reducer/arrival.rs
+++ b/crates/jaypin_core/src/reducer/arrival.rs
@@ -17,7 +17,7 @@
             let refusal = Refusal::not_run(Reason::Draining).retry_after(DEFAULT_RETRY_AFTER);
             return self.refuse(&info, Duration::ZERO, refusal, fx);
         }
-        if self.rules_version == 0 || !self.membership.is_known() {
+        if self.rules_version == 0 || !self.membership.is_known() || !self.gossip.caught_up {
             let refusal = Refusal::not_run(Reason::NotReady).retry_after(DEFAULT_RETRY_AFTER);
             return self.refuse(&info, Duration::ZERO, refusal, fx);
         }
--- /dev/null
+++ b/crates/jaypin_core/src/reducer/gossip.rs
@@ -0,0 +1,428 @@
+//! Anti-entropy between partners: versions first, contents on demand, news at once.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use rand::RngExt;
+
+use super::Reducer;
+use crate::member::{BUCKETS, Member, MemberStatus};
+use crate::{Config, Digest, Effect, HostId, Incarnation, Message};
+
+/// How often a host that is taken for gone is tried, so that a healed network shows.
+const PROBE_INTERVAL: Duration = Duration::from_secs(3);
+/// How long a content that was asked for may take before another peer is asked.
+const FETCH_TIMEOUT: Duration = Duration::from_millis(500);
+/// How long an idle host stays after it was told to leave, so that its word spreads.
+const MIN_DRAIN: Duration = Duration::from_millis(300);
+/// Longest wait for a first partner's digest before the host takes itself for the first.
+const PEER_WAIT: Duration = Duration::from_secs(3);
+
+/// What the exchange with partners rests on.
+#[derive(Debug, Default)]
+pub(super) struct Gossip {
+    /// Whether a peer confirmed that this host has the versions in force.
+    pub caught_up: bool,
+    /// Whether rules or host list changed since partners were told.
+    pub versions_changed: bool,
+    partners: Vec<HostId>,
+    watching: Option<bool>,
+    news: BTreeSet<HostId>,
+    rule_text: Option<(u64, Arc<str>)>,
+    fetching: Fetching,
+    suspects: BTreeMap<HostId, Instant>,
+    next_round: Option<Instant>,
+    next_probe: Option<Instant>,
+    alone_at: Option<Instant>,
+    drained_at: Option<Instant>,
+}
+
+/// Versions that were asked for, and when.
+#[derive(Debug, Default)]
+struct Fetching {
+    rules: Option<(u64, Instant)>,
+    hosts: Option<(u64, Instant)>,
+}
+
+impl Gossip {
+    pub(super) fn new(cfg: &Config) -> Self {
+        Self {
+            caught_up: !cfg.await_peers,
+            ..Self::default()
+        }
+    }
+}
+
+impl Reducer {
+    // ------------------------------------------------------------------ rounds
+
+    pub(super) fn gossip_tick(&mut self, now: Instant, fx: &mut Vec<Effect>) {
+        self.bury_suspects(now, fx);
+        self.stop_waiting_for_peers(now);
+        let round = self.gossip.next_round.get_or_insert(now);
+        if now < *round {
+            return;
+        }
+        *round = now + self.cfg.gossip_interval;
+        let digest = self.own_digest();
+        for partner in self.gossip.partners.clone() {
+            self.send(&partner, Message::Digest(digest), fx);
+        }
+        self.probe(now, digest, fx);
+    }
+
+    /// Guards against a split that outlives its cause: hosts that count each other as
+    /// dead are no partners, so each now and then tries one of them.
+    fn probe(&mut self, now: Instant, digest: Digest, fx: &mut Vec<Effect>) {
+        let due = self.gossip.next_probe.get_or_insert(now + PROBE_INTERVAL);
+        if now < *due {
+            return;
+        }
+        *due = now + PROBE_INTERVAL;
+        let listed = &self.membership.list().hosts;
+        let accused: Vec<&HostId> = listed
+            .iter()
+            .map(|host| &host.id)
+            .filter(|id| self.membership.status(id) >= MemberStatus::Suspect)
+            .collect();
+        if accused.is_empty() {
+            return;
+        }
+        let chosen = accused[self.rng.random_range(0..accused.len())].clone();
+        self.send(&chosen, Message::Digest(digest), fx);
+    }
+
+    /// Tells partners at once what changed, so that news needs no round a hop.
+    pub(super) fn spread_news(&mut self, fx: &mut Vec<Effect>) {
+        let news = std::mem::take(&mut self.gossip.news);
+        let versions_changed = std::mem::take(&mut self.gossip.versions_changed);
+        if news.is_empty() && !versions_changed {
+            return;
+        }
+        let table = self.membership.table();
+        let entries: Vec<(HostId, Member)> = news
+            .into_iter()
+            .filter_map(|host| table.get(&host).map(|member| (host, member)))
+            .collect();
+        let digest = self.own_digest();
+        for partner in self.gossip.partners.clone() {
+            if !entries.is_empty() {
+                let (entries, whole) = (entries.clone(), Vec::new());
+                self.send(&partner, Message::Members { entries, whole }, fx);
+            }
+            if versions_changed {
+                self.send(&partner, Message::Digest(digest), fx);
+            }
+        }
+    }
+
+    fn own_digest(&self) -> Digest {
+        Digest {
+            rules_version: self.rules_version,
+            hosts_version: self.membership.list().version,
+            members: self.membership.table().hash(),
+        }
+    }
+
+    /// Chooses partners and whether to hold the platform's watches.
+    pub(super) fn choose_links(&mut self, fx: &mut Vec<Effect>) {
+        let partners = self.membership.partners_of(&self.cfg.host);
+        if partners != self.gossip.partners {
+            self.gossip.partners.clone_from(&partners);
+            fx.push(Effect::KeepLinks(partners));
+        }
+        let listed = self.membership.link_of(&self.cfg.host).is_some();
+        let watching = !listed
+            || self
+                .membership
+                .is_watcher(&self.cfg.host, &self.cfg.failure_domain);
+        if self.gossip.watching != Some(watching) {
+            self.gossip.watching = Some(watching);
+            fx.push(Effect::Watch(watching));
+        }
+    }
+
+    // ------------------------------------------------------------------ versions
+
+    pub(super) fn digest(
+        &mut self,
+        now: Instant,
+        from: &HostId,
+        digest: Digest,
+        fx: &mut Vec<Effect>,
+    ) {
+        let own = self.own_digest();
+        let rules = digest.rules_version > own.rules_version;
+        let hosts = digest.hosts_version > own.hosts_version;
+        if !rules && !hosts && own.rules_version > 0 && own.hosts_version > 0 {
+            self.gossip.caught_up = true;
+        }
+        let rules = rules && may_fetch(&mut self.gossip.fetching.rules, digest.rules_version, now);
+        let hosts = hosts && may_fetch(&mut self.gossip.fetching.hosts, digest.hosts_version, now);
+        if rules || hosts {
+            self.send(from, Message::Fetch { rules, hosts }, fx);
+        }
+        let lacks =
+            digest.rules_version < own.rules_version || digest.hosts_version < own.hosts_version;
+        if lacks {
+            self.send(from, Message::Digest(own), fx);
+        }
+        if digest.members != own.members {
+            let hashes = self.membership.table().bucket_hashes().to_vec();
+            self.send(from, Message::Buckets(hashes), fx);
+        }
+    }
+
+    pub(super) fn fetch(&mut self, from: &HostId, rules: bool, hosts: bool, fx: &mut Vec<Effect>) {
+        if let Some((version, text)) = self.gossip.rule_text.clone().filter(|_| rules) {
+            self.send(from, Message::RuleText { version, text }, fx);
+        }
+        if hosts && self.membership.is_known() {
+            let list = self.membership.list().clone();
+            self.send(from, Message::Hosts(list), fx);
+        }
+    }
+
+    pub(super) fn rules_offered(&mut self, version: u64, text: Arc<str>, fx: &mut Vec<Effect>) {
+        if version > self.rules_version {
+            fx.push(Effect::ReadRules { version, text });
+        }
+    }
+
+    pub(super) fn rule_text(&mut self, version: u64, text: Arc<str>) {
+        let held = self.gossip.rule_text.as_ref();
+        if held.is_none_or(|(held, _)| *held < version) {
+            self.gossip.rule_text = Some((version, text));
+        }
+    }
+
+    /// A host that nobody answers is the first: it goes by what the platform said.
+    fn stop_waiting_for_peers(&mut self, now: Instant) {
+        if self.gossip.caught_up || !self.membership.is_known() || self.rules_version == 0 {
+            return;
+        }
+        let alone_at = *self.gossip.alone_at.get_or_insert(now + PEER_WAIT);
+        self.gossip.caught_up = self.gossip.partners.is_empty() || now >= alone_at;
+    }
+
+    // ------------------------------------------------------------------ table of hosts
+
+    pub(super) fn buckets(&mut self, from: &HostId, hashes: &[u64], fx: &mut Vec<Effect>) {
+        let own = self.membership.table().bucket_hashes();
+        let whole: Vec<u8> = (0..BUCKETS)
+            .filter(|index| hashes.get(*index) != Some(&own[*index]))
+            .filter_map(|index| u8::try_from(index).ok())
+            .collect();
+        if whole.is_empty() {
+            return;
+        }
+        let entries = self.membership.table().in_buckets(&whole);
+        self.send(from, Message::Members { entries, whole }, fx);
+    }
+
+    pub(super) fn members(
+        &mut self,
+        now: Instant,
+        from: &HostId,
+        entries: Vec<(HostId, Member)>,
+        whole: &[u8],
+        fx: &mut Vec<Effect>,
+    ) {
+        let lacking = self.lacking(&entries, whole);
+        if !lacking.is_empty() {
+            let back = Message::Members {
+                entries: lacking,
+                whole: Vec::new(),
+            };
+            self.send(from, back, fx);
+        }
+        self.believe_all(now, entries, fx);
+    }
+
+    /// Entries of some buckets that a peer has not, or has older.
+    fn lacking(&self, theirs: &[(HostId, Member)], whole: &[u8]) -> Vec<(HostId, Member)> {
+        let theirs: BTreeMap<&HostId, &Member> =
+            theirs.iter().map(|(host, member)| (host, member)).collect();
+        let mut own = self.membership.table().in_buckets(whole);
+        own.retain(|(host, member)| theirs.get(host).is_none_or(|their| **their < *member));
+        own
+    }
+
+    fn believe_all(&mut self, now: Instant, entries: Vec<(HostId, Member)>, fx: &mut Vec<Effect>) {
+        let mut changed = false;
+        for (host, member) in entries {
+            if host == self.cfg.host {
+                self.heard_of_self(now, member, fx);
+            } else {
+                changed |= self.believe(now, &host, member);
+            }
+        }
+        if changed {
+            self.view_changed(now, fx);
+        }
+    }
+
+    /// Takes an entry of another host; says whether it is news.
+    fn believe(&mut self, now: Instant, host: &HostId, member: Member) -> bool {
+        let before = self.membership.table().get(host);
+        if !self.membership.take(host, member) {
+            return false;
+        }
+        self.gossip.news.insert(host.clone());
+        let restarted = before.is_some_and(|before| before.incarnation < member.incarnation);
+        if member.is_accused() || restarted {
+            for scheduler in self.schedulers.values_mut() {
+                scheduler.forget_owner(host);
+            }
+        }
+        if member.status == MemberStatus::Suspect {
+            self.gossip.suspects.insert(host.clone(), now);
+        } else {
+            self.gossip.suspects.remove(host);
+        }
+        true
+    }
+
+    fn bury_suspects(&mut self, now: Instant, fx: &mut Vec<Effect>) {
+        let timeout = self.cfg.suspect_timeout;
+        let overdue: Vec<HostId> = self
+            .gossip
+            .suspects
+            .iter()
+            .filter(|(_, since)| now.duration_since(**since) >= timeout)
+            .map(|(host, _)| host.clone())
+            .collect();
+        for host in overdue {
+            self.accuse(now, &host, MemberStatus::Dead, fx);
+        }
+    }
+
+    fn accuse(&mut self, now: Instant, host: &HostId, status: MemberStatus, fx: &mut Vec<Effect>) {
+        let known = self.membership.table().get(host);
+        let member = known.unwrap_or(Member::alive(0)).with_status(status);
+        if known.is_some_and(|known| known.status >= status) {
+            return;
+        }
+        if self.believe(now, host, member) {
+            self.view_changed(now, fx);
+        }
+    }
+
+    // ------------------------------------------------------------------ links
+
+    pub(super) fn peer_lost(&mut self, now: Instant, host: &HostId, fx: &mut Vec<Effect>) {
+        self.accuse(now, host, MemberStatus::Dead, fx);
+    }
+
+    pub(super) fn peer_silent(&mut self, now: Instant, host: &HostId, fx: &mut Vec<Effect>) {
+        self.accuse(now, host, MemberStatus::Suspect, fx);
+    }
+
+    /// A process that proved itself on a link runs: a new run of it is a new member.
+    /// One that is taken for gone is told so, and refutes by itself.
+    pub(super) fn peer_met(
+        &mut self,
+        now: Instant,
+        host: &HostId,
+        incarnation: Incarnation,
+        fx: &mut Vec<Effect>,
+    ) {
+        if self.believe(now, host, Member::alive(incarnation)) {
+            self.view_changed(now, fx);
+        }
+        let digest = self.own_digest();
+        self.send(host, Message::Digest(digest), fx);
+    }
+
+    // ------------------------------------------------------------------ this host
+
+    /// Tells the others of this run, once there is somebody to tell.
+    pub(super) fn own_status(&mut self, status: MemberStatus) {
+        let host = self.cfg.host.clone();
+        let known = self.membership.table().get(&host);
+        let own = known.filter(|known| known.incarnation == self.cfg.incarnation);
+        let member = own.unwrap_or(Member::alive(self.cfg.incarnation));
+        if self.membership.take(&host, member.with_status(status)) {
+            self.gossip.news.insert(host);
+        }
+    }
+
+    /// Guards against a host that is taken for gone and is not: it was frozen, or its
+    /// links were cut. It shows as an accusation of this very run. A greater revision
+    /// outweighs it everywhere; others took over its shards meanwhile, so its schedulers
+    /// start anew, and its own requests, dropped there, ask again.
+    fn heard_of_self(&mut self, now: Instant, heard: Member, fx: &mut Vec<Effect>) {
+        let accused = heard.incarnation == self.cfg.incarnation && heard.is_accused();
+        let host = self.cfg.host.clone();
+        let own = self.membership.table().get(&host);
+        if !accused || own.is_some_and(|own| own.revision > heard.revision) {
+            return;
+        }
+        self.begin_term(now, heard.revision + 1, fx);
+    }
+
+    /// Outweighs whatever was said of this run, and makes every owner report anew.
+    fn begin_term(&mut self, now: Instant, revision: u32, fx: &mut Vec<Effect>) {
+        let host = self.cfg.host.clone();
+        let status = if self.draining {
+            MemberStatus::Leaving
+        } else {
+            MemberStatus::Alive
+        };
+        let member = Member {
+            revision,
+            ..Member::alive(self.cfg.incarnation).with_status(status)
+        };
+        self.membership.take(&host, member);
+        self.gossip.news.insert(host);
+        self.restart_schedulers(now, fx);
+        self.ask_all_again(now, fx);
+    }
+
+    /// Guards against a process that was frozen and does not know it: it shows as a gap
+    /// between two events, since ticks come all the time. What it led was taken over
+    /// meanwhile, perhaps, and it must not grant on old counts even once.
+    pub(super) fn notice_pause(&mut self, now: Instant, fx: &mut Vec<Effect>) {
+        let last = self.last_event.replace(now);
+        let limit = self.cfg.pause_limit;
+        if last.is_none_or(|last| now.duration_since(last) < limit) {
+            return;
+        }
+        self.gossip.versions_changed = true;
+        for since in self.gossip.suspects.values_mut() {
+            *since = now;
+        }
+        let own = self.membership.table().get(&self.cfg.host);
+        let revision = own.map_or(0, |own| own.revision) + 1;
+        self.begin_term(now, revision, fx);
+    }
+
+    pub(super) fn drain(&mut self, now: Instant, fx: &mut Vec<Effect>) {
+        if self.draining {
+            return;
+        }
+        self.draining = true;
+        self.gossip.drained_at = Some(now);
+        self.own_status(MemberStatus::Leaving);
+        self.view_changed(now, fx);
+    }
+
+    pub(super) fn may_exit(&self, now: Instant) -> bool {
+        let told = self.gossip.drained_at;
+        let spread = told.is_some_and(|told| now.duration_since(told) >= MIN_DRAIN);
+        spread && self.owner.is_idle()
+    }
+}
+
+fn may_fetch(fetching: &mut Option<(u64, Instant)>, version: u64, now: Instant) -> bool {
+    let pending = fetching
+        .is_some_and(|(asked, at)| asked >= version && now.duration_since(at) < FETCH_TIMEOUT);
+    if !pending {
+        *fetching = Some((version, now));
+    }
+    !pending
+}
+
+/// Bucket numbers travel as bytes.
+const _: () = assert!(BUCKETS <= u8::MAX as usize);
--- a/crates/jaypin_core/src/reducer/messages.rs
+++ b/crates/jaypin_core/src/reducer/messages.rs
@@ -44,9 +44,15 @@
                 self.send_all(out, fx);
             }
             Message::InFlight { shard, running } => {
-                if let Some(scheduler) = self.schedulers.get_mut(&shard) {
-                    scheduler.in_flight(running);
-                }
+                self.owner_reported(now, from, &shard, running, fx);
+            }
+            Message::Digest(digest) => self.digest(now, from, digest, fx),
+            Message::Fetch { rules, hosts } => self.fetch(from, rules, hosts, fx),
+            Message::RuleText { version, text } => self.rules_offered(version, text, fx),
+            Message::Hosts(list) => self.hosts(now, list, fx),
+            Message::Buckets(hashes) => self.buckets(from, &hashes, fx),
+            Message::Members { entries, whole } => {
+                self.members(now, from, entries, &whole, fx);
             }
         }
     }
--- a/crates/jaypin_core/src/reducer/mod.rs
+++ b/crates/jaypin_core/src/reducer/mod.rs
@@ -2,8 +2,10 @@
 
 mod arrival;
 mod calls;
+mod gossip;
 mod knowledge;
 mod messages;
+mod succession;
 mod time;
 
 use std::collections::{BTreeMap, VecDeque};
@@ -15,12 +17,16 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::baseline::Baseline;
+use crate::membership::Term;
 use crate::owner::Owner;
 use crate::request::{Dispatched, Request};
 use crate::scheduler::{Letter, Scheduler};
+use gossip::Gossip;
+use succession::Rebuilds;
+
 use crate::{
-    Config, Effect, Event, HostId, Membership, Message, Record, Refusal, RequestInfo, Shard,
-    SlotProgress, Step,
+    Config, Effect, Event, HostId, MemberStatus, Membership, Message, Record, Refusal, RequestInfo,
+    Shard, SlotProgress, Step,
 };
 
 /// Time after which a refused caller may come back, where nothing better is known.
@@ -41,6 +47,10 @@
     draining: bool,
     exited: bool,
     inbox: VecDeque<Message>,
+    gossip: Gossip,
+    terms: BTreeMap<Shard, Term>,
+    rebuilds: Rebuilds,
+    last_event: Option<Instant>,
 }
 
 /// Counts for status pages and metrics.
@@ -62,15 +72,18 @@
     pub granted_here: usize,
     /// Whether the host is shutting down.
     pub draining: bool,
+    /// Whether the host heard that it has the versions in force.
+    pub caught_up: bool,
+    /// Hash of the table of hosts; equal tables have equal ones.
+    pub members: u64,
 }
 
 impl Reducer {
     /// Starts with nothing known.
     #[must_use]
     pub fn new(cfg: Config) -> Self {
-        Self {
+        let mut reducer = Self {
             rng: ChaCha8Rng::seed_from_u64(cfg.seed),
-            cfg,
             rules_version: 0,
             rules: Arc::default(),
             membership: Membership::default(),
@@ -81,7 +94,14 @@
             draining: false,
             exited: false,
             inbox: VecDeque::new(),
-        }
+            gossip: Gossip::new(&cfg),
+            terms: BTreeMap::new(),
+            rebuilds: Rebuilds::default(),
+            last_event: None,
+            cfg,
+        };
+        reducer.own_status(MemberStatus::Alive);
+        reducer
     }
 
     /// Takes one event and says what is to be done.
@@ -89,11 +109,13 @@
     /// Same events, same seed, same effects.
     pub fn apply(&mut self, now: Instant, event: Event) -> Vec<Effect> {
         let mut fx = Vec::new();
+        self.notice_pause(now, &mut fx);
         self.take(now, event, &mut fx);
         while let Some(message) = self.inbox.pop_front() {
             let from = self.cfg.host.clone();
             self.take(now, Event::Link { from, message }, &mut fx);
         }
+        self.spread_news(&mut fx);
         fx
     }
 
@@ -109,6 +131,8 @@
             queued_here: self.schedulers.values().map(Scheduler::waiting_count).sum(),
             granted_here: self.schedulers.values().map(Scheduler::running_count).sum(),
             draining: self.draining,
+            caught_up: self.gossip.caught_up,
+            members: self.membership.table().hash(),
         }
     }
 
@@ -123,13 +147,15 @@
             Event::Arrived(info) => self.arrived(now, info, fx),
             Event::CallerGone(id) => self.caller_gone(&id, fx),
             Event::Call { id, progress } => self.call(now, &id, progress, fx),
-            Event::Load(report) => self.load(&report),
+            Event::Load(report) => self.load(now, &report, fx),
             Event::Link { from, message } => self.message(now, &from, message, fx),
             Event::PeerLost(host) => self.peer_lost(now, &host, fx),
-            Event::PeerBack(host) => self.peer_back(now, &host, fx),
+            Event::PeerSilent(host) => self.peer_silent(now, &host, fx),
+            Event::PeerMet { host, incarnation } => self.peer_met(now, &host, incarnation, fx),
             Event::Hosts(list) => self.hosts(now, list, fx),
             Event::Rules { version, rules } => self.rules(version, rules),
-            Event::Drain => self.draining = true,
+            Event::RuleText { version, text } => self.rule_text(version, text),
+            Event::Drain => self.drain(now, fx),
             Event::Tick => self.tick(now, fx),
         }
     }
--- /dev/null
+++ b/crates/jaypin_core/src/reducer/succession.rs
@@ -0,0 +1,165 @@
+//! A shard whose leader is gone goes to the next: owners report what runs and ask again.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Instant;
+
+use super::Reducer;
+use crate::scheduler::Scheduler;
+use crate::{Effect, HostId, InFlight, Message, RequestId, Shard};
+
+/// Owners whose reports this host's new schedulers wait for.
+#[derive(Debug, Default)]
+pub(super) struct Rebuilds {
+    awaited: BTreeMap<Shard, Rebuild>,
+}
+
+#[derive(Debug)]
+struct Rebuild {
+    until: Instant,
+    owners: BTreeSet<HostId>,
+}
+
+impl Reducer {
+    /// Starts the scheduler of a shard that this host leads from now on.
+    pub(super) fn lead(&mut self, now: Instant, shard: &Shard) {
+        if self.schedulers.contains_key(shard) {
+            return;
+        }
+        let scheduler = Scheduler::new(shard.clone(), &self.cfg, now);
+        self.schedulers.insert(shard.clone(), scheduler);
+        let owners = self.membership.live_hosts().map(|host| host.id.clone());
+        let rebuild = Rebuild {
+            until: now + self.cfg.rebuild_window,
+            owners: owners.collect(),
+        };
+        self.rebuilds.awaited.insert(shard.clone(), rebuild);
+        // A backend server may have said that it is leaving to the former leader only:
+        // ask all of them before the first grant.
+        self.next_poll = None;
+    }
+
+    /// Forgets all schedulers and starts anew.
+    ///
+    /// Guards against a leader that was paused while another led its shards: its counts
+    /// are old, and grants on top of them would put more on a backend server than it
+    /// bears. Empty schedulers grant nothing until owners reported or the window ended.
+    pub(super) fn restart_schedulers(&mut self, now: Instant, fx: &mut Vec<Effect>) {
+        self.schedulers.clear();
+        self.rebuilds.awaited.clear();
+        self.view_changed(now, fx);
+    }
+
+    pub(super) fn owner_reported(
+        &mut self,
+        now: Instant,
+        from: &HostId,
+        shard: &Shard,
+        running: Vec<InFlight>,
+        fx: &mut Vec<Effect>,
+    ) {
+        let Some(scheduler) = self.schedulers.get_mut(shard) else {
+            return;
+        };
+        scheduler.in_flight(running);
+        if let Some(rebuild) = self.rebuilds.awaited.get_mut(shard) {
+            rebuild.owners.remove(from);
+        }
+        self.end_rebuilds(now, fx);
+    }
+
+    /// Lets schedulers grant once every live host reported, or had time to.
+    pub(super) fn end_rebuilds(&mut self, now: Instant, fx: &mut Vec<Effect>) {
+        if self.rebuilds.awaited.is_empty() {
+            return;
+        }
+        let live: BTreeSet<HostId> = self
+            .membership
+            .live_hosts()
+            .map(|host| host.id.clone())
+            .collect();
+        let mut ended = Vec::new();
+        self.rebuilds.awaited.retain(|shard, rebuild| {
+            let reported = rebuild.owners.is_disjoint(&live);
+            if reported || now >= rebuild.until {
+                ended.push(shard.clone());
+                return false;
+            }
+            true
+        });
+        let mut out = Vec::new();
+        for shard in ended {
+            if let Some(scheduler) = self.schedulers.get_mut(&shard) {
+                scheduler.end_rebuild(now, &mut out);
+            }
+        }
+        self.send_all(out, fx);
+    }
+
+    /// Reports to leaders in a new term what runs here, and asks them again.
+    ///
+    /// A term is a leader's run and revision: a leader that restarted at the same
+    /// address, or was taken for gone, has lost its counts though its name is the same.
+    pub(super) fn follow_leaders(&mut self, now: Instant, fx: &mut Vec<Effect>) {
+        let terms = self.membership.terms();
+        if terms == self.terms {
+            return;
+        }
+        let changed: BTreeSet<Shard> = terms
+            .iter()
+            .filter(|(shard, term)| self.terms.get(*shard) != Some(*term))
+            .map(|(shard, _)| shard.clone())
+            .collect();
+        let before = std::mem::replace(&mut self.terms, terms);
+        for shard in &changed {
+            self.report_in_flight(shard, fx);
+        }
+        self.ask_leaders_again(now, &changed, &before, fx);
+    }
+
+    /// An empty report counts too: it lets the new leader grant before its window ends.
+    fn report_in_flight(&mut self, shard: &Shard, fx: &mut Vec<Effect>) {
+        let Some(leader) = self.membership.leader(shard).cloned() else {
+            return;
+        };
+        for request in self.owner.dispatched.values_mut() {
+            if let Some((of, host, _)) = &mut request.state.slot.grant
+                && of == shard
+            {
+                *host = leader.clone();
+            }
+        }
+        let running = self.owner.in_flight(shard);
+        let shard = shard.clone();
+        self.send(&leader, Message::InFlight { shard, running }, fx);
+    }
+
+    fn ask_leaders_again(
+        &mut self,
+        now: Instant,
+        changed: &BTreeSet<Shard>,
+        before: &BTreeMap<Shard, crate::membership::Term>,
+        fx: &mut Vec<Effect>,
+    ) {
+        let moved: Vec<RequestId> = self
+            .owner
+            .waiting
+            .iter()
+            .filter(|(_, request)| {
+                let shard = &request.state.shard;
+                let gone = before.contains_key(shard) && !self.terms.contains_key(shard);
+                changed.contains(shard) || gone
+            })
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in moved {
+            self.ask_again(now, &id, fx);
+        }
+    }
+
+    pub(super) fn ask_all_again(&mut self, now: Instant, fx: &mut Vec<Effect>) {
+        let waiting: Vec<RequestId> = self.owner.waiting.keys().cloned().collect();
+        for id in waiting {
+            self.ask_again(now, &id, fx);
+        }
+    }
+}
--- a/crates/jaypin_core/src/reducer/time.rs
+++ b/crates/jaypin_core/src/reducer/time.rs
@@ -8,6 +8,8 @@
 
 impl Reducer {
     pub(super) fn tick(&mut self, now: Instant, fx: &mut Vec<Effect>) {
+        self.gossip_tick(now, fx);
+        self.end_rebuilds(now, fx);
         let mut out = Vec::new();
         for scheduler in self.schedulers.values_mut() {
             scheduler.tick(now, &mut out);
@@ -15,7 +17,7 @@
         self.send_all(out, fx);
         self.ask_overdue(now, fx);
         self.poll_loads(now, fx);
-        if self.draining && self.owner.is_idle() && !self.exited {
+        if self.may_exit(now) && !self.exited {
             self.exited = true;
             fx.push(Effect::Exit);
         }
--- a/crates/jaypin_core/src/scheduler.rs
+++ b/crates/jaypin_core/src/scheduler.rs
@@ -99,6 +99,12 @@
         }
     }
 
+    /// Ends the time for owners' reports early, since all have reported.
+    pub fn end_rebuild(&mut self, now: Instant, out: &mut Vec<Letter>) {
+        self.ready_at = self.ready_at.min(now);
+        self.pump(now, out);
+    }
+
     /// Drops what a lost owner waited for. What it has running stays counted until
     /// its backend servers had time to end it.
     pub fn forget_owner(&mut self, owner: &HostId) {
--- /dev/null
+++ b/crates/jaypin_core/tests/membership.rs
@@ -0,0 +1,341 @@
+//! Decisions on who is there, driven by events alone.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::{Duration, Instant};
+
+use jaypin_core::{
+    BackendRecord, Config, Effect, Event, HostId, HostList, HostRecord, Member, MemberStatus,
+    MemberTable, Message, Presence, Reducer, partners,
+};
+use proptest::prelude::*;
+
+const DOMAINS: usize = 3;
+
+fn host(index: usize) -> HostRecord {
+    HostRecord {
+        id: format!("host-{index}").into(),
+        address: format!("10.0.0.{index}:1"),
+        link: format!("10.0.0.{index}:2"),
+        failure_domain: format!("domain-{}", index % DOMAINS).into(),
+        presence: Presence::Live,
+    }
+}
+
+fn backend(index: usize) -> BackendRecord {
+    BackendRecord {
+        id: format!("engine-{index}").into(),
+        address: format!("10.0.1.{index}:1"),
+        service: "chat".into(),
+        failure_domain: "domain-0".into(),
+        presence: Presence::Live,
+        slots: 4,
+    }
+}
+
+fn list(version: u64, hosts: usize) -> HostList {
+    HostList {
+        version,
+        hosts: (0..hosts).map(host).collect(),
+        backends: (0..3).map(backend).collect(),
+    }
+}
+
+/// Reducers whose messages reach each other at once; no time passes by itself.
+struct Net {
+    now: Instant,
+    hosts: BTreeMap<HostId, Reducer>,
+    /// Hosts that neither hear nor say anything.
+    silent: BTreeSet<HostId>,
+    watching: BTreeSet<HostId>,
+}
+
+impl Net {
+    fn new(count: usize) -> Self {
+        let now = Instant::now();
+        let reducer = |index: usize| {
+            let record = host(index);
+            let cfg = Config {
+                host: record.id.clone(),
+                incarnation: 100,
+                failure_domain: record.failure_domain,
+                pause_limit: Duration::from_millis(500),
+                ..Config::default()
+            };
+            (record.id, Reducer::new(cfg))
+        };
+        let mut net = Self {
+            now,
+            hosts: (0..count).map(reducer).collect(),
+            silent: BTreeSet::new(),
+            watching: BTreeSet::new(),
+        };
+        for index in 0..count {
+            net.event(&host(index).id, Event::Hosts(list(1, count)));
+        }
+        net.run(Duration::from_secs(3));
+        net
+    }
+
+    fn event(&mut self, host: &HostId, event: Event) {
+        let mut inbox = VecDeque::from([(host.clone(), event)]);
+        while let Some((to, event)) = inbox.pop_front() {
+            if self.silent.contains(&to) {
+                continue;
+            }
+            let reducer = self.hosts.get_mut(&to).expect("a known host");
+            for effect in reducer.apply(self.now, event) {
+                match effect {
+                    Effect::Send { to: peer, message } if !self.silent.contains(&peer) => {
+                        let from = to.clone();
+                        inbox.push_back((peer, Event::Link { from, message }));
+                    }
+                    Effect::Watch(true) => {
+                        self.watching.insert(to.clone());
+                    }
+                    Effect::Watch(false) => {
+                        self.watching.remove(&to);
+                    }
+                    _ => {}
+                }
+            }
+        }
+    }
+
+    fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now += Duration::from_millis(100);
+            for host in self.hosts.keys().cloned().collect::<Vec<_>>() {
+                self.event(&host, Event::Tick);
+            }
+        }
+    }
+
+    fn status(&self, at: &str, of: &str) -> MemberStatus {
+        self.hosts[at].membership().status(of)
+    }
+
+    fn all_see(&self, of: &str, status: MemberStatus) -> bool {
+        self.hosts
+            .keys()
+            .filter(|at| !self.silent.contains(*at))
+            .all(|at| self.status(at, of) == status)
+    }
+
+    fn id(index: usize) -> HostId {
+        host(index).id
+    }
+}
+
+macro_rules! partner_graph {
+    ($($name:ident: $hosts:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let records: Vec<HostRecord> = (0..$hosts).map(host).collect();
+            let present: Vec<&HostRecord> = records.iter().collect();
+            let graph: BTreeMap<HostId, Vec<HostId>> = records
+                .iter()
+                .map(|record| (record.id.clone(), partners(&record.id, &present)))
+                .collect();
+            let domain = |id: &HostId| {
+                let record = records.iter().find(|record| record.id == *id);
+                record.map(|record| record.failure_domain.clone())
+            };
+            for (id, chosen) in &graph {
+                assert!(chosen.len() <= 4);
+                assert!(!chosen.contains(id));
+                assert!(chosen.iter().all(|peer| graph[peer].contains(id)), "mutual");
+                assert!(chosen.iter().any(|peer| domain(peer) != domain(id)));
+            }
+            let mut reached = BTreeSet::from([records[0].id.clone()]);
+            let mut open = vec![records[0].id.clone()];
+            while let Some(id) = open.pop() {
+                for peer in &graph[&id] {
+                    if reached.insert(peer.clone()) {
+                        open.push(peer.clone());
+                    }
+                }
+            }
+            assert_eq!(reached.len(), records.len(), "connected");
+        }
+    )*};
+}
+
+partner_graph! {
+    two_hosts_are_partners: 2;
+    three_hosts_are_partners: 3;
+    thirteen_hosts_have_a_connected_graph: 13;
+    three_hundred_and_seventy_hosts_have_a_connected_graph: 370;
+}
+
+fn any_member() -> impl Strategy<Value = (HostId, Member)> {
+    let status = prop_oneof![
+        Just(MemberStatus::Alive),
+        Just(MemberStatus::Leaving),
+        Just(MemberStatus::Suspect),
+        Just(MemberStatus::Dead),
+    ];
+    (0..4_usize, 0..3_u64, 0..3_u32, status).prop_map(|(index, incarnation, revision, status)| {
+        let member = Member {
+            incarnation,
+            revision,
+            status,
+        };
+        (host(index).id, member)
+    })
+}
+
+proptest! {
+    /// Hosts hear the same entries in different orders and more than once. Their tables
+    /// must end up alike, or they would choose different leaders for good.
+    #[test]
+    fn tables_converge_in_any_order(
+        entries in prop::collection::vec(any_member(), 0..20),
+        order in any::<prop::sample::Index>(),
+    ) {
+        let mut forward = MemberTable::default();
+        let mut turned = MemberTable::default();
+        for (host, member) in &entries {
+            forward.take(host, *member);
+        }
+        let start = if entries.is_empty() { 0 } else { order.index(entries.len()) };
+        let rotated = entries[start..].iter().chain(&entries).rev();
+        for (host, member) in rotated {
+            turned.take(host, *member);
+        }
+        prop_assert_eq!(forward.hash(), turned.hash());
+        prop_assert!(forward.iter().eq(turned.iter()));
+    }
+}
+
+#[test]
+fn a_loss_is_known_everywhere_without_waiting_for_a_round() {
+    let mut net = Net::new(13);
+    net.silent.insert(Net::id(5));
+    net.event(&Net::id(0), Event::PeerLost(Net::id(5)));
+    assert!(net.all_see("host-5", MemberStatus::Dead));
+}
+
+/// One host can't reach another, though all others can: a broken path between the two.
+/// The accused host hears of it from the others and says that it runs.
+#[test]
+fn an_accused_host_refutes() {
+    let mut net = Net::new(13);
+    net.event(&Net::id(0), Event::PeerSilent(Net::id(5)));
+    assert!(net.all_see("host-5", MemberStatus::Alive));
+}
+
+#[test]
+fn a_suspect_that_says_nothing_is_dead_after_a_while() {
+    let mut net = Net::new(6);
+    net.silent.insert(Net::id(5));
+    net.event(&Net::id(0), Event::PeerSilent(Net::id(5)));
+    assert!(net.all_see("host-5", MemberStatus::Suspect));
+    net.run(Duration::from_secs(6));
+    assert!(net.all_see("host-5", MemberStatus::Dead));
+}
+
+/// A host is frozen for a minute and thaws. It has heard nothing, and no partner has a
+/// link to it any more: it must find out by itself and come back.
+#[test]
+fn a_frozen_host_comes_back_by_itself() {
+    let mut net = Net::new(6);
+    net.silent.insert(Net::id(5));
+    net.event(&Net::id(0), Event::PeerSilent(Net::id(5)));
+    net.run(Duration::from_mins(1));
+    net.silent.clear();
+    net.event(&Net::id(5), Event::Tick);
+    net.run(Duration::from_secs(1));
+    assert!(net.all_see("host-5", MemberStatus::Alive));
+}
+
+#[test]
+fn a_leaving_host_is_out_of_every_view_at_once() {
+    let mut net = Net::new(13);
+    net.event(&Net::id(3), Event::Drain);
+    assert!(net.all_see("host-3", MemberStatus::Leaving));
+    for reducer in net.hosts.values() {
+        let mut live = reducer.membership().live_hosts();
+        assert!(live.all(|record| &*record.id != "host-3"));
+    }
+}
+
+#[test]
+fn a_new_run_outweighs_what_was_said_of_the_former() {
+    let mut net = Net::new(6);
+    net.event(&Net::id(0), Event::PeerLost(Net::id(5)));
+    let met = Event::PeerMet {
+        host: Net::id(5),
+        incarnation: 200,
+    };
+    net.silent.insert(Net::id(5));
+    net.event(&Net::id(1), met);
+    assert!(net.all_see("host-5", MemberStatus::Alive));
+}
+
+#[test]
+fn two_hosts_of_a_domain_watch_the_platform() {
+    for count in [3, 6, 13, 40] {
+        let net = Net::new(count);
+        let mut per_domain = BTreeMap::<usize, usize>::new();
+        for index in 0..count {
+            if net.watching.contains(&Net::id(index)) {
+                *per_domain.entry(index % DOMAINS).or_default() += 1;
+            }
+        }
+        let wanted = 2.min(count / DOMAINS);
+        assert!(per_domain.values().all(|watchers| *watchers == wanted));
+        assert_eq!(per_domain.len(), DOMAINS);
+    }
+}
+
+#[test]
+fn watches_move_when_a_watcher_is_gone() {
+    let mut net = Net::new(13);
+    let watcher = net.watching.first().cloned().expect("a watcher");
+    net.silent.insert(watcher.clone());
+    net.watching.remove(&watcher);
+    let witness = usize::from(watcher == Net::id(0));
+    net.event(&Net::id(witness), Event::PeerLost(watcher));
+    assert_eq!(net.watching.len(), 2 * DOMAINS);
+}
+
+#[test]
+fn a_newer_host_list_reaches_every_host_from_one() {
+    let mut net = Net::new(13);
+    net.event(&Net::id(7), Event::Hosts(list(2, 13)));
+    for reducer in net.hosts.values() {
+        assert_eq!(reducer.membership().list().version, 2);
+    }
+}
+
+/// The platform answers from an old copy. No host may go back to it.
+#[test]
+fn an_old_host_list_changes_nothing() {
+    let mut net = Net::new(6);
+    net.event(&Net::id(0), Event::Hosts(list(5, 6)));
+    net.event(&Net::id(1), Event::Hosts(list(4, 3)));
+    for reducer in net.hosts.values() {
+        assert_eq!(reducer.membership().list().version, 5);
+        assert_eq!(reducer.membership().list().hosts.len(), 6);
+    }
+}
+
+/// A host that was paused led shards and believes that it still does. Before it says a
+/// word to anyone, the gap in its own time must make it forget what it granted on.
+#[test]
+fn a_pause_begins_a_new_term() {
+    let mut net = Net::new(3);
+    let id = Net::id(0);
+    let before = net.hosts[&id].membership().table().get(&id);
+    net.now += Duration::from_secs(2);
+    let reducer = net.hosts.get_mut(&id).expect("a host");
+    let fx = reducer.apply(net.now, Event::Tick);
+    let after = reducer.membership().table().get(&id);
+    assert!(after.map(|member| member.revision) > before.map(|member| member.revision));
+    let told = fx.iter().any(|effect| {
+        matches!(effect, Effect::Send { message: Message::Members { entries, .. }, .. }
+            if entries.iter().any(|(host, _)| *host == id))
+    });
+    assert!(told, "owners hear of the new term");
+}
--- a/crates/jaypin_wire/src/lib.rs
+++ b/crates/jaypin_wire/src/lib.rs
@@ -7,10 +7,12 @@
 mod codec;
 mod host_list;
 mod link;
+mod member;
 mod rules_object;
 
 pub use api::{EntryAddress, EntryAnswer, RefusalBody, RuleApplyBody, StatusBody};
 pub use codec::{CodecError, decode, encode};
 pub use host_list::{WireBackend, WireHost, WireHostList};
 pub use link::{Frame, Hello, LINK_VERSION, WireMessage};
+pub use member::{MemberBody, WireMember, WireStatus};
 pub use rules_object::{RulesChange, RulesObject};
--- a/crates/jaypin_wire/src/link.rs
+++ b/crates/jaypin_wire/src/link.rs
@@ -4,20 +4,25 @@
 use std::time::Duration;
 
 use jaypin_core::{
-    Ask, Candidate, Grant, GrantNumber, InFlight, Message, Ran, Reason, Refusal, Shard,
-    SlotProgress,
+    Ask, Candidate, Digest, Grant, GrantNumber, HostId, InFlight, Member, Message, Ran, Reason,
+    Refusal, Shard, SlotProgress,
 };
 use serde::{Deserialize, Serialize};
 
+use crate::{WireHostList, WireMember};
+
 /// Version of the link protocol; peers of another version are turned away.
-pub const LINK_VERSION: u16 = 1;
+pub const LINK_VERSION: u16 = 2;
 
 /// One frame of a link.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum Frame {
-    /// First frame of either side.
+    /// First frame of the listener: a number used once, and nothing about itself.
+    Challenge([u8; 16]),
+    /// Who speaks; the first frame of the dialer, and the listener's once the dialer
+    /// proved itself.
     Hello(Hello),
-    /// Second frame of either side: a MAC over both hellos under the fleet key.
+    /// A MAC over all that was said before, under the fleet key.
     Proof(Vec<u8>),
     /// Everything after.
     Message(WireMessage),
@@ -55,6 +60,18 @@
     Progress(WireShard, Arc<str>, WireNumber, WireProgress),
     /// See [`Message::InFlight`].
     InFlight(WireShard, Vec<WireInFlight>),
+    /// See [`Message::Digest`]: versions of rules and host list, hash of the hosts.
+    Digest(u64, u64, u64),
+    /// See [`Message::Fetch`].
+    Fetch(bool, bool),
+    /// See [`Message::RuleText`].
+    RuleText(u64, Arc<str>),
+    /// See [`Message::Hosts`].
+    Hosts(u64, WireHostList),
+    /// See [`Message::Buckets`].
+    Buckets(Vec<u64>),
+    /// See [`Message::Members`].
+    Members(Vec<WireMember>, Vec<u8>),
 }
 
 /// See [`Shard`].
@@ -380,6 +397,16 @@
                 shard.into(),
                 running.into_iter().map(WireInFlight::from).collect(),
             ),
+            Message::Digest(digest) => {
+                Self::Digest(digest.rules_version, digest.hosts_version, digest.members)
+            }
+            Message::Fetch { rules, hosts } => Self::Fetch(rules, hosts),
+            Message::RuleText { version, text } => Self::RuleText(version, text),
+            Message::Hosts(list) => Self::Hosts(list.version, WireHostList::from(&list)),
+            Message::Buckets(hashes) => Self::Buckets(hashes),
+            Message::Members { entries, whole } => {
+                Self::Members(entries.into_iter().map(WireMember::from).collect(), whole)
+            }
         }
     }
 }
@@ -410,6 +437,19 @@
                 shard: shard.into(),
                 running: running.into_iter().map(InFlight::from).collect(),
             },
+            WireMessage::Digest(rules_version, hosts_version, members) => Self::Digest(Digest {
+                rules_version,
+                hosts_version,
+                members,
+            }),
+            WireMessage::Fetch(rules, hosts) => Self::Fetch { rules, hosts },
+            WireMessage::RuleText(version, text) => Self::RuleText { version, text },
+            WireMessage::Hosts(version, list) => Self::Hosts(list.at_version(version)),
+            WireMessage::Buckets(hashes) => Self::Buckets(hashes),
+            WireMessage::Members(entries, whole) => Self::Members {
+                entries: entries.into_iter().map(<(HostId, Member)>::from).collect(),
+                whole,
+            },
         }
     }
 }
