--- a/crates/jaypin/src/serve.rs
+++ b/crates/jaypin/src/serve.rs
@@ -5,6 +5,7 @@
 
 use crossbeam::channel::unbounded;
 use jaypin_core::{Config, Event, HostId, Reducer};
+use jaypin_wire::HostIdentity;
 use tokio::net::TcpListener;
 use tokio::runtime::{Builder, Handle};
 use tokio::signal::unix::{SignalKind, signal};
@@ -26,8 +27,15 @@
 /// come every 20 ms, and peers suspect a silent host a little later.
 const PAUSE_LIMIT: Duration = Duration::from_millis(500);
 
+/// Open files that a host asks for: a connection to a caller and one to a backend server
+/// for each stream, and room for silent callers.
+const OPEN_FILES: u64 = 16_384;
+
 /// Runs a host to its end.
 pub fn run(settings: Settings) -> Result<(), String> {
+    if let Err(error) = rlimit::increase_nofile_limit(OPEN_FILES) {
+        log::warn!(error:%; "can't raise the limit of open files");
+    }
     let runtime = Builder::new_multi_thread()
         .worker_threads(WORKERS)
         .enable_all()
@@ -70,8 +78,12 @@
     })
     .map_err(|error| error.to_string())?;
     Operator {
-        host: settings.host.clone(),
-        incarnation,
+        own: HostIdentity {
+            host: settings.host.clone(),
+            incarnation,
+            failure_domain: settings.failure_domain.clone(),
+            platform: settings.platform.to_string(),
+        },
         snapshots: snapshots.clone(),
         events: events.clone(),
         links: links.counters(),
--- a/crates/jaypin/src/snapshot.rs
+++ b/crates/jaypin/src/snapshot.rs
@@ -18,6 +18,8 @@
     pub live_hosts: Arc<Vec<HostRecord>>,
     /// What is believed of every host.
     pub members: Vec<(HostId, Member)>,
+    /// Number of the membership view that `live_hosts` is of.
+    pub epoch: u64,
     /// Counts.
     pub summary: Summary,
 }
--- a/crates/jaypin_core/src/membership.rs
+++ b/crates/jaypin_core/src/membership.rs
@@ -1,6 +1,6 @@
 //! Who is there: the host list, corrected by what hosts tell each other.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use crate::member::{Member, MemberStatus, MemberTable};
 use crate::partners::partners;
@@ -24,6 +24,8 @@
     shards: ShardMap,
     table: MemberTable,
     leaders: BTreeMap<Shard, HostId>,
+    places: HashMap<BackendId, usize>,
+    epoch: u64,
     reported_leaving: BTreeSet<BackendId>,
 }
 
@@ -36,11 +38,17 @@
             return false;
         }
         self.shards = ShardMap::build(&list.backends, cfg.shard_size);
+        self.places = list
+            .backends
+            .iter()
+            .enumerate()
+            .map(|(place, backend)| (backend.id.clone(), place))
+            .collect();
         self.list = list;
         let listed: BTreeSet<&HostId> = self.list.hosts.iter().map(|host| &host.id).collect();
         self.table
             .retain(|host, member| member.status < MemberStatus::Dead || listed.contains(host));
-        self.choose_leaders();
+        self.changed();
         true
     }
 
@@ -48,7 +56,7 @@
     pub fn take(&mut self, host: &HostId, member: Member) -> bool {
         let news = self.table.take(host, member);
         if news {
-            self.choose_leaders();
+            self.changed();
         }
         news
     }
@@ -66,7 +74,9 @@
         }
     }
 
-    fn choose_leaders(&mut self) {
+    /// Derives what is looked up for each request, once a change.
+    fn changed(&mut self) {
+        self.epoch += 1;
         let live: Vec<HostId> = self.live_hosts().map(|host| host.id.clone()).collect();
         self.leaders = self
             .shards
@@ -81,6 +91,12 @@
 
     // ------------------------------------------------------------------ hosts
 
+    /// Counts the changes of this view; equal numbers mean an equal view.
+    #[must_use]
+    pub fn epoch(&self) -> u64 {
+        self.epoch
+    }
+
     /// Whether a host list was ever read.
     #[must_use]
     pub fn is_known(&self) -> bool {
@@ -179,7 +195,7 @@
     /// Finds a backend server.
     #[must_use]
     pub fn backend(&self, id: &str) -> Option<&BackendRecord> {
-        self.list.backends.iter().find(|backend| &*backend.id == id)
+        self.places.get(id).map(|place| &self.list.backends[*place])
     }
 
     /// A shard's backend servers, leaving ones marked whoever said so.
--- a/crates/jaypin_core/src/reducer/gossip.rs
+++ b/crates/jaypin_core/src/reducer/gossip.rs
@@ -271,9 +271,13 @@
         }
         self.gossip.news.insert(host.clone());
         let restarted = before.is_some_and(|before| before.incarnation < member.incarnation);
-        if member.is_accused() || restarted {
-            for scheduler in self.schedulers.values_mut() {
-                scheduler.forget_owner(host);
+        let was_accused = before.is_some_and(|before| before.is_accused());
+        for scheduler in self.schedulers.values_mut() {
+            if member.is_accused() || restarted {
+                scheduler.forget_owner(host, now);
+            }
+            if !member.is_accused() && (was_accused || restarted) {
+                scheduler.regain_owner(host, now);
             }
         }
         if member.status == MemberStatus::Suspect {
--- a/crates/jaypin_core/src/reducer/knowledge.rs
+++ b/crates/jaypin_core/src/reducer/knowledge.rs
@@ -7,7 +7,9 @@
 use jaypin_rules::RuleSet;
 
 use super::Reducer;
-use crate::{Effect, HostList, LoadReport, Shard};
+use crate::local::share_of;
+use crate::rule_index::RuleIndex;
+use crate::{BackendRecord, Effect, HostId, HostList, LoadReport, Policy, Shard};
 
 impl Reducer {
     pub(super) fn rules(&mut self, version: u64, rules: Arc<RuleSet>) {
@@ -15,8 +17,12 @@
         // so an accepted rule file never reverts.
         if version > self.rules_version {
             self.rules_version = version;
+            self.rule_index = Arc::new(RuleIndex::new(rules.clone()));
             self.rules = rules;
             self.gossip.versions_changed = true;
+            for scheduler in self.schedulers.values_mut() {
+                scheduler.set_rules(self.rule_index.clone());
+            }
         }
     }
 
@@ -30,12 +36,18 @@
 
     pub(super) fn load(&mut self, now: Instant, report: &LoadReport, fx: &mut Vec<Effect>) {
         self.baseline.report(report);
-        for scheduler in self.schedulers.values_mut() {
-            scheduler.report(report);
-        }
         if self.membership.report(&report.backend, report.leaving) {
             self.view_changed(now, fx);
         }
+        // A fixed share says nothing of what the other hosts run, so reports are no
+        // correction there.
+        if self.cfg.policy == Policy::Local {
+            return;
+        }
+        let shard = self.membership.shards().shard_of(&report.backend);
+        if let Some(scheduler) = shard.and_then(|shard| self.schedulers.get_mut(shard)) {
+            scheduler.report(report, now);
+        }
     }
 
     /// Takes up and lays down shards, chooses partners, and tells new leaders what runs
@@ -47,17 +59,31 @@
             .shards()
             .iter()
             .map(|(shard, _)| shard)
-            .filter(|shard| self.membership.leader(shard) == Some(&self.cfg.host))
+            .filter(|shard| self.leader(shard) == Some(&self.cfg.host))
             .cloned()
             .collect();
         self.schedulers.retain(|shard, _| led.contains(shard));
         for shard in led {
             self.lead(now, &shard);
-            let backends = self.membership.backends_of(&shard);
+            let records = self.records_for(&shard);
             if let Some(scheduler) = self.schedulers.get_mut(&shard) {
-                scheduler.set_backends(backends.iter());
+                scheduler.set_backends(records.iter(), now);
             }
         }
         self.follow_leaders(now, fx);
     }
+
+    /// The backend servers of a shard, with the slots that this host may grant.
+    fn records_for(&self, shard: &Shard) -> Vec<BackendRecord> {
+        let records = self.membership.backends_of(shard);
+        if self.cfg.policy != Policy::Local {
+            return records;
+        }
+        let live = self.membership.live_hosts();
+        let hosts: Vec<HostId> = live.map(|host| host.id.clone()).collect();
+        records
+            .iter()
+            .filter_map(|record| share_of(record, &self.cfg.host, &hosts))
+            .collect()
+    }
 }
--- a/crates/jaypin_core/src/reducer/mod.rs
+++ b/crates/jaypin_core/src/reducer/mod.rs
@@ -4,6 +4,7 @@
 mod calls;
 mod gossip;
 mod knowledge;
+mod limits;
 mod messages;
 mod succession;
 mod time;
@@ -17,16 +18,19 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::baseline::Baseline;
+use crate::limit_keeper::LimitKeeper;
 use crate::membership::Term;
 use crate::owner::Owner;
 use crate::request::{Dispatched, Request};
+use crate::rule_index::RuleIndex;
 use crate::scheduler::{Letter, Scheduler};
+use crate::shard_hints::ShardHints;
 use gossip::Gossip;
 use succession::Rebuilds;
 
 use crate::{
-    Config, Effect, Event, HostId, MemberStatus, Membership, Message, Record, Refusal, RequestInfo,
-    Shard, SlotProgress, Step,
+    Config, Effect, Event, HostId, MemberStatus, Membership, Message, Policy, Record, Refusal,
+    RequestInfo, Shard, SlotProgress, Step,
 };
 
 /// Time after which a refused caller may come back, where nothing better is known.
@@ -39,6 +43,10 @@
     rng: ChaCha8Rng,
     rules_version: u64,
     rules: Arc<RuleSet>,
+    rule_index: Arc<RuleIndex>,
+    shard_hints: ShardHints,
+    limit_keeper: LimitKeeper,
+    next_usage: Option<Instant>,
     membership: Membership,
     owner: Owner,
     schedulers: BTreeMap<Shard, Scheduler>,
@@ -81,11 +89,18 @@
 impl Reducer {
     /// Starts with nothing known.
     #[must_use]
-    pub fn new(cfg: Config) -> Self {
+    pub fn new(mut cfg: Config) -> Self {
+        if cfg.policy == Policy::Local {
+            cfg.shard_size = usize::MAX;
+        }
         let mut reducer = Self {
             rng: ChaCha8Rng::seed_from_u64(cfg.seed),
             rules_version: 0,
             rules: Arc::default(),
+            rule_index: Arc::default(),
+            shard_hints: ShardHints::default(),
+            limit_keeper: LimitKeeper::default(),
+            next_usage: None,
             membership: Membership::default(),
             owner: Owner::default(),
             schedulers: BTreeMap::new(),
@@ -160,6 +175,14 @@
         }
     }
 
+    /// The host that grants slots of a shard, as the policy has it.
+    fn leader(&self, shard: &Shard) -> Option<&HostId> {
+        match self.cfg.policy {
+            Policy::Local => Some(&self.cfg.host),
+            Policy::Grants | Policy::Baseline => self.membership.leader(shard),
+        }
+    }
+
     fn send(&mut self, to: &HostId, message: Message, fx: &mut Vec<Effect>) {
         if *to == self.cfg.host {
             self.inbox.push_back(message);
--- a/crates/jaypin_core/src/reducer/succession.rs
+++ b/crates/jaypin_core/src/reducer/succession.rs
@@ -4,8 +4,9 @@
 use std::time::Instant;
 
 use super::Reducer;
+use crate::membership::Term;
 use crate::scheduler::Scheduler;
-use crate::{Effect, HostId, InFlight, Message, RequestId, Shard};
+use crate::{Effect, HostId, InFlight, Message, Policy, RequestId, Shard};
 
 /// Owners whose reports this host's new schedulers wait for.
 #[derive(Debug, Default)]
@@ -25,12 +26,16 @@
         if self.schedulers.contains_key(shard) {
             return;
         }
-        let scheduler = Scheduler::new(shard.clone(), &self.cfg, now);
+        let scheduler = Scheduler::new(shard.clone(), &self.cfg, self.rule_index.clone(), now);
         self.schedulers.insert(shard.clone(), scheduler);
         let owners = self.membership.live_hosts().map(|host| host.id.clone());
+        let own = self.cfg.host.clone();
         let rebuild = Rebuild {
             until: now + self.cfg.rebuild_window,
-            owners: owners.collect(),
+            owners: match self.cfg.policy {
+                Policy::Local => BTreeSet::from([own]),
+                Policy::Grants | Policy::Baseline => owners.collect(),
+            },
         };
         self.rebuilds.awaited.insert(shard.clone(), rebuild);
         // A backend server may have said that it is leaving to the former leader only:
@@ -60,7 +65,7 @@
         let Some(scheduler) = self.schedulers.get_mut(shard) else {
             return;
         };
-        scheduler.in_flight(running);
+        scheduler.in_flight(from, running, now);
         if let Some(rebuild) = self.rebuilds.awaited.get_mut(shard) {
             rebuild.owners.remove(from);
         }
@@ -100,7 +105,7 @@
     /// A term is a leader's run and revision: a leader that restarted at the same
     /// address, or was taken for gone, has lost its counts though its name is the same.
     pub(super) fn follow_leaders(&mut self, now: Instant, fx: &mut Vec<Effect>) {
-        let terms = self.membership.terms();
+        let terms = self.current_terms();
         if terms == self.terms {
             return;
         }
@@ -116,9 +121,20 @@
         self.ask_leaders_again(now, &changed, &before, fx);
     }
 
+    fn current_terms(&self) -> BTreeMap<Shard, Term> {
+        if self.cfg.policy != Policy::Local {
+            return self.membership.terms();
+        }
+        let own = (self.cfg.host.clone(), self.cfg.incarnation, 0);
+        let shards = self.membership.shards().iter();
+        shards
+            .map(|(shard, _)| (shard.clone(), own.clone()))
+            .collect()
+    }
+
     /// An empty report counts too: it lets the new leader grant before its window ends.
     fn report_in_flight(&mut self, shard: &Shard, fx: &mut Vec<Effect>) {
-        let Some(leader) = self.membership.leader(shard).cloned() else {
+        let Some(leader) = self.leader(shard).cloned() else {
             return;
         };
         for request in self.owner.dispatched.values_mut() {
@@ -137,7 +153,7 @@
         &mut self,
         now: Instant,
         changed: &BTreeSet<Shard>,
-        before: &BTreeMap<Shard, crate::membership::Term>,
+        before: &BTreeMap<Shard, Term>,
         fx: &mut Vec<Effect>,
     ) {
         let moved: Vec<RequestId> = self
--- a/crates/jaypin_core/src/reducer/time.rs
+++ b/crates/jaypin_core/src/reducer/time.rs
@@ -15,6 +15,7 @@
             scheduler.tick(now, &mut out);
         }
         self.send_all(out, fx);
+        self.tell_usage(now, fx);
         self.ask_overdue(now, fx);
         self.poll_loads(now, fx);
         if self.may_exit(now) && !self.exited {
