--- a/crates/jaypin_wire/src/lib.rs
+++ b/crates/jaypin_wire/src/lib.rs
@@ -8,6 +8,7 @@
 mod codec;
 mod host_list;
 mod link;
+mod member;
 mod rules_object;
 
 pub use api::{
@@ -20,4 +21,5 @@
 pub use codec::{CodecError, decode, encode};
 pub use host_list::{WireBackend, WireHost, WireHostList};
 pub use link::{Frame, Hello, LINK_VERSION, WireMessage};
+pub use member::{MemberBody, WireMember, WireStatus};
 pub use rules_object::{Held, RulesChange, RulesObject};
