--- a/crates/jaypin/src/metrics/mod.rs
+++ b/crates/jaypin/src/metrics/mod.rs
@@ -102,18 +102,13 @@
     INSTRUMENTS.platform_calls.add(1, &labels);
 }
 
-/// Counts a message to a peer.
-pub fn link_sent(bytes: usize) {
-    let labels = [KeyValue::new("direction", "sent")];
-    INSTRUMENTS.link_messages.add(1, &labels);
-    INSTRUMENTS.link_bytes.add(bytes as u64, &labels);
-}
-
-/// Counts a message from a peer.
-pub fn link_received(bytes: usize) {
-    let labels = [KeyValue::new("direction", "received")];
-    INSTRUMENTS.link_messages.add(1, &labels);
-    INSTRUMENTS.link_bytes.add(bytes as u64, &labels);
+/// Counts a frame of a link, with its payload in bytes.
+pub fn link_frame(direction: &'static str, payload: usize, is_message: bool) {
+    let labels = [KeyValue::new("direction", direction)];
+    if is_message {
+        INSTRUMENTS.link_messages.add(1, &labels);
+    }
+    INSTRUMENTS.link_bytes.add(payload as u64, &labels);
 }
 
 /// Gives everything in the text format of Prometheus.
--- a/crates/jaypin/src/operator/mod.rs
+++ b/crates/jaypin/src/operator/mod.rs
@@ -11,11 +11,12 @@
 
 use crossbeam::channel::Sender;
 use jaypin_core::Event;
-use jaypin_wire::{HostIdentity, StatusBody};
+use jaypin_wire::{HostIdentity, MemberBody, StatusBody};
 use tiny_http::{Header, Method, Request, Response, Server};
 use tokio::sync::watch;
 
 use crate::decisions::Decisions;
+use crate::links::LinkCounters;
 use crate::metrics;
 use crate::snapshot::Snapshot;
 
@@ -42,6 +43,8 @@
     pub port: u16,
     /// Digest of the operators' token; none asks for none.
     pub token_digest: Option<String>,
+    /// What went over the links.
+    pub links: Arc<LinkCounters>,
 }
 
 /// An answer: status and JSON body.
@@ -96,6 +99,14 @@
             (Method::Get, path) if path.starts_with(EXPLAIN) => {
                 self.explain(req, &path[EXPLAIN.len()..], &snapshot)
             }
+            (Method::Get, "/links") => {
+                let counts = self.links.counts();
+                (200, serde_json::to_string(&counts).unwrap_or_default())
+            }
+            (Method::Get, "/members") => {
+                let body = MemberBody::list(&snapshot.members);
+                (200, serde_json::to_string(&body).unwrap_or_default())
+            }
             (Method::Post, "/drain") => {
                 let _ = self.events.send(Event::Drain);
                 (202, "\"draining\"".to_owned())
@@ -125,6 +136,8 @@
         (503, "\"no rules yet\"".to_owned())
     } else if summary.hosts_version == 0 {
         (503, "\"no host list yet\"".to_owned())
+    } else if !summary.caught_up {
+        (503, "\"no peer heard yet\"".to_owned())
     } else if summary.draining {
         (503, "\"draining\"".to_owned())
     } else {
--- a/crates/jaypin/src/serve.rs
+++ b/crates/jaypin/src/serve.rs
@@ -24,6 +24,10 @@
 /// Worker threads; an entry host is small.
 const WORKERS: usize = 2;
 
+/// Time without an event after which the reducer takes its process for paused: ticks
+/// come every 20 ms, and peers suspect a silent host a little later.
+const PAUSE_LIMIT: Duration = Duration::from_millis(500);
+
 /// Open files that a host asks for: a connection to a caller and one to a backend server
 /// for each stream, and room for silent callers.
 const OPEN_FILES: u64 = 16_384;
@@ -62,11 +66,13 @@
     let exit = Arc::new(Notify::new());
     let calls = Arc::new(Calls::default());
     let decisions = Arc::new(Decisions::new(snapshots.clone()));
+    let watching = watch::Sender::new(true);
     let runner = Runner {
         decisions: decisions.clone(),
         calls: calls.clone(),
         links: links.clone(),
         events: events.clone(),
+        watching: watching.clone(),
         exit: exit.clone(),
     };
     let reducer = Reducer::new(config(&settings, &host, incarnation));
@@ -86,11 +92,18 @@
         decisions: decisions.clone(),
         port: settings.operator_listen.port(),
         token_digest: settings.operator_token_digest.clone(),
+        links: links.counters(),
     }
     .spawn(settings.operator_listen)?;
-    platform::spawn_watches(&settings.platform.to_string(), &events)
+    let control = platform::WatchControl {
+        snapshots: snapshots.clone(),
+        watching: watching.subscribe(),
+    };
+    platform::spawn_watches(&settings.platform.to_string(), &events, &control)
         .map_err(|error| error.to_string())?;
-    tokio::spawn(links.accept(peers));
+    tokio::spawn(links.clone().accept(peers));
+    tokio::spawn(links.clone().keep_up());
+    tokio::spawn(links.meet(settings.peers.clone()));
     let frontend = Frontend::new(
         host,
         incarnation,
@@ -130,6 +143,8 @@
         failure_domain: settings.failure_domain.as_str().into(),
         policy: settings.policy,
         seed: settings.seed.unwrap_or(incarnation),
+        pause_limit: PAUSE_LIMIT,
+        await_peers: true,
         ..Config::default()
     };
     if let Some(size) = settings.shard_size {
--- a/crates/jaypin/src/settings/mod.rs
+++ b/crates/jaypin/src/settings/mod.rs
@@ -26,6 +26,8 @@
     pub platform: SocketAddr,
     /// Key shared by the fleet's hosts; proves a peer on a link.
     pub fleet_key: String,
+    /// Link addresses of some peers, to learn rules and hosts from.
+    pub peers: Vec<SocketAddr>,
     /// How requests find a backend server.
     pub policy: Policy,
     /// Seed of random choices; the incarnation when absent.
@@ -76,6 +78,7 @@
         let operator_listen = reader.required("operator-listen", ADDRESS);
         let platform = reader.required("platform", ADDRESS);
         let fleet_key = take_fleet_key(reader);
+        let peers = reader.list("peers", ADDRESS);
         let policy = take_policy(reader);
         let seed = reader.optional("seed", COUNT);
         let shard_size = take_above_zero(reader, "shard-size");
@@ -91,6 +94,7 @@
             operator_listen: operator_listen?,
             platform: platform?,
             fleet_key: fleet_key?,
+            peers,
             policy: policy?,
             seed,
             shard_size: shard_size.and_then(|size| usize::try_from(size).ok()),
--- a/crates/jaypin/src/settings/reader.rs
+++ b/crates/jaypin/src/settings/reader.rs
@@ -57,6 +57,20 @@
         self.mapping.get_node(name).is_some()
     }
 
+    /// Takes a list; an absent one is empty.
+    pub fn list<T: FromStr>(&mut self, name: &'static str, expected: &str) -> Vec<T> {
+        self.taken.push(name);
+        let values = match self.mapping.get_node(name) {
+            None => return Vec::new(),
+            Some(Node::Sequence(list)) => list.iter().map(value_of).collect(),
+            Some(_) => None,
+        };
+        if values.is_none() {
+            self.note(name, &format!("expected a list, {expected} each"));
+        }
+        values.unwrap_or_default()
+    }
+
     /// Notes what is wrong with a setting; its value is not shown.
     pub fn note(&mut self, name: &'static str, message: &str) {
         let node = self.mapping.get_node(name);
--- a/crates/jaypin_bench/src/lib.rs
+++ b/crates/jaypin_bench/src/lib.rs
@@ -4,8 +4,11 @@
 
 mod client;
 mod command;
+mod demo;
 mod fleet;
+pub mod load;
 
 pub use client::{Answer, Client, Event, completion_body};
 pub use command::{CommandOutput, jaypin};
+pub use demo::demo;
 pub use fleet::{ACCOUNTS, BackendSpec, Fleet, FleetConfig, Host, RULES, binary};
--- a/crates/jaypin_wire/src/lib.rs
+++ b/crates/jaypin_wire/src/lib.rs
@@ -9,6 +9,7 @@
 mod explain;
 mod host_list;
 mod link;
+mod member;
 mod rules_object;
 
 pub use api::{
@@ -22,4 +23,5 @@
 pub use explain::{AppliedRule, CandidateBody, ExplainBody, ExplainStep, StepBody};
 pub use host_list::{WireBackend, WireHost, WireHostList};
 pub use link::{Frame, Hello, LINK_VERSION, WireMessage};
+pub use member::{MemberBody, WireMember, WireStatus};
 pub use rules_object::{Held, RulesChange, RulesObject};
