Show shards, waiting tiers and suspected hosts in `jaypin status`

Cause: status gave counts only; an operator could not see which tier waits where, which backend server rests or leaves, or which host is suspected. Ruled out: reporting the shards after every event (a walk over all queues each time); asking the reducer over its channel (a status page would wait behind its events). Hosts are shown as members believe them to be.

--- a/crates/jaypin/src/cli/status.rs
+++ b/crates/jaypin/src/cli/status.rs
@@ -1,6 +1,6 @@
 //! `jaypin status`
 
-use jaypin_wire::StatusBody;
+use jaypin_wire::{ShardState, StatusBody};
 use lexopt::Parser;
 
 use super::target::{TARGET_HELP, Target};
@@ -53,11 +53,14 @@
         "shards led: {}, in them {} wait, {} run",
         status.shards_led, status.queued_here, status.granted_here
     );
+    for shard in &status.shards {
+        print_shard(shard);
+    }
     println!("hosts:");
     for host in &status.hosts {
         println!("  {:24} {:22} {}", host.host, host.address, host.state);
     }
-    println!("backend servers:");
+    println!("backend servers in the host list:");
     for backend in &status.backends {
         println!(
             "  {:24} {:22} {}",
@@ -65,3 +68,30 @@
         );
     }
 }
+
+fn print_shard(shard: &ShardState) {
+    let waiting: Vec<String> = shard
+        .waiting
+        .iter()
+        .map(|it| format!("{} of `{}`", it.requests, it.tier))
+        .collect();
+    let waiting = if waiting.is_empty() {
+        "none".to_owned()
+    } else {
+        waiting.join(", ")
+    };
+    println!(
+        "shard {}: waiting: {waiting}; running: {}",
+        shard.shard, shard.running
+    );
+    for backend in &shard.backends {
+        println!(
+            "  {:24} {:8} {} of {} run, {} prompt tokens/s",
+            backend.backend,
+            backend.state,
+            backend.running,
+            backend.limit,
+            backend.prefill_tokens_per_second
+        );
+    }
+}
--- a/crates/jaypin/src/operator/mod.rs
+++ b/crates/jaypin/src/operator/mod.rs
@@ -11,7 +11,7 @@
 
 use crossbeam::channel::Sender;
 use jaypin_core::Event;
-use jaypin_wire::{HostIdentity, MemberBody, StatusBody};
+use jaypin_wire::{HostIdentity, MemberBody, ShardState, StatusBody};
 use tiny_http::{Header, Method, Request, Response, Server};
 use tokio::sync::watch;
 
@@ -116,11 +116,14 @@
     }
 
     fn status(&self, snapshot: &Snapshot) -> Page {
+        let shards = snapshot.shards.iter();
+        let shards = shards.map(|it| ShardState::new(it, &snapshot.rules));
         let body = StatusBody::new(
             &self.own,
             &snapshot.summary,
             &snapshot.hosts,
-            &snapshot.live_hosts,
+            &snapshot.members,
+            shards.collect(),
         );
         (200, serde_json::to_string(&body).unwrap_or_default())
     }
--- a/crates/jaypin/src/reducer_task.rs
+++ b/crates/jaypin/src/reducer_task.rs
@@ -16,6 +16,9 @@
 /// How often the reducer hears of time.
 const TICK: Duration = Duration::from_millis(20);
 
+/// How often the shards are shown anew.
+const REPORT_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Starts the thread; it ends when every sender of events is gone.
 pub fn spawn(
     reducer: Reducer,
@@ -39,6 +42,7 @@
     // The runtime's clock and timers, which tests pause and advance.
     let _guard = handle.enter();
     let mut next_tick = Instant::now();
+    let mut next_report = Instant::now();
     let mut snapshot = Snapshot::default();
     loop {
         // A channel that is never empty must not keep the tick away: without ticks
@@ -50,6 +54,10 @@
                 run(effect);
             }
             publish(&reducer, None, &mut snapshot, snapshots);
+            if Instant::now() >= next_report {
+                next_report = Instant::now() + REPORT_INTERVAL;
+                report(&reducer, &mut snapshot, snapshots);
+            }
             continue;
         }
         let event = match events.recv_timeout(wait) {
@@ -70,6 +78,15 @@
     }
 }
 
+/// Shows the shards; too dear for every event.
+fn report(reducer: &Reducer, last: &mut Snapshot, snapshots: &watch::Sender<Arc<Snapshot>>) {
+    let shards = reducer.shard_reports(Instant::now().into_std());
+    if shards != *last.shards {
+        last.shards = Arc::new(shards);
+        snapshots.send_replace(Arc::new(last.clone()));
+    }
+}
+
 fn publish(
     reducer: &Reducer,
     rules: Option<Arc<RuleSet>>,
--- a/crates/jaypin/src/snapshot.rs
+++ b/crates/jaypin/src/snapshot.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use jaypin_core::{HostId, HostList, HostRecord, Member, Summary};
+use jaypin_core::{HostId, HostList, HostRecord, Member, ShardReport, Summary};
 use jaypin_rules::RuleSet;
 
 /// A view of the decision state after some event.
@@ -20,6 +20,8 @@
     pub members: Vec<(HostId, Member)>,
     /// Number of the membership view that `live_hosts` is of.
     pub epoch: u64,
+    /// Shards that this host leads, at most half a second old.
+    pub shards: Arc<Vec<ShardReport>>,
     /// Counts.
     pub summary: Summary,
 }
--- a/crates/jaypin_core/src/backend_model.rs
+++ b/crates/jaypin_core/src/backend_model.rs
@@ -110,6 +110,12 @@
             && self.rest_until.is_none_or(|until| now >= until)
     }
 
+    /// Whether it says of itself that it is leaving.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        self.leaving_by_report
+    }
+
     /// Requests that may start now while every stream keeps a gap.
     #[must_use]
     pub fn room(&self, gap: f64, now: Instant) -> u32 {
--- a/crates/jaypin_core/src/reducer/mod.rs
+++ b/crates/jaypin_core/src/reducer/mod.rs
@@ -30,7 +30,7 @@
 
 use crate::{
     Config, Effect, Event, HostId, MemberStatus, Membership, Message, Policy, Record, Refusal,
-    RequestInfo, Shard, SlotProgress, Step,
+    RequestInfo, Shard, ShardReport, SlotProgress, Step,
 };
 
 /// Time after which a refused caller may come back, where nothing better is known.
@@ -151,6 +151,13 @@
         }
     }
 
+    /// The shards that this host leads, for operators; dearer than the counts.
+    #[must_use]
+    pub fn shard_reports(&self, now: Instant) -> Vec<ShardReport> {
+        let schedulers = self.schedulers.values();
+        schedulers.map(|it| it.shard_report(now)).collect()
+    }
+
     /// This host's view of hosts and backend servers.
     #[must_use]
     pub fn membership(&self) -> &Membership {
--- a/crates/jaypin_core/src/scheduler/mod.rs
+++ b/crates/jaypin_core/src/scheduler/mod.rs
@@ -4,6 +4,7 @@
 mod grants;
 mod limits;
 mod queue;
+mod report;
 mod running;
 
 use std::collections::BTreeMap;
@@ -24,6 +25,8 @@
 use queue::{WaitingAsk, WaitingQueue};
 use running::RunningTable;
 
+pub use report::{BackendReport, BackendState, ShardReport};
+
 /// A message to a host, as schedulers produce them.
 pub type Letter = (HostId, Message);
 
--- a/crates/jaypin_wire/src/api.rs
+++ b/crates/jaypin_wire/src/api.rs
@@ -1,8 +1,10 @@
 //! JSON bodies towards callers and operators.
 
-use jaypin_core::{HostList, HostRecord, Presence, Refusal, Summary};
+use jaypin_core::{HostId, HostList, HostRecord, Member, MemberStatus, Presence, Refusal, Summary};
 use serde::{Deserialize, Serialize};
 
+use crate::ShardState;
+
 /// Answer of `GET /v1/entry`.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EntryAnswer {
@@ -94,6 +96,8 @@
     pub hosts: Vec<HostState>,
     /// Backend servers, as the host list names them.
     pub backends: Vec<BackendState>,
+    /// Shards that it leads.
+    pub shards: Vec<ShardState>,
 }
 
 /// An entry host, as another sees it.
@@ -103,7 +107,7 @@
     pub host: String,
     /// `IP:port` for callers.
     pub address: String,
-    /// `live`, `leaving` or `suspected`.
+    /// `alive`, `leaving`, `suspect` or `dead`.
     pub state: String,
 }
 
@@ -138,12 +142,13 @@
         own: &HostIdentity,
         summary: &Summary,
         list: &HostList,
-        live: &[HostRecord],
+        members: &[(HostId, Member)],
+        shards: Vec<ShardState>,
     ) -> Self {
         let hosts = list.hosts.iter().map(|host| HostState {
             host: host.id.to_string(),
             address: host.address.clone(),
-            state: host_state(host, live).to_owned(),
+            state: host_state(host, members).to_owned(),
         });
         let backends = list.backends.iter().map(|backend| BackendState {
             backend: backend.id.to_string(),
@@ -157,6 +162,7 @@
             platform: own.platform.clone(),
             hosts: hosts.collect(),
             backends: backends.collect(),
+            shards,
             rules_version: summary.rules_version,
             hosts_version: summary.hosts_version,
             shards_led: summary.shards_led,
@@ -169,11 +175,13 @@
     }
 }
 
-fn host_state(host: &HostRecord, live: &[HostRecord]) -> &'static str {
-    let is_live = live.iter().any(|it| it.id == host.id);
-    match host.presence {
-        Presence::Live if !is_live => "suspected",
-        presence => presence_name(presence),
+/// What other hosts believe goes before the platform's list, which lags.
+fn host_state(host: &HostRecord, members: &[(HostId, Member)]) -> &'static str {
+    let member = members.iter().find(|(id, _)| *id == host.id);
+    match (member, host.presence) {
+        (Some((_, member)), Presence::Live) => member.status.as_str(),
+        (None, Presence::Live) => MemberStatus::Alive.as_str(),
+        (_, Presence::Leaving) => MemberStatus::Leaving.as_str(),
     }
 }
 
--- a/crates/jaypin_wire/src/lib.rs
+++ b/crates/jaypin_wire/src/lib.rs
@@ -11,6 +11,7 @@
 mod link;
 mod member;
 mod rules_object;
+mod shard_state;
 
 pub use api::{
     BackendState, EntryAddress, EntryAnswer, HostIdentity, HostState, RefusalBody, StatusBody,
@@ -25,3 +26,4 @@
 pub use link::{Frame, Hello, LINK_VERSION, WireMessage};
 pub use member::{MemberBody, WireMember, WireStatus};
 pub use rules_object::{Held, RulesChange, RulesObject};
+pub use shard_state::{ShardBackend, ShardState, TierWaiting};
