--- a/crates/jaypin/src/serve.rs
+++ b/crates/jaypin/src/serve.rs
@@ -12,6 +12,7 @@
 use tokio::sync::{Notify, watch};
 
 use crate::calls::Calls;
+use crate::decisions::Decisions;
 use crate::frontend::Frontend;
 use crate::links::{Identity, Links};
 use crate::operator::Operator;
@@ -65,7 +66,9 @@
     let exit = Arc::new(Notify::new());
     let calls = Arc::new(Calls::default());
     let watching = watch::Sender::new(true);
+    let decisions = Arc::new(Decisions::new(snapshots.clone()));
     let runner = Runner {
+        decisions: decisions.clone(),
         calls: calls.clone(),
         links: links.clone(),
         events: events.clone(),
@@ -87,6 +90,9 @@
         snapshots: snapshots.clone(),
         events: events.clone(),
         links: links.counters(),
+        decisions: decisions.clone(),
+        port: settings.operator_listen.port(),
+        token_digest: settings.operator_token_digest.clone(),
     }
     .spawn(settings.operator_listen)?;
     let control = platform::WatchControl {
@@ -98,7 +104,14 @@
     tokio::spawn(links.clone().accept(peers));
     tokio::spawn(links.clone().keep_up());
     tokio::spawn(links.meet(settings.peers.clone()));
-    let frontend = Frontend::new(host, incarnation, snapshots, calls, events.clone());
+    let frontend = Frontend::new(
+        host,
+        incarnation,
+        snapshots,
+        calls,
+        decisions,
+        events.clone(),
+    );
     tokio::spawn(frontend.accept(callers));
     log::info!(host = settings.host, incarnation, listen:% = settings.listen; "serving");
     until_told(&events, &exit).await?;
--- a/crates/jaypin_bench/src/lib.rs
+++ b/crates/jaypin_bench/src/lib.rs
@@ -3,10 +3,12 @@
 //! [`Fleet`] runs real host processes before stand-ins, on the loopback address.
 
 mod client;
+mod command;
 mod demo;
 mod fleet;
 pub mod load;
 
 pub use client::{Answer, Client, Event, completion_body};
+pub use command::{CommandOutput, jaypin};
 pub use demo::demo;
 pub use fleet::{ACCOUNTS, BackendSpec, Fleet, FleetConfig, Host, RULES, binary};
