Draw comparisons as SVG

Cause: tables of a dozen runs hide where the policies part. Ruled out: bitmaps, which need fonts of the machine.

--- a/crates/jaypin_bench/src/cli.rs
+++ b/crates/jaypin_bench/src/cli.rs
@@ -14,6 +14,8 @@
          Makes one run and prints its figures.
        jaypin-bench compare --policies P,P --loads L,L --seeds S,S [OPTIONS]
          Makes a run for each load, seed and policy and prints one table.
+       jaypin-bench plot FILE.json --out FILE.svg
+         Draws what `compare --json` wrote.
 options of a run:
   --mix lanyang|hanbit     what callers ask for (lanyang)
   --policy NAME            grants, local or baseline (grants)
@@ -43,6 +45,10 @@
     pub seeds: Vec<u64>,
     /// File for the figures.
     pub json: Option<String>,
+    /// File to read.
+    pub input: Option<String>,
+    /// File for a picture.
+    pub out: Option<String>,
 }
 
 /// Reads the command line.
@@ -61,6 +67,7 @@
                 return Ok(args);
             }
             Long("json") => args.json = Some(parser.value()?.string()?),
+            Long("out") => args.out = Some(parser.value()?.string()?),
             Long("policies") => args.policies = list(&mut parser)?,
             Long("loads") => args.loads = list(&mut parser)?,
             Long("seeds") => args.seeds = list(&mut parser)?,
@@ -69,6 +76,7 @@
                 run_option(&mut args.load, &name, &mut parser)?;
             }
             Value(command) if args.command.is_empty() => args.command = command.string()?,
+            Value(file) if args.input.is_none() => args.input = Some(file.string()?),
             _ => return Err(arg.unexpected()),
         }
     }
--- a/crates/jaypin_bench/src/lib.rs
+++ b/crates/jaypin_bench/src/lib.rs
@@ -7,8 +7,10 @@
 mod demo;
 mod fleet;
 pub mod load;
+mod plot;
 
 pub use client::{Answer, Client, Event, completion_body};
 pub use command::{CommandOutput, jaypin};
 pub use demo::demo;
 pub use fleet::{ACCOUNTS, BackendSpec, Fleet, FleetConfig, Host, RULES, binary};
+pub use plot::{Run, plot};
--- a/crates/jaypin_bench/src/main.rs
+++ b/crates/jaypin_bench/src/main.rs
@@ -2,7 +2,7 @@
 
 mod cli;
 
-use jaypin_bench::{demo, load};
+use jaypin_bench::{Run, demo, load, plot};
 
 type AnyError = Box<dyn std::error::Error + Send + Sync>;
 
@@ -13,6 +13,7 @@
         "demo" => demo().await,
         "load" => one_run(&args).await,
         "compare" => compare(&args).await,
+        "plot" => draw(&args),
         _ => {
             println!("{}", cli::USAGE);
             Ok(())
@@ -38,3 +39,15 @@
     }
     Ok(())
 }
+
+fn draw(args: &cli::Args) -> Result<(), AnyError> {
+    let input = args
+        .input
+        .as_deref()
+        .ok_or("a file written by `compare --json` is missing")?;
+    let out = args.out.as_deref().ok_or("--out is missing")?;
+    let runs: Vec<Run> = serde_json::from_str(&std::fs::read_to_string(input)?)?;
+    std::fs::write(out, plot(&runs)?)?;
+    println!("{out}: {} runs", runs.len());
+    Ok(())
+}
