Keep rule files above a megabyte in parts

Ruled out: compression (digests do not compress: 0.9 MB in base64 at best); one object an account (many watches, and no file is ever in force as a whole). Change: a file above 256 KiB is cut at line ends into parts behind `rules/DIGEST`, written before the object that names them. Readers check each part and try again while one can't be read. Links take frames of 10 MiB; rules are parsed off the reducer.

--- a/crates/jaypin/src/cli/rules/apply.rs
+++ b/crates/jaypin/src/cli/rules/apply.rs
@@ -105,7 +105,7 @@
         return apply.lose(found_version, &before);
     }
     let change = change(&apply.entry, &changes);
-    if let Err(message) = RulesStore::check_size(&before.changed(text.clone(), change.clone())) {
+    if let Err(message) = RulesStore::check_size(&text) {
         return apply.refuse(message);
     }
     apply.record(AuditKind::Proposed, None)?;
--- a/crates/jaypin/src/links/carry.rs
+++ b/crates/jaypin/src/links/carry.rs
@@ -26,8 +26,8 @@
 const SILENT_AFTER: Duration = Duration::from_millis(550);
 /// Time without a message after which a link that need not stay is closed.
 const IDLE_AFTER: Duration = Duration::from_secs(10);
-/// Largest frame between hosts; a host list of the planned size takes a fifth of it.
-const MAX_FRAME: usize = 2 << 20;
+/// Largest frame between hosts: the largest rule file with room for what is around it.
+const MAX_FRAME: usize = 10 << 20;
 
 /// Limits of every connection between hosts.
 pub fn socket_config() -> WebSocketConfig {
--- a/crates/jaypin/src/platform.rs
+++ b/crates/jaypin/src/platform.rs
@@ -12,6 +12,7 @@
 use tokio::sync::watch;
 
 use crate::metrics::{self, PlatformCall};
+use crate::rules_change::read_parts;
 use crate::snapshot::Snapshot;
 
 /// Key of the rules.
@@ -163,9 +164,9 @@
                 RULES,
                 &rules_control,
                 known,
-                |version, object| {
-                    let object: RulesObject = object;
-                    let events = read_rules(version, &object.text);
+                |version, object: RulesObject| {
+                    let text = whole_text(&rules_client, version, &object, &rules_control);
+                    let events = text.map_or_else(Vec::new, |text| read_rules(version, &text));
                     events
                         .into_iter()
                         .all(|event| rules_events.send(event).is_ok())
@@ -214,6 +215,29 @@
     }
 }
 
+/// Puts a rule file together; gives nothing when a peer was faster.
+///
+/// Guards against a platform that goes out between the object and its parts: the watch
+/// would not show that version again, and this host would keep the older rules.
+fn whole_text(
+    client: &PlatformClient,
+    version: u64,
+    object: &RulesObject,
+    control: &WatchControl,
+) -> Option<String> {
+    loop {
+        if control.snapshots.borrow().summary.rules_version >= version {
+            return None;
+        }
+        let mut whole = object.clone();
+        match read_parts(client, &mut whole) {
+            Ok(()) => return Some(whole.text),
+            Err(error) => log::warn!(version, error; "can't read the rules' parts"),
+        }
+        thread::sleep(WATCH_PAUSE);
+    }
+}
+
 /// Reads a rule file, whoever it came from; gives nothing when it is wrong.
 pub fn read_rules(version: u64, text: &str) -> Vec<Event> {
     match jaypin_rules::parse(text) {
--- a/crates/jaypin/src/rules_change/mod.rs
+++ b/crates/jaypin/src/rules_change/mod.rs
@@ -4,10 +4,12 @@
 //! between whose death would leave the write open, and the first rules need no ready
 //! host.
 
+mod parts;
 mod settle;
 mod store;
 mod trail;
 
+pub use parts::read_parts;
 pub use settle::Deadline;
 pub use store::{Applied, NewRules, RulesStore};
 pub use trail::Trail;
--- a/crates/jaypin/src/rules_change/store.rs
+++ b/crates/jaypin/src/rules_change/store.rs
@@ -5,6 +5,7 @@
 
 use jaypin_wire::{Held, RulesChange, RulesObject};
 
+use super::parts::{read_parts, store_parts};
 use super::settle::{Deadline, Settled, put_settled};
 use crate::platform::{PlatformClient, RULES};
 
@@ -12,8 +13,8 @@
 const STALE_PATIENCE: Duration = Duration::from_secs(3);
 /// Pause between two reads of an old copy.
 const STALE_PAUSE: Duration = Duration::from_millis(200);
-/// Greatest object that the platform takes, in bytes.
-pub const MAX_OBJECT: usize = 1 << 20;
+/// Largest rule file, in bytes; one of 17,000 accounts has 3 MB.
+const MAX_TEXT: usize = 8 << 20;
 
 /// Rules that are to be put in force.
 #[derive(Debug, Clone)]
@@ -52,7 +53,9 @@
     /// Reads the rules with their version; version 0 and an empty file before the first.
     pub fn read(&self) -> Result<(u64, RulesObject), String> {
         let found = self.client.get::<RulesObject>(RULES)?;
-        Ok(found.unwrap_or_default())
+        let (version, mut object) = found.unwrap_or_default();
+        read_parts(self.client, &mut object)?;
+        Ok((version, object))
     }
 
     /// Reads the rules from a copy that is not older than a version.
@@ -75,12 +78,12 @@
         }
     }
 
-    /// Says whether an object fits into the platform.
-    pub fn check_size(object: &RulesObject) -> Result<(), String> {
-        let size = serde_json::to_vec(object).map_or(usize::MAX, |bytes| bytes.len());
-        if size > MAX_OBJECT {
+    /// Says whether a file is one that hosts can be asked to hold.
+    pub fn check_size(text: &str) -> Result<(), String> {
+        if text.len() > MAX_TEXT {
             return Err(format!(
-                "the rules take {size} bytes; the platform holds {MAX_OBJECT} in one object"
+                "the file has {} bytes, expected at most {MAX_TEXT}",
+                text.len()
             ));
         }
         Ok(())
@@ -93,15 +96,18 @@
         new: &NewRules,
         deadline: Deadline,
     ) -> Result<Applied, String> {
-        let object = before.changed(new.text.clone(), new.change.clone());
-        Self::check_size(&object)?;
+        let mut object = before.changed(new.text.clone(), new.change.clone());
+        store_parts(self.client, &mut object, deadline)?;
         let id = &new.change.apply_id;
         let is_ours = |found: &RulesObject| found.holds(id) != Held::Never;
         let expected = new.edited_from;
         let settled = put_settled(self.client, RULES, expected, &object, deadline, is_ours)?;
         Ok(match settled {
             Settled::Written(version) => self.in_force(id, version),
-            Settled::Conflict(version, found) => Applied::LostRace(version, Box::new(found)),
+            Settled::Conflict(version, mut found) => {
+                read_parts(self.client, &mut found)?;
+                Applied::LostRace(version, Box::new(found))
+            }
         })
     }
 
--- a/crates/jaypin/src/runner.rs
+++ b/crates/jaypin/src/runner.rs
@@ -60,9 +60,14 @@
                 self.watching.send_replace(on);
             }
             Effect::ReadRules { version, text } => {
-                for event in read_rules(version, &text) {
-                    let _ = self.events.send(event);
-                }
+                let events = self.events.clone();
+                // Parsing the rules of 17,000 accounts takes a sixth of a second; the
+                // reducer's thread must not stand still for it.
+                tokio::task::spawn_blocking(move || {
+                    for event in read_rules(version, &text) {
+                        let _ = events.send(event);
+                    }
+                });
             }
             Effect::PollLoad { backend, address } => {
                 tokio::spawn(backend_call::poll_load(
--- a/crates/jaypin_wire/src/lib.rs
+++ b/crates/jaypin_wire/src/lib.rs
@@ -25,5 +25,5 @@
 pub use host_list::{WireBackend, WireHost, WireHostList};
 pub use link::{Frame, Hello, LINK_VERSION, WireMessage};
 pub use member::{MemberBody, WireMember, WireStatus};
-pub use rules_object::{Held, RulesChange, RulesObject};
+pub use rules_object::{Held, RulesChange, RulesObject, RulesPart};
 pub use shard_state::{ShardBackend, ShardState, TierWaiting};
--- a/crates/jaypin_wire/src/rules_object.rs
+++ b/crates/jaypin_wire/src/rules_object.rs
@@ -1,6 +1,7 @@
 //! The rules as the platform keeps them, in JSON, with their last changes.
 
 use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
 
 /// Changes that the object keeps; the audit trail keeps all.
 const KEPT_CHANGES: usize = 20;
@@ -8,13 +9,45 @@
 /// The object behind the key `rules`; its version is the platform object's.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub struct RulesObject {
-    /// The rule file as its author wrote it.
+    /// The rule file as its author wrote it; empty when it is kept in parts.
     pub text: String,
+    /// Parts of a file that is too large for one object, in order.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub parts: Vec<RulesPart>,
     /// Last changes, newest last.
     #[serde(default)]
     pub changes: Vec<RulesChange>,
 }
 
+/// A part of a rule file, kept as a JSON string behind a key of its own.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RulesPart {
+    /// Lower-case hexadecimal SHA-256 of its text.
+    pub digest: String,
+}
+
+impl RulesPart {
+    /// Names the part that holds a text.
+    #[must_use]
+    pub fn of(text: &str) -> Self {
+        Self {
+            digest: hex::encode(Sha256::digest(text.as_bytes())),
+        }
+    }
+
+    /// The key it is kept behind; parts with the same text share it.
+    #[must_use]
+    pub fn key(&self) -> String {
+        format!("rules/{}", self.digest)
+    }
+
+    /// Whether a text is this part's.
+    #[must_use]
+    pub fn is_of(&self, text: &str) -> bool {
+        *self == Self::of(text)
+    }
+}
+
 /// One accepted change.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RulesChange {
@@ -45,7 +78,11 @@
         let kept = self.changes.len().saturating_sub(KEPT_CHANGES - 1);
         let mut changes = self.changes[kept..].to_vec();
         changes.push(change);
-        Self { text, changes }
+        Self {
+            text,
+            parts: Vec::new(),
+            changes,
+        }
     }
 
     /// Whether the newest change is that of an apply, or an earlier one is.
