Check histories of concurrent runs against the promises

Cause: what callers, backend servers and hosts log has to be held against the promises by something that is tested itself. Change: module history and jaypin-bench check FILE: executions by request and by key, answers against their requests, not-run against executions, shed order by tier, accounts, leaving backend servers, rule versions by host over time. Not judged: shed order where the lower tier waited for less time than the shed call took (the log does not say when within it the decision fell).

--- a/crates/jaypin_bench/src/cli.rs
+++ b/crates/jaypin_bench/src/cli.rs
@@ -14,6 +14,8 @@
          Makes one run and prints its figures.
        jaypin-bench compare --policies P,P --loads L,L --seeds S,S [OPTIONS]
          Makes a run for each load, seed and policy and prints one table.
+       jaypin-bench check FILE
+         Checks a history, as torture writes it, against every promise.
 options of a run:
   --mix lanyang|hanbit     what callers ask for (lanyang)
   --policy NAME            grants, local or baseline (grants)
@@ -33,6 +35,8 @@
 pub struct Args {
     /// The command; empty for help.
     pub command: String,
+    /// File that a command works on.
+    pub file: Option<String>,
     /// What a run is like.
     pub load: LoadConfig,
     /// Policies to compare.
@@ -69,6 +73,7 @@
                 run_option(&mut args.load, &name, &mut parser)?;
             }
             Value(command) if args.command.is_empty() => args.command = command.string()?,
+            Value(file) if args.file.is_none() => args.file = Some(file.string()?),
             _ => return Err(arg.unexpected()),
         }
     }
--- /dev/null
+++ b/crates/jaypin_bench/src/history/answers.rs
@@ -0,0 +1,79 @@
+//! Answers against their requests, and `not-run` against the executions.
+
+use std::collections::HashMap;
+
+use super::{Answered, CallRecord, ExecutionRecord, History, Promise, Violation};
+
+impl CallRecord {
+    /// Whether the caller was told that it was not run.
+    #[must_use]
+    pub fn not_run(&self) -> bool {
+        matches!(&self.answered, Answered::Refused { outcome, .. } if outcome == "not-run")
+    }
+
+    /// Whether it was refused for want of capacity.
+    #[must_use]
+    pub fn shed(&self) -> bool {
+        matches!(&self.answered, Answered::Refused { reason, .. } if reason == "shed")
+    }
+
+    /// How a violation names it.
+    pub(super) fn name(&self) -> String {
+        let id = self.request_id.as_deref().unwrap_or("without id");
+        match &self.key {
+            Some(key) => format!("request {id} (key {key})"),
+            None => format!("request {id}"),
+        }
+    }
+}
+
+/// A whole answer is the expected one; a part is its beginning and is marked as a part.
+pub(super) fn check_answers(history: &History, out: &mut Vec<Violation>) {
+    for call in &history.calls {
+        let fault = match &call.answered {
+            Answered::Whole { text } => (*text != call.expected).then_some("is not the whole own"),
+            Answered::QuietEnd { .. } => Some("ends without a mark"),
+            Answered::Refused { text, .. } | Answered::Broken { text } => {
+                (!call.expected.starts_with(text.as_str())).then_some("is no part of the own")
+            }
+            Answered::Nothing => None,
+        };
+        if let Some(fault) = fault {
+            let detail = format!("the answer to {} {fault}", call.name());
+            out.push(Violation::new(Promise::OwnWholeAnswer, detail));
+        }
+    }
+}
+
+/// Nothing ran under the id of a request that was told `not-run`. Under its key nothing
+/// had run before the call began; a run that began later is another call's.
+pub(super) fn check_not_run(history: &History, out: &mut Vec<Violation>) {
+    let mut by_id: HashMap<&str, &ExecutionRecord> = HashMap::new();
+    let mut by_key: HashMap<&str, &ExecutionRecord> = HashMap::new();
+    for execution in &history.executions {
+        by_id.insert(&execution.request_id, execution);
+        if !execution.key.is_empty() {
+            by_key.insert(&execution.key, execution);
+        }
+    }
+    for call in history.calls.iter().filter(|call| call.not_run()) {
+        let id = call.request_id.as_deref();
+        if let Some(execution) = id.and_then(|id| by_id.get(id)) {
+            let detail = format!("{} ran on {}", call.name(), execution.backend);
+            out.push(Violation::new(Promise::NotRunIsNotRun, detail));
+        }
+        let key = call.key.as_deref().filter(|_| call.never_repeat);
+        let earlier = key
+            .and_then(|key| by_key.get(key))
+            .filter(|execution| execution.began_ms < call.began_ms);
+        if let Some(execution) = earlier {
+            let detail = format!(
+                "{} was told not-run, but its key had run on {} {} ms before",
+                call.name(),
+                execution.backend,
+                call.began_ms - execution.began_ms
+            );
+            out.push(Violation::new(Promise::NotRunIsNotRun, detail));
+        }
+    }
+}
--- a/crates/jaypin_bench/src/lib.rs
+++ b/crates/jaypin_bench/src/lib.rs
@@ -5,6 +5,7 @@
 mod client;
 mod demo;
 mod fleet;
+pub mod history;
 pub mod load;
 
 pub use client::{Answer, Client, Event, completion_body};
--- a/crates/jaypin_bench/src/main.rs
+++ b/crates/jaypin_bench/src/main.rs
@@ -2,7 +2,7 @@
 
 mod cli;
 
-use jaypin_bench::{demo, load};
+use jaypin_bench::{demo, history, load};
 
 type AnyError = Box<dyn std::error::Error + Send + Sync>;
 
@@ -13,6 +13,7 @@
         "demo" => demo().await,
         "load" => one_run(&args).await,
         "compare" => compare(&args).await,
+        "check" => check(&args),
         _ => {
             println!("{}", cli::USAGE);
             Ok(())
@@ -32,6 +33,18 @@
     write(args, &serde_json::to_value(&reports)?)
 }
 
+fn check(args: &cli::Args) -> Result<(), AnyError> {
+    let file = args.file.as_deref().ok_or("a history's file is missing")?;
+    let history = serde_json::from_str(&std::fs::read_to_string(file)?)?;
+    let outcome = history::check(&history);
+    println!("{}", serde_json::to_string_pretty(&outcome)?);
+    if outcome.violations.is_empty() {
+        Ok(())
+    } else {
+        Err(format!("{} promises are broken", outcome.violations.len()).into())
+    }
+}
+
 fn write(args: &cli::Args, value: &serde_json::Value) -> Result<(), AnyError> {
     if let Some(path) = &args.json {
         std::fs::write(path, serde_json::to_string_pretty(value)?)?;
