--- a/crates/jaypin_bench/src/cli.rs
+++ b/crates/jaypin_bench/src/cli.rs
@@ -16,6 +16,8 @@
          Makes a run for each load, seed and policy and prints one table.
        jaypin-bench plot FILE.json --out FILE.svg
          Draws what `compare --json` wrote.
+       jaypin-bench check FILE
+         Checks a history, as torture writes it, against every promise.
 options of a run:
   --mix lanyang|hanbit     what callers ask for (lanyang)
   --policy NAME            grants, local or baseline (grants)
@@ -35,6 +37,8 @@
 pub struct Args {
     /// The command; empty for help.
     pub command: String,
+    /// File that a command works on.
+    pub file: Option<String>,
     /// What a run is like.
     pub load: LoadConfig,
     /// Policies to compare.
@@ -45,8 +49,6 @@
     pub seeds: Vec<u64>,
     /// File for the figures.
     pub json: Option<String>,
-    /// File to read.
-    pub input: Option<String>,
     /// File for a picture.
     pub out: Option<String>,
 }
@@ -76,7 +78,7 @@
                 run_option(&mut args.load, &name, &mut parser)?;
             }
             Value(command) if args.command.is_empty() => args.command = command.string()?,
-            Value(file) if args.input.is_none() => args.input = Some(file.string()?),
+            Value(file) if args.file.is_none() => args.file = Some(file.string()?),
             _ => return Err(arg.unexpected()),
         }
     }
