Bring peers' numbers into bounds before any decision rests on them

Cause: a property test fed a reducer with messages of extreme values. An ask with a duration without end stopped the host: 'cannot convert float seconds to Duration'. Any peer of another build could have ended a host with all its streams. Ruled out: checks in each estimate; the next estimate would forget them. Frames are fuzzed too: any bytes, damaged frames, round trips.

--- a/crates/jaypin_core/src/lib.rs
+++ b/crates/jaypin_core/src/lib.rs
@@ -17,6 +17,7 @@
 mod member;
 mod membership;
 mod message;
+mod message_bounds;
 mod outcome;
 mod owner;
 mod partners;
--- /dev/null
+++ b/crates/jaypin_core/src/message_bounds.rs
@@ -0,0 +1,110 @@
+//! Bounds on what a peer may say before any decision rests on it.
+
+use std::time::Duration;
+
+use crate::{Ask, InFlight, Message, SlotProgress};
+
+/// Longest time that any decision reckons with.
+const MAX_TIME: Duration = Duration::from_hours(24);
+/// Most tokens of a prompt or an answer that any decision reckons with.
+const MAX_TOKENS: u32 = 1 << 24;
+/// Most tokens that a shard can have been asked for between two reports.
+const MAX_USAGE: f64 = 1e12;
+
+impl Message {
+    /// Brings values into bounds, or gives nothing when a number is none.
+    ///
+    /// Guards against a peer of another build or with damaged memory. Its durations
+    /// without end and numbers that are none would overflow in estimates and stop the
+    /// host; within these bounds no sum of them can.
+    #[must_use]
+    pub fn bounded(self) -> Option<Self> {
+        match self {
+            Self::Ask(ask) => Some(Self::Ask(bounded_ask(ask))),
+            Self::Progress {
+                shard,
+                id,
+                number,
+                progress,
+            } => {
+                let progress = bounded_progress(progress);
+                Some(Self::Progress {
+                    shard,
+                    id,
+                    number,
+                    progress,
+                })
+            }
+            Self::Queued {
+                id,
+                attempt,
+                expected_wait,
+            } => {
+                let expected_wait = expected_wait.min(MAX_TIME);
+                Some(Self::Queued {
+                    id,
+                    attempt,
+                    expected_wait,
+                })
+            }
+            Self::Grant(mut grant) => {
+                grant.expected_wait = grant.expected_wait.min(MAX_TIME);
+                Some(Self::Grant(grant))
+            }
+            Self::Refused {
+                id,
+                attempt,
+                mut refusal,
+                expected_wait,
+            } => {
+                refusal.retry_after = refusal.retry_after.map(|wait| wait.min(MAX_TIME));
+                let expected_wait = expected_wait.min(MAX_TIME);
+                Some(Self::Refused {
+                    id,
+                    attempt,
+                    refusal,
+                    expected_wait,
+                })
+            }
+            Self::Usage { tokens, .. } if !(0.0..=MAX_USAGE).contains(&tokens) => None,
+            Self::Part { part, .. } if !(0.0..=1.0).contains(&part) => None,
+            Self::InFlight { shard, running } => {
+                let running = running.into_iter().map(bounded_entry).collect();
+                Some(Self::InFlight { shard, running })
+            }
+            other => Some(other),
+        }
+    }
+}
+
+fn bounded_ask(mut ask: Ask) -> Ask {
+    ask.first_token_in = ask.first_token_in.min(MAX_TIME);
+    ask.whole_in = ask.whole_in.min(MAX_TIME);
+    ask.prompt_tokens = ask.prompt_tokens.min(MAX_TOKENS);
+    ask.max_tokens = ask.max_tokens.min(MAX_TOKENS);
+    ask
+}
+
+fn bounded_entry(mut entry: InFlight) -> InFlight {
+    entry.prompt_tokens = entry.prompt_tokens.min(MAX_TOKENS);
+    entry.max_tokens = entry.max_tokens.min(MAX_TOKENS);
+    entry
+}
+
+fn bounded_progress(progress: SlotProgress) -> SlotProgress {
+    match progress {
+        SlotProgress::FirstToken { after } => SlotProgress::FirstToken {
+            after: after.min(MAX_TIME),
+        },
+        SlotProgress::Finished {
+            tokens,
+            after,
+            lost,
+        } => SlotProgress::Finished {
+            tokens: tokens.min(MAX_TOKENS),
+            after: after.min(MAX_TIME),
+            lost,
+        },
+        other => other,
+    }
+}
--- a/crates/jaypin_core/src/reducer/mod.rs
+++ b/crates/jaypin_core/src/reducer/mod.rs
@@ -170,7 +170,11 @@
             Event::CallerGone(id) => self.caller_gone(&id, fx),
             Event::Call { id, progress } => self.call(now, &id, progress, fx),
             Event::Load(report) => self.load(now, &report, fx),
-            Event::Link { from, message } => self.message(now, &from, message, fx),
+            Event::Link { from, message } => {
+                if let Some(message) = message.bounded() {
+                    self.message(now, &from, message, fx);
+                }
+            }
             Event::PeerLost(host) => self.peer_lost(now, &host, fx),
             Event::PeerSilent(host) => self.peer_silent(now, &host, fx),
             Event::PeerMet { host, incarnation } => self.peer_met(now, &host, incarnation, fx),
--- /dev/null
+++ b/crates/jaypin_wire/tests/frames.rs
@@ -0,0 +1,104 @@
+//! Frames of peer links: any bytes are read without a panic, good ones come through.
+
+use std::time::Duration;
+
+use jaypin_core::{Ask, GrantNumber, Message, Shard, SlotProgress};
+use jaypin_wire::{Frame, decode, encode};
+use proptest::prelude::*;
+
+fn shards() -> impl Strategy<Value = Shard> {
+    ("[a-z]{1,8}", any::<u16>()).prop_map(|(service, index)| Shard {
+        service: service.into(),
+        index,
+    })
+}
+
+fn asks() -> impl Strategy<Value = Message> {
+    (
+        shards(),
+        "[a-z0-9-]{1,40}",
+        any::<(u32, u8, u32, u32, u64, u64)>(),
+        any::<Vec<u64>>(),
+    )
+        .prop_map(
+            |(shard, id, (attempt, tier, prompt_tokens, max_tokens, first, whole), prefixes)| {
+                Message::Ask(Ask {
+                    shard,
+                    id: id.into(),
+                    attempt,
+                    tier,
+                    account: "farm-yilan".into(),
+                    prompt_tokens,
+                    max_tokens,
+                    first_token_in: Duration::from_millis(first),
+                    whole_in: Duration::from_millis(whole),
+                    prefixes,
+                })
+            },
+        )
+}
+
+fn progresses() -> impl Strategy<Value = Message> {
+    (
+        shards(),
+        "[a-z0-9-]{1,40}",
+        any::<(u64, u64, u32, u64, bool)>(),
+    )
+        .prop_map(
+            |(shard, id, (incarnation, sequence, tokens, after, lost))| Message::Progress {
+                shard,
+                id: id.into(),
+                number: GrantNumber {
+                    incarnation,
+                    sequence,
+                },
+                progress: SlotProgress::Finished {
+                    tokens,
+                    after: Duration::from_millis(after),
+                    lost,
+                },
+            },
+        )
+}
+
+fn config() -> ProptestConfig {
+    ProptestConfig {
+        cases: 2_000,
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(11),
+        ..ProptestConfig::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn any_bytes_are_read_without_a_panic(bytes in any::<Vec<u8>>()) {
+        let _ = decode::<Frame>(&bytes);
+    }
+
+    /// A link passes a frame with one byte changed, or cut short. What is read is either
+    /// refused or some other message; it never stops the host.
+    #[test]
+    fn damaged_frames_are_read_without_a_panic(
+        message in asks(), place in any::<prop::sample::Index>(), byte in any::<u8>(), cut in any::<bool>(),
+    ) {
+        let mut bytes = encode(&Frame::Message(message.into())).expect("encoded");
+        let place = place.index(bytes.len());
+        bytes[place] = byte;
+        if cut {
+            bytes.truncate(place);
+        }
+        let _ = decode::<Frame>(&bytes);
+    }
+
+    #[test]
+    fn messages_come_through(message in prop_oneof![asks(), progresses()]) {
+        let bytes = encode(&Frame::Message(message.clone().into())).expect("encoded");
+        let Ok(Frame::Message(wire)) = decode(&bytes) else {
+            return Err(TestCaseError::fail("not a message"));
+        };
+        prop_assert_eq!(Message::from(wire), message);
+    }
+}
