--- a/crates/jaypin_bench/src/lib.rs
+++ b/crates/jaypin_bench/src/lib.rs
@@ -6,6 +6,7 @@
 mod command;
 mod demo;
 mod fleet;
+pub mod history;
 pub mod load;
 mod plot;
 
--- a/crates/jaypin_bench/src/main.rs
+++ b/crates/jaypin_bench/src/main.rs
@@ -2,7 +2,7 @@
 
 mod cli;
 
-use jaypin_bench::{Run, demo, load, plot};
+use jaypin_bench::{Run, demo, history, load, plot};
 
 type AnyError = Box<dyn std::error::Error + Send + Sync>;
 
@@ -14,6 +14,7 @@
         "load" => one_run(&args).await,
         "compare" => compare(&args).await,
         "plot" => draw(&args),
+        "check" => check(&args),
         _ => {
             println!("{}", cli::USAGE);
             Ok(())
@@ -33,6 +34,18 @@
     write(args, &serde_json::to_value(&reports)?)
 }
 
+fn check(args: &cli::Args) -> Result<(), AnyError> {
+    let file = args.file.as_deref().ok_or("a history's file is missing")?;
+    let history = serde_json::from_str(&std::fs::read_to_string(file)?)?;
+    let outcome = history::check(&history);
+    println!("{}", serde_json::to_string_pretty(&outcome)?);
+    if outcome.violations.is_empty() {
+        Ok(())
+    } else {
+        Err(format!("{} promises are broken", outcome.violations.len()).into())
+    }
+}
+
 fn write(args: &cli::Args, value: &serde_json::Value) -> Result<(), AnyError> {
     if let Some(path) = &args.json {
         std::fs::write(path, serde_json::to_string_pretty(value)?)?;
@@ -42,7 +55,7 @@
 
 fn draw(args: &cli::Args) -> Result<(), AnyError> {
     let input = args
-        .input
+        .file
         .as_deref()
         .ok_or("a file written by `compare --json` is missing")?;
     let out = args.out.as_deref().ok_or("--out is missing")?;
