--- a/crates/jaypin/src/cli/audit.rs
+++ b/crates/jaypin/src/cli/audit.rs
@@ -5,7 +5,7 @@
 
 use super::target::{TARGET_HELP, Target};
 use super::word::Word;
-use super::{Failure, Outcome, help, print_json, text_value};
+use super::{Failure, Outcome, date, help, print_json, text_value};
 use crate::rules_change::{RulesStore, Trail};
 
 const HELP: &str = "\
@@ -116,12 +116,20 @@
         .as_ref()
         .map_or(String::new(), |note| format!(": {note}"));
     format!(
-        "{}. at {} s, {}, {versions}, apply {}, by {}, asked by {}{note}",
+        "{}. {}, {}, {versions}, apply {}, by {}, asked by {}{note}",
         entry.number,
-        entry.at,
+        date(entry.at),
         entry.kind,
         entry.apply_id,
         entry.author,
-        entry.requesters.join("; ")
+        asked_by(&entry.requesters)
     )
 }
+
+/// Names the requesters of a change.
+pub fn asked_by(names: &[String]) -> String {
+    if names.is_empty() {
+        return "nobody that is named".to_owned();
+    }
+    names.join("; ")
+}
--- a/crates/jaypin/src/cli/mod.rs
+++ b/crates/jaypin/src/cli/mod.rs
@@ -97,6 +97,13 @@
     Ok(parser.value()?.parse()?)
 }
 
+/// Writes a time, given in seconds since the Unix epoch, as RFC 3339.
+fn date(seconds: u64) -> String {
+    let seconds = i64::try_from(seconds).unwrap_or(i64::MAX);
+    let time = jiff::Timestamp::from_second(seconds);
+    time.map_or_else(|_| format!("{seconds} s"), |time| time.to_string())
+}
+
 /// Prints a value as JSON for programs.
 fn print_json(value: &impl serde::Serialize) -> Outcome {
     let text = serde_json::to_string_pretty(value);
--- a/crates/jaypin/src/cli/rules/apply.rs
+++ b/crates/jaypin/src/cli/rules/apply.rs
@@ -4,7 +4,7 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
-use jaypin_rules::{LineChange, RuleSet, difference};
+use jaypin_rules::{LineChange, difference, redact_line, requester_of};
 use jaypin_wire::{AuditEntry, AuditKind, RulesChange, RulesObject, digest_entry};
 use lexopt::Parser;
 
@@ -92,11 +92,9 @@
         deadline,
         entry: first_entry(args, &text, &changes),
     };
-    let rules = match jaypin_rules::parse(&text) {
-        Ok(rules) => rules,
-        Err(mistakes) => return apply.refuse(list(&args.file, &mistakes)),
-    };
-    apply.entry.requesters = requesters(args, &rules, &changes);
+    if let Err(mistakes) = jaypin_rules::parse(&text) {
+        return apply.refuse(list(&args.file, &mistakes));
+    }
     if apply.entry.requesters.is_empty() {
         let message = "the change adds no rule: say who asked for it with --asked-by WHO";
         return apply.refuse(message.to_owned());
@@ -186,28 +184,25 @@
         kind: AuditKind::Proposed,
         apply_id: format!("{:016x}", rand::random::<u64>()),
         author: args.author.clone(),
-        requesters: args.asked_by.iter().cloned().collect(),
+        requesters: requesters(args, changes),
         old_version: args.edited_from,
         new_version: None,
         text_digest: digest_entry(text),
-        difference: changes.iter().map(ToString::to_string).collect(),
+        difference: changes.iter().map(redacted).collect(),
         omitted_lines: 0,
         note: None,
     }
 }
 
-fn requesters(args: &Args, rules: &RuleSet, changes: &[LineChange]) -> Vec<String> {
+fn requesters(args: &Args, changes: &[LineChange]) -> Vec<String> {
     if let Some(name) = &args.asked_by {
         return vec![name.clone()];
     }
     let added = changes.iter().filter_map(|change| match change {
-        LineChange::Added { line, .. } => u32::try_from(*line).ok(),
+        LineChange::Added { text, .. } => requester_of(text),
         LineChange::Removed { .. } => None,
     });
-    let names: BTreeSet<String> = added
-        .filter_map(|line| Some(rules.rule_at(line)?.origin.asked_by.clone()))
-        .collect();
-    shorten(names)
+    shorten(added.collect())
 }
 
 /// Keeps the list short enough for the rules object; the difference names the others.
@@ -220,6 +215,10 @@
     kept
 }
 
+fn redacted(change: &LineChange) -> String {
+    redact_line(&change.to_string())
+}
+
 fn change(entry: &AuditEntry, changes: &[LineChange]) -> RulesChange {
     let is_added = |change: &&LineChange| matches!(change, LineChange::Added { .. });
     let added = changes.iter().filter(is_added).count();
--- a/crates/jaypin/src/cli/rules/log.rs
+++ b/crates/jaypin/src/cli/rules/log.rs
@@ -3,9 +3,9 @@
 use lexopt::Parser;
 
 use super::{Failure, Outcome, help};
-use crate::cli::print_json;
 use crate::cli::target::{TARGET_HELP, Target};
 use crate::cli::word::Word;
+use crate::cli::{date, print_json};
 use crate::rules_change::RulesStore;
 
 const HELP: &str = "\
@@ -31,8 +31,8 @@
     }
     for change in &object.changes {
         println!(
-            "at {} s, apply {}, from version {}, by {}, asked by {}: +{} -{} lines",
-            change.at,
+            "{}, apply {}, from version {}, by {}, asked by {}: +{} -{} lines",
+            date(change.at),
             change.apply_id,
             change.edited_from,
             change.author,
--- a/crates/jaypin_bench/tests/operators.rs
+++ b/crates/jaypin_bench/tests/operators.rs
@@ -172,6 +172,8 @@
     assert_eq!(entries.len(), 1);
     assert_eq!(entries[0]["kind"], "refused");
     assert_eq!(entries[0]["author"], "ann");
+    let text = entries[0].to_string();
+    assert!(!text.contains("a-secret-credential"), "{text}");
 }
 
 /// Each accepted change can be traced from the trail to who asked for it, and a change
--- a/crates/jaypin_rules/src/kinds.rs
+++ b/crates/jaypin_rules/src/kinds.rs
@@ -263,7 +263,8 @@
     is_method && path.starts_with('/') && !path.contains(char::is_whitespace)
 }
 
-fn is_digest(text: &str) -> bool {
+/// Whether a text is a SHA-256 in lower-case hexadecimal digits.
+pub fn is_digest(text: &str) -> bool {
     let is_digit = |c: char| matches!(c, '0'..='9' | 'a'..='f');
     text.len() == DIGEST_LEN && text.chars().all(is_digit)
 }
--- a/crates/jaypin_rules/src/lib.rs
+++ b/crates/jaypin_rules/src/lib.rs
@@ -14,6 +14,7 @@
 mod mistake;
 mod nearest;
 mod parse;
+mod redact;
 mod rule;
 mod rule_set;
 
@@ -23,6 +24,7 @@
 pub use mistake::Mistake;
 pub use nearest::name_hint;
 pub use parse::parse;
+pub use redact::{redact_line, requester_of};
 pub use rule::{
     AccountRule, CallerRule, FencingRule, LimitRule, Origin, QuarantineRule, Repeat, RouteRule,
     ServiceKind, ServiceRule, TierRule,
--- a/crates/jaypin_rules/tests/parse.rs
+++ b/crates/jaypin_rules/tests/parse.rs
@@ -1,6 +1,6 @@
 //! What the rule file may say, and how its mistakes are named.
 
-use jaypin_rules::{RuleSet, difference, parse};
+use jaypin_rules::{RuleSet, difference, parse, redact_line};
 
 const LANYANG: &str = include_str!("../../../examples/lanyang-rules.yaml");
 const HANBIT: &str = include_str!("../../../examples/hanbit-rules.yaml");
@@ -109,3 +109,32 @@
         .collect();
     insta::assert_snapshot!(lines.join("\n"));
 }
+
+/// Names a case, a line, and what may be kept of it.
+macro_rules! redacted {
+    ($($name:ident: $line:expr => $expected:expr;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                assert_eq!(redact_line($line), $expected);
+            }
+        )*
+    };
+}
+
+redacted! {
+    a_credential_is_hidden: "- {caller: s3cret, account: a}  # asked by: a"
+        => "- {caller: [not a digest, not shown] # asked by: a";
+    a_credential_with_a_comma_is_hidden: r#"- {caller: "s3,cret}", account: a}"#
+        => "- {caller: [not a digest, not shown]";
+    a_credential_in_a_line_that_is_no_yaml_is_hidden: "- {account: a, caller: s3cret"
+        => "- {account: a, caller: [not a digest, not shown]";
+    other_lines_are_kept: "- {account: a}  # asked by: a" => "- {account: a}  # asked by: a";
+}
+
+#[test]
+fn digests_are_kept() {
+    for line in LANYANG.lines() {
+        assert_eq!(redact_line(line), line);
+    }
+}
--- a/crates/jaypin_wire/src/explain/mod.rs
+++ b/crates/jaypin_wire/src/explain/mod.rs
@@ -65,11 +65,14 @@
     },
     /// It was sent to a backend server.
     Dispatched {
-        /// The backend server.
+        /// The backend server; callers are not told.
+        #[serde(default, skip_serializing_if = "String::is_empty")]
         backend: String,
         /// Number of the grant; none when the owner chose by itself.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
         grant: Option<String>,
         /// What was weighed, the chosen one first.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
         candidates: Vec<CandidateBody>,
     },
     /// The first token came.
