--- a/crates/jaypin/src/metrics/instruments.rs
+++ b/crates/jaypin/src/metrics/instruments.rs
@@ -18,7 +18,7 @@
     pub registry: Registry,
     /// Requests that ended, by tier and outcome.
     pub requests: Counter<u64>,
-    /// Refusals, by reason and by whether the request ran.
+    /// Refusals, by tier, reason and whether the request ran.
     pub refusals: Counter<u64>,
     /// Steps of decisions.
     pub decisions: Counter<u64>,
@@ -94,7 +94,7 @@
             refusals: counter(
                 "jaypin.refusals",
                 "{refusal}",
-                "Refusals by reason and by whether the request ran",
+                "Refusals by tier, reason and whether the request ran",
             ),
             decisions: counter("jaypin.decisions", "{step}", "Steps of decisions"),
             first_token: times(
--- a/crates/jaypin/src/metrics/mod.rs
+++ b/crates/jaypin/src/metrics/mod.rs
@@ -52,6 +52,7 @@
         Step::Refused(refusal) => {
             ended(tier(), after, "refused");
             let labels = [
+                tier(),
                 KeyValue::new("reason", refusal.reason.as_str()),
                 KeyValue::new("outcome", refusal.ran.as_str()),
             ];
--- a/crates/jaypin_bench/tests/metrics.rs
+++ b/crates/jaypin_bench/tests/metrics.rs
@@ -55,6 +55,7 @@
         }
     };
     assert_eq!(refused.json()["outcome"], "not-run");
-    let line = r#"jaypin_refusals_total{outcome="not-run",reason="no-backend-server"} 1"#;
-    scrape_until(&fleet, 0, line).await;
+    let labels = r#"outcome="not-run",reason="no-backend-server",tier="cow-status""#;
+    let line = format!("jaypin_refusals_total{{{labels}}} 1");
+    scrape_until(&fleet, 0, &line).await;
 }
