Run calls that may not be repeated at most once

Cause: a call with an idempotency key ran as often as it was sent. The host that accepted it knew nothing of the same key at other hosts.

Ruled out: a claim before the slot is asked for rather than after the grant, so that no slot is held while a key is looked up; the host that dies then leaves the key unknown though nothing left, which is the safe side. Keys carry the period in which the prefix was issued, because a table that forgets by age alone would grant a forgotten key again.

Change: the process that issued a key's prefix owns the key and alone grants its claim, over a link. Claims and outcomes are sent again until answered, so that lost and repeated messages do no harm. Outcomes: not run (given back), answered (replayed up to 16 KiB, 8 MiB in all), unknown. An owner that is gone, restarted or silent for 2 s gives `unknown`; the call is not run. A call that may not be repeated goes on when its caller left, so that its answer is found under the key.

Found on the way: a cancelled call sent `DELETE /v1/streams/ID` to plain services too, which took it for a call of theirs. Only engines get it now.

--- a/crates/jaypin/src/answer.rs
+++ b/crates/jaypin/src/answer.rs
@@ -10,7 +10,7 @@
 use hyper::body::{Body, Frame};
 use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use hyper::{Response, StatusCode};
-use jaypin_core::{Event, Ran, Reason, Refusal, RequestId};
+use jaypin_core::{Event, Ran, Reason, Refusal, RequestId, StoredAnswer};
 use jaypin_wire::RefusalBody;
 use serde::Serialize;
 use tokio::sync::mpsc;
@@ -117,6 +117,18 @@
     response
 }
 
+/// The answer that a call with the same key got before.
+pub fn replayed(stored: &StoredAnswer) -> Response<AnswerBody> {
+    let mut response = Response::new(full(stored.body.to_vec()));
+    *response.status_mut() = StatusCode::from_u16(stored.status).unwrap_or_default();
+    let headers = response.headers_mut();
+    headers.insert("x-jaypin-replayed", HeaderValue::from_static("true"));
+    if let Ok(value) = HeaderValue::from_str(&stored.content_type) {
+        headers.insert(CONTENT_TYPE, value);
+    }
+    response
+}
+
 /// A refusal before a request reached the decisions.
 pub fn rejected(status: StatusCode, reason: &str, message: &str) -> Response<AnswerBody> {
     let body = RefusalBody {
@@ -139,8 +151,8 @@
 fn refusal_status(refusal: &Refusal) -> StatusCode {
     match (refusal.reason, refusal.ran) {
         (Reason::OverLimit, _) => StatusCode::TOO_MANY_REQUESTS,
-        (Reason::InFlight | Reason::KeyUnknown, _) => StatusCode::CONFLICT,
-        (Reason::Quarantined, _) => StatusCode::UNPROCESSABLE_ENTITY,
+        (Reason::InFlight | Reason::KeyUnknown | Reason::AlreadyRan, _) => StatusCode::CONFLICT,
+        (Reason::Quarantined | Reason::KeyMismatch, _) => StatusCode::UNPROCESSABLE_ENTITY,
         (_, Ran::NotRun) => StatusCode::SERVICE_UNAVAILABLE,
         (_, Ran::Ran | Ran::Unknown) => StatusCode::BAD_GATEWAY,
     }
--- a/crates/jaypin/src/backend_call.rs
+++ b/crates/jaypin/src/backend_call.rs
@@ -12,11 +12,13 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper::header::{CONTENT_TYPE, HOST, HeaderValue};
-use hyper::{Method, Request, Response, StatusCode};
+use hyper::{Method, Request, Response, StatusCode, http::response};
 use hyper_util::rt::TokioIo;
 use jaypin_core::{
-    BackendId, CallOutcome, CallProgress, Event, GrantNumber, LoadReport, RequestId,
+    BackendId, CallOutcome, CallProgress, Event, GrantNumber, LoadReport, MAX_STORED_ANSWER,
+    RequestId, StoredAnswer,
 };
+use jaypin_rules::ServiceKind;
 use serde::Deserialize;
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, watch};
@@ -59,7 +61,8 @@
         outcome = make(&mut call, &calls, &events, &mut counter) => outcome,
         () = told_to_stop(&mut cancelled) => Some(CallOutcome::Cancelled),
     };
-    if outcome == Some(CallOutcome::Cancelled) {
+    // Plain services know no streams: they would take the order for a call of theirs.
+    if outcome == Some(CallOutcome::Cancelled) && call.outbound.kind == ServiceKind::Engine {
         cancel_stream(&address, &id).await;
     }
     if matches!(
@@ -154,6 +157,9 @@
     let bytes = body.to_bytes();
     tell(events, call, CallProgress::FirstToken);
     counter.saw_whole(&bytes);
+    if call.outbound.store_answer {
+        tell_answered(events, call, &head, &bytes);
+    }
     let Some(mut caller) = calls.take_caller(&call.id, None) else {
         return CallOutcome::Cancelled;
     };
@@ -167,6 +173,20 @@
     }
 }
 
+/// The outcome is kept before the caller is answered, so that a caller whose answer
+/// is lost on the way gets it again under its key.
+fn tell_answered(events: &Sender<Event>, call: &Call, head: &response::Parts, body: &Bytes) {
+    let content_type = head.headers.get(CONTENT_TYPE);
+    let content_type = content_type.and_then(|value| value.to_str().ok());
+    let answer = (body.len() <= MAX_STORED_ANSWER).then(|| StoredAnswer {
+        status: head.status.as_u16(),
+        content_type: content_type.unwrap_or_default().into(),
+        body: body.to_vec().into(),
+    });
+    let id = call.id.clone();
+    let _ = events.send(Event::Answered { id, answer });
+}
+
 async fn pass_stream(
     call: &Call,
     calls: &Calls,
--- a/crates/jaypin/src/calls.rs
+++ b/crates/jaypin/src/calls.rs
@@ -5,7 +5,8 @@
 
 use bytes::Bytes;
 use hyper::{HeaderMap, Method, Response};
-use jaypin_core::{Refusal, RequestId};
+use jaypin_core::{Refusal, RequestId, StoredAnswer};
+use jaypin_rules::ServiceKind;
 use tokio::sync::{oneshot, watch};
 
 use crate::answer::{self, AnswerBody, CallerGuard, ChunkSender};
@@ -21,8 +22,12 @@
     pub headers: HeaderMap,
     /// The body.
     pub body: Bytes,
+    /// What the backend server speaks.
+    pub kind: ServiceKind,
     /// Whether the answer is a stream of server-sent events.
     pub stream: bool,
+    /// Whether the answer is kept under the call's key.
+    pub store_answer: bool,
 }
 
 /// A caller that waits for the head of its answer.
@@ -115,6 +120,15 @@
         self.lock().remove(id);
     }
 
+    /// Answers with what the key's call was answered before.
+    pub fn replay(&self, id: &RequestId, stored: &StoredAnswer) {
+        if let Some(Entry::Pending(call)) = self.lock().remove(id) {
+            let mut caller = call.caller;
+            caller.guard.disarm();
+            let _ = caller.reply.send(answer::replayed(stored));
+        }
+    }
+
     /// Ends a call with a refusal: as the answer, or as the marked end of a stream.
     pub fn refuse(&self, id: &RequestId, refusal: &Refusal) {
         let caller = match self.lock().remove(id) {
--- a/crates/jaypin/src/frontend/mod.rs
+++ b/crates/jaypin/src/frontend/mod.rs
@@ -17,7 +17,7 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use jaypin_core::{Event, HostId, RequestId, rank_by_score};
+use jaypin_core::{Event, HostId, IdempotencyKey, RequestId, rank_by_score};
 use jaypin_wire::{EntryAddress, EntryAnswer};
 use socket2::{Domain, Socket, TcpKeepalive, Type};
 use tokio::net::{TcpListener, TcpStream};
@@ -203,7 +203,11 @@
             valid_for_s: ENTRY_VALID_FOR.as_secs(),
             host: self.shared.host.to_string(),
             incarnation: self.shared.incarnation.to_string(),
-            key_prefix: format!("{}-{}.", self.shared.host, self.shared.incarnation),
+            key_prefix: IdempotencyKey::prefix(
+                &self.shared.host,
+                self.shared.incarnation,
+                snapshot.summary.key_period,
+            ),
         }
     }
 }
--- a/crates/jaypin/src/frontend/read_request.rs
+++ b/crates/jaypin/src/frontend/read_request.rs
@@ -7,7 +7,7 @@
 use hyper::body::Incoming;
 use hyper::header::{AUTHORIZATION, CONTENT_TYPE, HeaderName, HeaderValue};
 use hyper::{HeaderMap, Method, Request, StatusCode};
-use jaypin_core::{AccountId, RequestId, RequestInfo};
+use jaypin_core::{AccountId, IdempotencyKey, RequestId, RequestInfo};
 use jaypin_rules::{Repeat, RuleSet, ServiceKind, ServiceRule, TierRule, digest_credential};
 use serde::Deserialize;
 use snafu::Snafu;
@@ -68,6 +68,12 @@
     /// The call must not be repeated and has no key.
     #[snafu(display("this call may not be repeated: an Idempotency-Key is expected"))]
     KeyMissing,
+    /// The key names no incarnation of a host.
+    #[snafu(display(
+        "an Idempotency-Key is the `key_prefix` that GET /v1/entry gives, followed by \
+         1 to 64 letters, digits, `-` or `_` of your own"
+    ))]
+    KeyMalformed,
     /// The host has no rules yet.
     #[snafu(display("this host is not ready"))]
     NotReady,
@@ -82,7 +88,9 @@
             Self::Method => StatusCode::METHOD_NOT_ALLOWED,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::Cut => StatusCode::REQUEST_TIMEOUT,
-            Self::Json { .. } | Self::Tier | Self::KeyMissing => StatusCode::BAD_REQUEST,
+            Self::Json { .. } | Self::Tier | Self::KeyMissing | Self::KeyMalformed => {
+                StatusCode::BAD_REQUEST
+            }
             Self::NotReady => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
@@ -99,6 +107,7 @@
             Self::Model => "no-such-model",
             Self::Tier => "no-such-tier",
             Self::KeyMissing => "key-missing",
+            Self::KeyMalformed => "key-malformed",
             Self::NotReady => "not-ready",
         }
     }
@@ -213,7 +222,9 @@
         path,
         headers: json_headers(),
         body,
+        kind: ServiceKind::Engine,
         stream: call.stream,
+        store_answer: false,
     };
     Ok((info, outbound))
 }
@@ -238,6 +249,10 @@
     if route.repeat == Repeat::Never && key.is_none() {
         return Err(ReadError::KeyMissing);
     }
+    let well_formed = |key: &String| IdempotencyKey::parse(key).is_some();
+    if route.repeat == Repeat::Never && !key.as_ref().is_some_and(well_formed) {
+        return Err(ReadError::KeyMalformed);
+    }
     let named = route
         .tier
         .clone()
@@ -259,18 +274,22 @@
         .map(|query| format!("?{query}"))
         .unwrap_or_default();
     let path = format!("/{tail}{query}");
+    let salt = salt(&caller.account);
+    let route_salt = xxh3_64_with_seed(format!("{name} {method} {path}").as_bytes(), salt);
     let mut info = describe(new_id(), &caller, service, tier);
     info.repeat = route.repeat;
     info.rule_lines.push(route.origin.line);
     info.key = key;
     let body = read_body(req).await?;
-    info.fingerprint = xxh3_64_with_seed(&body, salt(&caller.account));
+    info.fingerprint = xxh3_64_with_seed(&body, route_salt);
     let outbound = Outbound {
         method,
         path,
         headers,
         body,
+        kind: ServiceKind::Plain,
         stream: false,
+        store_answer: route.repeat == Repeat::Never,
     };
     Ok((info, outbound))
 }
--- a/crates/jaypin/src/runner.rs
+++ b/crates/jaypin/src/runner.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use crossbeam::channel::Sender;
-use jaypin_core::{Effect, Event, Record};
+use jaypin_core::{CallProgress, Effect, Event, Record};
 use tokio::sync::Notify;
 
 use crate::backend_call;
@@ -31,6 +31,9 @@
                 id, address, fence, ..
             } => {
                 let Some((outbound, cancelled)) = self.calls.start(&id) else {
+                    // The caller left and took the body along; the slot goes back.
+                    let progress = CallProgress::NotSent;
+                    let _ = self.events.send(Event::Call { id, progress });
                     return;
                 };
                 let call = backend_call::Call {
@@ -47,6 +50,7 @@
                 ));
             }
             Effect::Refuse { id, refusal } => self.calls.refuse(&id, &refusal),
+            Effect::Replay { id, answer } => self.calls.replay(&id, &answer),
             Effect::Cancel(id) => self.calls.cancel(&id),
             Effect::Send { to, message } => self.links.send(&to, message),
             Effect::PollLoad { backend, address } => {
--- /dev/null
+++ b/crates/jaypin_core/src/claims.rs
@@ -0,0 +1,49 @@
+//! The claims that this host's requests ask for, hold, and have ended.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Instant;
+
+use crate::request::{Claiming, Request};
+use crate::{HostId, KeyOutcome, RequestId};
+
+/// A claim on a key, as its holder knows it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HeldClaim {
+    /// The key, as the caller gave it.
+    pub key: Arc<str>,
+    /// The host that owns the key.
+    pub owner: HostId,
+}
+
+/// An outcome that the key's owner has not confirmed.
+#[derive(Debug)]
+pub struct Unsettled {
+    /// The claim.
+    pub claim: HeldClaim,
+    /// What became of the call.
+    pub outcome: KeyOutcome,
+    /// When it was first looked after; none before.
+    pub since: Option<Instant>,
+    /// When it was last sent; none before it was looked after.
+    pub sent_at: Option<Instant>,
+}
+
+/// The holder's side of all claims.
+#[derive(Debug, Default)]
+pub struct Claims {
+    /// Requests that wait for a claim.
+    pub claiming: BTreeMap<RequestId, Request<Claiming>>,
+    /// Claims of requests that wait for a slot or run.
+    pub held: BTreeMap<RequestId, HeldClaim>,
+    /// Outcomes on their way.
+    pub unsettled: BTreeMap<RequestId, Unsettled>,
+}
+
+impl Claims {
+    /// Whether nothing is left to ask for or to tell.
+    #[must_use]
+    pub fn is_idle(&self) -> bool {
+        self.claiming.is_empty() && self.unsettled.is_empty()
+    }
+}
--- a/crates/jaypin_core/src/effect.rs
+++ b/crates/jaypin_core/src/effect.rs
@@ -1,6 +1,6 @@
 //! Everything a host does, as data.
 
-use crate::{BackendId, GrantNumber, HostId, Message, Record, Refusal, RequestId};
+use crate::{BackendId, GrantNumber, HostId, Message, Record, Refusal, RequestId, StoredAnswer};
 
 /// Something to be done by an adapter.
 #[derive(Debug, Clone, PartialEq)]
@@ -23,6 +23,13 @@
         /// The answer.
         refusal: Refusal,
     },
+    /// Answer the caller with the answer that its key's call got before.
+    Replay {
+        /// The request.
+        id: RequestId,
+        /// The answer.
+        answer: StoredAnswer,
+    },
     /// Stop a running call at the backend server.
     Cancel(RequestId),
     /// Send a message to a peer.
--- a/crates/jaypin_core/src/event.rs
+++ b/crates/jaypin_core/src/event.rs
@@ -5,7 +5,7 @@
 
 use jaypin_rules::RuleSet;
 
-use crate::{BackendId, HostId, HostList, Message, RequestId, RequestInfo};
+use crate::{BackendId, HostId, HostList, Message, RequestId, RequestInfo, StoredAnswer};
 
 /// Something that happened.
 #[derive(Debug, Clone)]
@@ -21,6 +21,13 @@
         /// How far it is.
         progress: CallProgress,
     },
+    /// A call that may not be repeated was answered; told before its caller is.
+    Answered {
+        /// The request.
+        id: RequestId,
+        /// The answer, if it is small enough to be kept.
+        answer: Option<StoredAnswer>,
+    },
     /// A backend server reported its load, with a lag.
     Load(LoadReport),
     /// A peer sent a message.
--- a/crates/jaypin_core/src/lib.rs
+++ b/crates/jaypin_core/src/lib.rs
@@ -7,11 +7,13 @@
 
 mod backend_model;
 mod baseline;
+mod claims;
 mod config;
 mod effect;
 mod event;
 mod host_list;
 mod ids;
+mod keys;
 mod membership;
 mod message;
 mod outcome;
@@ -29,6 +31,10 @@
 pub use event::{CallOutcome, CallProgress, Event, LoadReport};
 pub use host_list::{BackendRecord, HostList, HostRecord, Presence};
 pub use ids::{AccountId, BackendId, FailureDomain, HostId, Incarnation, RequestId, ServiceId};
+pub use keys::{
+    ClaimSubject, ClaimVerdict, IdempotencyKey, KEY_HORIZON, KEY_PERIOD, KeyOutcome, KeyTable,
+    MAX_KEYS, MAX_STORED_ANSWER, MAX_STORED_BYTES, StoredAnswer,
+};
 pub use membership::Membership;
 pub use message::{Ask, Candidate, Grant, GrantNumber, InFlight, Message, SlotProgress};
 pub use outcome::{Ran, Reason, Refusal};
--- a/crates/jaypin_core/src/message.rs
+++ b/crates/jaypin_core/src/message.rs
@@ -1,8 +1,12 @@
 //! What hosts say to each other.
 
+use std::sync::Arc;
 use std::time::Duration;
 
-use crate::{AccountId, BackendId, Incarnation, Refusal, RequestId, Shard};
+use crate::{
+    AccountId, BackendId, ClaimSubject, ClaimVerdict, Incarnation, KeyOutcome, Refusal, RequestId,
+    Shard,
+};
 
 /// Number of a grant: greater is later, across runs of a shard scheduler's host.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -68,6 +72,45 @@
         /// The running requests.
         running: Vec<InFlight>,
     },
+    /// To the host that a key names: may this request run?
+    Claim {
+        /// The key, as the caller gave it.
+        key: Arc<str>,
+        /// The request.
+        id: RequestId,
+        /// What the key is used for.
+        subject: ClaimSubject,
+    },
+    /// From a key's owner: the answer to a claim.
+    Claimed {
+        /// The key.
+        key: Arc<str>,
+        /// The request.
+        id: RequestId,
+        /// The answer.
+        verdict: ClaimVerdict,
+    },
+    /// To a key's owner: what became of a claimed call; repeated until confirmed.
+    Settle {
+        /// The key.
+        key: Arc<str>,
+        /// The request.
+        id: RequestId,
+        /// What became of it.
+        outcome: KeyOutcome,
+    },
+    /// From a key's owner: the outcome arrived.
+    Settled {
+        /// The request.
+        id: RequestId,
+    },
+    /// From a key's owner to a claim's holder: does the request still hold it?
+    ClaimCheck {
+        /// The key.
+        key: Arc<str>,
+        /// The request.
+        id: RequestId,
+    },
 }
 
 /// What a shard scheduler has to know of a request.
--- a/crates/jaypin_core/src/outcome.rs
+++ b/crates/jaypin_core/src/outcome.rs
@@ -46,8 +46,14 @@
     Quarantined,
     /// The key was already used, and the call is running.
     InFlight,
-    /// The key's outcome is not known any more.
+    /// The key's outcome is not known, or not known any more.
     KeyUnknown,
+    /// The key was used for another call.
+    KeyMismatch,
+    /// The host that owns the key has no room for another.
+    KeyTableFull,
+    /// The key's call was answered before, and the answer is not kept.
+    AlreadyRan,
     /// The backend server broke off.
     BackendLost,
     /// The backend server answered with an error.
@@ -69,6 +75,9 @@
             Self::Quarantined => "quarantined",
             Self::InFlight => "in-flight",
             Self::KeyUnknown => "key-unknown",
+            Self::KeyMismatch => "key-mismatch",
+            Self::KeyTableFull => "key-table-full",
+            Self::AlreadyRan => "already-ran",
             Self::BackendLost => "backend-server-lost",
             Self::BackendFailed => "backend-server-failed",
         }
--- a/crates/jaypin_core/src/record.rs
+++ b/crates/jaypin_core/src/record.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use crate::{
-    AccountId, BackendId, CallOutcome, Candidate, GrantNumber, HostId, Refusal, RequestId, Shard,
+    AccountId, BackendId, CallOutcome, Candidate, ClaimVerdict, GrantNumber, HostId, Refusal,
+    RequestId, Shard,
 };
 
 /// One step in the life of a request.
@@ -31,6 +32,8 @@
         /// Version of those rules.
         rules_version: u64,
     },
+    /// The owner of its idempotency key answered.
+    Claimed(ClaimVerdict),
     /// A shard scheduler was asked for a slot.
     Asked {
         /// The shard.
--- a/crates/jaypin_core/src/reducer/arrival.rs
+++ b/crates/jaypin_core/src/reducer/arrival.rs
@@ -21,6 +21,13 @@
             let refusal = Refusal::not_run(Reason::NotReady).retry_after(DEFAULT_RETRY_AFTER);
             return self.refuse(&info, Duration::ZERO, refusal, fx);
         }
+        if !self.must_claim(now, &info, fx) {
+            self.place(now, info, fx);
+        }
+    }
+
+    /// Finds a slot for a request that may run.
+    pub(super) fn place(&mut self, now: Instant, info: RequestInfo, fx: &mut Vec<Effect>) {
         match self.cfg.policy {
             Policy::Grants => self.ask_first(now, info, fx),
             Policy::Baseline => self.choose_alone(now, info, fx),
--- a/crates/jaypin_core/src/reducer/calls.rs
+++ b/crates/jaypin_core/src/reducer/calls.rs
@@ -2,11 +2,13 @@
 
 use std::time::Instant;
 
+use jaypin_rules::Repeat;
+
 use super::{DEFAULT_RETRY_AFTER, Reducer, elapsed, record, slot_message};
 use crate::request::{Dispatched, Granted, Request, Waiting};
 use crate::{
-    CallOutcome, CallProgress, Candidate, Effect, Message, Ran, Reason, Refusal, RequestId,
-    SlotProgress, Step,
+    CallOutcome, CallProgress, Candidate, Effect, KeyOutcome, Message, Ran, Reason, Refusal,
+    RequestId, SlotProgress, Step,
 };
 
 impl Reducer {
@@ -113,7 +115,10 @@
             self.send(&leader, message, fx);
         }
         let refusal = match outcome {
-            CallOutcome::Complete | CallOutcome::Cancelled => return,
+            CallOutcome::Complete | CallOutcome::Cancelled => {
+                // An answer was settled when it came; without one nothing is known.
+                return self.settle(id, KeyOutcome::Unknown, fx);
+            }
             CallOutcome::Lost => Refusal::after_dispatch(Reason::BackendLost, Ran::Unknown),
             CallOutcome::Failed => Refusal::after_dispatch(Reason::BackendFailed, Ran::Ran),
         };
@@ -127,6 +132,13 @@
     }
 
     pub(super) fn caller_gone(&mut self, id: &RequestId, fx: &mut Vec<Effect>) {
+        self.abandon_claim(id, fx);
+        let running = self.owner.dispatched.get(id);
+        if running.is_some_and(|request| request.info.repeat == Repeat::Never) {
+            // Cut short, its outcome would be unknown for good; ended, it is kept under
+            // the key for the caller that asks again.
+            return;
+        }
         if let Some(request) = self.owner.waiting.remove(id) {
             let Waiting { shard, leader, .. } = request.state;
             self.send(
@@ -137,6 +149,7 @@
                 },
                 fx,
             );
+            self.settle(id, KeyOutcome::NotRun, fx);
         }
         fx.push(Effect::Cancel(id.clone()));
     }
--- /dev/null
+++ b/crates/jaypin_core/src/reducer/keys.rs
@@ -0,0 +1,289 @@
+//! Claims on idempotency keys: asked for by the request's owner, answered by the key's.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use jaypin_rules::Repeat;
+
+use super::{DEFAULT_RETRY_AFTER, Reducer, record};
+use crate::claims::{HeldClaim, Unsettled};
+use crate::request::{Claiming, Request};
+use crate::{
+    ClaimSubject, ClaimVerdict, Effect, HostId, IdempotencyKey, KeyOutcome, Message, Ran, Reason,
+    Refusal, RequestId, RequestInfo, Step,
+};
+
+/// Time after which an unanswered claim is sent again.
+const CLAIM_RESEND: Duration = Duration::from_millis(300);
+/// Time after which the key's owner counts as unreachable.
+const CLAIM_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time after which an unconfirmed outcome is sent again.
+const SETTLE_RESEND: Duration = Duration::from_millis(500);
+/// Time for which an unconfirmed outcome is kept; then the key stays unknown.
+const SETTLE_KEPT: Duration = Duration::from_secs(30);
+
+impl Reducer {
+    // ------------------------------------------------------------------ request's owner
+
+    /// Claims the key of a call that may not be repeated; says whether it has to wait.
+    pub(super) fn must_claim(
+        &mut self,
+        now: Instant,
+        info: &RequestInfo,
+        fx: &mut Vec<Effect>,
+    ) -> bool {
+        if info.repeat != Repeat::Never {
+            return false;
+        }
+        let Some((text, key)) = info
+            .key
+            .as_deref()
+            .and_then(|text| Some((Arc::from(text), IdempotencyKey::parse(text)?)))
+        else {
+            // The frontend turns such calls away; without a key none may run.
+            self.refuse(
+                info,
+                Duration::ZERO,
+                Refusal::not_run(Reason::KeyUnknown),
+                fx,
+            );
+            return true;
+        };
+        let claim = HeldClaim {
+            key: text,
+            owner: key.host,
+        };
+        let state = Claiming {
+            claim,
+            asked_at: now,
+        };
+        let request = Request {
+            info: info.clone(),
+            arrived_at: now,
+            state,
+        };
+        self.send_claim(&request, fx);
+        self.claims.claiming.insert(info.id.clone(), request);
+        true
+    }
+
+    fn send_claim(&mut self, request: &Request<Claiming>, fx: &mut Vec<Effect>) {
+        let info = &request.info;
+        let claim = &request.state.claim;
+        let message = Message::Claim {
+            key: claim.key.clone(),
+            id: info.id.clone(),
+            subject: ClaimSubject {
+                account: info.account.clone(),
+                fingerprint: info.fingerprint,
+            },
+        };
+        let owner = claim.owner.clone();
+        self.send(&owner, message, fx);
+    }
+
+    pub(super) fn claim_answered(
+        &mut self,
+        now: Instant,
+        from: &HostId,
+        id: &RequestId,
+        key: &Arc<str>,
+        verdict: ClaimVerdict,
+        fx: &mut Vec<Effect>,
+    ) {
+        let Some(request) = self.claims.claiming.remove(id) else {
+            // A late or repeated answer. A grant to a request that is over would hold
+            // the key for good, so its owner hears that nobody waits for it.
+            if verdict == ClaimVerdict::Granted {
+                self.check_claim(from, id, key, fx);
+            }
+            return;
+        };
+        let after = now.duration_since(request.arrived_at);
+        record(&request.info, after, Step::Claimed(verdict.clone()), fx);
+        let refusal = match verdict {
+            ClaimVerdict::Granted => {
+                let (mut info, claim) = (request.info, request.state.claim);
+                self.claims.held.insert(id.clone(), claim);
+                info.spend(after);
+                return self.place(now, info, fx);
+            }
+            ClaimVerdict::Done(Some(answer)) => {
+                return fx.push(Effect::Replay {
+                    id: id.clone(),
+                    answer,
+                });
+            }
+            ClaimVerdict::Done(None) => Refusal::after_dispatch(Reason::AlreadyRan, Ran::Ran),
+            ClaimVerdict::InFlight => Refusal::after_dispatch(Reason::InFlight, Ran::Unknown)
+                .retry_after(DEFAULT_RETRY_AFTER),
+            ClaimVerdict::Unknown => Refusal::after_dispatch(Reason::KeyUnknown, Ran::Unknown),
+            ClaimVerdict::Mismatch => Refusal::not_run(Reason::KeyMismatch),
+            ClaimVerdict::Full => {
+                Refusal::not_run(Reason::KeyTableFull).retry_after(DEFAULT_RETRY_AFTER)
+            }
+        };
+        self.refuse(&request.info, after, refusal, fx);
+    }
+
+    /// Ends a held claim; does nothing for a request without one.
+    pub(super) fn settle(&mut self, id: &RequestId, outcome: KeyOutcome, fx: &mut Vec<Effect>) {
+        let Some(claim) = self.claims.held.remove(id) else {
+            return;
+        };
+        self.tell_outcome(id, claim, outcome, fx);
+    }
+
+    /// The caller left while the claim was asked for: nothing left, nothing will.
+    pub(super) fn abandon_claim(&mut self, id: &RequestId, fx: &mut Vec<Effect>) {
+        if let Some(request) = self.claims.claiming.remove(id) {
+            self.tell_outcome(id, request.state.claim, KeyOutcome::NotRun, fx);
+        }
+    }
+
+    /// Kept until the key's owner confirms, because a link may lose it.
+    fn tell_outcome(
+        &mut self,
+        id: &RequestId,
+        claim: HeldClaim,
+        outcome: KeyOutcome,
+        fx: &mut Vec<Effect>,
+    ) {
+        let message = Message::Settle {
+            key: claim.key.clone(),
+            id: id.clone(),
+            outcome: outcome.clone(),
+        };
+        self.send(&claim.owner, message, fx);
+        let unsettled = Unsettled {
+            claim,
+            outcome,
+            since: None,
+            sent_at: None,
+        };
+        self.claims.unsettled.insert(id.clone(), unsettled);
+    }
+
+    /// Answers the key's owner, who asks whether a request still holds its claim.
+    pub(super) fn check_claim(
+        &mut self,
+        from: &HostId,
+        id: &RequestId,
+        key: &Arc<str>,
+        fx: &mut Vec<Effect>,
+    ) {
+        if self.claims.claiming.contains_key(id) || self.claims.held.contains_key(id) {
+            return;
+        }
+        let kept = self.claims.unsettled.get(id);
+        let outcome = kept.map_or(KeyOutcome::Unknown, |kept| kept.outcome.clone());
+        let (key, id) = (key.clone(), id.clone());
+        self.send(from, Message::Settle { key, id, outcome }, fx);
+    }
+
+    pub(super) fn claims_tick(&mut self, now: Instant, fx: &mut Vec<Effect>) {
+        self.keys.expire(now);
+        self.claims_overdue(now, fx);
+        self.outcomes_overdue(now, fx);
+    }
+
+    fn claims_overdue(&mut self, now: Instant, fx: &mut Vec<Effect>) {
+        let claiming = std::mem::take(&mut self.claims.claiming);
+        for (id, mut request) in claiming {
+            let after = now.duration_since(request.arrived_at);
+            if after >= CLAIM_TIMEOUT {
+                // Guards against a key owner that is gone or paused: the key may have
+                // run before, so it isn't run now. Should the owner wake up and grant
+                // the claim late, the word that follows gives it back.
+                let refusal = Refusal::after_dispatch(Reason::KeyUnknown, Ran::Unknown);
+                self.tell_outcome(&id, request.state.claim, KeyOutcome::NotRun, fx);
+                self.refuse(&request.info, after, refusal, fx);
+                continue;
+            }
+            if now.duration_since(request.state.asked_at) >= CLAIM_RESEND {
+                request.state.asked_at = now;
+                self.send_claim(&request, fx);
+            }
+            self.claims.claiming.insert(id, request);
+        }
+    }
+
+    fn outcomes_overdue(&mut self, now: Instant, fx: &mut Vec<Effect>) {
+        let mut again = Vec::new();
+        self.claims.unsettled.retain(|id, kept| {
+            let since = *kept.since.get_or_insert(now);
+            let sent_at = *kept.sent_at.get_or_insert(now);
+            if now.duration_since(sent_at) >= SETTLE_RESEND {
+                kept.sent_at = Some(now);
+                let message = Message::Settle {
+                    key: kept.claim.key.clone(),
+                    id: id.clone(),
+                    outcome: kept.outcome.clone(),
+                };
+                again.push((kept.claim.owner.clone(), message));
+            }
+            now.duration_since(since) < SETTLE_KEPT
+        });
+        self.send_all(again, fx);
+    }
+
+    // ------------------------------------------------------------------ key's owner
+
+    pub(super) fn claim_asked(
+        &mut self,
+        now: Instant,
+        from: &HostId,
+        text: Arc<str>,
+        id: RequestId,
+        subject: &ClaimSubject,
+        fx: &mut Vec<Effect>,
+    ) {
+        let verdict = match self.own_key(&text) {
+            Some(key) => {
+                let verdict = self.keys.claim(now, &key, subject, from, &id);
+                if verdict == ClaimVerdict::InFlight {
+                    self.ask_holder(&text, &key, fx);
+                }
+                verdict
+            }
+            // Another run of this host issued it; what it granted is not known here.
+            None => ClaimVerdict::Unknown,
+        };
+        let answer = Message::Claimed {
+            key: text,
+            id,
+            verdict,
+        };
+        self.send(from, answer, fx);
+    }
+
+    /// Guards against a holder that died unnoticed: its silence would keep the key in
+    /// flight. Asking either gets its word or shows that the link is lost.
+    fn ask_holder(&mut self, text: &Arc<str>, key: &IdempotencyKey, fx: &mut Vec<Effect>) {
+        let holder = self.keys.holder(key);
+        if let Some((host, id)) = holder.map(|(host, id)| (host.clone(), id.clone())) {
+            let key = text.clone();
+            self.send(&host, Message::ClaimCheck { key, id }, fx);
+        }
+    }
+
+    pub(super) fn settled(
+        &mut self,
+        from: &HostId,
+        text: &str,
+        id: RequestId,
+        outcome: KeyOutcome,
+        fx: &mut Vec<Effect>,
+    ) {
+        if let Some(key) = self.own_key(text) {
+            self.keys.settle(&key, &id, outcome);
+        }
+        self.send(from, Message::Settled { id }, fx);
+    }
+
+    fn own_key(&self, text: &str) -> Option<IdempotencyKey> {
+        let key = IdempotencyKey::parse(text)?;
+        let own = key.host == self.cfg.host && key.incarnation == self.cfg.incarnation;
+        own.then_some(key)
+    }
+}
--- a/crates/jaypin_core/src/reducer/knowledge.rs
+++ b/crates/jaypin_core/src/reducer/knowledge.rs
@@ -26,6 +26,7 @@
     }
 
     pub(super) fn peer_lost(&mut self, now: Instant, host: &HostId, fx: &mut Vec<Effect>) {
+        self.keys.orphan(host);
         if self.membership.lose(host) {
             for scheduler in self.schedulers.values_mut() {
                 scheduler.forget_owner(host);
--- a/crates/jaypin_core/src/reducer/messages.rs
+++ b/crates/jaypin_core/src/reducer/messages.rs
@@ -48,6 +48,17 @@
                     scheduler.in_flight(running);
                 }
             }
+            Message::Claim { key, id, subject } => {
+                self.claim_asked(now, from, key, id, &subject, fx);
+            }
+            Message::Claimed { key, id, verdict } => {
+                self.claim_answered(now, from, &id, &key, verdict, fx);
+            }
+            Message::Settle { key, id, outcome } => self.settled(from, &key, id, outcome, fx),
+            Message::Settled { id } => {
+                self.claims.unsettled.remove(&id);
+            }
+            Message::ClaimCheck { key, id } => self.check_claim(from, &id, &key, fx),
         }
     }
 
--- a/crates/jaypin_core/src/reducer/mod.rs
+++ b/crates/jaypin_core/src/reducer/mod.rs
@@ -2,6 +2,7 @@
 
 mod arrival;
 mod calls;
+mod keys;
 mod knowledge;
 mod messages;
 mod time;
@@ -15,12 +16,13 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::baseline::Baseline;
+use crate::claims::Claims;
 use crate::owner::Owner;
 use crate::request::{Dispatched, Request};
 use crate::scheduler::{Letter, Scheduler};
 use crate::{
-    Config, Effect, Event, HostId, Membership, Message, Record, Refusal, RequestInfo, Shard,
-    SlotProgress, Step,
+    Config, Effect, Event, HostId, KeyOutcome, KeyTable, Membership, Message, Ran, Record, Refusal,
+    RequestInfo, Shard, SlotProgress, Step,
 };
 
 /// Time after which a refused caller may come back, where nothing better is known.
@@ -37,6 +39,8 @@
     owner: Owner,
     schedulers: BTreeMap<Shard, Scheduler>,
     baseline: Baseline,
+    keys: KeyTable,
+    claims: Claims,
     next_poll: Option<Instant>,
     draining: bool,
     exited: bool,
@@ -60,6 +64,8 @@
     pub queued_here: usize,
     /// Requests that run on slots granted by the shards that this host leads.
     pub granted_here: usize,
+    /// Key period of this run, for the prefix of idempotency keys.
+    pub key_period: u64,
     /// Whether the host is shutting down.
     pub draining: bool,
 }
@@ -77,6 +83,8 @@
             owner: Owner::default(),
             schedulers: BTreeMap::new(),
             baseline: Baseline::default(),
+            keys: KeyTable::default(),
+            claims: Claims::default(),
             next_poll: None,
             draining: false,
             exited: false,
@@ -108,6 +116,7 @@
             running: self.owner.dispatched.len(),
             queued_here: self.schedulers.values().map(Scheduler::waiting_count).sum(),
             granted_here: self.schedulers.values().map(Scheduler::running_count).sum(),
+            key_period: self.keys.newest_period(),
             draining: self.draining,
         }
     }
@@ -123,6 +132,9 @@
             Event::Arrived(info) => self.arrived(now, info, fx),
             Event::CallerGone(id) => self.caller_gone(&id, fx),
             Event::Call { id, progress } => self.call(now, &id, progress, fx),
+            Event::Answered { id, answer } => {
+                self.settle(&id, KeyOutcome::Answered(answer), fx);
+            }
             Event::Load(report) => self.load(&report),
             Event::Link { from, message } => self.message(now, &from, message, fx),
             Event::PeerLost(host) => self.peer_lost(now, &host, fx),
@@ -145,6 +157,11 @@
         }
     }
 
+    /// Whether nothing is left to do for a caller or to tell a peer.
+    fn is_idle(&self) -> bool {
+        self.owner.is_idle() && self.claims.is_idle()
+    }
+
     fn send_all(&mut self, letters: Vec<Letter>, fx: &mut Vec<Effect>) {
         for (to, message) in letters {
             self.send(&to, message, fx);
@@ -160,7 +177,6 @@
         record(info, Duration::ZERO, step, fx);
     }
 
-    #[expect(clippy::unused_self, reason = "all refusals go through the reducer")]
     fn refuse(
         &mut self,
         info: &RequestInfo,
@@ -168,6 +184,12 @@
         refusal: Refusal,
         fx: &mut Vec<Effect>,
     ) {
+        let outcome = match refusal.ran {
+            Ran::NotRun => KeyOutcome::NotRun,
+            Ran::Ran => KeyOutcome::Answered(None),
+            Ran::Unknown => KeyOutcome::Unknown,
+        };
+        self.settle(&info.id, outcome, fx);
         record(info, after, Step::Refused(refusal.clone()), fx);
         fx.push(Effect::Refuse {
             id: info.id.clone(),
--- a/crates/jaypin_core/src/reducer/time.rs
+++ b/crates/jaypin_core/src/reducer/time.rs
@@ -14,8 +14,9 @@
         }
         self.send_all(out, fx);
         self.ask_overdue(now, fx);
+        self.claims_tick(now, fx);
         self.poll_loads(now, fx);
-        if self.draining && self.owner.is_idle() && !self.exited {
+        if self.draining && self.is_idle() && !self.exited {
             self.exited = true;
             fx.push(Effect::Exit);
         }
--- a/crates/jaypin_core/src/request.rs
+++ b/crates/jaypin_core/src/request.rs
@@ -7,6 +7,7 @@
 
 use jaypin_rules::{Repeat, ServiceKind};
 
+use crate::claims::HeldClaim;
 use crate::{AccountId, BackendId, GrantNumber, HostId, RequestId, ServiceId, Shard};
 
 /// What the decisions know of a request; its body stays with the frontend.
@@ -42,6 +43,23 @@
     pub rule_lines: Vec<u32>,
 }
 
+impl RequestInfo {
+    /// Takes time that went by off the deadlines.
+    pub fn spend(&mut self, time: Duration) {
+        self.first_token = self.first_token.saturating_sub(time);
+        self.whole = self.whole.saturating_sub(time);
+    }
+}
+
+/// State: waiting for the claim on its idempotency key.
+#[derive(Debug)]
+pub struct Claiming {
+    /// The claim asked for.
+    pub claim: HeldClaim,
+    /// When it was last asked for.
+    pub asked_at: Instant,
+}
+
 /// State: waiting for a shard scheduler's grant.
 #[derive(Debug)]
 pub struct Waiting {
--- /dev/null
+++ b/crates/jaypin_wire/src/claims.rs
@@ -0,0 +1,119 @@
+//! Claims on idempotency keys, as they travel.
+
+use std::sync::Arc;
+
+use jaypin_core::{ClaimSubject, ClaimVerdict, KeyOutcome, StoredAnswer};
+use serde::{Deserialize, Serialize};
+
+/// See [`ClaimSubject`]: account and fingerprint.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct WireSubject(Arc<str>, u64);
+
+/// See [`StoredAnswer`]: status, content type, body.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct WireStoredAnswer(u16, Arc<str>, Arc<[u8]>);
+
+/// See [`ClaimVerdict`].
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum WireVerdict {
+    /// See [`ClaimVerdict::Granted`].
+    Granted,
+    /// See [`ClaimVerdict::InFlight`].
+    InFlight,
+    /// See [`ClaimVerdict::Done`].
+    Done(Option<WireStoredAnswer>),
+    /// See [`ClaimVerdict::Unknown`].
+    Unknown,
+    /// See [`ClaimVerdict::Mismatch`].
+    Mismatch,
+    /// See [`ClaimVerdict::Full`].
+    Full,
+}
+
+/// See [`KeyOutcome`].
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum WireOutcome {
+    /// See [`KeyOutcome::NotRun`].
+    NotRun,
+    /// See [`KeyOutcome::Answered`].
+    Answered(Option<WireStoredAnswer>),
+    /// See [`KeyOutcome::Unknown`].
+    Unknown,
+}
+
+impl From<ClaimSubject> for WireSubject {
+    fn from(subject: ClaimSubject) -> Self {
+        Self(subject.account, subject.fingerprint)
+    }
+}
+
+impl From<WireSubject> for ClaimSubject {
+    fn from(wire: WireSubject) -> Self {
+        Self {
+            account: wire.0,
+            fingerprint: wire.1,
+        }
+    }
+}
+
+impl From<StoredAnswer> for WireStoredAnswer {
+    fn from(answer: StoredAnswer) -> Self {
+        Self(answer.status, answer.content_type, answer.body)
+    }
+}
+
+impl From<WireStoredAnswer> for StoredAnswer {
+    fn from(wire: WireStoredAnswer) -> Self {
+        Self {
+            status: wire.0,
+            content_type: wire.1,
+            body: wire.2,
+        }
+    }
+}
+
+impl From<ClaimVerdict> for WireVerdict {
+    fn from(verdict: ClaimVerdict) -> Self {
+        match verdict {
+            ClaimVerdict::Granted => Self::Granted,
+            ClaimVerdict::InFlight => Self::InFlight,
+            ClaimVerdict::Done(answer) => Self::Done(answer.map(WireStoredAnswer::from)),
+            ClaimVerdict::Unknown => Self::Unknown,
+            ClaimVerdict::Mismatch => Self::Mismatch,
+            ClaimVerdict::Full => Self::Full,
+        }
+    }
+}
+
+impl From<WireVerdict> for ClaimVerdict {
+    fn from(wire: WireVerdict) -> Self {
+        match wire {
+            WireVerdict::Granted => Self::Granted,
+            WireVerdict::InFlight => Self::InFlight,
+            WireVerdict::Done(answer) => Self::Done(answer.map(StoredAnswer::from)),
+            WireVerdict::Unknown => Self::Unknown,
+            WireVerdict::Mismatch => Self::Mismatch,
+            WireVerdict::Full => Self::Full,
+        }
+    }
+}
+
+impl From<KeyOutcome> for WireOutcome {
+    fn from(outcome: KeyOutcome) -> Self {
+        match outcome {
+            KeyOutcome::NotRun => Self::NotRun,
+            KeyOutcome::Answered(answer) => Self::Answered(answer.map(WireStoredAnswer::from)),
+            KeyOutcome::Unknown => Self::Unknown,
+        }
+    }
+}
+
+impl From<WireOutcome> for KeyOutcome {
+    fn from(wire: WireOutcome) -> Self {
+        match wire {
+            WireOutcome::NotRun => Self::NotRun,
+            WireOutcome::Answered(answer) => Self::Answered(answer.map(StoredAnswer::from)),
+            WireOutcome::Unknown => Self::Unknown,
+        }
+    }
+}
--- a/crates/jaypin_wire/src/lib.rs
+++ b/crates/jaypin_wire/src/lib.rs
@@ -4,12 +4,14 @@
 //! between them, so that either side can change without the other.
 
 mod api;
+mod claims;
 mod codec;
 mod host_list;
 mod link;
 mod rules_object;
 
 pub use api::{EntryAddress, EntryAnswer, RefusalBody, RuleApplyBody, StatusBody};
+pub use claims::{WireOutcome, WireStoredAnswer, WireSubject, WireVerdict};
 pub use codec::{CodecError, decode, encode};
 pub use host_list::{WireBackend, WireHost, WireHostList};
 pub use link::{Frame, Hello, LINK_VERSION, WireMessage};
--- a/crates/jaypin_wire/src/link.rs
+++ b/crates/jaypin_wire/src/link.rs
@@ -9,6 +9,8 @@
 };
 use serde::{Deserialize, Serialize};
 
+use crate::claims::{WireOutcome, WireSubject, WireVerdict};
+
 /// Version of the link protocol; peers of another version are turned away.
 pub const LINK_VERSION: u16 = 1;
 
@@ -55,6 +57,16 @@
     Progress(WireShard, Arc<str>, WireNumber, WireProgress),
     /// See [`Message::InFlight`].
     InFlight(WireShard, Vec<WireInFlight>),
+    /// See [`Message::Claim`].
+    Claim(Arc<str>, Arc<str>, WireSubject),
+    /// See [`Message::Claimed`].
+    Claimed(Arc<str>, Arc<str>, WireVerdict),
+    /// See [`Message::Settle`].
+    Settle(Arc<str>, Arc<str>, WireOutcome),
+    /// See [`Message::Settled`].
+    Settled(Arc<str>),
+    /// See [`Message::ClaimCheck`].
+    ClaimCheck(Arc<str>, Arc<str>),
 }
 
 /// See [`Shard`].
@@ -159,7 +171,7 @@
     Reason,
     [
         Draining, NotReady, NoBackend, Shed, TooLate, NoScheduler, OverLimit, Quarantined,
-        InFlight, KeyUnknown, BackendLost, BackendFailed,
+        InFlight, KeyUnknown, KeyMismatch, KeyTableFull, AlreadyRan, BackendLost, BackendFailed,
     ]
 );
 
@@ -380,6 +392,11 @@
                 shard.into(),
                 running.into_iter().map(WireInFlight::from).collect(),
             ),
+            Message::Claim { key, id, subject } => Self::Claim(key, id, subject.into()),
+            Message::Claimed { key, id, verdict } => Self::Claimed(key, id, verdict.into()),
+            Message::Settle { key, id, outcome } => Self::Settle(key, id, outcome.into()),
+            Message::Settled { id } => Self::Settled(id),
+            Message::ClaimCheck { key, id } => Self::ClaimCheck(key, id),
         }
     }
 }
@@ -410,6 +427,23 @@
                 shard: shard.into(),
                 running: running.into_iter().map(InFlight::from).collect(),
             },
+            WireMessage::Claim(key, id, subject) => Self::Claim {
+                key,
+                id,
+                subject: subject.into(),
+            },
+            WireMessage::Claimed(key, id, verdict) => Self::Claimed {
+                key,
+                id,
+                verdict: verdict.into(),
+            },
+            WireMessage::Settle(key, id, outcome) => Self::Settle {
+                key,
+                id,
+                outcome: outcome.into(),
+            },
+            WireMessage::Settled(id) => Self::Settled { id },
+            WireMessage::ClaimCheck(key, id) => Self::ClaimCheck { key, id },
         }
     }
 }
