--- a/crates/jaypin/src/answer.rs
+++ b/crates/jaypin/src/answer.rs
@@ -58,12 +58,17 @@
 pub struct Chunks {
     rx: mpsc::Receiver<Result<Bytes, std::io::Error>>,
     guard: CallerGuard,
+    failing: Option<std::io::Error>,
 }
 
 impl Chunks {
     /// Joins the receiving end with the guard.
     pub fn new(rx: mpsc::Receiver<Result<Bytes, std::io::Error>>, guard: CallerGuard) -> Self {
-        Self { rx, guard }
+        Self {
+            rx,
+            guard,
+            failing: None,
+        }
     }
 }
 
@@ -75,8 +80,19 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, std::io::Error>>> {
+        if let Some(error) = self.failing.take() {
+            return Poll::Ready(Some(Err(error)));
+        }
         match self.rx.poll_recv(cx) {
-            Poll::Ready(Some(chunk)) => Poll::Ready(Some(chunk.map(Frame::data))),
+            Poll::Ready(Some(Ok(chunk))) => Poll::Ready(Some(Ok(Frame::data(chunk)))),
+            // Guards against a lost error event: an error drops what is not flushed,
+            // and the caller would see a broken connection without the reason. One
+            // turn without a frame makes the connection flush first.
+            Poll::Ready(Some(Err(error))) => {
+                self.failing = Some(error);
+                cx.waker().wake_by_ref();
+                Poll::Pending
+            }
             Poll::Ready(None) => {
                 self.guard.disarm();
                 Poll::Ready(None)
--- a/crates/jaypin/src/calls.rs
+++ b/crates/jaypin/src/calls.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use bytes::Bytes;
 use hyper::{HeaderMap, Method, Response};
@@ -26,6 +27,10 @@
     pub kind: ServiceKind,
     /// Whether the answer is a stream of server-sent events.
     pub stream: bool,
+    /// Estimated tokens of the prompt.
+    pub prompt_tokens: u32,
+    /// Time from dispatch within which an answer that is no stream is due.
+    pub whole: Duration,
     /// Whether the answer is kept under the call's key.
     pub store_answer: bool,
 }
@@ -87,6 +92,19 @@
         Some((outbound, cancelled))
     }
 
+    /// Takes back the outbound part of a call of which no byte was sent.
+    pub fn put_back(&self, id: &RequestId, outbound: Outbound) {
+        let mut inner = self.lock();
+        if let Some(Entry::Running {
+            caller: Some(caller),
+            ..
+        }) = inner.remove(id)
+        {
+            let call = PendingCall { outbound, caller };
+            inner.insert(id.clone(), Entry::Pending(Box::new(call)));
+        }
+    }
+
     /// Takes the caller to send it the head; chunks go through `tx` from then on.
     pub fn take_caller(&self, id: &RequestId, tx: Option<ChunkSender>) -> Option<Caller> {
         match self.lock().get_mut(id)? {
--- a/crates/jaypin/src/frontend/read_request.rs
+++ b/crates/jaypin/src/frontend/read_request.rs
@@ -224,6 +224,8 @@
         body,
         kind: ServiceKind::Engine,
         stream: call.stream,
+        prompt_tokens: info.prompt_tokens,
+        whole: info.whole,
         store_answer: false,
     };
     Ok((info, outbound))
@@ -289,6 +291,8 @@
         body,
         kind: ServiceKind::Plain,
         stream: false,
+        prompt_tokens: info.prompt_tokens,
+        whole: info.whole,
         store_answer: route.repeat == Repeat::Never,
     };
     Ok((info, outbound))
--- a/crates/jaypin/src/runner.rs
+++ b/crates/jaypin/src/runner.rs
@@ -6,7 +6,7 @@
 use jaypin_core::{CallProgress, Effect, Event, Record};
 use tokio::sync::Notify;
 
-use crate::backend_call;
+use crate::backend_call::{self, Paces};
 use crate::calls::Calls;
 use crate::links::Links;
 
@@ -15,6 +15,8 @@
 pub struct Runner {
     /// Calls of this host.
     pub calls: Arc<Calls>,
+    /// How long backend servers are usually silent.
+    pub paces: Arc<Paces>,
     /// Links to peers.
     pub links: Links,
     /// Where news goes.
@@ -46,6 +48,7 @@
                 tokio::spawn(backend_call::run(
                     call,
                     self.calls.clone(),
+                    self.paces.clone(),
                     self.events.clone(),
                 ));
             }
--- a/crates/jaypin/src/serve.rs
+++ b/crates/jaypin/src/serve.rs
@@ -62,6 +62,7 @@
     let calls = Arc::new(Calls::default());
     let runner = Runner {
         calls: calls.clone(),
+        paces: Arc::default(),
         links: links.clone(),
         events: events.clone(),
         exit: exit.clone(),
--- a/crates/jaypin_bench/tests/support/mod.rs
+++ b/crates/jaypin_bench/tests/support/mod.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use hyper::Method;
 use jaypin_bench::{Answer, BackendSpec, Client, Fleet, FleetConfig, Host};
-use jaypin_standin::{App, AppConfig};
+use jaypin_standin::{App, AppConfig, Engine, EngineConfig};
 use serde_json::Value;
 use tokio::time::{Instant, sleep};
 
@@ -26,6 +26,11 @@
     App::start(cfg).await.expect("an application worker")
 }
 
+/// Starts an engine.
+pub async fn engine(cfg: EngineConfig) -> Engine {
+    Engine::start(cfg).await.expect("an engine")
+}
+
 /// Starts three hosts before the backend servers given.
 pub async fn fleet(backends: Vec<BackendSpec>) -> Fleet {
     let cfg = FleetConfig {
--- a/crates/jaypin_core/src/event.rs
+++ b/crates/jaypin_core/src/event.rs
@@ -79,8 +79,10 @@
 pub enum CallOutcome {
     /// The whole answer was passed on.
     Complete,
-    /// The backend server broke off or went silent.
+    /// The connection broke off or went silent for good.
     Lost,
+    /// The backend server went down under it.
+    Died,
     /// The backend server answered with an error.
     Failed,
     /// The caller left.
--- a/crates/jaypin_core/src/record.rs
+++ b/crates/jaypin_core/src/record.rs
@@ -52,6 +52,8 @@
         /// What was weighed, the chosen one first.
         candidates: Vec<Candidate>,
     },
+    /// The backend server refused the connection; no byte left.
+    NotReached,
     /// The first token came.
     FirstToken,
     /// The call ended.
--- a/crates/jaypin_core/src/reducer/arrival.rs
+++ b/crates/jaypin_core/src/reducer/arrival.rs
@@ -70,6 +70,7 @@
             attempt: 1,
             asked_at: now,
             queued: false,
+            unreached: false,
             refused_by: Vec::new(),
         };
         let request = Request {
@@ -166,6 +167,7 @@
             attempt: old.attempt + 1,
             asked_at: now,
             queued: false,
+            unreached: old.unreached,
             refused_by: old.refused_by,
         };
         self.send_ask(now, &request, fx);
--- a/crates/jaypin_core/src/reducer/calls.rs
+++ b/crates/jaypin_core/src/reducer/calls.rs
@@ -1,6 +1,6 @@
 //! Dispatched calls, from hand-over to outcome.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use jaypin_rules::Repeat;
 
@@ -11,6 +11,9 @@
     RequestId, SlotProgress, Step,
 };
 
+/// Pause before a request whose backend server refused the connection asks again.
+const REASK_PAUSE: Duration = Duration::from_millis(50);
+
 impl Reducer {
     pub(super) fn dispatch(
         &mut self,
@@ -83,7 +86,8 @@
         }
     }
 
-    /// The connection was refused: no byte left, so the request was not run.
+    /// The connection was refused: no byte left, so the request was not run and may
+    /// ask for another slot.
     pub(super) fn not_sent(&mut self, now: Instant, id: &RequestId, fx: &mut Vec<Effect>) {
         let Some(request) = self.owner.dispatched.remove(id) else {
             return;
@@ -91,8 +95,25 @@
         if let Some((leader, message)) = slot_message(&request, SlotProgress::NotReached) {
             self.send(&leader, message, fx);
         }
-        let refusal = Refusal::not_run(Reason::NoBackend).retry_after(DEFAULT_RETRY_AFTER);
-        self.refuse(&request.info, elapsed(&request, now), refusal, fx);
+        // The pause keeps a request from turning in circles while its shard scheduler
+        // learns that the backend server is gone; the first token's deadline ends it.
+        let overdue_at = now + REASK_PAUSE;
+        let ask_at = overdue_at.checked_sub(self.cfg.ask_timeout).unwrap_or(now);
+        match request.take_back(ask_at) {
+            Ok(request) => {
+                record(
+                    &request.info,
+                    now.duration_since(request.arrived_at),
+                    Step::NotReached,
+                    fx,
+                );
+                self.owner.waiting.insert(id.clone(), request);
+            }
+            Err(request) => {
+                let refusal = Refusal::not_run(Reason::NoBackend).retry_after(DEFAULT_RETRY_AFTER);
+                self.refuse(&request.info, elapsed(&request, now), refusal, fx);
+            }
+        }
     }
 
     pub(super) fn finished(
@@ -111,7 +132,7 @@
         let progress = SlotProgress::Finished {
             tokens,
             after: now.duration_since(request.state.at),
-            lost: outcome == CallOutcome::Lost,
+            lost: matches!(outcome, CallOutcome::Lost | CallOutcome::Died),
         };
         if let Some((leader, message)) = slot_message(&request, progress) {
             self.send(&leader, message, fx);
@@ -121,7 +142,9 @@
                 // An answer was settled when it came; without one nothing is known.
                 return self.settle(id, KeyOutcome::Unknown, fx);
             }
-            CallOutcome::Lost => Refusal::after_dispatch(Reason::BackendLost, Ran::Unknown),
+            CallOutcome::Lost | CallOutcome::Died => {
+                Refusal::after_dispatch(Reason::BackendLost, Ran::Unknown)
+            }
             CallOutcome::Failed => Refusal::after_dispatch(Reason::BackendFailed, Ran::Ran),
         };
         self.refuse(&request.info, elapsed(&request, now), refusal, fx);
--- a/crates/jaypin_core/src/reducer/time.rs
+++ b/crates/jaypin_core/src/reducer/time.rs
@@ -53,6 +53,7 @@
             shard,
             leader,
             queued,
+            unreached,
             ..
         } = request.state;
         self.send(
@@ -65,6 +66,8 @@
         );
         let reason = if queued {
             Reason::TooLate
+        } else if unreached {
+            Reason::NoBackend
         } else {
             Reason::NoScheduler
         };
--- a/crates/jaypin_core/src/request.rs
+++ b/crates/jaypin_core/src/request.rs
@@ -73,6 +73,8 @@
     pub asked_at: Instant,
     /// Whether the shard scheduler said that the request is queued.
     pub queued: bool,
+    /// Whether a backend server refused the connection before.
+    pub unreached: bool,
     /// Shards that refused it for want of capacity.
     pub refused_by: Vec<Shard>,
 }
@@ -81,6 +83,7 @@
 #[derive(Debug)]
 pub struct Granted {
     slot: Slot,
+    attempt: u32,
 }
 
 /// State: handed to the backend server.
@@ -88,6 +91,8 @@
 pub struct Dispatched {
     /// Where it runs.
     pub slot: Slot,
+    /// Number of the ask that got the slot.
+    pub attempt: u32,
     /// When it was handed over.
     pub at: Instant,
     /// When the first token came.
@@ -119,10 +124,11 @@
 impl Request<Waiting> {
     /// Takes the slot that was granted.
     pub fn grant(self, slot: Slot) -> Request<Granted> {
+        let attempt = self.state.attempt;
         Request {
             info: self.info,
             arrived_at: self.arrived_at,
-            state: Granted { slot },
+            state: Granted { slot, attempt },
         }
     }
 }
@@ -133,7 +139,7 @@
         Self {
             info,
             arrived_at,
-            state: Granted { slot },
+            state: Granted { slot, attempt: 0 },
         }
     }
 
@@ -141,6 +147,7 @@
     pub fn dispatch(self, at: Instant) -> Request<Dispatched> {
         let state = Dispatched {
             slot: self.state.slot,
+            attempt: self.state.attempt,
             at,
             first_token_at: None,
             sent: false,
@@ -152,3 +159,30 @@
         }
     }
 }
+
+impl Request<Dispatched> {
+    /// Takes a request back of which no byte left, to ask for another slot at `ask_at`.
+    ///
+    /// # Errors
+    /// Gives the request as it is when a byte may have left, or no grant was needed.
+    pub fn take_back(self, ask_at: Instant) -> Result<Request<Waiting>, Box<Self>> {
+        let grant = self.state.slot.grant.clone();
+        let Some((shard, leader, _)) = grant.filter(|_| !self.state.sent) else {
+            return Err(Box::new(self));
+        };
+        let state = Waiting {
+            shard,
+            leader,
+            attempt: self.state.attempt,
+            asked_at: ask_at,
+            queued: false,
+            refused_by: Vec::new(),
+            unreached: true,
+        };
+        Ok(Request {
+            info: self.info,
+            arrived_at: self.arrived_at,
+            state,
+        })
+    }
+}
