--- a/crates/jaypin/src/answer.rs
+++ b/crates/jaypin/src/answer.rs
@@ -14,6 +14,9 @@
 use jaypin_wire::RefusalBody;
 use serde::Serialize;
 use tokio::sync::mpsc;
+use tokio::time::Instant;
+
+use crate::metrics;
 
 /// Body of every answer; an error in it breaks the connection off.
 pub type AnswerBody = UnsyncBoxBody<Bytes, std::io::Error>;
@@ -59,6 +62,7 @@
     rx: mpsc::Receiver<Result<Bytes, std::io::Error>>,
     guard: CallerGuard,
     failing: Option<std::io::Error>,
+    last: Option<Instant>,
 }
 
 impl Chunks {
@@ -68,6 +72,7 @@
             rx,
             guard,
             failing: None,
+            last: None,
         }
     }
 }
@@ -84,7 +89,13 @@
             return Poll::Ready(Some(Err(error)));
         }
         match self.rx.poll_recv(cx) {
-            Poll::Ready(Some(Ok(chunk))) => Poll::Ready(Some(Ok(Frame::data(chunk)))),
+            Poll::Ready(Some(Ok(chunk))) => {
+                let now = Instant::now();
+                if let Some(last) = self.last.replace(now) {
+                    metrics::gap(now.duration_since(last));
+                }
+                Poll::Ready(Some(Ok(Frame::data(chunk))))
+            }
             // Guards against a lost error event: an error drops what is not flushed,
             // and the caller would see a broken connection without the reason. One
             // turn without a frame makes the connection flush first.
--- a/crates/jaypin/src/runner.rs
+++ b/crates/jaypin/src/runner.rs
@@ -3,12 +3,14 @@
 use std::sync::Arc;
 
 use crossbeam::channel::Sender;
-use jaypin_core::{CallProgress, Effect, Event, Record};
-use tokio::sync::Notify;
+use jaypin_core::{CallProgress, Effect, Event};
+use tokio::sync::{Notify, watch};
 
 use crate::backend_call::{self, Paces};
 use crate::calls::Calls;
+use crate::decisions::Decisions;
 use crate::links::Links;
+use crate::platform::read_rules;
 
 /// Everything that effects touch.
 #[derive(Debug, Clone)]
@@ -19,8 +21,12 @@
     pub paces: Arc<Paces>,
     /// Links to peers.
     pub links: Links,
+    /// Records of this host's requests.
+    pub decisions: Arc<Decisions>,
     /// Where news goes.
     pub events: Sender<Event>,
+    /// Whether this host holds the platform's watches.
+    pub watching: watch::Sender<bool>,
     /// Told when nothing is left to do.
     pub exit: Arc<Notify>,
 }
@@ -56,6 +62,15 @@
             Effect::Replay { id, answer } => self.calls.replay(&id, &answer),
             Effect::Cancel(id) => self.calls.cancel(&id),
             Effect::Send { to, message } => self.links.send(&to, message),
+            Effect::KeepLinks(peers) => self.links.keep(peers),
+            Effect::Watch(on) => {
+                self.watching.send_replace(on);
+            }
+            Effect::ReadRules { version, text } => {
+                for event in read_rules(version, &text) {
+                    let _ = self.events.send(event);
+                }
+            }
             Effect::PollLoad { backend, address } => {
                 tokio::spawn(backend_call::poll_load(
                     backend,
@@ -63,19 +78,8 @@
                     self.events.clone(),
                 ));
             }
-            Effect::Record(record) => write_down(&record),
+            Effect::Record(record) => self.decisions.add(&record),
             Effect::Exit => self.exit.notify_one(),
         }
     }
 }
-
-fn write_down(record: &Record) {
-    log::debug!(
-        target: "jaypin::decision",
-        request:% = record.id,
-        account:% = record.account,
-        after_us = u64::try_from(record.after.as_micros()).unwrap_or(u64::MAX),
-        step:? = record.step;
-        "decision"
-    );
-}
--- a/crates/jaypin/src/serve.rs
+++ b/crates/jaypin/src/serve.rs
@@ -12,6 +12,7 @@
 use tokio::sync::{Notify, watch};
 
 use crate::calls::Calls;
+use crate::decisions::Decisions;
 use crate::frontend::Frontend;
 use crate::links::{Identity, Links};
 use crate::operator::Operator;
@@ -23,6 +24,10 @@
 /// Worker threads; an entry host is small.
 const WORKERS: usize = 2;
 
+/// Time without an event after which the reducer takes its process for paused: ticks
+/// come every 20 ms, and peers suspect a silent host a little later.
+const PAUSE_LIMIT: Duration = Duration::from_millis(500);
+
 /// Open files that a host asks for: a connection to a caller and one to a backend server
 /// for each stream, and room for silent callers.
 const OPEN_FILES: u64 = 16_384;
@@ -60,11 +65,15 @@
     let links = Links::new(identity, snapshots.clone(), events.clone());
     let exit = Arc::new(Notify::new());
     let calls = Arc::new(Calls::default());
+    let decisions = Arc::new(Decisions::new(snapshots.clone()));
+    let watching = watch::Sender::new(true);
     let runner = Runner {
+        decisions: decisions.clone(),
         calls: calls.clone(),
         paces: Arc::default(),
         links: links.clone(),
         events: events.clone(),
+        watching: watching.clone(),
         exit: exit.clone(),
     };
     let reducer = Reducer::new(config(&settings, &host, incarnation));
@@ -81,12 +90,29 @@
         },
         snapshots: snapshots.clone(),
         events: events.clone(),
+        decisions: decisions.clone(),
+        port: settings.operator_listen.port(),
+        token_digest: settings.operator_token_digest.clone(),
+        links: links.counters(),
     }
     .spawn(settings.operator_listen)?;
-    platform::spawn_watches(&settings.platform.to_string(), &events)
+    let control = platform::WatchControl {
+        snapshots: snapshots.clone(),
+        watching: watching.subscribe(),
+    };
+    platform::spawn_watches(&settings.platform.to_string(), &events, &control)
         .map_err(|error| error.to_string())?;
-    tokio::spawn(links.accept(peers));
-    let frontend = Frontend::new(host, incarnation, snapshots, calls, events.clone());
+    tokio::spawn(links.clone().accept(peers));
+    tokio::spawn(links.clone().keep_up());
+    tokio::spawn(links.meet(settings.peers.clone()));
+    let frontend = Frontend::new(
+        host,
+        incarnation,
+        snapshots,
+        calls,
+        decisions,
+        events.clone(),
+    );
     tokio::spawn(frontend.accept(callers));
     log::info!(host = settings.host, incarnation, listen:% = settings.listen; "serving");
     until_told(&events, &exit).await?;
@@ -116,8 +142,10 @@
         host: host.clone(),
         incarnation,
         failure_domain: settings.failure_domain.as_str().into(),
-        policy: settings.policy.into(),
+        policy: settings.policy,
         seed: settings.seed.unwrap_or(incarnation),
+        pause_limit: PAUSE_LIMIT,
+        await_peers: true,
         ..Config::default()
     };
     if let Some(size) = settings.shard_size {
--- a/crates/jaypin_core/src/keys.rs
+++ b/crates/jaypin_core/src/keys.rs
@@ -111,6 +111,21 @@
     Full,
 }
 
+impl ClaimVerdict {
+    /// The word that logs see.
+    #[must_use]
+    pub fn as_str(&self) -> &'static str {
+        match self {
+            Self::Granted => "granted",
+            Self::InFlight => "in-flight",
+            Self::Done(_) => "done",
+            Self::Unknown => "unknown",
+            Self::Mismatch => "mismatch",
+            Self::Full => "full",
+        }
+    }
+}
+
 #[derive(Debug)]
 struct Entry {
     subject: ClaimSubject,
@@ -251,6 +266,7 @@
                 self.count -= 1;
             }
             KeyOutcome::Answered(answer) => {
+                let answer = answer.filter(|answer| answer.body.len() <= MAX_STORED_ANSWER);
                 let bytes = answer.as_ref().map(|answer| answer.body.len());
                 entry.state = State::Answered(answer);
                 if let Some(bytes) = bytes {
--- a/crates/jaypin_core/src/lib.rs
+++ b/crates/jaypin_core/src/lib.rs
@@ -16,10 +16,13 @@
 mod keys;
 mod limit_keeper;
 mod local;
+mod member;
 mod membership;
 mod message;
+mod message_bounds;
 mod outcome;
 mod owner;
+mod partners;
 mod prefix_index;
 mod record;
 mod reducer;
@@ -41,14 +44,17 @@
     ClaimSubject, ClaimVerdict, IdempotencyKey, KEY_HORIZON, KEY_PERIOD, KeyOutcome, KeyTable,
     MAX_KEYS, MAX_STORED_ANSWER, MAX_STORED_BYTES, StoredAnswer,
 };
+pub use member::{Member, MemberStatus, MemberTable};
 pub use membership::Membership;
-pub use message::{Ask, Candidate, Grant, GrantNumber, InFlight, Message, SlotProgress};
+pub use message::{Ask, Candidate, Digest, Grant, GrantNumber, InFlight, Message, SlotProgress};
 pub use outcome::{Ran, Reason, Refusal};
+pub use partners::partners;
 pub use record::{Record, Step};
 pub use reducer::{Reducer, Summary};
 pub use rendezvous::{rank_by_score, score};
 pub use request::RequestInfo;
 pub use rule_index::{RuleIndex, TierTargets};
+pub use scheduler::{BackendReport, BackendState, ShardReport};
 pub use scheduler::{Letter, Scheduler};
 pub use shard::{Shard, ShardMap};
 pub use stream_pace::StreamPace;
--- a/crates/jaypin_core/src/record.rs
+++ b/crates/jaypin_core/src/record.rs
@@ -3,8 +3,7 @@
 use std::time::Duration;
 
 use crate::{
-    AccountId, BackendId, CallOutcome, Candidate, ClaimVerdict, GrantNumber, HostId, Refusal,
-    RequestId, Shard,
+    AccountId, BackendId, CallOutcome, Candidate, GrantNumber, HostId, Refusal, RequestId, Shard,
 };
 
 /// One step in the life of a request.
@@ -33,7 +32,10 @@
         rules_version: u64,
     },
     /// The owner of its idempotency key answered.
-    Claimed(ClaimVerdict),
+    Claimed {
+        /// The answer in one word; a stored answer is not written down.
+        verdict: &'static str,
+    },
     /// A shard scheduler was asked for a slot.
     Asked {
         /// The shard.
--- a/crates/jaypin_core/src/reducer/keys.rs
+++ b/crates/jaypin_core/src/reducer/keys.rs
@@ -100,7 +100,10 @@
             return;
         };
         let after = now.duration_since(request.arrived_at);
-        record(&request.info, after, Step::Claimed(verdict.clone()), fx);
+        let step = Step::Claimed {
+            verdict: verdict.as_str(),
+        };
+        record(&request.info, after, step, fx);
         let refusal = match verdict {
             ClaimVerdict::Granted => {
                 let (mut info, claim) = (request.info, request.state.claim);
--- a/crates/jaypin_core/src/reducer/mod.rs
+++ b/crates/jaypin_core/src/reducer/mod.rs
@@ -2,10 +2,12 @@
 
 mod arrival;
 mod calls;
+mod gossip;
 mod keys;
 mod knowledge;
 mod limits;
 mod messages;
+mod succession;
 mod time;
 
 use std::collections::{BTreeMap, VecDeque};
@@ -19,14 +21,18 @@
 use crate::baseline::Baseline;
 use crate::claims::Claims;
 use crate::limit_keeper::LimitKeeper;
+use crate::membership::Term;
 use crate::owner::Owner;
 use crate::request::{Dispatched, Request};
 use crate::rule_index::RuleIndex;
 use crate::scheduler::{Letter, Scheduler};
 use crate::shard_hints::ShardHints;
+use gossip::Gossip;
+use succession::Rebuilds;
+
 use crate::{
-    Config, Effect, Event, HostId, KeyOutcome, KeyTable, Membership, Message, Policy, Ran, Record,
-    Refusal, RequestInfo, Shard, SlotProgress, Step,
+    Config, Effect, Event, HostId, KeyOutcome, KeyTable, MemberStatus, Membership, Message, Policy,
+    Ran, Record, Refusal, RequestInfo, Shard, ShardReport, SlotProgress, Step,
 };
 
 /// Time after which a refused caller may come back, where nothing better is known.
@@ -53,6 +59,10 @@
     draining: bool,
     exited: bool,
     inbox: VecDeque<Message>,
+    gossip: Gossip,
+    terms: BTreeMap<Shard, Term>,
+    rebuilds: Rebuilds,
+    last_event: Option<Instant>,
 }
 
 /// Counts for status pages and metrics.
@@ -76,6 +86,10 @@
     pub key_period: u64,
     /// Whether the host is shutting down.
     pub draining: bool,
+    /// Whether the host heard that it has the versions in force.
+    pub caught_up: bool,
+    /// Hash of the table of hosts; equal tables have equal ones.
+    pub members: u64,
 }
 
 impl Reducer {
@@ -85,9 +99,8 @@
         if cfg.policy == Policy::Local {
             cfg.shard_size = usize::MAX;
         }
-        Self {
+        let mut reducer = Self {
             rng: ChaCha8Rng::seed_from_u64(cfg.seed),
-            cfg,
             rules_version: 0,
             rules: Arc::default(),
             rule_index: Arc::default(),
@@ -104,7 +117,14 @@
             draining: false,
             exited: false,
             inbox: VecDeque::new(),
-        }
+            gossip: Gossip::new(&cfg),
+            terms: BTreeMap::new(),
+            rebuilds: Rebuilds::default(),
+            last_event: None,
+            cfg,
+        };
+        reducer.own_status(MemberStatus::Alive);
+        reducer
     }
 
     /// Takes one event and says what is to be done.
@@ -112,11 +132,13 @@
     /// Same events, same seed, same effects.
     pub fn apply(&mut self, now: Instant, event: Event) -> Vec<Effect> {
         let mut fx = Vec::new();
+        self.notice_pause(now, &mut fx);
         self.take(now, event, &mut fx);
         while let Some(message) = self.inbox.pop_front() {
             let from = self.cfg.host.clone();
             self.take(now, Event::Link { from, message }, &mut fx);
         }
+        self.spread_news(&mut fx);
         fx
     }
 
@@ -133,9 +155,18 @@
             granted_here: self.schedulers.values().map(Scheduler::running_count).sum(),
             key_period: self.keys.newest_period(),
             draining: self.draining,
+            caught_up: self.gossip.caught_up,
+            members: self.membership.table().hash(),
         }
     }
 
+    /// The shards that this host leads, for operators; dearer than the counts.
+    #[must_use]
+    pub fn shard_reports(&self, now: Instant) -> Vec<ShardReport> {
+        let schedulers = self.schedulers.values();
+        schedulers.map(|it| it.shard_report(now)).collect()
+    }
+
     /// This host's view of hosts and backend servers.
     #[must_use]
     pub fn membership(&self) -> &Membership {
@@ -150,13 +181,19 @@
             Event::Answered { id, answer } => {
                 self.settle(&id, KeyOutcome::Answered(answer), fx);
             }
-            Event::Load(report) => self.load(now, &report),
-            Event::Link { from, message } => self.message(now, &from, message, fx),
+            Event::Load(report) => self.load(now, &report, fx),
+            Event::Link { from, message } => {
+                if let Some(message) = message.bounded() {
+                    self.message(now, &from, message, fx);
+                }
+            }
             Event::PeerLost(host) => self.peer_lost(now, &host, fx),
-            Event::PeerBack(host) => self.peer_back(now, &host, fx),
+            Event::PeerSilent(host) => self.peer_silent(now, &host, fx),
+            Event::PeerMet { host, incarnation } => self.peer_met(now, &host, incarnation, fx),
             Event::Hosts(list) => self.hosts(now, list, fx),
             Event::Rules { version, rules } => self.rules(version, rules),
-            Event::Drain => self.draining = true,
+            Event::RuleText { version, text } => self.rule_text(version, text),
+            Event::Drain => self.drain(now, fx),
             Event::Tick => self.tick(now, fx),
         }
     }
--- a/crates/jaypin_wire/src/lib.rs
+++ b/crates/jaypin_wire/src/lib.rs
@@ -7,9 +7,12 @@
 mod audit;
 mod claims;
 mod codec;
+mod explain;
 mod host_list;
 mod link;
+mod member;
 mod rules_object;
+mod shard_state;
 
 pub use api::{
     BackendState, EntryAddress, EntryAnswer, HostIdentity, HostState, RefusalBody, StatusBody,
@@ -20,6 +23,9 @@
 };
 pub use claims::{WireOutcome, WireStoredAnswer, WireSubject, WireVerdict};
 pub use codec::{CodecError, decode, encode};
+pub use explain::{AppliedRule, CandidateBody, ExplainBody, ExplainStep, StepBody};
 pub use host_list::{WireBackend, WireHost, WireHostList};
 pub use link::{Frame, Hello, LINK_VERSION, WireMessage};
+pub use member::{MemberBody, WireMember, WireStatus};
 pub use rules_object::{Held, RulesChange, RulesObject};
+pub use shard_state::{ShardBackend, ShardState, TierWaiting};
--- a/crates/jaypin_wire/src/link.rs
+++ b/crates/jaypin_wire/src/link.rs
@@ -4,12 +4,13 @@
 use std::time::Duration;
 
 use jaypin_core::{
-    Ask, Candidate, Grant, GrantNumber, InFlight, Message, Ran, Reason, Refusal, Shard,
-    SlotProgress,
+    Ask, Candidate, Digest, Grant, GrantNumber, HostId, InFlight, Member, Message, Ran, Reason,
+    Refusal, Shard, SlotProgress,
 };
 use serde::{Deserialize, Serialize};
 
 use crate::claims::{WireOutcome, WireSubject, WireVerdict};
+use crate::{WireHostList, WireMember};
 
 /// Version of the link protocol; peers of another version are turned away.
 pub const LINK_VERSION: u16 = 2;
@@ -17,9 +18,12 @@
 /// One frame of a link.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum Frame {
-    /// First frame of either side.
+    /// First frame of the listener: a number used once, and nothing about itself.
+    Challenge([u8; 16]),
+    /// Who speaks; the first frame of the dialer, and the listener's once the dialer
+    /// proved itself.
     Hello(Hello),
-    /// Second frame of either side: a MAC over both hellos under the fleet key.
+    /// A MAC over all that was said before, under the fleet key.
     Proof(Vec<u8>),
     /// Everything after.
     Message(WireMessage),
@@ -73,6 +77,18 @@
     Settled(Arc<str>),
     /// See [`Message::ClaimCheck`].
     ClaimCheck(Arc<str>, Arc<str>),
+    /// See [`Message::Digest`]: versions of rules and host list, hash of the hosts.
+    Digest(u64, u64, u64),
+    /// See [`Message::Fetch`].
+    Fetch(bool, bool),
+    /// See [`Message::RuleText`].
+    RuleText(u64, Arc<str>),
+    /// See [`Message::Hosts`].
+    Hosts(u64, WireHostList),
+    /// See [`Message::Buckets`].
+    Buckets(Vec<u64>),
+    /// See [`Message::Members`].
+    Members(Vec<WireMember>, Vec<u8>),
 }
 
 /// See [`Shard`].
@@ -428,6 +444,16 @@
             Message::Settle { key, id, outcome } => Self::Settle(key, id, outcome.into()),
             Message::Settled { id } => Self::Settled(id),
             Message::ClaimCheck { key, id } => Self::ClaimCheck(key, id),
+            Message::Digest(digest) => {
+                Self::Digest(digest.rules_version, digest.hosts_version, digest.members)
+            }
+            Message::Fetch { rules, hosts } => Self::Fetch(rules, hosts),
+            Message::RuleText { version, text } => Self::RuleText(version, text),
+            Message::Hosts(list) => Self::Hosts(list.version, WireHostList::from(&list)),
+            Message::Buckets(hashes) => Self::Buckets(hashes),
+            Message::Members { entries, whole } => {
+                Self::Members(entries.into_iter().map(WireMember::from).collect(), whole)
+            }
         }
     }
 }
@@ -495,6 +521,19 @@
             },
             WireMessage::Settled(id) => Self::Settled { id },
             WireMessage::ClaimCheck(key, id) => Self::ClaimCheck { key, id },
+            WireMessage::Digest(rules_version, hosts_version, members) => Self::Digest(Digest {
+                rules_version,
+                hosts_version,
+                members,
+            }),
+            WireMessage::Fetch(rules, hosts) => Self::Fetch { rules, hosts },
+            WireMessage::RuleText(version, text) => Self::RuleText { version, text },
+            WireMessage::Hosts(version, list) => Self::Hosts(list.at_version(version)),
+            WireMessage::Buckets(hashes) => Self::Buckets(hashes),
+            WireMessage::Members(entries, whole) => Self::Members {
+                entries: entries.into_iter().map(<(HostId, Member)>::from).collect(),
+                whole,
+            },
         }
     }
 }
