--- a/crates/jaypin/src/metrics/mod.rs
+++ b/crates/jaypin/src/metrics/mod.rs
@@ -72,6 +72,7 @@
     match outcome {
         CallOutcome::Complete => "complete",
         CallOutcome::Lost => "lost",
+        CallOutcome::Died => "died",
         CallOutcome::Failed => "failed",
         CallOutcome::Cancelled => "cancelled",
     }
--- a/crates/jaypin_core/src/record.rs
+++ b/crates/jaypin_core/src/record.rs
@@ -31,6 +31,11 @@
         /// Version of those rules.
         rules_version: u64,
     },
+    /// The owner of its idempotency key answered.
+    Claimed {
+        /// The answer in one word; a stored answer is not written down.
+        verdict: &'static str,
+    },
     /// A shard scheduler was asked for a slot.
     Asked {
         /// The shard.
@@ -49,6 +54,8 @@
         /// What was weighed, the chosen one first.
         candidates: Vec<Candidate>,
     },
+    /// The backend server refused the connection; no byte left.
+    NotReached,
     /// The first token came.
     FirstToken,
     /// The call ended.
--- a/crates/jaypin_core/src/reducer/gossip.rs
+++ b/crates/jaypin_core/src/reducer/gossip.rs
@@ -316,10 +316,12 @@
     // ------------------------------------------------------------------ links
 
     pub(super) fn peer_lost(&mut self, now: Instant, host: &HostId, fx: &mut Vec<Effect>) {
+        self.keys.orphan(host);
         self.accuse(now, host, MemberStatus::Dead, fx);
     }
 
     pub(super) fn peer_silent(&mut self, now: Instant, host: &HostId, fx: &mut Vec<Effect>) {
+        self.keys.orphan(host);
         self.accuse(now, host, MemberStatus::Suspect, fx);
     }
 
@@ -415,7 +417,7 @@
     pub(super) fn may_exit(&self, now: Instant) -> bool {
         let told = self.gossip.drained_at;
         let spread = told.is_some_and(|told| now.duration_since(told) >= MIN_DRAIN);
-        spread && self.owner.is_idle()
+        spread && self.is_idle()
     }
 }
 
--- a/crates/jaypin_core/src/reducer/mod.rs
+++ b/crates/jaypin_core/src/reducer/mod.rs
@@ -3,6 +3,7 @@
 mod arrival;
 mod calls;
 mod gossip;
+mod keys;
 mod knowledge;
 mod limits;
 mod messages;
@@ -18,6 +19,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::baseline::Baseline;
+use crate::claims::Claims;
 use crate::limit_keeper::LimitKeeper;
 use crate::membership::Term;
 use crate::owner::Owner;
@@ -29,8 +31,8 @@
 use succession::Rebuilds;
 
 use crate::{
-    Config, Effect, Event, HostId, MemberStatus, Membership, Message, Policy, Record, Refusal,
-    RequestInfo, Shard, ShardReport, SlotProgress, Step,
+    Config, Effect, Event, HostId, KeyOutcome, KeyTable, MemberStatus, Membership, Message, Policy,
+    Ran, Record, Refusal, RequestInfo, Shard, ShardReport, SlotProgress, Step,
 };
 
 /// Time after which a refused caller may come back, where nothing better is known.
@@ -51,6 +53,8 @@
     owner: Owner,
     schedulers: BTreeMap<Shard, Scheduler>,
     baseline: Baseline,
+    keys: KeyTable,
+    claims: Claims,
     next_poll: Option<Instant>,
     draining: bool,
     exited: bool,
@@ -78,6 +82,8 @@
     pub queued_here: usize,
     /// Requests that run on slots granted by the shards that this host leads.
     pub granted_here: usize,
+    /// Key period of this run, for the prefix of idempotency keys.
+    pub key_period: u64,
     /// Whether the host is shutting down.
     pub draining: bool,
     /// Whether the host heard that it has the versions in force.
@@ -105,6 +111,8 @@
             owner: Owner::default(),
             schedulers: BTreeMap::new(),
             baseline: Baseline::default(),
+            keys: KeyTable::default(),
+            claims: Claims::default(),
             next_poll: None,
             draining: false,
             exited: false,
@@ -145,6 +153,7 @@
             running: self.owner.dispatched.len(),
             queued_here: self.schedulers.values().map(Scheduler::waiting_count).sum(),
             granted_here: self.schedulers.values().map(Scheduler::running_count).sum(),
+            key_period: self.keys.newest_period(),
             draining: self.draining,
             caught_up: self.gossip.caught_up,
             members: self.membership.table().hash(),
@@ -169,6 +178,9 @@
             Event::Arrived(info) => self.arrived(now, info, fx),
             Event::CallerGone(id) => self.caller_gone(&id, fx),
             Event::Call { id, progress } => self.call(now, &id, progress, fx),
+            Event::Answered { id, answer } => {
+                self.settle(&id, KeyOutcome::Answered(answer), fx);
+            }
             Event::Load(report) => self.load(now, &report, fx),
             Event::Link { from, message } => {
                 if let Some(message) = message.bounded() {
@@ -205,6 +217,11 @@
         }
     }
 
+    /// Whether nothing is left to do for a caller or to tell a peer.
+    fn is_idle(&self) -> bool {
+        self.owner.is_idle() && self.claims.is_idle()
+    }
+
     fn send_all(&mut self, letters: Vec<Letter>, fx: &mut Vec<Effect>) {
         for (to, message) in letters {
             self.send(&to, message, fx);
@@ -220,7 +237,6 @@
         record(info, Duration::ZERO, step, fx);
     }
 
-    #[expect(clippy::unused_self, reason = "all refusals go through the reducer")]
     fn refuse(
         &mut self,
         info: &RequestInfo,
@@ -228,6 +244,12 @@
         refusal: Refusal,
         fx: &mut Vec<Effect>,
     ) {
+        let outcome = match refusal.ran {
+            Ran::NotRun => KeyOutcome::NotRun,
+            Ran::Ran => KeyOutcome::Answered(None),
+            Ran::Unknown => KeyOutcome::Unknown,
+        };
+        self.settle(&info.id, outcome, fx);
         record(info, after, Step::Refused(refusal.clone()), fx);
         fx.push(Effect::Refuse {
             id: info.id.clone(),
--- a/crates/jaypin_wire/src/explain/mod.rs
+++ b/crates/jaypin_wire/src/explain/mod.rs
@@ -81,7 +81,7 @@
     Finished {
         /// Tokens that came.
         tokens: u32,
-        /// `complete`, `lost`, `failed` or `cancelled`.
+        /// `complete`, `lost`, `died`, `failed` or `cancelled`.
         outcome: String,
     },
     /// It was refused.
@@ -235,6 +235,7 @@
     match outcome {
         CallOutcome::Complete => "complete",
         CallOutcome::Lost => "lost",
+        CallOutcome::Died => "died",
         CallOutcome::Failed => "failed",
         CallOutcome::Cancelled => "cancelled",
     }
--- a/crates/jaypin_wire/src/explain/sentences.rs
+++ b/crates/jaypin_wire/src/explain/sentences.rs
@@ -120,6 +120,7 @@
     match outcome {
         "complete" => "the whole answer was passed on",
         "lost" => "the backend server broke off or went silent",
+        "died" => "the backend server went down under it",
         "failed" => "the backend server answered with an error",
         "cancelled" => "the caller left",
         _ => "its end has no name",
