--- a/crates/jaypin_bench/src/cli.rs
+++ b/crates/jaypin_bench/src/cli.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use jaypin_bench::load::{LoadConfig, Mix};
+use jaypin_bench::torture::TortureConfig;
 use lexopt::prelude::*;
 
 /// What `--help` prints.
@@ -16,6 +17,8 @@
          Makes a run for each load, seed and policy and prints one table.
        jaypin-bench check FILE
          Checks a history, as torture writes it, against every promise.
+       jaypin-bench torture --seed N --minutes M --hosts H [--callers N] [--history FILE]
+         Makes faults while callers ask, and checks the history against every promise.
 options of a run:
   --mix lanyang|hanbit     what callers ask for (lanyang)
   --policy NAME            grants, local or baseline (grants)
@@ -35,6 +38,12 @@
 pub struct Args {
     /// The command; empty for help.
     pub command: String,
+    /// Minutes of faults.
+    pub minutes: f64,
+    /// Callers under faults.
+    pub callers: usize,
+    /// File for the history.
+    pub history: Option<String>,
     /// File that a command works on.
     pub file: Option<String>,
     /// What a run is like.
@@ -49,12 +58,27 @@
     pub json: Option<String>,
 }
 
+impl Args {
+    /// What a run under faults is like.
+    pub fn torture(&self) -> TortureConfig {
+        TortureConfig {
+            seed: self.load.seed,
+            length: Duration::from_secs_f64(self.minutes * 60.0),
+            hosts: self.load.hosts,
+            callers: self.callers,
+            ..TortureConfig::default()
+        }
+    }
+}
+
 /// Reads the command line.
 pub fn parse() -> Result<Args, lexopt::Error> {
     let mut args = Args {
         policies: vec!["grants".to_owned(), "baseline".to_owned()],
         loads: vec![1.0],
         seeds: vec![1],
+        minutes: 1.0,
+        callers: 60,
         ..Args::default()
     };
     let mut parser = lexopt::Parser::from_env();
@@ -64,6 +88,9 @@
                 args.command.clear();
                 return Ok(args);
             }
+            Long("minutes") => args.minutes = parser.value()?.parse()?,
+            Long("callers") => args.callers = parser.value()?.parse()?,
+            Long("history") => args.history = Some(parser.value()?.string()?),
             Long("json") => args.json = Some(parser.value()?.string()?),
             Long("policies") => args.policies = list(&mut parser)?,
             Long("loads") => args.loads = list(&mut parser)?,
--- a/crates/jaypin_bench/src/fleet.rs
+++ b/crates/jaypin_bench/src/fleet.rs
@@ -1,14 +1,12 @@
 //! Real host processes before stand-ins that run inside this process.
 
-use std::net::{Ipv4Addr, SocketAddr};
-use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU8, Ordering};
-use std::time::Duration;
+use std::net::SocketAddr;
+use std::path::PathBuf;
 
-use jaypin_standin::{App, AppConfig, Engine, EngineConfig, Platform};
+use jaypin_standin::{App, AppConfig, Engine, EngineConfig, Platform, Proxy};
 use serde_json::{Value, json};
-use tokio::time::{Instant, sleep};
+
+use crate::Host;
 
 type AnyError = Box<dyn std::error::Error + Send + Sync>;
 
@@ -16,12 +14,8 @@
 pub const RULES: &str = include_str!("../../../examples/lanyang-rules.yaml");
 /// Accounts of that rule file; the credential is the account with `-secret` behind it.
 pub const ACCOUNTS: [&str; 3] = ["farm-yilan", "farm-luodong", "farm-jiaoxi"];
-/// Ports of every host: for callers, peers and operators.
-const PORTS: [u16; 3] = [7_101, 7_102, 7_103];
-/// Longest wait for a host to become ready.
-const READY_TIMEOUT: Duration = Duration::from_secs(20);
-/// Pause between two looks at a host.
-const LOOK_PAUSE: Duration = Duration::from_millis(20);
+/// Address that stands for a free port of the loopback address.
+const ANY_PORT: &str = "127.0.0.1:0";
 
 /// What a fleet is made of.
 #[derive(Debug, Clone)]
@@ -34,6 +28,8 @@
     pub apps: usize,
     /// Name of the plain service.
     pub plain_service: String,
+    /// Whether a fault proxy stands before the platform, each link and each backend server.
+    pub proxied: bool,
     /// The rule file.
     pub rules: String,
     /// Further lines of every host's settings.
@@ -49,6 +45,7 @@
             engines: vec![EngineConfig::default(); 2],
             apps: 1,
             plain_service: "robots".to_owned(),
+            proxied: false,
             rules: RULES.to_owned(),
             settings: String::new(),
             log: "warn".to_owned(),
@@ -71,25 +68,15 @@
     pub slots: usize,
 }
 
-/// One host process.
-#[derive(Debug)]
-pub struct Host {
-    /// Name.
-    pub id: String,
-    /// Where callers connect.
-    pub address: SocketAddr,
-    /// Where peers connect.
-    pub link: SocketAddr,
-    /// Where operators connect.
-    pub operator: SocketAddr,
-    /// Failure domain.
-    pub failure_domain: String,
-    /// Whether the host list says that it is leaving.
-    pub leaving: bool,
-    settings: PathBuf,
-    log: String,
-    child: Option<Child>,
-    killed: bool,
+/// Fault proxies of a fleet; empty where it has none.
+#[derive(Debug, Default)]
+pub struct Proxies {
+    /// Before the platform.
+    pub platform: Option<Proxy>,
+    /// Before the links of each host, in their order.
+    pub links: Vec<Proxy>,
+    /// Before each backend server, in their order.
+    pub backends: Vec<Proxy>,
 }
 
 /// A running fleet; dropping it ends its hosts.
@@ -105,31 +92,11 @@
     pub hosts: Vec<Host>,
     /// Backend servers as the host list names them.
     pub backends: Vec<BackendSpec>,
+    /// Fault proxies, where the fleet has them.
+    pub proxies: Proxies,
     directory: PathBuf,
 }
 
-/// Finds a program of this workspace beside the running one.
-///
-/// # Errors
-/// When it was not built.
-pub fn binary(name: &str) -> Result<PathBuf, AnyError> {
-    let own = std::env::current_exe()?;
-    let mut directory = own.parent().map(Path::to_path_buf).unwrap_or_default();
-    if directory.ends_with("deps") {
-        directory.pop();
-    }
-    let path = directory.join(name);
-    if path.is_file() {
-        Ok(path)
-    } else {
-        Err(format!(
-            "{} is not built; run `cargo build --workspace`",
-            path.display()
-        )
-        .into())
-    }
-}
-
 impl Fleet {
     /// Starts stand-ins and hosts, and waits until every host is ready.
     ///
@@ -149,7 +116,7 @@
     /// # Errors
     /// When something can't be started.
     pub async fn prepare(cfg: FleetConfig) -> Result<Self, AnyError> {
-        let platform = Platform::start("127.0.0.1:0").await?;
+        let platform = Platform::start(ANY_PORT).await?;
         let mut engines = Vec::new();
         let mut apps = Vec::new();
         let mut backends = Vec::new();
@@ -170,23 +137,43 @@
             backends.push(backend(id, app.address, &cfg.plain_service, 16));
             apps.push(app);
         }
+        let mut proxies = Proxies::default();
+        let mut platform_address = platform.address;
+        if cfg.proxied {
+            let proxy = Proxy::start(ANY_PORT, platform.address).await?;
+            platform_address = proxy.address;
+            proxies.platform = Some(proxy);
+            for backend in &mut backends {
+                let proxy = Proxy::start(ANY_PORT, backend.address).await?;
+                backend.address = proxy.address;
+                proxies.backends.push(proxy);
+            }
+        }
         let directory = scratch_directory()?;
         let mut hosts = Vec::new();
         for index in 0..cfg.hosts {
             hosts.push(Host::prepare(
                 index,
                 &directory,
-                platform.address,
+                platform_address,
                 &cfg.settings,
                 &cfg.log,
             )?);
         }
+        if cfg.proxied {
+            for host in &mut hosts {
+                let proxy = Proxy::start(ANY_PORT, host.link).await?;
+                host.link = proxy.address;
+                proxies.links.push(proxy);
+            }
+        }
         let fleet = Self {
             platform,
             engines,
             apps,
             hosts,
             backends,
+            proxies,
             directory,
         };
         fleet.publish_hosts();
@@ -240,7 +227,7 @@
     /// # Errors
     /// When one is not in time.
     pub async fn wait_ready(&self) -> Result<(), AnyError> {
-        for host in self.hosts.iter().filter(|host| host.child.is_some()) {
+        for host in self.hosts.iter().filter(|host| host.pid().is_some()) {
             host.wait_ready().await?;
         }
         Ok(())
@@ -272,135 +259,3 @@
     std::fs::create_dir_all(&path)?;
     Ok(path)
 }
-
-/// Address of a host, and after it its ports for callers, peers and operators.
-///
-/// Each host has a loopback address of its own, and its ports are below the range that
-/// the system hands out, so no other program takes them between choice and use.
-fn host_address() -> Ipv4Addr {
-    static COUNT: AtomicU8 = AtomicU8::new(1);
-    let process = std::process::id();
-    let count = COUNT.fetch_add(1, Ordering::Relaxed);
-    let [_, _, high, low] = process.to_be_bytes();
-    Ipv4Addr::new(127, 1 + high % 250, low, count)
-}
-
-impl Host {
-    fn prepare(
-        index: usize,
-        directory: &Path,
-        platform: SocketAddr,
-        extra: &str,
-        log: &str,
-    ) -> Result<Self, AnyError> {
-        let id = format!("host-{index}");
-        let failure_domain = format!("domain-{}", index % 3);
-        let ip = host_address();
-        let [address, link, operator] = PORTS.map(|port| SocketAddr::from((ip, port)));
-        let settings = directory.join(format!("{id}.yaml"));
-        let text = format!(
-            "host: {id}\nfailure-domain: {failure_domain}\nlisten: {address}\n\
-             link-listen: {link}\noperator-listen: {operator}\nplatform: {platform}\n\
-             fleet-key: a-key-for-tests-only\n{extra}"
-        );
-        std::fs::write(&settings, text)?;
-        Ok(Self {
-            id,
-            address,
-            link,
-            operator,
-            failure_domain,
-            leaving: false,
-            settings,
-            log: log.to_owned(),
-            child: None,
-            killed: false,
-        })
-    }
-
-    /// Starts the process; its log goes to this process's standard error.
-    ///
-    /// # Errors
-    /// When the program can't be started.
-    pub fn start(&mut self) -> Result<(), AnyError> {
-        let child = Command::new(binary("jaypin")?)
-            .args(["serve", "--settings"])
-            .arg(&self.settings)
-            .env("RUST_LOG", &self.log)
-            .stdin(Stdio::null())
-            .spawn()?;
-        self.child = Some(child);
-        self.killed = false;
-        Ok(())
-    }
-
-    /// Id of the process.
-    #[must_use]
-    pub fn pid(&self) -> Option<u32> {
-        self.child.as_ref().map(Child::id)
-    }
-
-    /// Sends a signal by its name, for example `STOP`.
-    pub fn signal(&self, name: &str) {
-        if let Some(pid) = self.pid() {
-            let _ = Command::new("kill")
-                .args([format!("-{name}"), pid.to_string()])
-                .status();
-        }
-    }
-
-    /// Kills the process and waits for its end.
-    pub fn kill(&mut self) {
-        if let Some(mut child) = self.child.take() {
-            let _ = child.kill();
-            let _ = child.wait();
-            self.killed = true;
-        }
-    }
-
-    /// Waits for the process to end by itself; gives whether it ended well.
-    pub async fn wait_exit(&mut self, within: Duration) -> Option<bool> {
-        let deadline = Instant::now() + within;
-        while Instant::now() < deadline {
-            let status = self.child.as_mut()?.try_wait().ok()?;
-            if let Some(status) = status {
-                self.child = None;
-                return Some(status.success());
-            }
-            sleep(LOOK_PAUSE).await;
-        }
-        None
-    }
-
-    /// Reads a page of the operators' listener; gives nothing when it does not answer.
-    pub async fn page(&self, path: &str) -> Option<(u16, Value)> {
-        let url = format!("http://{}{path}", self.operator);
-        tokio::task::spawn_blocking(move || {
-            let timeout = Duration::from_secs(2);
-            let response = attohttpc::get(url).timeout(timeout).send().ok()?;
-            let status = response.status().as_u16();
-            Some((status, response.json().ok()?))
-        })
-        .await
-        .ok()?
-    }
-
-    /// Waits until the host says that it is ready.
-    ///
-    /// # Errors
-    /// When it is not in time.
-    pub async fn wait_ready(&self) -> Result<(), AnyError> {
-        let deadline = Instant::now() + READY_TIMEOUT;
-        while Instant::now() < deadline {
-            if self
-                .page("/readyz")
-                .await
-                .is_some_and(|(status, _)| status == 200)
-            {
-                return Ok(());
-            }
-            sleep(LOOK_PAUSE).await;
-        }
-        Err(format!("{} is not ready", self.id).into())
-    }
-}
--- a/crates/jaypin_bench/src/history/mod.rs
+++ b/crates/jaypin_bench/src/history/mod.rs
@@ -7,6 +7,4 @@
 mod record;
 
 pub use check::{CheckOutcome, Promise, Violation, check};
-pub use record::{
-    Answered, CallRecord, ExecutionRecord, History, LeavingRecord, RulesRecord, unix_ms,
-};
+pub use record::{Answered, CallRecord, ExecutionRecord, History, LeavingRecord, RulesRecord};
--- a/crates/jaypin_bench/src/history/record.rs
+++ b/crates/jaypin_bench/src/history/record.rs
@@ -1,7 +1,5 @@
 //! What a run logged, in JSON. All times are milliseconds since 1970, of one clock.
 
-use std::time::{SystemTime, UNIX_EPOCH};
-
 use serde::{Deserialize, Serialize};
 
 /// Everything that a run logged.
@@ -112,12 +110,3 @@
     /// Until when.
     pub until_ms: u64,
 }
-
-/// Milliseconds since 1970.
-#[must_use]
-pub fn unix_ms() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    since.map_or(0, |since| {
-        u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
-    })
-}
--- a/crates/jaypin_bench/src/lib.rs
+++ b/crates/jaypin_bench/src/lib.rs
@@ -6,8 +6,11 @@
 mod demo;
 mod fleet;
 pub mod history;
+mod host;
 pub mod load;
+pub mod torture;
 
 pub use client::{Answer, Client, Event, completion_body};
 pub use demo::demo;
-pub use fleet::{ACCOUNTS, BackendSpec, Fleet, FleetConfig, Host, RULES, binary};
+pub use fleet::{ACCOUNTS, BackendSpec, Fleet, FleetConfig, Proxies, RULES};
+pub use host::{Host, binary};
--- a/crates/jaypin_bench/src/load/runner.rs
+++ b/crates/jaypin_bench/src/load/runner.rs
@@ -98,6 +98,7 @@
         rules: cfg.mix.rules.clone(),
         settings: format!("policy: {}\n{}", cfg.policy, cfg.settings),
         log: cfg.log.clone(),
+        ..FleetConfig::default()
     })
     .await?;
     let length = cfg.warmup + cfg.duration + cfg.cooldown;
--- a/crates/jaypin_bench/src/main.rs
+++ b/crates/jaypin_bench/src/main.rs
@@ -2,7 +2,7 @@
 
 mod cli;
 
-use jaypin_bench::{demo, history, load};
+use jaypin_bench::{demo, history, load, torture};
 
 type AnyError = Box<dyn std::error::Error + Send + Sync>;
 
@@ -14,6 +14,7 @@
         "load" => one_run(&args).await,
         "compare" => compare(&args).await,
         "check" => check(&args),
+        "torture" => under_faults(&args).await,
         _ => {
             println!("{}", cli::USAGE);
             Ok(())
@@ -33,6 +34,20 @@
     write(args, &serde_json::to_value(&reports)?)
 }
 
+async fn under_faults(args: &cli::Args) -> Result<(), AnyError> {
+    let report = torture::torture(&args.torture()).await?;
+    print!("{}", report.table());
+    write(args, &serde_json::to_value(&report)?)?;
+    if let Some(path) = &args.history {
+        std::fs::write(path, serde_json::to_string(&report.history)?)?;
+    }
+    if report.check.violations.is_empty() {
+        Ok(())
+    } else {
+        Err("promises are broken".into())
+    }
+}
+
 fn check(args: &cli::Args) -> Result<(), AnyError> {
     let file = args.file.as_deref().ok_or("a history's file is missing")?;
     let history = serde_json::from_str(&std::fs::read_to_string(file)?)?;
--- /dev/null
+++ b/crates/jaypin_bench/src/torture/runner.rs
@@ -0,0 +1,254 @@
+//! One run under faults: callers, a schedule, a history, a verdict.
+
+use std::collections::BTreeMap;
+use std::fmt::Write as _;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use jaypin_standin::EngineConfig;
+use serde::Serialize;
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep_until, timeout};
+
+use super::callers::Caller;
+use super::faults::Faults;
+use super::schedule::schedule;
+use super::watch_rules::{RulesLog, watch_rules};
+use crate::history::{Answered, CallRecord, CheckOutcome, ExecutionRecord, History, check};
+use crate::{Fleet, FleetConfig};
+
+type AnyError = Box<dyn std::error::Error + Send + Sync>;
+
+/// Longest time for callers to end after the last fault was undone.
+const END_TIMEOUT: Duration = Duration::from_secs(90);
+/// Violations that a table shows.
+const SHOWN: usize = 20;
+
+/// What a run is like.
+#[derive(Debug, Clone)]
+pub struct TortureConfig {
+    /// Seed of faults and callers.
+    pub seed: u64,
+    /// How long faults come.
+    pub length: Duration,
+    /// Entry hosts.
+    pub hosts: usize,
+    /// Engines.
+    pub engines: usize,
+    /// Application workers.
+    pub apps: usize,
+    /// Callers, each with one request at a time.
+    pub callers: usize,
+    /// Filter of the hosts' logs.
+    pub log: String,
+}
+
+impl Default for TortureConfig {
+    fn default() -> Self {
+        Self {
+            seed: 1,
+            length: Duration::from_mins(1),
+            hosts: 13,
+            engines: 6,
+            apps: 3,
+            callers: 60,
+            log: "off".to_owned(),
+        }
+    }
+}
+
+/// What a run gave.
+#[derive(Debug, Clone, Serialize)]
+pub struct TortureReport {
+    /// Seed.
+    pub seed: u64,
+    /// Entry hosts.
+    pub hosts: usize,
+    /// How long faults came.
+    pub length: Duration,
+    /// Faults made, by name.
+    pub faults: BTreeMap<String, usize>,
+    /// Calls by what their callers got.
+    pub answers: BTreeMap<String, usize>,
+    /// What the checker found.
+    pub check: CheckOutcome,
+    /// Hosts that did not leave by themselves or did not become ready.
+    pub troubles: Vec<String>,
+    /// What was checked.
+    #[serde(skip)]
+    pub history: History,
+}
+
+/// Makes a run.
+///
+/// # Errors
+/// When the fleet does not start or callers do not end.
+pub async fn torture(cfg: &TortureConfig) -> Result<TortureReport, AnyError> {
+    let fleet = start(cfg).await?;
+    let addresses = fleet
+        .hosts
+        .iter()
+        .map(|host| (host.id.clone(), host.address));
+    let hosts = Arc::new(addresses.collect::<Vec<_>>());
+    let (stop, stopped) = watch::channel(false);
+    let mut callers = JoinSet::new();
+    for number in 0..cfg.callers {
+        let caller = Caller::new(hosts.clone(), number, cfg.seed, stopped.clone());
+        callers.spawn(caller.run());
+    }
+    let rules_log = RulesLog::default();
+    let mut watchers = JoinSet::new();
+    for host in &fleet.hosts {
+        watchers.spawn(watch_rules(
+            host.id.clone(),
+            host.operator,
+            rules_log.clone(),
+        ));
+    }
+    let mut faults = Faults::new(fleet);
+    strike(&mut faults, cfg).await;
+    faults.undo_all().await;
+    stop.send_replace(true);
+    let calls = timeout(END_TIMEOUT, callers.join_all()).await?.concat();
+    watchers.abort_all();
+    let rules = std::mem::take(&mut *lock(&rules_log));
+    let history = History {
+        calls,
+        executions: executions(faults.fleet()),
+        rules,
+        leaving: std::mem::take(&mut faults.leaving),
+    };
+    Ok(TortureReport {
+        seed: cfg.seed,
+        hosts: cfg.hosts,
+        length: cfg.length,
+        faults: faults.counts.clone(),
+        answers: answers(&history.calls),
+        check: check(&history),
+        troubles: faults.troubles.clone(),
+        history,
+    })
+}
+
+fn lock(log: &Mutex<Vec<crate::history::RulesRecord>>) -> LockedRules<'_> {
+    log.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+type LockedRules<'a> = std::sync::MutexGuard<'a, Vec<crate::history::RulesRecord>>;
+
+async fn start(cfg: &TortureConfig) -> Result<Fleet, AnyError> {
+    let engine = EngineConfig {
+        gap: Duration::from_millis(10),
+        crash_for: Some(Duration::from_millis(500)),
+        ..EngineConfig::default()
+    };
+    Fleet::start(FleetConfig {
+        hosts: cfg.hosts,
+        engines: vec![engine; cfg.engines],
+        apps: cfg.apps,
+        proxied: true,
+        log: cfg.log.clone(),
+        ..FleetConfig::default()
+    })
+    .await
+}
+
+/// Makes each fault at its time and undoes it at the end of its time.
+async fn strike(faults: &mut Faults, cfg: &TortureConfig) {
+    let start = Instant::now();
+    let mut told = start;
+    for planned in schedule(cfg.seed, cfg.length) {
+        let at = start + planned.at;
+        while let Some(due) = faults.next_due().filter(|due| *due < at) {
+            sleep_until(due).await;
+            faults.undo_due().await;
+        }
+        sleep_until(at).await;
+        faults.make(planned).await;
+        if told.elapsed() > Duration::from_secs(10) {
+            told = Instant::now();
+            let made: usize = faults.counts.values().sum();
+            eprintln!("  {:.0?}: {made} faults made", start.elapsed());
+        }
+    }
+}
+
+fn executions(fleet: &Fleet) -> Vec<ExecutionRecord> {
+    let mut records = Vec::new();
+    for (engine, spec) in fleet.engines.iter().zip(&fleet.backends) {
+        let done = engine.executions();
+        records.extend(done.into_iter().map(|execution| ExecutionRecord {
+            backend: spec.id.clone(),
+            request_id: execution.id,
+            key: String::new(),
+            account: String::new(),
+            began_ms: execution.began_ms,
+        }));
+    }
+    let apps = fleet.backends.iter().skip(fleet.engines.len());
+    for (app, spec) in fleet.apps.iter().zip(apps) {
+        let done = app.calls();
+        records.extend(done.into_iter().map(|call| ExecutionRecord {
+            backend: spec.id.clone(),
+            request_id: call.id,
+            key: call.key,
+            account: call.account,
+            began_ms: call.began_ms,
+        }));
+    }
+    records
+}
+
+fn answers(calls: &[CallRecord]) -> BTreeMap<String, usize> {
+    let mut counts = BTreeMap::new();
+    for call in calls {
+        let word = match &call.answered {
+            Answered::Whole { .. } => "whole".to_owned(),
+            Answered::Refused {
+                reason, outcome, ..
+            } => format!("{outcome}: {reason}"),
+            Answered::Broken { .. } => "broken connection".to_owned(),
+            Answered::QuietEnd { .. } => "quiet end".to_owned(),
+            Answered::Nothing => "nothing".to_owned(),
+        };
+        *counts.entry(word).or_default() += 1;
+    }
+    counts
+}
+
+impl TortureReport {
+    /// The counts and the verdict.
+    #[must_use]
+    pub fn table(&self) -> String {
+        let mut out = String::new();
+        let _ = writeln!(
+            out,
+            "seed {}: {} hosts, {:?} of faults",
+            self.seed, self.hosts, self.length
+        );
+        let _ = writeln!(out, "faults  {:?}", self.faults);
+        let _ = writeln!(out, "answers {:?}", self.answers);
+        let check = &self.check;
+        let _ = writeln!(
+            out,
+            "checked {} calls, {} executions, {} not-run, {} shed, {} rule versions",
+            check.calls, check.executions, check.not_run, check.shed, check.rules
+        );
+        for trouble in &self.troubles {
+            let _ = writeln!(out, "trouble: {trouble}");
+        }
+        let mut by_promise = BTreeMap::<_, usize>::new();
+        for violation in &check.violations {
+            *by_promise.entry(violation.promise).or_default() += 1;
+        }
+        for violation in check.violations.iter().take(SHOWN) {
+            let _ = writeln!(out, "{:?}: {}", violation.promise, violation.detail);
+        }
+        let _ = match check.violations.len() {
+            0 => writeln!(out, "verdict: every promise kept"),
+            count => writeln!(out, "verdict: {count} violations {by_promise:?}"),
+        };
+        out
+    }
+}
--- a/crates/jaypin_standin/src/app.rs
+++ b/crates/jaypin_standin/src/app.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::task::JoinHandle;
 
-use crate::http::{Body, bind, json, serve};
+use crate::http::{Body, bind, json, serve, unix_ms};
 
 /// What an application service is like.
 #[derive(Debug, Clone)]
@@ -40,6 +40,9 @@
     pub route: String,
     /// The client account it was made for.
     pub account: String,
+    /// When it came, in milliseconds since 1970.
+    #[serde(default)]
+    pub began_ms: u64,
 }
 
 /// A running application service.
@@ -116,6 +119,7 @@
         key: text("idempotency-key"),
         route: format!("{} {}", req.method(), req.uri().path()),
         account: text("x-jaypin-account"),
+        began_ms: unix_ms(),
     };
     log.lock()
         .unwrap_or_else(PoisonError::into_inner)
--- a/crates/jaypin_standin/src/engine.rs
+++ b/crates/jaypin_standin/src/engine.rs
@@ -15,7 +15,7 @@
 use tokio::time::{Instant, sleep};
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::http::{Body, bind, json, query_number, serve};
+use crate::http::{Body, bind, json, query_number, serve, unix_ms};
 use crate::prefix_cache::{HeldBlocks, PrefixCache};
 
 /// Text that crashes an engine which is set to be poisoned by it.
@@ -86,6 +86,9 @@
 pub struct Execution {
     /// Id that the caller of the engine gave.
     pub id: String,
+    /// When it came, in milliseconds since 1970.
+    #[serde(default)]
+    pub began_ms: u64,
     /// Tokens prefilled, without those found in the cache.
     pub prefilled: u64,
     /// Tokens found in the cache.
@@ -240,6 +243,11 @@
         self.state.lock().leaving = true;
     }
 
+    /// Crashes it: connections are cut, streams and cache lost; it comes back empty.
+    pub fn crash(&self) {
+        self.state.crash.notify_one();
+    }
+
     /// Ends it at once, cutting all connections.
     pub fn kill(&self) {
         self.server.abort();
@@ -407,6 +415,7 @@
     });
     inner.executions.push(Execution {
         id: id.to_owned(),
+        began_ms: unix_ms(),
         prefilled: 0,
         cached: 0,
         recomputed: 0,
--- a/crates/jaypin_standin/src/http.rs
+++ b/crates/jaypin_standin/src/http.rs
@@ -3,6 +3,7 @@
 use std::convert::Infallible;
 use std::future::Future;
 use std::net::SocketAddr;
+use std::time::{SystemTime, UNIX_EPOCH};
 
 use bytes::Bytes;
 use http_body_util::combinators::UnsyncBoxBody;
@@ -18,6 +19,15 @@
 /// Body of every answer; an error in it breaks the connection off.
 pub type Body = UnsyncBoxBody<Bytes, std::io::Error>;
 
+/// Milliseconds since 1970, for logs that are joined with others'.
+#[must_use]
+pub fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |since| {
+        u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+    })
+}
+
 /// Binds a listener, on a free port of the loopback address for `127.0.0.1:0`.
 pub async fn bind(address: &str) -> std::io::Result<(TcpListener, SocketAddr)> {
     let listener = TcpListener::bind(address).await?;
