--- a/crates/jaypin/src/serve.rs
+++ b/crates/jaypin/src/serve.rs
@@ -5,12 +5,14 @@
 
 use crossbeam::channel::unbounded;
 use jaypin_core::{Config, Event, HostId, Reducer};
+use jaypin_wire::HostIdentity;
 use tokio::net::TcpListener;
 use tokio::runtime::{Builder, Handle};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{Notify, watch};
 
 use crate::calls::Calls;
+use crate::decisions::Decisions;
 use crate::frontend::Frontend;
 use crate::links::{Identity, Links};
 use crate::operator::Operator;
@@ -22,8 +24,19 @@
 /// Worker threads; an entry host is small.
 const WORKERS: usize = 2;
 
+/// Time without an event after which the reducer takes its process for paused: ticks
+/// come every 20 ms, and peers suspect a silent host a little later.
+const PAUSE_LIMIT: Duration = Duration::from_millis(500);
+
+/// Open files that a host asks for: a connection to a caller and one to a backend server
+/// for each stream, and room for silent callers.
+const OPEN_FILES: u64 = 16_384;
+
 /// Runs a host to its end.
 pub fn run(settings: Settings) -> Result<(), String> {
+    if let Err(error) = rlimit::increase_nofile_limit(OPEN_FILES) {
+        log::warn!(error:%; "can't raise the limit of open files");
+    }
     let runtime = Builder::new_multi_thread()
         .worker_threads(WORKERS)
         .enable_all()
@@ -52,10 +65,14 @@
     let links = Links::new(identity, snapshots.clone(), events.clone());
     let exit = Arc::new(Notify::new());
     let calls = Arc::new(Calls::default());
+    let watching = watch::Sender::new(true);
+    let decisions = Arc::new(Decisions::new(snapshots.clone()));
     let runner = Runner {
+        decisions: decisions.clone(),
         calls: calls.clone(),
         links: links.clone(),
         events: events.clone(),
+        watching: watching.clone(),
         exit: exit.clone(),
     };
     let reducer = Reducer::new(config(&settings, &host, incarnation));
@@ -64,16 +81,37 @@
     })
     .map_err(|error| error.to_string())?;
     Operator {
-        host: settings.host.clone(),
-        incarnation,
+        own: HostIdentity {
+            host: settings.host.clone(),
+            incarnation,
+            failure_domain: settings.failure_domain.clone(),
+            platform: settings.platform.to_string(),
+        },
         snapshots: snapshots.clone(),
         events: events.clone(),
+        links: links.counters(),
+        decisions: decisions.clone(),
+        port: settings.operator_listen.port(),
+        token_digest: settings.operator_token_digest.clone(),
     }
     .spawn(settings.operator_listen)?;
-    platform::spawn_watches(&settings.platform.to_string(), &events)
+    let control = platform::WatchControl {
+        snapshots: snapshots.clone(),
+        watching: watching.subscribe(),
+    };
+    platform::spawn_watches(&settings.platform.to_string(), &events, &control)
         .map_err(|error| error.to_string())?;
-    tokio::spawn(links.accept(peers));
-    let frontend = Frontend::new(host, incarnation, snapshots, calls, events.clone());
+    tokio::spawn(links.clone().accept(peers));
+    tokio::spawn(links.clone().keep_up());
+    tokio::spawn(links.meet(settings.peers.clone()));
+    let frontend = Frontend::new(
+        host,
+        incarnation,
+        snapshots,
+        calls,
+        decisions,
+        events.clone(),
+    );
     tokio::spawn(frontend.accept(callers));
     log::info!(host = settings.host, incarnation, listen:% = settings.listen; "serving");
     until_told(&events, &exit).await?;
@@ -105,6 +143,8 @@
         failure_domain: settings.failure_domain.as_str().into(),
         policy: settings.policy.into(),
         seed: settings.seed.unwrap_or(incarnation),
+        pause_limit: PAUSE_LIMIT,
+        await_peers: true,
         ..Config::default()
     };
     if let Some(size) = settings.shard_size {
--- a/crates/jaypin_bench/src/lib.rs
+++ b/crates/jaypin_bench/src/lib.rs
@@ -3,6 +3,7 @@
 //! [`Fleet`] runs real host processes before stand-ins, on the loopback address.
 
 mod client;
+mod command;
 mod demo;
 mod fleet;
 pub mod history;
@@ -11,6 +12,7 @@
 pub mod torture;
 
 pub use client::{Answer, Client, Event, completion_body};
+pub use command::{CommandOutput, jaypin};
 pub use demo::demo;
 pub use fleet::{ACCOUNTS, BackendSpec, Fleet, FleetConfig, Proxies, RULES};
 pub use host::{Host, binary};
--- a/crates/jaypin_core/src/config.rs
+++ b/crates/jaypin_core/src/config.rs
@@ -12,6 +12,8 @@
     Grants,
     /// Each host alone: the better of two random backend servers by lagging load reports.
     Baseline,
+    /// Each host alone: a fixed share of each backend server's slots and a queue of its own.
+    Local,
 }
 
 /// Configuration of a reducer, a plain value.
@@ -29,12 +31,22 @@
     pub seed: u64,
     /// Backend servers in one shard, at most.
     pub shard_size: usize,
+    /// Requests that may wait in one shard; beyond it the lowest tier is shed.
+    pub max_waiting: usize,
     /// How often load reports are asked for.
     pub report_interval: Duration,
     /// How long an owner waits for a first word from a shard scheduler.
     pub ask_timeout: Duration,
     /// How long a new shard scheduler collects what owners have in flight.
     pub rebuild_window: Duration,
+    /// How often partners hear a digest, changed or not.
+    pub gossip_interval: Duration,
+    /// How long a suspect may refute before it counts as dead.
+    pub suspect_timeout: Duration,
+    /// Time between two events after which this process takes itself for paused.
+    pub pause_limit: Duration,
+    /// Whether the host is ready only after a peer told its versions.
+    pub await_peers: bool,
 }
 
 impl Default for Config {
@@ -46,9 +58,14 @@
             policy: Policy::Grants,
             seed: 1,
             shard_size: 12,
+            max_waiting: 2_000,
             report_interval: Duration::from_secs(1),
             ask_timeout: Duration::from_millis(400),
             rebuild_window: Duration::from_millis(250),
+            gossip_interval: Duration::from_secs(1),
+            suspect_timeout: Duration::from_secs(5),
+            pause_limit: Duration::MAX,
+            await_peers: false,
         }
     }
 }
--- a/crates/jaypin_core/src/message.rs
+++ b/crates/jaypin_core/src/message.rs
@@ -1,8 +1,11 @@
 //! What hosts say to each other.
 
+use std::sync::Arc;
 use std::time::Duration;
 
-use crate::{AccountId, BackendId, Incarnation, Refusal, RequestId, Shard};
+use crate::{
+    AccountId, BackendId, HostId, HostList, Incarnation, Member, Refusal, RequestId, Shard,
+};
 
 /// Number of a grant: greater is later, across runs of a shard scheduler's host.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -24,6 +27,8 @@
         id: RequestId,
         /// The ask that is answered.
         attempt: u32,
+        /// Wait of another request of its tier in this shard, as a hint.
+        expected_wait: Duration,
     },
     /// Shard scheduler to owner: a slot.
     Grant(Grant),
@@ -35,6 +40,8 @@
         attempt: u32,
         /// The final answer.
         refusal: Refusal,
+        /// Wait of another request of its tier in this shard, as a hint.
+        expected_wait: Duration,
     },
     /// To an owner: this host does not lead that shard.
     NotLeader {
@@ -61,6 +68,34 @@
         /// What became of it.
         progress: SlotProgress,
     },
+    /// Shard scheduler to owner: is this grant still in use? An owner that does not hold
+    /// it answers with [`SlotProgress::Returned`].
+    Confirm {
+        /// The shard.
+        shard: Shard,
+        /// The request.
+        id: RequestId,
+        /// The grant.
+        number: GrantNumber,
+    },
+    /// Shard scheduler to the keeper of an account's limits: what was asked here.
+    Usage {
+        /// The shard.
+        shard: Shard,
+        /// The account.
+        account: AccountId,
+        /// Tokens asked for since the last such message.
+        tokens: f64,
+    },
+    /// Keeper of an account's limits to a shard scheduler: its part of them.
+    Part {
+        /// The shard.
+        shard: Shard,
+        /// The account.
+        account: AccountId,
+        /// The part, 0 to 1.
+        part: f64,
+    },
     /// Owner to a new shard scheduler: what this owner has running there.
     InFlight {
         /// The shard.
@@ -68,6 +103,45 @@
         /// The running requests.
         running: Vec<InFlight>,
     },
+    /// To a partner, about once a second and at every change: what the sender has.
+    Digest(Digest),
+    /// To a peer that has something newer: send it.
+    Fetch {
+        /// The rule file.
+        rules: bool,
+        /// The host list.
+        hosts: bool,
+    },
+    /// The rule file that was asked for.
+    RuleText {
+        /// Its version.
+        version: u64,
+        /// The file as its author wrote it.
+        text: Arc<str>,
+    },
+    /// The host list that was asked for.
+    Hosts(HostList),
+    /// To a peer whose table differs: hashes of the sender's buckets.
+    Buckets(Vec<u64>),
+    /// Entries of the sender's table.
+    Members {
+        /// The entries.
+        entries: Vec<(HostId, Member)>,
+        /// Buckets of which these are all entries, and of which the receiver sends back
+        /// what the sender lacks; none for mere news.
+        whole: Vec<u8>,
+    },
+}
+
+/// What a host has, in a few bytes; contents follow on demand.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Digest {
+    /// Version of the rules.
+    pub rules_version: u64,
+    /// Version of the host list.
+    pub hosts_version: u64,
+    /// Hash of the table of hosts.
+    pub members: u64,
 }
 
 /// What a shard scheduler has to know of a request.
@@ -110,6 +184,8 @@
     pub backend: BackendId,
     /// What was weighed, the chosen one first; for explanations.
     pub candidates: Vec<Candidate>,
+    /// How long it waited, as a hint for other requests of its tier.
+    pub expected_wait: Duration,
 }
 
 /// A backend server that was weighed for a request.
@@ -130,6 +206,8 @@
 pub enum SlotProgress {
     /// The owner did not use it.
     Returned,
+    /// The backend server could not be reached; no byte left.
+    NotReached,
     /// The first token came.
     FirstToken {
         /// Time from dispatch.
--- a/crates/jaypin_core/src/reducer/knowledge.rs
+++ b/crates/jaypin_core/src/reducer/knowledge.rs
@@ -1,13 +1,15 @@
 //! What the reducer learns: rules, host list, peers, load reports.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Instant;
 
 use jaypin_rules::RuleSet;
 
 use super::Reducer;
-use crate::scheduler::Scheduler;
-use crate::{Effect, HostId, HostList, LoadReport, Message, RequestId, Shard};
+use crate::local::share_of;
+use crate::rule_index::RuleIndex;
+use crate::{BackendRecord, Effect, HostId, HostList, LoadReport, Policy, Shard};
 
 impl Reducer {
     pub(super) fn rules(&mut self, version: u64, rules: Arc<RuleSet>) {
@@ -15,103 +17,73 @@
         // so an accepted rule file never reverts.
         if version > self.rules_version {
             self.rules_version = version;
+            self.rule_index = Arc::new(RuleIndex::new(rules.clone()));
             self.rules = rules;
+            self.gossip.versions_changed = true;
+            for scheduler in self.schedulers.values_mut() {
+                scheduler.set_rules(self.rule_index.clone());
+            }
         }
     }
 
     pub(super) fn hosts(&mut self, now: Instant, list: HostList, fx: &mut Vec<Effect>) {
+        // Lagging platform copies and late peers: the greater version stays.
         if self.membership.update(list, &self.cfg) {
+            self.gossip.versions_changed = true;
             self.view_changed(now, fx);
         }
     }
 
-    pub(super) fn peer_lost(&mut self, now: Instant, host: &HostId, fx: &mut Vec<Effect>) {
-        if self.membership.lose(host) {
-            for scheduler in self.schedulers.values_mut() {
-                scheduler.forget_owner(host);
-            }
+    pub(super) fn load(&mut self, now: Instant, report: &LoadReport, fx: &mut Vec<Effect>) {
+        self.baseline.report(report);
+        if self.membership.report(&report.backend, report.leaving) {
             self.view_changed(now, fx);
         }
-    }
-
-    pub(super) fn peer_back(&mut self, now: Instant, host: &HostId, fx: &mut Vec<Effect>) {
-        if self.membership.regain(host) {
-            self.view_changed(now, fx);
+        // A fixed share says nothing of what the other hosts run, so reports are no
+        // correction there.
+        if self.cfg.policy == Policy::Local {
+            return;
         }
-    }
-
-    pub(super) fn load(&mut self, report: &LoadReport) {
-        self.baseline.report(report);
-        for scheduler in self.schedulers.values_mut() {
-            scheduler.report(report);
+        let shard = self.membership.shards().shard_of(&report.backend);
+        if let Some(scheduler) = shard.and_then(|shard| self.schedulers.get_mut(shard)) {
+            scheduler.report(report, now);
         }
     }
 
-    /// Takes up and lays down shards, and tells new leaders what runs here.
+    /// Takes up and lays down shards, chooses partners, and tells new leaders what runs
+    /// here.
     pub(super) fn view_changed(&mut self, now: Instant, fx: &mut Vec<Effect>) {
-        let led: Vec<Shard> = self
+        self.choose_links(fx);
+        let led: BTreeSet<Shard> = self
             .membership
             .shards()
             .iter()
             .map(|(shard, _)| shard)
-            .filter(|shard| self.membership.leader(shard) == Some(&self.cfg.host))
+            .filter(|shard| self.leader(shard) == Some(&self.cfg.host))
             .cloned()
             .collect();
         self.schedulers.retain(|shard, _| led.contains(shard));
         for shard in led {
-            let scheduler = self
-                .schedulers
-                .entry(shard.clone())
-                .or_insert_with(|| Scheduler::new(shard.clone(), &self.cfg, now));
-            let members = self.membership.shards().members(&shard);
-            scheduler.set_backends(members.iter().filter_map(|id| self.membership.backend(id)));
-        }
-        self.report_in_flight(fx);
-        self.ask_new_leaders(now, fx);
-    }
-
-    pub(super) fn report_in_flight(&mut self, fx: &mut Vec<Effect>) {
-        let moved: Vec<(Shard, HostId)> = self
-            .membership
-            .shards()
-            .iter()
-            .filter_map(|(shard, _)| Some((shard.clone(), self.membership.leader(shard)?.clone())))
-            .collect();
-        for (shard, leader) in moved {
-            if self.move_grants(&shard, &leader) {
-                let running = self.owner.in_flight(&shard);
-                self.send(&leader, Message::InFlight { shard, running }, fx);
+            self.lead(now, &shard);
+            let records = self.records_for(&shard);
+            if let Some(scheduler) = self.schedulers.get_mut(&shard) {
+                scheduler.set_backends(records.iter(), now);
             }
         }
+        self.follow_leaders(now, fx);
     }
 
-    /// Points running requests of a shard to its leader; says whether any moved.
-    pub(super) fn move_grants(&mut self, shard: &Shard, leader: &HostId) -> bool {
-        let mut moved = false;
-        for request in self.owner.dispatched.values_mut() {
-            if let Some((of, host, _)) = &mut request.state.slot.grant
-                && of == shard
-                && host != leader
-            {
-                *host = leader.clone();
-                moved = true;
-            }
+    /// The backend servers of a shard, with the slots that this host may grant.
+    fn records_for(&self, shard: &Shard) -> Vec<BackendRecord> {
+        let records = self.membership.backends_of(shard);
+        if self.cfg.policy != Policy::Local {
+            return records;
         }
-        moved
-    }
-
-    pub(super) fn ask_new_leaders(&mut self, now: Instant, fx: &mut Vec<Effect>) {
-        let moved: Vec<RequestId> = self
-            .owner
-            .waiting
+        let live = self.membership.live_hosts();
+        let hosts: Vec<HostId> = live.map(|host| host.id.clone()).collect();
+        records
             .iter()
-            .filter(|(_, request)| {
-                self.membership.leader(&request.state.shard) != Some(&request.state.leader)
-            })
-            .map(|(id, _)| id.clone())
-            .collect();
-        for id in moved {
-            self.ask_again(now, &id, fx);
-        }
+            .filter_map(|record| share_of(record, &self.cfg.host, &hosts))
+            .collect()
     }
 }
--- a/crates/jaypin_wire/src/link.rs
+++ b/crates/jaypin_wire/src/link.rs
@@ -4,20 +4,25 @@
 use std::time::Duration;
 
 use jaypin_core::{
-    Ask, Candidate, Grant, GrantNumber, InFlight, Message, Ran, Reason, Refusal, Shard,
-    SlotProgress,
+    Ask, Candidate, Digest, Grant, GrantNumber, HostId, InFlight, Member, Message, Ran, Reason,
+    Refusal, Shard, SlotProgress,
 };
 use serde::{Deserialize, Serialize};
 
+use crate::{WireHostList, WireMember};
+
 /// Version of the link protocol; peers of another version are turned away.
-pub const LINK_VERSION: u16 = 1;
+pub const LINK_VERSION: u16 = 2;
 
 /// One frame of a link.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum Frame {
-    /// First frame of either side.
+    /// First frame of the listener: a number used once, and nothing about itself.
+    Challenge([u8; 16]),
+    /// Who speaks; the first frame of the dialer, and the listener's once the dialer
+    /// proved itself.
     Hello(Hello),
-    /// Second frame of either side: a MAC over both hellos under the fleet key.
+    /// A MAC over all that was said before, under the fleet key.
     Proof(Vec<u8>),
     /// Everything after.
     Message(WireMessage),
@@ -42,19 +47,37 @@
     /// See [`Message::Ask`].
     Ask(WireAsk),
     /// See [`Message::Queued`].
-    Queued(Arc<str>, u32),
+    Queued(Arc<str>, u32, Duration),
     /// See [`Message::Grant`].
     Grant(WireGrant),
     /// See [`Message::Refused`].
-    Refused(Arc<str>, u32, WireRefusal),
+    Refused(Arc<str>, u32, WireRefusal, Duration),
     /// See [`Message::NotLeader`].
     NotLeader(Arc<str>, u32),
     /// See [`Message::Withdraw`].
     Withdraw(WireShard, Arc<str>),
     /// See [`Message::Progress`].
     Progress(WireShard, Arc<str>, WireNumber, WireProgress),
+    /// See [`Message::Confirm`].
+    Confirm(WireShard, Arc<str>, WireNumber),
+    /// See [`Message::Usage`].
+    Usage(WireShard, Arc<str>, f64),
+    /// See [`Message::Part`].
+    Part(WireShard, Arc<str>, f64),
     /// See [`Message::InFlight`].
     InFlight(WireShard, Vec<WireInFlight>),
+    /// See [`Message::Digest`]: versions of rules and host list, hash of the hosts.
+    Digest(u64, u64, u64),
+    /// See [`Message::Fetch`].
+    Fetch(bool, bool),
+    /// See [`Message::RuleText`].
+    RuleText(u64, Arc<str>),
+    /// See [`Message::Hosts`].
+    Hosts(u64, WireHostList),
+    /// See [`Message::Buckets`].
+    Buckets(Vec<u64>),
+    /// See [`Message::Members`].
+    Members(Vec<WireMember>, Vec<u8>),
 }
 
 /// See [`Shard`].
@@ -89,6 +112,7 @@
     number: WireNumber,
     backend: Arc<str>,
     candidates: Vec<WireCandidate>,
+    expected_wait: Duration,
 }
 
 /// See [`Candidate`].
@@ -109,6 +133,8 @@
 pub enum WireProgress {
     /// See [`SlotProgress::Returned`].
     Returned,
+    /// See [`SlotProgress::NotReached`].
+    NotReached,
     /// See [`SlotProgress::FirstToken`].
     FirstToken(Duration),
     /// See [`SlotProgress::Finished`].
@@ -262,6 +288,7 @@
                 .into_iter()
                 .map(WireCandidate::from)
                 .collect(),
+            expected_wait: grant.expected_wait,
         }
     }
 }
@@ -275,6 +302,7 @@
             number: wire.number.into(),
             backend: wire.backend,
             candidates: wire.candidates.into_iter().map(Candidate::from).collect(),
+            expected_wait: wire.expected_wait,
         }
     }
 }
@@ -305,6 +333,7 @@
     fn from(progress: SlotProgress) -> Self {
         match progress {
             SlotProgress::Returned => Self::Returned,
+            SlotProgress::NotReached => Self::NotReached,
             SlotProgress::FirstToken { after } => Self::FirstToken(after),
             SlotProgress::Finished {
                 tokens,
@@ -319,6 +348,7 @@
     fn from(wire: WireProgress) -> Self {
         match wire {
             WireProgress::Returned => Self::Returned,
+            WireProgress::NotReached => Self::NotReached,
             WireProgress::FirstToken(after) => Self::FirstToken { after },
             WireProgress::Finished(tokens, after, lost) => Self::Finished {
                 tokens,
@@ -361,13 +391,18 @@
     fn from(message: Message) -> Self {
         match message {
             Message::Ask(ask) => Self::Ask(ask.into()),
-            Message::Queued { id, attempt } => Self::Queued(id, attempt),
+            Message::Queued {
+                id,
+                attempt,
+                expected_wait,
+            } => Self::Queued(id, attempt, expected_wait),
             Message::Grant(grant) => Self::Grant(grant.into()),
             Message::Refused {
                 id,
                 attempt,
                 refusal,
-            } => Self::Refused(id, attempt, refusal.into()),
+                expected_wait,
+            } => Self::Refused(id, attempt, refusal.into(), expected_wait),
             Message::NotLeader { id, attempt } => Self::NotLeader(id, attempt),
             Message::Withdraw { shard, id } => Self::Withdraw(shard.into(), id),
             Message::Progress {
@@ -376,10 +411,33 @@
                 number,
                 progress,
             } => Self::Progress(shard.into(), id, number.into(), progress.into()),
+            Message::Confirm { shard, id, number } => {
+                Self::Confirm(shard.into(), id, number.into())
+            }
+            Message::Usage {
+                shard,
+                account,
+                tokens,
+            } => Self::Usage(shard.into(), account, tokens),
+            Message::Part {
+                shard,
+                account,
+                part,
+            } => Self::Part(shard.into(), account, part),
             Message::InFlight { shard, running } => Self::InFlight(
                 shard.into(),
                 running.into_iter().map(WireInFlight::from).collect(),
             ),
+            Message::Digest(digest) => {
+                Self::Digest(digest.rules_version, digest.hosts_version, digest.members)
+            }
+            Message::Fetch { rules, hosts } => Self::Fetch(rules, hosts),
+            Message::RuleText { version, text } => Self::RuleText(version, text),
+            Message::Hosts(list) => Self::Hosts(list.version, WireHostList::from(&list)),
+            Message::Buckets(hashes) => Self::Buckets(hashes),
+            Message::Members { entries, whole } => {
+                Self::Members(entries.into_iter().map(WireMember::from).collect(), whole)
+            }
         }
     }
 }
@@ -388,12 +446,17 @@
     fn from(wire: WireMessage) -> Self {
         match wire {
             WireMessage::Ask(ask) => Self::Ask(ask.into()),
-            WireMessage::Queued(id, attempt) => Self::Queued { id, attempt },
+            WireMessage::Queued(id, attempt, expected_wait) => Self::Queued {
+                id,
+                attempt,
+                expected_wait,
+            },
             WireMessage::Grant(grant) => Self::Grant(grant.into()),
-            WireMessage::Refused(id, attempt, refusal) => Self::Refused {
+            WireMessage::Refused(id, attempt, refusal, expected_wait) => Self::Refused {
                 id,
                 attempt,
                 refusal: refusal.into(),
+                expected_wait,
             },
             WireMessage::NotLeader(id, attempt) => Self::NotLeader { id, attempt },
             WireMessage::Withdraw(shard, id) => Self::Withdraw {
@@ -406,10 +469,38 @@
                 number: number.into(),
                 progress: progress.into(),
             },
+            WireMessage::Confirm(shard, id, number) => Self::Confirm {
+                shard: shard.into(),
+                id,
+                number: number.into(),
+            },
+            WireMessage::Usage(shard, account, tokens) => Self::Usage {
+                shard: shard.into(),
+                account,
+                tokens,
+            },
+            WireMessage::Part(shard, account, part) => Self::Part {
+                shard: shard.into(),
+                account,
+                part,
+            },
             WireMessage::InFlight(shard, running) => Self::InFlight {
                 shard: shard.into(),
                 running: running.into_iter().map(InFlight::from).collect(),
             },
+            WireMessage::Digest(rules_version, hosts_version, members) => Self::Digest(Digest {
+                rules_version,
+                hosts_version,
+                members,
+            }),
+            WireMessage::Fetch(rules, hosts) => Self::Fetch { rules, hosts },
+            WireMessage::RuleText(version, text) => Self::RuleText { version, text },
+            WireMessage::Hosts(version, list) => Self::Hosts(list.at_version(version)),
+            WireMessage::Buckets(hashes) => Self::Buckets(hashes),
+            WireMessage::Members(entries, whole) => Self::Members {
+                entries: entries.into_iter().map(<(HostId, Member)>::from).collect(),
+                whole,
+            },
         }
     }
 }
