--- a/crates/jaypin/src/links/counters.rs
+++ b/crates/jaypin/src/links/counters.rs
@@ -4,6 +4,8 @@
 
 use serde::Serialize;
 
+use crate::metrics;
+
 /// Bytes of the longest payload with a header of two bytes.
 const SHORT_PAYLOAD: usize = 125;
 /// Bytes of the mask in frames from a dialer; taken for all frames.
@@ -50,11 +52,13 @@
     /// Counts a frame that was sent.
     pub fn sent(&self, payload: usize, is_message: bool) {
         self.sent.count(payload, is_message);
+        metrics::link_frame("sent", payload, is_message);
     }
 
     /// Counts a frame that was received.
     pub fn received(&self, payload: usize, is_message: bool) {
         self.received.count(payload, is_message);
+        metrics::link_frame("received", payload, is_message);
     }
 
     /// Counts a link that was made.
--- a/crates/jaypin/src/serve.rs
+++ b/crates/jaypin/src/serve.rs
@@ -65,8 +65,8 @@
     let links = Links::new(identity, snapshots.clone(), events.clone());
     let exit = Arc::new(Notify::new());
     let calls = Arc::new(Calls::default());
-    let watching = watch::Sender::new(true);
     let decisions = Arc::new(Decisions::new(snapshots.clone()));
+    let watching = watch::Sender::new(true);
     let runner = Runner {
         decisions: decisions.clone(),
         calls: calls.clone(),
@@ -89,10 +89,10 @@
         },
         snapshots: snapshots.clone(),
         events: events.clone(),
-        links: links.counters(),
         decisions: decisions.clone(),
         port: settings.operator_listen.port(),
         token_digest: settings.operator_token_digest.clone(),
+        links: links.counters(),
     }
     .spawn(settings.operator_listen)?;
     let control = platform::WatchControl {
@@ -141,7 +141,7 @@
         host: host.clone(),
         incarnation,
         failure_domain: settings.failure_domain.as_str().into(),
-        policy: settings.policy.into(),
+        policy: settings.policy,
         seed: settings.seed.unwrap_or(incarnation),
         pause_limit: PAUSE_LIMIT,
         await_peers: true,
--- a/crates/jaypin_bench/src/cli.rs
+++ b/crates/jaypin_bench/src/cli.rs
@@ -15,6 +15,8 @@
          Makes one run and prints its figures.
        jaypin-bench compare --policies P,P --loads L,L --seeds S,S [OPTIONS]
          Makes a run for each load, seed and policy and prints one table.
+       jaypin-bench plot FILE.json --out FILE.svg
+         Draws what `compare --json` wrote.
        jaypin-bench check FILE
          Checks a history, as torture writes it, against every promise.
        jaypin-bench torture --seed N --minutes M --hosts H [--callers N] [--history FILE]
@@ -56,6 +58,8 @@
     pub seeds: Vec<u64>,
     /// File for the figures.
     pub json: Option<String>,
+    /// File for a picture.
+    pub out: Option<String>,
 }
 
 impl Args {
@@ -92,6 +96,7 @@
             Long("callers") => args.callers = parser.value()?.parse()?,
             Long("history") => args.history = Some(parser.value()?.string()?),
             Long("json") => args.json = Some(parser.value()?.string()?),
+            Long("out") => args.out = Some(parser.value()?.string()?),
             Long("policies") => args.policies = list(&mut parser)?,
             Long("loads") => args.loads = list(&mut parser)?,
             Long("seeds") => args.seeds = list(&mut parser)?,
--- a/crates/jaypin_bench/src/lib.rs
+++ b/crates/jaypin_bench/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod history;
 mod host;
 pub mod load;
+mod plot;
 pub mod torture;
 
 pub use client::{Answer, Client, Event, completion_body};
@@ -16,3 +17,4 @@
 pub use demo::demo;
 pub use fleet::{ACCOUNTS, BackendSpec, Fleet, FleetConfig, Proxies, RULES};
 pub use host::{Host, binary};
+pub use plot::{Run, plot};
--- a/crates/jaypin_bench/src/main.rs
+++ b/crates/jaypin_bench/src/main.rs
@@ -2,7 +2,7 @@
 
 mod cli;
 
-use jaypin_bench::{demo, history, load, torture};
+use jaypin_bench::{Run, demo, history, load, plot, torture};
 
 type AnyError = Box<dyn std::error::Error + Send + Sync>;
 
@@ -13,6 +13,7 @@
         "demo" => demo().await,
         "load" => one_run(&args).await,
         "compare" => compare(&args).await,
+        "plot" => draw(&args),
         "check" => check(&args),
         "torture" => under_faults(&args).await,
         _ => {
@@ -66,3 +67,15 @@
     }
     Ok(())
 }
+
+fn draw(args: &cli::Args) -> Result<(), AnyError> {
+    let input = args
+        .file
+        .as_deref()
+        .ok_or("a file written by `compare --json` is missing")?;
+    let out = args.out.as_deref().ok_or("--out is missing")?;
+    let runs: Vec<Run> = serde_json::from_str(&std::fs::read_to_string(input)?)?;
+    std::fs::write(out, plot(&runs)?)?;
+    println!("{out}: {} runs", runs.len());
+    Ok(())
+}
