Time many streams through one host beside direct ones

Cause: memory of 500 streams, their gaps and the time added to a call have to be measured in one run with direct connections.

--- a/crates/jaypin_bench/src/cli.rs
+++ b/crates/jaypin_bench/src/cli.rs
@@ -21,6 +21,8 @@
          Checks a history, as torture writes it, against every promise.
        jaypin-bench torture --seed N --minutes M --hosts H [--callers N] [--history FILE]
          Makes faults while callers ask, and checks the history against every promise.
+       jaypin-bench streams [--count N]
+         Runs N streams through one host at once, beside direct ones, and times calls.
 options of a run:
   --mix lanyang|hanbit     what callers ask for (lanyang)
   --policy NAME            grants, local or baseline (grants)
@@ -40,6 +42,8 @@
 pub struct Args {
     /// The command; empty for help.
     pub command: String,
+    /// Streams through one host.
+    pub count: usize,
     /// Minutes of faults.
     pub minutes: f64,
     /// Callers under faults.
@@ -81,6 +85,7 @@
         policies: vec!["grants".to_owned(), "baseline".to_owned()],
         loads: vec![1.0],
         seeds: vec![1],
+        count: 500,
         minutes: 1.0,
         callers: 60,
         ..Args::default()
@@ -92,6 +97,7 @@
                 args.command.clear();
                 return Ok(args);
             }
+            Long("count") => args.count = parser.value()?.parse()?,
             Long("minutes") => args.minutes = parser.value()?.parse()?,
             Long("callers") => args.callers = parser.value()?.parse()?,
             Long("history") => args.history = Some(parser.value()?.string()?),
--- a/crates/jaypin_bench/src/lib.rs
+++ b/crates/jaypin_bench/src/lib.rs
@@ -10,6 +10,7 @@
 mod host;
 pub mod load;
 mod plot;
+mod streams;
 pub mod torture;
 
 pub use client::{Answer, Client, Event, completion_body};
@@ -18,3 +19,4 @@
 pub use fleet::{ACCOUNTS, BackendSpec, Fleet, FleetConfig, Proxies, RULES};
 pub use host::{Host, binary};
 pub use plot::{Run, plot};
+pub use streams::{StreamsReport, streams};
--- a/crates/jaypin_bench/src/load/mod.rs
+++ b/crates/jaypin_bench/src/load/mod.rs
@@ -19,3 +19,4 @@
 pub use plan::{Arrival, Work, plan};
 pub use report::{HostCost, Percentiles, Report, TierReport};
 pub use runner::{LoadConfig, run};
+pub use usage::{cpu_time, resident_kib};
--- a/crates/jaypin_bench/src/main.rs
+++ b/crates/jaypin_bench/src/main.rs
@@ -2,7 +2,7 @@
 
 mod cli;
 
-use jaypin_bench::{Run, demo, history, load, plot, torture};
+use jaypin_bench::{Run, demo, history, load, plot, streams, torture};
 
 type AnyError = Box<dyn std::error::Error + Send + Sync>;
 
@@ -15,6 +15,7 @@
         "compare" => compare(&args).await,
         "plot" => draw(&args),
         "check" => check(&args),
+        "streams" => many_streams(&args).await,
         "torture" => under_faults(&args).await,
         _ => {
             println!("{}", cli::USAGE);
@@ -35,6 +36,12 @@
     write(args, &serde_json::to_value(&reports)?)
 }
 
+async fn many_streams(args: &cli::Args) -> Result<(), AnyError> {
+    let report = streams(args.count).await?;
+    print!("{}", report.table());
+    write(args, &serde_json::to_value(&report)?)
+}
+
 async fn under_faults(args: &cli::Args) -> Result<(), AnyError> {
     let report = torture::torture(&args.torture()).await?;
     print!("{}", report.table());
--- /dev/null
+++ b/crates/jaypin_bench/src/streams.rs
@@ -0,0 +1,189 @@
+//! Many streams through one host at once, and what the host adds to a call.
+
+use std::fmt::Write as _;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use jaypin_standin::{EngineConfig, expected_answer};
+use serde::Serialize;
+use tokio::task::JoinSet;
+use tokio::time::sleep;
+
+use crate::load::{Percentiles, resident_kib};
+use crate::{Answer, Client, Fleet, FleetConfig, completion_body};
+
+type AnyError = Box<dyn std::error::Error + Send + Sync>;
+
+/// Time between tokens of the engine, however many streams run.
+const GAP: Duration = Duration::from_millis(50);
+/// Tokens of each stream.
+const TOKENS: u64 = 200;
+/// Streams that go to the engine directly, one for so many through the host.
+const DIRECT_SHARE: usize = 10;
+/// Calls of each kind that are timed one after the other.
+const TIMED_CALLS: usize = 300;
+/// Time over which streams are started, so that the host's first estimates settle.
+const RAMP: Duration = Duration::from_secs(3);
+
+/// What a run gave.
+#[derive(Debug, Clone, Serialize)]
+pub struct StreamsReport {
+    /// Streams through the host.
+    pub count: usize,
+    /// Of them, whole and right.
+    pub whole: usize,
+    /// Direct streams that were whole and right, of a tenth as many.
+    pub direct_whole: usize,
+    /// Most resident memory of the host, in MiB.
+    pub peak_resident_mib: f64,
+    /// Resident memory of the host before the streams, in MiB.
+    pub idle_resident_mib: f64,
+    /// Each time between two tokens, through the host.
+    pub gap_ms: Percentiles,
+    /// Each time between two tokens, directly.
+    pub direct_gap_ms: Percentiles,
+    /// Short calls through the host, one after the other.
+    pub call_ms: Percentiles,
+    /// The same calls directly, in turns with the others.
+    pub direct_call_ms: Percentiles,
+}
+
+/// Makes a run with one host and one engine.
+///
+/// # Errors
+/// When the fleet does not start.
+pub async fn streams(count: usize) -> Result<StreamsReport, AnyError> {
+    let engine = EngineConfig {
+        slots: 2 * count,
+        gap: GAP,
+        gap_growth: 0.0,
+        prefill_rate: 1_000_000.0,
+        ..EngineConfig::default()
+    };
+    let fleet = Fleet::start(FleetConfig {
+        hosts: 1,
+        engines: vec![engine],
+        ..FleetConfig::default()
+    })
+    .await?;
+    let host = &fleet.hosts[0];
+    let pid = host.pid().ok_or("the host has no process")?;
+    let engine = fleet.engines[0].address;
+    let (call, direct_call) = timed_calls(host.address, engine).await;
+    let idle = resident_kib(pid).map_or(0, |(now, _)| now);
+    let mut through = start(host.address, count, "host");
+    let mut direct = start(engine, count.div_ceil(DIRECT_SHARE), "direct");
+    let answers = collect(&mut through).await;
+    let direct_answers = collect(&mut direct).await;
+    let peak = resident_kib(pid).map_or(0, |(_, peak)| peak);
+    Ok(StreamsReport {
+        count,
+        whole: answers.len(),
+        direct_whole: direct_answers.len(),
+        peak_resident_mib: mib(peak),
+        idle_resident_mib: mib(idle),
+        gap_ms: Percentiles::of(answers.iter().flat_map(gaps)),
+        direct_gap_ms: Percentiles::of(direct_answers.iter().flat_map(gaps)),
+        call_ms: Percentiles::of(call.into_iter()),
+        direct_call_ms: Percentiles::of(direct_call.into_iter()),
+    })
+}
+
+/// Times short calls through the host and directly, in turns.
+async fn timed_calls(host: SocketAddr, engine: SocketAddr) -> (Vec<Duration>, Vec<Duration>) {
+    let mut times = [Vec::new(), Vec::new()];
+    for index in 0..TIMED_CALLS {
+        for (address, times) in [host, engine].into_iter().zip(&mut times) {
+            let text = format!("call {index} to {address}");
+            let body = completion_body("cow-small", &text, 1, false);
+            let client = Client::new(address, "farm-yilan-secret");
+            if let Ok(answer) = client.complete(&body, &[]).await
+                && answer.status.is_success()
+            {
+                times.push(answer.whole_after);
+            }
+        }
+    }
+    let [through, direct] = times;
+    (through, direct)
+}
+
+/// Starts streams one by one over the ramp; each gives its answer if it is whole.
+fn start(address: SocketAddr, count: usize, name: &str) -> JoinSet<Option<Answer>> {
+    let mut streams = JoinSet::new();
+    for index in 0..count {
+        let text = format!("{name} stream {index}");
+        #[expect(clippy::cast_precision_loss, reason = "there are few streams")]
+        let share = index as f64 / count as f64;
+        streams.spawn(async move {
+            sleep(RAMP.mul_f64(share)).await;
+            let body = completion_body("cow-small", &text, TOKENS, true);
+            let client = Client::new(address, "farm-yilan-secret");
+            let tier = [("x-jaypin-tier", "herd-summary")];
+            let answer = client.complete(&body, &tier).await.ok()?;
+            let whole = answer.done && answer.text() == expected_answer(&text, TOKENS);
+            whole.then_some(answer)
+        });
+    }
+    streams
+}
+
+async fn collect(streams: &mut JoinSet<Option<Answer>>) -> Vec<Answer> {
+    let mut answers = Vec::new();
+    while let Some(ended) = streams.join_next().await {
+        answers.extend(ended.ok().flatten());
+    }
+    answers
+}
+
+fn gaps(answer: &Answer) -> impl Iterator<Item = Duration> + '_ {
+    let pairs = answer.events.windows(2);
+    pairs.map(|pair| pair[1].at.saturating_sub(pair[0].at))
+}
+
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "a process has less than 2^52 KiB"
+)]
+fn mib(kib: u64) -> f64 {
+    kib as f64 / 1_024.0
+}
+
+impl StreamsReport {
+    /// The figures as a table.
+    #[must_use]
+    pub fn table(&self) -> String {
+        let mut out = String::new();
+        let _ = writeln!(
+            out,
+            "{} of {} streams through one host whole, {} direct ones",
+            self.whole, self.count, self.direct_whole
+        );
+        let _ = writeln!(
+            out,
+            "host memory {:.1} MiB before, {:.1} MiB at most",
+            self.idle_resident_mib, self.peak_resident_mib
+        );
+        for (name, through, direct) in [
+            ("gap", &self.gap_ms, &self.direct_gap_ms),
+            ("call", &self.call_ms, &self.direct_call_ms),
+        ] {
+            let _ = writeln!(
+                out,
+                "{name}: through the host p50 {:.2} p95 {:.2} p99 {:.2} ms ({}), directly \
+                 p50 {:.2} p95 {:.2} p99 {:.2} ms ({}), added p50 {:.2} p99 {:.2} ms",
+                through.p50,
+                through.p95,
+                through.p99,
+                through.count,
+                direct.p50,
+                direct.p95,
+                direct.p99,
+                direct.count,
+                through.p50 - direct.p50,
+                through.p99 - direct.p99
+            );
+        }
+        out
+    }
+}
