Say 'not run' of a key only once its owner knows

A host that was leaving or not ready yet refused a second try of a key as not run without asking the key's owner. Ruled out: a lost settle message (the key was held as in flight by its owner); answering unknown to every keyed call of a leaving host, which would hide honest not-run answers. Change: a leaving host claims the key first, gives a granted claim back and says not-run, or passes on what the owner says; a host that is not ready, and a body that was cut, say unknown for a call with a key.

--- a/crates/jaypin/src/answer.rs
+++ b/crates/jaypin/src/answer.rs
@@ -157,10 +157,15 @@
 }
 
 /// A refusal before a request reached the decisions.
-pub fn rejected(status: StatusCode, reason: &str, message: &str) -> Response<AnswerBody> {
+pub fn rejected(
+    status: StatusCode,
+    reason: &str,
+    outcome: Ran,
+    message: &str,
+) -> Response<AnswerBody> {
     let body = RefusalBody {
         reason: reason.to_owned(),
-        outcome: Ran::NotRun.as_str().to_owned(),
+        outcome: outcome.as_str().to_owned(),
         retry_after_ms: None,
         rule_line: None,
         request_id: None,
--- a/crates/jaypin/src/frontend/mod.rs
+++ b/crates/jaypin/src/frontend/mod.rs
@@ -19,7 +19,7 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use jaypin_core::{Event, HostId, IdempotencyKey, RequestId, rank_by_score};
+use jaypin_core::{Event, HostId, IdempotencyKey, Ran, RequestId, rank_by_score};
 use jaypin_wire::{EntryAddress, EntryAnswer};
 use socket2::{Domain, Socket, TcpKeepalive, Type};
 use tokio::net::{TcpListener, TcpStream};
@@ -31,7 +31,7 @@
 use crate::snapshot::Snapshot;
 use connections::{Connection, Connections};
 use own_record::EXPLAIN;
-use read_request::{ReadError, read};
+use read_request::{ReadError, has_key, read};
 
 /// Connections that may wait to be accepted: bursts of callers come at once.
 const BACKLOG: i32 = 4_096;
@@ -148,19 +148,20 @@
         if req.uri().path() == "/v1/entry" {
             return match *req.method() {
                 Method::GET => json(StatusCode::OK, &self.entry(&snapshot, &req)),
-                _ => ReadError::Method.answer(),
+                _ => ReadError::Method.answer(false),
             };
         }
         if req.method() == Method::GET && req.uri().path().starts_with(EXPLAIN) {
             let path = req.uri().path();
             return self.own_record(req.headers(), path, &snapshot).await;
         }
+        let may_be_second_try = has_key(req.headers());
         match read(req, &snapshot, || self.new_id()).await {
             Ok((info, outbound)) => {
                 self.shared.decisions.begin(&info, &snapshot);
                 self.submit(info, outbound).await
             }
-            Err(error) => error.answer(),
+            Err(error) => error.answer(may_be_second_try),
         }
     }
 
@@ -231,7 +232,15 @@
 }
 
 impl ReadError {
-    fn answer(&self) -> Response<AnswerBody> {
-        rejected(self.status(), self.reason(), &self.to_string())
+    /// Guards against a "not run" for a key that ran: a call with a key may be the second
+    /// try of one that ran elsewhere, under a whole body or under newer rules.
+    fn answer(&self, may_be_second_try: bool) -> Response<AnswerBody> {
+        let outcome = match self {
+            Self::NotReady | Self::Cut | Self::Credential | Self::Path if may_be_second_try => {
+                Ran::Unknown
+            }
+            _ => Ran::NotRun,
+        };
+        rejected(self.status(), self.reason(), outcome, &self.to_string())
     }
 }
--- a/crates/jaypin/src/frontend/own_record.rs
+++ b/crates/jaypin/src/frontend/own_record.rs
@@ -12,6 +12,7 @@
 use hyper::header::{AUTHORIZATION, HOST, HeaderValue};
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use jaypin_core::Ran;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
@@ -40,7 +41,7 @@
     ) -> Response<AnswerBody> {
         let caller = match authenticate(headers, &snapshot.rules) {
             Ok(caller) => caller,
-            Err(error) => return error.answer(),
+            Err(error) => return error.answer(false),
         };
         let id = &path[EXPLAIN.len()..];
         let own = self.shared.decisions.find(id);
@@ -65,7 +66,7 @@
 
 fn none_of_yours() -> Response<AnswerBody> {
     let message = "no request of yours with this id is remembered";
-    rejected(StatusCode::NOT_FOUND, "no-record", message)
+    rejected(StatusCode::NOT_FOUND, "no-record", Ran::NotRun, message)
 }
 
 /// Asks the owner with the caller's own credential, so the owner decides what it sees.
--- a/crates/jaypin/src/frontend/read_request.rs
+++ b/crates/jaypin/src/frontend/read_request.rs
@@ -137,6 +137,11 @@
     read_completion(req, rules, caller, path, new_id).await
 }
 
+/// Whether a call carries an idempotency key.
+pub fn has_key(headers: &HeaderMap) -> bool {
+    headers.contains_key(KEY)
+}
+
 /// A caller whose credential the rules know.
 #[derive(Debug)]
 pub struct KnownCaller {
--- a/crates/jaypin_core/src/reducer/arrival.rs
+++ b/crates/jaypin_core/src/reducer/arrival.rs
@@ -2,13 +2,14 @@
 
 use std::time::{Duration, Instant};
 
+use jaypin_rules::Repeat;
 use rand::RngExt;
 
 use super::{DEFAULT_RETRY_AFTER, Reducer, record};
 use crate::rendezvous::score_index;
 use crate::request::{Granted, Request, Slot, Waiting};
 use crate::{
-    Ask, Effect, HostId, Message, Policy, Reason, Refusal, RequestId, RequestInfo, Shard, Step,
+    Ask, Effect, HostId, Message, Policy, Ran, Reason, Refusal, RequestId, RequestInfo, Shard, Step,
 };
 
 /// Wait for which a shard that may hold the prefix is still the better one.
@@ -23,19 +24,35 @@
 impl Reducer {
     pub(super) fn arrived(&mut self, now: Instant, info: RequestInfo, fx: &mut Vec<Effect>) {
         self.record_arrival(&info, fx);
-        if self.draining {
-            let refusal = Refusal::not_run(Reason::Draining).retry_after(DEFAULT_RETRY_AFTER);
-            return self.refuse(&info, Duration::ZERO, refusal, fx);
-        }
-        if self.rules_version == 0 || !self.membership.is_known() || !self.gossip.caught_up {
-            let refusal = Refusal::not_run(Reason::NotReady).retry_after(DEFAULT_RETRY_AFTER);
-            return self.refuse(&info, Duration::ZERO, refusal, fx);
+        match self.not_serving() {
+            Some(Reason::NotReady) => {
+                let refusal = refusal_of_unready(&info).retry_after(DEFAULT_RETRY_AFTER);
+                return self.refuse(&info, Duration::ZERO, refusal, fx);
+            }
+            Some(reason) if info.repeat != Repeat::Never => {
+                let refusal = Refusal::not_run(reason).retry_after(DEFAULT_RETRY_AFTER);
+                return self.refuse(&info, Duration::ZERO, refusal, fx);
+            }
+            // A call with a key is refused once the key's owner said that no earlier try
+            // of it ran: see `claim_answered`.
+            Some(_) | None => {}
         }
         if !self.must_claim(now, &info, fx) {
             self.place(now, info, fx);
         }
     }
 
+    /// Why this host takes no new work, if it takes none.
+    pub(super) fn not_serving(&self) -> Option<Reason> {
+        if self.rules_version == 0 || !self.membership.is_known() || !self.gossip.caught_up {
+            Some(Reason::NotReady)
+        } else if self.draining {
+            Some(Reason::Draining)
+        } else {
+            None
+        }
+    }
+
     /// Finds a slot for a request that may run.
     pub(super) fn place(&mut self, now: Instant, info: RequestInfo, fx: &mut Vec<Effect>) {
         match self.cfg.policy {
@@ -210,3 +227,13 @@
     let prefix = info.prefixes.get(AFFINITY_PREFIX);
     prefix.or(info.prefixes.last()).copied()
 }
+
+/// Guards against a "not run" for a key that ran: a call that may not be repeated may be
+/// the second try of one that another host dispatched, and a host that can't ask the
+/// key's owner yet does not know.
+fn refusal_of_unready(info: &RequestInfo) -> Refusal {
+    match info.repeat {
+        Repeat::Never => Refusal::after_dispatch(Reason::NotReady, Ran::Unknown),
+        Repeat::Idempotent => Refusal::not_run(Reason::NotReady),
+    }
+}
--- a/crates/jaypin_core/src/reducer/keys.rs
+++ b/crates/jaypin_core/src/reducer/keys.rs
@@ -105,6 +105,12 @@
         };
         record(&request.info, after, step, fx);
         let refusal = match verdict {
+            ClaimVerdict::Granted if self.not_serving().is_some() => {
+                // Now it is known that no earlier try of this key ran.
+                let claim = request.state.claim;
+                self.tell_outcome(id, claim, KeyOutcome::NotRun, fx);
+                Refusal::not_run(Reason::Draining).retry_after(DEFAULT_RETRY_AFTER)
+            }
             ClaimVerdict::Granted => {
                 let (mut info, claim) = (request.info, request.state.claim);
                 self.claims.held.insert(id.clone(), claim);
