Send requests after their prefix, and split limits by what is asked

Cause: at 1.5 times capacity 26.5% of all prefill was computed again though an engine held it: shards were chosen by a long prefix, engines by speed first. An account's concurrency limit was split by tokens, so plain calls were refused far below it.

Change: shards by the shortest prefix, in one order for all hosts, left when hints state a wait; avoidable prefill weighs eight times; a request lets others of its tier pass while it has time and its prefix is held elsewhere; the index counts time in tokens that the cache took in. Keepers give allowances: a shard's own use and an equal part of what is left, for rate and concurrency apart.

Ruled out: engines' reports of cache events, which the hosts don't read yet.

--- a/crates/jaypin_core/src/lib.rs
+++ b/crates/jaypin_core/src/lib.rs
@@ -5,6 +5,7 @@
 //! the same effects: that is what makes each routing decision explainable, replayable
 //! and testable.
 
+mod allowance;
 mod backend_model;
 mod baseline;
 mod config;
@@ -29,6 +30,7 @@
 mod shard_hints;
 mod stream_pace;
 
+pub use allowance::Allowance;
 pub use backend_model::BackendModel;
 pub use config::{Config, Policy};
 pub use effect::Effect;
--- a/crates/jaypin_core/src/limit_keeper.rs
+++ b/crates/jaypin_core/src/limit_keeper.rs
@@ -3,12 +3,14 @@
 use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
 
-use crate::{AccountId, Shard};
+use jaypin_rules::LimitRule;
+
+use crate::{AccountId, Allowance, Shard};
 
 /// Time over which use is averaged.
 const MEMORY: Duration = Duration::from_secs(3);
-/// Use, in tokens, below which a shard's entry is dropped.
-const FORGOTTEN: f64 = 1.0;
+/// Time after which a shard that told nothing has no part any more.
+const FORGOTTEN: Duration = Duration::from_secs(10);
 
 /// What this host keeps of the accounts whose limits it splits; only active ones.
 #[derive(Debug, Default)]
@@ -16,40 +18,74 @@
     accounts: HashMap<AccountId, BTreeMap<Shard, Use>>,
 }
 
+/// What a shard told.
 #[derive(Debug, Clone, Copy)]
 struct Use {
     tokens: f64,
+    at_once: f64,
     at: Instant,
 }
 
 impl Use {
-    fn decayed(self, now: Instant) -> f64 {
+    fn tokens_at(self, now: Instant) -> f64 {
         let age = now.saturating_duration_since(self.at).as_secs_f64();
         self.tokens * (-age / MEMORY.as_secs_f64()).exp()
     }
+
+    fn is_forgotten(self, now: Instant) -> bool {
+        now.saturating_duration_since(self.at) >= FORGOTTEN
+    }
 }
 
 impl LimitKeeper {
-    /// Takes a shard's use of an account; gives the shard's part of the limits.
-    pub fn note(&mut self, account: &AccountId, shard: &Shard, tokens: f64, now: Instant) -> f64 {
-        let shards = self.accounts.entry(account.clone()).or_default();
-        shards.retain(|_, entry| entry.decayed(now) >= FORGOTTEN);
-        let entry = shards.entry(shard.clone()).or_insert(Use {
-            tokens: 0.0,
-            at: now,
-        });
-        let own = entry.decayed(now) + tokens;
-        *entry = Use {
-            tokens: own,
+    /// Takes a shard's use of an account; gives what the shard may use of the limits.
+    pub fn note(
+        &mut self,
+        rule: &LimitRule,
+        shard: &Shard,
+        tokens: f64,
+        at_once: u32,
+        now: Instant,
+    ) -> Allowance {
+        let account = AccountId::from(rule.account.as_str());
+        let shards = self.accounts.entry(account).or_default();
+        shards.retain(|_, other| !other.is_forgotten(now));
+        let before = shards.get(shard).map_or(0.0, |old| old.tokens_at(now));
+        let own = Use {
+            tokens: before + tokens,
+            at_once: f64::from(at_once),
             at: now,
         };
-        let all: f64 = shards.values().map(|entry| entry.decayed(now)).sum();
-        own / all.max(FORGOTTEN)
+        shards.insert(shard.clone(), own);
+        let count = f64::from(u32::try_from(shards.len()).unwrap_or(u32::MAX));
+        let seconds = MEMORY.as_secs_f64();
+        let tokens: f64 = shards.values().map(|other| other.tokens_at(now)).sum();
+        let at_once: f64 = shards.values().map(|other| other.at_once).sum();
+        let all = Allowance::all_of(rule);
+        Allowance {
+            tokens_per_second: split(
+                all.tokens_per_second,
+                own.tokens / seconds,
+                tokens / seconds,
+                count,
+            ),
+            at_once: split(all.at_once, own.at_once, at_once, count),
+        }
     }
 
     /// Drops accounts that no shard uses any more.
     pub fn forget_idle(&mut self, now: Instant) {
         self.accounts
-            .retain(|_, shards| shards.values().any(|entry| entry.decayed(now) >= FORGOTTEN));
+            .retain(|_, shards| shards.values().any(|other| !other.is_forgotten(now)));
+    }
+}
+
+/// A shard's part of a limit: its use and an equal part of what is left, or, beyond the
+/// limit, its proportion.
+fn split(limit: f64, own: f64, all: f64, count: f64) -> f64 {
+    if all <= limit {
+        own + (limit - all) / count
+    } else {
+        limit * own / all
     }
 }
--- a/crates/jaypin_core/src/message.rs
+++ b/crates/jaypin_core/src/message.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::{AccountId, BackendId, Incarnation, Refusal, RequestId, Shard};
+use crate::{AccountId, Allowance, BackendId, Incarnation, Refusal, RequestId, Shard};
 
 /// Number of a grant: greater is later, across runs of a shard scheduler's host.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -83,15 +83,17 @@
         account: AccountId,
         /// Tokens asked for since the last such message.
         tokens: f64,
+        /// Most requests that ran or wanted to run at once since then.
+        at_once: u32,
     },
-    /// Keeper of an account's limits to a shard scheduler: its part of them.
-    Part {
+    /// Keeper of an account's limits to a shard scheduler: what it may use of them.
+    Allow {
         /// The shard.
         shard: Shard,
         /// The account.
         account: AccountId,
-        /// The part, 0 to 1.
-        part: f64,
+        /// What it may use.
+        allowance: Allowance,
     },
     /// Owner to a new shard scheduler: what this owner has running there.
     InFlight {
--- a/crates/jaypin_core/src/prefix_index.rs
+++ b/crates/jaypin_core/src/prefix_index.rs
@@ -1,21 +1,33 @@
-//! Which backend server is believed to hold which prompt prefixes.
+//! Which prompt prefixes a backend server is believed to hold.
 
 use std::collections::{BTreeMap, HashMap};
 
-/// Fingerprints remembered for one backend server.
-const KEPT: usize = 2_048;
+/// Tokens that a cache is assumed to take in before it evicts what was not used since.
+///
+/// Engines don't state their memory. Too small a guess gives away prefill that was
+/// cached; too large a one sends requests after prefixes that are gone.
+const ASSUMED_CACHE_TOKENS: u64 = 14_000;
 /// Tokens of the shortest prefix that is fingerprinted; each next is twice as long.
 const FIRST_PREFIX_TOKENS: u32 = 64;
 
-/// Prefixes that one backend server was given lately, the latest kept.
+/// Prefixes that one backend server was given lately.
 ///
 /// It rests on grants alone; a cache event that never came costs a prefill, no wrong
-/// answer. Fingerprints are salted by client account, so none matches another's.
+/// answer. Fingerprints are salted by client account, so none matches another's. Time is
+/// counted in tokens that the cache had to take in, which is what evicts.
 #[derive(Debug, Clone, Default)]
 pub struct PrefixIndex {
-    used: HashMap<u64, u64>,
-    by_use: BTreeMap<u64, u64>,
-    clock: u64,
+    used: HashMap<u64, Use>,
+    by_use: BTreeMap<(u64, u64), u64>,
+    taken_in: u64,
+    sequence: u64,
+}
+
+/// Last use of a prefix: tokens taken in by then, and a number that tells uses apart.
+#[derive(Debug, Clone, Copy)]
+struct Use {
+    taken_in: u64,
+    sequence: u64,
 }
 
 impl PrefixIndex {
@@ -28,19 +40,28 @@
             .map_or(0, tokens_of)
     }
 
-    /// Remembers the prefixes of a granted request.
-    pub fn insert(&mut self, prefixes: &[u64]) {
+    /// Remembers the prefixes of a granted request, of which `uncached` tokens were new.
+    pub fn insert(&mut self, prefixes: &[u64], uncached: u32) {
+        self.taken_in += u64::from(uncached);
         for prefix in prefixes {
-            self.clock += 1;
-            if let Some(old) = self.used.insert(*prefix, self.clock) {
-                self.by_use.remove(&old);
+            self.sequence += 1;
+            let (taken_in, sequence) = (self.taken_in, self.sequence);
+            if let Some(old) = self.used.insert(*prefix, Use { taken_in, sequence }) {
+                self.by_use.remove(&(old.taken_in, old.sequence));
             }
-            self.by_use.insert(self.clock, *prefix);
+            self.by_use.insert((taken_in, sequence), *prefix);
         }
-        while self.by_use.len() > KEPT {
-            if let Some((_, prefix)) = self.by_use.pop_first() {
-                self.used.remove(&prefix);
+        self.evict();
+    }
+
+    fn evict(&mut self) {
+        let oldest = self.taken_in.saturating_sub(ASSUMED_CACHE_TOKENS);
+        while let Some((last_use, prefix)) = self.by_use.first_key_value() {
+            if last_use.0 >= oldest {
+                return;
             }
+            self.used.remove(prefix);
+            self.by_use.pop_first();
         }
     }
 
--- a/crates/jaypin_core/src/reducer/arrival.rs
+++ b/crates/jaypin_core/src/reducer/arrival.rs
@@ -13,10 +13,8 @@
 
 /// Wait for which a shard that may hold the prefix is still the better one.
 const WORTH_OF_AFFINITY: Duration = Duration::from_millis(100);
-/// Place of the prefix that shards are chosen by, among the fingerprints of a prompt:
-/// longer than what most prompts of an account share, so that one account's work
-/// spreads over shards.
-const AFFINITY_PREFIX: usize = 2;
+/// Shards of a service that are weighed for a request.
+const SHARDS_WEIGHED: usize = 8;
 /// Shards that may refuse a request for want of capacity before that is final.
 const MOST_REFUSALS: usize = 2;
 
@@ -87,23 +85,20 @@
             None => self.rng.random(),
         };
         let shards = self.membership.shards().of_service(&info.service);
-        let mut best: [Option<(u64, &Shard)>; 2] = [None, None];
-        for shard in shards.filter(|shard| !refused_by.contains(shard)) {
-            let scored = Some((score_index(key, shard.index), shard));
-            if scored > best[0] {
-                best = [scored, best[0]];
-            } else if scored > best[1] {
-                best[1] = scored;
-            }
-        }
-        let (_, mut shard) = best[0]?;
-        if let Some((_, second)) = best[1] {
-            let first_wait = self.shard_hints.wait(shard, info.tier, now);
-            let second_wait = self.shard_hints.wait(second, info.tier, now);
-            if first_wait > second_wait + WORTH_OF_AFFINITY {
-                shard = second;
-            }
-        }
+        let mut ranked: Vec<(u64, &Shard)> = shards
+            .filter(|shard| !refused_by.contains(shard))
+            .map(|shard| (score_index(key, shard.index), shard))
+            .collect();
+        ranked.sort_unstable_by(|a, b| b.cmp(a));
+        ranked.truncate(SHARDS_WEIGHED);
+        let wait = |shard: &Shard| self.shard_hints.wait(shard, info.tier, now);
+        let shards = ranked.iter().map(|(_, shard)| *shard);
+        // All hosts walk the same order, so a prefix that outgrows one shard is held by
+        // few others.
+        let calm = shards
+            .clone()
+            .find(|shard| wait(shard) <= WORTH_OF_AFFINITY);
+        let shard = calm.or_else(|| shards.min_by_key(|shard| wait(shard)))?;
         let leader = self.leader(shard)?.clone();
         Some((shard.clone(), leader))
     }
@@ -198,6 +193,5 @@
 
 /// What a request's shard is chosen by; salted by account, as all fingerprints are.
 fn affinity_key(info: &RequestInfo) -> Option<u64> {
-    let prefix = info.prefixes.get(AFFINITY_PREFIX);
-    prefix.or(info.prefixes.last()).copied()
+    info.prefixes.first().copied()
 }
--- a/crates/jaypin_core/src/reducer/limits.rs
+++ b/crates/jaypin_core/src/reducer/limits.rs
@@ -4,7 +4,7 @@
 
 use super::Reducer;
 use crate::rendezvous::score;
-use crate::{AccountId, Effect, HostId, Message, Shard};
+use crate::{AccountId, Allowance, Effect, HostId, Message, Shard};
 
 /// Pause between two tellings of use.
 const USAGE_PAUSE: Duration = Duration::from_secs(1);
@@ -31,6 +31,7 @@
                 shard,
                 account: seen.account,
                 tokens: seen.tokens,
+                at_once: seen.at_once,
             };
             self.send(&keeper, usage, fx);
         }
@@ -42,21 +43,16 @@
         hosts.max_by_key(|id| score(account, id))
     }
 
-    pub(super) fn usage(
+    /// What a shard may use of an account's limits, after what it told.
+    pub(super) fn split_limit(
         &mut self,
         now: Instant,
-        from: &HostId,
-        shard: Shard,
-        account: AccountId,
+        shard: &Shard,
+        account: &AccountId,
         tokens: f64,
-        fx: &mut Vec<Effect>,
-    ) {
-        let part = self.limit_keeper.note(&account, &shard, tokens, now);
-        let answer = Message::Part {
-            shard,
-            account,
-            part,
-        };
-        self.send(from, answer, fx);
+        at_once: u32,
+    ) -> Option<Allowance> {
+        let rule = self.rule_index.limit(account)?;
+        Some(self.limit_keeper.note(rule, shard, tokens, at_once, now))
     }
 }
--- a/crates/jaypin_core/src/reducer/messages.rs
+++ b/crates/jaypin_core/src/reducer/messages.rs
@@ -40,14 +40,25 @@
                 shard,
                 account,
                 tokens,
-            } => self.usage(now, from, shard, account, tokens, fx),
-            Message::Part {
+                at_once,
+            } => {
+                let allowance = self.split_limit(now, &shard, &account, tokens, at_once);
+                let answer = allowance.map(|allowance| Message::Allow {
+                    shard,
+                    account,
+                    allowance,
+                });
+                if let Some(answer) = answer {
+                    self.send(from, answer, fx);
+                }
+            }
+            Message::Allow {
                 shard,
                 account,
-                part,
+                allowance,
             } => {
                 if let Some(scheduler) = self.schedulers.get_mut(&shard) {
-                    scheduler.set_part(&account, part);
+                    scheduler.allow(&account, allowance);
                 }
             }
             Message::NotLeader { id, attempt } => self.not_leader(&id, attempt),
--- a/crates/jaypin_core/src/scheduler/grants.rs
+++ b/crates/jaypin_core/src/scheduler/grants.rs
@@ -10,8 +10,17 @@
 
 /// Backend servers named in a grant's explanation.
 const EXPLAINED_CANDIDATES: usize = 3;
-/// Requests of a tier that are tried before the next tier's turn.
-const TRIED_PER_TIER: usize = 4;
+/// Requests of a tier that are weighed before one is granted.
+const TRIED_PER_TIER: usize = 16;
+/// Weight of prefill that another backend server of the shard would save.
+///
+/// Above 1, for it takes time from all that wait, while a slower answer takes time from
+/// one request that still meets its deadline.
+const WASTE_WEIGHT: f64 = 8.0;
+/// Seconds of avoidable prefill for which a request lets others of its tier pass.
+const TOLERATED_WASTE: f64 = 0.01;
+/// Part of the time to its latest start for which a request lets others pass.
+const PATIENCE: f64 = 0.5;
 /// Seconds of prefill queued at a backend server beyond which only the top tier is
 /// added: what waits inside an engine can't be overtaken.
 const MAX_BACKLOG: f64 = 0.1;
@@ -19,6 +28,8 @@
 const GUARD_PART: f64 = 0.3;
 /// Backend servers, one in so many, that lower tiers leave without long prefills.
 const CALM_ONE_IN: usize = 5;
+/// Seconds that a full backend server counts as slower than an empty one.
+const LOAD_WEIGHT: f64 = 0.01;
 /// Largest credit of a minimum, in times the cost of the request it is spent on.
 const MAX_CREDIT: f64 = 2.0;
 
@@ -27,6 +38,8 @@
 struct Choice {
     backend: BackendId,
     score: f64,
+    /// Seconds of prefill that another backend server would save.
+    waste: f64,
     first_token: f64,
     running: u32,
     limit: u32,
@@ -64,16 +77,33 @@
         for rank in order {
             let tier = self.rules.tier(rank);
             round.is_reserved = round.strict_room <= self.reserved_against(rank);
-            for waiting in self.queue.in_order(rank).take(TRIED_PER_TIER) {
-                let options = self.options(waiting, &tier, &round);
-                if !options.is_empty() {
-                    return Some((waiting.ask.id.clone(), options));
-                }
+            if let Some(pair) = self.next_of_tier(&tier, &round) {
+                return Some(pair);
             }
         }
         None
     }
 
+    /// The first request of a tier that finds a backend server without avoidable
+    /// prefill; failing that, the first that finds any and has no time to lose.
+    fn next_of_tier(&self, tier: &TierTargets, round: &Round) -> Option<(RequestId, Vec<Choice>)> {
+        let mut wasteful = None;
+        for waiting in self.queue.in_order(tier.rank).take(TRIED_PER_TIER) {
+            let options = self.options(waiting, tier, round);
+            let Some(best) = options.first() else {
+                continue;
+            };
+            let pair = (waiting.ask.id.clone(), options.clone());
+            if best.waste <= TOLERATED_WASTE {
+                return Some(pair);
+            }
+            if wasteful.is_none() && !may_let_pass(waiting, round) {
+                wasteful = Some(pair);
+            }
+        }
+        wasteful
+    }
+
     /// What a round goes by; none when no backend server has room.
     fn round(&self, now: Instant) -> Option<Round> {
         let strict_gap = self.strict_gap();
@@ -148,9 +178,11 @@
 
     fn options(&self, waiting: &WaitingAsk, tier: &TierTargets, round: &Round) -> Vec<Choice> {
         let guard = self.guard_for(tier.rank);
+        let most_cached = self.most_cached(waiting);
         let mut best: Vec<Choice> = Vec::new();
         for (id, backend) in &self.backends {
-            let Some(mut option) = self.option(backend, waiting, tier, round, guard) else {
+            let Some(mut option) = self.option(backend, waiting, tier, round, (guard, most_cached))
+            else {
                 continue;
             };
             let place = best.partition_point(|other| other.score <= option.score);
@@ -170,7 +202,7 @@
         waiting: &WaitingAsk,
         tier: &TierTargets,
         round: &Round,
-        guard: Option<f64>,
+        (guard, most_cached): (Option<f64>, u32),
     ) -> Option<Choice> {
         let model = &backend.model;
         let gap = gap_for(backend, tier, round)?;
@@ -200,9 +232,13 @@
         // A prefill delays others as well as the request itself, so it counts twice; the
         // load decides between backend servers that are as fast.
         let load = f64::from(model.running) / f64::from(limit.max(1));
+        let cached = backend.prefixes.cached_tokens(&waiting.ask.prefixes);
+        let waste = f64::from(most_cached.saturating_sub(cached)) / model.prefill_rate();
+        let score = first_token + prefill + answer + WASTE_WEIGHT * waste + LOAD_WEIGHT * load;
         Some(Choice {
             backend: BackendId::default(),
-            score: first_token + prefill + answer + load * 0.01,
+            score,
+            waste,
             first_token,
             running: model.running,
             limit,
@@ -218,6 +254,17 @@
         (backend.model.backlog(now), backend.model.prefill(tokens))
     }
 
+    /// Most tokens of a prompt that any backend server of the shard holds.
+    fn most_cached(&self, waiting: &WaitingAsk) -> u32 {
+        if self.plain || waiting.ask.prefixes.is_empty() {
+            return 0;
+        }
+        let cached = self
+            .live_backends()
+            .map(|backend| backend.prefixes.cached_tokens(&waiting.ask.prefixes));
+        cached.max().unwrap_or_default()
+    }
+
     fn uncached(&self, backend: &Backend, waiting: &WaitingAsk) -> u32 {
         if self.plain {
             return 0;
@@ -297,7 +344,7 @@
         };
         if let Some(backend) = self.backends.get_mut(chosen) {
             backend.model.start(self.number.sequence, tokens, now);
-            backend.prefixes.insert(&waiting.ask.prefixes);
+            backend.prefixes.insert(&waiting.ask.prefixes, tokens);
         }
         self.limits.started(&waiting.ask.account);
         self.running.insert(waiting.ask.id.clone(), run);
@@ -321,3 +368,12 @@
         .probe_is_due(round.now)
         .then_some(round.strict_gap)
 }
+
+/// Whether a request can wait for a backend server that holds its prefix.
+fn may_let_pass(waiting: &WaitingAsk, round: &Round) -> bool {
+    let all = waiting
+        .latest_start
+        .saturating_duration_since(waiting.since);
+    let spent = round.now.saturating_duration_since(waiting.since);
+    waiting.ask.tier > 0 && spent < all.mul_f64(PATIENCE)
+}
--- a/crates/jaypin_core/src/scheduler/limits.rs
+++ b/crates/jaypin_core/src/scheduler/limits.rs
@@ -1,8 +1,8 @@
 //! Limits of client accounts, as far as this shard enforces them.
 //!
-//! Each shard enforces its part of an account's limits. The parts follow where the
-//! account's work goes: schedulers tell the account's limit keeper, a host found by
-//! rendezvous, what they see, and get their part back. Nothing is asked per request.
+//! Each shard enforces an allowance out of an account's limits. Schedulers tell the
+//! account's limit keeper, a host found by rendezvous, what is asked of them, and get
+//! their allowance back. Nothing is asked per request.
 
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
@@ -10,7 +10,7 @@
 use jaypin_rules::LimitRule;
 
 use super::Scheduler;
-use crate::{AccountId, Ask};
+use crate::{AccountId, Allowance, Ask};
 
 /// Seconds of its rate that an account may use at once.
 const BURST_SECONDS: f64 = 2.0;
@@ -27,8 +27,9 @@
 struct Usage {
     running: u32,
     bucket: Option<Bucket>,
-    part: f64,
+    allowance: Option<Allowance>,
     asked_tokens: f64,
+    most_at_once: u32,
 }
 
 /// Tokens that may be used now.
@@ -45,6 +46,8 @@
     pub account: AccountId,
     /// Tokens asked for.
     pub tokens: f64,
+    /// Most requests that ran or wanted to run at once.
+    pub at_once: u32,
 }
 
 impl Default for Usage {
@@ -52,8 +55,9 @@
         Self {
             running: 0,
             bucket: None,
-            part: 1.0,
+            allowance: None,
             asked_tokens: 0.0,
+            most_at_once: 0,
         }
     }
 }
@@ -75,10 +79,10 @@
         }
     }
 
-    /// Takes the part of an account's limits that this shard may use, 0 to 1.
-    pub fn set_part(&mut self, account: &AccountId, part: f64) {
+    /// Takes what this shard may use of an account's limits.
+    pub fn allow(&mut self, account: &AccountId, allowance: Allowance) {
         if let Some(usage) = self.accounts.get_mut(account) {
-            usage.part = part.clamp(0.0, 1.0);
+            usage.allowance = Some(allowance);
         }
     }
 
@@ -99,6 +103,7 @@
                 seen.push(Seen {
                     account: account.clone(),
                     tokens: std::mem::take(&mut usage.asked_tokens),
+                    at_once: std::mem::replace(&mut usage.most_at_once, usage.running),
                 });
             }
             true
@@ -117,7 +122,9 @@
     ) -> Option<Duration> {
         let usage = self.accounts.entry(account.clone()).or_default();
         usage.asked_tokens += tokens;
-        let rate = rule.tokens_per_second.unwrap_or(f64::MAX) * usage.part;
+        usage.most_at_once = usage.most_at_once.max(usage.running + 1);
+        let allowance = usage.allowance.unwrap_or(Allowance::all_of(rule));
+        let rate = allowance.tokens_per_second;
         let bucket = usage.bucket.get_or_insert(Bucket {
             tokens: rate * BURST_SECONDS,
             filled_at: now,
@@ -127,10 +134,7 @@
             .as_secs_f64();
         bucket.tokens = (bucket.tokens + rate * since).min(rate * BURST_SECONDS);
         bucket.filled_at = now;
-        let most = rule
-            .concurrent
-            .map_or(f64::MAX, |most| (f64::from(most) * usage.part).max(1.0));
-        if f64::from(usage.running) >= most {
+        if f64::from(usage.running) >= allowance.at_once.max(1.0) {
             return Some(CONCURRENCY_WAIT);
         }
         // A request larger than the burst passes a full bucket and leaves a debt.
@@ -157,8 +161,8 @@
         self.limits.take_seen(now)
     }
 
-    /// Takes the part of an account's limits that this shard may use, 0 to 1.
-    pub fn set_part(&mut self, account: &AccountId, part: f64) {
-        self.limits.set_part(account, part);
+    /// Takes what this shard may use of an account's limits.
+    pub fn allow(&mut self, account: &AccountId, allowance: Allowance) {
+        self.limits.allow(account, allowance);
     }
 }
--- a/crates/jaypin_wire/src/link.rs
+++ b/crates/jaypin_wire/src/link.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use jaypin_core::{
-    Ask, Candidate, Grant, GrantNumber, InFlight, Message, Ran, Reason, Refusal, Shard,
+    Allowance, Ask, Candidate, Grant, GrantNumber, InFlight, Message, Ran, Reason, Refusal, Shard,
     SlotProgress,
 };
 use serde::{Deserialize, Serialize};
@@ -56,9 +56,9 @@
     /// See [`Message::Confirm`].
     Confirm(WireShard, Arc<str>, WireNumber),
     /// See [`Message::Usage`].
-    Usage(WireShard, Arc<str>, f64),
-    /// See [`Message::Part`].
-    Part(WireShard, Arc<str>, f64),
+    Usage(WireShard, Arc<str>, f64, u32),
+    /// See [`Message::Allow`]: tokens a second, and requests at once.
+    Allow(WireShard, Arc<str>, f64, f64),
     /// See [`Message::InFlight`].
     InFlight(WireShard, Vec<WireInFlight>),
 }
@@ -401,12 +401,18 @@
                 shard,
                 account,
                 tokens,
-            } => Self::Usage(shard.into(), account, tokens),
-            Message::Part {
+                at_once,
+            } => Self::Usage(shard.into(), account, tokens, at_once),
+            Message::Allow {
                 shard,
                 account,
-                part,
-            } => Self::Part(shard.into(), account, part),
+                allowance,
+            } => Self::Allow(
+                shard.into(),
+                account,
+                allowance.tokens_per_second,
+                allowance.at_once,
+            ),
             Message::InFlight { shard, running } => Self::InFlight(
                 shard.into(),
                 running.into_iter().map(WireInFlight::from).collect(),
@@ -447,15 +453,19 @@
                 id,
                 number: number.into(),
             },
-            WireMessage::Usage(shard, account, tokens) => Self::Usage {
+            WireMessage::Usage(shard, account, tokens, at_once) => Self::Usage {
                 shard: shard.into(),
                 account,
                 tokens,
+                at_once,
             },
-            WireMessage::Part(shard, account, part) => Self::Part {
+            WireMessage::Allow(shard, account, tokens_per_second, at_once) => Self::Allow {
                 shard: shard.into(),
                 account,
-                part,
+                allowance: Allowance {
+                    tokens_per_second,
+                    at_once,
+                },
             },
             WireMessage::InFlight(shard, running) => Self::InFlight {
                 shard: shard.into(),
