Fingerprint prompts at two lengths for each doubling

Cause: beginnings are shared at any length; with doublings alone up to half of a shared beginning was not seen, and an engine that held less of it looked as good.

--- a/crates/jaypin/src/frontend/read_request.rs
+++ b/crates/jaypin/src/frontend/read_request.rs
@@ -7,7 +7,7 @@
 use hyper::body::Incoming;
 use hyper::header::{AUTHORIZATION, CONTENT_TYPE, HeaderName, HeaderValue};
 use hyper::{HeaderMap, Method, Request, StatusCode};
-use jaypin_core::{AccountId, RequestId, RequestInfo};
+use jaypin_core::{AccountId, RequestId, RequestInfo, prefix_tokens};
 use jaypin_rules::{Repeat, RuleSet, ServiceKind, ServiceRule, TierRule, digest_credential};
 use serde::Deserialize;
 use snafu::Snafu;
@@ -23,9 +23,6 @@
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// Characters of a prompt that are counted as one token.
 const CHARS_PER_TOKEN: usize = 4;
-/// Characters of the shortest prompt prefix that is fingerprinted; each next is twice
-/// as long.
-const FIRST_PREFIX_CHARS: usize = 256;
 /// Tokens of an answer when the caller states no limit.
 const DEFAULT_MAX_TOKENS: u32 = 256;
 /// Path below which plain services are reached.
@@ -315,7 +312,7 @@
 }
 
 fn prefixes(text: &str, salt: u64) -> Vec<u64> {
-    let lengths = std::iter::successors(Some(FIRST_PREFIX_CHARS), |chars| Some(chars * 2));
+    let lengths = (0..).map(|place| prefix_tokens(place) as usize * CHARS_PER_TOKEN);
     lengths
         .take_while(|chars| *chars <= text.len())
         .map(|chars| xxh3_64_with_seed(&text.as_bytes()[..chars], salt))
--- a/crates/jaypin_core/src/lib.rs
+++ b/crates/jaypin_core/src/lib.rs
@@ -40,6 +40,7 @@
 pub use membership::Membership;
 pub use message::{Ask, Candidate, Grant, GrantNumber, InFlight, Message, SlotProgress};
 pub use outcome::{Ran, Reason, Refusal};
+pub use prefix_index::prefix_tokens;
 pub use record::{Record, Step};
 pub use reducer::{Reducer, Summary};
 pub use rendezvous::{rank_by_score, score};
--- a/crates/jaypin_core/src/prefix_index.rs
+++ b/crates/jaypin_core/src/prefix_index.rs
@@ -7,9 +7,25 @@
 /// Engines don't state their memory. Too small a guess gives away prefill that was
 /// cached; too large a one sends requests after prefixes that are gone.
 const ASSUMED_CACHE_TOKENS: u64 = 14_000;
-/// Tokens of the shortest prefix that is fingerprinted; each next is twice as long.
+/// Tokens of the shortest prefix that is fingerprinted.
 const FIRST_PREFIX_TOKENS: u32 = 64;
 
+/// Tokens of the prefix behind the fingerprint at a place, shortest first: 64, 96, 128,
+/// 192, 256, 384 and so on, two for each doubling.
+///
+/// Callers' prompts share beginnings of any length; coarser steps leave up to half of a
+/// shared beginning unseen, finer ones cost bytes in each ask.
+#[must_use]
+pub fn prefix_tokens(place: usize) -> u32 {
+    let doublings = u32::try_from(place / 2).unwrap_or(u32::MAX).min(16);
+    let tokens = FIRST_PREFIX_TOKENS << doublings;
+    if place % 2 == 0 {
+        tokens
+    } else {
+        tokens + tokens / 2
+    }
+}
+
 /// Prefixes that one backend server was given lately.
 ///
 /// It rests on grants alone; a cache event that never came costs a prefill, no wrong
@@ -37,7 +53,7 @@
         prefixes
             .iter()
             .rposition(|prefix| self.used.contains_key(prefix))
-            .map_or(0, tokens_of)
+            .map_or(0, prefix_tokens)
     }
 
     /// Remembers the prefixes of a granted request, of which `uncached` tokens were new.
@@ -71,8 +87,3 @@
         self.by_use.clear();
     }
 }
-
-fn tokens_of(index: usize) -> u32 {
-    let doublings = u32::try_from(index).unwrap_or(u32::MAX).min(16);
-    FIRST_PREFIX_TOKENS << doublings
-}
--- a/crates/jaypin_core/src/scheduler/grants.rs
+++ b/crates/jaypin_core/src/scheduler/grants.rs
@@ -18,7 +18,7 @@
 /// one request that still meets its deadline.
 const WASTE_WEIGHT: f64 = 8.0;
 /// Seconds of avoidable prefill for which a request lets others of its tier pass.
-const TOLERATED_WASTE: f64 = 0.01;
+const TOLERATED_WASTE: f64 = 0.03;
 /// Part of the time to its latest start for which a request lets others pass.
 const PATIENCE: f64 = 0.5;
 /// Seconds of prefill queued at a backend server beyond which only the top tier is
