--- a/crates/jaypin_core/src/prefix_index.rs
+++ b/crates/jaypin_core/src/prefix_index.rs
@@ -19,7 +19,7 @@
 pub fn prefix_tokens(place: usize) -> u32 {
     let doublings = u32::try_from(place / 2).unwrap_or(u32::MAX).min(16);
     let tokens = FIRST_PREFIX_TOKENS << doublings;
-    if place % 2 == 0 {
+    if place.is_multiple_of(2) {
         tokens
     } else {
         tokens + tokens / 2
--- a/crates/jaypin_core/src/reducer/knowledge.rs
+++ b/crates/jaypin_core/src/reducer/knowledge.rs
@@ -1,5 +1,6 @@
 //! What the reducer learns: rules, host list, peers, load reports.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Instant;
 
@@ -8,10 +9,7 @@
 use super::Reducer;
 use crate::local::share_of;
 use crate::rule_index::RuleIndex;
-use crate::scheduler::Scheduler;
-use crate::{
-    BackendRecord, Effect, HostId, HostList, LoadReport, Message, Policy, RequestId, Shard,
-};
+use crate::{BackendRecord, Effect, HostId, HostList, LoadReport, Policy, Shard};
 
 impl Reducer {
     pub(super) fn rules(&mut self, version: u64, rules: Arc<RuleSet>) {
@@ -21,6 +19,7 @@
             self.rules_version = version;
             self.rule_index = Arc::new(RuleIndex::new(rules.clone()));
             self.rules = rules;
+            self.gossip.versions_changed = true;
             for scheduler in self.schedulers.values_mut() {
                 scheduler.set_rules(self.rule_index.clone());
             }
@@ -28,31 +27,18 @@
     }
 
     pub(super) fn hosts(&mut self, now: Instant, list: HostList, fx: &mut Vec<Effect>) {
+        // Lagging platform copies and late peers: the greater version stays.
         if self.membership.update(list, &self.cfg) {
+            self.gossip.versions_changed = true;
             self.view_changed(now, fx);
         }
     }
 
-    pub(super) fn peer_lost(&mut self, now: Instant, host: &HostId, fx: &mut Vec<Effect>) {
-        if self.membership.lose(host) {
-            for scheduler in self.schedulers.values_mut() {
-                scheduler.forget_owner(host, now);
-            }
-            self.view_changed(now, fx);
-        }
-    }
-
-    pub(super) fn peer_back(&mut self, now: Instant, host: &HostId, fx: &mut Vec<Effect>) {
-        if self.membership.regain(host) {
-            for scheduler in self.schedulers.values_mut() {
-                scheduler.regain_owner(host, now);
-            }
+    pub(super) fn load(&mut self, now: Instant, report: &LoadReport, fx: &mut Vec<Effect>) {
+        self.baseline.report(report);
+        if self.membership.report(&report.backend, report.leaving) {
             self.view_changed(now, fx);
         }
-    }
-
-    pub(super) fn load(&mut self, now: Instant, report: &LoadReport) {
-        self.baseline.report(report);
         // A fixed share says nothing of what the other hosts run, so reports are no
         // correction there.
         if self.cfg.policy == Policy::Local {
@@ -64,9 +50,11 @@
         }
     }
 
-    /// Takes up and lays down shards, and tells new leaders what runs here.
+    /// Takes up and lays down shards, chooses partners, and tells new leaders what runs
+    /// here.
     pub(super) fn view_changed(&mut self, now: Instant, fx: &mut Vec<Effect>) {
-        let led: Vec<Shard> = self
+        self.choose_links(fx);
+        let led: BTreeSet<Shard> = self
             .membership
             .shards()
             .iter()
@@ -76,71 +64,26 @@
             .collect();
         self.schedulers.retain(|shard, _| led.contains(shard));
         for shard in led {
+            self.lead(now, &shard);
             let records = self.records_for(&shard);
-            let scheduler = self.schedulers.entry(shard.clone()).or_insert_with(|| {
-                let rules = self.rule_index.clone();
-                Scheduler::new(shard.clone(), &self.cfg, rules, now)
-            });
-            scheduler.set_backends(records.iter(), now);
+            if let Some(scheduler) = self.schedulers.get_mut(&shard) {
+                scheduler.set_backends(records.iter(), now);
+            }
         }
-        self.report_in_flight(fx);
-        self.ask_new_leaders(now, fx);
+        self.follow_leaders(now, fx);
     }
 
     /// The backend servers of a shard, with the slots that this host may grant.
     fn records_for(&self, shard: &Shard) -> Vec<BackendRecord> {
-        let members = self.membership.shards().members(shard).iter();
-        let records = members.filter_map(|id| self.membership.backend(id));
+        let records = self.membership.backends_of(shard);
         if self.cfg.policy != Policy::Local {
-            return records.cloned().collect();
+            return records;
         }
         let live = self.membership.live_hosts();
         let hosts: Vec<HostId> = live.map(|host| host.id.clone()).collect();
         records
+            .iter()
             .filter_map(|record| share_of(record, &self.cfg.host, &hosts))
             .collect()
     }
-
-    pub(super) fn report_in_flight(&mut self, fx: &mut Vec<Effect>) {
-        let moved: Vec<(Shard, HostId)> = self
-            .membership
-            .shards()
-            .iter()
-            .filter_map(|(shard, _)| Some((shard.clone(), self.leader(shard)?.clone())))
-            .collect();
-        for (shard, leader) in moved {
-            if self.move_grants(&shard, &leader) {
-                let running = self.owner.in_flight(&shard);
-                self.send(&leader, Message::InFlight { shard, running }, fx);
-            }
-        }
-    }
-
-    /// Points running requests of a shard to its leader; says whether any moved.
-    pub(super) fn move_grants(&mut self, shard: &Shard, leader: &HostId) -> bool {
-        let mut moved = false;
-        for request in self.owner.dispatched.values_mut() {
-            if let Some((of, host, _)) = &mut request.state.slot.grant
-                && of == shard
-                && host != leader
-            {
-                *host = leader.clone();
-                moved = true;
-            }
-        }
-        moved
-    }
-
-    pub(super) fn ask_new_leaders(&mut self, now: Instant, fx: &mut Vec<Effect>) {
-        let moved: Vec<RequestId> = self
-            .owner
-            .waiting
-            .iter()
-            .filter(|(_, request)| self.leader(&request.state.shard) != Some(&request.state.leader))
-            .map(|(id, _)| id.clone())
-            .collect();
-        for id in moved {
-            self.ask_again(now, &id, fx);
-        }
-    }
 }
--- a/crates/jaypin_core/src/scheduler/grants.rs
+++ b/crates/jaypin_core/src/scheduler/grants.rs
@@ -17,17 +17,23 @@
 /// Above 1, for it takes time from all that wait, while a slower answer takes time from
 /// one request that still meets its deadline.
 const WASTE_WEIGHT: f64 = 8.0;
-/// Seconds of avoidable prefill for which a request lets others of its tier pass.
-const TOLERATED_WASTE: f64 = 0.03;
+/// Tokens of avoidable prefill from which a request lets others of its tier pass.
+const TOLERATED_WASTE: u32 = 64;
 /// Part of the time to its latest start for which a request lets others pass.
-const PATIENCE: f64 = 0.5;
-/// Seconds of prefill queued at a backend server beyond which only the top tier is
+const PATIENCE: f64 = 0.3;
+/// Weight of the answer's time: a slower answer that meets its deadline costs little.
+const ANSWER_WEIGHT: f64 = 0.1;
+/// A tier can wait if its first-token time is so many times a higher tier's.
+const DEFERRABLE_FACTOR: f64 = 4.0;
+/// Slots kept for bursts, as a factor on the root of the slots that higher tiers need.
+const BURST_ROOTS: f64 = 0.5;
+/// Seconds of prefill queued at a backend server beyond which no deferrable work is
 /// added: what waits inside an engine can't be overtaken.
 const MAX_BACKLOG: f64 = 0.1;
 /// Part of a higher tier's first-token time that lower tiers' prefills may take up.
 const GUARD_PART: f64 = 0.3;
 /// Backend servers, one in so many, that lower tiers leave without long prefills.
-const CALM_ONE_IN: usize = 5;
+const CALM_ONE_IN: usize = 3;
 /// Seconds that a full backend server counts as slower than an empty one.
 const LOAD_WEIGHT: f64 = 0.01;
 /// Largest credit of a minimum, in times the cost of the request it is spent on.
@@ -38,8 +44,8 @@
 struct Choice {
     backend: BackendId,
     score: f64,
-    /// Seconds of prefill that another backend server would save.
-    waste: f64,
+    /// Tokens of prefill that another backend server would save.
+    waste: u32,
     first_token: f64,
     running: u32,
     limit: u32,
@@ -76,7 +82,11 @@
             .chain(self.queue.ranks().filter(|rank| Some(*rank) != owed));
         for rank in order {
             let tier = self.rules.tier(rank);
-            round.is_reserved = round.strict_room <= self.reserved_against(rank);
+            let mut kept = self.reserved_against(rank);
+            if owed != Some(rank) {
+                kept += self.headroom(&tier, now);
+            }
+            round.is_reserved = round.strict_room <= kept;
             if let Some(pair) = self.next_of_tier(&tier, &round) {
                 return Some(pair);
             }
@@ -141,6 +151,32 @@
         reserved.min(slots.saturating_sub(1))
     }
 
+    /// Slots that deferrable work leaves free for the arrivals of higher tiers: what
+    /// they need at their present rate, and a little for bursts, less what they hold.
+    ///
+    /// Its requests hold slots for long. Were they given every slot that is free for a
+    /// moment, higher tiers would wait until enough of them have ended, which shows as
+    /// refusals of the lowest interactive tier while deferrable work runs.
+    fn headroom(&self, tier: &TierTargets, now: Instant) -> u32 {
+        let is_urgent = |other: &&TierTargets| {
+            other.rank < tier.rank && tier.first_token >= DEFERRABLE_FACTOR * other.first_token
+        };
+        let urgent = self.rules.tiers().iter().filter(is_urgent);
+        let Some(last) = urgent.clone().map(|other| other.rank).max() else {
+            return 0;
+        };
+        let running: u32 = urgent.map(|other| self.running.of_tier(other.rank)).sum();
+        let needed = self.slots_needed_above(last + 1, now);
+        let left = needed + BURST_ROOTS * needed.sqrt() - f64::from(running);
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "a small positive count; less than one slot keeps none"
+        )]
+        let slots = left.max(0.0) as u32;
+        slots
+    }
+
     /// The tier whose minimum is due, if one is; never before the top tier.
     fn owed_minimum(&self) -> Option<u8> {
         let top = self.queue.ranks().next()?;
@@ -214,7 +250,14 @@
         }
         let (backlog, prefill) = self.prefill_on(backend, waiting, round.now);
         let first_token = backlog + prefill;
-        if guard.is_some() && backlog > MAX_BACKLOG {
+        let most_backlog = if tier.first_token
+            >= DEFERRABLE_FACTOR * guard.map_or(f64::MAX, |guard| guard / GUARD_PART)
+        {
+            MAX_BACKLOG
+        } else {
+            guard.unwrap_or(f64::MAX)
+        };
+        if backlog > most_backlog {
             return None;
         }
         if guard.is_some_and(|guard| self.would_crowd(backend, first_token, guard, round.now)) {
@@ -233,8 +276,13 @@
         // load decides between backend servers that are as fast.
         let load = f64::from(model.running) / f64::from(limit.max(1));
         let cached = backend.prefixes.cached_tokens(&waiting.ask.prefixes);
-        let waste = f64::from(most_cached.saturating_sub(cached)) / model.prefill_rate();
-        let score = first_token + prefill + answer + WASTE_WEIGHT * waste + LOAD_WEIGHT * load;
+        let waste = most_cached.saturating_sub(cached);
+        let waste_time = f64::from(waste) / model.prefill_rate();
+        let score = first_token
+            + prefill
+            + ANSWER_WEIGHT * answer
+            + WASTE_WEIGHT * waste_time
+            + LOAD_WEIGHT * load;
         Some(Choice {
             backend: BackendId::default(),
             score,
--- a/crates/jaypin_core/src/scheduler/mod.rs
+++ b/crates/jaypin_core/src/scheduler/mod.rs
@@ -4,6 +4,7 @@
 mod grants;
 mod limits;
 mod queue;
+mod report;
 mod running;
 
 use std::collections::BTreeMap;
@@ -24,6 +25,8 @@
 use queue::{WaitingAsk, WaitingQueue};
 use running::RunningTable;
 
+pub use report::{BackendReport, BackendState, ShardReport};
+
 /// A message to a host, as schedulers produce them.
 pub type Letter = (HostId, Message);
 
@@ -137,6 +140,12 @@
         }
     }
 
+    /// Ends the time for owners' reports early, since all have reported.
+    pub fn end_rebuild(&mut self, now: Instant, out: &mut Vec<Letter>) {
+        self.ready_at = self.ready_at.min(now);
+        self.pump(now, out);
+    }
+
     /// Drops what a lost owner waited for. What it has running stays counted until
     /// its backend servers had time to end it.
     pub fn forget_owner(&mut self, owner: &HostId, now: Instant) {
