Leave slots for urgent arrivals before deferrable work takes them

Change: deferrable tiers leave free what the arrival rate of urgent tiers needs and a little for bursts. A tier that got more than its minimum owes it later, so that the minimum adds nothing on top.

Prefill was not the bottleneck: backlogs were below 0.2 s.

--- a/crates/jaypin_core/src/scheduler/grants.rs
+++ b/crates/jaypin_core/src/scheduler/grants.rs
@@ -10,6 +10,10 @@
 
 /// Backend servers named in a grant's explanation.
 const EXPLAINED_CANDIDATES: usize = 3;
+/// Slots that higher tiers need, below which none are kept for them.
+const LEAST_NEED: f64 = 0.5;
+/// Part of all slots that may be kept from deferrable work.
+const MOST_KEPT: f64 = 0.9;
 /// Requests of a tier that are weighed before one is granted.
 const TRIED_PER_TIER: usize = 16;
 /// Weight of prefill that another backend server of the shard would save.
@@ -38,6 +42,9 @@
 const LOAD_WEIGHT: f64 = 0.01;
 /// Largest credit of a minimum, in times the cost of the request it is spent on.
 const MAX_CREDIT: f64 = 2.0;
+/// Largest debt of a tier that got more than its minimum, in times the cost of its last
+/// request: what it got in the last seconds counts against a minimum later.
+const MAX_DEBT: f64 = 8.0;
 
 /// A backend server that a request could go to.
 #[derive(Debug, Clone)]
@@ -167,13 +174,17 @@
         };
         let running: u32 = urgent.map(|other| self.running.of_tier(other.rank)).sum();
         let needed = self.slots_needed_above(last + 1, now);
-        let left = needed + BURST_ROOTS * needed.sqrt() - f64::from(running);
+        if needed < LEAST_NEED {
+            return 0;
+        }
+        let kept = needed + BURST_ROOTS * needed.sqrt();
+        let left = kept.min(self.capacity(now).slots * MOST_KEPT) - f64::from(running);
         #[expect(
             clippy::cast_possible_truncation,
             clippy::cast_sign_loss,
-            reason = "a small positive count; less than one slot keeps none"
+            reason = "a small positive count, rounded up"
         )]
-        let slots = left.max(0.0) as u32;
+        let slots = left.max(0.0).ceil() as u32;
         slots
     }
 
@@ -198,7 +209,7 @@
     /// Each grant earns waiting tiers their minimum, and costs its own tier what it has.
     fn note_minimum(&mut self, rank: u8, tokens: f64) {
         if let Some(credit) = self.credit.get_mut(&rank) {
-            *credit = (*credit - tokens).max(0.0);
+            *credit = (*credit - tokens).max(-MAX_DEBT * tokens);
         }
         for tier in self.rules.tiers().iter().filter(|tier| tier.minimum > 0.0) {
             let Some(head) = self.queue.in_order(tier.rank).next() else {
--- a/crates/jaypin_core/tests/scheduler.rs
+++ b/crates/jaypin_core/tests/scheduler.rs
@@ -101,6 +101,54 @@
     assert!((8..=12).contains(&summaries), "{summaries} of 100");
 }
 
+/// Summaries hold their slots for seconds. Given every slot that is free for a moment,
+/// they leave questions to what questions free, and each burst of questions is refused
+/// while summaries run.
+#[test]
+fn deferrable_work_leaves_slots_for_the_arrivals_of_urgent_work() {
+    let hold = |grant: &jaypin_core::Grant| {
+        if grant.id.starts_with("question") {
+            4
+        } else {
+            60
+        }
+    };
+    let mut bed = Bed::new(2, 8);
+    let mut running: Vec<(u64, jaypin_core::Grant)> = Vec::new();
+    let mut late = 0;
+    for step in 0..200_u64 {
+        let (over, still) = running.into_iter().partition(|(end, _)| *end <= step);
+        running = still;
+        for (_, grant) in over {
+            let is_question = grant.id.starts_with("question");
+            let (tokens, millis) = if is_question { (20, 400) } else { (300, 6_000) };
+            bed.finish(&grant, tokens, millis);
+        }
+        bed.ask(ask(&format!("question-{step}"), 1));
+        for index in 0..4 {
+            let mut summary = ask(&format!("summary-{step}-{index}"), 2);
+            summary.max_tokens = 300;
+            bed.ask(summary);
+        }
+        let grants = bed.grants();
+        let name = format!("question-{step}");
+        let served = grants.iter().any(|grant| *grant.id == *name);
+        late += u32::from(!served && step >= 100);
+        bed.pass(20);
+        for grant in grants {
+            bed.first_token(&grant);
+            let held = hold(&grant);
+            running.push((step + held, grant));
+        }
+        bed.pass(80);
+        for grant in bed.grants() {
+            bed.first_token(&grant);
+            running.push((step + hold(&grant), grant));
+        }
+    }
+    assert_eq!(late, 0, "of 100 questions");
+}
+
 // ---------------------------------------------------------------------- deadlines
 
 /// All slots run long answers and a question arrives that can only come too late. Were
