--- a/crates/jaypin_core/tests/scheduler.rs
+++ b/crates/jaypin_core/tests/scheduler.rs
@@ -106,7 +106,7 @@
 /// while summaries run.
 #[test]
 fn deferrable_work_leaves_slots_for_the_arrivals_of_urgent_work() {
-    let hold = |grant: &jaypin_core::Grant| {
+    let steps_of = |grant: &jaypin_core::Grant| {
         if grant.id.starts_with("question") {
             4
         } else {
@@ -137,13 +137,13 @@
         bed.pass(20);
         for grant in grants {
             bed.first_token(&grant);
-            let held = hold(&grant);
+            let held = steps_of(&grant);
             running.push((step + held, grant));
         }
         bed.pass(80);
         for grant in bed.grants() {
             bed.first_token(&grant);
-            running.push((step + hold(&grant), grant));
+            running.push((step + steps_of(&grant), grant));
         }
     }
     assert_eq!(late, 0, "of 100 questions");
