--- a/crates/jaypin/src/calls.rs
+++ b/crates/jaypin/src/calls.rs
@@ -2,10 +2,12 @@
 
 use std::collections::HashMap;
 use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use bytes::Bytes;
 use hyper::{HeaderMap, Method, Response};
-use jaypin_core::{Refusal, RequestId};
+use jaypin_core::{Refusal, RequestId, StoredAnswer};
+use jaypin_rules::ServiceKind;
 use tokio::sync::{oneshot, watch};
 
 use crate::answer::{self, AnswerBody, CallerGuard, ChunkSender};
@@ -21,8 +23,16 @@
     pub headers: HeaderMap,
     /// The body.
     pub body: Bytes,
+    /// What the backend server speaks.
+    pub kind: ServiceKind,
     /// Whether the answer is a stream of server-sent events.
     pub stream: bool,
+    /// Estimated tokens of the prompt.
+    pub prompt_tokens: u32,
+    /// Time from dispatch within which an answer that is no stream is due.
+    pub whole: Duration,
+    /// Whether the answer is kept under the call's key.
+    pub store_answer: bool,
 }
 
 /// A caller that waits for the head of its answer.
@@ -82,6 +92,19 @@
         Some((outbound, cancelled))
     }
 
+    /// Takes back the outbound part of a call of which no byte was sent.
+    pub fn put_back(&self, id: &RequestId, outbound: Outbound) {
+        let mut inner = self.lock();
+        if let Some(Entry::Running {
+            caller: Some(caller),
+            ..
+        }) = inner.remove(id)
+        {
+            let call = PendingCall { outbound, caller };
+            inner.insert(id.clone(), Entry::Pending(Box::new(call)));
+        }
+    }
+
     /// Takes the caller to send it the head; chunks go through `tx` from then on.
     pub fn take_caller(&self, id: &RequestId, tx: Option<ChunkSender>) -> Option<Caller> {
         match self.lock().get_mut(id)? {
@@ -115,6 +138,15 @@
         self.lock().remove(id);
     }
 
+    /// Answers with what the key's call was answered before.
+    pub fn replay(&self, id: &RequestId, stored: &StoredAnswer) {
+        if let Some(Entry::Pending(call)) = self.lock().remove(id) {
+            let mut caller = call.caller;
+            caller.guard.disarm();
+            let _ = caller.reply.send(answer::replayed(stored));
+        }
+    }
+
     /// Ends a call with a refusal: as the answer, or as the marked end of a stream.
     pub fn refuse(&self, id: &RequestId, refusal: &Refusal) {
         let caller = match self.lock().remove(id) {
--- a/crates/jaypin_bench/src/lib.rs
+++ b/crates/jaypin_bench/src/lib.rs
@@ -7,11 +7,16 @@
 mod demo;
 mod fleet;
 pub mod history;
+mod host;
 pub mod load;
 mod plot;
+mod streams;
+pub mod torture;
 
 pub use client::{Answer, Client, Event, completion_body};
 pub use command::{CommandOutput, jaypin};
 pub use demo::demo;
-pub use fleet::{ACCOUNTS, BackendSpec, Fleet, FleetConfig, Host, RULES, binary};
+pub use fleet::{ACCOUNTS, BackendSpec, Fleet, FleetConfig, Proxies, RULES};
+pub use host::{Host, binary};
 pub use plot::{Run, plot};
+pub use streams::{StreamsReport, streams};
--- a/crates/jaypin_core/src/message.rs
+++ b/crates/jaypin_core/src/message.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use crate::{
-    AccountId, Allowance, BackendId, HostId, HostList, Incarnation, Member, Refusal, RequestId,
-    Shard,
+    AccountId, Allowance, BackendId, ClaimSubject, ClaimVerdict, HostId, HostList, Incarnation,
+    KeyOutcome, Member, Refusal, RequestId, Shard,
 };
 
 /// Number of a grant: greater is later, across runs of a shard scheduler's host.
@@ -106,6 +106,45 @@
         /// The running requests.
         running: Vec<InFlight>,
     },
+    /// To the host that a key names: may this request run?
+    Claim {
+        /// The key, as the caller gave it.
+        key: Arc<str>,
+        /// The request.
+        id: RequestId,
+        /// What the key is used for.
+        subject: ClaimSubject,
+    },
+    /// From a key's owner: the answer to a claim.
+    Claimed {
+        /// The key.
+        key: Arc<str>,
+        /// The request.
+        id: RequestId,
+        /// The answer.
+        verdict: ClaimVerdict,
+    },
+    /// To a key's owner: what became of a claimed call; repeated until confirmed.
+    Settle {
+        /// The key.
+        key: Arc<str>,
+        /// The request.
+        id: RequestId,
+        /// What became of it.
+        outcome: KeyOutcome,
+    },
+    /// From a key's owner: the outcome arrived.
+    Settled {
+        /// The request.
+        id: RequestId,
+    },
+    /// From a key's owner to a claim's holder: does the request still hold it?
+    ClaimCheck {
+        /// The key.
+        key: Arc<str>,
+        /// The request.
+        id: RequestId,
+    },
     /// To a partner, about once a second and at every change: what the sender has.
     Digest(Digest),
     /// To a peer that has something newer: send it.
--- a/crates/jaypin_wire/src/lib.rs
+++ b/crates/jaypin_wire/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod api;
 mod audit;
+mod claims;
 mod codec;
 mod explain;
 mod host_list;
@@ -20,10 +21,11 @@
     AuditEntry, AuditFault, AuditHead, AuditKind, AuditSegment, EntryDigest, digest_entry,
     verify_trail,
 };
+pub use claims::{WireOutcome, WireStoredAnswer, WireSubject, WireVerdict};
 pub use codec::{CodecError, decode, encode};
 pub use explain::{AppliedRule, CandidateBody, ExplainBody, ExplainStep, StepBody};
 pub use host_list::{WireBackend, WireHost, WireHostList};
 pub use link::{Frame, Hello, LINK_VERSION, WireMessage};
 pub use member::{MemberBody, WireMember, WireStatus};
-pub use rules_object::{Held, RulesChange, RulesObject};
+pub use rules_object::{Held, RulesChange, RulesObject, RulesPart};
 pub use shard_state::{ShardBackend, ShardState, TierWaiting};
