--- a/crates/jaypin_core/src/lib.rs
+++ b/crates/jaypin_core/src/lib.rs
@@ -5,6 +5,7 @@
 //! the same effects: that is what makes each routing decision explainable, replayable
 //! and testable.
 
+mod allowance;
 mod backend_model;
 mod baseline;
 mod claims;
@@ -34,6 +35,7 @@
 mod shard_hints;
 mod stream_pace;
 
+pub use allowance::Allowance;
 pub use backend_model::BackendModel;
 pub use config::{Config, Policy};
 pub use effect::Effect;
@@ -49,6 +51,7 @@
 pub use message::{Ask, Candidate, Digest, Grant, GrantNumber, InFlight, Message, SlotProgress};
 pub use outcome::{Ran, Reason, Refusal};
 pub use partners::partners;
+pub use prefix_index::prefix_tokens;
 pub use record::{Record, Step};
 pub use reducer::{Reducer, Summary};
 pub use rendezvous::{rank_by_score, score};
