Contain requests that crash backend servers; let fencing numbers grow across hosts

Cause: a request that crashes each engine it runs on took one down each time it was sent. Change: a call that died with its backend server is told to the shard scheduler, where all calls of one death come together. One without a first token that died alone has a strike; several that died together are suspected and not refused for it. Strikes spread from partner to partner (two numbers, only when the count grows), and each host refuses by itself, with the rule's line. Ruled out: strikes at shard schedulers only, which are lost when the shard moves; all live hosts told by one, which needs a link to each. Not done: a suspected request is not yet run alone.

Cause: a grant's number began with the start of the granting host's process. A shard that moved to an older process got smaller numbers, and an engine that checks them refused every order from then on. Change: the number begins with the scheduler's start.

--- a/crates/jaypin_core/src/lib.rs
+++ b/crates/jaypin_core/src/lib.rs
@@ -24,6 +24,7 @@
 mod owner;
 mod partners;
 mod prefix_index;
+mod quarantine;
 mod record;
 mod reducer;
 mod rendezvous;
@@ -46,9 +47,12 @@
 };
 pub use member::{Member, MemberStatus, MemberTable};
 pub use membership::Membership;
-pub use message::{Ask, Candidate, Digest, Grant, GrantNumber, InFlight, Message, SlotProgress};
+pub use message::{
+    Ask, Candidate, Digest, Grant, GrantNumber, InFlight, Lost, Message, SlotProgress,
+};
 pub use outcome::{Ran, Reason, Refusal};
 pub use partners::partners;
+pub use quarantine::Quarantine;
 pub use record::{Record, Step};
 pub use reducer::{Reducer, Summary};
 pub use rendezvous::{rank_by_score, score};
--- a/crates/jaypin_core/src/message.rs
+++ b/crates/jaypin_core/src/message.rs
@@ -11,7 +11,8 @@
 /// Number of a grant: greater is later, across runs of a shard scheduler's host.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct GrantNumber {
-    /// Run of the host that granted.
+    /// When the shard scheduler began, in milliseconds since the Unix epoch by its
+    /// host's clock.
     pub incarnation: Incarnation,
     /// Count within that run.
     pub sequence: u64,
@@ -104,6 +105,20 @@
         /// The running requests.
         running: Vec<InFlight>,
     },
+    /// Owner to shard scheduler: a call was lost because its backend server died.
+    Died {
+        /// The backend server.
+        backend: BackendId,
+        /// The call.
+        lost: Lost,
+    },
+    /// To a partner: a fingerprint under which backend servers died.
+    Strike {
+        /// The fingerprint.
+        fingerprint: u64,
+        /// Strikes against it.
+        strikes: u32,
+    },
     /// To the host that a key names: may this request run?
     Claim {
         /// The key, as the caller gave it.
@@ -173,6 +188,15 @@
     },
 }
 
+/// A call that was lost with its backend server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Lost {
+    /// Fingerprint of its content, salted by account.
+    pub fingerprint: u64,
+    /// Whether a first token had come.
+    pub had_token: bool,
+}
+
 /// What a host has, in a few bytes; contents follow on demand.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Digest {
--- a/crates/jaypin_core/src/reducer/arrival.rs
+++ b/crates/jaypin_core/src/reducer/arrival.rs
@@ -31,6 +31,9 @@
             let refusal = Refusal::not_run(Reason::NotReady).retry_after(DEFAULT_RETRY_AFTER);
             return self.refuse(&info, Duration::ZERO, refusal, fx);
         }
+        if let Some(refusal) = self.quarantined(now, &info) {
+            return self.refuse(&info, Duration::ZERO, refusal, fx);
+        }
         if !self.must_claim(now, &info, fx) {
             self.place(now, info, fx);
         }
--- a/crates/jaypin_core/src/reducer/calls.rs
+++ b/crates/jaypin_core/src/reducer/calls.rs
@@ -31,6 +31,11 @@
             let refusal = Refusal::not_run(Reason::NoBackend).retry_after(DEFAULT_RETRY_AFTER);
             return self.refuse(&request.info, elapsed(&request, now), refusal, fx);
         };
+        if let Some(refusal) = self.quarantined(now, &request.info) {
+            // It became so while the request waited.
+            self.return_slot(&request, fx);
+            return self.refuse(&request.info, elapsed(&request, now), refusal, fx);
+        }
         let fence = slot.grant.as_ref().map(|(_, _, number)| *number);
         let step = Step::Dispatched {
             backend: slot.backend.clone(),
@@ -110,7 +115,11 @@
                 self.owner.waiting.insert(id.clone(), request);
             }
             Err(request) => {
-                let refusal = Refusal::not_run(Reason::NoBackend).retry_after(DEFAULT_RETRY_AFTER);
+                let refusal = if request.state.sent {
+                    Refusal::after_dispatch(Reason::BackendLost, Ran::Unknown)
+                } else {
+                    Refusal::not_run(Reason::NoBackend).retry_after(DEFAULT_RETRY_AFTER)
+                };
                 self.refuse(&request.info, elapsed(&request, now), refusal, fx);
             }
         }
@@ -137,6 +146,9 @@
         if let Some((leader, message)) = slot_message(&request, progress) {
             self.send(&leader, message, fx);
         }
+        if outcome == CallOutcome::Died {
+            self.tell_death(&request, fx);
+        }
         let refusal = match outcome {
             CallOutcome::Complete | CallOutcome::Cancelled => {
                 // An answer was settled when it came; without one nothing is known.
--- a/crates/jaypin_core/src/reducer/gossip.rs
+++ b/crates/jaypin_core/src/reducer/gossip.rs
@@ -117,6 +117,11 @@
         }
     }
 
+    /// Who hears of strikes first.
+    pub(super) fn strike_partners(&self) -> Vec<HostId> {
+        self.gossip.partners.clone()
+    }
+
     fn own_digest(&self) -> Digest {
         Digest {
             rules_version: self.rules_version,
--- a/crates/jaypin_core/src/reducer/messages.rs
+++ b/crates/jaypin_core/src/reducer/messages.rs
@@ -79,6 +79,11 @@
             Message::Members { entries, whole } => {
                 self.members(now, from, entries, &whole, fx);
             }
+            Message::Died { backend, lost } => self.quarantine.died(now, &backend, lost),
+            Message::Strike {
+                fingerprint,
+                strikes,
+            } => self.strike_heard(now, fingerprint, strikes, fx),
             Message::Claim { key, id, subject } => {
                 self.claim_asked(now, from, key, id, &subject, fx);
             }
--- a/crates/jaypin_core/src/reducer/mod.rs
+++ b/crates/jaypin_core/src/reducer/mod.rs
@@ -7,6 +7,7 @@
 mod knowledge;
 mod limits;
 mod messages;
+mod poison;
 mod succession;
 mod time;
 
@@ -32,7 +33,7 @@
 
 use crate::{
     Config, Effect, Event, HostId, KeyOutcome, KeyTable, MemberStatus, Membership, Message, Policy,
-    Ran, Record, Refusal, RequestInfo, Shard, ShardReport, SlotProgress, Step,
+    Quarantine, Ran, Record, Refusal, RequestInfo, Shard, ShardReport, SlotProgress, Step,
 };
 
 /// Time after which a refused caller may come back, where nothing better is known.
@@ -54,7 +55,9 @@
     schedulers: BTreeMap<Shard, Scheduler>,
     baseline: Baseline,
     keys: KeyTable,
+    started: Option<Instant>,
     claims: Claims,
+    quarantine: Quarantine,
     next_poll: Option<Instant>,
     draining: bool,
     exited: bool,
@@ -112,7 +115,9 @@
             schedulers: BTreeMap::new(),
             baseline: Baseline::default(),
             keys: KeyTable::default(),
+            started: None,
             claims: Claims::default(),
+            quarantine: Quarantine::default(),
             next_poll: None,
             draining: false,
             exited: false,
@@ -132,6 +137,7 @@
     /// Same events, same seed, same effects.
     pub fn apply(&mut self, now: Instant, event: Event) -> Vec<Effect> {
         let mut fx = Vec::new();
+        self.started.get_or_insert(now);
         self.notice_pause(now, &mut fx);
         self.take(now, event, &mut fx);
         while let Some(message) = self.inbox.pop_front() {
--- /dev/null
+++ b/crates/jaypin_core/src/reducer/poison.rs
@@ -0,0 +1,67 @@
+//! Poisonous requests: deaths told, judged, and spread as strikes.
+
+use std::time::Instant;
+
+use super::Reducer;
+use crate::request::{Dispatched, Request};
+use crate::{Effect, Lost, Message, Reason, Refusal, RequestInfo};
+
+impl Reducer {
+    /// The refusal of a request whose content is quarantined.
+    pub(super) fn quarantined(&self, now: Instant, info: &RequestInfo) -> Option<Refusal> {
+        let rule = &self.rules.quarantine;
+        let left = self
+            .quarantine
+            .held_for(now, info.fingerprint, rule.strikes, rule.hold)?;
+        let refusal = Refusal::not_run(Reason::Quarantined).retry_after(left);
+        Some(refusal.rule_line(rule.origin.line))
+    }
+
+    /// Tells the shard scheduler, where all calls that died together are known.
+    pub(super) fn tell_death(&mut self, request: &Request<Dispatched>, fx: &mut Vec<Effect>) {
+        let slot = &request.state.slot;
+        let Some((_, leader, _)) = slot.grant.clone() else {
+            return;
+        };
+        let died = Message::Died {
+            backend: slot.backend.clone(),
+            lost: Lost {
+                fingerprint: request.info.fingerprint,
+                had_token: request.state.first_token_at.is_some(),
+            },
+        };
+        self.send(&leader, died, fx);
+    }
+
+    pub(super) fn poison_tick(&mut self, now: Instant, fx: &mut Vec<Effect>) {
+        let rule = &self.rules.quarantine;
+        let (limit, hold) = (rule.strikes.max(1), rule.hold);
+        self.quarantine.expire(now, hold);
+        for (fingerprint, strikes) in self.quarantine.judge(now, limit) {
+            self.spread(fingerprint, strikes, fx);
+        }
+    }
+
+    pub(super) fn strike_heard(
+        &mut self,
+        now: Instant,
+        fingerprint: u64,
+        strikes: u32,
+        fx: &mut Vec<Effect>,
+    ) {
+        if self.quarantine.heard(now, fingerprint, strikes) {
+            self.spread(fingerprint, strikes, fx);
+        }
+    }
+
+    /// News goes to the few partners only, who pass it on once.
+    fn spread(&mut self, fingerprint: u64, strikes: u32, fx: &mut Vec<Effect>) {
+        let strike = Message::Strike {
+            fingerprint,
+            strikes,
+        };
+        for partner in self.strike_partners() {
+            self.send(&partner, strike.clone(), fx);
+        }
+    }
+}
--- a/crates/jaypin_core/src/reducer/succession.rs
+++ b/crates/jaypin_core/src/reducer/succession.rs
@@ -1,12 +1,12 @@
 //! A shard whose leader is gone goes to the next: owners report what runs and ask again.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use super::Reducer;
 use crate::membership::Term;
 use crate::scheduler::Scheduler;
-use crate::{Effect, HostId, InFlight, Message, Policy, RequestId, Shard};
+use crate::{Config, Effect, HostId, InFlight, Incarnation, Message, Policy, RequestId, Shard};
 
 /// Owners whose reports this host's new schedulers wait for.
 #[derive(Debug, Default)]
@@ -26,7 +26,11 @@
         if self.schedulers.contains_key(shard) {
             return;
         }
-        let scheduler = Scheduler::new(shard.clone(), &self.cfg, self.rule_index.clone(), now);
+        let cfg = Config {
+            incarnation: self.grant_epoch(now),
+            ..self.cfg.clone()
+        };
+        let scheduler = Scheduler::new(shard.clone(), &cfg, self.rule_index.clone(), now);
         self.schedulers.insert(shard.clone(), scheduler);
         let owners = self.membership.live_hosts().map(|host| host.id.clone());
         let own = self.cfg.host.clone();
@@ -43,6 +47,20 @@
         self.next_poll = None;
     }
 
+    /// First part of the numbers of a scheduler that starts now: milliseconds since the
+    /// Unix epoch, by this host's clock.
+    ///
+    /// Guards against backend servers that refuse all orders after a shard moved to a
+    /// host whose process is older than its predecessor's: they compare numbers, so a
+    /// later scheduler needs a greater one, whenever its process began.
+    fn grant_epoch(&self, now: Instant) -> Incarnation {
+        let since = self
+            .started
+            .map_or(Duration::ZERO, |at| now.duration_since(at));
+        let since = u64::try_from(since.as_millis()).unwrap_or(u64::MAX);
+        self.cfg.incarnation.saturating_add(since)
+    }
+
     /// Forgets all schedulers and starts anew.
     ///
     /// Guards against a leader that was paused while another led its shards: its counts
--- a/crates/jaypin_core/src/reducer/time.rs
+++ b/crates/jaypin_core/src/reducer/time.rs
@@ -18,6 +18,7 @@
         self.tell_usage(now, fx);
         self.ask_overdue(now, fx);
         self.claims_tick(now, fx);
+        self.poison_tick(now, fx);
         self.poll_loads(now, fx);
         if self.may_exit(now) && !self.exited {
             self.exited = true;
--- a/crates/jaypin_wire/src/link.rs
+++ b/crates/jaypin_wire/src/link.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use jaypin_core::{
-    Ask, Candidate, Digest, Grant, GrantNumber, HostId, InFlight, Member, Message, Ran, Reason,
-    Refusal, Shard, SlotProgress,
+    Ask, Candidate, Digest, Grant, GrantNumber, HostId, InFlight, Lost, Member, Message, Ran,
+    Reason, Refusal, Shard, SlotProgress,
 };
 use serde::{Deserialize, Serialize};
 
@@ -67,6 +67,10 @@
     Part(WireShard, Arc<str>, f64),
     /// See [`Message::InFlight`].
     InFlight(WireShard, Vec<WireInFlight>),
+    /// See [`Message::Died`]: backend server, fingerprint, whether a token had come.
+    Died(Arc<str>, u64, bool),
+    /// See [`Message::Strike`].
+    Strike(u64, u32),
     /// See [`Message::Claim`].
     Claim(Arc<str>, Arc<str>, WireSubject),
     /// See [`Message::Claimed`].
@@ -439,6 +443,13 @@
                 shard.into(),
                 running.into_iter().map(WireInFlight::from).collect(),
             ),
+            Message::Died { backend, lost } => {
+                Self::Died(backend, lost.fingerprint, lost.had_token)
+            }
+            Message::Strike {
+                fingerprint,
+                strikes,
+            } => Self::Strike(fingerprint, strikes),
             Message::Claim { key, id, subject } => Self::Claim(key, id, subject.into()),
             Message::Claimed { key, id, verdict } => Self::Claimed(key, id, verdict.into()),
             Message::Settle { key, id, outcome } => Self::Settle(key, id, outcome.into()),
@@ -504,6 +515,17 @@
                 shard: shard.into(),
                 running: running.into_iter().map(InFlight::from).collect(),
             },
+            WireMessage::Died(backend, fingerprint, had_token) => Self::Died {
+                backend,
+                lost: Lost {
+                    fingerprint,
+                    had_token,
+                },
+            },
+            WireMessage::Strike(fingerprint, strikes) => Self::Strike {
+                fingerprint,
+                strikes,
+            },
             WireMessage::Claim(key, id, subject) => Self::Claim {
                 key,
                 id,
