Bound the keys of one client account

Cause: one account's program that makes a new key for each call could fill a host's table for half an hour, and every other account's calls were refused there. Change: an account has at most a quarter of a table.

--- a/crates/jaypin_core/src/keys.rs
+++ b/crates/jaypin_core/src/keys.rs
@@ -16,6 +16,8 @@
 pub const KEY_HORIZON: u64 = 30;
 /// Most keys in the table.
 pub const MAX_KEYS: usize = 50_000;
+/// Most keys of one client account in the table.
+pub const MAX_KEYS_PER_ACCOUNT: usize = MAX_KEYS / 4;
 /// Largest answer that is kept for replay, in bytes.
 pub const MAX_STORED_ANSWER: usize = 16 * 1024;
 /// Bytes of answers kept for replay, over all keys; older ones go first.
@@ -151,6 +153,7 @@
     newest: u64,
     periods: BTreeMap<u64, BTreeMap<Arc<str>, Entry>>,
     count: usize,
+    by_account: BTreeMap<AccountId, usize>,
     answers: VecDeque<(u64, Arc<str>, usize)>,
     answer_bytes: usize,
 }
@@ -178,7 +181,10 @@
             if *first.key() >= oldest {
                 break;
             }
-            self.count -= first.remove().len();
+            for entry in first.remove().into_values() {
+                self.count -= 1;
+                forget_one(&mut self.by_account, &entry.subject.account);
+            }
         }
         while self.answers.front().is_some_and(|(p, ..)| *p < oldest) {
             self.drop_oldest_answer();
@@ -202,7 +208,9 @@
         if key.period > newest || key.period < newest.saturating_sub(KEY_HORIZON) {
             return ClaimVerdict::Unknown;
         }
-        let full = self.count >= MAX_KEYS;
+        // One account that sends keys without end must leave room for the others.
+        let held_by_account = self.by_account.get(&subject.account).copied();
+        let full = self.count >= MAX_KEYS || held_by_account >= Some(MAX_KEYS_PER_ACCOUNT);
         let period = self.periods.entry(key.period).or_default();
         let held = State::Held {
             host: host.clone(),
@@ -213,12 +221,14 @@
                 return ClaimVerdict::Full;
             }
             let subject = subject.clone();
+            let entry_account = subject.account.clone();
             let entry = Entry {
                 subject,
                 state: held,
             };
             period.insert(key.unique.clone(), entry);
             self.count += 1;
+            *self.by_account.entry(entry_account).or_default() += 1;
             return ClaimVerdict::Granted;
         };
         if entry.subject != *subject {
@@ -262,6 +272,7 @@
         }
         match outcome {
             KeyOutcome::NotRun => {
+                forget_one(&mut self.by_account, &entry.subject.account);
                 period.remove(&key.unique);
                 self.count -= 1;
             }
@@ -311,3 +322,13 @@
         }
     }
 }
+
+fn forget_one(by_account: &mut BTreeMap<AccountId, usize>, account: &AccountId) {
+    let Some(count) = by_account.get_mut(account) else {
+        return;
+    };
+    *count -= 1;
+    if *count == 0 {
+        by_account.remove(account);
+    }
+}
--- a/crates/jaypin_core/src/lib.rs
+++ b/crates/jaypin_core/src/lib.rs
@@ -43,7 +43,7 @@
 pub use ids::{AccountId, BackendId, FailureDomain, HostId, Incarnation, RequestId, ServiceId};
 pub use keys::{
     ClaimSubject, ClaimVerdict, IdempotencyKey, KEY_HORIZON, KEY_PERIOD, KeyOutcome, KeyTable,
-    MAX_KEYS, MAX_STORED_ANSWER, MAX_STORED_BYTES, StoredAnswer,
+    MAX_KEYS, MAX_KEYS_PER_ACCOUNT, MAX_STORED_ANSWER, MAX_STORED_BYTES, StoredAnswer,
 };
 pub use member::{Member, MemberStatus, MemberTable};
 pub use membership::Membership;
--- a/crates/jaypin_core/tests/claim_order.rs
+++ b/crates/jaypin_core/tests/claim_order.rs
@@ -19,7 +19,7 @@
 ";
 
 /// Something that happens to the hosts.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Copy)]
 enum Step {
     /// A caller sends the one key to a host.
     Call(usize),
--- a/crates/jaypin_core/tests/key_table.rs
+++ b/crates/jaypin_core/tests/key_table.rs
@@ -5,7 +5,8 @@
 
 use jaypin_core::{
     ClaimSubject, ClaimVerdict, HostId, IdempotencyKey, KEY_HORIZON, KEY_PERIOD, KeyOutcome,
-    KeyTable, MAX_KEYS, MAX_STORED_ANSWER, MAX_STORED_BYTES, RequestId, StoredAnswer,
+    KeyTable, MAX_KEYS, MAX_KEYS_PER_ACCOUNT, MAX_STORED_ANSWER, MAX_STORED_BYTES, RequestId,
+    StoredAnswer,
 };
 
 fn key(period: u64, unique: &str) -> IdempotencyKey {
@@ -25,6 +26,20 @@
     table.claim(now, key, &subject(), &host, &RequestId::from(id))
 }
 
+fn claim_for(
+    table: &mut KeyTable,
+    now: Instant,
+    key: &IdempotencyKey,
+    account: &str,
+) -> ClaimVerdict {
+    let subject = ClaimSubject {
+        account: account.into(),
+        ..subject()
+    };
+    let (host, id) = (HostId::from("host-1"), RequestId::from("first"));
+    table.claim(now, key, &subject, &host, &id)
+}
+
 fn settle(table: &mut KeyTable, key: &IdempotencyKey, id: &str, outcome: KeyOutcome) {
     table.settle(key, &RequestId::from(id), outcome);
 }
@@ -166,26 +181,28 @@
     let kept = MAX_STORED_BYTES / MAX_STORED_ANSWER;
     for count in 0..MAX_KEYS {
         let key = key(0, &count.to_string());
-        assert_eq!(claim(&mut table, now, &key, "first"), ClaimVerdict::Granted);
+        let account = format!("farm-{}", count / MAX_KEYS_PER_ACCOUNT);
+        let verdict = claim_for(&mut table, now, &key, &account);
+        assert_eq!(verdict, ClaimVerdict::Granted);
         if count <= kept {
             let stored = Some(answer(MAX_STORED_ANSWER));
             settle(&mut table, &key, "first", KeyOutcome::Answered(stored));
         }
     }
-    let full = claim(&mut table, now, &key(0, "more"), "first");
+    let full = claim_for(&mut table, now, &key(0, "more"), "farm-9");
     assert_eq!(full, ClaimVerdict::Full);
     // The oldest answer gave way; that its call ran is still known.
     assert_eq!(
-        claim(&mut table, now, &key(0, "0"), "second"),
+        claim_for(&mut table, now, &key(0, "0"), "farm-0"),
         ClaimVerdict::Done(None)
     );
-    let newest = claim(&mut table, now, &key(0, &kept.to_string()), "second");
+    let newest = claim_for(&mut table, now, &key(0, &kept.to_string()), "farm-0");
     assert_eq!(newest, ClaimVerdict::Done(Some(answer(MAX_STORED_ANSWER))));
     let later = now + Duration::from_hours(1);
     table.expire(later);
     let fresh = key(60, "more");
     assert_eq!(
-        claim(&mut table, later, &fresh, "first"),
+        claim_for(&mut table, later, &fresh, "farm-0"),
         ClaimVerdict::Granted
     );
 }
@@ -208,3 +225,26 @@
         assert_eq!(IdempotencyKey::parse(wrong), None, "{wrong}");
     }
 }
+
+/// One account's program makes a new key for each call, without end. The others' calls
+/// must still find room.
+#[test]
+fn one_account_leaves_room_for_others() {
+    let (mut table, now) = (KeyTable::default(), Instant::now());
+    for count in 0..MAX_KEYS_PER_ACCOUNT {
+        let key = key(0, &count.to_string());
+        assert_eq!(claim(&mut table, now, &key, "first"), ClaimVerdict::Granted);
+    }
+    let more = key(0, "more");
+    assert_eq!(claim(&mut table, now, &more, "first"), ClaimVerdict::Full);
+    assert_eq!(
+        claim_for(&mut table, now, &more, "farm-9"),
+        ClaimVerdict::Granted
+    );
+    settle(&mut table, &key(0, "0"), "first", KeyOutcome::NotRun);
+    let again = key(0, "again");
+    assert_eq!(
+        claim(&mut table, now, &again, "first"),
+        ClaimVerdict::Granted
+    );
+}
