--- a/crates/jaypin_core/src/lib.rs
+++ b/crates/jaypin_core/src/lib.rs
@@ -25,6 +25,7 @@
 mod owner;
 mod partners;
 mod prefix_index;
+mod quarantine;
 mod record;
 mod reducer;
 mod rendezvous;
@@ -44,14 +45,17 @@
 pub use ids::{AccountId, BackendId, FailureDomain, HostId, Incarnation, RequestId, ServiceId};
 pub use keys::{
     ClaimSubject, ClaimVerdict, IdempotencyKey, KEY_HORIZON, KEY_PERIOD, KeyOutcome, KeyTable,
-    MAX_KEYS, MAX_STORED_ANSWER, MAX_STORED_BYTES, StoredAnswer,
+    MAX_KEYS, MAX_KEYS_PER_ACCOUNT, MAX_STORED_ANSWER, MAX_STORED_BYTES, StoredAnswer,
 };
 pub use member::{Member, MemberStatus, MemberTable};
 pub use membership::Membership;
-pub use message::{Ask, Candidate, Digest, Grant, GrantNumber, InFlight, Message, SlotProgress};
+pub use message::{
+    Ask, Candidate, Digest, Grant, GrantNumber, InFlight, Lost, Message, SlotProgress,
+};
 pub use outcome::{Ran, Reason, Refusal};
 pub use partners::partners;
 pub use prefix_index::prefix_tokens;
+pub use quarantine::Quarantine;
 pub use record::{Record, Step};
 pub use reducer::{Reducer, Summary};
 pub use rendezvous::{rank_by_score, score};
--- a/crates/jaypin_core/src/reducer/arrival.rs
+++ b/crates/jaypin_core/src/reducer/arrival.rs
@@ -35,6 +35,9 @@
             // of it ran: see `claim_answered`.
             Some(_) | None => {}
         }
+        if let Some(refusal) = self.quarantined(now, &info) {
+            return self.refuse(&info, Duration::ZERO, refusal, fx);
+        }
         if !self.must_claim(now, &info, fx) {
             self.place(now, info, fx);
         }
