--- a/crates/jaypin/src/reducer_task.rs
+++ b/crates/jaypin/src/reducer_task.rs
@@ -90,13 +90,12 @@
     }
     if members.epoch() != last.epoch {
         last.live_hosts = Arc::new(members.live_hosts().cloned().collect());
+        let entries = members.table().iter();
+        last.members = entries
+            .map(|(host, member)| (host.clone(), *member))
+            .collect();
         last.epoch = members.epoch();
     }
-    last.members = members
-        .table()
-        .iter()
-        .map(|(host, member)| (host.clone(), *member))
-        .collect();
     last.summary = summary;
     snapshots.send_replace(Arc::new(last.clone()));
 }
--- a/crates/jaypin/src/snapshot.rs
+++ b/crates/jaypin/src/snapshot.rs
@@ -17,7 +17,7 @@
     /// Entry hosts that take work.
     pub live_hosts: Arc<Vec<HostRecord>>,
     /// What is believed of every host.
-    pub members: Vec<(HostId, Member)>,
+    pub members: Arc<[(HostId, Member)]>,
     /// Number of the membership view that `live_hosts` is of.
     pub epoch: u64,
     /// Counts.
--- a/crates/jaypin_core/src/member.rs
+++ b/crates/jaypin_core/src/member.rs
@@ -81,6 +81,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct MemberTable {
     entries: BTreeMap<HostId, Member>,
+    bucket_hashes: [u64; BUCKETS],
 }
 
 impl MemberTable {
@@ -90,7 +91,11 @@
         if known.is_some_and(|known| *known >= member) {
             return false;
         }
-        self.entries.insert(host.clone(), member);
+        let bucket = bucket_of(host);
+        self.bucket_hashes[bucket] ^= member.hash(host);
+        if let Some(old) = self.entries.insert(host.clone(), member) {
+            self.bucket_hashes[bucket] ^= old.hash(host);
+        }
         true
     }
 
@@ -107,24 +112,27 @@
 
     /// Drops entries that are of no use any more.
     pub fn retain(&mut self, keep: impl Fn(&HostId, &Member) -> bool) {
-        self.entries.retain(|host, member| keep(host, member));
+        let hashes = &mut self.bucket_hashes;
+        self.entries.retain(|host, member| {
+            let kept = keep(host, member);
+            if !kept {
+                hashes[bucket_of(host)] ^= member.hash(host);
+            }
+            kept
+        });
     }
 
     /// Hashes of the buckets; equal tables have equal ones.
     #[must_use]
     pub fn bucket_hashes(&self) -> [u64; BUCKETS] {
-        let mut hashes = [0; BUCKETS];
-        for (host, member) in &self.entries {
-            hashes[bucket_of(host)] ^= member.hash(host);
-        }
-        hashes
+        self.bucket_hashes
     }
 
     /// Hash of the whole table.
     #[must_use]
     pub fn hash(&self) -> u64 {
-        self.bucket_hashes()
-            .into_iter()
+        self.bucket_hashes
+            .iter()
             .fold(0, |all, bucket| all ^ bucket)
     }
 
