--- a/crates/jaypin/src/serve.rs
+++ b/crates/jaypin/src/serve.rs
@@ -12,6 +12,7 @@
 use tokio::sync::{Notify, watch};
 
 use crate::calls::Calls;
+use crate::decisions::Decisions;
 use crate::frontend::Frontend;
 use crate::links::{Identity, Links};
 use crate::operator::Operator;
@@ -64,8 +65,10 @@
     let links = Links::new(identity, snapshots.clone(), events.clone());
     let exit = Arc::new(Notify::new());
     let calls = Arc::new(Calls::default());
+    let decisions = Arc::new(Decisions::new(snapshots.clone()));
     let watching = watch::Sender::new(true);
     let runner = Runner {
+        decisions: decisions.clone(),
         calls: calls.clone(),
         links: links.clone(),
         events: events.clone(),
@@ -86,6 +89,9 @@
         },
         snapshots: snapshots.clone(),
         events: events.clone(),
+        decisions: decisions.clone(),
+        port: settings.operator_listen.port(),
+        token_digest: settings.operator_token_digest.clone(),
         links: links.counters(),
     }
     .spawn(settings.operator_listen)?;
@@ -98,7 +104,14 @@
     tokio::spawn(links.clone().accept(peers));
     tokio::spawn(links.clone().keep_up());
     tokio::spawn(links.meet(settings.peers.clone()));
-    let frontend = Frontend::new(host, incarnation, snapshots, calls, events.clone());
+    let frontend = Frontend::new(
+        host,
+        incarnation,
+        snapshots,
+        calls,
+        decisions,
+        events.clone(),
+    );
     tokio::spawn(frontend.accept(callers));
     log::info!(host = settings.host, incarnation, listen:% = settings.listen; "serving");
     until_told(&events, &exit).await?;
@@ -128,7 +141,7 @@
         host: host.clone(),
         incarnation,
         failure_domain: settings.failure_domain.as_str().into(),
-        policy: settings.policy.into(),
+        policy: settings.policy,
         seed: settings.seed.unwrap_or(incarnation),
         pause_limit: PAUSE_LIMIT,
         await_peers: true,
--- a/crates/jaypin_core/src/reducer/mod.rs
+++ b/crates/jaypin_core/src/reducer/mod.rs
@@ -30,7 +30,7 @@
 
 use crate::{
     Config, Effect, Event, HostId, MemberStatus, Membership, Message, Policy, Record, Refusal,
-    RequestInfo, Shard, SlotProgress, Step,
+    RequestInfo, Shard, ShardReport, SlotProgress, Step,
 };
 
 /// Time after which a refused caller may come back, where nothing better is known.
@@ -151,6 +151,13 @@
         }
     }
 
+    /// The shards that this host leads, for operators; dearer than the counts.
+    #[must_use]
+    pub fn shard_reports(&self, now: Instant) -> Vec<ShardReport> {
+        let schedulers = self.schedulers.values();
+        schedulers.map(|it| it.shard_report(now)).collect()
+    }
+
     /// This host's view of hosts and backend servers.
     #[must_use]
     pub fn membership(&self) -> &Membership {
@@ -163,7 +170,11 @@
             Event::CallerGone(id) => self.caller_gone(&id, fx),
             Event::Call { id, progress } => self.call(now, &id, progress, fx),
             Event::Load(report) => self.load(now, &report, fx),
-            Event::Link { from, message } => self.message(now, &from, message, fx),
+            Event::Link { from, message } => {
+                if let Some(message) = message.bounded() {
+                    self.message(now, &from, message, fx);
+                }
+            }
             Event::PeerLost(host) => self.peer_lost(now, &host, fx),
             Event::PeerSilent(host) => self.peer_silent(now, &host, fx),
             Event::PeerMet { host, incarnation } => self.peer_met(now, &host, incarnation, fx),
--- a/crates/jaypin_wire/src/lib.rs
+++ b/crates/jaypin_wire/src/lib.rs
@@ -6,10 +6,12 @@
 mod api;
 mod audit;
 mod codec;
+mod explain;
 mod host_list;
 mod link;
 mod member;
 mod rules_object;
+mod shard_state;
 
 pub use api::{
     BackendState, EntryAddress, EntryAnswer, HostIdentity, HostState, RefusalBody, StatusBody,
@@ -19,7 +21,9 @@
     verify_trail,
 };
 pub use codec::{CodecError, decode, encode};
+pub use explain::{AppliedRule, CandidateBody, ExplainBody, ExplainStep, StepBody};
 pub use host_list::{WireBackend, WireHost, WireHostList};
 pub use link::{Frame, Hello, LINK_VERSION, WireMessage};
 pub use member::{MemberBody, WireMember, WireStatus};
 pub use rules_object::{Held, RulesChange, RulesObject};
+pub use shard_state::{ShardBackend, ShardState, TierWaiting};
