--- a/crates/jaypin_bench/src/fleet.rs
+++ b/crates/jaypin_bench/src/fleet.rs
@@ -318,6 +318,16 @@
         })
     }
 
+    /// Changes the settings that the next start reads.
+    ///
+    /// # Errors
+    /// When the file can't be read or written.
+    pub fn edit_settings(&self, edit: impl FnOnce(String) -> String) -> Result<(), AnyError> {
+        let text = std::fs::read_to_string(&self.settings)?;
+        std::fs::write(&self.settings, edit(text))?;
+        Ok(())
+    }
+
     /// Starts the process; its log goes to this process's standard error.
     ///
     /// # Errors
--- a/crates/jaypin_bench/tests/members.rs
+++ b/crates/jaypin_bench/tests/members.rs
@@ -98,28 +98,43 @@
     }
 }
 
-/// Something between two hosts loses track of their connections: they stay open and
-/// pass nothing on, while new ones work. Both hosts run, so neither may be left out for
-/// good; a new connection has to take the place of the silent one.
-#[tokio::test]
-async fn a_silent_link_gets_a_new_connection() {
+/// Three hosts whose links all go through proxies.
+async fn proxied() -> (Fleet, Vec<Proxy>) {
     let cfg = FleetConfig::default();
     let mut fleet = Fleet::prepare(cfg).await.expect("fleet");
-    let proxy = Proxy::start("127.0.0.1:0", fleet.hosts[2].link)
-        .await
-        .expect("proxy");
-    fleet.hosts[2].link = proxy.address;
+    let mut proxies = Vec::new();
+    for host in &mut fleet.hosts {
+        let proxy = Proxy::start("127.0.0.1:0", host.link).await.expect("proxy");
+        host.link = proxy.address;
+        proxies.push(proxy);
+    }
     fleet.publish_hosts();
     for host in &mut fleet.hosts {
         host.start().expect("started");
     }
     until_all_alive(&fleet).await;
-    let before = link_count(&fleet.hosts[0], "opened").await;
-    proxy.set(ProxyMode::BlackholeOpen);
-    until("a new link", || async {
-        link_count(&fleet.hosts[0], "opened").await > before
-    })
-    .await;
+    (fleet, proxies)
+}
+
+/// Something between the hosts loses track of their connections: they stay open and
+/// pass nothing on, while new ones work. All hosts run, so none may be left out for
+/// good; new connections have to take the place of the silent ones.
+#[tokio::test]
+async fn silent_links_get_new_connections() {
+    let (fleet, proxies) = proxied().await;
+    let mut before = Vec::new();
+    for host in &fleet.hosts {
+        before.push(link_count(host, "opened").await);
+    }
+    for proxy in &proxies {
+        proxy.set(ProxyMode::BlackholeOpen);
+    }
+    for (host, before) in fleet.hosts.iter().zip(before) {
+        until("new links", || async {
+            link_count(host, "opened").await > before
+        })
+        .await;
+    }
     until_all_alive(&fleet).await;
 }
 
@@ -127,18 +142,7 @@
 /// side counts the other as dead, and heals. Nobody restarts anything.
 #[tokio::test]
 async fn a_split_heals() {
-    let mut fleet = Fleet::prepare(FleetConfig::default()).await.expect("fleet");
-    let mut proxies = Vec::new();
-    for host in &mut fleet.hosts {
-        let proxy = Proxy::start("127.0.0.1:0", host.link).await.expect("proxy");
-        host.link = proxy.address;
-        proxies.push(proxy);
-    }
-    fleet.publish_hosts();
-    for host in &mut fleet.hosts {
-        host.start().expect("started");
-    }
-    until_all_alive(&fleet).await;
+    let (fleet, proxies) = proxied().await;
     for proxy in &proxies {
         proxy.set(ProxyMode::Cut);
     }
--- a/crates/jaypin_bench/tests/succession.rs
+++ b/crates/jaypin_bench/tests/succession.rs
@@ -7,7 +7,7 @@
 
 use common::{GENEROUS, status_number, until, until_all_alive};
 use jaypin_bench::{Answer, Client, Fleet, FleetConfig, completion_body};
-use jaypin_standin::{EngineConfig, expected_answer};
+use jaypin_standin::{Engine, EngineConfig, expected_answer};
 use tokio::task::JoinSet;
 use tokio::time::timeout;
 
@@ -77,7 +77,7 @@
     }
     let engines = fleet.engines.iter();
     let ran: Vec<String> = engines
-        .flat_map(|engine| engine.executions())
+        .flat_map(Engine::executions)
         .map(|execution| execution.id)
         .collect();
     let distinct: BTreeSet<&String> = ran.iter().collect();
--- a/crates/jaypin_core/tests/membership.rs
+++ b/crates/jaypin_core/tests/membership.rs
@@ -3,10 +3,12 @@
 mod net;
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::time::Duration;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 use jaypin_core::{
-    Effect, Event, HostId, HostRecord, Member, MemberStatus, MemberTable, Message, partners,
+    Config, Digest, Effect, Event, HostId, HostRecord, Member, MemberStatus, MemberTable, Message,
+    Reducer, partners,
 };
 use net::{DOMAINS, Net, host, list};
 use proptest::prelude::*;
@@ -223,3 +225,48 @@
     });
     assert!(told, "owners hear of the new term");
 }
+
+/// A host starts again while the platform answers from an old copy. It must not take
+/// callers by that copy: it is ready only once a peer has no more than it has.
+#[test]
+fn a_host_with_an_old_copy_is_not_ready() {
+    let now = Instant::now();
+    let own = host(0);
+    let cfg = Config {
+        host: own.id,
+        failure_domain: own.failure_domain,
+        await_peers: true,
+        ..Config::default()
+    };
+    let mut reducer = Reducer::new(cfg);
+    let rules = |version| Event::Rules {
+        version,
+        rules: Arc::default(),
+    };
+    let digest = Event::Link {
+        from: Net::id(1),
+        message: Message::Digest(Digest {
+            rules_version: 2,
+            hosts_version: 1,
+            members: 0,
+        }),
+    };
+    reducer.apply(now, Event::Hosts(list(1, 3)));
+    reducer.apply(now, rules(1));
+    assert!(!reducer.summary().caught_up, "by the platform alone");
+    let fx = reducer.apply(now, digest.clone());
+    assert!(!reducer.summary().caught_up, "a peer has more");
+    let fetches = |effect: &Effect| {
+        let fetch = Message::Fetch {
+            rules: true,
+            hosts: false,
+        };
+        matches!(effect, Effect::Send { message, .. } if *message == fetch)
+    };
+    assert!(fx.iter().any(fetches));
+    reducer.apply(now, rules(2));
+    reducer.apply(now, digest);
+    assert!(reducer.summary().caught_up);
+    reducer.apply(now, rules(1));
+    assert_eq!(reducer.summary().rules_version, 2, "versions only grow");
+}
