--- a/crates/jaypin/src/frontend/mod.rs
+++ b/crates/jaypin/src/frontend/mod.rs
@@ -4,6 +4,7 @@
 //! hold the host (see `docs/design/http-library.md`).
 
 mod connections;
+mod entry;
 mod own_record;
 mod read_request;
 
@@ -19,7 +20,7 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use jaypin_core::{Event, HostId, RequestId, rank_by_score};
+use jaypin_core::{Event, HostId, RequestId};
 use jaypin_wire::{EntryAddress, EntryAnswer};
 use socket2::{Domain, Socket, TcpKeepalive, Type};
 use tokio::net::{TcpListener, TcpStream};
@@ -30,6 +31,7 @@
 use crate::decisions::Decisions;
 use crate::snapshot::Snapshot;
 use connections::{Connection, Connections};
+use entry::EntryOrder;
 use own_record::EXPLAIN;
 use read_request::{ReadError, read};
 
@@ -41,8 +43,6 @@
 const MAX_HEADER: usize = 16 * 1024;
 /// Pause after a connection could not be accepted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(5);
-/// How long an entry list holds.
-const ENTRY_VALID_FOR: Duration = Duration::from_secs(30);
 /// Time without an answer after which a silent caller's connection is given up.
 const USER_TIMEOUT: Duration = Duration::from_secs(20);
 /// Idle time before the first keep-alive probe.
@@ -81,6 +81,7 @@
     decisions: Arc<Decisions>,
     events: Sender<Event>,
     next_id: AtomicU64,
+    entry_order: EntryOrder,
 }
 
 impl Frontend {
@@ -102,6 +103,7 @@
             decisions,
             events,
             next_id,
+            entry_order: EntryOrder::default(),
         };
         Self {
             shared: Arc::new(shared),
@@ -200,17 +202,19 @@
         format!("{}-{}-{count}", self.shared.host, self.shared.incarnation).into()
     }
 
-    /// Hosts in an order that differs by caller, so that callers spread.
     fn entry(&self, snapshot: &Snapshot, req: &Request<Incoming>) -> EntryAnswer {
         let caller = req
             .headers()
             .get("authorization")
             .and_then(|value| value.to_str().ok());
-        let names = snapshot.live_hosts.iter().map(|host| &*host.id);
-        let ranked = rank_by_score(caller.unwrap_or_default(), names);
-        let addresses = ranked
+        let near = req.uri().query().and_then(failure_domain);
+        let live = &snapshot.live_hosts;
+        let ordered = self
+            .shared
+            .entry_order
+            .order(live, caller.unwrap_or_default(), near);
+        let addresses = ordered
             .into_iter()
-            .filter_map(|name| snapshot.live_hosts.iter().find(|host| &*host.id == name))
             .map(|host| EntryAddress {
                 host: host.id.to_string(),
                 address: host.address.clone(),
@@ -218,7 +222,7 @@
             .collect();
         EntryAnswer {
             addresses,
-            valid_for_s: ENTRY_VALID_FOR.as_secs(),
+            valid_for_s: entry::VALID_FOR.as_secs(),
             host: self.shared.host.to_string(),
             incarnation: self.shared.incarnation.to_string(),
             key_prefix: format!("{}-{}.", self.shared.host, self.shared.incarnation),
@@ -226,6 +230,12 @@
     }
 }
 
+/// The caller's failure domain, where its query names one.
+fn failure_domain(query: &str) -> Option<&str> {
+    let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    pairs.find_map(|(name, value)| (name == "failure-domain").then_some(value))
+}
+
 impl ReadError {
     fn answer(&self) -> Response<AnswerBody> {
         rejected(self.status(), self.reason(), &self.to_string())
--- a/crates/jaypin_bench/tests/rules_spread.rs
+++ b/crates/jaypin_bench/tests/rules_spread.rs
@@ -105,6 +105,11 @@
         host.start().expect("started");
     }
     until_all_alive(&fleet).await;
+    // Each of the three hosts reads two keys once and then waits on both.
+    until("all wait on watches", || async {
+        fleet.platform.calls().watches >= 2 * 2 * 3
+    })
+    .await;
     proxy.set(ProxyMode::BlackholeOpen);
     let version = fleet.publish_rules(RULES);
     until_in_force(&fleet, version).await;
--- a/crates/jaypin_core/src/reducer/knowledge.rs
+++ b/crates/jaypin_core/src/reducer/knowledge.rs
@@ -48,6 +48,7 @@
         if let Some(scheduler) = shard.and_then(|shard| self.schedulers.get_mut(shard)) {
             scheduler.report(report, now);
         }
+        self.backend_reported(now, &report.backend, fx);
     }
 
     /// Takes up and lays down shards, chooses partners, and tells new leaders what runs
--- a/crates/jaypin_core/src/reducer/succession.rs
+++ b/crates/jaypin_core/src/reducer/succession.rs
@@ -6,7 +6,7 @@
 use super::Reducer;
 use crate::membership::Term;
 use crate::scheduler::Scheduler;
-use crate::{Effect, HostId, InFlight, Message, Policy, RequestId, Shard};
+use crate::{BackendId, Effect, HostId, InFlight, Message, Policy, RequestId, Shard};
 
 /// How long a report is kept that came before this host knew that it leads the shard.
 const EARLY_REPORT_HOLD: Duration = Duration::from_secs(1);
@@ -31,6 +31,7 @@
 struct Rebuild {
     until: Instant,
     owners: BTreeSet<HostId>,
+    backends: BTreeSet<BackendId>,
 }
 
 impl Reducer {
@@ -44,7 +45,11 @@
         self.schedulers.insert(shard.clone(), scheduler);
         let owners = self.membership.live_hosts().map(|host| host.id.clone());
         let own = self.cfg.host.clone();
+        // A backend server may have said that it is leaving to the former leader only:
+        // all of them are asked before the first grant.
+        let backends = self.membership.shards().members(shard).iter().cloned();
         let rebuild = Rebuild {
+            backends: backends.collect(),
             until: now + self.cfg.rebuild_window,
             owners: match self.cfg.policy {
                 Policy::Local => BTreeSet::from([own]),
@@ -52,8 +57,6 @@
             },
         };
         self.rebuilds.awaited.insert(shard.clone(), rebuild);
-        // A backend server may have said that it is leaving to the former leader only:
-        // ask all of them before the first grant.
         self.next_poll = None;
         true
     }
@@ -122,7 +125,20 @@
         }
     }
 
-    /// Lets schedulers grant once every live host reported, or had time to.
+    pub(super) fn backend_reported(
+        &mut self,
+        now: Instant,
+        backend: &BackendId,
+        fx: &mut Vec<Effect>,
+    ) {
+        for rebuild in self.rebuilds.awaited.values_mut() {
+            rebuild.backends.remove(backend);
+        }
+        self.end_rebuilds(now, fx);
+    }
+
+    /// Lets schedulers grant once every live host and backend server reported, or had
+    /// time to.
     pub(super) fn end_rebuilds(&mut self, now: Instant, fx: &mut Vec<Effect>) {
         if self.rebuilds.awaited.is_empty() {
             return;
@@ -134,7 +150,7 @@
             .collect();
         let mut ended = Vec::new();
         self.rebuilds.awaited.retain(|shard, rebuild| {
-            let reported = rebuild.owners.is_disjoint(&live);
+            let reported = rebuild.owners.is_disjoint(&live) && rebuild.backends.is_empty();
             if reported || now >= rebuild.until {
                 ended.push(shard.clone());
                 return false;
