--- a/crates/jaypin/src/metrics/mod.rs
+++ b/crates/jaypin/src/metrics/mod.rs
@@ -52,6 +52,7 @@
         Step::Refused(refusal) => {
             ended(tier(), after, "refused");
             let labels = [
+                tier(),
                 KeyValue::new("reason", refusal.reason.as_str()),
                 KeyValue::new("outcome", refusal.ran.as_str()),
             ];
@@ -71,6 +72,7 @@
     match outcome {
         CallOutcome::Complete => "complete",
         CallOutcome::Lost => "lost",
+        CallOutcome::Died => "died",
         CallOutcome::Failed => "failed",
         CallOutcome::Cancelled => "cancelled",
     }
--- a/crates/jaypin_bench/tests/strangers.rs
+++ b/crates/jaypin_bench/tests/strangers.rs
@@ -22,9 +22,9 @@
 /// and reads until the host closes.
 async fn say(to: SocketAddr, bytes: &[u8]) -> Vec<u8> {
     let end = bytes.windows(4).position(|part| part == b"\r\n\r\n");
-    let (head, rest) = bytes.split_at(end.expect("a head") + 4);
+    let (upgrade, rest) = bytes.split_at(end.expect("a head") + 4);
     let mut stream = TcpStream::connect(to).await.expect("connected");
-    stream.write_all(head).await.expect("sent");
+    stream.write_all(upgrade).await.expect("sent");
     let mut heard = Vec::new();
     while !heard.ends_with(b"\r\n\r\n") {
         heard.push(stream.read_u8().await.expect("an answer"));
--- a/crates/jaypin_core/src/event.rs
+++ b/crates/jaypin_core/src/event.rs
@@ -5,7 +5,9 @@
 
 use jaypin_rules::RuleSet;
 
-use crate::{BackendId, HostId, HostList, Incarnation, Message, RequestId, RequestInfo};
+use crate::{
+    BackendId, HostId, HostList, Incarnation, Message, RequestId, RequestInfo, StoredAnswer,
+};
 
 /// Something that happened.
 #[derive(Debug, Clone)]
@@ -21,6 +23,13 @@
         /// How far it is.
         progress: CallProgress,
     },
+    /// A call that may not be repeated was answered; told before its caller is.
+    Answered {
+        /// The request.
+        id: RequestId,
+        /// The answer, if it is small enough to be kept.
+        answer: Option<StoredAnswer>,
+    },
     /// A backend server reported its load, with a lag.
     Load(LoadReport),
     /// A peer sent a message.
@@ -86,8 +95,10 @@
 pub enum CallOutcome {
     /// The whole answer was passed on.
     Complete,
-    /// The backend server broke off or went silent.
+    /// The connection broke off or went silent for good.
     Lost,
+    /// The backend server went down under it.
+    Died,
     /// The backend server answered with an error.
     Failed,
     /// The caller left.
--- a/crates/jaypin_core/src/reducer/arrival.rs
+++ b/crates/jaypin_core/src/reducer/arrival.rs
@@ -31,6 +31,13 @@
             let refusal = Refusal::not_run(Reason::NotReady).retry_after(DEFAULT_RETRY_AFTER);
             return self.refuse(&info, Duration::ZERO, refusal, fx);
         }
+        if !self.must_claim(now, &info, fx) {
+            self.place(now, info, fx);
+        }
+    }
+
+    /// Finds a slot for a request that may run.
+    pub(super) fn place(&mut self, now: Instant, info: RequestInfo, fx: &mut Vec<Effect>) {
         match self.cfg.policy {
             Policy::Grants | Policy::Local => self.ask_first(now, info, fx),
             Policy::Baseline => self.choose_alone(now, info, fx),
@@ -63,6 +70,7 @@
             attempt: 1,
             asked_at: now,
             queued: false,
+            unreached: false,
             refused_by: Vec::new(),
         };
         let request = Request {
@@ -159,6 +167,7 @@
             attempt: old.attempt + 1,
             asked_at: now,
             queued: false,
+            unreached: old.unreached,
             refused_by: old.refused_by,
         };
         self.send_ask(now, &request, fx);
--- a/crates/jaypin_core/src/reducer/gossip.rs
+++ b/crates/jaypin_core/src/reducer/gossip.rs
@@ -316,10 +316,12 @@
     // ------------------------------------------------------------------ links
 
     pub(super) fn peer_lost(&mut self, now: Instant, host: &HostId, fx: &mut Vec<Effect>) {
+        self.keys.orphan(host);
         self.accuse(now, host, MemberStatus::Dead, fx);
     }
 
     pub(super) fn peer_silent(&mut self, now: Instant, host: &HostId, fx: &mut Vec<Effect>) {
+        self.keys.orphan(host);
         self.accuse(now, host, MemberStatus::Suspect, fx);
     }
 
@@ -363,7 +365,7 @@
         if !accused || own.is_some_and(|own| own.revision > heard.revision) {
             return;
         }
-        self.begin_term(now, heard.revision + 1, fx);
+        self.begin_term(now, heard.revision.saturating_add(1), fx);
     }
 
     /// Outweighs whatever was said of this run, and makes every owner report anew.
@@ -398,7 +400,7 @@
             *since = now;
         }
         let own = self.membership.table().get(&self.cfg.host);
-        let revision = own.map_or(0, |own| own.revision) + 1;
+        let revision = own.map_or(0, |own| own.revision).saturating_add(1);
         self.begin_term(now, revision, fx);
     }
 
@@ -415,7 +417,7 @@
     pub(super) fn may_exit(&self, now: Instant) -> bool {
         let told = self.gossip.drained_at;
         let spread = told.is_some_and(|told| now.duration_since(told) >= MIN_DRAIN);
-        spread && self.owner.is_idle()
+        spread && self.is_idle()
     }
 }
 
--- a/crates/jaypin_core/src/reducer/time.rs
+++ b/crates/jaypin_core/src/reducer/time.rs
@@ -17,6 +17,7 @@
         self.send_all(out, fx);
         self.tell_usage(now, fx);
         self.ask_overdue(now, fx);
+        self.claims_tick(now, fx);
         self.poll_loads(now, fx);
         if self.may_exit(now) && !self.exited {
             self.exited = true;
@@ -54,6 +55,7 @@
             shard,
             leader,
             queued,
+            unreached,
             ..
         } = request.state;
         self.send(
@@ -66,6 +68,8 @@
         );
         let reason = if queued {
             Reason::TooLate
+        } else if unreached {
+            Reason::NoBackend
         } else {
             Reason::NoScheduler
         };
--- a/crates/jaypin_core/src/request.rs
+++ b/crates/jaypin_core/src/request.rs
@@ -7,6 +7,7 @@
 
 use jaypin_rules::{Repeat, ServiceKind};
 
+use crate::claims::HeldClaim;
 use crate::{AccountId, BackendId, GrantNumber, HostId, RequestId, ServiceId, Shard};
 
 /// What the decisions know of a request; its body stays with the frontend.
@@ -42,6 +43,23 @@
     pub rule_lines: Vec<u32>,
 }
 
+impl RequestInfo {
+    /// Takes time that went by off the deadlines.
+    pub fn spend(&mut self, time: Duration) {
+        self.first_token = self.first_token.saturating_sub(time);
+        self.whole = self.whole.saturating_sub(time);
+    }
+}
+
+/// State: waiting for the claim on its idempotency key.
+#[derive(Debug)]
+pub struct Claiming {
+    /// The claim asked for.
+    pub claim: HeldClaim,
+    /// When it was last asked for.
+    pub asked_at: Instant,
+}
+
 /// State: waiting for a shard scheduler's grant.
 #[derive(Debug)]
 pub struct Waiting {
@@ -55,6 +73,8 @@
     pub asked_at: Instant,
     /// Whether the shard scheduler said that the request is queued.
     pub queued: bool,
+    /// Whether a backend server refused the connection before.
+    pub unreached: bool,
     /// Shards that refused it for want of capacity.
     pub refused_by: Vec<Shard>,
 }
@@ -63,6 +83,7 @@
 #[derive(Debug)]
 pub struct Granted {
     slot: Slot,
+    attempt: u32,
 }
 
 /// State: handed to the backend server.
@@ -70,6 +91,8 @@
 pub struct Dispatched {
     /// Where it runs.
     pub slot: Slot,
+    /// Number of the ask that got the slot.
+    pub attempt: u32,
     /// When it was handed over.
     pub at: Instant,
     /// When the first token came.
@@ -101,10 +124,11 @@
 impl Request<Waiting> {
     /// Takes the slot that was granted.
     pub fn grant(self, slot: Slot) -> Request<Granted> {
+        let attempt = self.state.attempt;
         Request {
             info: self.info,
             arrived_at: self.arrived_at,
-            state: Granted { slot },
+            state: Granted { slot, attempt },
         }
     }
 }
@@ -115,7 +139,7 @@
         Self {
             info,
             arrived_at,
-            state: Granted { slot },
+            state: Granted { slot, attempt: 0 },
         }
     }
 
@@ -123,6 +147,7 @@
     pub fn dispatch(self, at: Instant) -> Request<Dispatched> {
         let state = Dispatched {
             slot: self.state.slot,
+            attempt: self.state.attempt,
             at,
             first_token_at: None,
             sent: false,
@@ -134,3 +159,30 @@
         }
     }
 }
+
+impl Request<Dispatched> {
+    /// Takes a request back of which no byte left, to ask for another slot at `ask_at`.
+    ///
+    /// # Errors
+    /// Gives the request as it is when a byte may have left, or no grant was needed.
+    pub fn take_back(self, ask_at: Instant) -> Result<Request<Waiting>, Box<Self>> {
+        let grant = self.state.slot.grant.clone();
+        let Some((shard, leader, _)) = grant.filter(|_| !self.state.sent) else {
+            return Err(Box::new(self));
+        };
+        let state = Waiting {
+            shard,
+            leader,
+            attempt: self.state.attempt,
+            asked_at: ask_at,
+            queued: false,
+            refused_by: Vec::new(),
+            unreached: true,
+        };
+        Ok(Request {
+            info: self.info,
+            arrived_at: self.arrived_at,
+            state,
+        })
+    }
+}
