--- a/crates/jaypin_core/src/reducer/succession.rs
+++ b/crates/jaypin_core/src/reducer/succession.rs
@@ -6,25 +6,42 @@
 use super::Reducer;
 use crate::membership::Term;
 use crate::scheduler::Scheduler;
-use crate::{Config, Effect, HostId, InFlight, Incarnation, Message, Policy, RequestId, Shard};
+use crate::{
+    BackendId, Config, Effect, HostId, InFlight, Incarnation, Message, Policy, RequestId, Shard,
+};
+
+/// How long a report is kept that came before this host knew that it leads the shard.
+const EARLY_REPORT_HOLD: Duration = Duration::from_secs(1);
 
 /// Owners whose reports this host's new schedulers wait for.
 #[derive(Debug, Default)]
 pub(super) struct Rebuilds {
     awaited: BTreeMap<Shard, Rebuild>,
+    early: Vec<EarlyReport>,
+}
+
+/// A report to this host as the leader of a shard, from an owner whose view is ahead.
+#[derive(Debug)]
+struct EarlyReport {
+    at: Instant,
+    from: HostId,
+    shard: Shard,
+    running: Vec<InFlight>,
 }
 
 #[derive(Debug)]
 struct Rebuild {
     until: Instant,
     owners: BTreeSet<HostId>,
+    backends: BTreeSet<BackendId>,
 }
 
 impl Reducer {
-    /// Starts the scheduler of a shard that this host leads from now on.
-    pub(super) fn lead(&mut self, now: Instant, shard: &Shard) {
+    /// Starts the scheduler of a shard that this host leads from now on; says whether it
+    /// is new.
+    pub(super) fn lead(&mut self, now: Instant, shard: &Shard) -> bool {
         if self.schedulers.contains_key(shard) {
-            return;
+            return false;
         }
         let cfg = Config {
             incarnation: self.grant_epoch(now),
@@ -34,7 +51,11 @@
         self.schedulers.insert(shard.clone(), scheduler);
         let owners = self.membership.live_hosts().map(|host| host.id.clone());
         let own = self.cfg.host.clone();
+        // A backend server may have said that it is leaving to the former leader only:
+        // all of them are asked before the first grant.
+        let backends = self.membership.shards().members(shard).iter().cloned();
         let rebuild = Rebuild {
+            backends: backends.collect(),
             until: now + self.cfg.rebuild_window,
             owners: match self.cfg.policy {
                 Policy::Local => BTreeSet::from([own]),
@@ -42,9 +63,8 @@
             },
         };
         self.rebuilds.awaited.insert(shard.clone(), rebuild);
-        // A backend server may have said that it is leaving to the former leader only:
-        // ask all of them before the first grant.
         self.next_poll = None;
+        true
     }
 
     /// First part of the numbers of a scheduler that starts now: milliseconds since the
@@ -81,7 +101,7 @@
         fx: &mut Vec<Effect>,
     ) {
         let Some(scheduler) = self.schedulers.get_mut(shard) else {
-            return;
+            return self.keep_early_report(now, from, shard, running);
         };
         scheduler.in_flight(from, running, now);
         if let Some(rebuild) = self.rebuilds.awaited.get_mut(shard) {
@@ -90,7 +110,55 @@
         self.end_rebuilds(now, fx);
     }
 
-    /// Lets schedulers grant once every live host reported, or had time to.
+    /// Guards against a report that overtakes the news that made its sender send it: it
+    /// shows as a full window of waiting, and as slots granted twice when a report is
+    /// the only one. Kept for a moment, it counts when this host takes up the shard.
+    fn keep_early_report(
+        &mut self,
+        now: Instant,
+        from: &HostId,
+        shard: &Shard,
+        running: Vec<InFlight>,
+    ) {
+        self.drop_old_reports(now);
+        self.rebuilds.early.push(EarlyReport {
+            at: now,
+            from: from.clone(),
+            shard: shard.clone(),
+            running,
+        });
+    }
+
+    fn drop_old_reports(&mut self, now: Instant) {
+        let early = &mut self.rebuilds.early;
+        early.retain(|report| now.duration_since(report.at) < EARLY_REPORT_HOLD);
+    }
+
+    pub(super) fn take_early_reports(&mut self, now: Instant, shard: &Shard, fx: &mut Vec<Effect>) {
+        self.drop_old_reports(now);
+        let early = std::mem::take(&mut self.rebuilds.early);
+        let (taken, kept) = early.into_iter().partition(|report| report.shard == *shard);
+        self.rebuilds.early = kept;
+        let taken: Vec<EarlyReport> = taken;
+        for report in taken {
+            self.owner_reported(now, &report.from, shard, report.running, fx);
+        }
+    }
+
+    pub(super) fn backend_reported(
+        &mut self,
+        now: Instant,
+        backend: &BackendId,
+        fx: &mut Vec<Effect>,
+    ) {
+        for rebuild in self.rebuilds.awaited.values_mut() {
+            rebuild.backends.remove(backend);
+        }
+        self.end_rebuilds(now, fx);
+    }
+
+    /// Lets schedulers grant once every live host and backend server reported, or had
+    /// time to.
     pub(super) fn end_rebuilds(&mut self, now: Instant, fx: &mut Vec<Effect>) {
         if self.rebuilds.awaited.is_empty() {
             return;
@@ -102,7 +170,7 @@
             .collect();
         let mut ended = Vec::new();
         self.rebuilds.awaited.retain(|shard, rebuild| {
-            let reported = rebuild.owners.is_disjoint(&live);
+            let reported = rebuild.owners.is_disjoint(&live) && rebuild.backends.is_empty();
             if reported || now >= rebuild.until {
                 ended.push(shard.clone());
                 return false;
