Hold graceful shutdowns against the calls they must not cut

Cause: a graceful shutdown cuts no request in flight, and no check looked at it. Change: the history has when hosts were told to leave and had ended; a connection that breaks between the two is a violation, unless the call began less than 100 ms before.

--- a/crates/jaypin_bench/src/history/answers.rs
+++ b/crates/jaypin_bench/src/history/answers.rs
@@ -4,6 +4,9 @@
 
 use super::{Answered, CallRecord, ExecutionRecord, History, Promise, Violation};
 
+/// A call that began so shortly before a shutdown may not have reached the host.
+const ARRIVAL_TOLERANCE_MS: u64 = 100;
+
 impl CallRecord {
     /// Whether the caller was told that it was not run.
     #[must_use]
@@ -77,3 +80,24 @@
         }
     }
 }
+
+/// No connection breaks that a call had to a host when it was told to leave.
+pub(super) fn check_shutdowns(history: &History, out: &mut Vec<Violation>) {
+    for shutdown in &history.shutdowns {
+        let cut = history.calls.iter().filter(|call| {
+            call.host == shutdown.host
+                && matches!(call.answered, Answered::Broken { .. })
+                && call.began_ms + ARRIVAL_TOLERANCE_MS < shutdown.from_ms
+                && (shutdown.from_ms..=shutdown.until_ms).contains(&call.ended_ms)
+        });
+        for call in cut {
+            let detail = format!(
+                "{} was cut {} ms after {} was told to leave",
+                call.name(),
+                call.ended_ms - shutdown.from_ms,
+                shutdown.host
+            );
+            out.push(Violation::new(Promise::ShutdownCutsNothing, detail));
+        }
+    }
+}
--- a/crates/jaypin_bench/src/history/check.rs
+++ b/crates/jaypin_bench/src/history/check.rs
@@ -3,7 +3,7 @@
 use serde::Serialize;
 
 use super::History;
-use super::answers::{check_answers, check_not_run};
+use super::answers::{check_answers, check_not_run, check_shutdowns};
 use super::executions::{check_accounts, check_keys, check_leaving, check_requests};
 use super::order::{check_rules, check_shed_order};
 
@@ -25,6 +25,8 @@
     OwnAccount,
     /// A leaving backend server gets no new work.
     LeavingGetsNoWork,
+    /// A host that is told to leave cuts no call.
+    ShutdownCutsNothing,
     /// A rule version in force never falls.
     RulesNeverRevert,
 }
@@ -72,6 +74,7 @@
     check_leaving(history, &mut violations);
     check_answers(history, &mut violations);
     check_not_run(history, &mut violations);
+    check_shutdowns(history, &mut violations);
     check_shed_order(history, &mut violations);
     check_rules(history, &mut violations);
     CheckOutcome {
--- a/crates/jaypin_bench/src/history/mod.rs
+++ b/crates/jaypin_bench/src/history/mod.rs
@@ -7,4 +7,6 @@
 mod record;
 
 pub use check::{CheckOutcome, Promise, Violation, check};
-pub use record::{Answered, CallRecord, ExecutionRecord, History, LeavingRecord, RulesRecord};
+pub use record::{
+    Answered, CallRecord, ExecutionRecord, History, LeavingRecord, RulesRecord, ShutdownRecord,
+};
--- a/crates/jaypin_bench/src/history/record.rs
+++ b/crates/jaypin_bench/src/history/record.rs
@@ -13,6 +13,9 @@
     pub rules: Vec<RulesRecord>,
     /// When hosts were told that backend servers are leaving.
     pub leaving: Vec<LeavingRecord>,
+    /// Hosts that were told to leave and ended by themselves.
+    #[serde(default)]
+    pub shutdowns: Vec<ShutdownRecord>,
 }
 
 /// One call, as its caller saw it.
@@ -110,3 +113,14 @@
     /// Until when.
     pub until_ms: u64,
 }
+
+/// A host that was told to leave and ended by itself.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct ShutdownRecord {
+    /// The host.
+    pub host: String,
+    /// When it was told.
+    pub from_ms: u64,
+    /// When it had ended.
+    pub until_ms: u64,
+}
--- a/crates/jaypin_bench/src/torture/faults.rs
+++ b/crates/jaypin_bench/src/torture/faults.rs
@@ -7,7 +7,7 @@
 use tokio::time::Instant;
 
 use super::schedule::{Fault, Planned};
-use crate::history::LeavingRecord;
+use crate::history::{LeavingRecord, ShutdownRecord};
 use crate::{Fleet, RULES};
 
 /// Time that hosts have to learn that a backend server is leaving.
@@ -25,12 +25,15 @@
     /// Hosts that something is wrong with, by their place.
     struck: BTreeSet<usize>,
     leaving_since: BTreeMap<usize, u64>,
+    told_to_leave: BTreeMap<usize, u64>,
     platform_wrong: usize,
     rules: usize,
     /// Faults made, by name.
     pub counts: BTreeMap<String, usize>,
     /// When backend servers were leaving.
     pub leaving: Vec<LeavingRecord>,
+    /// Hosts that left by themselves.
+    pub shutdowns: Vec<ShutdownRecord>,
     /// Hosts that did not leave by themselves, or whose start failed.
     pub troubles: Vec<String>,
 }
@@ -44,10 +47,12 @@
             due: Vec::new(),
             struck: BTreeSet::new(),
             leaving_since: BTreeMap::new(),
+            told_to_leave: BTreeMap::new(),
             platform_wrong: 0,
             rules: 0,
             counts: BTreeMap::new(),
             leaving: Vec::new(),
+            shutdowns: Vec::new(),
             troubles: Vec::new(),
         }
     }
@@ -139,7 +144,7 @@
         match fault {
             Fault::KillHost(place) => self.strike(place) && self.kill(place),
             Fault::FreezeHost(place) => self.strike(place) && self.signal(place, "STOP"),
-            Fault::LeaveHost(place) => self.strike(place) && self.signal(place, "TERM"),
+            Fault::LeaveHost(place) => self.strike(place) && self.leave(place),
             Fault::CutLink(place) => self.link(place, ProxyMode::Cut),
             Fault::SilenceLink(place) => self.link(place, ProxyMode::BlackholeOpen),
             Fault::CutBackend(place) => self.backend(place, ProxyMode::Cut),
@@ -207,6 +212,11 @@
         true
     }
 
+    fn leave(&mut self, place: usize) -> bool {
+        self.told_to_leave.insert(place, unix_ms());
+        self.signal(place, "TERM")
+    }
+
     fn start(&mut self, place: usize) {
         if let Err(error) = self.fleet.hosts[place].start() {
             self.troubles.push(error.to_string());
@@ -217,8 +227,14 @@
     async fn await_leave(&mut self, place: usize) {
         let host = &mut self.fleet.hosts[place];
         let ended = host.wait_exit(LEAVE_TIMEOUT).await;
-        if ended != Some(true) {
-            let id = host.id.clone();
+        let id = host.id.clone();
+        if ended == Some(true) {
+            self.shutdowns.push(ShutdownRecord {
+                host: id,
+                from_ms: self.told_to_leave.remove(&place).unwrap_or_default(),
+                until_ms: unix_ms(),
+            });
+        } else {
             host.kill();
             self.troubles
                 .push(format!("{id} did not leave well: {ended:?}"));
--- a/crates/jaypin_bench/src/torture/runner.rs
+++ b/crates/jaypin_bench/src/torture/runner.rs
@@ -118,6 +118,7 @@
         executions: executions(faults.fleet()),
         rules,
         leaving: std::mem::take(&mut faults.leaving),
+        shutdowns: std::mem::take(&mut faults.shutdowns),
     };
     Ok(TortureReport {
         seed: cfg.seed,
--- a/crates/jaypin_bench/tests/history.rs
+++ b/crates/jaypin_bench/tests/history.rs
@@ -1,7 +1,8 @@
 //! The history checker finds each broken promise and passes good histories.
 
 use jaypin_bench::history::{
-    Answered, CallRecord, ExecutionRecord, History, LeavingRecord, Promise, RulesRecord, check,
+    Answered, CallRecord, ExecutionRecord, History, LeavingRecord, Promise, RulesRecord,
+    ShutdownRecord, check,
 };
 
 /// A history that keeps every promise: a stream, a command that ran once though it was
@@ -40,6 +41,11 @@
             from_ms: 5_000,
             until_ms: 9_000,
         }],
+        shutdowns: vec![ShutdownRecord {
+            host: "host-0".to_owned(),
+            from_ms: 1_300,
+            until_ms: 1_600,
+        }],
     }
 }
 
@@ -140,7 +146,7 @@
     a_whole_answer_with_a_token_twice: OwnWholeAnswer,
         |history| history.calls[0].answered = whole("w1 w1 w2 ");
     a_part_of_another_answer: OwnWholeAnswer,
-        |history| history.calls[0].answered = Answered::Broken { text: "v1 ".to_owned() };
+        |history| history.calls[4].answered = Answered::Broken { text: "v1 ".to_owned() };
     a_marked_end_after_a_token_twice: OwnWholeAnswer,
         |history| history.calls[5].answered = refused("w1 w1 ", "backend-server-lost", "ran");
     a_stream_that_ends_quietly: OwnWholeAnswer,
@@ -157,6 +163,8 @@
         |history| history.executions[1].account = "farm-jiaoxi".to_owned();
     work_on_a_backend_server_that_is_leaving: LeavingGetsNoWork,
         |history| history.executions[3].began_ms = 6_000;
+    a_stream_cut_by_a_shutdown: ShutdownCutsNothing,
+        |history| history.calls[0].answered = Answered::Broken { text: "w1 ".to_owned() };
     a_rule_version_that_falls: RulesNeverRevert,
         |history| history.rules.push(version("host-1", 2_600, 2));
     a_rule_version_that_falls_with_a_restart: RulesNeverRevert,
@@ -195,6 +203,10 @@
         history.calls[4].service = "labels".to_owned();
         history.executions[2].began_ms = 3_500;
     };
+    a_stream_cut_without_a_shutdown: |history| {
+        history.calls[0].answered = Answered::Broken { text: "w1 ".to_owned() };
+        history.shutdowns.clear();
+    };
     a_higher_tier_that_waited: |history| {
         history.calls[4].rank = 1;
         history.executions[2].began_ms = 3_500;
