--- a/crates/jaypin/src/runner.rs
+++ b/crates/jaypin/src/runner.rs
@@ -3,10 +3,10 @@
 use std::sync::Arc;
 
 use crossbeam::channel::Sender;
-use jaypin_core::{Effect, Event};
+use jaypin_core::{CallProgress, Effect, Event};
 use tokio::sync::{Notify, watch};
 
-use crate::backend_call;
+use crate::backend_call::{self, Paces};
 use crate::calls::Calls;
 use crate::decisions::Decisions;
 use crate::links::Links;
@@ -17,6 +17,8 @@
 pub struct Runner {
     /// Calls of this host.
     pub calls: Arc<Calls>,
+    /// How long backend servers are usually silent.
+    pub paces: Arc<Paces>,
     /// Links to peers.
     pub links: Links,
     /// Records of this host's requests.
@@ -37,6 +39,9 @@
                 id, address, fence, ..
             } => {
                 let Some((outbound, cancelled)) = self.calls.start(&id) else {
+                    // The caller left and took the body along; the slot goes back.
+                    let progress = CallProgress::NotSent;
+                    let _ = self.events.send(Event::Call { id, progress });
                     return;
                 };
                 let call = backend_call::Call {
@@ -49,10 +54,12 @@
                 tokio::spawn(backend_call::run(
                     call,
                     self.calls.clone(),
+                    self.paces.clone(),
                     self.events.clone(),
                 ));
             }
             Effect::Refuse { id, refusal } => self.calls.refuse(&id, &refusal),
+            Effect::Replay { id, answer } => self.calls.replay(&id, &answer),
             Effect::Cancel(id) => self.calls.cancel(&id),
             Effect::Send { to, message } => self.links.send(&to, message),
             Effect::KeepLinks(peers) => self.links.keep(peers),
@@ -60,9 +67,14 @@
                 self.watching.send_replace(on);
             }
             Effect::ReadRules { version, text } => {
-                for event in read_rules(version, &text) {
-                    let _ = self.events.send(event);
-                }
+                let events = self.events.clone();
+                // Parsing the rules of 17,000 accounts takes a sixth of a second; the
+                // reducer's thread must not stand still for it.
+                tokio::task::spawn_blocking(move || {
+                    for event in read_rules(version, &text) {
+                        let _ = events.send(event);
+                    }
+                });
             }
             Effect::PollLoad { backend, address } => {
                 tokio::spawn(backend_call::poll_load(
--- a/crates/jaypin/src/serve.rs
+++ b/crates/jaypin/src/serve.rs
@@ -70,6 +70,7 @@
     let runner = Runner {
         decisions: decisions.clone(),
         calls: calls.clone(),
+        paces: Arc::default(),
         links: links.clone(),
         events: events.clone(),
         watching: watching.clone(),
