Keep deferrable work at its prefix's shard, and new backend servers careful

Cause: under overload every shard has deferrable work waiting, so a hint of 0.1 s sent it to and fro and both shards computed the same beginnings. A new scheduler believed its guess of the gap until the first streams ended, and filled slow engines.

Change: a shard is left for a wait that is an eighth of the first-token time longer than the least; a careful limit stops at 6 until four streams have ended.

--- a/crates/jaypin_core/src/backend_model.rs
+++ b/crates/jaypin_core/src/backend_model.rs
@@ -29,6 +29,9 @@
 const CAREFUL_LIMIT: u32 = 4;
 /// Streams by which a careful limit grows with each first token.
 const CAREFUL_STEP: u32 = 2;
+/// Streams up to which a careful limit grows before the pace is known: first tokens come
+/// faster than streams end, and tell nothing of the gap.
+const UNPROVEN_LIMIT: u32 = 6;
 /// Rest after the first lost call; doubled with each further one.
 const FIRST_REST: Duration = Duration::from_secs(1);
 /// Doublings of the rest, at most.
@@ -210,7 +213,9 @@
 
     /// Learns from a first token.
     pub fn first_token(&mut self, sequence: u64, now: Instant) {
-        self.careful = self.careful.saturating_add(CAREFUL_STEP).min(self.slots);
+        if self.careful < UNPROVEN_LIMIT || self.pace.is_proven() {
+            self.careful = self.careful.saturating_add(CAREFUL_STEP).min(self.slots);
+        }
         self.losses = 0;
         let Some(pending) = self.pending.remove(&sequence) else {
             return;
--- a/crates/jaypin_core/src/reducer/arrival.rs
+++ b/crates/jaypin_core/src/reducer/arrival.rs
@@ -11,8 +11,12 @@
     Ask, Effect, HostId, Message, Policy, Reason, Refusal, RequestId, RequestInfo, Shard, Step,
 };
 
-/// Wait for which a shard that may hold the prefix is still the better one.
+/// Longer wait than elsewhere, at least, for which a shard that may hold the prefix is
+/// still the better one.
 const WORTH_OF_AFFINITY: Duration = Duration::from_millis(100);
+/// The same as a part of the time to the first token: at full load every shard has
+/// deferrable work waiting, and it would go to and fro.
+const AFFINITY_PART: u32 = 8;
 /// Shards of a service that are weighed for a request.
 const SHARDS_WEIGHED: usize = 8;
 /// Shards that may refuse a request for want of capacity before that is final.
@@ -100,13 +104,12 @@
         ranked.sort_unstable_by(|a, b| b.cmp(a));
         ranked.truncate(SHARDS_WEIGHED);
         let wait = |shard: &Shard| self.shard_hints.wait(shard, info.tier, now);
-        let shards = ranked.iter().map(|(_, shard)| *shard);
+        let mut shards = ranked.iter().map(|(_, shard)| *shard);
         // All hosts walk the same order, so a prefix that outgrows one shard is held by
         // few others.
-        let calm = shards
-            .clone()
-            .find(|shard| wait(shard) <= WORTH_OF_AFFINITY);
-        let shard = calm.or_else(|| shards.min_by_key(|shard| wait(shard)))?;
+        let least = shards.clone().map(wait).min()?;
+        let worth = WORTH_OF_AFFINITY.max(info.first_token / AFFINITY_PART);
+        let shard = shards.find(|shard| wait(shard) <= least + worth)?;
         let leader = self.leader(shard)?.clone();
         Some((shard.clone(), leader))
     }
--- a/crates/jaypin_core/src/stream_pace.rs
+++ b/crates/jaypin_core/src/stream_pace.rs
@@ -17,6 +17,8 @@
 /// A single stream counts as at most this many times the expected gap: a caller that
 /// reads slowly stretches its own stream and must not condemn the backend server.
 const MAX_SURPRISE: f64 = 4.0;
+/// Finished streams after which the learned pace is believed.
+const PROOF_STREAMS: u32 = 4;
 /// Part of a gap target that is planned for.
 const GAP_MARGIN: f64 = 0.9;
 
@@ -28,6 +30,7 @@
     area: f64,
     changed_at: Option<Instant>,
     running: u32,
+    seen: u32,
 }
 
 impl Default for StreamPace {
@@ -38,6 +41,7 @@
             area: 0.0,
             changed_at: None,
             running: 0,
+            seen: 0,
         }
     }
 }
@@ -62,6 +66,12 @@
         streams
     }
 
+    /// Whether enough streams have ended for the learned pace to be believed.
+    #[must_use]
+    pub fn is_proven(&self) -> bool {
+        self.seen >= PROOF_STREAMS
+    }
+
     /// Whether even a single stream is slower than a target.
     #[must_use]
     pub fn misses(&self, target: f64) -> bool {
@@ -86,6 +96,7 @@
 
     /// Learns from a stream of `tokens` gaps in `seconds` beside `streams` on average.
     pub fn saw(&mut self, gaps: u32, seconds: f64, streams: f64) {
+        self.seen = self.seen.saturating_add(1);
         if gaps == 0 || seconds <= 0.0 {
             return;
         }
