Ask two shards at most, and test what owners decide

Cause: a request refused for want of capacity asked a third shard, where two were meant; with a storm at many shards that is half as many asks again. The new test of owners showed it.

Tests: shards by prefix, the second shard, local shares that add up.

--- a/crates/jaypin_core/src/reducer/arrival.rs
+++ b/crates/jaypin_core/src/reducer/arrival.rs
@@ -128,7 +128,7 @@
         };
         let refused_by = &mut request.state.refused_by;
         let for_capacity = matches!(refusal.reason, Reason::Shed | Reason::TooLate);
-        if !for_capacity || refused_by.len() >= MOST_REFUSALS {
+        if !for_capacity || refused_by.len() + 1 >= MOST_REFUSALS {
             return false;
         }
         refused_by.push(request.state.shard.clone());
