--- a/crates/jaypin_core/src/reducer/gossip.rs
+++ b/crates/jaypin_core/src/reducer/gossip.rs
@@ -370,7 +370,7 @@
         if !accused || own.is_some_and(|own| own.revision > heard.revision) {
             return;
         }
-        self.begin_term(now, heard.revision + 1, fx);
+        self.begin_term(now, heard.revision.saturating_add(1), fx);
     }
 
     /// Outweighs whatever was said of this run, and makes every owner report anew.
@@ -405,7 +405,7 @@
             *since = now;
         }
         let own = self.membership.table().get(&self.cfg.host);
-        let revision = own.map_or(0, |own| own.revision) + 1;
+        let revision = own.map_or(0, |own| own.revision).saturating_add(1);
         self.begin_term(now, revision, fx);
     }
 
