Ask the key's owner before a quarantine answers

Cause: a call that may not be repeated and whose content is quarantined was refused as "not run" on arrival, though an earlier try of its key may have run: the service that went down under it is the reason of the quarantine. Change: the quarantine is looked at where a slot is sought, which such a call reaches with its claim held.

--- a/crates/jaypin_core/src/reducer/arrival.rs
+++ b/crates/jaypin_core/src/reducer/arrival.rs
@@ -35,9 +35,6 @@
             // of it ran: see `claim_answered`.
             Some(_) | None => {}
         }
-        if let Some(refusal) = self.quarantined(now, &info) {
-            return self.refuse(&info, Duration::ZERO, refusal, fx);
-        }
         if !self.must_claim(now, &info, fx) {
             self.place(now, info, fx);
         }
@@ -54,8 +51,12 @@
         }
     }
 
-    /// Finds a slot for a request that may run.
+    /// Finds a slot for a request that may run, unless it is quarantined. A call that may
+    /// not be repeated holds its claim by now, so "not run" is true of its key too.
     pub(super) fn place(&mut self, now: Instant, info: RequestInfo, fx: &mut Vec<Effect>) {
+        if let Some(refusal) = self.quarantined(now, &info) {
+            return self.refuse(&info, Duration::ZERO, refusal, fx);
+        }
         match self.cfg.policy {
             Policy::Grants | Policy::Local => self.ask_first(now, info, fx),
             Policy::Baseline => self.choose_alone(now, info, fx),
--- a/crates/jaypin_core/tests/honest_refusals.rs
+++ b/crates/jaypin_core/tests/honest_refusals.rs
@@ -165,3 +165,24 @@
     assert_eq!(claims.count(), 0);
     assert!(is_dispatched(&fx));
 }
+
+/// A gate call runs and its service goes down under it, again and again, until the call
+/// is quarantined. The program repeats the key. The call was run, so "not run" would be a
+/// lie, and the quarantine must not answer before the key's owner did.
+#[test]
+fn a_quarantined_second_try_is_not_called_not_run() {
+    let mut bed = Bed::new().ready();
+    assert!(is_dispatched(&bed.arrive(Repeat::Never)));
+    let strike = Message::Strike {
+        fingerprint: 5,
+        strikes: 2,
+    };
+    bed.event(Event::Link {
+        from: "host-1".into(),
+        message: strike,
+    });
+    let fx = bed.arrive(Repeat::Never);
+    assert_eq!(refusal(&fx), Some((Reason::InFlight, Ran::Unknown)));
+    let fx = bed.arrive(Repeat::Idempotent);
+    assert_eq!(refusal(&fx), Some((Reason::Quarantined, Ran::NotRun)));
+}
