Keep the rings of partners in place when a host comes or goes

Cause: places in the first ring were fractions of a failure domain's size. Ruled out: a ring of next hosts of other domains (no bound on incoming links). Change: two rings in fixed orders by name, and a fifth partner of another domain for a host whose four all stand in its own.

--- a/crates/jaypin_core/src/partners.rs
+++ b/crates/jaypin_core/src/partners.rs
@@ -1,66 +1,53 @@
 //! Which peers a host keeps a link to: its neighbours in two rings.
 
-use std::collections::BTreeMap;
-
 use crate::rendezvous::score;
-use crate::{FailureDomain, HostId, HostRecord};
+use crate::{HostId, HostRecord};
 
-/// Fixed point of a place in the first ring.
-const RING_SCALE: usize = 1 << 20;
+/// Keys of the two orders that hosts stand in.
+const RINGS: [&str; 2] = ["first ring", "second ring"];
 
-/// The partners of a host among the hosts that are not gone: at most four.
+/// The partners of a host among the hosts that are not gone: four, or fewer in a small
+/// fleet; a fifth when all four stand in the host's own failure domain.
 ///
-/// The first ring goes round the failure domains, so both neighbours there stand in
-/// other domains than the host wherever sizes allow, and a domain can fail without
-/// cutting the graph. The second is in random order, which makes ways short. Each ring
-/// alone connects all hosts, and neighbourhood is mutual: both ends keep the same link.
+/// Each ring alone connects all hosts, and neighbourhood is mutual, so both ends keep the
+/// same link. The orders are fixed by the hosts' names: one host more or less moves only
+/// the links next to it. Two orders make ways short, and leave the rest connected when a
+/// failure domain is lost.
 #[must_use]
 pub fn partners(own: &HostId, hosts: &[&HostRecord]) -> Vec<HostId> {
-    let mut chosen = Vec::new();
-    for ring in [domain_ring(hosts), random_ring(hosts)] {
-        for neighbour in neighbours(own, &ring) {
-            if neighbour != *own && !chosen.contains(&neighbour) {
+    let Some(record) = hosts.iter().find(|host| host.id == *own) else {
+        return Vec::new();
+    };
+    let mut chosen: Vec<&HostRecord> = Vec::new();
+    for ring in RINGS {
+        let after = following(ring, record, hosts);
+        for neighbour in [after.first(), after.last()].into_iter().flatten() {
+            if !chosen.iter().any(|other| other.id == neighbour.id) {
                 chosen.push(neighbour);
             }
         }
     }
-    chosen
-}
-
-fn domain_ring(hosts: &[&HostRecord]) -> Vec<HostId> {
-    let mut by_domain: BTreeMap<&FailureDomain, Vec<&HostId>> = BTreeMap::new();
-    for host in hosts {
-        by_domain
-            .entry(&host.failure_domain)
-            .or_default()
-            .push(&host.id);
+    let is_far = |host: &&HostRecord| host.failure_domain != record.failure_domain;
+    if !chosen.iter().any(is_far) {
+        let after = following(RINGS[0], record, hosts);
+        chosen.extend(after.into_iter().find(is_far));
     }
-    let mut places = Vec::new();
-    for (domain, mut ids) in by_domain {
-        ids.sort_by_key(|id| score("domain ring", id));
-        let count = ids.len();
-        for (index, id) in ids.into_iter().enumerate() {
-            let place = (2 * index + 1) * RING_SCALE / (2 * count);
-            places.push((place, domain, id));
-        }
-    }
-    places.sort();
-    places.into_iter().map(|(_, _, id)| id.clone()).collect()
-}
-
-fn random_ring(hosts: &[&HostRecord]) -> Vec<HostId> {
-    let mut ids: Vec<&HostId> = hosts.iter().map(|host| &host.id).collect();
-    ids.sort_by_key(|id| score("random ring", id));
-    ids.into_iter().cloned().collect()
+    chosen.into_iter().map(|host| host.id.clone()).collect()
 }
 
-fn neighbours(own: &HostId, ring: &[HostId]) -> Vec<HostId> {
-    let Some(at) = ring.iter().position(|id| id == own) else {
-        return Vec::new();
-    };
-    let count = ring.len();
-    vec![
-        ring[(at + 1) % count].clone(),
-        ring[(at + count - 1) % count].clone(),
-    ]
+/// The other hosts in the order of a ring, from the one behind `own` round to the one
+/// before it.
+fn following<'a>(ring: &str, own: &HostRecord, hosts: &[&'a HostRecord]) -> Vec<&'a HostRecord> {
+    let place = |host: &HostRecord| (score(ring, &host.id), host.id.clone());
+    let from = place(own);
+    let mut others: Vec<&HostRecord> = hosts
+        .iter()
+        .filter(|host| host.id != own.id)
+        .copied()
+        .collect();
+    others.sort_by_cached_key(|host| {
+        let to = place(host);
+        (to < from, to)
+    });
+    others
 }
