--- a/crates/jaypin_core/src/reducer/succession.rs
+++ b/crates/jaypin_core/src/reducer/succession.rs
@@ -6,7 +6,9 @@
 use super::Reducer;
 use crate::membership::Term;
 use crate::scheduler::Scheduler;
-use crate::{BackendId, Effect, HostId, InFlight, Message, Policy, RequestId, Shard};
+use crate::{
+    BackendId, Config, Effect, HostId, InFlight, Incarnation, Message, Policy, RequestId, Shard,
+};
 
 /// How long a report is kept that came before this host knew that it leads the shard.
 const EARLY_REPORT_HOLD: Duration = Duration::from_secs(1);
@@ -41,7 +43,11 @@
         if self.schedulers.contains_key(shard) {
             return false;
         }
-        let scheduler = Scheduler::new(shard.clone(), &self.cfg, self.rule_index.clone(), now);
+        let cfg = Config {
+            incarnation: self.grant_epoch(now),
+            ..self.cfg.clone()
+        };
+        let scheduler = Scheduler::new(shard.clone(), &cfg, self.rule_index.clone(), now);
         self.schedulers.insert(shard.clone(), scheduler);
         let owners = self.membership.live_hosts().map(|host| host.id.clone());
         let own = self.cfg.host.clone();
@@ -61,6 +67,20 @@
         true
     }
 
+    /// First part of the numbers of a scheduler that starts now: milliseconds since the
+    /// Unix epoch, by this host's clock.
+    ///
+    /// Guards against backend servers that refuse all orders after a shard moved to a
+    /// host whose process is older than its predecessor's: they compare numbers, so a
+    /// later scheduler needs a greater one, whenever its process began.
+    fn grant_epoch(&self, now: Instant) -> Incarnation {
+        let since = self
+            .started
+            .map_or(Duration::ZERO, |at| now.duration_since(at));
+        let since = u64::try_from(since.as_millis()).unwrap_or(u64::MAX);
+        self.cfg.incarnation.saturating_add(since)
+    }
+
     /// Forgets all schedulers and starts anew.
     ///
     /// Guards against a leader that was paused while another led its shards: its counts
--- a/crates/jaypin_core/src/scheduler/grants.rs
+++ b/crates/jaypin_core/src/scheduler/grants.rs
@@ -10,23 +10,49 @@
 
 /// Backend servers named in a grant's explanation.
 const EXPLAINED_CANDIDATES: usize = 3;
-/// Requests of a tier that are tried before the next tier's turn.
-const TRIED_PER_TIER: usize = 4;
-/// Seconds of prefill queued at a backend server beyond which only the top tier is
+/// Slots that higher tiers need, below which none are kept for them.
+const LEAST_NEED: f64 = 0.5;
+/// Part of all slots that may be kept from deferrable work.
+const MOST_KEPT: f64 = 0.9;
+/// Requests of a tier that are weighed before one is granted.
+const TRIED_PER_TIER: usize = 16;
+/// Weight of prefill that another backend server of the shard would save.
+///
+/// Above 1, for it takes time from all that wait, while a slower answer takes time from
+/// one request that still meets its deadline.
+const WASTE_WEIGHT: f64 = 8.0;
+/// Tokens of avoidable prefill from which a request lets others of its tier pass.
+const TOLERATED_WASTE: u32 = 64;
+/// Part of the time to its latest start for which a request lets others pass.
+const PATIENCE: f64 = 0.3;
+/// Weight of the answer's time: a slower answer that meets its deadline costs little.
+const ANSWER_WEIGHT: f64 = 0.1;
+/// A tier can wait if its first-token time is so many times a higher tier's.
+const DEFERRABLE_FACTOR: f64 = 4.0;
+/// Slots kept for bursts, as a factor on the root of the slots that higher tiers need.
+const BURST_ROOTS: f64 = 0.5;
+/// Seconds of prefill queued at a backend server beyond which no deferrable work is
 /// added: what waits inside an engine can't be overtaken.
 const MAX_BACKLOG: f64 = 0.1;
 /// Part of a higher tier's first-token time that lower tiers' prefills may take up.
 const GUARD_PART: f64 = 0.3;
 /// Backend servers, one in so many, that lower tiers leave without long prefills.
-const CALM_ONE_IN: usize = 5;
+const CALM_ONE_IN: usize = 3;
+/// Seconds that a full backend server counts as slower than an empty one.
+const LOAD_WEIGHT: f64 = 0.01;
 /// Largest credit of a minimum, in times the cost of the request it is spent on.
 const MAX_CREDIT: f64 = 2.0;
+/// Largest debt of a tier that got more than its minimum, in times the cost of its last
+/// request: what it got in the last seconds counts against a minimum later.
+const MAX_DEBT: f64 = 8.0;
 
 /// A backend server that a request could go to.
 #[derive(Debug, Clone)]
 struct Choice {
     backend: BackendId,
     score: f64,
+    /// Tokens of prefill that another backend server would save.
+    waste: u32,
     first_token: f64,
     running: u32,
     limit: u32,
@@ -63,17 +89,38 @@
             .chain(self.queue.ranks().filter(|rank| Some(*rank) != owed));
         for rank in order {
             let tier = self.rules.tier(rank);
-            round.is_reserved = round.strict_room <= self.reserved_against(rank);
-            for waiting in self.queue.in_order(rank).take(TRIED_PER_TIER) {
-                let options = self.options(waiting, &tier, &round);
-                if !options.is_empty() {
-                    return Some((waiting.ask.id.clone(), options));
-                }
+            let mut kept = self.reserved_against(rank);
+            if owed != Some(rank) {
+                kept += self.headroom(&tier, now);
+            }
+            round.is_reserved = round.strict_room <= kept;
+            if let Some(pair) = self.next_of_tier(&tier, &round) {
+                return Some(pair);
             }
         }
         None
     }
 
+    /// The first request of a tier that finds a backend server without avoidable
+    /// prefill; failing that, the first that finds any and has no time to lose.
+    fn next_of_tier(&self, tier: &TierTargets, round: &Round) -> Option<(RequestId, Vec<Choice>)> {
+        let mut wasteful = None;
+        for waiting in self.queue.in_order(tier.rank).take(TRIED_PER_TIER) {
+            let options = self.options(waiting, tier, round);
+            let Some(best) = options.first() else {
+                continue;
+            };
+            let pair = (waiting.ask.id.clone(), options.clone());
+            if best.waste <= TOLERATED_WASTE {
+                return Some(pair);
+            }
+            if wasteful.is_none() && !may_let_pass(waiting, round) {
+                wasteful = Some(pair);
+            }
+        }
+        wasteful
+    }
+
     /// What a round goes by; none when no backend server has room.
     fn round(&self, now: Instant) -> Option<Round> {
         let strict_gap = self.strict_gap();
@@ -111,6 +158,36 @@
         reserved.min(slots.saturating_sub(1))
     }
 
+    /// Slots that deferrable work leaves free for the arrivals of higher tiers: what
+    /// they need at their present rate, and a little for bursts, less what they hold.
+    ///
+    /// Its requests hold slots for long. Were they given every slot that is free for a
+    /// moment, higher tiers would wait until enough of them have ended, which shows as
+    /// refusals of the lowest interactive tier while deferrable work runs.
+    fn headroom(&self, tier: &TierTargets, now: Instant) -> u32 {
+        let is_urgent = |other: &&TierTargets| {
+            other.rank < tier.rank && tier.first_token >= DEFERRABLE_FACTOR * other.first_token
+        };
+        let urgent = self.rules.tiers().iter().filter(is_urgent);
+        let Some(last) = urgent.clone().map(|other| other.rank).max() else {
+            return 0;
+        };
+        let running: u32 = urgent.map(|other| self.running.of_tier(other.rank)).sum();
+        let needed = self.slots_needed_above(last + 1, now);
+        if needed < LEAST_NEED {
+            return 0;
+        }
+        let kept = needed + BURST_ROOTS * needed.sqrt();
+        let left = kept.min(self.capacity(now).slots * MOST_KEPT) - f64::from(running);
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "a small positive count, rounded up"
+        )]
+        let slots = left.max(0.0).ceil() as u32;
+        slots
+    }
+
     /// The tier whose minimum is due, if one is; never before the top tier.
     fn owed_minimum(&self) -> Option<u8> {
         let top = self.queue.ranks().next()?;
@@ -132,7 +209,7 @@
     /// Each grant earns waiting tiers their minimum, and costs its own tier what it has.
     fn note_minimum(&mut self, rank: u8, tokens: f64) {
         if let Some(credit) = self.credit.get_mut(&rank) {
-            *credit = (*credit - tokens).max(0.0);
+            *credit = (*credit - tokens).max(-MAX_DEBT * tokens);
         }
         for tier in self.rules.tiers().iter().filter(|tier| tier.minimum > 0.0) {
             let Some(head) = self.queue.in_order(tier.rank).next() else {
@@ -148,9 +225,11 @@
 
     fn options(&self, waiting: &WaitingAsk, tier: &TierTargets, round: &Round) -> Vec<Choice> {
         let guard = self.guard_for(tier.rank);
+        let most_cached = self.most_cached(waiting);
         let mut best: Vec<Choice> = Vec::new();
         for (id, backend) in &self.backends {
-            let Some(mut option) = self.option(backend, waiting, tier, round, guard) else {
+            let Some(mut option) = self.option(backend, waiting, tier, round, (guard, most_cached))
+            else {
                 continue;
             };
             let place = best.partition_point(|other| other.score <= option.score);
@@ -170,7 +249,7 @@
         waiting: &WaitingAsk,
         tier: &TierTargets,
         round: &Round,
-        guard: Option<f64>,
+        (guard, most_cached): (Option<f64>, u32),
     ) -> Option<Choice> {
         let model = &backend.model;
         let gap = gap_for(backend, tier, round)?;
@@ -182,7 +261,14 @@
         }
         let (backlog, prefill) = self.prefill_on(backend, waiting, round.now);
         let first_token = backlog + prefill;
-        if guard.is_some() && backlog > MAX_BACKLOG {
+        let most_backlog = if tier.first_token
+            >= DEFERRABLE_FACTOR * guard.map_or(f64::MAX, |guard| guard / GUARD_PART)
+        {
+            MAX_BACKLOG
+        } else {
+            guard.unwrap_or(f64::MAX)
+        };
+        if backlog > most_backlog {
             return None;
         }
         if guard.is_some_and(|guard| self.would_crowd(backend, first_token, guard, round.now)) {
@@ -200,9 +286,18 @@
         // A prefill delays others as well as the request itself, so it counts twice; the
         // load decides between backend servers that are as fast.
         let load = f64::from(model.running) / f64::from(limit.max(1));
+        let cached = backend.prefixes.cached_tokens(&waiting.ask.prefixes);
+        let waste = most_cached.saturating_sub(cached);
+        let waste_time = f64::from(waste) / model.prefill_rate();
+        let score = first_token
+            + prefill
+            + ANSWER_WEIGHT * answer
+            + WASTE_WEIGHT * waste_time
+            + LOAD_WEIGHT * load;
         Some(Choice {
             backend: BackendId::default(),
-            score: first_token + prefill + answer + load * 0.01,
+            score,
+            waste,
             first_token,
             running: model.running,
             limit,
@@ -218,6 +313,17 @@
         (backend.model.backlog(now), backend.model.prefill(tokens))
     }
 
+    /// Most tokens of a prompt that any backend server of the shard holds.
+    fn most_cached(&self, waiting: &WaitingAsk) -> u32 {
+        if self.plain || waiting.ask.prefixes.is_empty() {
+            return 0;
+        }
+        let cached = self
+            .live_backends()
+            .map(|backend| backend.prefixes.cached_tokens(&waiting.ask.prefixes));
+        cached.max().unwrap_or_default()
+    }
+
     fn uncached(&self, backend: &Backend, waiting: &WaitingAsk) -> u32 {
         if self.plain {
             return 0;
@@ -297,7 +403,7 @@
         };
         if let Some(backend) = self.backends.get_mut(chosen) {
             backend.model.start(self.number.sequence, tokens, now);
-            backend.prefixes.insert(&waiting.ask.prefixes);
+            backend.prefixes.insert(&waiting.ask.prefixes, tokens);
         }
         self.limits.started(&waiting.ask.account);
         self.running.insert(waiting.ask.id.clone(), run);
@@ -321,3 +427,12 @@
         .probe_is_due(round.now)
         .then_some(round.strict_gap)
 }
+
+/// Whether a request can wait for a backend server that holds its prefix.
+fn may_let_pass(waiting: &WaitingAsk, round: &Round) -> bool {
+    let all = waiting
+        .latest_start
+        .saturating_duration_since(waiting.since);
+    let spent = round.now.saturating_duration_since(waiting.since);
+    waiting.ask.tier > 0 && spent < all.mul_f64(PATIENCE)
+}
