--- a/crates/jaypin/src/answer.rs
+++ b/crates/jaypin/src/answer.rs
@@ -10,7 +10,7 @@
 use hyper::body::{Body, Frame};
 use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use hyper::{Response, StatusCode};
-use jaypin_core::{Event, Ran, Reason, Refusal, RequestId};
+use jaypin_core::{Event, Ran, Reason, Refusal, RequestId, StoredAnswer};
 use jaypin_wire::RefusalBody;
 use serde::Serialize;
 use tokio::sync::mpsc;
@@ -61,14 +61,19 @@
 pub struct Chunks {
     rx: mpsc::Receiver<Result<Bytes, std::io::Error>>,
     guard: CallerGuard,
+    failing: Option<std::io::Error>,
     last: Option<Instant>,
 }
 
 impl Chunks {
     /// Joins the receiving end with the guard.
     pub fn new(rx: mpsc::Receiver<Result<Bytes, std::io::Error>>, guard: CallerGuard) -> Self {
-        let last = None;
-        Self { rx, guard, last }
+        Self {
+            rx,
+            guard,
+            failing: None,
+            last: None,
+        }
     }
 }
 
@@ -80,13 +85,24 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, std::io::Error>>> {
+        if let Some(error) = self.failing.take() {
+            return Poll::Ready(Some(Err(error)));
+        }
         match self.rx.poll_recv(cx) {
-            Poll::Ready(Some(chunk)) => {
+            Poll::Ready(Some(Ok(chunk))) => {
                 let now = Instant::now();
                 if let Some(last) = self.last.replace(now) {
                     metrics::gap(now.duration_since(last));
                 }
-                Poll::Ready(Some(chunk.map(Frame::data)))
+                Poll::Ready(Some(Ok(Frame::data(chunk))))
+            }
+            // Guards against a lost error event: an error drops what is not flushed,
+            // and the caller would see a broken connection without the reason. One
+            // turn without a frame makes the connection flush first.
+            Poll::Ready(Some(Err(error))) => {
+                self.failing = Some(error);
+                cx.waker().wake_by_ref();
+                Poll::Pending
             }
             Poll::Ready(None) => {
                 self.guard.disarm();
@@ -128,6 +144,18 @@
     response
 }
 
+/// The answer that a call with the same key got before.
+pub fn replayed(stored: &StoredAnswer) -> Response<AnswerBody> {
+    let mut response = Response::new(full(stored.body.to_vec()));
+    *response.status_mut() = StatusCode::from_u16(stored.status).unwrap_or_default();
+    let headers = response.headers_mut();
+    headers.insert("x-jaypin-replayed", HeaderValue::from_static("true"));
+    if let Ok(value) = HeaderValue::from_str(&stored.content_type) {
+        headers.insert(CONTENT_TYPE, value);
+    }
+    response
+}
+
 /// A refusal before a request reached the decisions.
 pub fn rejected(status: StatusCode, reason: &str, message: &str) -> Response<AnswerBody> {
     let body = RefusalBody {
@@ -150,8 +178,8 @@
 fn refusal_status(refusal: &Refusal) -> StatusCode {
     match (refusal.reason, refusal.ran) {
         (Reason::OverLimit, _) => StatusCode::TOO_MANY_REQUESTS,
-        (Reason::InFlight | Reason::KeyUnknown, _) => StatusCode::CONFLICT,
-        (Reason::Quarantined, _) => StatusCode::UNPROCESSABLE_ENTITY,
+        (Reason::InFlight | Reason::KeyUnknown | Reason::AlreadyRan, _) => StatusCode::CONFLICT,
+        (Reason::Quarantined | Reason::KeyMismatch, _) => StatusCode::UNPROCESSABLE_ENTITY,
         (_, Ran::NotRun) => StatusCode::SERVICE_UNAVAILABLE,
         (_, Ran::Ran | Ran::Unknown) => StatusCode::BAD_GATEWAY,
     }
--- a/crates/jaypin_core/src/reducer/calls.rs
+++ b/crates/jaypin_core/src/reducer/calls.rs
@@ -1,14 +1,19 @@
 //! Dispatched calls, from hand-over to outcome.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
+
+use jaypin_rules::Repeat;
 
 use super::{DEFAULT_RETRY_AFTER, Reducer, elapsed, record, slot_message};
 use crate::request::{Dispatched, Granted, Request, Waiting};
 use crate::{
-    CallOutcome, CallProgress, Candidate, Effect, Message, Ran, Reason, Refusal, RequestId,
-    SlotProgress, Step,
+    CallOutcome, CallProgress, Candidate, Effect, KeyOutcome, Message, Ran, Reason, Refusal,
+    RequestId, SlotProgress, Step,
 };
 
+/// Pause before a request whose backend server refused the connection asks again.
+const REASK_PAUSE: Duration = Duration::from_millis(50);
+
 impl Reducer {
     pub(super) fn dispatch(
         &mut self,
@@ -81,7 +86,8 @@
         }
     }
 
-    /// The connection was refused: no byte left, so the request was not run.
+    /// The connection was refused: no byte left, so the request was not run and may
+    /// ask for another slot.
     pub(super) fn not_sent(&mut self, now: Instant, id: &RequestId, fx: &mut Vec<Effect>) {
         let Some(request) = self.owner.dispatched.remove(id) else {
             return;
@@ -89,8 +95,25 @@
         if let Some((leader, message)) = slot_message(&request, SlotProgress::NotReached) {
             self.send(&leader, message, fx);
         }
-        let refusal = Refusal::not_run(Reason::NoBackend).retry_after(DEFAULT_RETRY_AFTER);
-        self.refuse(&request.info, elapsed(&request, now), refusal, fx);
+        // The pause keeps a request from turning in circles while its shard scheduler
+        // learns that the backend server is gone; the first token's deadline ends it.
+        let overdue_at = now + REASK_PAUSE;
+        let ask_at = overdue_at.checked_sub(self.cfg.ask_timeout).unwrap_or(now);
+        match request.take_back(ask_at) {
+            Ok(request) => {
+                record(
+                    &request.info,
+                    now.duration_since(request.arrived_at),
+                    Step::NotReached,
+                    fx,
+                );
+                self.owner.waiting.insert(id.clone(), request);
+            }
+            Err(request) => {
+                let refusal = Refusal::not_run(Reason::NoBackend).retry_after(DEFAULT_RETRY_AFTER);
+                self.refuse(&request.info, elapsed(&request, now), refusal, fx);
+            }
+        }
     }
 
     pub(super) fn finished(
@@ -109,14 +132,19 @@
         let progress = SlotProgress::Finished {
             tokens,
             after: now.duration_since(request.state.at),
-            lost: outcome == CallOutcome::Lost,
+            lost: matches!(outcome, CallOutcome::Lost | CallOutcome::Died),
         };
         if let Some((leader, message)) = slot_message(&request, progress) {
             self.send(&leader, message, fx);
         }
         let refusal = match outcome {
-            CallOutcome::Complete | CallOutcome::Cancelled => return,
-            CallOutcome::Lost => Refusal::after_dispatch(Reason::BackendLost, Ran::Unknown),
+            CallOutcome::Complete | CallOutcome::Cancelled => {
+                // An answer was settled when it came; without one nothing is known.
+                return self.settle(id, KeyOutcome::Unknown, fx);
+            }
+            CallOutcome::Lost | CallOutcome::Died => {
+                Refusal::after_dispatch(Reason::BackendLost, Ran::Unknown)
+            }
             CallOutcome::Failed => Refusal::after_dispatch(Reason::BackendFailed, Ran::Ran),
         };
         self.refuse(&request.info, elapsed(&request, now), refusal, fx);
@@ -129,6 +157,13 @@
     }
 
     pub(super) fn caller_gone(&mut self, id: &RequestId, fx: &mut Vec<Effect>) {
+        self.abandon_claim(id, fx);
+        let running = self.owner.dispatched.get(id);
+        if running.is_some_and(|request| request.info.repeat == Repeat::Never) {
+            // Cut short, its outcome would be unknown for good; ended, it is kept under
+            // the key for the caller that asks again.
+            return;
+        }
         if let Some(request) = self.owner.waiting.remove(id) {
             let Waiting { shard, leader, .. } = request.state;
             self.send(
@@ -139,6 +174,7 @@
                 },
                 fx,
             );
+            self.settle(id, KeyOutcome::NotRun, fx);
         }
         fx.push(Effect::Cancel(id.clone()));
     }
--- a/crates/jaypin_wire/src/link.rs
+++ b/crates/jaypin_wire/src/link.rs
@@ -9,6 +9,7 @@
 };
 use serde::{Deserialize, Serialize};
 
+use crate::claims::{WireOutcome, WireSubject, WireVerdict};
 use crate::{WireHostList, WireMember};
 
 /// Version of the link protocol; peers of another version are turned away.
@@ -66,6 +67,16 @@
     Part(WireShard, Arc<str>, f64),
     /// See [`Message::InFlight`].
     InFlight(WireShard, Vec<WireInFlight>),
+    /// See [`Message::Claim`].
+    Claim(Arc<str>, Arc<str>, WireSubject),
+    /// See [`Message::Claimed`].
+    Claimed(Arc<str>, Arc<str>, WireVerdict),
+    /// See [`Message::Settle`].
+    Settle(Arc<str>, Arc<str>, WireOutcome),
+    /// See [`Message::Settled`].
+    Settled(Arc<str>),
+    /// See [`Message::ClaimCheck`].
+    ClaimCheck(Arc<str>, Arc<str>),
     /// See [`Message::Digest`]: versions of rules and host list, hash of the hosts.
     Digest(u64, u64, u64),
     /// See [`Message::Fetch`].
@@ -185,7 +196,7 @@
     Reason,
     [
         Draining, NotReady, NoBackend, Shed, TooLate, NoScheduler, OverLimit, Quarantined,
-        InFlight, KeyUnknown, BackendLost, BackendFailed,
+        InFlight, KeyUnknown, KeyMismatch, KeyTableFull, AlreadyRan, BackendLost, BackendFailed,
     ]
 );
 
@@ -428,6 +439,11 @@
                 shard.into(),
                 running.into_iter().map(WireInFlight::from).collect(),
             ),
+            Message::Claim { key, id, subject } => Self::Claim(key, id, subject.into()),
+            Message::Claimed { key, id, verdict } => Self::Claimed(key, id, verdict.into()),
+            Message::Settle { key, id, outcome } => Self::Settle(key, id, outcome.into()),
+            Message::Settled { id } => Self::Settled(id),
+            Message::ClaimCheck { key, id } => Self::ClaimCheck(key, id),
             Message::Digest(digest) => {
                 Self::Digest(digest.rules_version, digest.hosts_version, digest.members)
             }
@@ -488,6 +504,23 @@
                 shard: shard.into(),
                 running: running.into_iter().map(InFlight::from).collect(),
             },
+            WireMessage::Claim(key, id, subject) => Self::Claim {
+                key,
+                id,
+                subject: subject.into(),
+            },
+            WireMessage::Claimed(key, id, verdict) => Self::Claimed {
+                key,
+                id,
+                verdict: verdict.into(),
+            },
+            WireMessage::Settle(key, id, outcome) => Self::Settle {
+                key,
+                id,
+                outcome: outcome.into(),
+            },
+            WireMessage::Settled(id) => Self::Settled { id },
+            WireMessage::ClaimCheck(key, id) => Self::ClaimCheck { key, id },
             WireMessage::Digest(rules_version, hosts_version, members) => Self::Digest(Digest {
                 rules_version,
                 hosts_version,
