Explain keys and unreached backend servers; find binaries from examples

Cause: steps that came with idempotency keys were shown in the log's words, and an example could not find the host's binary beside it. Ruled out: leaving keys out of callers' records (it is their own key).

--- a/crates/jaypin/src/decisions/ring.rs
+++ b/crates/jaypin/src/decisions/ring.rs
@@ -88,8 +88,12 @@
                     .sum::<usize>()
         }
         StepBody::Refused { reason, .. } => reason.len(),
+        StepBody::Claimed { verdict } => verdict.len(),
         StepBody::Other { text } => text.len(),
-        StepBody::Arrived | StepBody::FirstToken | StepBody::Finished { .. } => 0,
+        StepBody::Arrived
+        | StepBody::NotReached
+        | StepBody::FirstToken
+        | StepBody::Finished { .. } => 0,
     };
     size_of_val(step) + texts
 }
--- a/crates/jaypin/src/metrics/mod.rs
+++ b/crates/jaypin/src/metrics/mod.rs
@@ -37,6 +37,8 @@
         Step::Arrived { .. } => "arrived",
         Step::Asked { .. } => "asked",
         Step::Dispatched { .. } => "dispatched",
+        Step::Claimed { .. } => "claimed",
+        Step::NotReached => "not-reached",
         Step::FirstToken => {
             all.first_token.record(after.as_secs_f64(), &[tier()]);
             "first-token"
--- a/crates/jaypin_bench/src/host.rs
+++ b/crates/jaypin_bench/src/host.rs
@@ -47,7 +47,7 @@
 pub fn binary(name: &str) -> Result<PathBuf, AnyError> {
     let own = std::env::current_exe()?;
     let mut directory = own.parent().map(Path::to_path_buf).unwrap_or_default();
-    if directory.ends_with("deps") {
+    if directory.ends_with("deps") || directory.ends_with("examples") {
         directory.pop();
     }
     let path = directory.join(name);
--- a/crates/jaypin_bench/tests/explain.rs
+++ b/crates/jaypin_bench/tests/explain.rs
@@ -122,3 +122,31 @@
     let (status, _) = fleet.hosts[0].page("/healthz").await.expect("a page");
     assert_eq!(status, 200);
 }
+
+/// A gate release is sent twice with one key. The record of each says what the key's
+/// owner answered, so that someone can see why it ran once.
+#[tokio::test]
+async fn a_repeated_call_is_explained_by_its_key() {
+    let fleet = fleet(0).await;
+    let client = Client::new(fleet.hosts[1].address, "farm-yilan-secret");
+    let entry = Client::new(fleet.hosts[2].address, "farm-yilan-secret");
+    let entry = entry
+        .call(Method::GET, "/v1/entry", &[], Bytes::new())
+        .await;
+    let entry = entry.expect("an answer").json();
+    let key = format!("{}gate-4", entry["key_prefix"].as_str().expect("a prefix"));
+    for verdict in ["granted", "done"] {
+        let headers = [("idempotency-key", key.as_str())];
+        let path = "/v1/services/robots/gate";
+        let answer = client
+            .call(Method::POST, path, &headers, Bytes::new())
+            .await;
+        let answer = answer.expect("an answer");
+        assert_eq!(answer.status, StatusCode::OK);
+        let id = answer.headers.get("x-request-id").expect("an id");
+        let text = explain(&fleet, id.to_str().expect("text"), &[]).await;
+        let said = format!("the host that owns its key answered `{verdict}`");
+        assert!(text.contains(&said), "{text}");
+    }
+    assert_eq!(fleet.apps[0].calls().len(), 1);
+}
--- a/crates/jaypin_wire/src/explain/mod.rs
+++ b/crates/jaypin_wire/src/explain/mod.rs
@@ -54,6 +54,11 @@
 pub enum StepBody {
     /// The request was accepted.
     Arrived,
+    /// The host that owns its idempotency key answered.
+    Claimed {
+        /// `granted`, `in-flight`, `done`, `unknown`, `mismatch` or `full`.
+        verdict: String,
+    },
     /// A shard scheduler was asked for a slot.
     Asked {
         /// The shard.
@@ -75,6 +80,8 @@
         #[serde(default, skip_serializing_if = "Vec::is_empty")]
         candidates: Vec<CandidateBody>,
     },
+    /// The backend server could not be reached; no byte left.
+    NotReached,
     /// The first token came.
     FirstToken,
     /// The call ended.
@@ -145,7 +152,11 @@
                 rule.asked_by = None;
             }
         }
-        StepBody::Arrived | StepBody::FirstToken | StepBody::Finished { .. } => {}
+        StepBody::Arrived
+        | StepBody::Claimed { .. }
+        | StepBody::NotReached
+        | StepBody::FirstToken
+        | StepBody::Finished { .. } => {}
     }
     Some(step)
 }
@@ -183,6 +194,10 @@
                 grant: grant.map(number),
                 candidates: candidates.iter().map(CandidateBody::from).collect(),
             },
+            Step::Claimed { verdict } => Self::Claimed {
+                verdict: (*verdict).to_owned(),
+            },
+            Step::NotReached => Self::NotReached,
             Step::FirstToken => Self::FirstToken,
             Step::Finished { tokens, outcome } => Self::Finished {
                 tokens: *tokens,
--- a/crates/jaypin_wire/src/explain/sentences.rs
+++ b/crates/jaypin_wire/src/explain/sentences.rs
@@ -45,6 +45,13 @@
             grant,
             candidates,
         } => dispatched(after, backend, grant.as_deref(), candidates),
+        StepBody::Claimed { verdict } => vec![format!(
+            "After {after} ms the host that owns its key answered `{verdict}`: {}.",
+            claim(verdict)
+        )],
+        StepBody::NotReached => vec![format!(
+            "After {after} ms the backend server could not be reached; no byte of it left."
+        )],
         StepBody::FirstToken => vec![format!("After {after} ms the first token came.")],
         StepBody::Finished { tokens, outcome } => {
             vec![format!(
@@ -116,6 +123,18 @@
     }
 }
 
+fn claim(verdict: &str) -> &'static str {
+    match verdict {
+        "granted" => "the call may run, this once",
+        "in-flight" => "another request with the key is running",
+        "done" => "the key's call was answered before",
+        "unknown" => "what became of the key's call can't be known, so it is not run",
+        "mismatch" => "the key belongs to another call",
+        "full" => "there is no room for another key",
+        _ => "the answer has no longer text",
+    }
+}
+
 fn ending(outcome: &str) -> &'static str {
     match outcome {
         "complete" => "the whole answer was passed on",
