--- a/crates/jaypin_core/src/reducer/arrival.rs
+++ b/crates/jaypin_core/src/reducer/arrival.rs
@@ -2,33 +2,40 @@
 
 use std::time::{Duration, Instant};
 
+use jaypin_rules::Repeat;
 use rand::RngExt;
 
 use super::{DEFAULT_RETRY_AFTER, Reducer, record};
 use crate::rendezvous::score_index;
 use crate::request::{Granted, Request, Slot, Waiting};
 use crate::{
-    Ask, Effect, HostId, Message, Policy, Reason, Refusal, RequestId, RequestInfo, Shard, Step,
+    Ask, Effect, HostId, Message, Policy, Ran, Reason, Refusal, RequestId, RequestInfo, Shard, Step,
 };
 
 /// Wait for which a shard that may hold the prefix is still the better one.
 const WORTH_OF_AFFINITY: Duration = Duration::from_millis(100);
-/// Place of the prefix that shards are chosen by, among the fingerprints of a prompt:
-/// longer than what most prompts of an account share, so that one account's work
-/// spreads over shards.
-const AFFINITY_PREFIX: usize = 2;
+/// Shards of a service that are weighed for a request.
+const SHARDS_WEIGHED: usize = 8;
 /// Shards that may refuse a request for want of capacity before that is final.
 const MOST_REFUSALS: usize = 2;
 
 impl Reducer {
     pub(super) fn arrived(&mut self, now: Instant, info: RequestInfo, fx: &mut Vec<Effect>) {
         self.record_arrival(&info, fx);
-        if self.draining {
-            let refusal = Refusal::not_run(Reason::Draining).retry_after(DEFAULT_RETRY_AFTER);
-            return self.refuse(&info, Duration::ZERO, refusal, fx);
+        match self.not_serving() {
+            Some(Reason::NotReady) => {
+                let refusal = refusal_of_unready(&info).retry_after(DEFAULT_RETRY_AFTER);
+                return self.refuse(&info, Duration::ZERO, refusal, fx);
+            }
+            Some(reason) if info.repeat != Repeat::Never => {
+                let refusal = Refusal::not_run(reason).retry_after(DEFAULT_RETRY_AFTER);
+                return self.refuse(&info, Duration::ZERO, refusal, fx);
+            }
+            // A call with a key is refused once the key's owner said that no earlier try
+            // of it ran: see `claim_answered`.
+            Some(_) | None => {}
         }
-        if self.rules_version == 0 || !self.membership.is_known() || !self.gossip.caught_up {
-            let refusal = Refusal::not_run(Reason::NotReady).retry_after(DEFAULT_RETRY_AFTER);
+        if let Some(refusal) = self.quarantined(now, &info) {
             return self.refuse(&info, Duration::ZERO, refusal, fx);
         }
         if !self.must_claim(now, &info, fx) {
@@ -36,6 +43,17 @@
         }
     }
 
+    /// Why this host takes no new work, if it takes none.
+    pub(super) fn not_serving(&self) -> Option<Reason> {
+        if self.rules_version == 0 || !self.membership.is_known() || !self.gossip.caught_up {
+            Some(Reason::NotReady)
+        } else if self.draining {
+            Some(Reason::Draining)
+        } else {
+            None
+        }
+    }
+
     /// Finds a slot for a request that may run.
     pub(super) fn place(&mut self, now: Instant, info: RequestInfo, fx: &mut Vec<Effect>) {
         match self.cfg.policy {
@@ -95,23 +113,20 @@
             None => self.rng.random(),
         };
         let shards = self.membership.shards().of_service(&info.service);
-        let mut best: [Option<(u64, &Shard)>; 2] = [None, None];
-        for shard in shards.filter(|shard| !refused_by.contains(shard)) {
-            let scored = Some((score_index(key, shard.index), shard));
-            if scored > best[0] {
-                best = [scored, best[0]];
-            } else if scored > best[1] {
-                best[1] = scored;
-            }
-        }
-        let (_, mut shard) = best[0]?;
-        if let Some((_, second)) = best[1] {
-            let first_wait = self.shard_hints.wait(shard, info.tier, now);
-            let second_wait = self.shard_hints.wait(second, info.tier, now);
-            if first_wait > second_wait + WORTH_OF_AFFINITY {
-                shard = second;
-            }
-        }
+        let mut ranked: Vec<(u64, &Shard)> = shards
+            .filter(|shard| !refused_by.contains(shard))
+            .map(|shard| (score_index(key, shard.index), shard))
+            .collect();
+        ranked.sort_unstable_by(|a, b| b.cmp(a));
+        ranked.truncate(SHARDS_WEIGHED);
+        let wait = |shard: &Shard| self.shard_hints.wait(shard, info.tier, now);
+        let shards = ranked.iter().map(|(_, shard)| *shard);
+        // All hosts walk the same order, so a prefix that outgrows one shard is held by
+        // few others.
+        let calm = shards
+            .clone()
+            .find(|shard| wait(shard) <= WORTH_OF_AFFINITY);
+        let shard = calm.or_else(|| shards.min_by_key(|shard| wait(shard)))?;
         let leader = self.leader(shard)?.clone();
         Some((shard.clone(), leader))
     }
@@ -207,6 +222,15 @@
 
 /// What a request's shard is chosen by; salted by account, as all fingerprints are.
 fn affinity_key(info: &RequestInfo) -> Option<u64> {
-    let prefix = info.prefixes.get(AFFINITY_PREFIX);
-    prefix.or(info.prefixes.last()).copied()
+    info.prefixes.first().copied()
+}
+
+/// Guards against a "not run" for a key that ran: a call that may not be repeated may be
+/// the second try of one that another host dispatched, and a host that can't ask the
+/// key's owner yet does not know.
+fn refusal_of_unready(info: &RequestInfo) -> Refusal {
+    match info.repeat {
+        Repeat::Never => Refusal::after_dispatch(Reason::NotReady, Ran::Unknown),
+        Repeat::Idempotent => Refusal::not_run(Reason::NotReady),
+    }
 }
--- a/crates/jaypin_core/src/scheduler/estimate.rs
+++ b/crates/jaypin_core/src/scheduler/estimate.rs
@@ -97,6 +97,13 @@
     pub best_gap: f64,
 }
 
+impl Capacity {
+    /// Slots that work a second holds, or slot-seconds that work takes.
+    fn slots_for(&self, work: Work) -> f64 {
+        work.answer * self.slots / self.answer_rate + work.prompt / self.best_prefill
+    }
+}
+
 impl Scheduler {
     pub(super) fn note_demand(&mut self, waiting: &WaitingAsk, now: Instant) {
         self.demand.arrived(waiting.ask.tier, waiting.work(), now);
@@ -156,6 +163,15 @@
         now + Duration::from_secs_f64(wait.min(86_400.0)) > waiting.latest_start
     }
 
+    /// Slots that arrivals of the tiers above a rank hold at their present rate.
+    pub(super) fn slots_needed_above(&self, rank: u8, now: Instant) -> f64 {
+        let all = self.capacity(now);
+        if self.plain || all.slots <= 0.0 {
+            return 0.0;
+        }
+        all.slots_for(self.demand.rate_above(rank, now))
+    }
+
     /// Wait of a new request of a tier, as a hint for owners.
     pub(super) fn expected_wait(&self, rank: u8, now: Instant) -> Duration {
         let mut ahead = self.queue.work_above(rank);
--- a/crates/jaypin_core/tests/hostile_messages.rs
+++ b/crates/jaypin_core/tests/hostile_messages.rs
@@ -7,8 +7,8 @@
 
 use common::{RULES, ask, record, shard};
 use jaypin_core::{
-    Ask, Config, Event, GrantNumber, HostList, HostRecord, InFlight, Member, Message, Presence,
-    Reducer, SlotProgress,
+    Allowance, Ask, Config, Event, GrantNumber, HostList, HostRecord, InFlight, Member, Message,
+    Presence, Reducer, SlotProgress,
 };
 use proptest::prelude::*;
 
@@ -106,11 +106,12 @@
         1 => ids().prop_map(|id| Message::Withdraw { shard: shard(), id }),
         1 => (ids(), grant_numbers())
             .prop_map(|(id, number)| Message::Confirm { shard: shard(), id, number }),
-        2 => numbers().prop_map(move |tokens| {
-            Message::Usage { shard: shard(), account: account.into(), tokens }
+        2 => (numbers(), any::<u32>()).prop_map(move |(tokens, at_once)| {
+            Message::Usage { shard: shard(), account: account.into(), tokens, at_once }
         }),
-        2 => numbers().prop_map(move |part| {
-            Message::Part { shard: shard(), account: account.into(), part }
+        2 => (numbers(), numbers()).prop_map(move |(tokens_per_second, at_once)| {
+            let allowance = Allowance { tokens_per_second, at_once };
+            Message::Allow { shard: shard(), account: account.into(), allowance }
         }),
         2 => proptest::collection::vec(in_flight(), 0..4)
             .prop_map(|running| Message::InFlight { shard: shard(), running }),
