Show contents under suspicion to operators

Cause: `status` named suspected hosts and backend servers, but not how many contents are suspected or refused; an operator saw a quarantine only in its refusals. Ruled out: naming the fingerprints (they tell an operator nothing, and an account's content should not be told by a number that others may compute). Change: two counts in `status` and two gauges; pages follow the keys and refusals as they are now.

--- a/crates/jaypin/src/cli/status.rs
+++ b/crates/jaypin/src/cli/status.rs
@@ -53,6 +53,10 @@
         "shards led: {}, in them {} wait, {} run",
         status.shards_led, status.queued_here, status.granted_here
     );
+    println!(
+        "contents under suspicion: {}, of them refused: {}",
+        status.suspected_requests, status.quarantined_requests
+    );
     for shard in &status.shards {
         print_shard(shard);
     }
--- a/crates/jaypin/src/metrics/instruments.rs
+++ b/crates/jaypin/src/metrics/instruments.rs
@@ -59,6 +59,10 @@
     pub hosts_version: Gauge<u64>,
     /// Entry hosts that take work, as this host sees them.
     pub live_hosts: Gauge<u64>,
+    /// Contents under which a backend server died.
+    pub suspected: Gauge<u64>,
+    /// Those of them that are refused.
+    pub quarantined: Gauge<u64>,
     /// 1 while this host is leaving.
     pub draining: Gauge<u64>,
 }
@@ -156,6 +160,16 @@
                 "Version of the host list in use",
             ),
             live_hosts: gauge("jaypin.hosts.live", "", "Entry hosts that take work"),
+            suspected: gauge(
+                "jaypin.contents.suspected",
+                "",
+                "Contents under which a backend server died",
+            ),
+            quarantined: gauge(
+                "jaypin.contents.quarantined",
+                "",
+                "Suspected contents that are refused",
+            ),
             draining: gauge("jaypin.draining", "", "1 while this host is leaving"),
         }
     }
--- a/crates/jaypin/src/metrics/mod.rs
+++ b/crates/jaypin/src/metrics/mod.rs
@@ -131,6 +131,12 @@
     gauges
         .live_hosts
         .record(snapshot.live_hosts.len() as u64, &[]);
+    gauges
+        .suspected
+        .record(snapshot.suspects.suspected as u64, &[]);
+    gauges
+        .quarantined
+        .record(snapshot.suspects.quarantined as u64, &[]);
     gauges.draining.record(u64::from(summary.draining), &[]);
     let mut buf = Vec::new();
     if let Err(error) = TextEncoder::new().encode(&INSTRUMENTS.registry.gather(), &mut buf) {
--- a/crates/jaypin/src/operator/mod.rs
+++ b/crates/jaypin/src/operator/mod.rs
@@ -118,13 +118,15 @@
     fn status(&self, snapshot: &Snapshot) -> Page {
         let shards = snapshot.shards.iter();
         let shards = shards.map(|it| ShardState::new(it, &snapshot.rules));
-        let body = StatusBody::new(
+        let mut body = StatusBody::new(
             &self.own,
             &snapshot.summary,
             &snapshot.hosts,
             &snapshot.members,
             shards.collect(),
         );
+        body.suspected_requests = snapshot.suspects.suspected;
+        body.quarantined_requests = snapshot.suspects.quarantined;
         (200, serde_json::to_string(&body).unwrap_or_default())
     }
 }
--- a/crates/jaypin/src/reducer_task.rs
+++ b/crates/jaypin/src/reducer_task.rs
@@ -78,11 +78,13 @@
     }
 }
 
-/// Shows the shards; too dear for every event.
+/// Shows shards and suspects; too dear for every event.
 fn report(reducer: &Reducer, last: &mut Snapshot, snapshots: &watch::Sender<Arc<Snapshot>>) {
     let shards = reducer.shard_reports(Instant::now().into_std());
-    if shards != *last.shards {
+    let suspects = reducer.suspect_counts();
+    if shards != *last.shards || suspects != last.suspects {
         last.shards = Arc::new(shards);
+        last.suspects = suspects;
         snapshots.send_replace(Arc::new(last.clone()));
     }
 }
--- a/crates/jaypin/src/snapshot.rs
+++ b/crates/jaypin/src/snapshot.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use jaypin_core::{HostId, HostList, HostRecord, Member, ShardReport, Summary};
+use jaypin_core::{HostId, HostList, HostRecord, Member, ShardReport, Summary, SuspectCounts};
 use jaypin_rules::RuleSet;
 
 /// A view of the decision state after some event.
@@ -22,6 +22,8 @@
     pub epoch: u64,
     /// Shards that this host leads, at most half a second old.
     pub shards: Arc<Vec<ShardReport>>,
+    /// Contents under suspicion, at most half a second old.
+    pub suspects: SuspectCounts,
     /// Counts.
     pub summary: Summary,
 }
--- a/crates/jaypin_bench/tests/status.rs
+++ b/crates/jaypin_bench/tests/status.rs
@@ -33,6 +33,9 @@
 #[tokio::test]
 async fn each_shard_is_shown_by_the_host_that_leads_it() {
     let fleet = Fleet::start(FleetConfig::default()).await.expect("fleet");
+    let first = status(&fleet, 0).await;
+    assert_eq!(first["suspected_requests"], 0);
+    assert_eq!(first["quarantined_requests"], 0);
     let mut shards = Vec::new();
     for host in 0..fleet.hosts.len() {
         let as_counted = |status: &Value| {
--- a/crates/jaypin_core/src/lib.rs
+++ b/crates/jaypin_core/src/lib.rs
@@ -55,7 +55,7 @@
 pub use outcome::{Ran, Reason, Refusal};
 pub use partners::partners;
 pub use prefix_index::prefix_tokens;
-pub use quarantine::Quarantine;
+pub use quarantine::{Quarantine, SuspectCounts};
 pub use record::{Record, Step};
 pub use reducer::{Reducer, Summary};
 pub use rendezvous::{rank_by_score, score};
--- a/crates/jaypin_core/src/quarantine.rs
+++ b/crates/jaypin_core/src/quarantine.rs
@@ -30,6 +30,15 @@
     lost: Vec<Lost>,
 }
 
+/// How many contents are suspected, and how many of them are refused.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct SuspectCounts {
+    /// Contents under which a backend server died.
+    pub suspected: usize,
+    /// Those of them that are refused.
+    pub quarantined: usize,
+}
+
 /// Suspicions of one host.
 #[derive(Debug, Default)]
 pub struct Quarantine {
@@ -38,6 +47,16 @@
 }
 
 impl Quarantine {
+    /// Counts the contents under suspicion, for operators.
+    #[must_use]
+    pub fn counts(&self, limit: u32) -> SuspectCounts {
+        let refused = self.suspects.values().filter(|it| it.strikes >= limit);
+        SuspectCounts {
+            suspected: self.suspects.len(),
+            quarantined: refused.count(),
+        }
+    }
+
     /// Strikes against a fingerprint.
     #[must_use]
     pub fn strikes(&self, fingerprint: u64) -> u32 {
--- a/crates/jaypin_core/src/reducer/mod.rs
+++ b/crates/jaypin_core/src/reducer/mod.rs
@@ -34,6 +34,7 @@
 use crate::{
     Config, Effect, Event, HostId, KeyOutcome, KeyTable, MemberStatus, Membership, Message, Policy,
     Quarantine, Ran, Record, Refusal, RequestInfo, Shard, ShardReport, SlotProgress, Step,
+    SuspectCounts,
 };
 
 /// Time after which a refused caller may come back, where nothing better is known.
@@ -173,6 +174,12 @@
         schedulers.map(|it| it.shard_report(now)).collect()
     }
 
+    /// Contents under suspicion, for operators.
+    #[must_use]
+    pub fn suspect_counts(&self) -> SuspectCounts {
+        self.quarantine.counts(self.rules.quarantine.strikes)
+    }
+
     /// This host's view of hosts and backend servers.
     #[must_use]
     pub fn membership(&self) -> &Membership {
--- a/crates/jaypin_wire/src/api.rs
+++ b/crates/jaypin_wire/src/api.rs
@@ -98,6 +98,10 @@
     pub backends: Vec<BackendState>,
     /// Shards that it leads.
     pub shards: Vec<ShardState>,
+    /// Contents under which a backend server died.
+    pub suspected_requests: usize,
+    /// Those of them that are refused.
+    pub quarantined_requests: usize,
 }
 
 /// An entry host, as another sees it.
@@ -163,6 +167,8 @@
             hosts: hosts.collect(),
             backends: backends.collect(),
             shards,
+            suspected_requests: 0,
+            quarantined_requests: 0,
             rules_version: summary.rules_version,
             hosts_version: summary.hosts_version,
             shards_led: summary.shards_led,
