Say unknown, not not-run, of a key that a leaving host has not claimed

A caller that had lost the first answer would send the command anew under another key. Change: refusals before a claim (draining, not ready) say unknown when the call may not be repeated; other calls still get not-run. Status stays 503. Refusals for bad credentials, paths or bodies still say not-run of the call, since they can't name a key's owner.

--- a/crates/jaypin/src/answer.rs
+++ b/crates/jaypin/src/answer.rs
@@ -158,9 +158,19 @@
 
 /// A refusal before a request reached the decisions.
 pub fn rejected(status: StatusCode, reason: &str, message: &str) -> Response<AnswerBody> {
+    rejected_as(Ran::NotRun, status, reason, message)
+}
+
+/// A refusal before a request reached the decisions, with a word of its own.
+pub fn rejected_as(
+    ran: Ran,
+    status: StatusCode,
+    reason: &str,
+    message: &str,
+) -> Response<AnswerBody> {
     let body = RefusalBody {
         reason: reason.to_owned(),
-        outcome: Ran::NotRun.as_str().to_owned(),
+        outcome: ran.as_str().to_owned(),
         retry_after_ms: None,
         rule_line: None,
         request_id: None,
@@ -180,7 +190,9 @@
         (Reason::OverLimit, _) => StatusCode::TOO_MANY_REQUESTS,
         (Reason::InFlight | Reason::KeyUnknown | Reason::AlreadyRan, _) => StatusCode::CONFLICT,
         (Reason::Quarantined | Reason::KeyMismatch, _) => StatusCode::UNPROCESSABLE_ENTITY,
-        (_, Ran::NotRun) => StatusCode::SERVICE_UNAVAILABLE,
+        (Reason::Draining | Reason::NotReady, _) | (_, Ran::NotRun) => {
+            StatusCode::SERVICE_UNAVAILABLE
+        }
         (_, Ran::Ran | Ran::Unknown) => StatusCode::BAD_GATEWAY,
     }
 }
--- a/crates/jaypin/src/frontend/mod.rs
+++ b/crates/jaypin/src/frontend/mod.rs
@@ -19,13 +19,13 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use jaypin_core::{Event, HostId, IdempotencyKey, RequestId, rank_by_score};
+use jaypin_core::{Event, HostId, IdempotencyKey, Ran, RequestId, rank_by_score};
 use jaypin_wire::{EntryAddress, EntryAnswer};
 use socket2::{Domain, Socket, TcpKeepalive, Type};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{oneshot, watch};
 
-use crate::answer::{AnswerBody, CallerGuard, json, refusal, rejected};
+use crate::answer::{AnswerBody, CallerGuard, json, refusal, rejected, rejected_as};
 use crate::calls::{Caller, Calls, PendingCall};
 use crate::decisions::Decisions;
 use crate::snapshot::Snapshot;
@@ -155,7 +155,14 @@
             let path = req.uri().path();
             return self.own_record(req.headers(), path, &snapshot).await;
         }
+        let has_key = req.headers().contains_key("idempotency-key");
         match read(req, &snapshot, || self.new_id()).await {
+            // Without rules it is not known whether the call may be repeated; if not, it
+            // may have run through another host, which only its key's owner can tell.
+            Err(error @ ReadError::NotReady) if has_key => {
+                let message = error.to_string();
+                rejected_as(Ran::Unknown, error.status(), error.reason(), &message)
+            }
             Ok((info, outbound)) => {
                 self.shared.decisions.begin(&info, &snapshot);
                 self.submit(info, outbound).await
--- /dev/null
+++ b/crates/jaypin_bench/tests/draining_key.rs
@@ -0,0 +1,69 @@
+//! A host that is leaving and a key that ran elsewhere.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::{Method, StatusCode};
+use jaypin_bench::{Client, Fleet, FleetConfig, Host, completion_body};
+use tokio::time::{Instant, sleep};
+
+const GATE: &str = "/v1/services/robots/gate";
+/// Generous bound of an awaited event.
+const BOUND: Duration = Duration::from_secs(20);
+
+async fn until_draining(host: &Host) {
+    let deadline = Instant::now() + BOUND;
+    while Instant::now() < deadline {
+        let status = host.page("/status").await;
+        if status.is_some_and(|(_, status)| status["draining"] == true) {
+            return;
+        }
+        sleep(Duration::from_millis(20)).await;
+    }
+    panic!("{} never said that it is draining", host.id);
+}
+
+/// A gate is opened through one host. Its caller loses the answer and sends the key again
+/// to another host, which is just leaving and refuses all new work. Were it told
+/// `not-run`, the caller would open the gate anew, under a new key, and it opens twice.
+#[tokio::test]
+async fn a_leaving_host_does_not_say_that_a_key_was_not_run() {
+    let fleet = Fleet::start(FleetConfig::default()).await.expect("fleet");
+    let first = Client::new(fleet.hosts[0].address, "farm-yilan-secret");
+    let leaving = Client::new(fleet.hosts[1].address, "farm-yilan-secret");
+    // Holds the leaving host for as long as the test may take.
+    let stream = leaving.clone();
+    let held = tokio::spawn(async move {
+        let body = completion_body("cow-small", "a long one", 2_000, true);
+        stream
+            .complete(&body, &[("x-jaypin-tier", "herd-summary")])
+            .await
+    });
+    let deadline = Instant::now() + BOUND;
+    while fleet.engines.iter().all(|one| one.executions().is_empty()) {
+        assert!(Instant::now() < deadline, "the stream never began");
+        sleep(Duration::from_millis(5)).await;
+    }
+    let entry = first
+        .call(Method::GET, "/v1/entry", &[], Bytes::new())
+        .await;
+    let entry = entry.expect("an entry list").json();
+    let key = format!("{}gate-1", entry["key_prefix"].as_str().expect("a prefix"));
+    let headers = [("idempotency-key", key.as_str())];
+    let opened = first.call(Method::POST, GATE, &headers, Bytes::new()).await;
+    assert_eq!(opened.expect("an answer").status, StatusCode::OK);
+    fleet.hosts[1].signal("TERM");
+    until_draining(&fleet.hosts[1]).await;
+    let again = leaving
+        .call(Method::POST, GATE, &headers, Bytes::new())
+        .await;
+    let again = again.expect("an answer");
+    assert_eq!(again.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(again.json()["reason"], "draining");
+    assert_eq!(again.json()["outcome"], "unknown");
+    let status = "/v1/services/robots/status";
+    let look_up = leaving.call(Method::GET, status, &[], Bytes::new()).await;
+    assert_eq!(look_up.expect("an answer").json()["outcome"], "not-run");
+    assert_eq!(fleet.apps[0].calls().len(), 1);
+    held.abort();
+}
--- a/crates/jaypin_core/src/reducer/arrival.rs
+++ b/crates/jaypin_core/src/reducer/arrival.rs
@@ -2,13 +2,14 @@
 
 use std::time::{Duration, Instant};
 
+use jaypin_rules::Repeat;
 use rand::RngExt;
 
 use super::{DEFAULT_RETRY_AFTER, Reducer, record};
 use crate::rendezvous::score_index;
 use crate::request::{Granted, Request, Slot, Waiting};
 use crate::{
-    Ask, Effect, HostId, Message, Policy, Reason, Refusal, RequestId, RequestInfo, Shard, Step,
+    Ask, Effect, HostId, Message, Policy, Ran, Reason, Refusal, RequestId, RequestInfo, Shard, Step,
 };
 
 /// Wait for which a shard that may hold the prefix is still the better one.
@@ -20,16 +21,38 @@
 /// Shards that may refuse a request for want of capacity before that is final.
 const MOST_REFUSALS: usize = 2;
 
+/// Refuses a request before its key was claimed.
+///
+/// A call that may not be repeated may already have run through another host, and the
+/// caller repeats its key because it lost that answer. Told `not-run`, it would send the
+/// command anew under another key, and the gate would open twice. Only a claim could
+/// tell, so the word is `unknown`, and the same key may be sent again.
+fn unclaimed(info: &RequestInfo, reason: Reason) -> Refusal {
+    let ran = match info.repeat {
+        Repeat::Never => Ran::Unknown,
+        Repeat::Idempotent => Ran::NotRun,
+    };
+    Refusal::after_dispatch(reason, ran).retry_after(DEFAULT_RETRY_AFTER)
+}
+
 impl Reducer {
     pub(super) fn arrived(&mut self, now: Instant, info: RequestInfo, fx: &mut Vec<Effect>) {
         self.record_arrival(&info, fx);
         if self.draining {
-            let refusal = Refusal::not_run(Reason::Draining).retry_after(DEFAULT_RETRY_AFTER);
-            return self.refuse(&info, Duration::ZERO, refusal, fx);
+            return self.refuse(
+                &info,
+                Duration::ZERO,
+                unclaimed(&info, Reason::Draining),
+                fx,
+            );
         }
         if self.rules_version == 0 || !self.membership.is_known() || !self.gossip.caught_up {
-            let refusal = Refusal::not_run(Reason::NotReady).retry_after(DEFAULT_RETRY_AFTER);
-            return self.refuse(&info, Duration::ZERO, refusal, fx);
+            return self.refuse(
+                &info,
+                Duration::ZERO,
+                unclaimed(&info, Reason::NotReady),
+                fx,
+            );
         }
         if !self.must_claim(now, &info, fx) {
             self.place(now, info, fx);
