--- a/crates/jaypin/src/frontend/mod.rs
+++ b/crates/jaypin/src/frontend/mod.rs
@@ -4,6 +4,7 @@
 //! hold the host (see `docs/design/http-library.md`).
 
 mod connections;
+mod entry;
 mod own_record;
 mod read_request;
 
@@ -19,19 +20,20 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use jaypin_core::{Event, HostId, IdempotencyKey, Ran, RequestId, rank_by_score};
+use jaypin_core::{Event, HostId, IdempotencyKey, Ran, RequestId};
 use jaypin_wire::{EntryAddress, EntryAnswer};
 use socket2::{Domain, Socket, TcpKeepalive, Type};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{oneshot, watch};
 
-use crate::answer::{AnswerBody, CallerGuard, json, refusal, rejected, rejected_as};
+use crate::answer::{AnswerBody, CallerGuard, json, refusal, rejected};
 use crate::calls::{Caller, Calls, PendingCall};
 use crate::decisions::Decisions;
 use crate::snapshot::Snapshot;
 use connections::{Connection, Connections};
+use entry::EntryOrder;
 use own_record::EXPLAIN;
-use read_request::{ReadError, read};
+use read_request::{ReadError, has_key, read};
 
 /// Connections that may wait to be accepted: bursts of callers come at once.
 const BACKLOG: i32 = 4_096;
@@ -41,8 +43,6 @@
 const MAX_HEADER: usize = 16 * 1024;
 /// Pause after a connection could not be accepted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(5);
-/// How long an entry list holds.
-const ENTRY_VALID_FOR: Duration = Duration::from_secs(30);
 /// Time without an answer after which a silent caller's connection is given up.
 const USER_TIMEOUT: Duration = Duration::from_secs(20);
 /// Idle time before the first keep-alive probe.
@@ -81,6 +81,7 @@
     decisions: Arc<Decisions>,
     events: Sender<Event>,
     next_id: AtomicU64,
+    entry_order: EntryOrder,
 }
 
 impl Frontend {
@@ -102,6 +103,7 @@
             decisions,
             events,
             next_id,
+            entry_order: EntryOrder::default(),
         };
         Self {
             shared: Arc::new(shared),
@@ -148,26 +150,20 @@
         if req.uri().path() == "/v1/entry" {
             return match *req.method() {
                 Method::GET => json(StatusCode::OK, &self.entry(&snapshot, &req)),
-                _ => ReadError::Method.answer(),
+                _ => ReadError::Method.answer(false),
             };
         }
         if req.method() == Method::GET && req.uri().path().starts_with(EXPLAIN) {
             let path = req.uri().path();
             return self.own_record(req.headers(), path, &snapshot).await;
         }
-        let has_key = req.headers().contains_key("idempotency-key");
+        let may_be_second_try = has_key(req.headers());
         match read(req, &snapshot, || self.new_id()).await {
-            // Without rules it is not known whether the call may be repeated; if not, it
-            // may have run through another host, which only its key's owner can tell.
-            Err(error @ ReadError::NotReady) if has_key => {
-                let message = error.to_string();
-                rejected_as(Ran::Unknown, error.status(), error.reason(), &message)
-            }
             Ok((info, outbound)) => {
                 self.shared.decisions.begin(&info, &snapshot);
                 self.submit(info, outbound).await
             }
-            Err(error) => error.answer(),
+            Err(error) => error.answer(may_be_second_try),
         }
     }
 
@@ -207,17 +203,19 @@
         format!("{}-{}-{count}", self.shared.host, self.shared.incarnation).into()
     }
 
-    /// Hosts in an order that differs by caller, so that callers spread.
     fn entry(&self, snapshot: &Snapshot, req: &Request<Incoming>) -> EntryAnswer {
         let caller = req
             .headers()
             .get("authorization")
             .and_then(|value| value.to_str().ok());
-        let names = snapshot.live_hosts.iter().map(|host| &*host.id);
-        let ranked = rank_by_score(caller.unwrap_or_default(), names);
-        let addresses = ranked
+        let near = req.uri().query().and_then(failure_domain);
+        let live = &snapshot.live_hosts;
+        let ordered = self
+            .shared
+            .entry_order
+            .order(live, caller.unwrap_or_default(), near);
+        let addresses = ordered
             .into_iter()
-            .filter_map(|name| snapshot.live_hosts.iter().find(|host| &*host.id == name))
             .map(|host| EntryAddress {
                 host: host.id.to_string(),
                 address: host.address.clone(),
@@ -225,7 +223,7 @@
             .collect();
         EntryAnswer {
             addresses,
-            valid_for_s: ENTRY_VALID_FOR.as_secs(),
+            valid_for_s: entry::VALID_FOR.as_secs(),
             host: self.shared.host.to_string(),
             incarnation: self.shared.incarnation.to_string(),
             key_prefix: IdempotencyKey::prefix(
@@ -237,8 +235,22 @@
     }
 }
 
+/// The caller's failure domain, where its query names one.
+fn failure_domain(query: &str) -> Option<&str> {
+    let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    pairs.find_map(|(name, value)| (name == "failure-domain").then_some(value))
+}
+
 impl ReadError {
-    fn answer(&self) -> Response<AnswerBody> {
-        rejected(self.status(), self.reason(), &self.to_string())
+    /// Guards against a "not run" for a key that ran: a call with a key may be the second
+    /// try of one that ran elsewhere, under a whole body or under newer rules.
+    fn answer(&self, may_be_second_try: bool) -> Response<AnswerBody> {
+        let outcome = match self {
+            Self::NotReady | Self::Cut | Self::Credential | Self::Path if may_be_second_try => {
+                Ran::Unknown
+            }
+            _ => Ran::NotRun,
+        };
+        rejected(self.status(), self.reason(), outcome, &self.to_string())
     }
 }
--- a/crates/jaypin_core/src/message_bounds.rs
+++ b/crates/jaypin_core/src/message_bounds.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::{Ask, InFlight, Message, SlotProgress};
+use crate::{Allowance, Ask, InFlight, Message, SlotProgress};
 
 /// Longest time that any decision reckons with.
 const MAX_TIME: Duration = Duration::from_hours(24);
@@ -67,7 +67,7 @@
                 })
             }
             Self::Usage { tokens, .. } if !(0.0..=MAX_USAGE).contains(&tokens) => None,
-            Self::Part { part, .. } if !(0.0..=1.0).contains(&part) => None,
+            Self::Allow { allowance, .. } if !is_amount(allowance) => None,
             Self::InFlight { shard, running } => {
                 let running = running.into_iter().map(bounded_entry).collect();
                 Some(Self::InFlight { shard, running })
@@ -77,6 +77,11 @@
     }
 }
 
+fn is_amount(allowance: Allowance) -> bool {
+    let amounts = 0.0..=f64::MAX;
+    amounts.contains(&allowance.tokens_per_second) && amounts.contains(&allowance.at_once)
+}
+
 fn bounded_ask(mut ask: Ask) -> Ask {
     ask.first_token_in = ask.first_token_in.min(MAX_TIME);
     ask.whole_in = ask.whole_in.min(MAX_TIME);
--- a/crates/jaypin_core/src/reducer/gossip.rs
+++ b/crates/jaypin_core/src/reducer/gossip.rs
@@ -117,6 +117,11 @@
         }
     }
 
+    /// Who hears of strikes first.
+    pub(super) fn strike_partners(&self) -> Vec<HostId> {
+        self.gossip.partners.clone()
+    }
+
     fn own_digest(&self) -> Digest {
         Digest {
             rules_version: self.rules_version,
@@ -365,7 +370,7 @@
         if !accused || own.is_some_and(|own| own.revision > heard.revision) {
             return;
         }
-        self.begin_term(now, heard.revision + 1, fx);
+        self.begin_term(now, heard.revision.saturating_add(1), fx);
     }
 
     /// Outweighs whatever was said of this run, and makes every owner report anew.
@@ -400,7 +405,7 @@
             *since = now;
         }
         let own = self.membership.table().get(&self.cfg.host);
-        let revision = own.map_or(0, |own| own.revision) + 1;
+        let revision = own.map_or(0, |own| own.revision).saturating_add(1);
         self.begin_term(now, revision, fx);
     }
 
--- a/crates/jaypin_core/src/reducer/messages.rs
+++ b/crates/jaypin_core/src/reducer/messages.rs
@@ -40,14 +40,25 @@
                 shard,
                 account,
                 tokens,
-            } => self.usage(now, from, shard, account, tokens, fx),
-            Message::Part {
+                at_once,
+            } => {
+                let allowance = self.split_limit(now, &shard, &account, tokens, at_once);
+                let answer = allowance.map(|allowance| Message::Allow {
+                    shard,
+                    account,
+                    allowance,
+                });
+                if let Some(answer) = answer {
+                    self.send(from, answer, fx);
+                }
+            }
+            Message::Allow {
                 shard,
                 account,
-                part,
+                allowance,
             } => {
                 if let Some(scheduler) = self.schedulers.get_mut(&shard) {
-                    scheduler.set_part(&account, part);
+                    scheduler.allow(&account, allowance);
                 }
             }
             Message::NotLeader { id, attempt } => self.not_leader(&id, attempt),
@@ -79,6 +90,11 @@
             Message::Members { entries, whole } => {
                 self.members(now, from, entries, &whole, fx);
             }
+            Message::Died { backend, lost } => self.quarantine.died(now, &backend, lost),
+            Message::Strike {
+                fingerprint,
+                strikes,
+            } => self.strike_heard(now, fingerprint, strikes, fx),
             Message::Claim { key, id, subject } => {
                 self.claim_asked(now, from, key, id, &subject, fx);
             }
