Let nothing follow a byte that the fault proxy lost

The proxy's one-way blackhole dropped bytes and, once it was over, passed later ones on the same connection: a hole, which no TCP connection has. The fault was the test tool's, not the product's: the times fit a one-way blackhole of a backend server, and the stream went on at the pace of the engine without a resume. Change: a connection that lost a byte one way passes nothing more that way. Ruled out: the same for connections that fell silent in the other mode; they already kept silent.

--- a/crates/jaypin_standin/src/proxy.rs
+++ b/crates/jaypin_standin/src/proxy.rs
@@ -19,9 +19,10 @@
     Delay(Duration),
     /// Cuts connections and refuses new ones.
     Cut,
-    /// Keeps open connections and drops what comes from the client.
+    /// Keeps connections open and drops what comes from the client; a connection that
+    /// lost a byte passes nothing more that way, also in a later mode.
     BlackholeUp,
-    /// Keeps open connections and drops what comes from the server.
+    /// The same for what comes from the server.
     BlackholeDown,
     /// Keeps open connections and passes nothing on, either way, ever again;
     /// connections opened later pass.
@@ -140,8 +141,10 @@
             return;
         }
         let now = *mode.borrow();
+        // Bytes behind lost ones must never pass: no TCP connection has a hole in it.
+        lost |= now == blackhole;
         lost |= now == ProxyMode::BlackholeOpen && opened_in != ProxyMode::BlackholeOpen;
-        if lost || now == blackhole {
+        if lost {
             continue;
         }
         if let ProxyMode::Delay(by) = now {
