--- a/crates/jaypin/src/decisions/mod.rs
+++ b/crates/jaypin/src/decisions/mod.rs
@@ -66,7 +66,7 @@
 
     /// Finds the record of a request.
     pub fn find(&self, id: &str) -> Option<ExplainBody> {
-        self.lock().find(id).cloned()
+        self.lock().find(id)
     }
 
     fn lock(&self) -> MutexGuard<'_, Ring> {
