--- a/crates/jaypin/src/metrics/mod.rs
+++ b/crates/jaypin/src/metrics/mod.rs
@@ -37,6 +37,8 @@
         Step::Arrived { .. } => "arrived",
         Step::Asked { .. } => "asked",
         Step::Dispatched { .. } => "dispatched",
+        Step::Claimed { .. } => "claimed",
+        Step::NotReached => "not-reached",
         Step::FirstToken => {
             all.first_token.record(after.as_secs_f64(), &[tier()]);
             "first-token"
@@ -129,6 +131,12 @@
     gauges
         .live_hosts
         .record(snapshot.live_hosts.len() as u64, &[]);
+    gauges
+        .suspected
+        .record(snapshot.suspects.suspected as u64, &[]);
+    gauges
+        .quarantined
+        .record(snapshot.suspects.quarantined as u64, &[]);
     gauges.draining.record(u64::from(summary.draining), &[]);
     let mut buf = Vec::new();
     if let Err(error) = TextEncoder::new().encode(&INSTRUMENTS.registry.gather(), &mut buf) {
