Name fields of link messages by one letter, and times by microseconds

Cause: at 370 hosts messages about requests would take 2.8 KB/s a host, over the 2 KB/s bound: about 590 bytes a request, because CBOR maps carry each field's name and a Duration carries two. Ruled out: another codec (CBOR is the house's and not the cause); fewer messages a request (each of ask, grant, first token and end is needed for exact counts). Change: one-letter names, times as microseconds, link protocol version 3.

--- a/crates/jaypin_wire/src/link.rs
+++ b/crates/jaypin_wire/src/link.rs
@@ -13,7 +13,7 @@
 use crate::{WireHostList, WireMember};
 
 /// Version of the link protocol; peers of another version are turned away.
-pub const LINK_VERSION: u16 = 2;
+pub const LINK_VERSION: u16 = 3;
 
 /// One frame of a link.
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -48,11 +48,11 @@
     /// See [`Message::Ask`].
     Ask(WireAsk),
     /// See [`Message::Queued`].
-    Queued(Arc<str>, u32, Duration),
+    Queued(Arc<str>, u32, WireTime),
     /// See [`Message::Grant`].
     Grant(WireGrant),
     /// See [`Message::Refused`].
-    Refused(Arc<str>, u32, WireRefusal, Duration),
+    Refused(Arc<str>, u32, WireRefusal, WireTime),
     /// See [`Message::NotLeader`].
     NotLeader(Arc<str>, u32),
     /// See [`Message::Withdraw`].
@@ -95,6 +95,10 @@
     Members(Vec<WireMember>, Vec<u8>),
 }
 
+/// A time in microseconds: a third of the bytes of seconds and nanoseconds by name.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WireTime(u64);
+
 /// See [`Shard`].
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct WireShard(Arc<str>, u16);
@@ -106,40 +110,61 @@
 /// See [`Ask`].
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct WireAsk {
+    #[serde(rename = "s")]
     shard: WireShard,
+    #[serde(rename = "i")]
     id: Arc<str>,
+    #[serde(rename = "n")]
     attempt: u32,
+    #[serde(rename = "t")]
     tier: u8,
+    #[serde(rename = "a")]
     account: Arc<str>,
+    #[serde(rename = "p")]
     prompt_tokens: u32,
+    #[serde(rename = "m")]
     max_tokens: u32,
-    first_token_in: Duration,
-    whole_in: Duration,
+    #[serde(rename = "f")]
+    first_token_in: WireTime,
+    #[serde(rename = "w")]
+    whole_in: WireTime,
+    #[serde(rename = "x")]
     prefixes: Vec<u64>,
 }
 
 /// See [`Grant`].
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct WireGrant {
+    #[serde(rename = "s")]
     shard: WireShard,
+    #[serde(rename = "i")]
     id: Arc<str>,
+    #[serde(rename = "n")]
     attempt: u32,
+    #[serde(rename = "g")]
     number: WireNumber,
+    #[serde(rename = "b")]
     backend: Arc<str>,
+    #[serde(rename = "c")]
     candidates: Vec<WireCandidate>,
-    expected_wait: Duration,
+    #[serde(rename = "w")]
+    expected_wait: WireTime,
 }
 
 /// See [`Candidate`].
 #[derive(Debug, Clone, Serialize, Deserialize)]
-pub struct WireCandidate(Arc<str>, Duration, u32, u32);
+pub struct WireCandidate(Arc<str>, WireTime, u32, u32);
 
 /// See [`Refusal`].
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct WireRefusal {
+    #[serde(rename = "r")]
     reason: WireReason,
+    #[serde(rename = "o")]
     ran: WireRan,
-    retry_after: Option<Duration>,
+    #[serde(rename = "w")]
+    retry_after: Option<WireTime>,
+    #[serde(rename = "l")]
     rule_line: Option<u32>,
 }
 
@@ -151,20 +176,27 @@
     /// See [`SlotProgress::NotReached`].
     NotReached,
     /// See [`SlotProgress::FirstToken`].
-    FirstToken(Duration),
+    FirstToken(WireTime),
     /// See [`SlotProgress::Finished`].
-    Finished(u32, Duration, bool),
+    Finished(u32, WireTime, bool),
 }
 
 /// See [`InFlight`].
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct WireInFlight {
+    #[serde(rename = "i")]
     id: Arc<str>,
+    #[serde(rename = "g")]
     number: WireNumber,
+    #[serde(rename = "b")]
     backend: Arc<str>,
+    #[serde(rename = "a")]
     account: Arc<str>,
+    #[serde(rename = "t")]
     tier: u8,
+    #[serde(rename = "p")]
     prompt_tokens: u32,
+    #[serde(rename = "m")]
     max_tokens: u32,
 }
 
@@ -204,6 +236,18 @@
     ]
 );
 
+impl From<Duration> for WireTime {
+    fn from(time: Duration) -> Self {
+        Self(u64::try_from(time.as_micros()).unwrap_or(u64::MAX))
+    }
+}
+
+impl From<WireTime> for Duration {
+    fn from(wire: WireTime) -> Self {
+        Self::from_micros(wire.0)
+    }
+}
+
 impl From<Shard> for WireShard {
     fn from(shard: Shard) -> Self {
         Self(shard.service, shard.index)
@@ -244,8 +288,8 @@
             account: ask.account,
             prompt_tokens: ask.prompt_tokens,
             max_tokens: ask.max_tokens,
-            first_token_in: ask.first_token_in,
-            whole_in: ask.whole_in,
+            first_token_in: ask.first_token_in.into(),
+            whole_in: ask.whole_in.into(),
             prefixes: ask.prefixes,
         }
     }
@@ -261,8 +305,8 @@
             account: wire.account,
             prompt_tokens: wire.prompt_tokens,
             max_tokens: wire.max_tokens,
-            first_token_in: wire.first_token_in,
-            whole_in: wire.whole_in,
+            first_token_in: wire.first_token_in.into(),
+            whole_in: wire.whole_in.into(),
             prefixes: wire.prefixes,
         }
     }
@@ -272,7 +316,7 @@
     fn from(candidate: Candidate) -> Self {
         Self(
             candidate.backend,
-            candidate.first_token,
+            candidate.first_token.into(),
             candidate.running,
             candidate.limit,
         )
@@ -283,7 +327,7 @@
     fn from(wire: WireCandidate) -> Self {
         Self {
             backend: wire.0,
-            first_token: wire.1,
+            first_token: wire.1.into(),
             running: wire.2,
             limit: wire.3,
         }
@@ -303,7 +347,7 @@
                 .into_iter()
                 .map(WireCandidate::from)
                 .collect(),
-            expected_wait: grant.expected_wait,
+            expected_wait: grant.expected_wait.into(),
         }
     }
 }
@@ -317,7 +361,7 @@
             number: wire.number.into(),
             backend: wire.backend,
             candidates: wire.candidates.into_iter().map(Candidate::from).collect(),
-            expected_wait: wire.expected_wait,
+            expected_wait: wire.expected_wait.into(),
         }
     }
 }
@@ -327,7 +371,7 @@
         Self {
             reason: refusal.reason.into(),
             ran: refusal.ran.into(),
-            retry_after: refusal.retry_after,
+            retry_after: refusal.retry_after.map(Into::into),
             rule_line: refusal.rule_line,
         }
     }
@@ -338,7 +382,7 @@
         Self {
             reason: wire.reason.into(),
             ran: wire.ran.into(),
-            retry_after: wire.retry_after,
+            retry_after: wire.retry_after.map(Into::into),
             rule_line: wire.rule_line,
         }
     }
@@ -349,12 +393,12 @@
         match progress {
             SlotProgress::Returned => Self::Returned,
             SlotProgress::NotReached => Self::NotReached,
-            SlotProgress::FirstToken { after } => Self::FirstToken(after),
+            SlotProgress::FirstToken { after } => Self::FirstToken(after.into()),
             SlotProgress::Finished {
                 tokens,
                 after,
                 lost,
-            } => Self::Finished(tokens, after, lost),
+            } => Self::Finished(tokens, after.into(), lost),
         }
     }
 }
@@ -364,10 +408,12 @@
         match wire {
             WireProgress::Returned => Self::Returned,
             WireProgress::NotReached => Self::NotReached,
-            WireProgress::FirstToken(after) => Self::FirstToken { after },
+            WireProgress::FirstToken(after) => Self::FirstToken {
+                after: after.into(),
+            },
             WireProgress::Finished(tokens, after, lost) => Self::Finished {
                 tokens,
-                after,
+                after: after.into(),
                 lost,
             },
         }
@@ -410,14 +456,14 @@
                 id,
                 attempt,
                 expected_wait,
-            } => Self::Queued(id, attempt, expected_wait),
+            } => Self::Queued(id, attempt, expected_wait.into()),
             Message::Grant(grant) => Self::Grant(grant.into()),
             Message::Refused {
                 id,
                 attempt,
                 refusal,
                 expected_wait,
-            } => Self::Refused(id, attempt, refusal.into(), expected_wait),
+            } => Self::Refused(id, attempt, refusal.into(), expected_wait.into()),
             Message::NotLeader { id, attempt } => Self::NotLeader(id, attempt),
             Message::Withdraw { shard, id } => Self::Withdraw(shard.into(), id),
             Message::Progress {
@@ -482,14 +528,14 @@
             WireMessage::Queued(id, attempt, expected_wait) => Self::Queued {
                 id,
                 attempt,
-                expected_wait,
+                expected_wait: expected_wait.into(),
             },
             WireMessage::Grant(grant) => Self::Grant(grant.into()),
             WireMessage::Refused(id, attempt, refusal, expected_wait) => Self::Refused {
                 id,
                 attempt,
                 refusal: refusal.into(),
-                expected_wait,
+                expected_wait: expected_wait.into(),
             },
             WireMessage::NotLeader(id, attempt) => Self::NotLeader { id, attempt },
             WireMessage::Withdraw(shard, id) => Self::Withdraw {
