Part link messages and the engine stand-in into modules

Change: link.rs keeps frames and messages, slots.rs and refusal.rs what they carry; the engine stand-in has its configuration, its request and its stream in files of their own.

--- a/crates/jaypin_standin/src/engine.rs
+++ b/crates/jaypin_standin/src/engine/mod.rs
@@ -1,86 +1,34 @@
 //! A continuous-batching engine: slots, prefill, a prefix cache, resumable streams.
 
+mod call;
+mod config;
+mod stream;
+
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, StreamBody};
-use hyper::body::{Frame, Incoming};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
 use serde::{Deserialize, Serialize};
-use tokio::sync::{Notify, Semaphore, mpsc, watch};
+use tokio::sync::{Notify, Semaphore, watch};
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep};
 use xxhash_rust::xxh3::xxh3_64;
 
+use call::Call;
+pub use config::EngineConfig;
+pub use stream::expected_answer;
+use stream::{Stream, events, whole};
+
 use crate::http::{Body, bind, json, query_number, serve, unix_ms};
-use crate::prefix_cache::{HeldBlocks, PrefixCache};
+use crate::prefix_cache::PrefixCache;
 
 /// Text that crashes an engine which is set to be poisoned by it.
 const POISON: &str = "POISON";
 
-/// What an engine is like.
-#[derive(Debug, Clone)]
-pub struct EngineConfig {
-    /// Address to listen on.
-    pub address: String,
-    /// Requests that run at once; more wait inside.
-    pub slots: usize,
-    /// Prefill speed in tokens a second.
-    pub prefill_rate: f64,
-    /// Time between tokens of a single stream.
-    pub gap: Duration,
-    /// Streams that run without lengthening the gap.
-    pub knee: usize,
-    /// Share by which each stream beyond the knee lengthens the gap.
-    pub gap_growth: f64,
-    /// Blocks in the prefix cache.
-    pub cache_blocks: usize,
-    /// How late a cache event is told.
-    pub cache_event_lag: Duration,
-    /// One cache event in this many is never told; none: all are.
-    pub cache_event_loss: Option<u64>,
-    /// Blocks that any engine of the service holds, for counting what is computed again.
-    pub held: HeldBlocks,
-    /// How old a load report is.
-    pub report_lag: Duration,
-    /// How long the engine is gone after a poisonous request; none: it doesn't crash.
-    pub crash_for: Option<Duration>,
-    /// Whether an order with an old fencing number is refused.
-    pub checks_fencing: bool,
-}
-
-impl Default for EngineConfig {
-    fn default() -> Self {
-        Self {
-            address: "127.0.0.1:0".to_owned(),
-            slots: 16,
-            prefill_rate: 8_000.0,
-            gap: Duration::from_millis(20),
-            knee: 1,
-            gap_growth: 0.05,
-            cache_blocks: 4_096,
-            cache_event_lag: Duration::from_millis(500),
-            cache_event_loss: Some(10),
-            held: HeldBlocks::default(),
-            report_lag: Duration::from_secs(1),
-            crash_for: None,
-            checks_fencing: false,
-        }
-    }
-}
-
-impl EngineConfig {
-    /// Time between tokens of each of so many streams.
-    #[must_use]
-    pub fn gap_with(&self, running: usize) -> Duration {
-        let beyond = u32::try_from(running.saturating_sub(self.knee)).unwrap_or(u32::MAX);
-        self.gap.mul_f64(1.0 + self.gap_growth * f64::from(beyond))
-    }
-}
-
 /// One request that the engine took up.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Execution {
@@ -141,60 +89,6 @@
     age_ms: u64,
 }
 
-#[derive(Debug)]
-struct Stream {
-    total: u64,
-    seed: u64,
-    index: usize,
-    made: watch::Sender<u64>,
-    cancelled: Notify,
-}
-
-#[derive(Debug, Deserialize)]
-struct Call {
-    #[serde(default)]
-    model: String,
-    #[serde(default)]
-    prompt: String,
-    #[serde(default)]
-    messages: Vec<ChatMessage>,
-    #[serde(default = "sixteen")]
-    max_tokens: u64,
-    #[serde(default)]
-    stream: bool,
-}
-
-#[derive(Debug, Deserialize)]
-struct ChatMessage {
-    #[serde(default)]
-    content: String,
-}
-
-fn sixteen() -> u64 {
-    16
-}
-
-impl Call {
-    fn text(&self) -> String {
-        let mut text = self.prompt.clone();
-        for message in &self.messages {
-            text.push_str(&message.content);
-        }
-        text
-    }
-}
-
-/// The answer that any engine gives to a text, for whoever checks answers.
-#[must_use]
-pub fn expected_answer(text: &str, max_tokens: u64) -> String {
-    let seed = xxh3_64(text.as_bytes());
-    (0..max_tokens).map(|index| token(seed, index)).collect()
-}
-
-fn token(seed: u64, index: u64) -> String {
-    format!("w{}.{index} ", seed % 100_000)
-}
-
 impl Engine {
     /// Starts an engine.
     ///
@@ -482,59 +376,6 @@
     }
 }
 
-/// Server-sent events from an offset on, as tokens are made.
-fn events(stream: Arc<Stream>, offset: u64) -> Response<Body> {
-    let (tx, rx) = mpsc::channel::<Result<Frame<Bytes>, std::io::Error>>(16);
-    tokio::spawn(async move {
-        let mut made = stream.made.subscribe();
-        let mut next = offset;
-        while next < stream.total {
-            let upto = match made.wait_for(|made| *made > next).await {
-                Ok(made) => *made,
-                Err(_) => return,
-            };
-            while next < upto {
-                let chunk = serde_json::json!({
-                    "object": "chat.completion.chunk",
-                    "choices": [{"index": 0, "delta": {"content": token(stream.seed, next)}}],
-                });
-                let event = Bytes::from(format!("data: {chunk}\n\n"));
-                if tx.send(Ok(Frame::data(event))).await.is_err() {
-                    return;
-                }
-                next += 1;
-            }
-        }
-        let _ = tx
-            .send(Ok(Frame::data(Bytes::from_static(b"data: [DONE]\n\n"))))
-            .await;
-    });
-    let body = BodyExt::boxed_unsync(StreamBody::new(Receiver(rx)));
-    let mut response = Response::new(body);
-    let value = hyper::header::HeaderValue::from_static("text/event-stream");
-    response
-        .headers_mut()
-        .insert(hyper::header::CONTENT_TYPE, value);
-    response
-}
-
-async fn whole(stream: Arc<Stream>, model: &str) -> Response<Body> {
-    let mut made = stream.made.subscribe();
-    if made.wait_for(|made| *made >= stream.total).await.is_err() {
-        return json(StatusCode::INTERNAL_SERVER_ERROR, &"engine stopped");
-    }
-    let content: String = (0..stream.total)
-        .map(|index| token(stream.seed, index))
-        .collect();
-    let answer = serde_json::json!({
-        "object": "chat.completion",
-        "model": model,
-        "choices": [{"index": 0, "message": {"role": "assistant", "content": content}}],
-        "usage": {"completion_tokens": stream.total},
-    });
-    json(StatusCode::OK, &answer)
-}
-
 fn resume(state: &State, id: &str, offset: u64) -> Response<Body> {
     let stream = state.lock().streams.get(id).cloned();
     match stream {
@@ -550,17 +391,3 @@
     stream.cancelled.notify_one();
     json(StatusCode::OK, &"cancelled")
 }
-
-/// A channel's receiver as a stream of frames.
-struct Receiver<T>(mpsc::Receiver<T>);
-
-impl<T> futures_util::Stream for Receiver<T> {
-    type Item = T;
-
-    fn poll_next(
-        mut self: std::pin::Pin<&mut Self>,
-        cx: &mut std::task::Context<'_>,
-    ) -> std::task::Poll<Option<T>> {
-        self.0.poll_recv(cx)
-    }
-}
--- a/crates/jaypin_wire/src/lib.rs
+++ b/crates/jaypin_wire/src/lib.rs
@@ -11,8 +11,10 @@
 mod host_list;
 mod link;
 mod member;
+mod refusal;
 mod rules_object;
 mod shard_state;
+mod slots;
 
 pub use api::{
     BackendState, EntryAddress, EntryAnswer, HostIdentity, HostState, RefusalBody, StatusBody,
