Read the options of four commands in one place; name every step of a decision

Cause: drain, status, rules log and rules show read the same options with the same lines, and two match arms stood only for steps that were not merged yet.

--- a/crates/jaypin/src/cli/drain.rs
+++ b/crates/jaypin/src/cli/drain.rs
@@ -2,9 +2,8 @@
 
 use lexopt::Parser;
 
-use super::target::{TARGET_HELP, Target};
-use super::word::Word;
-use super::{Outcome, help};
+use super::Outcome;
+use super::target::Target;
 
 const HELP: &str = "\
 usage: jaypin drain [OPTIONS]
@@ -14,14 +13,9 @@
 
 /// Drains a host.
 pub fn run(parser: &mut Parser) -> Outcome {
-    let mut target = Target::default();
-    while let Some(word) = Word::next(parser)? {
-        match word.option() {
-            "--help" => return help(&format!("{HELP}{TARGET_HELP}")),
-            _ if target.take(&word, parser)? => {}
-            _ => return Err(word.unexpected()),
-        }
-    }
+    let Some(target) = Target::read(parser, HELP)? else {
+        return Ok(());
+    };
     target.host().post("/drain")?;
     println!("draining");
     Ok(())
--- a/crates/jaypin/src/cli/rules/log.rs
+++ b/crates/jaypin/src/cli/rules/log.rs
@@ -2,9 +2,8 @@
 
 use lexopt::Parser;
 
-use super::{Failure, Outcome, help};
-use crate::cli::target::{TARGET_HELP, Target};
-use crate::cli::word::Word;
+use super::{Failure, Outcome};
+use crate::cli::target::Target;
 use crate::cli::{date, print_json};
 use crate::rules_change::RulesStore;
 
@@ -16,14 +15,9 @@
 
 /// Lists the last changes.
 pub fn run(parser: &mut Parser) -> Outcome {
-    let mut target = Target::default();
-    while let Some(word) = Word::next(parser)? {
-        match word.option() {
-            "--help" => return help(&format!("{HELP}{TARGET_HELP}")),
-            _ if target.take(&word, parser)? => {}
-            _ => return Err(word.unexpected()),
-        }
-    }
+    let Some(target) = Target::read(parser, HELP)? else {
+        return Ok(());
+    };
     let client = target.platform()?;
     let (version, object) = RulesStore::new(&client).read().map_err(Failure::Failed)?;
     if target.json {
--- a/crates/jaypin/src/cli/rules/show.rs
+++ b/crates/jaypin/src/cli/rules/show.rs
@@ -2,10 +2,9 @@
 
 use lexopt::Parser;
 
-use super::{Failure, Outcome, help};
+use super::{Failure, Outcome};
 use crate::cli::print_json;
-use crate::cli::target::{TARGET_HELP, Target};
-use crate::cli::word::Word;
+use crate::cli::target::Target;
 use crate::rules_change::RulesStore;
 
 const HELP: &str = "\
@@ -17,14 +16,9 @@
 
 /// Shows the rules in force.
 pub fn run(parser: &mut Parser) -> Outcome {
-    let mut target = Target::default();
-    while let Some(word) = Word::next(parser)? {
-        match word.option() {
-            "--help" => return help(&format!("{HELP}{TARGET_HELP}")),
-            _ if target.take(&word, parser)? => {}
-            _ => return Err(word.unexpected()),
-        }
-    }
+    let Some(target) = Target::read(parser, HELP)? else {
+        return Ok(());
+    };
     let client = target.platform()?;
     let (version, object) = RulesStore::new(&client).read().map_err(Failure::Failed)?;
     if target.json {
--- a/crates/jaypin/src/cli/status.rs
+++ b/crates/jaypin/src/cli/status.rs
@@ -3,9 +3,8 @@
 use jaypin_wire::{ShardState, StatusBody};
 use lexopt::Parser;
 
-use super::target::{TARGET_HELP, Target};
-use super::word::Word;
-use super::{Outcome, help, print_json};
+use super::target::Target;
+use super::{Outcome, print_json};
 
 const HELP: &str = "\
 usage: jaypin status [OPTIONS]
@@ -15,14 +14,9 @@
 
 /// Shows a host's status.
 pub fn run(parser: &mut Parser) -> Outcome {
-    let mut target = Target::default();
-    while let Some(word) = Word::next(parser)? {
-        match word.option() {
-            "--help" => return help(&format!("{HELP}{TARGET_HELP}")),
-            _ if target.take(&word, parser)? => {}
-            _ => return Err(word.unexpected()),
-        }
-    }
+    let Some(target) = Target::read(parser, HELP)? else {
+        return Ok(());
+    };
     let status: StatusBody = target.host().get("/status")?;
     if target.json {
         return print_json(&status);
--- a/crates/jaypin/src/cli/target.rs
+++ b/crates/jaypin/src/cli/target.rs
@@ -8,7 +8,7 @@
 use serde::de::DeserializeOwned;
 
 use super::word::Word;
-use super::{Failure, text_value};
+use super::{Failure, help, text_value};
 use crate::platform::PlatformClient;
 
 /// Where a host listens to operators when nothing else is said.
@@ -46,6 +46,23 @@
         Ok(true)
     }
 
+    /// Reads the options of a command that takes no others; gives nothing when help was
+    /// asked for and shown.
+    pub fn read(parser: &mut Parser, command_help: &str) -> Result<Option<Self>, Failure> {
+        let mut target = Self::default();
+        while let Some(word) = Word::next(parser)? {
+            match word.option() {
+                "--help" => {
+                    help(&format!("{command_help}{TARGET_HELP}"))?;
+                    return Ok(None);
+                }
+                _ if target.take(&word, parser)? => {}
+                _ => return Err(word.unexpected()),
+            }
+        }
+        Ok(Some(target))
+    }
+
     /// The host to ask.
     pub fn host(&self) -> OperatorClient {
         OperatorClient::new(self.host.as_deref().unwrap_or(DEFAULT_HOST), TIMEOUT)
--- a/crates/jaypin/src/metrics/mod.rs
+++ b/crates/jaypin/src/metrics/mod.rs
@@ -61,11 +61,6 @@
             all.refusals.add(1, &labels);
             "refused"
         }
-        #[allow(
-            unreachable_patterns,
-            reason = "new steps are counted before they are named"
-        )]
-        _ => "other",
     };
     all.decisions.add(1, &[KeyValue::new("step", word)]);
 }
--- a/crates/jaypin_wire/src/explain/mod.rs
+++ b/crates/jaypin_wire/src/explain/mod.rs
@@ -102,11 +102,6 @@
         /// The rule that decided.
         rule: Option<AppliedRule>,
     },
-    /// Anything else, in the words of the log.
-    Other {
-        /// What happened.
-        text: String,
-    },
 }
 
 /// A backend server that was weighed.
@@ -137,7 +132,7 @@
 
 fn caller_step(mut step: ExplainStep) -> Option<ExplainStep> {
     match &mut step.what {
-        StepBody::Asked { .. } | StepBody::Other { .. } => return None,
+        StepBody::Asked { .. } => return None,
         StepBody::Dispatched {
             backend,
             grant,
@@ -204,13 +199,6 @@
                 outcome: outcome_word(*outcome).to_owned(),
             },
             Step::Refused(refusal) => refusal.into(),
-            #[allow(
-                unreachable_patterns,
-                reason = "a step that is new shows in the log's words before it has its own"
-            )]
-            other => Self::Other {
-                text: format!("{other:?}"),
-            },
         }
     }
 }
--- a/crates/jaypin_wire/src/explain/sentences.rs
+++ b/crates/jaypin_wire/src/explain/sentences.rs
@@ -65,7 +65,6 @@
             retry_after_ms,
             rule,
         } => refused(after, reason, outcome, *retry_after_ms, rule.as_ref()),
-        StepBody::Other { text } => vec![format!("After {after} ms: {text}.")],
     }
 }
 
