Show and use rules only once they are known to be the newest

Ruled out: a running host that goes back; versions of each run only grew. Change: a version is in force, on pages, in metrics and towards callers, once a peer showed no greater one or nobody answered for 3 s; until then the version is 0 and callers get not-ready. Open: a peer that itself has just started can vouch for an old copy.

--- a/crates/jaypin/src/operator/mod.rs
+++ b/crates/jaypin/src/operator/mod.rs
@@ -137,12 +137,12 @@
 
 fn readiness(snapshot: &Snapshot) -> Page {
     let summary = &snapshot.summary;
-    if summary.rules_version == 0 {
-        (503, "\"no rules yet\"".to_owned())
-    } else if summary.hosts_version == 0 {
+    if summary.hosts_version == 0 {
         (503, "\"no host list yet\"".to_owned())
     } else if !summary.caught_up {
-        (503, "\"no peer heard yet\"".to_owned())
+        (503, "\"no peer heard yet, or no rules\"".to_owned())
+    } else if summary.rules_version == 0 {
+        (503, "\"no rules yet\"".to_owned())
     } else if summary.draining {
         (503, "\"draining\"".to_owned())
     } else {
--- a/crates/jaypin/src/reducer_task.rs
+++ b/crates/jaypin/src/reducer_task.rs
@@ -6,7 +6,6 @@
 
 use crossbeam::channel::{Receiver, RecvTimeoutError};
 use jaypin_core::{Effect, Event, HostList, Reducer};
-use jaypin_rules::RuleSet;
 use tokio::runtime::Handle;
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -53,7 +52,7 @@
             for effect in reducer.apply(Instant::now().into_std(), Event::Tick) {
                 run(effect);
             }
-            publish(&reducer, None, &mut snapshot, snapshots);
+            publish(&reducer, &mut snapshot, snapshots);
             if Instant::now() >= next_report {
                 next_report = Instant::now() + REPORT_INTERVAL;
                 report(&reducer, &mut snapshot, snapshots);
@@ -65,13 +64,9 @@
             Err(RecvTimeoutError::Timeout) => continue,
             Err(RecvTimeoutError::Disconnected) => return,
         };
-        let rules = match &event {
-            Event::Rules { rules, .. } => Some(rules.clone()),
-            _ => None,
-        };
         let effects = reducer.apply(Instant::now().into_std(), event);
         // Effects look addresses up in what is published.
-        publish(&reducer, rules, &mut snapshot, snapshots);
+        publish(&reducer, &mut snapshot, snapshots);
         for effect in effects {
             run(effect);
         }
@@ -89,19 +84,14 @@
     }
 }
 
-fn publish(
-    reducer: &Reducer,
-    rules: Option<Arc<RuleSet>>,
-    last: &mut Snapshot,
-    snapshots: &watch::Sender<Arc<Snapshot>>,
-) {
+fn publish(reducer: &Reducer, last: &mut Snapshot, snapshots: &watch::Sender<Arc<Snapshot>>) {
     let summary = reducer.summary();
     let members = reducer.membership();
     if summary == last.summary && members.epoch() == last.epoch {
         return;
     }
-    if let Some(rules) = rules.filter(|_| summary.rules_version > last.rules_version) {
-        last.rules = rules;
+    if summary.rules_version > last.rules_version {
+        last.rules = reducer.rules_read().clone();
         last.rules_version = summary.rules_version;
     }
     if members.list().version != last.hosts.version {
--- a/crates/jaypin_core/src/reducer/mod.rs
+++ b/crates/jaypin_core/src/reducer/mod.rs
@@ -72,7 +72,7 @@
 /// Counts for status pages and metrics.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Summary {
-    /// Version of the rules in force; 0 before any were read.
+    /// Version of the rules in force; 0 before any are.
     pub rules_version: u64,
     /// Version of the host list in use; 0 before one was read.
     pub hosts_version: u64,
@@ -153,7 +153,7 @@
     #[must_use]
     pub fn summary(&self) -> Summary {
         Summary {
-            rules_version: self.rules_version,
+            rules_version: self.version_in_force(),
             hosts_version: self.membership.list().version,
             shards_led: self.schedulers.len(),
             waiting: self.owner.waiting.len(),
@@ -180,6 +180,25 @@
         self.quarantine.counts(self.rules.quarantine.strikes)
     }
 
+    /// The rules that [`Summary::rules_version`] names, or those read last while none are
+    /// in force.
+    #[must_use]
+    pub fn rules_read(&self) -> &Arc<RuleSet> {
+        &self.rules
+    }
+
+    /// Version of the rules that this host goes by; 0 until a peer had no greater one.
+    ///
+    /// Guards against a host that starts while the platform answers an old copy: it would
+    /// show, and check callers by, a version that the fleet has left behind.
+    fn version_in_force(&self) -> u64 {
+        if self.gossip.caught_up {
+            self.rules_version
+        } else {
+            0
+        }
+    }
+
     /// This host's view of hosts and backend servers.
     #[must_use]
     pub fn membership(&self) -> &Membership {
--- a/crates/jaypin_core/tests/membership.rs
+++ b/crates/jaypin_core/tests/membership.rs
@@ -259,6 +259,7 @@
     reducer.apply(now, Event::Hosts(list(1, 3)));
     reducer.apply(now, rules(1));
     assert!(!reducer.summary().caught_up, "by the platform alone");
+    assert_eq!(reducer.summary().rules_version, 0, "read, not in force");
     let fx = reducer.apply(now, digest.clone());
     assert!(!reducer.summary().caught_up, "a peer has more");
     let fetches = |effect: &Effect| {
