Let a host leave though a key's owner is frozen

In the status of the leaving hosts nothing waited and nothing ran for 40 s, while one host was frozen: outcomes for keys that it owns stayed unconfirmed for 30 s each, and callers went on sending such keys. Ruled out: streams and plain calls that hang (running was 0 at 1 s intervals); links. Change: a leaving host waits 3 s for a confirmation, and asks owners of keys for 5 s after it was told to leave; later calls with a key get unknown at once. A host that goes without a confirmation leaves its key unknown, never free.

--- a/crates/jaypin_core/src/claims.rs
+++ b/crates/jaypin_core/src/claims.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use crate::request::{Claiming, Request};
 use crate::{HostId, KeyOutcome, RequestId};
@@ -41,9 +41,12 @@
 }
 
 impl Claims {
-    /// Whether nothing is left to ask for or to tell.
+    /// Whether nothing is left to ask for, and to tell nothing but what was told for
+    /// `patience` without a word back.
     #[must_use]
-    pub fn is_idle(&self) -> bool {
-        self.claiming.is_empty() && self.unsettled.is_empty()
+    pub fn is_idle(&self, now: Instant, patience: Duration) -> bool {
+        let is_old = |since: Instant| now.duration_since(since) >= patience;
+        let mut told = self.unsettled.values().map(|kept| kept.since);
+        self.claiming.is_empty() && told.all(|since| since.is_some_and(is_old))
     }
 }
--- a/crates/jaypin_core/src/reducer/arrival.rs
+++ b/crates/jaypin_core/src/reducer/arrival.rs
@@ -27,8 +27,8 @@
     pub(super) fn arrived(&mut self, now: Instant, info: RequestInfo, fx: &mut Vec<Effect>) {
         self.record_arrival(&info, fx);
         match self.not_serving() {
-            Some(Reason::NotReady) => {
-                let refusal = refusal_of_unready(&info).retry_after(DEFAULT_RETRY_AFTER);
+            Some(reason) if reason == Reason::NotReady || !self.may_claim(now) => {
+                let refusal = unasked_refusal(&info, reason).retry_after(DEFAULT_RETRY_AFTER);
                 return self.refuse(&info, Duration::ZERO, refusal, fx);
             }
             Some(reason) if info.repeat != Repeat::Never => {
@@ -230,11 +230,11 @@
 }
 
 /// Guards against a "not run" for a key that ran: a call that may not be repeated may be
-/// the second try of one that another host dispatched, and a host that can't ask the
-/// key's owner yet does not know.
-fn refusal_of_unready(info: &RequestInfo) -> Refusal {
+/// the second try of one that another host dispatched, and a host that does not
+/// ask the key's owner does not know.
+fn unasked_refusal(info: &RequestInfo, reason: Reason) -> Refusal {
     match info.repeat {
-        Repeat::Never => Refusal::after_dispatch(Reason::NotReady, Ran::Unknown),
-        Repeat::Idempotent => Refusal::not_run(Reason::NotReady),
+        Repeat::Never => Refusal::after_dispatch(reason, Ran::Unknown),
+        Repeat::Idempotent => Refusal::not_run(reason),
     }
 }
--- a/crates/jaypin_core/src/reducer/gossip.rs
+++ b/crates/jaypin_core/src/reducer/gossip.rs
@@ -6,7 +6,7 @@
 
 use rand::RngExt;
 
-use super::Reducer;
+use super::{DRAIN_CLAIMS, Reducer};
 use crate::member::{BUCKETS, Member, MemberStatus};
 use crate::{Config, Digest, Effect, HostId, Incarnation, Message};
 
@@ -419,10 +419,16 @@
         self.view_changed(now, fx);
     }
 
+    /// Whether a host that is leaving still asks the owners of keys.
+    pub(super) fn may_claim(&self, now: Instant) -> bool {
+        let told = self.gossip.drained_at;
+        told.is_none_or(|told| now.duration_since(told) < DRAIN_CLAIMS)
+    }
+
     pub(super) fn may_exit(&self, now: Instant) -> bool {
         let told = self.gossip.drained_at;
         let spread = told.is_some_and(|told| now.duration_since(told) >= MIN_DRAIN);
-        spread && self.is_idle()
+        spread && self.is_idle(now)
     }
 }
 
--- a/crates/jaypin_core/src/reducer/mod.rs
+++ b/crates/jaypin_core/src/reducer/mod.rs
@@ -40,6 +40,15 @@
 /// Time after which a refused caller may come back, where nothing better is known.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// How long a leaving host waits for a key's owner to confirm an outcome.
+///
+/// Guards against a host that never leaves while the owner of a key is frozen. Without
+/// the confirmation the key becomes `unknown` once this host is gone: never a second run.
+const DRAIN_PATIENCE: Duration = Duration::from_secs(3);
+/// How long a leaving host still asks the owners of keys, for callers who have not heard
+/// that it leaves. Later ones are told `unknown` at once, or their claims would keep it.
+const DRAIN_CLAIMS: Duration = Duration::from_secs(5);
+
 /// The decision state of one host.
 #[derive(Debug)]
 pub struct Reducer {
@@ -250,8 +259,8 @@
     }
 
     /// Whether nothing is left to do for a caller or to tell a peer.
-    fn is_idle(&self) -> bool {
-        self.owner.is_idle() && self.claims.is_idle()
+    fn is_idle(&self, now: Instant) -> bool {
+        self.owner.is_idle() && self.claims.is_idle(now, DRAIN_PATIENCE)
     }
 
     fn send_all(&mut self, letters: Vec<Letter>, fx: &mut Vec<Effect>) {
--- a/crates/jaypin_core/tests/honest_refusals.rs
+++ b/crates/jaypin_core/tests/honest_refusals.rs
@@ -78,8 +78,11 @@
     }
 
     fn arrive(&mut self, repeat: Repeat) -> Vec<Effect> {
+        self.arrive_with(repeat, &IdempotencyKey::prefix("host-0", INCARNATION, 0))
+    }
+
+    fn arrive_with(&mut self, repeat: Repeat, prefix: &str) -> Vec<Effect> {
         self.count += 1;
-        let prefix = IdempotencyKey::prefix("host-0", INCARNATION, 0);
         let info = RequestInfo {
             id: format!("host-0-{INCARNATION}-{}", self.count).into(),
             account: "farm".into(),
@@ -186,3 +189,21 @@
     let fx = bed.arrive(Repeat::Idempotent);
     assert_eq!(refusal(&fx), Some((Reason::Quarantined, Ran::NotRun)));
 }
+
+/// An operator drains a host. The owner of a key that it ran is frozen and confirms
+/// nothing, and callers go on sending keys of it. The host must leave all the same; it
+/// stayed for as long as calls came.
+#[test]
+fn a_frozen_key_owner_does_not_keep_a_leaving_host() {
+    let mut bed = Bed::new().ready();
+    bed.event(Event::Drain);
+    let mut left = false;
+    for step in 0..600 {
+        if step % 10 == 0 {
+            bed.arrive_with(Repeat::Never, &IdempotencyKey::prefix("host-9", 3, 0));
+        }
+        let fx = bed.pass(20);
+        left |= fx.iter().any(|effect| matches!(effect, Effect::Exit));
+    }
+    assert!(left, "12 s after the drain began");
+}
