Begin the gate's call in one place of the failure tests

Change: start_gate in tests/support; no assertion changed. The twins in jaypin_wire (slots.rs, claims.rs) stay: each is a conversion of its own types, and Summary and StatusBody are a decision's and a wire's on purpose.

--- a/crates/jaypin_bench/tests/at_most_once.rs
+++ b/crates/jaypin_bench/tests/at_most_once.rs
@@ -8,7 +8,8 @@
 use jaypin_bench::Client;
 use jaypin_standin::{Proxy, ProxyMode};
 use support::{
-    WAIT, app, fleet, key_from, keyed, open_gate, repeat_until, spec, until, words, yilan,
+    WAIT, app, fleet, key_from, keyed, open_gate, repeat_until, spec, start_gate, until, words,
+    yilan,
 };
 
 /// Longer than any test: the call is still running when its host dies.
@@ -24,10 +25,7 @@
     let mut fleet = fleet(vec![spec("app-0", app.address, "robots")]).await;
     let key = key_from(&fleet.hosts[1], "gate").await;
     let first = yilan(fleet.hosts[0].address);
-    let call = {
-        let key = key.clone();
-        tokio::spawn(async move { open_gate(&first, &key).await })
-    };
+    let call = start_gate(&first, &key);
     until("the call runs", || !app.calls().is_empty()).await;
     fleet.hosts[0].kill();
     assert!(call.await.expect("no panic").is_none());
@@ -48,10 +46,7 @@
     let mut fleet = fleet(vec![spec("app-0", app.address, "robots")]).await;
     let key = key_from(&fleet.hosts[0], "gate").await;
     let first = yilan(fleet.hosts[0].address);
-    let call = {
-        let key = key.clone();
-        tokio::spawn(async move { open_gate(&first, &key).await })
-    };
+    let call = start_gate(&first, &key);
     until("the call runs", || !app.calls().is_empty()).await;
     fleet.hosts[0].kill();
     assert!(call.await.expect("no panic").is_none());
@@ -106,10 +101,7 @@
     let fleet = fleet(vec![spec("app-0", app.address, "robots")]).await;
     let key = key_from(&fleet.hosts[1], "gate").await;
     let first = yilan(fleet.hosts[0].address);
-    let call = {
-        let key = key.clone();
-        tokio::spawn(async move { open_gate(&first, &key).await })
-    };
+    let call = start_gate(&first, &key);
     until("the call runs", || !app.calls().is_empty()).await;
     fleet.hosts[0].signal("STOP");
     let other = yilan(fleet.hosts[2].address);
@@ -136,10 +128,7 @@
         .expect("a proxy");
     proxy.set(ProxyMode::BlackholeDown);
     let lossy = yilan(proxy.address);
-    let call = {
-        let key = key.clone();
-        tokio::spawn(async move { open_gate(&lossy, &key).await })
-    };
+    let call = start_gate(&lossy, &key);
     until("the call runs", || !app.calls().is_empty()).await;
     call.abort();
     let ran = |answer: &jaypin_bench::Answer| answer.status == StatusCode::OK;
@@ -156,10 +145,7 @@
     let fleet = fleet(vec![spec("app-0", app.address, "robots")]).await;
     let key = key_from(&fleet.hosts[1], "gate").await;
     let first = yilan(fleet.hosts[0].address);
-    let call = {
-        let key = key.clone();
-        tokio::spawn(async move { open_gate(&first, &key).await })
-    };
+    let call = start_gate(&first, &key);
     until("the call runs", || !app.calls().is_empty()).await;
     call.abort();
     let ran = |answer: &jaypin_bench::Answer| answer.status == StatusCode::OK;
--- a/crates/jaypin_bench/tests/support/mod.rs
+++ b/crates/jaypin_bench/tests/support/mod.rs
@@ -10,6 +10,7 @@
 use jaypin_bench::{Answer, BackendSpec, Client, Fleet, FleetConfig, Host};
 use jaypin_standin::{App, AppConfig, Engine, EngineConfig};
 use serde_json::Value;
+use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep};
 
 /// Generous bound of every wait.
@@ -119,3 +120,9 @@
         sleep(Duration::from_millis(5)).await;
     }
 }
+
+/// Begins to open the gate under a key; the call goes on beside the test.
+pub fn start_gate(client: &Client, key: &str) -> JoinHandle<Option<Answer>> {
+    let (client, key) = (client.clone(), key.to_owned());
+    tokio::spawn(async move { open_gate(&client, &key).await })
+}
--- a/crates/jaypin_bench/tests/whole_answers.rs
+++ b/crates/jaypin_bench/tests/whole_answers.rs
@@ -8,7 +8,9 @@
 use hyper::{Method, StatusCode};
 use jaypin_bench::{Answer, Client, completion_body};
 use jaypin_standin::{Engine, EngineConfig, Proxy, ProxyMode, expected_answer};
-use support::{GATE, app, engine, fleet, key_from, open_gate, spec, until, words, yilan};
+use support::{
+    GATE, app, engine, fleet, key_from, open_gate, spec, start_gate, until, words, yilan,
+};
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
@@ -243,10 +245,7 @@
     let fleet = fleet(vec![spec("app-0", proxy.address, "robots")]).await;
     let key = key_from(&fleet.hosts[1], "gate").await;
     let client = yilan(fleet.hosts[0].address);
-    let call = {
-        let (client, key) = (client.clone(), key.clone());
-        tokio::spawn(async move { open_gate(&client, &key).await })
-    };
+    let call = start_gate(&client, &key);
     until("the call runs", || !app.calls().is_empty()).await;
     proxy.set(ProxyMode::Cut);
     let answer = call.await.expect("no panic").expect("an answer");
