--- a/crates/jaypin/src/cli/mod.rs
+++ b/crates/jaypin/src/cli/mod.rs
@@ -2,6 +2,7 @@
 
 mod audit;
 mod drain;
+mod entry;
 mod explain;
 mod rules;
 mod serve;
@@ -24,6 +25,7 @@
 usage: jaypin COMMAND ...
 
   serve           run an entry host
+  entry           run an entry host on a platform that keeps the configuration
   settings check  check a settings file
   rules           check, diff, apply, show, log, who: the rule file
   audit           show and verify the audit trail of rule changes
@@ -68,6 +70,7 @@
 fn dispatch(word: &str, parser: &mut Parser) -> Outcome {
     match word {
         "serve" => serve::run(parser),
+        "entry" => entry::run(parser),
         "settings" => settings::run(parser),
         "rules" => rules::run(parser),
         "audit" => audit::run(parser),
--- a/crates/jaypin_core/src/outcome.rs
+++ b/crates/jaypin_core/src/outcome.rs
@@ -32,6 +32,8 @@
     Draining,
     /// The host has no rules or no host list yet.
     NotReady,
+    /// The host can't prove that its configuration is the newest.
+    Unproven,
     /// No live backend server serves it.
     NoBackend,
     /// Capacity ran out and its tier was the lowest that waited.
@@ -67,6 +69,7 @@
         match self {
             Self::Draining => "draining",
             Self::NotReady => "not-ready",
+            Self::Unproven => "configuration-unproven",
             Self::NoBackend => "no-backend-server",
             Self::Shed => "shed",
             Self::TooLate => "too-late",
--- a/crates/jaypin_core/src/quarantine.rs
+++ b/crates/jaypin_core/src/quarantine.rs
@@ -149,6 +149,17 @@
         struck
     }
 
+    /// The fingerprints that were struck last, with their strikes, for peers.
+    #[must_use]
+    pub fn newest(&self, most: usize) -> Vec<(u64, u32)> {
+        let mut all: Vec<_> = self.suspects.iter().collect();
+        all.sort_unstable_by_key(|(_, suspect)| std::cmp::Reverse(suspect.struck_at));
+        let newest = all.into_iter().take(most);
+        newest
+            .map(|(fingerprint, suspect)| (*fingerprint, suspect.strikes))
+            .collect()
+    }
+
     /// Forgets suspicions older than `hold`.
     pub fn expire(&mut self, now: Instant, hold: Duration) {
         self.suspects
--- /dev/null
+++ b/crates/jaypin_entry/src/callers/answer.rs
@@ -0,0 +1,91 @@
+//! Answers that this host gives itself.
+
+use std::io;
+
+use bytes::Bytes;
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full};
+use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use hyper::{Response, StatusCode};
+use jaypin_core::{Ran, Reason, Refusal};
+use jaypin_router::Unrouted;
+use serde::Serialize;
+
+use super::read_request::ReadError;
+
+/// Body of every answer; an error in it breaks the connection off.
+pub type AnswerBody = UnsyncBoxBody<Bytes, io::Error>;
+/// Every answer.
+pub type AnswerResponse = Response<AnswerBody>;
+
+/// What a caller reads when its request did not succeed.
+#[derive(Debug, Serialize)]
+struct RefusalBody {
+    reason: &'static str,
+    outcome: &'static str,
+}
+
+/// A body that is there as a whole.
+pub fn full(bytes: impl Into<Bytes>) -> AnswerBody {
+    Full::new(bytes.into())
+        .map_err(|never| match never {})
+        .boxed_unsync()
+}
+
+/// A refusal by the decisions.
+pub fn refusal(refusal: &Refusal) -> AnswerResponse {
+    let body = RefusalBody {
+        reason: refusal.reason.as_str(),
+        outcome: refusal.ran.as_str(),
+    };
+    let mut response = json(status_of(refusal), &body);
+    if let Some(wait) = refusal.retry_after {
+        let seconds = format!("{:.3}", wait.as_secs_f64());
+        if let Ok(value) = HeaderValue::from_str(&seconds) {
+            response.headers_mut().insert(RETRY_AFTER, value);
+        }
+    }
+    response
+}
+
+/// The answer to a request that the configuration does not allow.
+pub fn rejection(reason: Unrouted) -> AnswerResponse {
+    let (status, reason) = match reason {
+        Unrouted::NoRoute => (StatusCode::NOT_FOUND, "no-such-route"),
+        Unrouted::UnknownCredential => (StatusCode::UNAUTHORIZED, "credential"),
+    };
+    let outcome = Ran::NotRun.as_str();
+    json(status, &RefusalBody { reason, outcome })
+}
+
+/// The answer to a request that could not be read.
+pub fn unreadable(error: &ReadError) -> AnswerResponse {
+    let outcome = Ran::NotRun.as_str();
+    let reason = error.reason();
+    json(error.status(), &RefusalBody { reason, outcome })
+}
+
+/// An answer after which the connection closes.
+pub fn closing(mut response: AnswerResponse) -> AnswerResponse {
+    let close = HeaderValue::from_static("close");
+    response.headers_mut().insert(CONNECTION, close);
+    response
+}
+
+fn json(status: StatusCode, value: &impl Serialize) -> AnswerResponse {
+    let mut response = Response::new(full(serde_json::to_vec(value).unwrap_or_default()));
+    *response.status_mut() = status;
+    let json = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(CONTENT_TYPE, json);
+    response
+}
+
+/// Statuses that callers read as "not run" are given only where that is true.
+fn status_of(refusal: &Refusal) -> StatusCode {
+    match (refusal.ran, refusal.reason) {
+        (Ran::NotRun, Reason::OverLimit) => StatusCode::TOO_MANY_REQUESTS,
+        (Ran::NotRun, _) => StatusCode::SERVICE_UNAVAILABLE,
+        (Ran::Ran | Ran::Unknown, Reason::TooLate) => StatusCode::GATEWAY_TIMEOUT,
+        (Ran::Ran | Ran::Unknown, _) => StatusCode::BAD_GATEWAY,
+    }
+}
--- /dev/null
+++ b/crates/jaypin_entry/src/calls/mod.rs
@@ -0,0 +1,32 @@
+//! Calls to backend servers.
+
+mod connections;
+mod event_reader;
+mod whole_answer;
+
+pub use connections::{CallError, Connection, ConnectionOptions, Connections, connect};
+pub use event_reader::EventReader;
+pub use whole_answer::{WholeAnswer, read_whole};
+
+use std::time::Duration;
+
+use jaypin_core::{AccountId, BackendId};
+use jaypin_router::Repeat;
+use tokio::time::Instant;
+
+/// Where and how a request is sent.
+#[derive(Debug, Clone)]
+pub struct SendOrder {
+    /// The backend server.
+    pub backend: BackendId,
+    /// Its address.
+    pub address: String,
+    /// The account to name to it.
+    pub account: Option<AccountId>,
+    /// Whether it may run again, and whether its answer is a stream.
+    pub repeat: Repeat,
+    /// Time after which a call without a first event is given up.
+    pub silence: Option<Duration>,
+    /// When the whole answer is due.
+    pub deadline: Instant,
+}
--- /dev/null
+++ b/crates/jaypin_entry/src/host.rs
@@ -0,0 +1,154 @@
+//! What all tasks of a host share.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use jaypin_core::Refusal;
+use jaypin_router::{Effect, Event, RequestNumber, Router, Unrouted};
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+use crate::calls::{Connections, SendOrder};
+use crate::peers::PeerSocket;
+use crate::ports::{HostSettings, Platform};
+
+/// What the task of a request is told to do next.
+#[derive(Debug)]
+pub enum Directive {
+    /// Send it to a backend server.
+    Send(SendOrder),
+    /// Answer that the configuration does not allow it.
+    Reject(Unrouted),
+    /// Answer with a refusal.
+    Refuse(Refusal),
+    /// Answer with the failure that a backend server gave.
+    PassOn,
+}
+
+/// Where the reducer's word for one request waits for its task.
+#[derive(Debug, Default)]
+pub struct Mailbox {
+    directive: RefCell<Option<Directive>>,
+    arrived: Notify,
+}
+
+impl Mailbox {
+    /// Waits for the next word.
+    pub async fn next(&self) -> Directive {
+        loop {
+            if let Some(directive) = self.directive.borrow_mut().take() {
+                return directive;
+            }
+            self.arrived.notified().await;
+        }
+    }
+
+    fn put(&self, directive: Directive) {
+        *self.directive.borrow_mut() = Some(directive);
+        self.arrived.notify_one();
+    }
+}
+
+/// One host: its reducer and everything that effects touch.
+#[derive(Debug)]
+pub struct Host {
+    /// The adapter.
+    pub platform: Rc<dyn Platform>,
+    /// Settings at the start.
+    pub settings: HostSettings,
+    /// Connections to backend servers.
+    pub connections: Connections,
+    /// Reports to and from peers.
+    pub peers: PeerSocket,
+    router: RefCell<Router>,
+    mailboxes: RefCell<HashMap<RequestNumber, Rc<Mailbox>>>,
+    next_number: Cell<RequestNumber>,
+}
+
+impl Host {
+    /// Puts a host together.
+    pub fn new(
+        platform: Rc<dyn Platform>,
+        settings: HostSettings,
+        router: Router,
+        peers: PeerSocket,
+    ) -> Self {
+        Self {
+            platform,
+            settings,
+            connections: Connections::default(),
+            peers,
+            router: RefCell::new(router),
+            mailboxes: RefCell::default(),
+            next_number: Cell::new(1),
+        }
+    }
+
+    /// Gives an event to the reducer and carries out what it says.
+    pub fn apply(&self, event: Event) {
+        let now = Instant::now().into_std();
+        let effects = self.router.borrow_mut().apply(now, event);
+        for effect in effects {
+            self.run(effect);
+        }
+    }
+
+    /// Looks at the decision state.
+    pub fn look<T>(&self, look: impl FnOnce(&Router) -> T) -> T {
+        look(&self.router.borrow())
+    }
+
+    /// Opens the mailbox of a new request.
+    pub fn open_mailbox(&self) -> (RequestNumber, Rc<Mailbox>) {
+        let number = self.next_number.get();
+        self.next_number.set(number + 1);
+        let mailbox = Rc::new(Mailbox::default());
+        self.mailboxes.borrow_mut().insert(number, mailbox.clone());
+        (number, mailbox)
+    }
+
+    /// Closes the mailbox of a request that is over.
+    pub fn close_mailbox(&self, number: RequestNumber) {
+        self.mailboxes.borrow_mut().remove(&number);
+    }
+
+    fn run(&self, effect: Effect) {
+        match effect {
+            Effect::Send {
+                number,
+                backend,
+                address,
+                account,
+                repeat,
+                silence,
+                deadline,
+            } => {
+                let order = SendOrder {
+                    backend,
+                    address,
+                    account,
+                    repeat,
+                    silence,
+                    deadline: deadline.into(),
+                };
+                self.direct(number, Directive::Send(order));
+            }
+            Effect::Reject { number, reason } => self.direct(number, Directive::Reject(reason)),
+            Effect::Refuse { number, refusal } => self.direct(number, Directive::Refuse(refusal)),
+            Effect::PassOn(number) => self.direct(number, Directive::PassOn),
+            Effect::Tell { to, report } => self.tell(&to, &report),
+        }
+    }
+
+    fn direct(&self, number: RequestNumber, directive: Directive) {
+        if let Some(mailbox) = self.mailboxes.borrow().get(&number) {
+            mailbox.put(directive);
+        }
+    }
+
+    fn tell(&self, to: &[SocketAddr], report: &jaypin_router::Report) {
+        self.peers.tell(to, report);
+    }
+}
--- /dev/null
+++ b/crates/jaypin_entry/src/lib.rs
@@ -0,0 +1,23 @@
+//! What an entry host runs, free of any platform's names.
+//!
+//! One thread: a current-thread runtime with the reducer called in place. [`serve`] runs a
+//! host; how its platform spells settings, headers and objects comes from an adapter that
+//! implements [`Platform`].
+
+mod boot_clock;
+mod callers;
+mod calls;
+mod host;
+mod logs;
+mod peers;
+mod ports;
+mod serve;
+mod store;
+
+pub use logs::start as start_logs;
+pub use peers::{WireError, decode_report, encode_report};
+pub use ports::{
+    BackendAnswer, CallerRequest, Collection, DecodeError, Forward, HostRecord, HostSettings,
+    Object, ObjectChange, ObjectChanges, ObjectPage, Platform,
+};
+pub use serve::serve;
--- /dev/null
+++ b/crates/jaypin_entry/src/logs/line.rs
@@ -0,0 +1,36 @@
+//! One log record as one line of JSON.
+
+use std::io::{self, Write};
+
+use env_logger::fmt::Formatter;
+use log::Record;
+use log::kv::{Key, Value, VisitSource};
+use serde_json::Map;
+
+/// Writes `time`, `level`, `msg`, and the record's own fields.
+pub fn write(buf: &mut Formatter, record: &Record<'_>) -> io::Result<()> {
+    let mut fields = Fields(Map::new());
+    let time = buf.timestamp_millis().to_string();
+    fields.0.insert("time".to_owned(), time.into());
+    let level = record.level().as_str();
+    fields.0.insert("level".to_owned(), level.into());
+    let msg = record.args().to_string();
+    fields.0.insert("msg".to_owned(), msg.into());
+    // A field that can't be read is left out; the line is worth more than the field.
+    let _ = record.key_values().visit(&mut fields);
+    serde_json::to_writer(&mut *buf, &fields.0)?;
+    writeln!(buf)
+}
+
+struct Fields(Map<String, serde_json::Value>);
+
+impl<'kvs> VisitSource<'kvs> for Fields {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), log::kv::Error> {
+        let value = match value.to_u64() {
+            Some(number) => number.into(),
+            None => value.to_string().into(),
+        };
+        self.0.insert(key.as_str().to_owned(), value);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/jaypin_entry/src/peers/mod.rs
@@ -0,0 +1,70 @@
+//! Reports between hosts, as datagrams.
+//!
+//! Datagrams, since a report that is late is worth nothing: the next one says more. A
+//! connection would hold reports back behind a lost one.
+
+mod wire;
+
+pub use wire::{WireError, decode_report, encode_report};
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use jaypin_router::{Event, Report};
+use tokio::net::UdpSocket;
+
+use crate::host::Host;
+
+/// Largest datagram: the load of 600 backend servers takes 10 KB.
+const MAX_DATAGRAM: usize = 60_000;
+
+/// Where reports come and go.
+#[derive(Debug)]
+pub struct PeerSocket {
+    socket: UdpSocket,
+}
+
+impl PeerSocket {
+    /// Opens it.
+    ///
+    /// # Errors
+    /// Gives what the system gave.
+    pub async fn open(address: SocketAddr) -> std::io::Result<Self> {
+        let socket = UdpSocket::bind(address).await?;
+        Ok(Self { socket })
+    }
+
+    /// Tells a report; what can't be sent now is not sent.
+    pub fn tell(&self, to: &[SocketAddr], report: &Report) {
+        let bytes = match encode_report(report) {
+            Ok(bytes) => bytes,
+            Err(error) => {
+                log::error!(error:%; "a report can't be encoded");
+                return;
+            }
+        };
+        for address in to {
+            if let Err(error) = self.socket.try_send_to(&bytes, *address) {
+                log::debug!(peer:% = address, error:%; "a report was not sent");
+            }
+        }
+    }
+}
+
+/// Takes peers' reports until the task is dropped.
+pub async fn hear_peers(host: Rc<Host>) {
+    let mut buf = vec![0; MAX_DATAGRAM];
+    loop {
+        let (length, from) = match host.peers.socket.recv_from(&mut buf).await {
+            Ok(received) => received,
+            Err(error) => {
+                log::debug!(error:%; "a report was not received");
+                continue;
+            }
+        };
+        match decode_report(&buf[..length]) {
+            Ok(report) => host.apply(Event::Reported(report)),
+            Err(error) => log::warn!(peer:% = from, error:%; "a report makes no sense"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/jaypin_entry/src/ports.rs
@@ -0,0 +1,230 @@
+//! What an adapter to a platform translates; decisions, state and timers stay here.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::{HeaderMap, Method, StatusCode, Uri};
+use jaypin_core::{AccountId, BackendId, FailureDomain, HostId};
+use jaypin_router::{BackendRecord, Bounds, Configuration};
+use serde_json::Value;
+use snafu::Snafu;
+
+/// What could not be decoded, in words for logs and callers.
+#[derive(Debug, Snafu)]
+#[snafu(display("{what}"))]
+pub struct DecodeError {
+    /// What is wrong.
+    pub what: String,
+}
+
+impl DecodeError {
+    /// Says what is wrong.
+    pub fn new(what: impl Into<String>) -> Self {
+        Self { what: what.into() }
+    }
+}
+
+/// Settings of one host.
+#[derive(Debug, Clone, PartialEq)]
+pub struct HostSettings {
+    /// Name of the host.
+    pub host: HostId,
+    /// Failure domain it stands in.
+    pub failure_domain: FailureDomain,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where the platform asks whether the host is ready.
+    pub readiness: SocketAddr,
+    /// Where callers ask which addresses to use.
+    pub directory: SocketAddr,
+    /// Where operators and scrapers connect.
+    pub operators: Option<SocketAddr>,
+    /// Where peers send their reports.
+    pub peers: SocketAddr,
+    /// The platform's store.
+    pub store: SocketAddr,
+    /// Descriptors that the process may have open.
+    pub open_files: u64,
+    /// How long an entry answer may hold at most.
+    pub longest_entry: Duration,
+    /// Bounds that hold for the fleet.
+    pub bounds: Bounds,
+}
+
+/// A kind of object in the platform's store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Collection {
+    /// What operators configure; one object.
+    Configuration,
+    /// Backend servers, each registered by itself.
+    Backends,
+    /// Hosts of this fleet, each registered by itself.
+    Hosts,
+}
+
+/// An object of the store.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Object {
+    /// Its name within its kind.
+    pub name: String,
+    /// Revision of its last change.
+    pub revision: u64,
+    /// What its author wrote.
+    pub content: Value,
+}
+
+/// A page of a listing.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ObjectPage {
+    /// The objects.
+    pub objects: Vec<Object>,
+    /// Whether there are more behind the last one.
+    pub has_more: bool,
+    /// The store's revision.
+    pub revision: u64,
+}
+
+/// A change of an object.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ObjectChange {
+    /// The object as it is now, or was last.
+    pub object: Object,
+    /// Whether it was removed.
+    pub is_removed: bool,
+}
+
+/// What changed since a revision.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ObjectChanges {
+    /// The changes, in order.
+    pub changes: Vec<ObjectChange>,
+    /// The revision up to which they are told.
+    pub revision: u64,
+}
+
+/// A host of this fleet, as it registers itself.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HostRecord {
+    /// Name of the host.
+    pub host: HostId,
+    /// Where it takes reports.
+    pub peers: SocketAddr,
+}
+
+/// What a caller's header says besides method and path.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CallerRequest {
+    /// The caller's id of this try.
+    pub id: String,
+    /// Host name that it asks for.
+    pub host: String,
+    /// Its credential.
+    pub credential: Option<String>,
+    /// How long it waits.
+    pub patience: Option<Duration>,
+    /// Tokens of the prompt and most tokens of the answer.
+    pub tokens: Option<(u32, u32)>,
+}
+
+/// What a backend server is told besides the caller's own header.
+#[derive(Debug, Clone)]
+pub struct Forward<'a> {
+    /// The backend server that is meant.
+    pub backend: &'a BackendId,
+    /// The caller's account.
+    pub account: Option<&'a AccountId>,
+    /// Time that is left for the answer.
+    pub time_left: Duration,
+}
+
+/// What the header of a backend server's answer says.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct BackendAnswer {
+    /// The id of the try that it answers, where it says so.
+    pub id: Option<String>,
+    /// Whether it bears a backend server's mark.
+    pub is_signed: bool,
+    /// Whether it states that the request was not run.
+    pub is_declined: bool,
+    /// Whether another backend server has the address.
+    pub is_other_backend: bool,
+}
+
+/// An adapter to a platform: translation and nothing else.
+pub trait Platform: std::fmt::Debug {
+    /// Reads the settings of a host.
+    ///
+    /// # Errors
+    /// Names everything that is missing or wrong.
+    fn settings(&self, text: &str) -> Result<HostSettings, DecodeError>;
+
+    /// Whether a request asks if the host is ready.
+    fn is_readiness_check(&self, method: &Method, uri: &Uri) -> bool;
+
+    /// Whether a request asks which addresses to use.
+    fn is_entry_query(&self, method: &Method, uri: &Uri) -> bool;
+
+    /// The answer to that question.
+    fn entry_answer(&self, addresses: &[SocketAddr], valid_for: Duration) -> Bytes;
+
+    /// Reads a caller's header.
+    ///
+    /// # Errors
+    /// Says which header makes no sense.
+    fn caller_request(&self, headers: &HeaderMap) -> Result<CallerRequest, DecodeError>;
+
+    /// The header for a backend server, from the caller's own.
+    fn forwarded_headers(&self, headers: &HeaderMap, forward: &Forward<'_>) -> HeaderMap;
+
+    /// Reads the header of a backend server's answer.
+    fn backend_answer(&self, status: StatusCode, headers: &HeaderMap) -> BackendAnswer;
+
+    /// Path that lists a kind, from behind a name on.
+    fn list_path(&self, kind: Collection, after: Option<&str>) -> String;
+
+    /// Path that waits for changes of a kind since a revision.
+    fn watch_path(&self, kind: Collection, since: u64, wait: Duration) -> String;
+
+    /// Path of one object.
+    fn object_path(&self, kind: Collection, name: &str) -> String;
+
+    /// Reads a page of a listing.
+    ///
+    /// # Errors
+    /// Says what makes no sense.
+    fn page(&self, body: &[u8]) -> Result<ObjectPage, DecodeError>;
+
+    /// Reads the answer of a watch.
+    ///
+    /// # Errors
+    /// Says what makes no sense.
+    fn changes(&self, body: &[u8]) -> Result<ObjectChanges, DecodeError>;
+
+    /// Reads one object.
+    ///
+    /// # Errors
+    /// Says what makes no sense.
+    fn object(&self, body: &[u8]) -> Result<Object, DecodeError>;
+
+    /// Reads a configuration.
+    ///
+    /// # Errors
+    /// Says what makes no sense.
+    fn configuration(&self, object: &Object) -> Result<Configuration, DecodeError>;
+
+    /// Reads what a backend server states of itself.
+    ///
+    /// # Errors
+    /// Says what makes no sense.
+    fn backend(&self, object: &Object) -> Result<BackendRecord, DecodeError>;
+
+    /// Reads a host's registration.
+    ///
+    /// # Errors
+    /// Says what makes no sense.
+    fn host(&self, object: &Object) -> Result<HostRecord, DecodeError>;
+
+    /// The body that creates a host's registration, or replaces the one of a revision.
+    fn host_body(&self, record: &HostRecord, replaces: Option<u64>) -> Bytes;
+}
--- /dev/null
+++ b/crates/jaypin_entry/src/store/hosts.rs
@@ -0,0 +1,78 @@
+//! Registers this host and finds the others.
+
+use std::rc::Rc;
+
+use hyper::{Method, StatusCode};
+use jaypin_router::Event;
+
+use super::client::{StoreClient, StoreError};
+use super::pause_after;
+use crate::host::Host;
+use crate::ports::{Collection, HostRecord, Object};
+
+/// Registers this host, then reads who else has registered.
+///
+/// Nobody watches these entries: each host tells those that it finds, and who registers
+/// later finds it. Of two hosts that start together at least one sees the other's entry,
+/// since both write before they read.
+pub async fn join_fleet(host: Rc<Host>) {
+    let mut client = StoreClient::new(&host);
+    while let Err(error) = join(&host, &mut client).await {
+        pause_after(&host, "registration", &error).await;
+    }
+}
+
+async fn join(host: &Host, client: &mut StoreClient<'_>) -> Result<(), StoreError> {
+    let own = HostRecord {
+        host: host.settings.host.clone(),
+        peers: host.settings.peers,
+    };
+    let (objects, _) = client.list(Collection::Hosts).await?;
+    let registered = objects.iter().find(|it| *it.name == *own.host);
+    let is_current = registered.is_some_and(|it| {
+        let record = host.platform.host(it);
+        record.is_ok_and(|record| record == own)
+    });
+    if is_current {
+        find_all(host, &objects);
+        return Ok(());
+    }
+    register(host, client, &own, registered.map(|it| it.revision)).await?;
+    let (objects, _) = client.list(Collection::Hosts).await?;
+    find_all(host, &objects);
+    Ok(())
+}
+
+async fn register(
+    host: &Host,
+    client: &mut StoreClient<'_>,
+    own: &HostRecord,
+    replaces: Option<u64>,
+) -> Result<(), StoreError> {
+    let platform = &host.platform;
+    let body = platform.host_body(own, replaces);
+    let path = platform.object_path(Collection::Hosts, &own.host);
+    let written = match replaces {
+        Some(_) => client.write(Method::PUT, &path, body).await,
+        None => {
+            let kind = platform.list_path(Collection::Hosts, None);
+            client.write(Method::POST, &kind, body).await
+        }
+    };
+    match written {
+        // An earlier try whose answer was lost, or this host's process before this one.
+        Err(StoreError::Status { status }) if status == StatusCode::CONFLICT => Ok(()),
+        other => other.map(drop),
+    }
+}
+
+fn find_all(host: &Host, objects: &[Object]) {
+    for object in objects {
+        match host.platform.host(object) {
+            Ok(record) => host.apply(Event::HostFound(record.peers)),
+            Err(error) => {
+                log::warn!(name = object.name, error:%; "an entry that is no host");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/jaypin_router/src/backend.rs
@@ -0,0 +1,237 @@
+//! One backend server: what it states, what runs there, what was learned of it.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use jaypin_core::{BackendId, FailureDomain, ServiceId};
+
+use crate::{AttemptOutcome, BackendKey, BackendLoad, BackendSamples, Pace, RequestNumber};
+
+/// Rest after the first call that could not reach it; doubled with each further one.
+const FIRST_REST: Duration = Duration::from_millis(400);
+/// Longest rest: backend servers that crashed are back after some seconds.
+const LONGEST_REST: Duration = Duration::from_secs(3);
+/// Part of failed calls above which it rests. Services fail a seventh of some calls by
+/// themselves; one that is broken fails nearly half or more.
+const TOO_MANY_FAILURES: f64 = 0.38;
+/// Weight of one call in that part: about the last ten calls count.
+const FAILURE_WEIGHT: f64 = 0.1;
+/// Rest of one that fails too many.
+const FAILURE_REST: Duration = Duration::from_millis(1_500);
+/// Part of failures that it has after such a rest: one or two further ones end the trial.
+const PART_AFTER_REST: f64 = 0.3;
+/// Factor on the estimate, and time besides, after which a first event is overdue.
+const OVERDUE: (f64, Duration) = (3.0, Duration::from_millis(400));
+
+/// Whether a backend server takes new requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BackendStatus {
+    /// It does.
+    Ready,
+    /// It finishes what it has.
+    Leaving,
+}
+
+/// A backend server, as it states itself.
+#[derive(Debug, Clone, PartialEq)]
+pub struct BackendRecord {
+    /// Its id; a new process mostly has a new one.
+    pub id: BackendId,
+    /// Its process's start, in milliseconds since the Unix epoch by its own clock; tells
+    /// two runs with one id apart.
+    pub started: u64,
+    /// The service it belongs to.
+    pub service: ServiceId,
+    /// Its address.
+    pub address: String,
+    /// Its failure domain.
+    pub failure_domain: FailureDomain,
+    /// Requests it runs at once.
+    pub slots: u32,
+    /// Whether it takes new requests.
+    pub status: BackendStatus,
+}
+
+/// A backend server with all that this host knows of it.
+#[derive(Debug)]
+pub struct Backend {
+    /// What it states.
+    pub record: BackendRecord,
+    /// Its key in reports.
+    pub key: BackendKey,
+    /// How fast it reads prompts.
+    pub pace: Pace,
+    /// What peers have running there.
+    pub peers: BackendLoad,
+    calls: BTreeMap<RequestNumber, Call>,
+    /// What this host learned in its run, for its peers.
+    totals: BackendSamples,
+    failures: f64,
+    rest_until: Option<Instant>,
+    rests: u32,
+}
+
+#[derive(Debug)]
+struct Call {
+    tokens: u32,
+    overdue_at: Option<Instant>,
+}
+
+impl Backend {
+    /// Starts with nothing learned.
+    #[must_use]
+    pub fn new(record: BackendRecord) -> Self {
+        let key = crate::backend_key(&record.id);
+        Self {
+            record,
+            key,
+            pace: Pace::default(),
+            peers: BackendLoad {
+                key,
+                running: 0,
+                unread_tokens: 0,
+            },
+            calls: BTreeMap::new(),
+            totals: BackendSamples::none(key),
+            failures: 0.0,
+            rest_until: None,
+            rests: 0,
+        }
+    }
+
+    // ------------------------------------------------------------------ questions
+
+    /// Requests that run there, of this host and of its peers.
+    #[must_use]
+    pub fn running(&self) -> u32 {
+        u32::try_from(self.calls.len()).unwrap_or(u32::MAX) + self.peers.running
+    }
+
+    /// Prompt tokens that it has to read before a new request's.
+    #[must_use]
+    pub fn unread_tokens(&self) -> u32 {
+        let own = self.own_load().unread_tokens;
+        own.saturating_add(self.peers.unread_tokens)
+    }
+
+    /// What this host has running there.
+    #[must_use]
+    pub fn own_load(&self) -> BackendLoad {
+        let unread = self.calls.values().filter(|it| it.overdue_at.is_some());
+        BackendLoad {
+            key: self.key,
+            running: u32::try_from(self.calls.len()).unwrap_or(u32::MAX),
+            unread_tokens: unread.map(|call| call.tokens).sum(),
+        }
+    }
+
+    /// What this host has learned of it.
+    #[must_use]
+    pub fn samples(&self) -> BackendSamples {
+        self.totals
+    }
+
+    /// Whether new requests may go there.
+    #[must_use]
+    pub fn takes_requests(&self) -> bool {
+        self.record.status == BackendStatus::Ready
+    }
+
+    /// Whether it was found unreachable or failing a moment ago, or a call there got no
+    /// answer for far longer than it should: a process that hangs accepts calls and says
+    /// nothing.
+    #[must_use]
+    pub fn is_in_trouble(&self, now: Instant) -> bool {
+        let is_overdue = |call: &Call| call.overdue_at.is_some_and(|at| now >= at);
+        self.rest_until.is_some_and(|until| now < until) || self.calls.values().any(is_overdue)
+    }
+
+    // ------------------------------------------------------------------ calls
+
+    /// Counts a call that is sent, with the time that its first event should take.
+    pub fn sent(&mut self, number: RequestNumber, tokens: u32, estimate: Duration, now: Instant) {
+        let overdue_at = now + estimate.mul_f64(OVERDUE.0) + OVERDUE.1;
+        let call = Call {
+            tokens,
+            overdue_at: Some(overdue_at),
+        };
+        self.calls.insert(number, call);
+    }
+
+    /// Notes the first event of a call.
+    pub fn answered(&mut self, number: RequestNumber) {
+        if let Some(call) = self.calls.get_mut(&number) {
+            call.overdue_at = None;
+        }
+    }
+
+    /// Learns how long the prefill of so many tokens took.
+    pub fn saw_prefill(&mut self, tokens: f64, seconds: f64) {
+        self.pace.saw(tokens, seconds);
+        self.totals.tokens += tokens;
+        self.totals.seconds += seconds;
+    }
+
+    /// Counts the end of a call.
+    pub fn ended(&mut self, number: RequestNumber, outcome: AttemptOutcome, now: Instant) {
+        self.calls.remove(&number);
+        match outcome {
+            AttemptOutcome::Complete => {
+                self.totals.good += 1;
+                self.rests = 0;
+                self.learn_outcome(false, now);
+            }
+            AttemptOutcome::Unreached | AttemptOutcome::Died | AttemptOutcome::Replaced => {
+                self.totals.bad += 1;
+                self.rest(now);
+            }
+            AttemptOutcome::NotRun
+            | AttemptOutcome::Failed
+            | AttemptOutcome::Lost
+            | AttemptOutcome::Silent
+            | AttemptOutcome::TimedOut => {
+                self.totals.bad += 1;
+                self.learn_outcome(true, now);
+            }
+            AttemptOutcome::Abandoned => {}
+        }
+    }
+
+    /// Takes what a peer learned.
+    pub fn peer_learned(&mut self, samples: &BackendSamples, now: Instant) {
+        if samples.tokens > 0.0 {
+            self.pace.saw(samples.tokens, samples.seconds);
+        }
+        for _ in 0..samples.good {
+            self.learn_outcome(false, now);
+        }
+        for _ in 0..samples.bad {
+            self.learn_outcome(true, now);
+        }
+    }
+
+    /// Takes a newer statement of itself; a new run has nothing of the one before.
+    pub fn restate(&mut self, record: BackendRecord) {
+        if record.started == self.record.started && record.address == self.record.address {
+            self.record = record;
+        } else {
+            *self = Self::new(record);
+        }
+    }
+
+    /// A process that is gone refuses at once and would draw all requests by being empty.
+    fn rest(&mut self, now: Instant) {
+        let rest = FIRST_REST * 2_u32.pow(self.rests.min(8));
+        self.rests += 1;
+        self.rest_until = Some(now + rest.min(LONGEST_REST));
+    }
+
+    fn learn_outcome(&mut self, failed: bool, now: Instant) {
+        let outcome = if failed { 1.0 } else { 0.0 };
+        self.failures += FAILURE_WEIGHT * (outcome - self.failures);
+        if self.failures > TOO_MANY_FAILURES {
+            self.failures = PART_AFTER_REST;
+            self.rest_until = Some(now + FAILURE_REST);
+        }
+    }
+}
--- /dev/null
+++ b/crates/jaypin_router/src/fleet.rs
@@ -0,0 +1,224 @@
+//! What the other hosts have told.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use jaypin_core::{AccountId, FailureDomain, HostId, Incarnation};
+
+use crate::{BackendKey, BackendLoad, BackendSamples, Report, Strike};
+
+/// Time without a report after which a host takes no part.
+///
+/// Five heartbeats of 250 ms, less one: hosts on a sixth of a core may stand still for
+/// most of a tenth of a second, and a datagram in a hundred is lost.
+pub const PEER_SILENCE: Duration = Duration::from_millis(1_100);
+/// Time after which a silent host is taken for gone and not for cut off.
+///
+/// Twice the longest cut that was seen to heal by itself. Until then its part of the
+/// quotas is left to it.
+const PEER_GONE: Duration = Duration::from_secs(12);
+
+/// A peer, as its last reports show it.
+#[derive(Debug)]
+pub struct Peer {
+    /// Number of its process's run.
+    pub run: Incarnation,
+    /// Where it takes reports.
+    pub address: SocketAddr,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Its failure domain.
+    pub failure_domain: FailureDomain,
+    /// Whether callers should be sent to it.
+    pub is_ready: bool,
+    /// Version of its configuration.
+    pub version: u64,
+    earlier_run: Option<Incarnation>,
+    sequence: u64,
+    heard_at: Instant,
+    loads: HashMap<BackendKey, BackendLoad>,
+    samples: HashMap<BackendKey, BackendSamples>,
+    usage: HashMap<AccountId, f64>,
+}
+
+impl Peer {
+    /// Whether it was heard lately.
+    #[must_use]
+    pub fn is_heard(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.heard_at) < PEER_SILENCE
+    }
+
+    fn may_be_cut_off(&self, now: Instant) -> bool {
+        let silence = now.saturating_duration_since(self.heard_at);
+        (PEER_SILENCE..PEER_GONE).contains(&silence)
+    }
+}
+
+/// What a report has that was not known before.
+#[derive(Debug, Default)]
+pub struct News {
+    /// What was learned of backend servers since the report before.
+    pub samples: Vec<BackendSamples>,
+    /// Quota units used since the report before.
+    pub usage: Vec<(AccountId, f64)>,
+    /// Contents under suspicion.
+    pub strikes: Vec<Strike>,
+}
+
+/// All peers that were heard of.
+#[derive(Debug, Default)]
+pub struct Fleet {
+    peers: BTreeMap<HostId, Peer>,
+}
+
+impl Fleet {
+    /// Takes a report; one that was overtaken by a later one tells nothing.
+    pub fn take(&mut self, report: Report, now: Instant) -> News {
+        let is_new = !self.peers.contains_key(&report.host);
+        let peer = self
+            .peers
+            .entry(report.host.clone())
+            .or_insert_with(|| Peer::new(&report, now));
+        if peer.earlier_run == Some(report.run) {
+            return News::default();
+        }
+        if peer.run == report.run && report.sequence <= peer.sequence && !is_new {
+            return News::default();
+        }
+        if peer.run != report.run {
+            *peer = Peer {
+                earlier_run: Some(peer.run),
+                ..Peer::new(&report, now)
+            };
+        }
+        peer.take(report, is_new, now)
+    }
+
+    /// Peers that were heard lately.
+    pub fn heard(&self, now: Instant) -> impl Iterator<Item = (&HostId, &Peer)> {
+        self.peers
+            .iter()
+            .filter(move |(_, peer)| peer.is_heard(now))
+    }
+
+    /// All peers, heard lately or not.
+    pub fn iter(&self) -> impl Iterator<Item = (&HostId, &Peer)> {
+        self.peers.iter()
+    }
+
+    /// Which part of the fleet this host hears, itself included.
+    #[must_use]
+    pub fn heard_part(&self, now: Instant) -> f64 {
+        let heard = self.heard(now).count() + 1;
+        let silent = self.peers.values().filter(|it| it.may_be_cut_off(now));
+        let all = heard + silent.count();
+        heard as f64 / all as f64
+    }
+
+    /// Hosts that take part, this one included.
+    #[must_use]
+    pub fn size(&self, now: Instant) -> usize {
+        self.heard(now).count() + 1
+    }
+
+    /// What peers have running, summed up by backend server.
+    #[must_use]
+    pub fn loads(&self, now: Instant) -> HashMap<BackendKey, BackendLoad> {
+        let mut sums: HashMap<BackendKey, BackendLoad> = HashMap::new();
+        for (_, peer) in self.heard(now) {
+            for load in peer.loads.values() {
+                let sum = sums.entry(load.key).or_insert(BackendLoad {
+                    running: 0,
+                    unread_tokens: 0,
+                    ..*load
+                });
+                sum.running += load.running;
+                sum.unread_tokens = sum.unread_tokens.saturating_add(load.unread_tokens);
+            }
+        }
+        sums
+    }
+
+    /// Drops peers that were silent for long.
+    pub fn forget_gone(&mut self, now: Instant) {
+        self.peers
+            .retain(|_, peer| peer.is_heard(now) || peer.may_be_cut_off(now));
+    }
+}
+
+impl Peer {
+    fn new(report: &Report, now: Instant) -> Self {
+        Self {
+            run: report.run,
+            address: report.address,
+            callers: report.callers,
+            failure_domain: report.failure_domain.clone(),
+            is_ready: report.is_ready,
+            version: report.version,
+            earlier_run: None,
+            sequence: 0,
+            heard_at: now,
+            loads: HashMap::new(),
+            samples: HashMap::new(),
+            usage: HashMap::new(),
+        }
+    }
+
+    /// Totals of a peer that is heard for the first time say nothing of the last moments:
+    /// they are where its differences begin.
+    fn take(&mut self, report: Report, is_new: bool, now: Instant) -> News {
+        self.sequence = report.sequence;
+        self.heard_at = now;
+        self.address = report.address;
+        self.is_ready = report.is_ready;
+        self.version = report.version;
+        if report.is_whole {
+            self.loads.clear();
+        }
+        for load in report.loads {
+            self.loads.insert(load.key, load);
+        }
+        let mut news = News {
+            strikes: report.strikes,
+            ..News::default()
+        };
+        for sample in report.samples {
+            let before = self.samples.insert(sample.key, sample);
+            if let Some(before) = before.or((!is_new).then_some(BackendSamples::none(sample.key))) {
+                news.samples.push(sample.since(&before));
+            }
+        }
+        for (account, used) in report.usage {
+            let before = self.usage.insert(account.clone(), used);
+            if let Some(before) = before.or((!is_new).then_some(0.0)) {
+                news.usage.push((account, used - before));
+            }
+        }
+        news
+    }
+}
+
+impl BackendSamples {
+    /// Nothing learned yet.
+    #[must_use]
+    pub fn none(key: BackendKey) -> Self {
+        Self {
+            key,
+            tokens: 0.0,
+            seconds: 0.0,
+            good: 0,
+            bad: 0,
+        }
+    }
+
+    fn since(&self, before: &Self) -> Self {
+        Self {
+            key: self.key,
+            tokens: (self.tokens - before.tokens).max(0.0),
+            seconds: (self.seconds - before.seconds).max(0.0),
+            good: self.good.saturating_sub(before.good),
+            bad: self.bad.saturating_sub(before.bad),
+        }
+    }
+}
--- /dev/null
+++ b/crates/jaypin_router/src/lib.rs
@@ -0,0 +1,52 @@
+//! Decisions of a host that chooses backend servers by the fleet's shared load.
+//!
+//! Each host tells its peers what it has running, several times a second, and decides by
+//! itself from its own calls and what the peers told. [`Router::apply`] is the only owner
+//! of this state. It does no I/O and reads no clock, so the same events give the same
+//! effects.
+
+mod backend;
+mod configuration;
+mod fleet;
+mod pace;
+mod placement;
+mod quota;
+mod report;
+mod request;
+mod resend_budget;
+mod route_table;
+mod router;
+mod waiting;
+
+pub use backend::{Backend, BackendRecord, BackendStatus};
+pub use configuration::{
+    Account, CallerLimits, Configuration, Engine, Quota, QuotaUnit, Repeat, Route, Service, Target,
+};
+pub use fleet::{Fleet, Peer};
+pub use pace::Pace;
+pub use placement::{Choice, Demand, best_place};
+pub use quota::FleetQuota;
+pub use report::{BackendLoad, BackendSamples, Report, Strike};
+pub use request::{Arrival, AttemptOutcome};
+pub use resend_budget::ResendBudget;
+pub use route_table::{RouteTable, Unrouted};
+pub use router::{Bounds, Effect, Event, Router, RouterConfig, RouterCounts};
+pub use waiting::WaitingList;
+
+/// Number of a request in one run of a host's process.
+pub type RequestNumber = u64;
+/// Short key of a backend server in reports: a hash of its id.
+pub type BackendKey = u32;
+/// Time on a clock that also counts while the host is suspended, since some fixed start.
+pub type BootTime = std::time::Duration;
+
+/// The key under which a backend server stands in reports.
+///
+/// Four bytes in place of an id of up to forty keep a report of sixty backend servers in
+/// one datagram. Two of 600 share a key once in 24,000 fleets; both would then count each
+/// other's load.
+#[must_use]
+pub fn backend_key(id: &str) -> BackendKey {
+    let hash = xxhash_rust::xxh3::xxh3_64(id.as_bytes());
+    BackendKey::try_from(hash & u64::from(u32::MAX)).unwrap_or_default()
+}
--- /dev/null
+++ b/crates/jaypin_router/src/placement.rs
@@ -0,0 +1,105 @@
+//! Which backend server a request goes to.
+
+use std::time::{Duration, Instant};
+
+use jaypin_core::BackendId;
+
+use crate::Backend;
+use crate::pace::CALL_OVERHEAD;
+
+/// Worth of an empty backend server against a quick first event: a full batch counts as
+/// much as this part of the aim.
+///
+/// Long prompts differ by more than that between unlike engines and go to the fast ones,
+/// short ones don't and go where there is room.
+const WEIGHT_OF_FILL: f64 = 0.3;
+/// Part of the longest pause that prefills may take beside running streams.
+const PAUSE_PART: f64 = 0.7;
+/// Weight of a stream that pauses too long because of a prefill.
+const WEIGHT_OF_PAUSE: f64 = 0.15;
+/// Cost of a backend server in trouble, in aims: taken only where there is no other.
+const WEIGHT_OF_TROUBLE: f64 = 50.0;
+
+/// What a request needs.
+#[derive(Debug, Clone, Copy)]
+pub struct Demand {
+    /// Tokens of its prompt.
+    pub prompt_tokens: u32,
+    /// Time within which its first event is worth most.
+    pub aim: Duration,
+    /// Longest pause of streams beside it.
+    pub longest_pause: Option<Duration>,
+    /// Mean time that a request of the service holds its slot.
+    pub residence: Duration,
+}
+
+/// A backend server that was chosen.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Choice {
+    /// The backend server.
+    pub backend: BackendId,
+    /// Estimated time to the first event.
+    pub first_event: Duration,
+    /// Tokens that it reads before.
+    pub tokens_ahead: u32,
+    /// Whether a slot is free.
+    pub has_slot: bool,
+    /// Whether it was found in trouble.
+    pub is_in_trouble: bool,
+}
+
+/// Finds the best place; several that are equally good are taken by turns, given by
+/// `turn`, since all hosts see the same loads at nearly the same time.
+pub fn best_place<'a>(
+    backends: impl Iterator<Item = &'a Backend>,
+    demand: &Demand,
+    tried: &[BackendId],
+    mut turn: impl FnMut() -> f64,
+    now: Instant,
+) -> Option<Choice> {
+    let usable = backends.filter(|it| it.takes_requests() && !tried.contains(&it.record.id));
+    let scored = usable.map(|backend| {
+        let choice = weigh(backend, demand, now);
+        let score = score(backend, &choice, demand) + turn() * JITTER;
+        (score, choice)
+    });
+    let best = scored.min_by(|a, b| a.0.total_cmp(&b.0));
+    best.map(|(_, choice)| choice)
+}
+
+/// Spread of scores that are taken as equal: about one request in a batch of nine.
+const JITTER: f64 = 0.03;
+
+fn weigh(backend: &Backend, demand: &Demand, now: Instant) -> Choice {
+    let slots = backend.record.slots.max(1);
+    let running = backend.running();
+    let tokens_ahead = backend.unread_tokens();
+    let in_line = f64::from((running + 1).saturating_sub(slots));
+    let slot_wait = in_line * demand.residence.as_secs_f64() / f64::from(slots);
+    let tokens = f64::from(tokens_ahead) + f64::from(demand.prompt_tokens);
+    let prefill = backend.pace.seconds_for(tokens);
+    Choice {
+        backend: backend.record.id.clone(),
+        first_event: CALL_OVERHEAD + Duration::from_secs_f64((slot_wait + prefill).min(3_600.0)),
+        tokens_ahead,
+        has_slot: running < slots,
+        is_in_trouble: backend.is_in_trouble(now),
+    }
+}
+
+fn score(backend: &Backend, choice: &Choice, demand: &Demand) -> f64 {
+    let aim = demand.aim.as_secs_f64().max(0.001);
+    let running = f64::from(backend.running());
+    let fill = running / f64::from(backend.record.slots.max(1));
+    let mut score = choice.first_event.as_secs_f64() / aim + WEIGHT_OF_FILL * fill;
+    if let Some(pause) = demand.longest_pause {
+        let tokens = f64::from(choice.tokens_ahead) + f64::from(demand.prompt_tokens);
+        let longest = pause.as_secs_f64() * PAUSE_PART;
+        let excess = backend.pace.seconds_for(tokens) / longest - 1.0;
+        score += WEIGHT_OF_PAUSE * running * excess.max(0.0);
+    }
+    if choice.is_in_trouble {
+        score += WEIGHT_OF_TROUBLE;
+    }
+    score
+}
--- /dev/null
+++ b/crates/jaypin_router/src/report.rs
@@ -0,0 +1,76 @@
+//! What a host tells its peers, several times a second.
+
+use std::net::SocketAddr;
+
+use jaypin_core::{AccountId, FailureDomain, HostId, Incarnation};
+
+use crate::BackendKey;
+
+/// What one host has running and has learned.
+///
+/// Everything in it is a state or a running total, never a difference: a report that is
+/// lost is made good by the next one.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Report {
+    /// The host.
+    pub host: HostId,
+    /// Number of its process's run, drawn at random: clocks may jump back.
+    pub run: Incarnation,
+    /// Count of reports within the run; a smaller one is late and ignored.
+    pub sequence: u64,
+    /// Where it takes reports.
+    pub address: SocketAddr,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Its failure domain.
+    pub failure_domain: FailureDomain,
+    /// Whether callers should be sent to it.
+    pub is_ready: bool,
+    /// Version of its configuration.
+    pub version: u64,
+    /// Whether `loads` has every backend server, or only those that changed.
+    pub is_whole: bool,
+    /// What it has running, by backend server.
+    pub loads: Vec<BackendLoad>,
+    /// What it has learned, by backend server, as totals of this run.
+    pub samples: Vec<BackendSamples>,
+    /// Quota units that its accounts used, as totals of this run.
+    pub usage: Vec<(AccountId, f64)>,
+    /// Contents under which backend servers died.
+    pub strikes: Vec<Strike>,
+}
+
+/// What a host has running on a backend server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct BackendLoad {
+    /// The backend server.
+    pub key: BackendKey,
+    /// Requests sent and not ended.
+    pub running: u32,
+    /// Prompt tokens of those whose first event has not come.
+    pub unread_tokens: u32,
+}
+
+/// What a host has learned of a backend server since its run began.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct BackendSamples {
+    /// The backend server.
+    pub key: BackendKey,
+    /// Prompt tokens read, with those that were read before them.
+    pub tokens: f64,
+    /// Seconds that this took.
+    pub seconds: f64,
+    /// Calls that succeeded.
+    pub good: u32,
+    /// Calls that failed by the backend server's fault.
+    pub bad: u32,
+}
+
+/// A content under which backend servers died.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Strike {
+    /// Fingerprint of the content, salted by its caller.
+    pub fingerprint: u64,
+    /// Backend servers that died.
+    pub strikes: u32,
+}
--- /dev/null
+++ b/crates/jaypin_router/src/request.rs
@@ -0,0 +1,166 @@
+//! A request on its way through a host.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use jaypin_core::{AccountId, BackendId, ServiceId};
+
+use crate::{BootTime, RequestNumber, Route};
+
+/// What the decisions are told of a request that was read whole.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Arrival {
+    /// Number in this run.
+    pub number: RequestNumber,
+    /// Host name that the caller asks for.
+    pub host: String,
+    /// Path without the query.
+    pub path: String,
+    /// The caller's credential.
+    pub credential: Option<String>,
+    /// Tokens of the prompt and most tokens of the answer, as the caller declares them.
+    pub tokens: Option<(u32, u32)>,
+    /// How long the caller waits.
+    pub patience: Option<Duration>,
+    /// Fingerprint of path, caller and body.
+    pub fingerprint: u64,
+    /// When its header was read.
+    pub received_at: Instant,
+    /// Now, on the clock that counts suspended time.
+    pub boot_time: BootTime,
+}
+
+/// How one call to a backend server ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AttemptOutcome {
+    /// The whole answer was passed on.
+    Complete,
+    /// No connection could be made; no byte of the request left.
+    Unreached,
+    /// It answered that it did not run the request.
+    NotRun,
+    /// It answered that another backend server has its address; nothing was run.
+    Replaced,
+    /// It answered with a failure of its own.
+    Failed,
+    /// The connection broke or the answer made no sense; it may have run.
+    Lost,
+    /// The connection broke and nothing listens there any more.
+    Died,
+    /// No answer came for too long; the call was given up.
+    Silent,
+    /// The caller left.
+    Abandoned,
+    /// The time for the answer ran out.
+    TimedOut,
+}
+
+impl AttemptOutcome {
+    /// Whether the backend server surely did not run the request.
+    #[must_use]
+    pub fn is_surely_not_run(self) -> bool {
+        matches!(self, Self::Unreached | Self::NotRun | Self::Replaced)
+    }
+
+    /// The outcome in one word.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Complete => "complete",
+            Self::Unreached => "unreached",
+            Self::NotRun => "not-run",
+            Self::Replaced => "replaced",
+            Self::Failed => "failed",
+            Self::Lost => "lost",
+            Self::Died => "died",
+            Self::Silent => "silent",
+            Self::Abandoned => "abandoned",
+            Self::TimedOut => "timed-out",
+        }
+    }
+}
+
+/// What is known of an admitted request, whatever its state.
+#[derive(Debug, Clone)]
+pub struct Admitted {
+    /// Number in this run.
+    pub number: RequestNumber,
+    /// Its route.
+    pub route: Arc<Route>,
+    /// The service chosen among the route's targets.
+    pub service: ServiceId,
+    /// Its client account.
+    pub account: Option<AccountId>,
+    /// Rank; 0 is the most urgent.
+    pub priority: u8,
+    /// Tokens of the prompt.
+    pub prompt_tokens: u32,
+    /// Most tokens of the answer.
+    pub answer_tokens: u32,
+    /// Quota units that it takes.
+    pub units: f64,
+    /// Fingerprint of path, caller and body.
+    pub fingerprint: u64,
+    /// When it arrived.
+    pub arrived_at: Instant,
+    /// When the whole answer is due.
+    pub deadline: Instant,
+    /// Backend servers that it was sent to, also where it surely did not run.
+    pub tried: Vec<BackendId>,
+    /// Backend servers on which it may have run.
+    pub runs: u32,
+    /// Whether part of its answer was passed on.
+    pub is_started: bool,
+}
+
+/// State: waiting for a place.
+#[derive(Debug)]
+pub struct Waiting {
+    /// When waiting ends with a refusal.
+    pub until: Instant,
+}
+
+/// State: sent to a backend server.
+#[derive(Debug)]
+pub struct Sent {
+    /// The backend server.
+    pub backend: BackendId,
+    /// When it was sent.
+    pub at: Instant,
+    /// Prompt tokens that the backend server had to read before this one's.
+    pub tokens_ahead: u32,
+    /// Whether a slot was free, by what was known.
+    pub had_slot: bool,
+    /// Whether its first event or answer came.
+    pub is_answered: bool,
+}
+
+/// A request in one state of its life; sending consumes the waiting one.
+#[derive(Debug)]
+pub struct Request<S> {
+    /// What is known of it.
+    pub admitted: Admitted,
+    /// The state.
+    pub state: S,
+}
+
+impl Request<Waiting> {
+    /// Sends the request; it can't be sent again from this state.
+    pub fn send(mut self, state: Sent) -> Request<Sent> {
+        self.admitted.tried.push(state.backend.clone());
+        Request {
+            admitted: self.admitted,
+            state,
+        }
+    }
+}
+
+impl Request<Sent> {
+    /// Takes the request back after a call that did not succeed.
+    pub fn take_back(self, until: Instant) -> Request<Waiting> {
+        Request {
+            admitted: self.admitted,
+            state: Waiting { until },
+        }
+    }
+}
--- /dev/null
+++ b/crates/jaypin_router/src/resend_budget.rs
@@ -0,0 +1,67 @@
+//! How many requests of a service may be sent a second time.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+/// A part of the fleet's budget for sends beyond the first of each request.
+///
+/// Guards against retries that feed on themselves: backend servers that fail or shed get
+/// every request twice, which makes them fail more. Each host keeps to the fleet's ratio
+/// over its own requests and to its part of the fixed allowance, so the sum over all
+/// hosts keeps to the fleet's budget without a message.
+#[derive(Debug)]
+pub struct ResendBudget {
+    window: Duration,
+    ratio: f64,
+    allowance: f64,
+    firsts: VecDeque<Instant>,
+    resends: VecDeque<Instant>,
+}
+
+impl ResendBudget {
+    /// Starts with a window, the ratio of resends to requests in it, and resends that are
+    /// allowed besides.
+    #[must_use]
+    pub fn new(window: Duration, ratio: f64, allowance: f64) -> Self {
+        Self {
+            window,
+            ratio,
+            allowance,
+            firsts: VecDeque::new(),
+            resends: VecDeque::new(),
+        }
+    }
+
+    /// Changes this host's part of the fixed allowance.
+    pub fn set_allowance(&mut self, allowance: f64) {
+        self.allowance = allowance;
+    }
+
+    /// Counts a request.
+    pub fn saw_request(&mut self, now: Instant) {
+        self.forget(now);
+        self.firsts.push_back(now);
+    }
+
+    /// Takes a resend out of the budget, if it has one left.
+    pub fn take(&mut self, now: Instant) -> bool {
+        self.forget(now);
+        let requests = f64::from(u32::try_from(self.firsts.len()).unwrap_or(u32::MAX));
+        let used = f64::from(u32::try_from(self.resends.len()).unwrap_or(u32::MAX));
+        let is_left = used + 1.0 <= requests * self.ratio + self.allowance;
+        if is_left {
+            self.resends.push_back(now);
+        }
+        is_left
+    }
+
+    fn forget(&mut self, now: Instant) {
+        let is_old = |at: &Instant| now.saturating_duration_since(*at) >= self.window;
+        while self.firsts.front().is_some_and(is_old) {
+            self.firsts.pop_front();
+        }
+        while self.resends.front().is_some_and(is_old) {
+            self.resends.pop_front();
+        }
+    }
+}
--- /dev/null
+++ b/crates/jaypin_router/src/route_table.rs
@@ -0,0 +1,104 @@
+//! Look-ups in a configuration: which route, which account.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use jaypin_core::ServiceId;
+
+use crate::{Account, Configuration, Route, Service};
+
+/// A configuration with its look-ups; built once a version.
+#[derive(Debug)]
+pub struct RouteTable {
+    configuration: Configuration,
+    routes: HashMap<String, HashMap<String, Arc<Route>>>,
+    credentials: HashMap<String, usize>,
+    services: HashMap<ServiceId, usize>,
+}
+
+/// Why a configuration does not allow a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Unrouted {
+    /// No route of the host name begins the path.
+    NoRoute,
+    /// The route needs a credential, and this is none that is known.
+    UnknownCredential,
+}
+
+impl RouteTable {
+    /// Builds the look-ups.
+    #[must_use]
+    pub fn new(configuration: Configuration) -> Self {
+        let mut routes: HashMap<String, HashMap<String, Arc<Route>>> = HashMap::new();
+        for route in &configuration.routes {
+            let of_host = routes.entry(route.host.to_ascii_lowercase()).or_default();
+            of_host.insert(route.prefix.clone(), Arc::new(route.clone()));
+        }
+        let accounts = configuration.accounts.iter().enumerate();
+        let credentials = accounts
+            .flat_map(|(place, account)| account.credentials.iter().map(move |it| (it, place)))
+            .map(|(credential, place)| (credential.clone(), place))
+            .collect();
+        let services = configuration.services.iter().enumerate();
+        let services = services
+            .map(|(place, service)| (service.name.clone(), place))
+            .collect();
+        Self {
+            configuration,
+            routes,
+            credentials,
+            services,
+        }
+    }
+
+    /// The configuration.
+    #[must_use]
+    pub fn configuration(&self) -> &Configuration {
+        &self.configuration
+    }
+
+    /// Finds the route whose prefix is the longest that begins the path.
+    ///
+    /// Prefixes end with a slash, so only the path's own slashes have to be tried: a
+    /// look-up costs a few hashes however many routes there are.
+    #[must_use]
+    pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+        let of_host = self.routes.get(&host.to_ascii_lowercase())?;
+        let slashes = path.rmatch_indices('/');
+        let mut prefixes = slashes.map(|(place, _)| &path[..=place]);
+        prefixes.find_map(|prefix| of_host.get(prefix))
+    }
+
+    /// Finds a service.
+    #[must_use]
+    pub fn service(&self, name: &str) -> Option<&Service> {
+        let place = self.services.get(name)?;
+        self.configuration.services.get(*place)
+    }
+
+    /// Finds an account by a credential.
+    #[must_use]
+    pub fn account(&self, credential: &str) -> Option<&Account> {
+        let place = self.credentials.get(credential)?;
+        self.configuration.accounts.get(*place)
+    }
+
+    /// Finds route and account of a request.
+    ///
+    /// # Errors
+    /// Says what the configuration does not allow.
+    pub fn admit(
+        &self,
+        host: &str,
+        path: &str,
+        credential: Option<&str>,
+    ) -> Result<(&Arc<Route>, Option<&Account>), Unrouted> {
+        let route = self.route(host, path).ok_or(Unrouted::NoRoute)?;
+        let account = credential.and_then(|credential| self.account(credential));
+        let needs_account = !route.is_public && !self.configuration.accounts.is_empty();
+        if needs_account && account.is_none() {
+            return Err(Unrouted::UnknownCredential);
+        }
+        Ok((route, account))
+    }
+}
--- /dev/null
+++ b/crates/jaypin_router/src/router/arrival.rs
@@ -0,0 +1,320 @@
+//! A request arrives: it is rejected, refused, sent, or waits for a place.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use jaypin_core::{Reason, Refusal, ServiceId};
+use rand::RngExt;
+
+use super::{Effect, Router};
+use crate::placement::{Choice, Demand, best_place};
+use crate::request::{Admitted, Request, Sent, Waiting};
+use crate::{Account, Arrival, QuotaUnit, RequestNumber, Route, RouteTable};
+
+/// Part of the aim for which a request may wait for a place before it is refused: long
+/// enough for a slot to come free, short enough for the caller to come back in time.
+const HOLD_PART: f64 = 0.12;
+/// Part of the aim that the estimated first event may take.
+const ACCEPT_PART: f64 = 0.85;
+/// Factor on a prompt's own prefill that is accepted whatever the aim: a prompt too long
+/// for its aim on every engine is served late and not refused for ever.
+const OWN_PREFILL_FACTOR: f64 = 1.5;
+/// Part of the aim up to which a first event is worth sending for although it is late,
+/// where a slot is free.
+const LATE_PART: f64 = 1.6;
+/// Mean time to come back after a refusal for want of capacity, as a part of the aim: the
+/// caller's second try can still be in time.
+const RETURN_PART: f64 = 0.4;
+/// Spread of that time, as factors, so that refused callers don't return together.
+const RETURN_SPREAD: std::ops::Range<f64> = 0.6..1.4;
+/// Time to come back to a host that has no proved configuration.
+const UNREADY_RETURN: Duration = Duration::from_millis(500);
+/// Time to come back after a refusal by a host that leaves: another host can be asked at
+/// once.
+const LEAVING_RETURN: Duration = Duration::from_millis(50);
+/// Time for which a host that leaves still takes requests: callers hear within a few
+/// seconds that it leaves, and what it takes has to end within its grace.
+const LEAVING_ACCEPTS: Duration = Duration::from_millis(2_500);
+/// Longest stated time to come back with a content that kills backend servers.
+const QUARANTINE_RETURN: Duration = Duration::from_secs(30);
+/// Time that a request of an engine's service holds its slot, before any was seen.
+const FIRST_ENGINE_RESIDENCE: Duration = Duration::from_millis(1_200);
+/// The same for plain services.
+const FIRST_PLAIN_RESIDENCE: Duration = Duration::from_millis(20);
+
+impl Router {
+    pub(super) fn arrived(&mut self, now: Instant, arrival: Arrival, fx: &mut Vec<Effect>) {
+        let number = arrival.number;
+        let Some(table) = self.table.clone() else {
+            let refusal = Refusal::not_run(Reason::NotReady).retry_after(UNREADY_RETURN);
+            return fx.push(Effect::Refuse { number, refusal });
+        };
+        let is_proved = self.is_proved(arrival.boot_time);
+        let credential = arrival.credential.as_deref();
+        let admitted = table.admit(&arrival.host, &arrival.path, credential);
+        let is_public = |admitted: &(&Arc<Route>, Option<&Account>)| {
+            admitted.0.is_public || table.configuration().accounts.is_empty()
+        };
+        // A host that can't prove its configuration knows neither which credentials were
+        // withdrawn nor which routes were added, so it says neither yes nor no.
+        if !is_proved && !admitted.as_ref().is_ok_and(is_public) {
+            let refusal = Refusal::not_run(Reason::Unproven).retry_after(UNREADY_RETURN);
+            return fx.push(Effect::Refuse { number, refusal });
+        }
+        match admitted {
+            Ok((route, account)) => {
+                let request = self.admit(&arrival, route, account);
+                self.start(now, request, &table, fx);
+            }
+            Err(reason) => fx.push(Effect::Reject { number, reason }),
+        }
+    }
+
+    fn admit(
+        &mut self,
+        arrival: &Arrival,
+        route: &Arc<Route>,
+        account: Option<&Account>,
+    ) -> Request<Waiting> {
+        let patience = arrival.patience.unwrap_or(route.timeout);
+        let (prompt_tokens, answer_tokens) = arrival.tokens.unwrap_or_default();
+        let admitted = Admitted {
+            number: arrival.number,
+            service: self.choose_service(route),
+            account: account.map(|account| account.name.clone()),
+            priority: account.and_then(|it| it.priority).unwrap_or(route.priority),
+            prompt_tokens,
+            answer_tokens,
+            units: units(account, arrival.tokens),
+            fingerprint: arrival.fingerprint,
+            arrived_at: arrival.received_at,
+            deadline: arrival.received_at + patience.min(route.timeout),
+            tried: Vec::new(),
+            runs: 0,
+            is_started: false,
+            route: route.clone(),
+        };
+        let until = arrival.received_at + route.aim.mul_f64(HOLD_PART);
+        Request {
+            admitted,
+            state: Waiting { until },
+        }
+    }
+
+    /// Checks what every request has to pass, whatever its route, and looks for a place.
+    fn start(
+        &mut self,
+        now: Instant,
+        request: Request<Waiting>,
+        table: &RouteTable,
+        fx: &mut Vec<Effect>,
+    ) {
+        let admitted = &request.admitted;
+        let number = admitted.number;
+        let leaving_for = self
+            .draining_since
+            .map(|since| now.saturating_duration_since(since));
+        if leaving_for.is_some_and(|time| time >= LEAVING_ACCEPTS) {
+            let refusal = Refusal::not_run(Reason::Draining).retry_after(LEAVING_RETURN);
+            return fx.push(Effect::Refuse { number, refusal });
+        }
+        if let Some(left) = self.quarantined_for(admitted.fingerprint, now) {
+            let refusal = Refusal::not_run(Reason::Quarantined);
+            let refusal = refusal.retry_after(left.min(QUARANTINE_RETURN));
+            return fx.push(Effect::Refuse { number, refusal });
+        }
+        if let Some(account) = &admitted.account
+            && let Err(wait) = self.quota.take(account, admitted.units, now)
+        {
+            let refusal = Refusal::not_run(Reason::OverLimit).retry_after(wait);
+            return fx.push(Effect::Refuse { number, refusal });
+        }
+        let service = admitted.service.clone();
+        let first = if table
+            .service(&service)
+            .is_some_and(|it| it.engine.is_some())
+        {
+            FIRST_ENGINE_RESIDENCE
+        } else {
+            FIRST_PLAIN_RESIDENCE
+        };
+        self.residence.entry(service.clone()).or_insert(first);
+        self.budget(&service, now).saw_request(now);
+        self.place(now, request, fx);
+    }
+
+    fn choose_service(&mut self, route: &Route) -> ServiceId {
+        let total: u32 = route.targets.iter().map(|it| it.weight).sum();
+        let mut drawn = self.rng.random_range(0..total.max(1));
+        for target in &route.targets {
+            if drawn < target.weight {
+                return target.service.clone();
+            }
+            drawn -= target.weight;
+        }
+        let first = route.targets.first();
+        first.map_or_else(|| ServiceId::from(""), |target| target.service.clone())
+    }
+
+    // ------------------------------------------------------------------ places
+
+    /// Sends a request, keeps it waiting, or gives it up.
+    pub(super) fn place(&mut self, now: Instant, request: Request<Waiting>, fx: &mut Vec<Effect>) {
+        if now >= request.admitted.deadline {
+            return self.give_up(request, Reason::TooLate, fx);
+        }
+        let choice = self.choose(&request.admitted, now);
+        let is_over = now >= request.state.until;
+        match choice {
+            Some(choice) if self.is_in_time(&request.admitted, &choice, now) => {
+                self.send(now, request, choice, fx);
+            }
+            Some(choice) if is_over && is_last_resort(&request.admitted, &choice, now) => {
+                self.send(now, request, choice, fx);
+            }
+            Some(_) if is_over => self.give_up(request, Reason::Shed, fx),
+            None if is_over => self.give_up(request, Reason::NoBackend, fx),
+            _ => self.waiting.push(request),
+        }
+    }
+
+    /// Looks again for places, the most urgent request first.
+    pub(super) fn place_waiting(&mut self, now: Instant, fx: &mut Vec<Effect>) {
+        if self.waiting.is_empty() {
+            return;
+        }
+        for request in self.waiting.take_all() {
+            self.place(now, request, fx);
+        }
+    }
+
+    fn choose(&mut self, admitted: &Admitted, now: Instant) -> Option<Choice> {
+        let demand = Demand {
+            prompt_tokens: admitted.prompt_tokens,
+            aim: admitted.route.aim,
+            longest_pause: admitted.route.longest_pause,
+            residence: self.residence_of(&admitted.service),
+        };
+        let Self { backends, rng, .. } = self;
+        let of_service = backends
+            .values()
+            .filter(|it| it.record.service == admitted.service);
+        let turn = || rng.random_range(0.0..1.0);
+        best_place(of_service, &demand, &admitted.tried, turn, now)
+    }
+
+    fn residence_of(&self, service: &ServiceId) -> Duration {
+        let known = self.residence.get(service);
+        known.copied().unwrap_or(FIRST_PLAIN_RESIDENCE)
+    }
+
+    fn is_in_time(&self, admitted: &Admitted, choice: &Choice, now: Instant) -> bool {
+        if choice.is_in_trouble {
+            return false;
+        }
+        if admitted.is_started {
+            return true;
+        }
+        let spent = now.saturating_duration_since(admitted.arrived_at);
+        let limit = admitted.route.aim.mul_f64(ACCEPT_PART);
+        let own = self.backends.get(&choice.backend).map(|backend| {
+            let tokens = f64::from(admitted.prompt_tokens);
+            Duration::from_secs_f64(backend.pace.seconds_for(tokens))
+        });
+        let own = own.unwrap_or_default().mul_f64(OWN_PREFILL_FACTOR);
+        choice.first_event <= limit.saturating_sub(spent).max(own)
+    }
+
+    fn send(
+        &mut self,
+        now: Instant,
+        request: Request<Waiting>,
+        choice: Choice,
+        fx: &mut Vec<Effect>,
+    ) {
+        let Some(backend) = self.backends.get_mut(&choice.backend) else {
+            return self.give_up(request, Reason::NoBackend, fx);
+        };
+        let admitted = &request.admitted;
+        let (number, tokens) = (admitted.number, admitted.prompt_tokens);
+        backend.sent(number, tokens, choice.first_event, now);
+        fx.push(Effect::Send {
+            number,
+            backend: choice.backend.clone(),
+            address: backend.record.address.clone(),
+            account: admitted.account.clone(),
+            repeat: admitted.route.repeat,
+            silence: silence(admitted, &choice),
+            deadline: admitted.deadline,
+        });
+        let sent = request.send(Sent {
+            backend: choice.backend,
+            at: now,
+            tokens_ahead: choice.tokens_ahead,
+            had_slot: choice.has_slot,
+            is_answered: false,
+        });
+        self.sent.insert(number, sent);
+    }
+
+    /// Ends a request that has no place, at once and with what is true of it.
+    pub(super) fn give_up(
+        &mut self,
+        request: Request<Waiting>,
+        reason: Reason,
+        fx: &mut Vec<Effect>,
+    ) {
+        let admitted = &request.admitted;
+        let number = admitted.number;
+        if admitted.runs > 0 {
+            return fx.push(Effect::PassOn(number));
+        }
+        self.give_back(admitted);
+        let refusal = Refusal::not_run(reason).retry_after(self.return_time(admitted));
+        fx.push(Effect::Refuse { number, refusal });
+    }
+
+    pub(super) fn give_back(&mut self, admitted: &Admitted) {
+        if let Some(account) = &admitted.account {
+            self.quota.give_back(account, admitted.units);
+        }
+    }
+
+    pub(super) fn return_time(&mut self, admitted: &Admitted) -> Duration {
+        let spread = self.rng.random_range(RETURN_SPREAD);
+        admitted.route.aim.mul_f64(RETURN_PART * spread)
+    }
+
+    pub(super) fn caller_gone(&mut self, number: RequestNumber) {
+        if let Some(request) = self.waiting.remove(number) {
+            self.give_back(&request.admitted);
+        }
+    }
+}
+
+/// Where nothing better is left: a late first event, or a backend server in trouble that
+/// may be well again.
+fn is_last_resort(admitted: &Admitted, choice: &Choice, now: Instant) -> bool {
+    let spent = now.saturating_duration_since(admitted.arrived_at);
+    let limit = admitted.route.aim.mul_f64(LATE_PART);
+    choice.has_slot && choice.first_event <= limit.saturating_sub(spent)
+}
+
+/// Time without a first event after which a call that may be sent again is given up: its
+/// backend server accepted it and hangs, or the connection went silent.
+fn silence(admitted: &Admitted, choice: &Choice) -> Option<Duration> {
+    let is_left = admitted.runs + 1 < admitted.route.attempts;
+    let may_run_again = admitted.route.repeat.may_run_again() && is_left;
+    may_run_again.then(|| choice.first_event * 3 + admitted.route.aim.mul_f64(1.5))
+}
+
+fn units(account: Option<&Account>, tokens: Option<(u32, u32)>) -> f64 {
+    let quota = account.and_then(|account| account.quota);
+    match quota.map(|quota| quota.unit) {
+        Some(QuotaUnit::Tokens { undeclared }) => {
+            tokens.map_or(undeclared, |it| f64::from(it.0) + f64::from(it.1))
+        }
+        Some(QuotaUnit::Requests) => 1.0,
+        None => 0.0,
+    }
+}
--- /dev/null
+++ b/crates/jaypin_router/src/router/attempt.rs
@@ -0,0 +1,138 @@
+//! Calls to backend servers, from their first event to their end.
+
+use std::time::{Duration, Instant};
+
+use jaypin_core::{Lost, Ran, Reason, Refusal};
+
+use super::{Effect, Router};
+use crate::pace::CALL_OVERHEAD;
+use crate::request::{Admitted, Request, Sent};
+use crate::{AttemptOutcome, RequestNumber};
+
+/// Backend servers that may decline one request before it is refused.
+const MOST_DECLINED: usize = 4;
+/// Weight of one request in the mean time that requests hold their slots.
+const RESIDENCE_WEIGHT: f64 = 0.05;
+
+impl Router {
+    pub(super) fn answered(&mut self, now: Instant, number: RequestNumber) {
+        let Some(request) = self.sent.get_mut(&number) else {
+            return;
+        };
+        let state = &mut request.state;
+        if state.is_answered {
+            return;
+        }
+        state.is_answered = true;
+        let Some(backend) = self.backends.get_mut(&state.backend) else {
+            return;
+        };
+        backend.answered(number);
+        // With all slots taken, the time tells more of other requests' ends than of this
+        // one's prefill.
+        let is_first = request.admitted.tried.len() == 1;
+        if state.had_slot && is_first && request.admitted.prompt_tokens > 0 {
+            let taken = now.saturating_duration_since(state.at);
+            let seconds = taken.saturating_sub(CALL_OVERHEAD).as_secs_f64();
+            let tokens = f64::from(state.tokens_ahead) + f64::from(request.admitted.prompt_tokens);
+            backend.saw_prefill(tokens, seconds);
+        }
+    }
+
+    pub(super) fn ended(
+        &mut self,
+        now: Instant,
+        number: RequestNumber,
+        outcome: AttemptOutcome,
+        fx: &mut Vec<Effect>,
+    ) {
+        let Some(mut request) = self.sent.remove(&number) else {
+            return;
+        };
+        if let Some(backend) = self.backends.get_mut(&request.state.backend) {
+            backend.ended(number, outcome, now);
+        }
+        request.admitted.is_started |= request.state.is_answered;
+        match outcome {
+            AttemptOutcome::Complete => self.learn_residence(&request, now),
+            AttemptOutcome::Abandoned => {}
+            _ if outcome.is_surely_not_run() => self.declined(now, request, outcome, fx),
+            _ => {
+                request.admitted.runs += 1;
+                self.failed(now, request, outcome, fx);
+            }
+        }
+        self.place_waiting(now, fx);
+    }
+
+    fn learn_residence(&mut self, request: &Request<Sent>, now: Instant) {
+        let held = now.saturating_duration_since(request.state.at);
+        if let Some(mean) = self.residence.get_mut(&request.admitted.service) {
+            let kept = mean.mul_f64(1.0 - RESIDENCE_WEIGHT);
+            *mean = kept + held.mul_f64(RESIDENCE_WEIGHT);
+        }
+    }
+
+    /// A backend server did not run the request, so another one may be asked.
+    fn declined(
+        &mut self,
+        now: Instant,
+        request: Request<Sent>,
+        outcome: AttemptOutcome,
+        fx: &mut Vec<Effect>,
+    ) {
+        let until = request.admitted.arrived_at + self.hold(&request.admitted);
+        let service = request.admitted.service.clone();
+        let is_free = outcome == AttemptOutcome::Unreached;
+        let is_tried_often = request.admitted.tried.len() >= MOST_DECLINED;
+        let request = request.take_back(until);
+        if is_tried_often || !(is_free || self.budget(&service, now).take(now)) {
+            return self.give_up(request, Reason::Shed, fx);
+        }
+        self.place(now, request, fx);
+    }
+
+    fn hold(&self, admitted: &Admitted) -> Duration {
+        // What was declined looks for another place as long as its aim can be met.
+        admitted.route.aim / 2
+    }
+
+    /// A call failed on which the request may have run.
+    fn failed(
+        &mut self,
+        now: Instant,
+        request: Request<Sent>,
+        outcome: AttemptOutcome,
+        fx: &mut Vec<Effect>,
+    ) {
+        if outcome == AttemptOutcome::Died {
+            let lost = Lost {
+                fingerprint: request.admitted.fingerprint,
+                had_token: request.state.is_answered,
+            };
+            self.quarantine.died(now, &request.state.backend, lost);
+        }
+        let admitted = &request.admitted;
+        let (number, service) = (admitted.number, admitted.service.clone());
+        let may_run = admitted.route.repeat.may_run_again()
+            && admitted.runs < admitted.route.attempts
+            && now < admitted.deadline
+            && outcome != AttemptOutcome::TimedOut
+            && self.quarantined_for(admitted.fingerprint, now).is_none();
+        if may_run && self.budget(&service, now).take(now) {
+            let until = now + self.hold(&request.admitted);
+            return self.place(now, request.take_back(until), fx);
+        }
+        match outcome {
+            AttemptOutcome::Failed => fx.push(Effect::PassOn(number)),
+            AttemptOutcome::TimedOut => {
+                let refusal = Refusal::after_dispatch(Reason::TooLate, Ran::Unknown);
+                fx.push(Effect::Refuse { number, refusal });
+            }
+            _ => {
+                let refusal = Refusal::after_dispatch(Reason::BackendLost, Ran::Unknown);
+                fx.push(Effect::Refuse { number, refusal });
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/jaypin_router/src/router/knowledge.rs
@@ -0,0 +1,176 @@
+//! What the router learns: configuration, backend servers, peers.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use jaypin_core::BackendId;
+
+use super::{Effect, Router};
+use crate::{
+    Backend, BackendLoad, BackendRecord, BackendStatus, BootTime, Report, ResendBudget, RouteTable,
+};
+
+/// Part of the bound on withdrawn credentials within which the configuration has to be
+/// proved: the rest covers watches that lag by up to a second.
+const PROOF_PART: f64 = 0.8;
+/// Time for which an entry that vanished is kept when the store was disturbed lately.
+///
+/// Leases of backend servers run out while the store is away, and their entries are back
+/// within two seconds of its return. Without this, a fleet would have nowhere to send
+/// requests although every backend server is well.
+const LAPSE_GRACE: Duration = Duration::from_millis(2_000);
+/// Time after a disturbance for which vanished entries count as lapsed.
+const LAPSE_WINDOW: Duration = Duration::from_secs(3);
+/// Part of the fleet's budget for resends that hosts use: hosts that count alone must not
+/// exceed it together when their number changes.
+const BUDGET_PART: f64 = 0.75;
+/// Backend servers that have to die under a content before it is refused.
+const STRIKES: u32 = 3;
+/// Time for which a content stays refused after the last death.
+const QUARANTINE: Duration = Duration::from_secs(300);
+
+impl Router {
+    /// Takes a configuration; an older one than the one in use changes nothing, whatever
+    /// order reads and watches end in.
+    pub(super) fn configured(&mut self, table: Arc<RouteTable>, now: Instant) {
+        if table.configuration().version <= self.version() {
+            return;
+        }
+        self.quota.configure(&table.configuration().accounts, now);
+        self.table = Some(table);
+    }
+
+    /// Whether the configuration was the newest a moment ago.
+    ///
+    /// Guards against a host that goes on accepting a withdrawn credential because it is
+    /// cut off from the store, or was suspended: suspended time counts on this clock.
+    pub(super) fn is_proved(&self, boot_time: BootTime) -> bool {
+        let limit = self.cfg.bounds.revoke.mul_f64(PROOF_PART);
+        let proved = self.proved_at;
+        self.table.is_some() && proved.is_some_and(|at| boot_time.saturating_sub(at) < limit)
+    }
+
+    pub(super) fn backends_listed(&mut self, records: Vec<BackendRecord>, now: Instant) {
+        let listed: BTreeSet<BackendId> = records.iter().map(|it| it.id.clone()).collect();
+        let known = self.backends.keys();
+        let gone: Vec<_> = known.filter(|id| !listed.contains(*id)).cloned().collect();
+        for id in gone {
+            self.backend_removed(id, now);
+        }
+        for record in records {
+            self.backend_changed(record);
+        }
+    }
+
+    pub(super) fn backend_changed(&mut self, record: BackendRecord) {
+        self.removals.remove(&record.id);
+        match self.backends.get_mut(&record.id) {
+            Some(backend) => backend.restate(record),
+            None => {
+                let id = record.id.clone();
+                self.backends.insert(id, Backend::new(record));
+            }
+        }
+    }
+
+    pub(super) fn backend_removed(&mut self, id: BackendId, now: Instant) {
+        let Some(backend) = self.backends.get(&id) else {
+            return;
+        };
+        let is_disturbed = |at: Instant| now.saturating_duration_since(at) < LAPSE_WINDOW;
+        let may_have_lapsed = self.disturbed_at.is_some_and(is_disturbed);
+        if may_have_lapsed && backend.record.status == BackendStatus::Ready {
+            self.removals.entry(id).or_insert(now + LAPSE_GRACE);
+        } else {
+            self.backends.remove(&id);
+        }
+    }
+
+    pub(super) fn apply_removals(&mut self, now: Instant) {
+        let due = self.removals.extract_if(.., |_, at| now >= *at);
+        for (id, _) in due {
+            self.backends.remove(&id);
+        }
+    }
+
+    pub(super) fn reported(&mut self, now: Instant, report: Report, fx: &mut Vec<Effect>) {
+        if report.host == self.cfg.host {
+            return;
+        }
+        let news = self.fleet.take(report, now);
+        for samples in &news.samples {
+            let mut backends = self.backends.values_mut();
+            if let Some(backend) = backends.find(|it| it.key == samples.key) {
+                backend.peer_learned(samples, now);
+            }
+        }
+        for (account, units) in &news.usage {
+            self.quota.peer_used(account, *units);
+        }
+        for strike in &news.strikes {
+            self.quarantine
+                .heard(now, strike.fingerprint, strike.strikes);
+        }
+        self.refresh_loads(now);
+        self.place_waiting(now, fx);
+    }
+
+    /// Takes note of peers that fell silent.
+    pub(super) fn refresh_peers(&mut self, now: Instant) {
+        self.fleet.forget_gone(now);
+        let part = self.fleet.heard_part(now);
+        self.quota.set_refill_part(part, now);
+        let allowance = self.resend_allowance(now);
+        for budget in self.budgets.values_mut() {
+            budget.set_allowance(allowance);
+        }
+        self.refresh_loads(now);
+    }
+
+    fn refresh_loads(&mut self, now: Instant) {
+        let loads = self.fleet.loads(now);
+        for backend in self.backends.values_mut() {
+            let none = BackendLoad {
+                key: backend.key,
+                running: 0,
+                unread_tokens: 0,
+            };
+            backend.peers = loads.get(&backend.key).copied().unwrap_or(none);
+        }
+    }
+
+    fn resend_allowance(&self, now: Instant) -> f64 {
+        let hosts = u32::try_from(self.fleet.size(now)).unwrap_or(u32::MAX);
+        BUDGET_PART * self.cfg.bounds.resend_allowance / f64::from(hosts)
+    }
+
+    pub(super) fn budget(
+        &mut self,
+        service: &jaypin_core::ServiceId,
+        now: Instant,
+    ) -> &mut ResendBudget {
+        let allowance = self.resend_allowance(now);
+        let bounds = &self.cfg.bounds;
+        self.budgets.entry(service.clone()).or_insert_with(|| {
+            let ratio = bounds.resend_ratio * BUDGET_PART;
+            ResendBudget::new(bounds.resend_window, ratio, allowance)
+        })
+    }
+
+    // ------------------------------------------------------------------ deaths
+
+    pub(super) fn judge_deaths(&mut self, now: Instant) {
+        let struck = self.quarantine.judge(now, STRIKES);
+        if !struck.is_empty() {
+            self.telling.has_news();
+        }
+        self.quarantine.expire(now, QUARANTINE);
+    }
+
+    /// Time for which a content is still refused, if it is.
+    pub(super) fn quarantined_for(&self, fingerprint: u64, now: Instant) -> Option<Duration> {
+        self.quarantine
+            .held_for(now, fingerprint, STRIKES, QUARANTINE)
+    }
+}
--- /dev/null
+++ b/crates/jaypin_router/src/router/mod.rs
@@ -0,0 +1,294 @@
+//! The one reducer over all events of a host.
+
+mod arrival;
+mod attempt;
+mod knowledge;
+mod telling;
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use jaypin_core::{BackendId, FailureDomain, HostId, Incarnation, Quarantine, Refusal, ServiceId};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use crate::request::{Request, Sent};
+use crate::{
+    Arrival, AttemptOutcome, Backend, BackendRecord, BootTime, Fleet, FleetQuota, Report,
+    RequestNumber, ResendBudget, RouteTable, Unrouted, WaitingList,
+};
+use telling::Telling;
+
+/// Bounds that the fleet's operators state.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Bounds {
+    /// Longest time for which a withdrawn credential may still be accepted.
+    pub revoke: Duration,
+    /// Window of the budget for sends beyond the first of each request.
+    pub resend_window: Duration,
+    /// Such sends for each request in a window.
+    pub resend_ratio: f64,
+    /// Such sends in a window besides, over the whole fleet.
+    pub resend_allowance: f64,
+    /// Time that a host has to finish once it is told to leave.
+    pub grace: Duration,
+}
+
+/// What a router is told at its start.
+#[derive(Debug, Clone, PartialEq)]
+pub struct RouterConfig {
+    /// This host.
+    pub host: HostId,
+    /// Number of this run, drawn at random.
+    pub run: Incarnation,
+    /// Where this host takes reports.
+    pub address: SocketAddr,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where the host stands.
+    pub failure_domain: FailureDomain,
+    /// Seed of all random choices.
+    pub seed: u64,
+    /// Bounds that hold for the fleet.
+    pub bounds: Bounds,
+}
+
+/// Something that happened.
+#[derive(Debug, Clone)]
+pub enum Event {
+    /// A version of the configuration was read.
+    Configured(Arc<RouteTable>),
+    /// What is known of the configuration was the newest at this time.
+    Proved(BootTime),
+    /// The platform's store did not answer as it should.
+    StoreDisturbed,
+    /// All backend servers were read.
+    BackendsListed(Vec<BackendRecord>),
+    /// A backend server states something new.
+    BackendChanged(BackendRecord),
+    /// The entry of a backend server is gone.
+    BackendRemoved(BackendId),
+    /// A request was read whole.
+    Arrived(Arrival),
+    /// The first event or the whole answer of a call came.
+    Answered(RequestNumber),
+    /// A call ended.
+    Ended {
+        /// The request.
+        number: RequestNumber,
+        /// How it ended.
+        outcome: AttemptOutcome,
+    },
+    /// The caller of a request that was not sent left.
+    CallerGone(RequestNumber),
+    /// A host that may be in the fleet.
+    HostFound(SocketAddr),
+    /// A peer reported.
+    Reported(Report),
+    /// The host shall finish what it has and leave.
+    Drain,
+    /// Time went on, also on the clock that counts suspended time.
+    Tick(BootTime),
+}
+
+/// Something to be done.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Effect {
+    /// Send the request to a backend server.
+    Send {
+        /// The request.
+        number: RequestNumber,
+        /// The backend server.
+        backend: BackendId,
+        /// Its address.
+        address: String,
+        /// The account to name to it.
+        account: Option<jaypin_core::AccountId>,
+        /// Whether the request's answer is a stream that may be resumed.
+        repeat: crate::Repeat,
+        /// Time after which a call without a first event is given up, if it may be sent
+        /// again.
+        silence: Option<Duration>,
+        /// When the whole answer is due.
+        deadline: Instant,
+    },
+    /// Answer that the configuration does not allow the request.
+    Reject {
+        /// The request.
+        number: RequestNumber,
+        /// What it does not allow.
+        reason: Unrouted,
+    },
+    /// Answer with a refusal.
+    Refuse {
+        /// The request.
+        number: RequestNumber,
+        /// The answer.
+        refusal: Refusal,
+    },
+    /// Answer with the failure that a backend server gave.
+    PassOn(RequestNumber),
+    /// Tell a report to these hosts.
+    Tell {
+        /// Their addresses.
+        to: Vec<SocketAddr>,
+        /// The report.
+        report: Box<Report>,
+    },
+}
+
+/// Counts for metrics and status.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct RouterCounts {
+    /// Requests that wait for a place.
+    pub waiting: usize,
+    /// Requests that were sent and not ended.
+    pub running: usize,
+    /// Hosts that take part, this one included.
+    pub hosts: usize,
+    /// Backend servers that take requests.
+    pub backends: usize,
+    /// Version of the configuration; 0 before any.
+    pub version: u64,
+}
+
+/// The decision state of one host.
+#[derive(Debug)]
+pub struct Router {
+    cfg: RouterConfig,
+    rng: ChaCha8Rng,
+    table: Option<Arc<RouteTable>>,
+    proved_at: Option<BootTime>,
+    backends: BTreeMap<BackendId, Backend>,
+    removals: BTreeMap<BackendId, Instant>,
+    disturbed_at: Option<Instant>,
+    fleet: Fleet,
+    quota: FleetQuota,
+    budgets: HashMap<ServiceId, ResendBudget>,
+    residence: HashMap<ServiceId, Duration>,
+    quarantine: Quarantine,
+    waiting: WaitingList,
+    sent: HashMap<RequestNumber, Request<Sent>>,
+    telling: Telling,
+    draining_since: Option<Instant>,
+    was_ready: bool,
+}
+
+impl Router {
+    /// Starts with nothing known.
+    #[must_use]
+    pub fn new(cfg: RouterConfig) -> Self {
+        Self {
+            rng: ChaCha8Rng::seed_from_u64(cfg.seed),
+            table: None,
+            proved_at: None,
+            backends: BTreeMap::new(),
+            removals: BTreeMap::new(),
+            disturbed_at: None,
+            fleet: Fleet::default(),
+            quota: FleetQuota::default(),
+            budgets: HashMap::new(),
+            residence: HashMap::new(),
+            quarantine: Quarantine::default(),
+            waiting: WaitingList::default(),
+            sent: HashMap::new(),
+            telling: Telling::default(),
+            draining_since: None,
+            was_ready: false,
+            cfg,
+        }
+    }
+
+    /// Takes one event and says what is to be done.
+    ///
+    /// Same events, same seed, same effects.
+    pub fn apply(&mut self, now: Instant, event: Event) -> Vec<Effect> {
+        let mut fx = Vec::new();
+        match event {
+            Event::Configured(table) => self.configured(table, now),
+            Event::Proved(at) => self.proved_at = self.proved_at.max(Some(at)),
+            Event::StoreDisturbed => self.disturbed_at = Some(now),
+            Event::BackendsListed(records) => self.backends_listed(records, now),
+            Event::BackendChanged(record) => self.backend_changed(record),
+            Event::BackendRemoved(id) => self.backend_removed(id, now),
+            Event::Arrived(arrival) => self.arrived(now, arrival, &mut fx),
+            Event::Answered(number) => self.answered(now, number),
+            Event::Ended { number, outcome } => self.ended(now, number, outcome, &mut fx),
+            Event::CallerGone(number) => self.caller_gone(number),
+            Event::HostFound(address) => self.telling.found(address),
+            Event::Reported(report) => self.reported(now, report, &mut fx),
+            Event::Drain => self.drain(now, &mut fx),
+            Event::Tick(boot_time) => self.tick(now, boot_time, &mut fx),
+        }
+        fx
+    }
+
+    /// Counts for metrics and status.
+    #[must_use]
+    pub fn counts(&self, now: Instant) -> RouterCounts {
+        let backends = self.backends.values();
+        RouterCounts {
+            waiting: self.waiting.len(),
+            running: self.sent.len(),
+            hosts: self.fleet.size(now),
+            backends: backends.filter(|it| it.takes_requests()).count(),
+            version: self.version(),
+        }
+    }
+
+    /// Addresses that callers may use now, by what this host knows.
+    #[must_use]
+    pub fn caller_addresses(&self, now: Instant, boot_time: BootTime) -> Vec<SocketAddr> {
+        let ready = self.fleet.heard(now).filter(|(_, peer)| peer.is_ready);
+        let mut addresses: Vec<_> = ready.map(|(_, peer)| peer.callers).collect();
+        if self.is_ready(boot_time) {
+            addresses.push(self.cfg.callers);
+        }
+        addresses.sort_unstable();
+        addresses
+    }
+
+    /// Whether callers should be sent to this host.
+    #[must_use]
+    pub fn is_ready(&self, boot_time: BootTime) -> bool {
+        self.draining_since.is_none() && self.is_proved(boot_time)
+    }
+
+    /// Whether nothing is left to do for a caller.
+    #[must_use]
+    pub fn is_idle(&self) -> bool {
+        self.waiting.is_empty() && self.sent.is_empty()
+    }
+
+    /// What callers may send, once a configuration says so.
+    #[must_use]
+    pub fn table(&self) -> Option<&Arc<RouteTable>> {
+        self.table.as_ref()
+    }
+
+    fn version(&self) -> u64 {
+        let table = self.table.as_ref();
+        table.map_or(0, |table| table.configuration().version)
+    }
+
+    fn tick(&mut self, now: Instant, boot_time: BootTime, fx: &mut Vec<Effect>) {
+        let is_ready = self.is_ready(boot_time);
+        if is_ready != self.was_ready {
+            self.was_ready = is_ready;
+            self.telling.has_news();
+        }
+        self.apply_removals(now);
+        self.judge_deaths(now);
+        self.refresh_peers(now);
+        self.place_waiting(now, fx);
+        self.tell(now, false, fx);
+    }
+
+    fn drain(&mut self, now: Instant, fx: &mut Vec<Effect>) {
+        self.draining_since.get_or_insert(now);
+        self.was_ready = false;
+        self.tell(now, true, fx);
+    }
+}
--- /dev/null
+++ b/crates/jaypin_router/src/router/telling.rs
@@ -0,0 +1,165 @@
+//! When peers are told what, and who is told.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use super::{Effect, Router};
+use crate::{BackendKey, BackendLoad, Report, Strike};
+
+/// Pause between two reports while something changes.
+///
+/// A host starts a request about every 100 ms and one of thirteen others sees it half a
+/// pause later on the average.
+const REPORT_PAUSE: Duration = Duration::from_millis(50);
+/// Pause between two reports when nothing changes.
+const HEARTBEAT: Duration = Duration::from_millis(250);
+/// Pause between two whole reports, which make up for lost ones.
+const WHOLE_PAUSE: Duration = Duration::from_millis(500);
+/// Pause between two reports to a host that is silent, or was found and never heard.
+const SILENT_PAUSE: Duration = Duration::from_secs(1);
+/// The same after it was silent for a while.
+const LONG_SILENT_PAUSE: Duration = Duration::from_secs(5);
+/// Silence after which that longer pause holds.
+const LONG_SILENCE: Duration = Duration::from_secs(30);
+/// Silence after which a host is told no more. Longer than any cut: two parts of a fleet
+/// that both gave up would not find each other again.
+const FOUND_FOR: Duration = Duration::from_secs(900);
+/// Contents under suspicion in one report: more would not fit a datagram.
+const STRIKES_TOLD: usize = 16;
+
+/// When reports were sent, and what they said.
+#[derive(Debug, Default)]
+pub struct Telling {
+    sequence: u64,
+    last: Option<Instant>,
+    last_whole: Option<Instant>,
+    told: HashMap<BackendKey, BackendLoad>,
+    has_news: bool,
+    found: BTreeMap<SocketAddr, Found>,
+}
+
+#[derive(Debug, Default)]
+struct Found {
+    since: Option<Instant>,
+    told_at: Option<Instant>,
+}
+
+impl Found {
+    fn pause(&self, now: Instant) -> Duration {
+        let silence = self.since.map(|since| now.saturating_duration_since(since));
+        if silence.is_some_and(|silence| silence >= LONG_SILENCE) {
+            LONG_SILENT_PAUSE
+        } else {
+            SILENT_PAUSE
+        }
+    }
+}
+
+impl Telling {
+    /// A host that may be in the fleet.
+    pub fn found(&mut self, address: SocketAddr) {
+        self.found.entry(address).or_default();
+    }
+
+    /// There is something that peers should hear at once.
+    pub fn has_news(&mut self) {
+        self.has_news = true;
+    }
+}
+
+fn is_due(last: Option<Instant>, pause: Duration, now: Instant) -> bool {
+    last.is_none_or(|last| now.saturating_duration_since(last) >= pause)
+}
+
+impl Router {
+    /// Tells peers what changed, if it is time to.
+    pub(super) fn tell(&mut self, now: Instant, at_once: bool, fx: &mut Vec<Effect>) {
+        let is_whole = is_due(self.telling.last_whole, WHOLE_PAUSE, now) || at_once;
+        let loads = self.loads_to_tell(is_whole);
+        let has_news = !loads.is_empty() || self.telling.has_news;
+        let pause = if has_news { REPORT_PAUSE } else { HEARTBEAT };
+        if !at_once && !is_whole && !is_due(self.telling.last, pause, now) {
+            return;
+        }
+        let to = self.audience(now);
+        if to.is_empty() {
+            return;
+        }
+        for load in &loads {
+            self.telling.told.insert(load.key, *load);
+        }
+        self.telling.has_news = false;
+        self.telling.last = Some(now);
+        if is_whole {
+            self.telling.last_whole = Some(now);
+        }
+        self.telling.sequence += 1;
+        let report = Box::new(self.report(loads, is_whole));
+        fx.push(Effect::Tell { to, report });
+    }
+
+    fn loads_to_tell(&self, is_whole: bool) -> Vec<BackendLoad> {
+        let loads = self.backends.values().map(crate::Backend::own_load);
+        let is_news = |load: &BackendLoad| {
+            let told = self.telling.told.get(&load.key);
+            let is_empty = load.running == 0 && load.unread_tokens == 0;
+            told.map_or(!is_empty, |told| told != load)
+        };
+        if is_whole {
+            loads.filter(|load| load.running > 0).collect()
+        } else {
+            loads.filter(is_news).collect()
+        }
+    }
+
+    fn report(&self, loads: Vec<BackendLoad>, is_whole: bool) -> Report {
+        let samples = self.backends.values().map(crate::Backend::samples);
+        let samples = samples.filter(|it| is_whole && it.good + it.bad > 0);
+        let strikes = self.quarantine.newest(STRIKES_TOLD).into_iter();
+        let strikes = strikes.map(|(fingerprint, strikes)| Strike {
+            fingerprint,
+            strikes,
+        });
+        Report {
+            host: self.cfg.host.clone(),
+            run: self.cfg.run,
+            sequence: self.telling.sequence,
+            address: self.cfg.address,
+            callers: self.cfg.callers,
+            failure_domain: self.cfg.failure_domain.clone(),
+            is_ready: self.was_ready,
+            version: self.version(),
+            is_whole,
+            loads,
+            samples: samples.collect(),
+            usage: self.quota.usage().filter(|(_, used)| *used > 0.0).collect(),
+            strikes: strikes.collect(),
+        }
+    }
+
+    /// Peers that were heard, and now and then those that were not.
+    fn audience(&mut self, now: Instant) -> Vec<SocketAddr> {
+        for (_, peer) in self.fleet.iter() {
+            self.telling.found.entry(peer.address).or_default();
+        }
+        let heard: Vec<_> = self.fleet.heard(now).map(|(_, it)| it.address).collect();
+        let own = self.cfg.address;
+        self.telling.found.retain(|address, found| {
+            let since = *found.since.get_or_insert(now);
+            let is_fresh = now.saturating_duration_since(since) < FOUND_FOR;
+            *address != own && (is_fresh || heard.contains(address))
+        });
+        let mut to = Vec::new();
+        for (address, found) in &mut self.telling.found {
+            if heard.contains(address) {
+                found.since = Some(now);
+                to.push(*address);
+            } else if is_due(found.told_at, found.pause(now), now) {
+                found.told_at = Some(now);
+                to.push(*address);
+            }
+        }
+        to
+    }
+}
--- a/crates/jaypin_wire/src/explain/sentences.rs
+++ b/crates/jaypin_wire/src/explain/sentences.rs
@@ -181,6 +181,9 @@
     match reason {
         "draining" => "the host is shutting down",
         "not-ready" => "the host had no rules or no host list yet",
+        "configuration-unproven" => {
+            "the host could not prove that its configuration was the newest"
+        }
         "no-backend-server" => "no live backend server took it",
         "shed" => "capacity ran out and its tier was the lowest that waited",
         "too-late" => "it could not be answered within its tier's deadline",
--- a/crates/jaypin_wire/src/refusal.rs
+++ b/crates/jaypin_wire/src/refusal.rs
@@ -49,7 +49,7 @@
     WireReason,
     Reason,
     [
-        Draining, NotReady, NoBackend, Shed, TooLate, NoScheduler, OverLimit, Quarantined,
+        Draining, NotReady, Unproven, NoBackend, Shed, TooLate, NoScheduler, OverLimit, Quarantined,
         InFlight, KeyUnknown, KeyMismatch, KeyTableFull, AlreadyRan, BackendLost, BackendFailed,
     ]
 );
