Count quotas over a sliding window; let watches rest after news

Each backend server's registration cost each host a call.

Ruled out: double counting of peers' use (totals as differences, checked in the log: level and rate as configured).

Change: use is counted over the window of the settings, in 16 parts; a restarted host assumes nine tenths of the rate as used. Watches rest 300 ms after news.

--- a/crates/jaypin_entry/src/callers/answer.rs
+++ b/crates/jaypin_entry/src/callers/answer.rs
@@ -50,10 +50,11 @@
 
 /// The answer to a request that the configuration does not allow.
 pub fn rejection(reason: Unrouted) -> AnswerResponse {
-    let (status, reason) = match reason {
-        Unrouted::NoRoute => (StatusCode::NOT_FOUND, "no-such-route"),
-        Unrouted::UnknownCredential => (StatusCode::UNAUTHORIZED, "credential"),
+    let status = match reason {
+        Unrouted::NoRoute => StatusCode::NOT_FOUND,
+        Unrouted::UnknownCredential => StatusCode::UNAUTHORIZED,
     };
+    let reason = reason.as_str();
     let outcome = Ran::NotRun.as_str();
     json(status, &RefusalBody { reason, outcome })
 }
--- a/crates/jaypin_entry/src/callers/drive.rs
+++ b/crates/jaypin_entry/src/callers/drive.rs
@@ -47,6 +47,7 @@
         delivery: Delivery::Open(reply),
         failure: None,
         last_id: None,
+        times: EventTimes::default(),
     };
     spawn_local(task.run());
     head.await.unwrap_or_else(|_| {
@@ -67,6 +68,8 @@
     failure: Option<WholeAnswer>,
     /// Id of the last event that was passed on.
     last_id: Option<u64>,
+    /// When its events came, for the log.
+    times: EventTimes,
 }
 
 impl Drive {
@@ -78,7 +81,7 @@
                 directive = self.mailbox.next() => directive,
                 () = self.delivery.caller_gone() => {
                     self.host.apply(Event::CallerGone(self.number));
-                    self.log("caller-gone", "");
+                    self.log("caller-gone", "", &"");
                     break;
                 }
             };
@@ -87,7 +90,7 @@
                     let outcome = self.attempt(&order).await;
                     let number = self.number;
                     self.host.apply(Event::Ended { number, outcome });
-                    self.log(outcome.as_str(), &order.backend);
+                    self.log(outcome.as_str(), &order.backend, &order.grounds);
                     if matches!(
                         outcome,
                         AttemptOutcome::Complete | AttemptOutcome::Abandoned
@@ -121,12 +124,12 @@
 
     fn finish(&mut self, directive: Directive) {
         let response = match directive {
-            Directive::Reject(reason) => {
-                self.log("rejected", "");
+            Directive::Reject(reason, grounds) => {
+                self.log(reason.as_str(), "", &grounds);
                 rejection(reason)
             }
-            Directive::Refuse(refused) => {
-                self.log(refused.reason.as_str(), "");
+            Directive::Refuse(refused, grounds) => {
+                self.log(refused.reason.as_str(), "", &grounds);
                 refusal(&refused)
             }
             Directive::PassOn | Directive::Send(_) => match self.failure.take() {
@@ -137,9 +140,14 @@
         self.delivery.finish(response);
     }
 
-    fn log(&self, outcome: &str, backend: &str) {
+    fn log(&self, outcome: &str, backend: &str, grounds: &dyn std::fmt::Display) {
         let ms = self.call.received_at.elapsed().as_millis();
-        log::info!(id = self.call.says.id, outcome, backend, ms; "request");
+        let id = &self.call.says.id;
+        let first = self.times.first.map(|at| at - self.call.received_at);
+        let first_ms = first.unwrap_or_default().as_millis();
+        let pause_ms = self.times.longest_pause.as_millis();
+        let account = self.call.says.tokens.unwrap_or_default();
+        log::info!(id, outcome, backend, ms, first_ms, pause_ms, tokens:? = account, why:% = grounds; "request");
     }
 
     // ------------------------------------------------------------------ one call
@@ -308,6 +316,7 @@
                     delivery.begin(head.status, &head.headers);
                 }
                 self.last_id = event.id.or(self.last_id);
+                self.times.saw_event();
                 if !delivery.event(event.bytes).await {
                     return AttemptOutcome::Abandoned;
                 }
@@ -343,6 +352,24 @@
     }
 }
 
+/// When the first event came, and the longest time between two.
+#[derive(Debug, Default)]
+struct EventTimes {
+    first: Option<Instant>,
+    last: Option<Instant>,
+    longest_pause: std::time::Duration,
+}
+
+impl EventTimes {
+    fn saw_event(&mut self) {
+        let now = Instant::now();
+        self.first.get_or_insert(now);
+        if let Some(last) = self.last.replace(now) {
+            self.longest_pause = self.longest_pause.max(now - last);
+        }
+    }
+}
+
 /// The path and query without a host: what a caller sent in the absolute form is asked of
 /// the backend server in the usual one.
 fn origin_form(uri: &Uri) -> Uri {
--- a/crates/jaypin_entry/src/calls/mod.rs
+++ b/crates/jaypin_entry/src/calls/mod.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use jaypin_core::{AccountId, BackendId};
-use jaypin_router::Repeat;
+use jaypin_router::{Grounds, Repeat};
 use tokio::time::Instant;
 
 /// Where and how a request is sent.
@@ -29,4 +29,6 @@
     pub silence: Option<Duration>,
     /// When the whole answer is due.
     pub deadline: Instant,
+    /// What the choice rests on.
+    pub grounds: Grounds,
 }
--- a/crates/jaypin_entry/src/host.rs
+++ b/crates/jaypin_entry/src/host.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 
 use jaypin_core::Refusal;
-use jaypin_router::{Effect, Event, RequestNumber, Router, Unrouted};
+use jaypin_router::{Effect, Event, Grounds, RequestNumber, Router, Unrouted};
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
@@ -20,9 +20,9 @@
     /// Send it to a backend server.
     Send(SendOrder),
     /// Answer that the configuration does not allow it.
-    Reject(Unrouted),
+    Reject(Unrouted, Grounds),
     /// Answer with a refusal.
-    Refuse(Refusal),
+    Refuse(Refusal, Grounds),
     /// Answer with the failure that a backend server gave.
     PassOn,
 }
@@ -124,6 +124,7 @@
                 repeat,
                 silence,
                 deadline,
+                grounds,
             } => {
                 let order = SendOrder {
                     backend,
@@ -132,11 +133,20 @@
                     repeat,
                     silence,
                     deadline: deadline.into(),
+                    grounds,
                 };
                 self.direct(number, Directive::Send(order));
             }
-            Effect::Reject { number, reason } => self.direct(number, Directive::Reject(reason)),
-            Effect::Refuse { number, refusal } => self.direct(number, Directive::Refuse(refusal)),
+            Effect::Reject {
+                number,
+                reason,
+                grounds,
+            } => self.direct(number, Directive::Reject(reason, grounds)),
+            Effect::Refuse {
+                number,
+                refusal,
+                grounds,
+            } => self.direct(number, Directive::Refuse(refusal, grounds)),
             Effect::PassOn(number) => self.direct(number, Directive::PassOn),
             Effect::Tell { to, report } => self.tell(&to, &report),
         }
--- a/crates/jaypin_entry/src/store/backends.rs
+++ b/crates/jaypin_entry/src/store/backends.rs
@@ -5,9 +5,10 @@
 
 use jaypin_core::BackendId;
 use jaypin_router::{BackendRecord, Event};
+use tokio::time::sleep;
 
 use super::client::{StoreClient, StoreError};
-use super::pause_after;
+use super::{WATCH_PAUSE, pause_after};
 use crate::host::Host;
 use crate::ports::{Collection, Object};
 
@@ -50,6 +51,9 @@
             host.apply(event);
         }
         revision = news.revision;
+        if !news.changes.is_empty() {
+            sleep(WATCH_PAUSE).await;
+        }
     }
 }
 
--- a/crates/jaypin_entry/src/store/configuration.rs
+++ b/crates/jaypin_entry/src/store/configuration.rs
@@ -5,10 +5,10 @@
 use std::time::Duration;
 
 use jaypin_router::{BootTime, Event, RouteTable};
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep};
 
 use super::client::{StoreClient, StoreError};
-use super::pause_after;
+use super::{WATCH_PAUSE, pause_after};
 use crate::boot_clock::boot_time;
 use crate::host::Host;
 use crate::ports::{Collection, Object};
@@ -53,6 +53,9 @@
         }
         revision = news.revision;
         host.apply(Event::Proved(proved_at(asked)));
+        if !news.changes.is_empty() {
+            sleep(WATCH_PAUSE).await;
+        }
     }
 }
 
--- a/crates/jaypin_entry/src/store/mod.rs
+++ b/crates/jaypin_entry/src/store/mod.rs
@@ -23,6 +23,13 @@
 /// Spread of that pause, so that a fleet does not come back in one moment.
 const RETRY_SPREAD: std::ops::Range<f64> = 0.7..1.3;
 
+/// Pause after a watch that told something.
+///
+/// Changes come in groups: backend servers register within a second of each other, and a
+/// configuration follows another. One call then tells several changes, at the cost of this
+/// time; the tightest bound on any of them is two seconds.
+const WATCH_PAUSE: Duration = Duration::from_millis(300);
+
 /// Logs a failed call, tells the decisions, and waits before the next.
 async fn pause_after(host: &Host, what: &str, error: &StoreError) {
     log::warn!(what, error:%; "the store did not answer");
--- /dev/null
+++ b/crates/jaypin_router/src/grounds.rs
@@ -0,0 +1,88 @@
+//! What a decision rested on, for logs and explanations.
+
+use std::fmt;
+use std::time::Duration;
+
+/// The inputs of one decision, as they were when it was made.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Grounds {
+    /// The configuration, or the lack of a proved one.
+    Configuration {
+        /// Its version; 0 before any.
+        version: u64,
+    },
+    /// The host is leaving.
+    Leaving,
+    /// The quota of an account.
+    Quota {
+        /// Units that it used in the window, over the whole fleet.
+        used: f64,
+        /// Units that it may use in the window.
+        allowed: f64,
+        /// Units that the request takes.
+        units: f64,
+    },
+    /// Backend servers died under the same content.
+    Deaths {
+        /// How many.
+        strikes: u32,
+    },
+    /// The best place that was found.
+    Place {
+        /// Estimated time to the first event there.
+        first_event: Duration,
+        /// Time that it may take.
+        limit: Duration,
+        /// Requests that run there, of all hosts.
+        running: u32,
+        /// Prompt tokens that have to be read there before.
+        tokens_ahead: u32,
+        /// Whether it was found in trouble.
+        is_in_trouble: bool,
+    },
+    /// No backend server of the service takes requests.
+    NoPlace,
+    /// The time for the answer is over.
+    Deadline,
+    /// How the last call ended, and how often the request may have run.
+    Call {
+        /// Calls on which it may have run.
+        runs: u32,
+        /// Backend servers that were tried.
+        tried: usize,
+    },
+}
+
+impl fmt::Display for Grounds {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Configuration { version } => write!(f, "configuration {version}"),
+            Self::Leaving => write!(f, "this host leaves"),
+            Self::Quota {
+                used,
+                allowed,
+                units,
+            } => write!(f, "{units:.0} units beside {used:.0} of {allowed:.0}"),
+            Self::Deaths { strikes } => write!(f, "{strikes} backend servers died under it"),
+            Self::Place {
+                first_event,
+                limit,
+                running,
+                tokens_ahead,
+                is_in_trouble,
+            } => {
+                let (first, limit) = (first_event.as_millis(), limit.as_millis());
+                let trouble = if *is_in_trouble { ", in trouble" } else { "" };
+                write!(
+                    f,
+                    "first event in {first} ms of {limit}, {running} running, {tokens_ahead} tokens ahead{trouble}"
+                )
+            }
+            Self::NoPlace => write!(f, "no backend server takes requests"),
+            Self::Deadline => write!(f, "the time for the answer is over"),
+            Self::Call { runs, tried } => {
+                write!(f, "{tried} backend servers tried, may have run on {runs}")
+            }
+        }
+    }
+}
--- a/crates/jaypin_router/src/lib.rs
+++ b/crates/jaypin_router/src/lib.rs
@@ -8,6 +8,7 @@
 mod backend;
 mod configuration;
 mod fleet;
+mod grounds;
 mod pace;
 mod placement;
 mod quota;
@@ -23,6 +24,7 @@
     Account, CallerLimits, Configuration, Engine, Quota, QuotaUnit, Repeat, Route, Service, Target,
 };
 pub use fleet::{Fleet, Peer};
+pub use grounds::Grounds;
 pub use pace::Pace;
 pub use placement::{Choice, Demand, best_place};
 pub use quota::FleetQuota;
--- a/crates/jaypin_router/src/quota.rs
+++ b/crates/jaypin_router/src/quota.rs
@@ -1,84 +1,75 @@
 //! Quotas of client accounts over the whole fleet, held without a message a request.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::time::{Duration, Instant};
 
 use jaypin_core::AccountId;
 
 use crate::{Account, Quota};
 
-/// Part of the burst that a host which has just started takes as unused.
+/// Parts of the window: use is forgotten one part at a time.
+const PARTS: u32 = 16;
+/// Part of its rate that an account is taken to have used before this host's start.
 ///
-/// It can't know what the fleet used a moment ago. Half of a burst that all hosts take
-/// anew after a common restart stays within a tenth of what eight seconds allow; a whole
-/// one would not.
-const FIRST_LEVEL: f64 = 0.5;
+/// A host that has just started can't know what the fleet used a moment ago. With this,
+/// accounts that keep below their rate are not refused after a restart, and one that was
+/// beyond it can't use its window a second time.
+const ASSUMED_USE: f64 = 0.9;
 /// Longest wait that is stated to an account over its quota.
 const LONGEST_WAIT: Duration = Duration::from_secs(30);
-/// Shortest such wait.
-const SHORTEST_WAIT: Duration = Duration::from_millis(100);
 
-/// Token buckets of all limited accounts, as this host sees them.
+/// What all limited accounts used in the last window, as this host sees it.
 ///
-/// Every host keeps the whole fleet's bucket: it takes its own use out at once and that of
-/// its peers when they report it, so an account can exceed its quota only by what is used
-/// between two reports. The debt is made up for at once, since a bucket may be negative.
-#[derive(Debug, Default)]
+/// Every host counts for the whole fleet: its own use at once and that of its peers when
+/// they report it, so an account can exceed its quota only by what is used between two
+/// reports. A window and not a bucket: an account that was idle for seconds may catch up,
+/// and one that comes in bursts is not refused while it keeps to its rate.
+#[derive(Debug)]
 pub struct FleetQuota {
-    buckets: HashMap<AccountId, Bucket>,
-    refill_part: Option<f64>,
+    window: Duration,
+    accounts: HashMap<AccountId, Usage>,
+    heard_part: f64,
 }
 
 #[derive(Debug)]
-struct Bucket {
+struct Usage {
     quota: Quota,
-    level: f64,
-    filled_at: Instant,
-    used: f64,
+    /// Use by part of the window, the oldest first.
+    parts: VecDeque<f64>,
+    newest_since: Instant,
+    /// Use of this host in its run.
+    own: f64,
 }
 
-impl Bucket {
-    fn fill(&mut self, part: f64, now: Instant) {
-        let since = now.saturating_duration_since(self.filled_at).as_secs_f64();
-        self.level = (self.level + self.quota.rate * part * since).min(self.quota.burst);
-        self.filled_at = now;
+impl FleetQuota {
+    /// Starts with a window over which use is counted.
+    #[must_use]
+    pub fn new(window: Duration) -> Self {
+        Self {
+            window,
+            accounts: HashMap::new(),
+            heard_part: 1.0,
+        }
     }
-}
 
-impl FleetQuota {
-    /// Takes the quotas of a configuration; buckets that were there keep their level.
+    /// Takes the quotas of a configuration; accounts that were there keep their use.
     pub fn configure(&mut self, accounts: &[Account], now: Instant) {
-        let mut before = std::mem::take(&mut self.buckets);
-        let part = self.part();
+        let mut before = std::mem::take(&mut self.accounts);
         let limited = accounts.iter().filter_map(|it| Some((it, it.quota?)));
         for (account, quota) in limited {
-            let mut bucket = before.remove(&account.name).unwrap_or(Bucket {
-                quota,
-                level: quota.burst * FIRST_LEVEL,
-                filled_at: now,
-                used: 0.0,
-            });
-            bucket.fill(part, now);
-            bucket.quota = quota;
-            bucket.level = bucket.level.min(quota.burst);
-            self.buckets.insert(account.name.clone(), bucket);
+            let known = before.remove(&account.name);
+            let mut usage = known.unwrap_or_else(|| Usage::new(quota, self.part(), now));
+            usage.quota = quota;
+            self.accounts.insert(account.name.clone(), usage);
         }
     }
 
     /// Says which part of the fleet this host hears, itself included.
     ///
-    /// Guards against a fleet in two parts that do not hear each other: each part fills
-    /// its buckets with its part of the rate, so both together keep to the quota.
-    pub fn set_refill_part(&mut self, part: f64, now: Instant) {
-        let before = self.part();
-        for bucket in self.buckets.values_mut() {
-            bucket.fill(before, now);
-        }
-        self.refill_part = Some(part);
-    }
-
-    fn part(&self) -> f64 {
-        self.refill_part.unwrap_or(1.0)
+    /// Guards against a fleet in two parts that do not hear each other: each allows its
+    /// part of the quotas, so both together keep to them.
+    pub fn set_heard_part(&mut self, part: f64) {
+        self.heard_part = part;
     }
 
     /// Takes units of an account's quota.
@@ -86,41 +77,112 @@
     /// # Errors
     /// Gives the time after which there is enough, when there is not.
     pub fn take(&mut self, account: &AccountId, units: f64, now: Instant) -> Result<(), Duration> {
-        let part = self.part();
-        let Some(bucket) = self.buckets.get_mut(account) else {
+        let (part, window) = (self.part(), self.window);
+        let allowed_part = self.heard_part;
+        let Some(usage) = self.accounts.get_mut(account) else {
             return Ok(());
         };
-        bucket.fill(part, now);
-        // A request larger than the whole burst passes a full bucket and leaves a debt.
-        let needed = units.min(bucket.quota.burst);
-        if bucket.level < needed {
-            let wait = (needed - bucket.level) / (bucket.quota.rate * part).max(1e-3);
-            let wait = Duration::from_secs_f64(wait.min(LONGEST_WAIT.as_secs_f64()));
-            return Err(wait.max(SHORTEST_WAIT));
+        usage.forget(part, now);
+        let allowed = usage.quota.allowed(window) * allowed_part;
+        // A request larger than all that is allowed passes when nothing was used.
+        let excess = usage.total() + units.min(allowed) - allowed;
+        if excess > 0.0 {
+            return Err(usage.time_until_free(excess, part).min(LONGEST_WAIT));
         }
-        bucket.level -= units;
-        bucket.used += units;
+        usage.add(units);
+        usage.own += units;
         Ok(())
     }
 
     /// Gives units back that were taken for a request which did not run.
     pub fn give_back(&mut self, account: &AccountId, units: f64) {
-        if let Some(bucket) = self.buckets.get_mut(account) {
-            bucket.level += units;
-            bucket.used -= units;
+        if let Some(usage) = self.accounts.get_mut(account) {
+            usage.add(-units);
+            usage.own -= units;
         }
     }
 
-    /// Takes out what a peer used.
-    pub fn peer_used(&mut self, account: &AccountId, units: f64) {
-        if let Some(bucket) = self.buckets.get_mut(account) {
-            bucket.level -= units;
+    /// Counts what a peer used.
+    pub fn peer_used(&mut self, account: &AccountId, units: f64, now: Instant) {
+        let part = self.part();
+        if let Some(usage) = self.accounts.get_mut(account) {
+            usage.forget(part, now);
+            usage.add(units);
         }
     }
 
+    /// What an account used in the window, and what it may use, in units.
+    #[must_use]
+    pub fn level(&self, account: &AccountId) -> Option<(f64, f64)> {
+        let usage = self.accounts.get(account)?;
+        let allowed = usage.quota.allowed(self.window) * self.heard_part;
+        Some((usage.total(), allowed))
+    }
+
     /// What this host used of each account's quota in its run.
     pub fn usage(&self) -> impl Iterator<Item = (AccountId, f64)> {
-        let buckets = self.buckets.iter();
-        buckets.map(|(account, bucket)| (account.clone(), bucket.used))
+        let accounts = self.accounts.iter();
+        accounts.map(|(account, usage)| (account.clone(), usage.own))
+    }
+
+    fn part(&self) -> Duration {
+        self.window / PARTS
+    }
+}
+
+impl Quota {
+    /// Units in a window.
+    fn allowed(self, window: Duration) -> f64 {
+        self.rate * window.as_secs_f64() + self.burst
+    }
+}
+
+impl Usage {
+    fn new(quota: Quota, part: Duration, now: Instant) -> Self {
+        let assumed = quota.rate * part.as_secs_f64() * ASSUMED_USE;
+        Self {
+            quota,
+            parts: (0..PARTS).map(|_| assumed).collect(),
+            newest_since: now,
+            own: 0.0,
+        }
+    }
+
+    fn forget(&mut self, part: Duration, now: Instant) {
+        let elapsed = now.saturating_duration_since(self.newest_since);
+        if elapsed >= part * PARTS {
+            self.parts.iter_mut().for_each(|it| *it = 0.0);
+            self.newest_since = now;
+            return;
+        }
+        while now.saturating_duration_since(self.newest_since) >= part {
+            self.parts.pop_front();
+            self.parts.push_back(0.0);
+            self.newest_since += part;
+        }
+    }
+
+    fn add(&mut self, units: f64) {
+        if let Some(newest) = self.parts.back_mut() {
+            *newest += units;
+        }
+    }
+
+    fn total(&self) -> f64 {
+        self.parts.iter().sum()
+    }
+
+    /// Time until so much of the use is forgotten.
+    fn time_until_free(&self, excess: f64, part: Duration) -> Duration {
+        let mut freed = 0.0;
+        let mut time = Duration::ZERO;
+        for used in &self.parts {
+            freed += used;
+            time += part;
+            if freed >= excess {
+                break;
+            }
+        }
+        time
     }
 }
--- a/crates/jaypin_router/src/route_table.rs
+++ b/crates/jaypin_router/src/route_table.rs
@@ -25,6 +25,17 @@
     UnknownCredential,
 }
 
+impl Unrouted {
+    /// The reason in one word.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::NoRoute => "no-such-route",
+            Self::UnknownCredential => "credential",
+        }
+    }
+}
+
 impl RouteTable {
     /// Builds the look-ups.
     #[must_use]
--- a/crates/jaypin_router/src/router/arrival.rs
+++ b/crates/jaypin_router/src/router/arrival.rs
@@ -9,7 +9,7 @@
 use super::{Effect, Router};
 use crate::placement::{Choice, Demand, best_place};
 use crate::request::{Admitted, Request, Sent, Waiting};
-use crate::{Account, Arrival, QuotaUnit, RequestNumber, Route, RouteTable};
+use crate::{Account, Arrival, Grounds, QuotaUnit, RequestNumber, Route, RouteTable};
 
 /// Part of the aim for which a request may wait for a place before it is refused: long
 /// enough for a slot to come free, short enough for the caller to come back in time.
@@ -47,7 +47,11 @@
         let number = arrival.number;
         let Some(table) = self.table.clone() else {
             let refusal = Refusal::not_run(Reason::NotReady).retry_after(UNREADY_RETURN);
-            return fx.push(Effect::Refuse { number, refusal });
+            let grounds = Grounds::Configuration { version: 0 };
+            return fx.push(refuse(number, refusal, grounds));
+        };
+        let grounds = Grounds::Configuration {
+            version: table.configuration().version,
         };
         let is_proved = self.is_proved(arrival.boot_time);
         let credential = arrival.credential.as_deref();
@@ -59,14 +63,18 @@
         // withdrawn nor which routes were added, so it says neither yes nor no.
         if !is_proved && !admitted.as_ref().is_ok_and(is_public) {
             let refusal = Refusal::not_run(Reason::Unproven).retry_after(UNREADY_RETURN);
-            return fx.push(Effect::Refuse { number, refusal });
+            return fx.push(refuse(number, refusal, grounds));
         }
         match admitted {
             Ok((route, account)) => {
                 let request = self.admit(&arrival, route, account);
                 self.start(now, request, &table, fx);
             }
-            Err(reason) => fx.push(Effect::Reject { number, reason }),
+            Err(reason) => fx.push(Effect::Reject {
+                number,
+                reason,
+                grounds,
+            }),
         }
     }
 
@@ -116,18 +124,26 @@
             .map(|since| now.saturating_duration_since(since));
         if leaving_for.is_some_and(|time| time >= LEAVING_ACCEPTS) {
             let refusal = Refusal::not_run(Reason::Draining).retry_after(LEAVING_RETURN);
-            return fx.push(Effect::Refuse { number, refusal });
+            return fx.push(refuse(number, refusal, Grounds::Leaving));
         }
         if let Some(left) = self.quarantined_for(admitted.fingerprint, now) {
             let refusal = Refusal::not_run(Reason::Quarantined);
             let refusal = refusal.retry_after(left.min(QUARANTINE_RETURN));
-            return fx.push(Effect::Refuse { number, refusal });
+            let strikes = self.quarantine.strikes(admitted.fingerprint);
+            return fx.push(refuse(number, refusal, Grounds::Deaths { strikes }));
         }
         if let Some(account) = &admitted.account
             && let Err(wait) = self.quota.take(account, admitted.units, now)
         {
             let refusal = Refusal::not_run(Reason::OverLimit).retry_after(wait);
-            return fx.push(Effect::Refuse { number, refusal });
+            let (used, allowed) = self.quota.level(account).unwrap_or_default();
+            let units = admitted.units;
+            let grounds = Grounds::Quota {
+                used,
+                allowed,
+                units,
+            };
+            return fx.push(refuse(number, refusal, grounds));
         }
         let service = admitted.service.clone();
         let first = if table
@@ -161,20 +177,25 @@
     /// Sends a request, keeps it waiting, or gives it up.
     pub(super) fn place(&mut self, now: Instant, request: Request<Waiting>, fx: &mut Vec<Effect>) {
         if now >= request.admitted.deadline {
-            return self.give_up(request, Reason::TooLate, fx);
+            return self.give_up(request, Reason::TooLate, Grounds::Deadline, fx);
         }
-        let choice = self.choose(&request.admitted, now);
         let is_over = now >= request.state.until;
-        match choice {
-            Some(choice) if self.is_in_time(&request.admitted, &choice, now) => {
-                self.send(now, request, choice, fx);
-            }
-            Some(choice) if is_over && is_last_resort(&request.admitted, &choice, now) => {
-                self.send(now, request, choice, fx);
+        let Some(choice) = self.choose(&request.admitted, now) else {
+            if is_over {
+                return self.give_up(request, Reason::NoBackend, Grounds::NoPlace, fx);
             }
-            Some(_) if is_over => self.give_up(request, Reason::Shed, fx),
-            None if is_over => self.give_up(request, Reason::NoBackend, fx),
-            _ => self.waiting.push(request),
+            return self.waiting.push(request);
+        };
+        let limit = self.limit(&request.admitted, &choice, now);
+        let is_in_time = !choice.is_in_trouble && choice.first_event <= limit;
+        let is_resort = is_over && is_last_resort(&request.admitted, &choice, now);
+        let grounds = self.grounds_of(&choice, limit);
+        if is_in_time || is_resort {
+            self.send(now, request, choice, grounds, fx);
+        } else if is_over {
+            self.give_up(request, Reason::Shed, grounds, fx);
+        } else {
+            self.waiting.push(request);
         }
     }
 
@@ -208,12 +229,11 @@
         known.copied().unwrap_or(FIRST_PLAIN_RESIDENCE)
     }
 
-    fn is_in_time(&self, admitted: &Admitted, choice: &Choice, now: Instant) -> bool {
-        if choice.is_in_trouble {
-            return false;
-        }
+    /// Time that the first event may take at a place.
+    fn limit(&self, admitted: &Admitted, choice: &Choice, now: Instant) -> Duration {
         if admitted.is_started {
-            return true;
+            // A stream that broke off goes on anywhere sooner than nowhere.
+            return admitted.deadline.saturating_duration_since(now);
         }
         let spent = now.saturating_duration_since(admitted.arrived_at);
         let limit = admitted.route.aim.mul_f64(ACCEPT_PART);
@@ -222,7 +242,18 @@
             Duration::from_secs_f64(backend.pace.seconds_for(tokens))
         });
         let own = own.unwrap_or_default().mul_f64(OWN_PREFILL_FACTOR);
-        choice.first_event <= limit.saturating_sub(spent).max(own)
+        limit.saturating_sub(spent).max(own)
+    }
+
+    fn grounds_of(&self, choice: &Choice, limit: Duration) -> Grounds {
+        let backend = self.backends.get(&choice.backend);
+        Grounds::Place {
+            first_event: choice.first_event,
+            limit,
+            running: backend.map_or(0, crate::Backend::running),
+            tokens_ahead: choice.tokens_ahead,
+            is_in_trouble: choice.is_in_trouble,
+        }
     }
 
     fn send(
@@ -230,10 +261,11 @@
         now: Instant,
         request: Request<Waiting>,
         choice: Choice,
+        grounds: Grounds,
         fx: &mut Vec<Effect>,
     ) {
         let Some(backend) = self.backends.get_mut(&choice.backend) else {
-            return self.give_up(request, Reason::NoBackend, fx);
+            return self.give_up(request, Reason::NoBackend, grounds, fx);
         };
         let admitted = &request.admitted;
         let (number, tokens) = (admitted.number, admitted.prompt_tokens);
@@ -246,6 +278,7 @@
             repeat: admitted.route.repeat,
             silence: silence(admitted, &choice),
             deadline: admitted.deadline,
+            grounds,
         });
         let sent = request.send(Sent {
             backend: choice.backend,
@@ -262,6 +295,7 @@
         &mut self,
         request: Request<Waiting>,
         reason: Reason,
+        grounds: Grounds,
         fx: &mut Vec<Effect>,
     ) {
         let admitted = &request.admitted;
@@ -271,7 +305,7 @@
         }
         self.give_back(admitted);
         let refusal = Refusal::not_run(reason).retry_after(self.return_time(admitted));
-        fx.push(Effect::Refuse { number, refusal });
+        fx.push(refuse(number, refusal, grounds));
     }
 
     pub(super) fn give_back(&mut self, admitted: &Admitted) {
@@ -308,6 +342,14 @@
     may_run_again.then(|| choice.first_event * 3 + admitted.route.aim.mul_f64(1.5))
 }
 
+fn refuse(number: RequestNumber, refusal: Refusal, grounds: Grounds) -> Effect {
+    Effect::Refuse {
+        number,
+        refusal,
+        grounds,
+    }
+}
+
 fn units(account: Option<&Account>, tokens: Option<(u32, u32)>) -> f64 {
     let quota = account.and_then(|account| account.quota);
     match quota.map(|quota| quota.unit) {
--- a/crates/jaypin_router/src/router/attempt.rs
+++ b/crates/jaypin_router/src/router/attempt.rs
@@ -7,7 +7,7 @@
 use super::{Effect, Router};
 use crate::pace::CALL_OVERHEAD;
 use crate::request::{Admitted, Request, Sent};
-use crate::{AttemptOutcome, RequestNumber};
+use crate::{AttemptOutcome, Grounds, RequestNumber};
 
 /// Backend servers that may decline one request before it is refused.
 const MOST_DECLINED: usize = 4;
@@ -87,7 +87,8 @@
         let is_tried_often = request.admitted.tried.len() >= MOST_DECLINED;
         let request = request.take_back(until);
         if is_tried_often || !(is_free || self.budget(&service, now).take(now)) {
-            return self.give_up(request, Reason::Shed, fx);
+            let grounds = call_grounds(&request.admitted);
+            return self.give_up(request, Reason::Shed, grounds, fx);
         }
         self.place(now, request, fx);
     }
@@ -123,16 +124,24 @@
             let until = now + self.hold(&request.admitted);
             return self.place(now, request.take_back(until), fx);
         }
-        match outcome {
-            AttemptOutcome::Failed => fx.push(Effect::PassOn(number)),
-            AttemptOutcome::TimedOut => {
-                let refusal = Refusal::after_dispatch(Reason::TooLate, Ran::Unknown);
-                fx.push(Effect::Refuse { number, refusal });
-            }
-            _ => {
-                let refusal = Refusal::after_dispatch(Reason::BackendLost, Ran::Unknown);
-                fx.push(Effect::Refuse { number, refusal });
-            }
-        }
+        let grounds = call_grounds(&request.admitted);
+        let reason = match outcome {
+            AttemptOutcome::Failed => return fx.push(Effect::PassOn(number)),
+            AttemptOutcome::TimedOut => Reason::TooLate,
+            _ => Reason::BackendLost,
+        };
+        let refusal = Refusal::after_dispatch(reason, Ran::Unknown);
+        fx.push(Effect::Refuse {
+            number,
+            refusal,
+            grounds,
+        });
+    }
+}
+
+fn call_grounds(admitted: &Admitted) -> Grounds {
+    Grounds::Call {
+        runs: admitted.runs,
+        tried: admitted.tried.len(),
     }
 }
--- a/crates/jaypin_router/src/router/knowledge.rs
+++ b/crates/jaypin_router/src/router/knowledge.rs
@@ -106,7 +106,7 @@
             }
         }
         for (account, units) in &news.usage {
-            self.quota.peer_used(account, *units);
+            self.quota.peer_used(account, *units, now);
         }
         for strike in &news.strikes {
             self.quarantine
@@ -120,7 +120,7 @@
     pub(super) fn refresh_peers(&mut self, now: Instant) {
         self.fleet.forget_gone(now);
         let part = self.fleet.heard_part(now);
-        self.quota.set_refill_part(part, now);
+        self.quota.set_heard_part(part);
         let allowance = self.resend_allowance(now);
         for budget in self.budgets.values_mut() {
             budget.set_allowance(allowance);
--- a/crates/jaypin_router/src/router/mod.rs
+++ b/crates/jaypin_router/src/router/mod.rs
@@ -16,7 +16,7 @@
 
 use crate::request::{Request, Sent};
 use crate::{
-    Arrival, AttemptOutcome, Backend, BackendRecord, BootTime, Fleet, FleetQuota, Report,
+    Arrival, AttemptOutcome, Backend, BackendRecord, BootTime, Fleet, FleetQuota, Grounds, Report,
     RequestNumber, ResendBudget, RouteTable, Unrouted, WaitingList,
 };
 use telling::Telling;
@@ -26,6 +26,8 @@
 pub struct Bounds {
     /// Longest time for which a withdrawn credential may still be accepted.
     pub revoke: Duration,
+    /// Window over which the use of quotas is counted.
+    pub quota_window: Duration,
     /// Window of the budget for sends beyond the first of each request.
     pub resend_window: Duration,
     /// Such sends for each request in a window.
@@ -113,6 +115,8 @@
         silence: Option<Duration>,
         /// When the whole answer is due.
         deadline: Instant,
+        /// What the choice rests on.
+        grounds: Grounds,
     },
     /// Answer that the configuration does not allow the request.
     Reject {
@@ -120,6 +124,8 @@
         number: RequestNumber,
         /// What it does not allow.
         reason: Unrouted,
+        /// What that rests on.
+        grounds: Grounds,
     },
     /// Answer with a refusal.
     Refuse {
@@ -127,6 +133,8 @@
         number: RequestNumber,
         /// The answer.
         refusal: Refusal,
+        /// What it rests on.
+        grounds: Grounds,
     },
     /// Answer with the failure that a backend server gave.
     PassOn(RequestNumber),
@@ -188,7 +196,7 @@
             removals: BTreeMap::new(),
             disturbed_at: None,
             fleet: Fleet::default(),
-            quota: FleetQuota::default(),
+            quota: FleetQuota::new(cfg.bounds.quota_window),
             budgets: HashMap::new(),
             residence: HashMap::new(),
             quarantine: Quarantine::default(),
