Refuse long answers first where requests wait; learn residence by backend server

Cause: at full load each refused long answer would leave its slot to several short ones, and slow engines hold a request three times as long as the mean says.

Ruled out: strict order by size over all kinds; it would refuse urgent long work before deferrable short work.

Change: the accepted wait is divided by a request's size relative to its rank's or its service's mean; the time that requests hold slots is learned by backend server and shared.

--- a/crates/jaypin_entry/src/callers/drive.rs
+++ b/crates/jaypin_entry/src/callers/drive.rs
@@ -115,6 +115,7 @@
             path: self.call.uri.path().to_owned(),
             credential: says.credential.clone(),
             tokens: says.tokens,
+            expected_answer: says.expected_answer,
             patience: says.patience,
             fingerprint: self.call.fingerprint,
             received_at: self.call.received_at.into_std(),
--- a/crates/jaypin_entry/src/peers/wire.rs
+++ b/crates/jaypin_entry/src/peers/wire.rs
@@ -35,8 +35,8 @@
 
 /// Key, running requests, unread tokens.
 type WireLoad = (u32, u32, u32);
-/// Key, tokens, seconds, good and bad calls.
-type WireSamples = (u32, f64, f64, u32, u32);
+/// Key, tokens, seconds, held seconds, good and bad calls.
+type WireSamples = (u32, f64, f64, f64, u32, u32);
 
 /// A report as it travels, field by field in this order.
 #[derive(Debug, Serialize, Deserialize)]
@@ -100,7 +100,7 @@
                 .map(|it| (it.key, it.running, it.unread_tokens))
                 .collect(),
             samples
-                .map(|it| (it.key, it.tokens, it.seconds, it.good, it.bad))
+                .map(|it| (it.key, it.tokens, it.seconds, it.held, it.good, it.bad))
                 .collect(),
             usage
                 .map(|(account, units)| (account.to_string(), *units))
@@ -130,7 +130,9 @@
             strikes,
         ) = wire;
         let is_sound = |number: f64| number.is_finite() && number >= 0.0;
-        let are_sound = samples.iter().all(|it| is_sound(it.1) && is_sound(it.2))
+        let are_sound = samples
+            .iter()
+            .all(|it| is_sound(it.1) && is_sound(it.2) && is_sound(it.3))
             && usage.iter().all(|(_, units)| is_sound(*units));
         if !are_sound {
             return Err(WireError::Number);
@@ -174,11 +176,12 @@
     }
 }
 
-fn sample((key, tokens, seconds, good, bad): WireSamples) -> BackendSamples {
+fn sample((key, tokens, seconds, held, good, bad): WireSamples) -> BackendSamples {
     BackendSamples {
         key,
         tokens,
         seconds,
+        held,
         good,
         bad,
     }
--- a/crates/jaypin_entry/src/ports.rs
+++ b/crates/jaypin_entry/src/ports.rs
@@ -125,6 +125,8 @@
     pub patience: Option<Duration>,
     /// Tokens of the prompt and most tokens of the answer.
     pub tokens: Option<(u32, u32)>,
+    /// Tokens of the answer, as the caller expects them.
+    pub expected_answer: Option<u32>,
 }
 
 /// What a backend server is told besides the caller's own header.
--- a/crates/jaypin_router/src/backend.rs
+++ b/crates/jaypin_router/src/backend.rs
@@ -20,6 +20,8 @@
 const FAILURE_REST: Duration = Duration::from_millis(1_500);
 /// Part of failures that it has after such a rest: one or two further ones end the trial.
 const PART_AFTER_REST: f64 = 0.3;
+/// Weight of one request in the mean time that requests hold their slots.
+const RESIDENCE_WEIGHT: f64 = 0.05;
 /// Factor on the estimate, and time besides, after which a first event is overdue.
 const OVERDUE: (f64, Duration) = (3.0, Duration::from_millis(400));
 
@@ -66,6 +68,8 @@
     calls: BTreeMap<RequestNumber, Call>,
     /// What this host learned in its run, for its peers.
     totals: BackendSamples,
+    /// Mean time that requests hold their slots, once one has ended.
+    residence: Option<Duration>,
     failures: f64,
     rest_until: Option<Instant>,
     rests: u32,
@@ -74,6 +78,7 @@
 #[derive(Debug)]
 struct Call {
     tokens: u32,
+    sent_at: Instant,
     overdue_at: Option<Instant>,
 }
 
@@ -93,6 +98,7 @@
             },
             calls: BTreeMap::new(),
             totals: BackendSamples::none(key),
+            residence: None,
             failures: 0.0,
             rest_until: None,
             rests: 0,
@@ -146,6 +152,12 @@
         self.rest_until.is_some_and(|until| now < until) || self.calls.values().any(is_overdue)
     }
 
+    /// Mean time that requests hold their slots there.
+    #[must_use]
+    pub fn residence(&self) -> Option<Duration> {
+        self.residence
+    }
+
     // ------------------------------------------------------------------ calls
 
     /// Counts a call that is sent, with the time that its first event should take.
@@ -153,6 +165,7 @@
         let overdue_at = now + estimate.mul_f64(OVERDUE.0) + OVERDUE.1;
         let call = Call {
             tokens,
+            sent_at: now,
             overdue_at: Some(overdue_at),
         };
         self.calls.insert(number, call);
@@ -174,9 +187,12 @@
 
     /// Counts the end of a call.
     pub fn ended(&mut self, number: RequestNumber, outcome: AttemptOutcome, now: Instant) {
-        self.calls.remove(&number);
+        let call = self.calls.remove(&number);
         match outcome {
             AttemptOutcome::Complete => {
+                let held = call.map_or(Duration::ZERO, |call| now - call.sent_at);
+                self.learn_residence(held);
+                self.totals.held += held.as_secs_f64();
                 self.totals.good += 1;
                 self.rests = 0;
                 self.learn_outcome(false, now);
@@ -202,6 +218,10 @@
         if samples.tokens > 0.0 {
             self.pace.saw(samples.tokens, samples.seconds);
         }
+        if samples.good > 0 {
+            let mean = samples.held / f64::from(samples.good);
+            self.learn_residence(Duration::from_secs_f64(mean));
+        }
         for _ in 0..samples.good {
             self.learn_outcome(false, now);
         }
@@ -226,6 +246,12 @@
         self.rest_until = Some(now + rest.min(LONGEST_REST));
     }
 
+    fn learn_residence(&mut self, held: Duration) {
+        let mean = self.residence.unwrap_or(held);
+        let kept = mean.mul_f64(1.0 - RESIDENCE_WEIGHT);
+        self.residence = Some(kept + held.mul_f64(RESIDENCE_WEIGHT));
+    }
+
     fn learn_outcome(&mut self, failed: bool, now: Instant) {
         let outcome = if failed { 1.0 } else { 0.0 };
         self.failures += FAILURE_WEIGHT * (outcome - self.failures);
--- a/crates/jaypin_router/src/fleet.rs
+++ b/crates/jaypin_router/src/fleet.rs
@@ -207,6 +207,7 @@
             key,
             tokens: 0.0,
             seconds: 0.0,
+            held: 0.0,
             good: 0,
             bad: 0,
         }
@@ -217,6 +218,7 @@
             key: self.key,
             tokens: (self.tokens - before.tokens).max(0.0),
             seconds: (self.seconds - before.seconds).max(0.0),
+            held: (self.held - before.held).max(0.0),
             good: self.good.saturating_sub(before.good),
             bad: self.bad.saturating_sub(before.bad),
         }
--- a/crates/jaypin_router/src/lib.rs
+++ b/crates/jaypin_router/src/lib.rs
@@ -17,6 +17,7 @@
 mod resend_budget;
 mod route_table;
 mod router;
+mod size;
 mod waiting;
 
 pub use backend::{Backend, BackendRecord, BackendStatus};
@@ -33,6 +34,7 @@
 pub use resend_budget::ResendBudget;
 pub use route_table::{RouteTable, Unrouted};
 pub use router::{Bounds, Effect, Event, Router, RouterConfig, RouterCounts};
+pub use size::Sizes;
 pub use waiting::WaitingList;
 
 /// Number of a request in one run of a host's process.
--- a/crates/jaypin_router/src/placement.rs
+++ b/crates/jaypin_router/src/placement.rs
@@ -29,7 +29,7 @@
     pub aim: Duration,
     /// Longest pause of streams beside it.
     pub longest_pause: Option<Duration>,
-    /// Mean time that a request of the service holds its slot.
+    /// Time that a request of the service holds its slot, where none was seen.
     pub residence: Duration,
 }
 
@@ -75,7 +75,8 @@
     let running = backend.running();
     let tokens_ahead = backend.unread_tokens();
     let in_line = f64::from((running + 1).saturating_sub(slots));
-    let slot_wait = in_line * demand.residence.as_secs_f64() / f64::from(slots);
+    let residence = backend.residence().unwrap_or(demand.residence);
+    let slot_wait = in_line * residence.as_secs_f64() / f64::from(slots);
     let tokens = f64::from(tokens_ahead) + f64::from(demand.prompt_tokens);
     let prefill = backend.pace.seconds_for(tokens);
     Choice {
--- a/crates/jaypin_router/src/report.rs
+++ b/crates/jaypin_router/src/report.rs
@@ -60,6 +60,8 @@
     pub tokens: f64,
     /// Seconds that this took.
     pub seconds: f64,
+    /// Seconds for which the calls that succeeded held their slots.
+    pub held: f64,
     /// Calls that succeeded.
     pub good: u32,
     /// Calls that failed by the backend server's fault.
--- a/crates/jaypin_router/src/request.rs
+++ b/crates/jaypin_router/src/request.rs
@@ -20,6 +20,8 @@
     pub credential: Option<String>,
     /// Tokens of the prompt and most tokens of the answer, as the caller declares them.
     pub tokens: Option<(u32, u32)>,
+    /// Tokens of the answer, as the caller expects them.
+    pub expected_answer: Option<u32>,
     /// How long the caller waits.
     pub patience: Option<Duration>,
     /// Fingerprint of path, caller and body.
@@ -97,6 +99,8 @@
     pub prompt_tokens: u32,
     /// Most tokens of the answer.
     pub answer_tokens: u32,
+    /// Time that it holds a slot, relative to what is usual; 1 is usual.
+    pub size: f64,
     /// Quota units that it takes.
     pub units: f64,
     /// Fingerprint of path, caller and body.
--- a/crates/jaypin_router/src/router/arrival.rs
+++ b/crates/jaypin_router/src/router/arrival.rs
@@ -16,6 +16,11 @@
 const HOLD_PART: f64 = 0.12;
 /// Part of the aim that the estimated first event may take.
 const ACCEPT_PART: f64 = 0.85;
+/// Greatest size by which that part is divided.
+///
+/// A request that holds its slot for long is sent only where it hardly waits, so that at
+/// full load the time it would take goes to several short ones.
+const MOST_SIZE: f64 = 6.0;
 /// Factor on a prompt's own prefill that is accepted whatever the aim: a prompt too long
 /// for its aim on every engine is served late and not refused for ever.
 const OWN_PREFILL_FACTOR: f64 = 1.5;
@@ -86,11 +91,18 @@
     ) -> Request<Waiting> {
         let patience = arrival.patience.unwrap_or(route.timeout);
         let (prompt_tokens, answer_tokens) = arrival.tokens.unwrap_or_default();
+        let priority = account.and_then(|it| it.priority).unwrap_or(route.priority);
+        let service = self.choose_service(route);
+        let expected = arrival.expected_answer.unwrap_or(answer_tokens);
+        let size = self
+            .sizes
+            .relative(&service, priority, prompt_tokens, expected);
         let admitted = Admitted {
             number: arrival.number,
-            service: self.choose_service(route),
+            service,
+            size,
             account: account.map(|account| account.name.clone()),
-            priority: account.and_then(|it| it.priority).unwrap_or(route.priority),
+            priority,
             prompt_tokens,
             answer_tokens,
             units: units(account, arrival.tokens),
@@ -237,7 +249,8 @@
             return admitted.deadline.saturating_duration_since(now);
         }
         let spent = now.saturating_duration_since(admitted.arrived_at);
-        let limit = admitted.route.aim.mul_f64(ACCEPT_PART);
+        let part = ACCEPT_PART / admitted.size.clamp(1.0, MOST_SIZE);
+        let limit = admitted.route.aim.mul_f64(part);
         let own = self.backends.get(&choice.backend).map(|backend| {
             let tokens = f64::from(admitted.prompt_tokens);
             Duration::from_secs_f64(backend.pace.seconds_for(tokens))
--- a/crates/jaypin_router/src/router/mod.rs
+++ b/crates/jaypin_router/src/router/mod.rs
@@ -17,7 +17,7 @@
 use crate::request::{Request, Sent};
 use crate::{
     Arrival, AttemptOutcome, Backend, BackendRecord, BootTime, Fleet, FleetQuota, Grounds, Report,
-    RequestNumber, ResendBudget, RouteTable, Unrouted, WaitingList,
+    RequestNumber, ResendBudget, RouteTable, Sizes, Unrouted, WaitingList,
 };
 use telling::Telling;
 
@@ -179,6 +179,7 @@
     quota: FleetQuota,
     budgets: HashMap<ServiceId, ResendBudget>,
     residence: HashMap<ServiceId, Duration>,
+    sizes: Sizes,
     quarantine: Quarantine,
     waiting: WaitingList,
     sent: HashMap<RequestNumber, Request<Sent>>,
@@ -204,6 +205,7 @@
             quota: FleetQuota::new(cfg.bounds.quota_window),
             budgets: HashMap::new(),
             residence: HashMap::new(),
+            sizes: Sizes::default(),
             quarantine: Quarantine::default(),
             waiting: WaitingList::default(),
             sent: HashMap::new(),
--- /dev/null
+++ b/crates/jaypin_router/src/size.rs
@@ -0,0 +1,48 @@
+//! How long requests hold their slots, against each other.
+//!
+//! The pattern: answers differ a hundredfold in length, the longest tenth takes more than
+//! half of all slot time, and the fleet is asked for more than it has. Whoever refuses at
+//! random then refuses many short requests for each long one that it serves.
+
+use std::collections::HashMap;
+
+use jaypin_core::ServiceId;
+
+/// Prompt tokens that take as long as one token of an answer: engines read prompts at some
+/// sixty tokens a millisecond and make a token in some three and a half.
+const PROMPT_TOKENS_PER_STEP: f64 = 200.0;
+/// Weight of one request in the means: the last fifty count.
+const MEAN_WEIGHT: f64 = 0.02;
+
+/// Expected sizes of requests, as means by service and by rank within it.
+#[derive(Debug, Default)]
+pub struct Sizes {
+    of_service: HashMap<ServiceId, f64>,
+    of_rank: HashMap<(ServiceId, u8), f64>,
+}
+
+impl Sizes {
+    /// Takes a request in and gives its size relative to what is usual, 1 being usual.
+    ///
+    /// Usual is the mean of its rank, or of the service where that is more: a short kind of
+    /// request is not penalized for being twice as short as the next, and a rank whose
+    /// requests are all long is not refused before a lower one.
+    pub fn relative(
+        &mut self,
+        service: &ServiceId,
+        rank: u8,
+        prompt_tokens: u32,
+        answer_tokens: u32,
+    ) -> f64 {
+        let size = f64::from(answer_tokens) + f64::from(prompt_tokens) / PROMPT_TOKENS_PER_STEP;
+        let of_service = learn(&mut self.of_service, service.clone(), size);
+        let of_rank = learn(&mut self.of_rank, (service.clone(), rank), size);
+        size / of_service.max(of_rank).max(1.0)
+    }
+}
+
+fn learn<K: std::hash::Hash + Eq>(means: &mut HashMap<K, f64>, key: K, size: f64) -> f64 {
+    let mean = means.entry(key).or_insert(size);
+    *mean += MEAN_WEIGHT * (size - *mean);
+    *mean
+}
