Bound quotas also at once; keep vanished entries only when they may have lapsed

Ruled out: reports that were late (the use of all hosts before the kill was counted), watches that rest (the removal was read 4 ms after it was written).

Change: besides the window, 1.2 seconds of the rate and the burst at once. An entry that a watch tells as removed is dropped at once, unless two fifths of its service vanish together; one missing from a listing after a disturbance is kept 1.7 s, and a tick is due when it ends.

--- a/crates/jaypin_router/src/quota.rs
+++ b/crates/jaypin_router/src/quota.rs
@@ -15,9 +15,20 @@
 /// accounts that keep below their rate are not refused after a restart, and one that was
 /// beyond it can't use its window a second time.
 const ASSUMED_USE: f64 = 0.9;
+/// Seconds of its rate that an account may use at once besides its burst.
+///
+/// The window alone would let an account use all of it in one moment, and once more after a
+/// common restart in that window. With this much, both together stay within a tenth of
+/// what a window allows.
+const CATCH_UP_SECONDS: f64 = 1.2;
+/// Seconds of its rate that an account may use at once right after this host's start.
+const FIRST_SECONDS: f64 = 0.5;
 /// Longest wait that is stated to an account over its quota.
 const LONGEST_WAIT: Duration = Duration::from_secs(30);
 
+/// Shortest such wait.
+const SHORTEST_WAIT: Duration = Duration::from_millis(50);
+
 /// What all limited accounts used in the last window, as this host sees it.
 ///
 /// Every host counts for the whole fleet: its own use at once and that of its peers when
@@ -37,6 +48,9 @@
     /// Use by part of the window, the oldest first.
     parts: VecDeque<f64>,
     newest_since: Instant,
+    /// Units that may be used at once; below 0 a debt.
+    at_once: f64,
+    filled_at: Instant,
     /// Use of this host in its run.
     own: f64,
 }
@@ -89,6 +103,13 @@
         if excess > 0.0 {
             return Err(usage.time_until_free(excess, part).min(LONGEST_WAIT));
         }
+        usage.fill(allowed_part, now);
+        let missing = units.min(usage.quota.burst) - usage.at_once;
+        if missing > 0.0 {
+            let rate = (usage.quota.rate * allowed_part).max(1e-3);
+            let wait = (missing / rate).min(LONGEST_WAIT.as_secs_f64());
+            return Err(Duration::from_secs_f64(wait).max(SHORTEST_WAIT));
+        }
         usage.add(units);
         usage.own += units;
         Ok(())
@@ -144,6 +165,8 @@
             quota,
             parts: (0..PARTS).map(|_| assumed).collect(),
             newest_since: now,
+            at_once: quota.rate * FIRST_SECONDS,
+            filled_at: now,
             own: 0.0,
         }
     }
@@ -162,7 +185,17 @@
         }
     }
 
+    /// Fills up what may be used at once.
+    fn fill(&mut self, allowed_part: f64, now: Instant) {
+        let most = self.quota.burst + self.quota.rate * CATCH_UP_SECONDS;
+        let since = now.saturating_duration_since(self.filled_at).as_secs_f64();
+        self.at_once += self.quota.rate * allowed_part * since;
+        self.at_once = self.at_once.min(most);
+        self.filled_at = now;
+    }
+
     fn add(&mut self, units: f64) {
+        self.at_once -= units;
         if let Some(newest) = self.parts.back_mut() {
             *newest += units;
         }
--- a/crates/jaypin_router/src/router/knowledge.rs
+++ b/crates/jaypin_router/src/router/knowledge.rs
@@ -9,21 +9,11 @@
 use rand::RngExt;
 
 use super::Router;
-use crate::{
-    Backend, BackendLoad, BackendRecord, BackendStatus, BootTime, Report, ResendBudget, RouteTable,
-};
+use crate::{Backend, BackendLoad, BackendRecord, BootTime, Report, ResendBudget, RouteTable};
 
 /// Part of the bound on withdrawn credentials within which the configuration has to be
 /// proved: the rest covers watches that lag by up to a second.
 const PROOF_PART: f64 = 0.8;
-/// Time for which an entry that vanished is kept when the store was disturbed lately.
-///
-/// Leases of backend servers run out while the store is away, and their entries are back
-/// within two seconds of its return. Without this, a fleet would have nowhere to send
-/// requests although every backend server is well.
-const LAPSE_GRACE: Duration = Duration::from_millis(2_000);
-/// Time after a disturbance for which vanished entries count as lapsed.
-const LAPSE_WINDOW: Duration = Duration::from_secs(3);
 /// Part of the fleet's budget for resends that hosts use: hosts that count alone must not
 /// exceed it together when their number changes.
 const BUDGET_PART: f64 = 0.75;
@@ -63,7 +53,7 @@
         let known = self.backends.keys();
         let gone: Vec<_> = known.filter(|id| !listed.contains(*id)).cloned().collect();
         for id in gone {
-            self.backend_removed(id, now);
+            self.backend_missing(id, now);
         }
         for record in records {
             self.backend_changed(record);
@@ -71,7 +61,7 @@
     }
 
     pub(super) fn backend_changed(&mut self, record: BackendRecord) {
-        self.removals.remove(&record.id);
+        self.vanished.is_back(&record.id);
         match self.backends.get_mut(&record.id) {
             Some(backend) => backend.restate(record),
             None => {
@@ -81,26 +71,6 @@
         }
     }
 
-    pub(super) fn backend_removed(&mut self, id: BackendId, now: Instant) {
-        let Some(backend) = self.backends.get(&id) else {
-            return;
-        };
-        let is_disturbed = |at: Instant| now.saturating_duration_since(at) < LAPSE_WINDOW;
-        let may_have_lapsed = self.disturbed_at.is_some_and(is_disturbed);
-        if may_have_lapsed && backend.record.status == BackendStatus::Ready {
-            self.removals.entry(id).or_insert(now + LAPSE_GRACE);
-        } else {
-            self.backends.remove(&id);
-        }
-    }
-
-    pub(super) fn apply_removals(&mut self, now: Instant) {
-        let due = self.removals.extract_if(.., |_, at| now >= *at);
-        for (id, _) in due {
-            self.backends.remove(&id);
-        }
-    }
-
     pub(super) fn reported(&mut self, now: Instant, report: Report) {
         if report.host == self.cfg.host {
             return;
--- a/crates/jaypin_router/src/router/mod.rs
+++ b/crates/jaypin_router/src/router/mod.rs
@@ -3,6 +3,7 @@
 mod arrival;
 mod attempt;
 mod knowledge;
+mod lapse;
 mod telling;
 
 use std::collections::{BTreeMap, HashMap};
@@ -19,6 +20,7 @@
     Arrival, AttemptOutcome, Backend, BackendRecord, BootTime, Fleet, FleetQuota, Grounds, Report,
     RequestNumber, ResendBudget, RouteTable, Sizes, Unrouted, WaitingList,
 };
+use lapse::Vanished;
 use telling::Telling;
 
 /// Time between two ticks when nothing is due.
@@ -173,8 +175,7 @@
     table: Option<Arc<RouteTable>>,
     proved_at: Option<BootTime>,
     backends: BTreeMap<BackendId, Backend>,
-    removals: BTreeMap<BackendId, Instant>,
-    disturbed_at: Option<Instant>,
+    vanished: Vanished,
     fleet: Fleet,
     quota: FleetQuota,
     budgets: HashMap<ServiceId, ResendBudget>,
@@ -199,8 +200,7 @@
             table: None,
             proved_at: None,
             backends: BTreeMap::new(),
-            removals: BTreeMap::new(),
-            disturbed_at: None,
+            vanished: Vanished::default(),
             fleet: Fleet::default(),
             quota: FleetQuota::new(cfg.bounds.quota_window),
             budgets: HashMap::new(),
@@ -225,10 +225,10 @@
         match event {
             Event::Configured(table) => self.configured(table, now),
             Event::Proved(at) => self.proved_at = self.proved_at.max(Some(at)),
-            Event::StoreDisturbed => self.disturbed_at = Some(now),
+            Event::StoreDisturbed => self.vanished.disturbed(now),
             Event::BackendsListed(records) => self.backends_listed(records, now),
             Event::BackendChanged(record) => self.backend_changed(record),
-            Event::BackendRemoved(id) => self.backend_removed(id, now),
+            Event::BackendRemoved(id) => self.backend_removed(&id, now),
             Event::Arrived(arrival) => self.arrived(now, arrival, &mut fx),
             Event::Answered(number) => self.answered(now, number),
             Event::Ended { number, outcome } => self.ended(now, number, outcome, &mut fx),
@@ -250,6 +250,7 @@
             self.telling.due_at(),
             self.look_at,
             self.waiting.first_until(),
+            self.vanished.next_due(),
         ];
         let soonest = soonest.into_iter().flatten().min();
         soonest.map_or(latest, |at| at.clamp(now, latest))
@@ -309,7 +310,7 @@
             self.was_ready = is_ready;
             self.telling.has_news();
         }
-        self.apply_removals(now);
+        self.drop_vanished(now);
         self.judge_deaths(now);
         self.refresh_peers(now);
         self.place_waiting(now, fx);
