Two hosts a cell watch the store; fleets are parted into cells

Ruled out: one scheduler a shard (its host is the smallest one as often as not), proofs by time of day (clocks jump), entry lists by datagram as a whole.

Change: cells of at most 40 hosts share out the backend servers of a service by bounded rendezvous; two hosts a cell watch, the others hear of changes, versions and proofs in reports, and read the store themselves when a proof is old or their entries differ. A peer's clock that counts suspended time is mapped to the own.

--- a/crates/jaypin_entry/src/peers/mod.rs
+++ b/crates/jaypin_entry/src/peers/mod.rs
@@ -13,6 +13,7 @@
 use jaypin_router::{Event, Report};
 use tokio::net::UdpSocket;
 
+use crate::boot_clock::boot_time;
 use crate::host::Host;
 
 /// Largest datagram: the load of 600 backend servers takes 10 KB.
@@ -63,7 +64,10 @@
             }
         };
         match decode_report(&buf[..length]) {
-            Ok(report) => host.apply(Event::Reported(report)),
+            Ok(report) => {
+                let boot_time = boot_time();
+                host.apply(Event::Reported { report, boot_time });
+            }
             Err(error) => log::warn!(peer:% = from, error:%; "a report makes no sense"),
         }
     }
--- a/crates/jaypin_entry/src/peers/wire.rs
+++ b/crates/jaypin_entry/src/peers/wire.rs
@@ -1,9 +1,13 @@
 //! Reports as bytes: CBOR arrays, so that no field name travels.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
-use jaypin_core::{AccountId, FailureDomain, HostId};
-use jaypin_router::{BackendLoad, BackendSamples, Report, Strike};
+use jaypin_core::{AccountId, BackendId, FailureDomain, HostId, ServiceId};
+use jaypin_router::{
+    BackendLoad, BackendRecord, BackendSamples, BackendStatus, EntryChange, Report, StoreView,
+    Strike,
+};
 use serde::{Deserialize, Serialize};
 use snafu::{ResultExt, Snafu};
 
@@ -38,22 +42,30 @@
 /// Key, tokens, seconds, held seconds, good and bad calls.
 type WireSamples = (u32, f64, f64, f64, u32, u32);
 
+/// Name, run, sequence, reports' address, callers' address, failure domain.
+type WireSender = (String, u64, u64, String, String, String);
+/// Version, proved at and sent at in milliseconds, may watch, watches, digest.
+type WireView = (u64, Option<u64>, u64, bool, bool, u64);
+/// Start, service, address, failure domain, slots, whether it is ready.
+type WireRecord = (u64, String, String, String, u32, bool);
+
+/// A change of an entry: its id, revision, and statement if it is not gone.
+type WireChange = (String, u64, Option<WireRecord>);
+
 /// A report as it travels, field by field in this order.
 #[derive(Debug, Serialize, Deserialize)]
 struct WireReport(
-    String,
-    u64,
-    u64,
-    String,
-    String,
-    String,
+    WireSender,
+    u32,
     bool,
-    u64,
+    WireView,
     bool,
     Vec<WireLoad>,
     Vec<WireSamples>,
     Vec<(String, f64)>,
     Vec<(u64, u32)>,
+    Vec<WireChange>,
+    Option<Vec<String>>,
 );
 
 /// Writes a report.
@@ -82,30 +94,44 @@
 
 impl From<&Report> for WireReport {
     fn from(report: &Report) -> Self {
-        let loads = report.loads.iter();
-        let samples = report.samples.iter();
-        let usage = report.usage.iter();
-        let strikes = report.strikes.iter();
-        Self(
+        let sender = (
             report.host.to_string(),
             report.run,
             report.sequence,
             report.address.to_string(),
             report.callers.to_string(),
             report.failure_domain.to_string(),
+        );
+        let view = &report.store;
+        let wire_view = (
+            view.version,
+            view.proved_at.map(milliseconds),
+            milliseconds(report.sent_at),
+            view.may_watch,
+            view.is_watching,
+            view.digest,
+        );
+        let callers = report.cell_callers.as_ref();
+        Self(
+            sender,
+            report.cell,
             report.is_ready,
-            report.version,
+            wire_view,
             report.is_whole,
-            loads
-                .map(|it| (it.key, it.running, it.unread_tokens))
-                .collect(),
-            samples
-                .map(|it| (it.key, it.tokens, it.seconds, it.held, it.good, it.bad))
-                .collect(),
-            usage
+            report.loads.iter().map(wire_load).collect(),
+            report.samples.iter().map(wire_samples).collect(),
+            report
+                .usage
+                .iter()
                 .map(|(account, units)| (account.to_string(), *units))
                 .collect(),
-            strikes.map(|it| (it.fingerprint, it.strikes)).collect(),
+            report
+                .strikes
+                .iter()
+                .map(|it| (it.fingerprint, it.strikes))
+                .collect(),
+            view.changes.iter().map(wire_change).collect(),
+            callers.map(|it| it.iter().map(ToString::to_string).collect()),
         )
     }
 }
@@ -115,19 +141,17 @@
 
     fn try_from(wire: WireReport) -> Result<Self, WireError> {
         let WireReport(
-            host,
-            run,
-            sequence,
-            address,
-            callers,
-            failure_domain,
+            (host, run, sequence, address, callers, failure_domain),
+            cell,
             is_ready,
-            version,
+            (version, proved_at, sent_at, may_watch, is_watching, digest),
             is_whole,
             loads,
             samples,
             usage,
             strikes,
+            changes,
+            cell_callers,
         ) = wire;
         let is_sound = |number: f64| number.is_finite() && number >= 0.0;
         let are_sound = samples
@@ -137,6 +161,9 @@
         if !are_sound {
             return Err(WireError::Number);
         }
+        let usage = usage.into_iter();
+        let strikes = strikes.into_iter();
+        let cell_callers = cell_callers.map(|it| it.iter().map(|it| read_address(it)).collect());
         Ok(Self {
             host: HostId::from(host),
             run,
@@ -144,26 +171,85 @@
             address: read_address(&address)?,
             callers: read_address(&callers)?,
             failure_domain: FailureDomain::from(failure_domain),
+            cell,
             is_ready,
-            version,
+            sent_at: Duration::from_millis(sent_at),
+            store: StoreView {
+                version,
+                proved_at: proved_at.map(Duration::from_millis),
+                may_watch,
+                is_watching,
+                digest,
+                changes: changes.into_iter().map(change).collect(),
+            },
             is_whole,
             loads: loads.into_iter().map(load).collect(),
             samples: samples.into_iter().map(sample).collect(),
             usage: usage
-                .into_iter()
                 .map(|(account, units)| (AccountId::from(account), units))
                 .collect(),
             strikes: strikes
-                .into_iter()
                 .map(|(fingerprint, strikes)| Strike {
                     fingerprint,
                     strikes,
                 })
                 .collect(),
+            cell_callers: cell_callers.transpose()?,
         })
     }
 }
 
+fn milliseconds(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
+fn wire_load(load: &BackendLoad) -> WireLoad {
+    (load.key, load.running, load.unread_tokens)
+}
+
+fn wire_samples(it: &BackendSamples) -> WireSamples {
+    (it.key, it.tokens, it.seconds, it.held, it.good, it.bad)
+}
+
+fn wire_change(change: &EntryChange) -> WireChange {
+    match change {
+        EntryChange::Removed { id, revision } => (id.to_string(), *revision, None),
+        EntryChange::Stated { record, revision } => {
+            let stated = (
+                record.started,
+                record.service.to_string(),
+                record.address.clone(),
+                record.failure_domain.to_string(),
+                record.slots,
+                record.status == BackendStatus::Ready,
+            );
+            (record.id.to_string(), *revision, Some(stated))
+        }
+    }
+}
+
+fn change((id, revision, stated): WireChange) -> EntryChange {
+    let Some((started, service, address, failure_domain, slots, is_ready)) = stated else {
+        let id = BackendId::from(id);
+        return EntryChange::Removed { id, revision };
+    };
+    let status = if is_ready {
+        BackendStatus::Ready
+    } else {
+        BackendStatus::Leaving
+    };
+    let record = BackendRecord {
+        id: BackendId::from(id),
+        started,
+        service: ServiceId::from(service),
+        address,
+        failure_domain: FailureDomain::from(failure_domain),
+        slots,
+        status,
+    };
+    EntryChange::Stated { record, revision }
+}
+
 fn read_address(text: &str) -> Result<SocketAddr, WireError> {
     text.parse().context(AddressSnafu)
 }
--- a/crates/jaypin_entry/src/store/configuration.rs
+++ b/crates/jaypin_entry/src/store/configuration.rs
@@ -4,23 +4,24 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use jaypin_router::{BootTime, Event, RouteTable};
+use jaypin_router::{BootTime, Event, RouteTable, Router};
 use tokio::time::{Instant, sleep};
 
 use super::client::{StoreClient, StoreError};
-use super::{WATCH_PAUSE, pause_after};
+use super::{WATCH_PAUSE, is_watching, pause_after, wait_for_reason};
 use crate::boot_clock::boot_time;
 use crate::host::Host;
 use crate::ports::{Collection, Object};
 
 /// How long one watch waits. The proof that a configuration is the newest is as old as the
 /// last answer, so this bounds its age; each watch has its price.
-const WATCH: Duration = Duration::from_millis(1_800);
+const WATCH: Duration = Duration::from_millis(1_000);
 /// Time by which a watch may lag behind what was written: a store that drops its history
 /// tells watches nothing for up to a second before.
 const WATCH_LAG: Duration = Duration::from_millis(1_200);
 
-/// Reads and watches the configuration until the task is dropped.
+/// Follows the configuration until the task is dropped: by watches if this host is to
+/// watch, else by reading it when a peer knows a newer one.
 pub async fn follow_configuration(host: Rc<Host>) {
     let mut client = StoreClient::new(&host);
     loop {
@@ -30,15 +31,15 @@
     }
 }
 
-/// Lists, then watches until the history is gone or a call fails.
 async fn follow(host: &Host, client: &mut StoreClient<'_>) -> Result<(), StoreError> {
+    wait_for_reason(host, Router::is_behind).await;
     let asked_at = boot_time();
     let (objects, mut revision) = client.list(Collection::Configuration).await?;
     for object in &objects {
         take(host, object);
     }
     host.apply(Event::Proved(asked_at));
-    loop {
+    while is_watching(host) {
         let asked = (boot_time(), Instant::now());
         let Some(news) = client
             .watch(Collection::Configuration, revision, WATCH)
@@ -57,6 +58,7 @@
             sleep(WATCH_PAUSE).await;
         }
     }
+    Ok(())
 }
 
 /// The time at which a watch's answer was surely the newest.
--- a/crates/jaypin_entry/src/store/hosts.rs
+++ b/crates/jaypin_entry/src/store/hosts.rs
@@ -69,7 +69,10 @@
 fn find_all(host: &Host, objects: &[Object]) {
     for object in objects {
         match host.platform.host(object) {
-            Ok(record) => host.apply(Event::HostFound(record.peers)),
+            Ok(record) => host.apply(Event::HostFound {
+                host: record.host,
+                address: record.peers,
+            }),
             Err(error) => {
                 log::warn!(name = object.name, error:%; "an entry that is no host");
             }
--- a/crates/jaypin_router/src/fleet.rs
+++ b/crates/jaypin_router/src/fleet.rs
@@ -6,7 +6,9 @@
 
 use jaypin_core::{AccountId, FailureDomain, HostId, Incarnation};
 
-use crate::{BackendKey, BackendLoad, BackendSamples, Report, Strike};
+use crate::{
+    BackendKey, BackendLoad, BackendSamples, BootTime, CellIndex, PeerClock, Report, Strike,
+};
 
 /// Time without a report after which a host takes no part.
 ///
@@ -19,6 +21,11 @@
 /// quotas is left to it.
 const PEER_GONE: Duration = Duration::from_secs(12);
 
+/// Time without a word after which another cell takes no part.
+///
+/// Each host hears from each other cell twice a second on the average, at random.
+const CELL_SILENCE: Duration = Duration::from_secs(4);
+
 /// A peer, as its last reports show it.
 #[derive(Debug)]
 pub struct Peer {
@@ -32,8 +39,10 @@
     pub failure_domain: FailureDomain,
     /// Whether callers should be sent to it.
     pub is_ready: bool,
-    /// Version of its configuration.
-    pub version: u64,
+    /// Whether it may be relied on to watch the store.
+    pub may_watch: bool,
+    /// Its clock against this host's.
+    pub clock: PeerClock,
     earlier_run: Option<Incarnation>,
     sequence: u64,
     heard_at: Instant,
@@ -55,6 +64,10 @@
     }
 }
 
+fn is_recent(at: Instant, now: Instant) -> bool {
+    now.saturating_duration_since(at) < CELL_SILENCE
+}
+
 /// What a report has that was not known before.
 #[derive(Debug, Default)]
 pub struct News {
@@ -70,11 +83,30 @@
 #[derive(Debug, Default)]
 pub struct Fleet {
     peers: BTreeMap<HostId, Peer>,
+    other_cells: BTreeMap<CellIndex, OtherCell>,
+}
+
+/// Another cell, as one of its hosts told last.
+#[derive(Debug)]
+struct OtherCell {
+    callers: Vec<SocketAddr>,
+    heard_at: Instant,
 }
 
 impl Fleet {
     /// Takes a report; one that was overtaken by a later one tells nothing.
-    pub fn take(&mut self, report: Report, now: Instant) -> News {
+    pub fn take(&mut self, report: Report, now: Instant, boot_time: BootTime) -> News {
+        if let Some(callers) = report.cell_callers {
+            let other = OtherCell {
+                callers,
+                heard_at: now,
+            };
+            self.other_cells.insert(report.cell, other);
+            return News {
+                strikes: report.strikes,
+                ..News::default()
+            };
+        }
         let is_new = !self.peers.contains_key(&report.host);
         let peer = self
             .peers
@@ -92,7 +124,7 @@
                 ..Peer::new(&report, now)
             };
         }
-        peer.take(report, is_new, now)
+        peer.take(report, is_new, now, boot_time)
     }
 
     /// Peers that were heard lately.
@@ -102,6 +134,27 @@
             .filter(move |(_, peer)| peer.is_heard(now))
     }
 
+    /// A peer.
+    #[must_use]
+    pub fn peer(&self, host: &str) -> Option<&Peer> {
+        self.peers.get(host)
+    }
+
+    /// Where callers may connect in other cells that were heard lately.
+    pub fn other_callers(&self, now: Instant) -> impl Iterator<Item = SocketAddr> {
+        let heard = self.other_cells.values();
+        let heard = heard.filter(move |it| is_recent(it.heard_at, now));
+        heard.flat_map(|cell| cell.callers.iter().copied())
+    }
+
+    /// Hosts in use of other cells that were heard lately.
+    #[must_use]
+    pub fn other_cells(&self, now: Instant) -> BTreeMap<CellIndex, usize> {
+        let heard = self.other_cells.iter();
+        let heard = heard.filter(|(_, it)| is_recent(it.heard_at, now));
+        heard.map(|(cell, it)| (*cell, it.callers.len())).collect()
+    }
+
     /// All peers, heard lately or not.
     pub fn iter(&self) -> impl Iterator<Item = (&HostId, &Peer)> {
         self.peers.iter()
@@ -155,7 +208,8 @@
             callers: report.callers,
             failure_domain: report.failure_domain.clone(),
             is_ready: report.is_ready,
-            version: report.version,
+            may_watch: report.store.may_watch,
+            clock: PeerClock::default(),
             earlier_run: None,
             sequence: 0,
             heard_at: now,
@@ -167,12 +221,13 @@
 
     /// Totals of a peer that is heard for the first time say nothing of the last moments:
     /// they are where its differences begin.
-    fn take(&mut self, report: Report, is_new: bool, now: Instant) -> News {
+    fn take(&mut self, report: Report, is_new: bool, now: Instant, boot_time: BootTime) -> News {
         self.sequence = report.sequence;
         self.heard_at = now;
         self.address = report.address;
         self.is_ready = report.is_ready;
-        self.version = report.version;
+        self.may_watch = report.store.may_watch;
+        self.clock.saw(report.sent_at, boot_time);
         if report.is_whole {
             self.loads.clear();
         }
--- a/crates/jaypin_router/src/lib.rs
+++ b/crates/jaypin_router/src/lib.rs
@@ -6,11 +6,14 @@
 //! effects.
 
 mod backend;
+mod cell;
 mod configuration;
+mod entries;
 mod fleet;
 mod grounds;
 mod pace;
 mod placement;
+mod proof;
 mod quota;
 mod report;
 mod request;
@@ -21,15 +24,18 @@
 mod waiting;
 
 pub use backend::{Backend, BackendRecord, BackendStatus};
+pub use cell::{CellIndex, cell_count, cell_of, share_out};
 pub use configuration::{
     Account, CallerLimits, Configuration, Engine, Quota, QuotaUnit, Repeat, Route, Service, Target,
 };
+pub use entries::{Entries, EntryChange};
 pub use fleet::{Fleet, Peer};
 pub use grounds::Grounds;
 pub use pace::Pace;
 pub use placement::{Choice, Demand, best_place};
+pub use proof::PeerClock;
 pub use quota::FleetQuota;
-pub use report::{BackendLoad, BackendSamples, Report, Strike};
+pub use report::{BackendLoad, BackendSamples, Report, StoreView, Strike};
 pub use request::{Arrival, AttemptOutcome};
 pub use resend_budget::ResendBudget;
 pub use route_table::{RouteTable, Unrouted};
--- a/crates/jaypin_router/src/report.rs
+++ b/crates/jaypin_router/src/report.rs
@@ -4,7 +4,7 @@
 
 use jaypin_core::{AccountId, FailureDomain, HostId, Incarnation};
 
-use crate::BackendKey;
+use crate::{BackendKey, BootTime, CellIndex, EntryChange};
 
 /// What one host has running and has learned.
 ///
@@ -24,10 +24,14 @@
     pub callers: SocketAddr,
     /// Its failure domain.
     pub failure_domain: FailureDomain,
+    /// Its cell.
+    pub cell: CellIndex,
     /// Whether callers should be sent to it.
     pub is_ready: bool,
-    /// Version of its configuration.
-    pub version: u64,
+    /// When it was sent, by the host's clock that counts suspended time.
+    pub sent_at: BootTime,
+    /// What it says of the store.
+    pub store: StoreView,
     /// Whether `loads` has every backend server, or only those that changed.
     pub is_whole: bool,
     /// What it has running, by backend server.
@@ -38,6 +42,25 @@
     pub usage: Vec<(AccountId, f64)>,
     /// Contents under which backend servers died.
     pub strikes: Vec<Strike>,
+    /// To other cells: where callers of the sender's cell may connect.
+    pub cell_callers: Option<Vec<SocketAddr>>,
+}
+
+/// What a host knows of the platform's store.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct StoreView {
+    /// Version of its configuration; 0 before any.
+    pub version: u64,
+    /// When that version was the newest, by its clock that counts suspended time.
+    pub proved_at: Option<BootTime>,
+    /// Whether it may be relied on to watch.
+    pub may_watch: bool,
+    /// Whether it watches.
+    pub is_watching: bool,
+    /// A number that stands for all entries of backend servers that it knows.
+    pub digest: u64,
+    /// Entries that changed lately, from hosts that watch.
+    pub changes: Vec<EntryChange>,
 }
 
 /// What a host has running on a backend server.
--- a/crates/jaypin_router/src/router/arrival.rs
+++ b/crates/jaypin_router/src/router/arrival.rs
@@ -243,12 +243,18 @@
             longest_pause: admitted.route.longest_pause,
             residence: self.residence_of(&admitted.service),
         };
-        let Self { backends, rng, .. } = self;
-        let of_service = backends
-            .values()
-            .filter(|it| it.record.service == admitted.service);
-        let turn = || rng.random_range(0.0..1.0);
-        best_place(of_service, &demand, &admitted.tried, turn, now)
+        let mut rng = self.rng.clone();
+        let mut turn = || rng.random_range(0.0..1.0);
+        let of_service = || {
+            let all = self.backends.values();
+            all.filter(|it| it.record.service == admitted.service)
+        };
+        let ours = of_service().filter(|it| self.is_ours(it));
+        let choice = best_place(ours, &demand, &admitted.tried, &mut turn, now)
+            // A cell whose backend servers are all gone uses those of the others.
+            .or_else(|| best_place(of_service(), &demand, &admitted.tried, &mut turn, now));
+        self.rng = rng;
+        choice
     }
 
     fn residence_of(&self, service: &ServiceId) -> Duration {
--- a/crates/jaypin_router/src/router/knowledge.rs
+++ b/crates/jaypin_router/src/router/knowledge.rs
@@ -1,15 +1,18 @@
 //! What the router learns: configuration, backend servers, peers.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use jaypin_core::BackendId;
+use jaypin_core::{BackendId, ServiceId};
 
 use rand::RngExt;
 
 use super::Router;
-use crate::{Backend, BackendLoad, BackendRecord, BootTime, Report, ResendBudget, RouteTable};
+use crate::{
+    Backend, BackendLoad, BackendRecord, BootTime, EntryChange, Report, ResendBudget, RouteTable,
+    cell_count, cell_of, share_out,
+};
 
 /// Part of the bound on withdrawn credentials within which the configuration has to be
 /// proved: the rest covers watches that lag by up to a second.
@@ -48,15 +51,35 @@
         self.table.is_some() && proved.is_some_and(|at| boot_time.saturating_sub(at) < limit)
     }
 
-    pub(super) fn backends_listed(&mut self, records: Vec<BackendRecord>, now: Instant) {
-        let listed: BTreeSet<BackendId> = records.iter().map(|it| it.id.clone()).collect();
-        let known = self.backends.keys();
-        let gone: Vec<_> = known.filter(|id| !listed.contains(*id)).cloned().collect();
+    pub(super) fn backends_listed(
+        &mut self,
+        entries: Vec<(BackendRecord, u64)>,
+        revision: u64,
+        now: Instant,
+    ) {
+        let listed: BTreeSet<BackendId> = entries.iter().map(|it| it.0.id.clone()).collect();
+        let known = self.entries.ids().chain(self.backends.keys());
+        let gone: BTreeSet<_> = known.filter(|id| !listed.contains(*id)).cloned().collect();
         for id in gone {
+            let removed = EntryChange::Removed {
+                id: id.clone(),
+                revision,
+            };
+            self.entries.take(&removed);
+            self.entries.tell(removed);
             self.backend_missing(id, now);
         }
-        for record in records {
-            self.backend_changed(record);
+        for (record, revision) in entries {
+            self.backend_told(EntryChange::Stated { record, revision }, now);
+        }
+        self.heard.read_all();
+    }
+
+    /// Takes a change that this host read itself, and tells it to its cell.
+    pub(super) fn backend_told(&mut self, change: EntryChange, now: Instant) {
+        if self.take_entry(change.clone(), now) {
+            self.entries.tell(change);
+            self.telling.has_news();
         }
     }
 
@@ -71,11 +94,12 @@
         }
     }
 
-    pub(super) fn reported(&mut self, now: Instant, report: Report) {
+    pub(super) fn reported(&mut self, now: Instant, report: Report, boot_time: BootTime) {
         if report.host == self.cfg.host {
             return;
         }
-        let news = self.fleet.take(report, now);
+        self.heard_of_store(&report, now);
+        let news = self.fleet.take(report, now, boot_time);
         for samples in &news.samples {
             let mut backends = self.backends.values_mut();
             if let Some(backend) = backends.find(|it| it.key == samples.key) {
@@ -112,7 +136,7 @@
     pub(super) fn refresh_peers(&mut self, now: Instant) {
         self.fleet.forget_gone(now);
         let part = self.fleet.heard_part(now);
-        self.quota.set_heard_part(part);
+        self.quota.set_heard_part(part / f64::from(self.cells));
         let allowance = self.resend_allowance(now);
         for budget in self.budgets.values_mut() {
             budget.set_allowance(allowance);
@@ -123,17 +147,55 @@
     fn refresh_loads(&mut self, now: Instant) {
         let loads = self.fleet.loads(now);
         for backend in self.backends.values_mut() {
+            // What all cells use, the other cells use as much as this one.
+            let is_shared = self.shares.contains_key(&backend.record.service);
+            let times = if is_shared { 1 } else { self.cells };
             let none = BackendLoad {
                 key: backend.key,
                 running: 0,
                 unread_tokens: 0,
             };
-            backend.peers = loads.get(&backend.key).copied().unwrap_or(none);
+            let load = loads.get(&backend.key).copied().unwrap_or(none);
+            backend.peers = BackendLoad {
+                running: load.running.saturating_mul(times),
+                unread_tokens: load.unread_tokens.saturating_mul(times),
+                ..load
+            };
         }
     }
 
+    /// Finds this host's cell, and what its cell uses.
+    pub(super) fn refresh_cells(&mut self, now: Instant) {
+        self.cells = cell_count(self.telling.hosts());
+        self.cell = cell_of(&self.cfg.host, self.cells);
+        self.shares.clear();
+        if self.cells == 1 {
+            return;
+        }
+        let mut hosts = self.fleet.other_cells(now);
+        hosts.insert(self.cell, self.fleet.size(now));
+        let mut by_service: BTreeMap<ServiceId, Vec<&BackendId>> = BTreeMap::new();
+        for (id, backend) in &self.backends {
+            let of_service = by_service.entry(backend.record.service.clone());
+            of_service.or_default().push(id);
+        }
+        for (service, ids) in by_service {
+            if let Some(share) = share_out(ids.into_iter(), &hosts) {
+                self.shares.insert(service, share);
+            }
+        }
+    }
+
+    /// Whether a backend server is for this host's cell to use.
+    pub(super) fn is_ours(&self, backend: &Backend) -> bool {
+        let shares = self.shares.get(&backend.record.service);
+        let cell = shares.and_then(|shares| shares.get(&backend.record.id));
+        cell.is_none_or(|cell| *cell == self.cell)
+    }
+
     fn resend_allowance(&self, now: Instant) -> f64 {
         let hosts = u32::try_from(self.fleet.size(now)).unwrap_or(u32::MAX);
+        let hosts = hosts.saturating_mul(self.cells);
         BUDGET_PART * self.cfg.bounds.resend_allowance / f64::from(hosts)
     }
 
--- a/crates/jaypin_router/src/router/mod.rs
+++ b/crates/jaypin_router/src/router/mod.rs
@@ -5,6 +5,7 @@
 mod knowledge;
 mod lapse;
 mod telling;
+mod watching;
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
@@ -17,11 +18,13 @@
 
 use crate::request::{Request, Sent};
 use crate::{
-    Arrival, AttemptOutcome, Backend, BackendRecord, BootTime, Fleet, FleetQuota, Grounds, Report,
-    RequestNumber, ResendBudget, RouteTable, Sizes, Unrouted, WaitingList,
+    Arrival, AttemptOutcome, Backend, BackendRecord, BootTime, CellIndex, Entries, EntryChange,
+    Fleet, FleetQuota, Grounds, Report, RequestNumber, ResendBudget, RouteTable, Sizes, Unrouted,
+    WaitingList,
 };
 use lapse::Vanished;
 use telling::Telling;
+use watching::Heard;
 
 /// Time between two ticks when nothing is due.
 const LONGEST_TICK: Duration = Duration::from_millis(250);
@@ -71,12 +74,15 @@
     Proved(BootTime),
     /// The platform's store did not answer as it should.
     StoreDisturbed,
-    /// All backend servers were read.
-    BackendsListed(Vec<BackendRecord>),
-    /// A backend server states something new.
-    BackendChanged(BackendRecord),
-    /// The entry of a backend server is gone.
-    BackendRemoved(BackendId),
+    /// All entries of backend servers were read, each with its revision.
+    BackendsListed {
+        /// The entries.
+        entries: Vec<(BackendRecord, u64)>,
+        /// The store's revision.
+        revision: u64,
+    },
+    /// The entry of a backend server changed.
+    BackendChanged(EntryChange),
     /// A request was read whole.
     Arrived(Arrival),
     /// The first event or the whole answer of a call came.
@@ -91,9 +97,19 @@
     /// The caller of a request that was not sent left.
     CallerGone(RequestNumber),
     /// A host that may be in the fleet.
-    HostFound(SocketAddr),
+    HostFound {
+        /// The host.
+        host: HostId,
+        /// Where it takes reports.
+        address: SocketAddr,
+    },
     /// A peer reported.
-    Reported(Report),
+    Reported {
+        /// What it said.
+        report: Report,
+        /// Now, on the clock that counts suspended time.
+        boot_time: BootTime,
+    },
     /// The host shall finish what it has and leave.
     Drain,
     /// Time went on, also on the clock that counts suspended time.
@@ -174,6 +190,14 @@
     rng: ChaCha8Rng,
     table: Option<Arc<RouteTable>>,
     proved_at: Option<BootTime>,
+    own_proof: Option<BootTime>,
+    last_boot_time: BootTime,
+    heard: Heard,
+    entries: Entries,
+    cell: CellIndex,
+    cells: u32,
+    /// Cells of backend servers, where cells share them out.
+    shares: HashMap<ServiceId, BTreeMap<BackendId, CellIndex>>,
     backends: BTreeMap<BackendId, Backend>,
     vanished: Vanished,
     fleet: Fleet,
@@ -199,6 +223,13 @@
             rng: ChaCha8Rng::seed_from_u64(cfg.seed),
             table: None,
             proved_at: None,
+            own_proof: None,
+            last_boot_time: BootTime::ZERO,
+            heard: Heard::default(),
+            entries: Entries::default(),
+            cell: 0,
+            cells: 1,
+            shares: HashMap::new(),
             backends: BTreeMap::new(),
             vanished: Vanished::default(),
             fleet: Fleet::default(),
@@ -224,17 +255,21 @@
         let mut fx = Vec::new();
         match event {
             Event::Configured(table) => self.configured(table, now),
-            Event::Proved(at) => self.proved_at = self.proved_at.max(Some(at)),
+            Event::Proved(at) => {
+                self.own_proof = self.own_proof.max(Some(at));
+                self.proved_at = self.proved_at.max(Some(at));
+            }
             Event::StoreDisturbed => self.vanished.disturbed(now),
-            Event::BackendsListed(records) => self.backends_listed(records, now),
-            Event::BackendChanged(record) => self.backend_changed(record),
-            Event::BackendRemoved(id) => self.backend_removed(&id, now),
+            Event::BackendsListed { entries, revision } => {
+                self.backends_listed(entries, revision, now);
+            }
+            Event::BackendChanged(change) => self.backend_told(change, now),
             Event::Arrived(arrival) => self.arrived(now, arrival, &mut fx),
             Event::Answered(number) => self.answered(now, number),
             Event::Ended { number, outcome } => self.ended(now, number, outcome, &mut fx),
             Event::CallerGone(number) => self.caller_gone(number),
-            Event::HostFound(address) => self.telling.found(address),
-            Event::Reported(report) => self.reported(now, report),
+            Event::HostFound { host, address } => self.telling.found(host, address),
+            Event::Reported { report, boot_time } => self.reported(now, report, boot_time),
             Event::Drain => self.drain(now, &mut fx),
             Event::Tick(boot_time) => self.tick(now, boot_time, &mut fx),
         }
@@ -277,7 +312,9 @@
         if self.is_ready(boot_time) {
             addresses.push(self.cfg.callers);
         }
+        addresses.extend(self.fleet.other_callers(now));
         addresses.sort_unstable();
+        addresses.dedup();
         addresses
     }
 
@@ -305,6 +342,7 @@
     }
 
     fn tick(&mut self, now: Instant, boot_time: BootTime, fx: &mut Vec<Effect>) {
+        self.last_boot_time = boot_time;
         let is_ready = self.is_ready(boot_time);
         if is_ready != self.was_ready {
             self.was_ready = is_ready;
@@ -313,6 +351,7 @@
         self.drop_vanished(now);
         self.judge_deaths(now);
         self.refresh_peers(now);
+        self.refresh_cells(now);
         self.place_waiting(now, fx);
     }
 
--- a/crates/jaypin_router/src/router/telling.rs
+++ b/crates/jaypin_router/src/router/telling.rs
@@ -1,11 +1,14 @@
 //! When peers are told what, and who is told.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use jaypin_core::HostId;
+use rand::seq::IndexedRandom;
+
 use super::{Effect, Router};
-use crate::{BackendKey, BackendLoad, Report, Strike};
+use crate::{BackendKey, BackendLoad, Report, StoreView, Strike, cell_of};
 
 /// Pause between two reports when a slot was taken or came free.
 ///
@@ -19,6 +22,8 @@
 const HEARTBEAT: Duration = Duration::from_millis(250);
 /// Pause between two whole reports, which make up for lost ones.
 const WHOLE_PAUSE: Duration = Duration::from_millis(500);
+/// Pause between two reports to other cells, each to one of their hosts.
+const CROSS_PAUSE: Duration = Duration::from_millis(500);
 /// Pause between two reports to a host that is silent, or was found and never heard.
 const SILENT_PAUSE: Duration = Duration::from_secs(1);
 /// The same after it was silent for a while.
@@ -37,6 +42,7 @@
     sequence: u64,
     last: Option<Instant>,
     last_whole: Option<Instant>,
+    last_cross: Option<Instant>,
     told: HashMap<BackendKey, BackendLoad>,
     has_news: bool,
     slots_changed: bool,
@@ -45,6 +51,7 @@
 
 #[derive(Debug, Default)]
 struct Found {
+    host: Option<HostId>,
     since: Option<Instant>,
     told_at: Option<Instant>,
 }
@@ -62,8 +69,14 @@
 
 impl Telling {
     /// A host that may be in the fleet.
-    pub fn found(&mut self, address: SocketAddr) {
-        self.found.entry(address).or_default();
+    pub fn found(&mut self, host: HostId, address: SocketAddr) {
+        self.found.entry(address).or_default().host = Some(host);
+    }
+
+    /// Hosts that were found, this one included.
+    #[must_use]
+    pub fn hosts(&self) -> usize {
+        self.found.len() + 1
     }
 
     /// There is something that peers should hear soon.
@@ -103,6 +116,7 @@
         if !at_once && !is_due(self.telling.last, self.telling.pause(), now) {
             return;
         }
+        self.tell_other_cells(now, fx);
         let is_whole = is_due(self.telling.last_whole, WHOLE_PAUSE, now) || at_once;
         let loads = self.loads_to_tell(is_whole);
         self.telling.last = Some(now);
@@ -119,7 +133,8 @@
             self.telling.last_whole = Some(now);
         }
         self.telling.sequence += 1;
-        let report = Box::new(self.report(loads, is_whole));
+        let mut report = Box::new(self.report(loads, is_whole, now));
+        report.store.changes = self.entries.next_news();
         fx.push(Effect::Tell { to, report });
     }
 
@@ -137,7 +152,7 @@
         }
     }
 
-    fn report(&self, loads: Vec<BackendLoad>, is_whole: bool) -> Report {
+    fn report(&self, loads: Vec<BackendLoad>, is_whole: bool, now: Instant) -> Report {
         let samples = self.backends.values().map(crate::Backend::samples);
         let samples = samples.filter(|it| is_whole && it.good + it.bad > 0);
         let strikes = self.quarantine.newest(STRIKES_TOLD).into_iter();
@@ -152,23 +167,40 @@
             address: self.cfg.address,
             callers: self.cfg.callers,
             failure_domain: self.cfg.failure_domain.clone(),
+            cell: self.cell,
             is_ready: self.was_ready,
-            version: self.version(),
+            sent_at: self.last_boot_time,
+            store: self.store_view(now),
             is_whole,
             loads,
             samples: samples.collect(),
             usage: self.quota.usage().filter(|(_, used)| *used > 0.0).collect(),
             strikes: strikes.collect(),
+            cell_callers: None,
+        }
+    }
+
+    fn store_view(&self, now: Instant) -> StoreView {
+        let boot_time = self.last_boot_time;
+        let may_watch = self.may_watch(boot_time);
+        StoreView {
+            version: self.version(),
+            proved_at: self.proved_at,
+            may_watch,
+            is_watching: may_watch && self.should_watch(now, boot_time),
+            digest: self.entries.digest(),
+            changes: Vec::new(),
         }
     }
 
-    /// Peers that were heard, and now and then those that were not.
+    /// Peers of the cell that were heard, and now and then those that were not.
     fn audience(&mut self, now: Instant) -> Vec<SocketAddr> {
-        for (_, peer) in self.fleet.iter() {
-            self.telling.found.entry(peer.address).or_default();
+        for (host, peer) in self.fleet.iter() {
+            self.telling.found(host.clone(), peer.address);
         }
-        let heard: Vec<_> = self.fleet.heard(now).map(|(_, it)| it.address).collect();
+        let heard: BTreeSet<_> = self.fleet.heard(now).map(|(_, it)| it.address).collect();
         let own = self.cfg.address;
+        let (cell, cells) = (self.cell, self.cells);
         self.telling.found.retain(|address, found| {
             let since = *found.since.get_or_insert(now);
             let is_fresh = now.saturating_duration_since(since) < FOUND_FOR;
@@ -176,6 +208,10 @@
         });
         let mut to = Vec::new();
         for (address, found) in &mut self.telling.found {
+            let host = found.host.as_deref().unwrap_or_default();
+            if cell_of(host, cells) != cell {
+                continue;
+            }
             if heard.contains(address) {
                 found.since = Some(now);
                 to.push(*address);
@@ -186,4 +222,32 @@
         }
         to
     }
+
+    /// Tells one host of each other cell what this cell is.
+    fn tell_other_cells(&mut self, now: Instant, fx: &mut Vec<Effect>) {
+        if self.cells == 1 || !is_due(self.telling.last_cross, CROSS_PAUSE, now) {
+            return;
+        }
+        self.telling.last_cross = Some(now);
+        let mut by_cell: BTreeMap<u32, Vec<SocketAddr>> = BTreeMap::new();
+        for (address, found) in &self.telling.found {
+            let host = found.host.as_deref().unwrap_or_default();
+            let cell = cell_of(host, self.cells);
+            by_cell.entry(cell).or_default().push(*address);
+        }
+        by_cell.remove(&self.cell);
+        let to: Vec<_> = by_cell
+            .values()
+            .filter_map(|addresses| addresses.choose(&mut self.rng).copied())
+            .collect();
+        let ready = self.fleet.heard(now).filter(|(_, peer)| peer.is_ready);
+        let mut callers: Vec<_> = ready.map(|(_, peer)| peer.callers).collect();
+        callers.extend(self.was_ready.then_some(self.cfg.callers));
+        let mut report = self.report(Vec::new(), false, now);
+        report.usage.clear();
+        report.store.changes.clear();
+        report.cell_callers = Some(callers);
+        let report = Box::new(report);
+        fx.push(Effect::Tell { to, report });
+    }
 }
--- /dev/null
+++ b/crates/jaypin_router/src/router/watching.rs
@@ -0,0 +1,111 @@
+//! Which hosts watch the store, and what the others believe of them.
+
+use std::time::{Duration, Instant};
+
+use jaypin_core::score;
+
+use super::Router;
+use crate::{BootTime, EntryChange, Report};
+
+/// Hosts of a cell that watch the store; the others hear from them. Two, so that one can
+/// be lost without a moment in which nobody watches.
+const WATCHERS: usize = 2;
+/// Age of the newest proof from which a host asks the store itself, and from which a peer
+/// is no watcher any more: a watch and its answer take less.
+const OLD_PROOF: Duration = Duration::from_millis(2_600);
+/// Time for which a host may know other entries than a watcher before it reads them all:
+/// changes on their way arrive in less.
+const DIFFERENT_FOR: Duration = Duration::from_millis(700);
+/// Key of the order in which hosts become watchers.
+const WATCH_ORDER: &str = "watch";
+
+/// What watchers told, as far as this host differs from it.
+#[derive(Debug, Default)]
+pub struct Heard {
+    newest_version: u64,
+    different_since: Option<Instant>,
+}
+
+impl Heard {
+    /// All entries were read from the store.
+    pub fn read_all(&mut self) {
+        self.different_since = None;
+    }
+}
+
+impl Router {
+    /// Whether this host shall watch the store.
+    #[must_use]
+    pub fn should_watch(&self, now: Instant, boot_time: BootTime) -> bool {
+        if self.table.is_none() || self.proof_age(boot_time) >= OLD_PROOF {
+            return true;
+        }
+        let own = score(WATCH_ORDER, &self.cfg.host);
+        let better = self
+            .fleet
+            .heard(now)
+            .filter(|(host, peer)| peer.may_watch && score(WATCH_ORDER, host) > own);
+        better.count() < WATCHERS
+    }
+
+    /// Whether a peer knows a newer configuration.
+    #[must_use]
+    pub fn is_behind(&self) -> bool {
+        self.heard.newest_version > self.version()
+    }
+
+    /// Whether this host has known other entries than a watcher for too long.
+    #[must_use]
+    pub fn has_other_entries(&self, now: Instant) -> bool {
+        let since = self.heard.different_since;
+        since.is_some_and(|at| now.saturating_duration_since(at) >= DIFFERENT_FOR)
+    }
+
+    /// Whether this host may be relied on to watch.
+    pub(super) fn may_watch(&self, boot_time: BootTime) -> bool {
+        self.draining_since.is_none()
+            && self
+                .own_proof
+                .is_none_or(|at| boot_time.saturating_sub(at) < OLD_PROOF)
+            && self.proof_age(boot_time) < OLD_PROOF
+    }
+
+    fn proof_age(&self, boot_time: BootTime) -> Duration {
+        let proved = self.proved_at;
+        proved.map_or(Duration::MAX, |at| boot_time.saturating_sub(at))
+    }
+
+    /// Takes what a peer of this cell says of the store.
+    pub(super) fn heard_of_store(&mut self, report: &Report, now: Instant) {
+        self.heard.newest_version = self.heard.newest_version.max(report.store.version);
+        for change in &report.store.changes {
+            self.take_entry(change.clone(), now);
+        }
+        let view = &report.store;
+        if !view.is_watching {
+            return;
+        }
+        if view.digest == self.entries.digest() {
+            self.heard.different_since = None;
+        } else {
+            self.heard.different_since.get_or_insert(now);
+        }
+        let peer = self.fleet.peer(&report.host);
+        let proved = view.proved_at.and_then(|at| peer?.clock.own_time(at));
+        if view.version == self.version() {
+            self.proved_at = self.proved_at.max(proved);
+        }
+    }
+
+    /// Takes a change of an entry, whoever told it.
+    pub(super) fn take_entry(&mut self, change: EntryChange, now: Instant) -> bool {
+        if !self.entries.take(&change) {
+            return false;
+        }
+        match change {
+            EntryChange::Stated { record, .. } => self.backend_changed(record),
+            EntryChange::Removed { id, .. } => self.backend_removed(&id, now),
+        }
+        true
+    }
+}
