--- a/crates/jaypin_entry/src/peers/wire.rs
+++ b/crates/jaypin_entry/src/peers/wire.rs
@@ -6,7 +6,7 @@
 use jaypin_core::{AccountId, BackendId, FailureDomain, HostId, ServiceId};
 use jaypin_router::{
     BackendLoad, BackendRecord, BackendSamples, BackendStatus, EntryChange, Report, StoreView,
-    Strike,
+    Strike, WholeReport,
 };
 use serde::{Deserialize, Serialize};
 use snafu::{ResultExt, Snafu};
@@ -42,8 +42,8 @@
 /// Key, tokens, seconds, held seconds, good and bad calls.
 type WireSamples = (u32, f64, f64, f64, u32, u32);
 
-/// Name, run, sequence, reports' address, callers' address, failure domain.
-type WireSender = (String, u64, u64, String, String, String);
+/// Name, reports' address, callers' address, failure domain, cell.
+type WireSender = (String, String, String, String, u32);
 /// Version, proved at and sent at in milliseconds, may watch, watches, digest.
 type WireView = (u64, Option<u64>, u64, bool, bool, u64);
 /// Start, service, address, failure domain, slots, whether it is ready.
@@ -55,16 +55,22 @@
 /// A report as it travels, field by field in this order.
 #[derive(Debug, Serialize, Deserialize)]
 struct WireReport(
-    WireSender,
-    u32,
-    bool,
-    WireView,
+    u64,
+    u64,
     bool,
     Vec<WireLoad>,
-    Vec<WireSamples>,
     Vec<(String, f64)>,
-    Vec<(u64, u32)>,
     Vec<WireChange>,
+    Option<WireWhole>,
+);
+
+/// The rest of a whole report.
+#[derive(Debug, Serialize, Deserialize)]
+struct WireWhole(
+    WireSender,
+    WireView,
+    Vec<WireSamples>,
+    Vec<(u64, u32)>,
     Option<Vec<String>>,
 );
 
@@ -94,43 +100,46 @@
 
 impl From<&Report> for WireReport {
     fn from(report: &Report) -> Self {
-        let sender = (
-            report.host.to_string(),
+        let usage = report.usage.iter();
+        Self(
             report.run,
             report.sequence,
-            report.address.to_string(),
-            report.callers.to_string(),
-            report.failure_domain.to_string(),
+            report.is_ready,
+            report.loads.iter().map(wire_load).collect(),
+            usage
+                .map(|(account, units)| (account.to_string(), *units))
+                .collect(),
+            report.changes.iter().map(wire_change).collect(),
+            report.whole.as_ref().map(WireWhole::from),
+        )
+    }
+}
+
+impl From<&WholeReport> for WireWhole {
+    fn from(whole: &WholeReport) -> Self {
+        let sender = (
+            whole.host.to_string(),
+            whole.address.to_string(),
+            whole.callers.to_string(),
+            whole.failure_domain.to_string(),
+            whole.cell,
         );
-        let view = &report.store;
+        let view = &whole.store;
         let wire_view = (
             view.version,
             view.proved_at.map(milliseconds),
-            milliseconds(report.sent_at),
+            milliseconds(whole.sent_at),
             view.may_watch,
             view.is_watching,
             view.digest,
         );
-        let callers = report.cell_callers.as_ref();
+        let strikes = whole.strikes.iter();
+        let callers = whole.cell_callers.as_ref();
         Self(
             sender,
-            report.cell,
-            report.is_ready,
             wire_view,
-            report.is_whole,
-            report.loads.iter().map(wire_load).collect(),
-            report.samples.iter().map(wire_samples).collect(),
-            report
-                .usage
-                .iter()
-                .map(|(account, units)| (account.to_string(), *units))
-                .collect(),
-            report
-                .strikes
-                .iter()
-                .map(|it| (it.fingerprint, it.strikes))
-                .collect(),
-            view.changes.iter().map(wire_change).collect(),
+            whole.samples.iter().map(wire_samples).collect(),
+            strikes.map(|it| (it.fingerprint, it.strikes)).collect(),
             callers.map(|it| it.iter().map(ToString::to_string).collect()),
         )
     }
@@ -140,39 +149,44 @@
     type Error = WireError;
 
     fn try_from(wire: WireReport) -> Result<Self, WireError> {
-        let WireReport(
-            (host, run, sequence, address, callers, failure_domain),
-            cell,
-            is_ready,
-            (version, proved_at, sent_at, may_watch, is_watching, digest),
-            is_whole,
-            loads,
-            samples,
-            usage,
-            strikes,
-            changes,
-            cell_callers,
-        ) = wire;
-        let is_sound = |number: f64| number.is_finite() && number >= 0.0;
-        let are_sound = samples
-            .iter()
-            .all(|it| is_sound(it.1) && is_sound(it.2) && is_sound(it.3))
-            && usage.iter().all(|(_, units)| is_sound(*units));
-        if !are_sound {
+        let WireReport(run, sequence, is_ready, loads, usage, changes, whole) = wire;
+        if !usage.iter().all(|(_, units)| is_sound(*units)) {
             return Err(WireError::Number);
         }
         let usage = usage.into_iter();
+        Ok(Self {
+            run,
+            sequence,
+            is_ready,
+            loads: loads.into_iter().map(load).collect(),
+            usage: usage
+                .map(|(account, units)| (AccountId::from(account), units))
+                .collect(),
+            changes: changes.into_iter().map(change).collect(),
+            whole: whole.map(WholeReport::try_from).transpose()?,
+        })
+    }
+}
+
+impl TryFrom<WireWhole> for WholeReport {
+    type Error = WireError;
+
+    fn try_from(wire: WireWhole) -> Result<Self, WireError> {
+        let WireWhole(sender, view, samples, strikes, cell_callers) = wire;
+        let (host, address, callers, failure_domain, cell) = sender;
+        let (version, proved_at, sent_at, may_watch, is_watching, digest) = view;
+        let mut numbers = samples.iter().flat_map(|it| [it.1, it.2, it.3]);
+        if !numbers.all(is_sound) {
+            return Err(WireError::Number);
+        }
         let strikes = strikes.into_iter();
         let cell_callers = cell_callers.map(|it| it.iter().map(|it| read_address(it)).collect());
         Ok(Self {
             host: HostId::from(host),
-            run,
-            sequence,
             address: read_address(&address)?,
             callers: read_address(&callers)?,
             failure_domain: FailureDomain::from(failure_domain),
             cell,
-            is_ready,
             sent_at: Duration::from_millis(sent_at),
             store: StoreView {
                 version,
@@ -180,14 +194,8 @@
                 may_watch,
                 is_watching,
                 digest,
-                changes: changes.into_iter().map(change).collect(),
             },
-            is_whole,
-            loads: loads.into_iter().map(load).collect(),
             samples: samples.into_iter().map(sample).collect(),
-            usage: usage
-                .map(|(account, units)| (AccountId::from(account), units))
-                .collect(),
             strikes: strikes
                 .map(|(fingerprint, strikes)| Strike {
                     fingerprint,
@@ -199,6 +207,10 @@
     }
 }
 
+fn is_sound(number: f64) -> bool {
+    number.is_finite() && number >= 0.0
+}
+
 fn milliseconds(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/jaypin_router/src/fleet.rs
+++ b/crates/jaypin_router/src/fleet.rs
@@ -8,6 +8,7 @@
 
 use crate::{
     BackendKey, BackendLoad, BackendSamples, BootTime, CellIndex, PeerClock, Report, Strike,
+    WholeReport,
 };
 
 /// Time without a report after which a host takes no part.
@@ -44,7 +45,7 @@
     /// Its clock against this host's.
     pub clock: PeerClock,
     earlier_run: Option<Incarnation>,
-    sequence: u64,
+    sequence: Option<u64>,
     heard_at: Instant,
     loads: HashMap<BackendKey, BackendLoad>,
     samples: HashMap<BackendKey, BackendSamples>,
@@ -83,6 +84,8 @@
 #[derive(Debug, Default)]
 pub struct Fleet {
     peers: BTreeMap<HostId, Peer>,
+    /// Peers by their present run, which names the sender of a short report.
+    runs: HashMap<Incarnation, HostId>,
     other_cells: BTreeMap<CellIndex, OtherCell>,
 }
 
@@ -94,37 +97,42 @@
 }
 
 impl Fleet {
-    /// Takes a report; one that was overtaken by a later one tells nothing.
+    /// Takes a report; one that was overtaken by a later one tells nothing, and neither
+    /// does a short one from a host of which no whole one was heard.
     pub fn take(&mut self, report: Report, now: Instant, boot_time: BootTime) -> News {
-        if let Some(callers) = report.cell_callers {
+        let Some(whole) = &report.whole else {
+            let known = self.runs.get(&report.run);
+            let peer = known.and_then(|host| self.peers.get_mut(host));
+            return peer.map_or_else(News::default, |peer| peer.take(report, false, now));
+        };
+        if let Some(callers) = &whole.cell_callers {
             let other = OtherCell {
-                callers,
+                callers: callers.clone(),
                 heard_at: now,
             };
-            self.other_cells.insert(report.cell, other);
+            self.other_cells.insert(whole.cell, other);
             return News {
-                strikes: report.strikes,
+                strikes: whole.strikes.clone(),
                 ..News::default()
             };
         }
-        let is_new = !self.peers.contains_key(&report.host);
-        let peer = self
-            .peers
-            .entry(report.host.clone())
-            .or_insert_with(|| Peer::new(&report, now));
-        if peer.earlier_run == Some(report.run) {
-            return News::default();
-        }
-        if peer.run == report.run && report.sequence <= peer.sequence && !is_new {
+        let host = whole.host.clone();
+        let known = self.peers.get(&host);
+        let is_new = known.is_none();
+        if known.is_some_and(|peer| peer.earlier_run == Some(report.run)) {
             return News::default();
         }
-        if peer.run != report.run {
-            *peer = Peer {
-                earlier_run: Some(peer.run),
-                ..Peer::new(&report, now)
-            };
+        if known.is_none_or(|peer| peer.run != report.run) {
+            let earlier_run = known.map(|peer| peer.run);
+            let peer = Peer::new(report.run, earlier_run, whole, now);
+            self.runs.insert(report.run, host.clone());
+            self.peers.insert(host.clone(), peer);
         }
-        peer.take(report, is_new, now, boot_time)
+        let Some(peer) = self.peers.get_mut(&host) else {
+            return News::default();
+        };
+        peer.clock.saw(whole.sent_at, boot_time);
+        peer.take(report, is_new, now)
     }
 
     /// Peers that were heard lately.
@@ -197,21 +205,29 @@
     pub fn forget_gone(&mut self, now: Instant) {
         self.peers
             .retain(|_, peer| peer.is_heard(now) || peer.may_be_cut_off(now));
+        let peers = &self.peers;
+        self.runs
+            .retain(|run, host| peers.get(host).is_some_and(|peer| peer.run == *run));
     }
 }
 
 impl Peer {
-    fn new(report: &Report, now: Instant) -> Self {
+    fn new(
+        run: Incarnation,
+        earlier_run: Option<Incarnation>,
+        whole: &WholeReport,
+        now: Instant,
+    ) -> Self {
         Self {
-            run: report.run,
-            address: report.address,
-            callers: report.callers,
-            failure_domain: report.failure_domain.clone(),
-            is_ready: report.is_ready,
-            may_watch: report.store.may_watch,
+            run,
+            address: whole.address,
+            callers: whole.callers,
+            failure_domain: whole.failure_domain.clone(),
+            is_ready: false,
+            may_watch: false,
             clock: PeerClock::default(),
-            earlier_run: None,
-            sequence: 0,
+            earlier_run,
+            sequence: None,
             heard_at: now,
             loads: HashMap::new(),
             samples: HashMap::new(),
@@ -221,29 +237,29 @@
 
     /// Totals of a peer that is heard for the first time say nothing of the last moments:
     /// they are where its differences begin.
-    fn take(&mut self, report: Report, is_new: bool, now: Instant, boot_time: BootTime) -> News {
-        self.sequence = report.sequence;
+    fn take(&mut self, report: Report, is_new: bool, now: Instant) -> News {
+        if self.sequence.is_some_and(|last| report.sequence <= last) {
+            return News::default();
+        }
+        self.sequence = Some(report.sequence);
         self.heard_at = now;
-        self.address = report.address;
         self.is_ready = report.is_ready;
-        self.may_watch = report.store.may_watch;
-        self.clock.saw(report.sent_at, boot_time);
-        if report.is_whole {
+        let mut news = News::default();
+        if let Some(whole) = report.whole {
+            self.may_watch = whole.store.may_watch;
             self.loads.clear();
+            news.strikes = whole.strikes;
+            for sample in whole.samples {
+                let before = self.samples.insert(sample.key, sample);
+                let none = (!is_new).then_some(BackendSamples::none(sample.key));
+                if let Some(before) = before.or(none) {
+                    news.samples.push(sample.since(&before));
+                }
+            }
         }
         for load in report.loads {
             self.loads.insert(load.key, load);
         }
-        let mut news = News {
-            strikes: report.strikes,
-            ..News::default()
-        };
-        for sample in report.samples {
-            let before = self.samples.insert(sample.key, sample);
-            if let Some(before) = before.or((!is_new).then_some(BackendSamples::none(sample.key))) {
-                news.samples.push(sample.since(&before));
-            }
-        }
         for (account, used) in report.usage {
             let before = self.usage.insert(account.clone(), used);
             if let Some(before) = before.or((!is_new).then_some(0.0)) {
--- a/crates/jaypin_router/src/lib.rs
+++ b/crates/jaypin_router/src/lib.rs
@@ -35,7 +35,7 @@
 pub use placement::{Choice, Demand, best_place};
 pub use proof::PeerClock;
 pub use quota::FleetQuota;
-pub use report::{BackendLoad, BackendSamples, Report, StoreView, Strike};
+pub use report::{BackendLoad, BackendSamples, Report, StoreView, Strike, WholeReport};
 pub use request::{Arrival, AttemptOutcome};
 pub use resend_budget::ResendBudget;
 pub use route_table::{RouteTable, Unrouted};
--- a/crates/jaypin_router/src/report.rs
+++ b/crates/jaypin_router/src/report.rs
@@ -9,15 +9,33 @@
 /// What one host has running and has learned.
 ///
 /// Everything in it is a state or a running total, never a difference: a report that is
-/// lost is made good by the next one.
+/// lost is made good by a later one.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Report {
-    /// The host.
-    pub host: HostId,
-    /// Number of its process's run, drawn at random: clocks may jump back.
+    /// Number of the sender's run, drawn at random: it names the sender once a whole
+    /// report was heard, and clocks may jump back.
     pub run: Incarnation,
     /// Count of reports within the run; a smaller one is late and ignored.
     pub sequence: u64,
+    /// Whether callers should be sent to it.
+    pub is_ready: bool,
+    /// What it has running, by backend server: all of it in a whole report, else what
+    /// changed.
+    pub loads: Vec<BackendLoad>,
+    /// Quota units that accounts used, as totals of this run: all accounts in a whole
+    /// report, else those that used some.
+    pub usage: Vec<(AccountId, f64)>,
+    /// Entries that changed lately, from hosts that watch.
+    pub changes: Vec<EntryChange>,
+    /// The rest, in a whole report.
+    pub whole: Option<WholeReport>,
+}
+
+/// What a host tells a few times a second only, whatever happens.
+#[derive(Debug, Clone, PartialEq)]
+pub struct WholeReport {
+    /// The host.
+    pub host: HostId,
     /// Where it takes reports.
     pub address: SocketAddr,
     /// Where callers connect.
@@ -26,20 +44,12 @@
     pub failure_domain: FailureDomain,
     /// Its cell.
     pub cell: CellIndex,
-    /// Whether callers should be sent to it.
-    pub is_ready: bool,
     /// When it was sent, by the host's clock that counts suspended time.
     pub sent_at: BootTime,
     /// What it says of the store.
     pub store: StoreView,
-    /// Whether `loads` has every backend server, or only those that changed.
-    pub is_whole: bool,
-    /// What it has running, by backend server.
-    pub loads: Vec<BackendLoad>,
     /// What it has learned, by backend server, as totals of this run.
     pub samples: Vec<BackendSamples>,
-    /// Quota units that its accounts used, as totals of this run.
-    pub usage: Vec<(AccountId, f64)>,
     /// Contents under which backend servers died.
     pub strikes: Vec<Strike>,
     /// To other cells: where callers of the sender's cell may connect.
@@ -59,8 +69,6 @@
     pub is_watching: bool,
     /// A number that stands for all entries of backend servers that it knows.
     pub digest: u64,
-    /// Entries that changed lately, from hosts that watch.
-    pub changes: Vec<EntryChange>,
 }
 
 /// What a host has running on a backend server.
--- a/crates/jaypin_router/src/router/knowledge.rs
+++ b/crates/jaypin_router/src/router/knowledge.rs
@@ -95,7 +95,7 @@
     }
 
     pub(super) fn reported(&mut self, now: Instant, report: Report, boot_time: BootTime) {
-        if report.host == self.cfg.host {
+        if report.run == self.cfg.run {
             return;
         }
         self.heard_of_store(&report, now);
--- a/crates/jaypin_router/src/router/telling.rs
+++ b/crates/jaypin_router/src/router/telling.rs
@@ -4,11 +4,11 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use jaypin_core::HostId;
+use jaypin_core::{AccountId, HostId};
 use rand::seq::IndexedRandom;
 
 use super::{Effect, Router};
-use crate::{BackendKey, BackendLoad, Report, StoreView, Strike, cell_of};
+use crate::{BackendKey, BackendLoad, Report, StoreView, Strike, WholeReport, cell_of};
 
 /// Pause between two reports when a slot was taken or came free.
 ///
@@ -21,7 +21,7 @@
 /// Pause between two reports when nothing changes.
 const HEARTBEAT: Duration = Duration::from_millis(250);
 /// Pause between two whole reports, which make up for lost ones.
-const WHOLE_PAUSE: Duration = Duration::from_millis(500);
+const WHOLE_PAUSE: Duration = Duration::from_millis(400);
 /// Pause between two reports to other cells, each to one of their hosts.
 const CROSS_PAUSE: Duration = Duration::from_millis(500);
 /// Pause between two reports to a host that is silent, or was found and never heard.
@@ -44,6 +44,7 @@
     last_whole: Option<Instant>,
     last_cross: Option<Instant>,
     told: HashMap<BackendKey, BackendLoad>,
+    told_usage: HashMap<AccountId, f64>,
     has_news: bool,
     slots_changed: bool,
     found: BTreeMap<SocketAddr, Found>,
@@ -132,12 +133,39 @@
         if is_whole {
             self.telling.last_whole = Some(now);
         }
-        self.telling.sequence += 1;
-        let mut report = Box::new(self.report(loads, is_whole, now));
-        report.store.changes = self.entries.next_news();
+        let usage = self.usage_to_tell(is_whole);
+        let report = Box::new(Report {
+            loads,
+            usage,
+            changes: self.entries.next_news(),
+            whole: is_whole.then(|| self.whole_report(now)),
+            ..self.short_report()
+        });
         fx.push(Effect::Tell { to, report });
     }
 
+    fn short_report(&mut self) -> Report {
+        self.telling.sequence += 1;
+        Report {
+            run: self.cfg.run,
+            sequence: self.telling.sequence,
+            is_ready: self.was_ready,
+            loads: Vec::new(),
+            usage: Vec::new(),
+            changes: Vec::new(),
+            whole: None,
+        }
+    }
+
+    fn usage_to_tell(&mut self, is_whole: bool) -> Vec<(AccountId, f64)> {
+        let told = &mut self.telling.told_usage;
+        let usage = self.quota.usage().filter(|(account, used)| {
+            let before = told.insert(account.clone(), *used);
+            *used > 0.0 && (is_whole || before != Some(*used))
+        });
+        usage.collect()
+    }
+
     fn loads_to_tell(&self, is_whole: bool) -> Vec<BackendLoad> {
         let loads = self.backends.values().map(crate::Backend::own_load);
         let is_news = |load: &BackendLoad| {
@@ -152,29 +180,23 @@
         }
     }
 
-    fn report(&self, loads: Vec<BackendLoad>, is_whole: bool, now: Instant) -> Report {
+    fn whole_report(&self, now: Instant) -> WholeReport {
         let samples = self.backends.values().map(crate::Backend::samples);
-        let samples = samples.filter(|it| is_whole && it.good + it.bad > 0);
+        let samples = samples.filter(|it| it.good + it.bad > 0);
         let strikes = self.quarantine.newest(STRIKES_TOLD).into_iter();
         let strikes = strikes.map(|(fingerprint, strikes)| Strike {
             fingerprint,
             strikes,
         });
-        Report {
+        WholeReport {
             host: self.cfg.host.clone(),
-            run: self.cfg.run,
-            sequence: self.telling.sequence,
             address: self.cfg.address,
             callers: self.cfg.callers,
             failure_domain: self.cfg.failure_domain.clone(),
             cell: self.cell,
-            is_ready: self.was_ready,
             sent_at: self.last_boot_time,
             store: self.store_view(now),
-            is_whole,
-            loads,
             samples: samples.collect(),
-            usage: self.quota.usage().filter(|(_, used)| *used > 0.0).collect(),
             strikes: strikes.collect(),
             cell_callers: None,
         }
@@ -189,7 +211,6 @@
             may_watch,
             is_watching: may_watch && self.should_watch(now, boot_time),
             digest: self.entries.digest(),
-            changes: Vec::new(),
         }
     }
 
@@ -243,11 +264,15 @@
         let ready = self.fleet.heard(now).filter(|(_, peer)| peer.is_ready);
         let mut callers: Vec<_> = ready.map(|(_, peer)| peer.callers).collect();
         callers.extend(self.was_ready.then_some(self.cfg.callers));
-        let mut report = self.report(Vec::new(), false, now);
-        report.usage.clear();
-        report.store.changes.clear();
-        report.cell_callers = Some(callers);
-        let report = Box::new(report);
+        let whole = WholeReport {
+            samples: Vec::new(),
+            cell_callers: Some(callers),
+            ..self.whole_report(now)
+        };
+        let report = Box::new(Report {
+            whole: Some(whole),
+            ..self.short_report()
+        });
         fx.push(Effect::Tell { to, report });
     }
 }
--- a/crates/jaypin_router/src/router/watching.rs
+++ b/crates/jaypin_router/src/router/watching.rs
@@ -12,7 +12,7 @@
 const WATCHERS: usize = 2;
 /// Age of the newest proof from which a host asks the store itself, and from which a peer
 /// is no watcher any more: a watch and its answer take less.
-const OLD_PROOF: Duration = Duration::from_millis(2_600);
+const OLD_PROOF: Duration = Duration::from_millis(3_000);
 /// Time for which a host may know other entries than a watcher before it reads them all:
 /// changes on their way arrive in less.
 const DIFFERENT_FOR: Duration = Duration::from_millis(700);
@@ -75,14 +75,17 @@
         proved.map_or(Duration::MAX, |at| boot_time.saturating_sub(at))
     }
 
-    /// Takes what a peer of this cell says of the store.
+    /// Takes what a peer says of the store.
     pub(super) fn heard_of_store(&mut self, report: &Report, now: Instant) {
-        self.heard.newest_version = self.heard.newest_version.max(report.store.version);
-        for change in &report.store.changes {
+        for change in &report.changes {
             self.take_entry(change.clone(), now);
         }
-        let view = &report.store;
-        if !view.is_watching {
+        let Some(whole) = &report.whole else {
+            return;
+        };
+        let view = &whole.store;
+        self.heard.newest_version = self.heard.newest_version.max(view.version);
+        if !view.is_watching || whole.cell_callers.is_some() {
             return;
         }
         if view.digest == self.entries.digest() {
@@ -90,7 +93,7 @@
         } else {
             self.heard.different_since.get_or_insert(now);
         }
-        let peer = self.fleet.peer(&report.host);
+        let peer = self.fleet.peer(&whole.host);
         let proved = view.proved_at.and_then(|at| peer?.clock.own_time(at));
         if view.version == self.version() {
             self.proved_at = self.proved_at.max(proved);
