Take no proof from a peer whose clock makes no sense

A host that had lost power reported before its first tick, with its clock at 0; others mapped its proofs hours into the future.

Ruled out: watches that answer late, proofs that travel in circles (each step takes 60 ms off), a version that differs (the log of each proof shows the report).

Change: no report before the clock was read; a proof from the future is none. Two tests of it, which failed before.

--- a/crates/jaypin_router/src/router/knowledge.rs
+++ b/crates/jaypin_router/src/router/knowledge.rs
@@ -98,7 +98,7 @@
         if report.run == self.cfg.run {
             return;
         }
-        self.heard_of_store(&report, now);
+        self.heard_of_store(&report, now, boot_time);
         let news = self.fleet.take(report, now, boot_time);
         for samples in &news.samples {
             let mut backends = self.backends.values_mut();
--- a/crates/jaypin_router/src/router/mod.rs
+++ b/crates/jaypin_router/src/router/mod.rs
@@ -191,7 +191,8 @@
     table: Option<Arc<RouteTable>>,
     proved_at: Option<BootTime>,
     own_proof: Option<BootTime>,
-    last_boot_time: BootTime,
+    /// The clock that counts suspended time, as it was read last.
+    last_boot_time: Option<BootTime>,
     heard: Heard,
     entries: Entries,
     cell: CellIndex,
@@ -224,7 +225,7 @@
             table: None,
             proved_at: None,
             own_proof: None,
-            last_boot_time: BootTime::ZERO,
+            last_boot_time: None,
             heard: Heard::default(),
             entries: Entries::default(),
             cell: 0,
@@ -342,7 +343,7 @@
     }
 
     fn tick(&mut self, now: Instant, boot_time: BootTime, fx: &mut Vec<Effect>) {
-        self.last_boot_time = boot_time;
+        self.last_boot_time = Some(boot_time);
         let is_ready = self.is_ready(boot_time);
         if is_ready != self.was_ready {
             self.was_ready = is_ready;
--- a/crates/jaypin_router/src/router/telling.rs
+++ b/crates/jaypin_router/src/router/telling.rs
@@ -8,7 +8,7 @@
 use rand::seq::IndexedRandom;
 
 use super::{Effect, Router};
-use crate::{BackendKey, BackendLoad, Report, StoreView, Strike, WholeReport, cell_of};
+use crate::{BackendKey, BackendLoad, BootTime, Report, StoreView, Strike, WholeReport, cell_of};
 
 /// Pause between two reports when a slot was taken or came free.
 ///
@@ -114,10 +114,14 @@
 impl Router {
     /// Tells peers what changed, if it is time to.
     pub(super) fn tell(&mut self, now: Instant, at_once: bool, fx: &mut Vec<Effect>) {
+        // Peers take their clocks from reports, so none is sent before the own was read.
+        let Some(boot_time) = self.last_boot_time else {
+            return;
+        };
         if !at_once && !is_due(self.telling.last, self.telling.pause(), now) {
             return;
         }
-        self.tell_other_cells(now, fx);
+        self.tell_other_cells(now, boot_time, fx);
         let is_whole = is_due(self.telling.last_whole, WHOLE_PAUSE, now) || at_once;
         let loads = self.loads_to_tell(is_whole);
         self.telling.last = Some(now);
@@ -138,7 +142,7 @@
             loads,
             usage,
             changes: self.entries.next_news(),
-            whole: is_whole.then(|| self.whole_report(now)),
+            whole: is_whole.then(|| self.whole_report(now, boot_time)),
             ..self.short_report()
         });
         fx.push(Effect::Tell { to, report });
@@ -180,7 +184,7 @@
         }
     }
 
-    fn whole_report(&self, now: Instant) -> WholeReport {
+    fn whole_report(&self, now: Instant, boot_time: BootTime) -> WholeReport {
         let samples = self.backends.values().map(crate::Backend::samples);
         let samples = samples.filter(|it| it.good + it.bad > 0);
         let strikes = self.quarantine.newest(STRIKES_TOLD).into_iter();
@@ -194,16 +198,15 @@
             callers: self.cfg.callers,
             failure_domain: self.cfg.failure_domain.clone(),
             cell: self.cell,
-            sent_at: self.last_boot_time,
-            store: self.store_view(now),
+            sent_at: boot_time,
+            store: self.store_view(now, boot_time),
             samples: samples.collect(),
             strikes: strikes.collect(),
             cell_callers: None,
         }
     }
 
-    fn store_view(&self, now: Instant) -> StoreView {
-        let boot_time = self.last_boot_time;
+    fn store_view(&self, now: Instant, boot_time: BootTime) -> StoreView {
         let may_watch = self.may_watch(boot_time);
         StoreView {
             version: self.version(),
@@ -245,7 +248,7 @@
     }
 
     /// Tells one host of each other cell what this cell is.
-    fn tell_other_cells(&mut self, now: Instant, fx: &mut Vec<Effect>) {
+    fn tell_other_cells(&mut self, now: Instant, boot_time: BootTime, fx: &mut Vec<Effect>) {
         if self.cells == 1 || !is_due(self.telling.last_cross, CROSS_PAUSE, now) {
             return;
         }
@@ -267,7 +270,7 @@
         let whole = WholeReport {
             samples: Vec::new(),
             cell_callers: Some(callers),
-            ..self.whole_report(now)
+            ..self.whole_report(now, boot_time)
         };
         let report = Box::new(Report {
             whole: Some(whole),
--- a/crates/jaypin_router/src/router/watching.rs
+++ b/crates/jaypin_router/src/router/watching.rs
@@ -76,7 +76,7 @@
     }
 
     /// Takes what a peer says of the store.
-    pub(super) fn heard_of_store(&mut self, report: &Report, now: Instant) {
+    pub(super) fn heard_of_store(&mut self, report: &Report, now: Instant, boot_time: BootTime) {
         for change in &report.changes {
             self.take_entry(change.clone(), now);
         }
@@ -95,7 +95,10 @@
         }
         let peer = self.fleet.peer(&whole.host);
         let proved = view.proved_at.and_then(|at| peer?.clock.own_time(at));
-        if view.version == self.version() {
+        // Guards against a peer that states its clock wrongly: a proof from the future would
+        // hold for as long as it lies ahead.
+        let is_past = proved.is_some_and(|at| at <= boot_time);
+        if view.version == self.version() && is_past {
             self.proved_at = self.proved_at.max(proved);
         }
     }
--- a/crates/jaypin_router/tests/proof.rs
+++ b/crates/jaypin_router/tests/proof.rs
@@ -6,7 +6,7 @@
 
 use common::{Bed, Told, configuration, record};
 use jaypin_core::{Ran, Reason};
-use jaypin_router::PeerClock;
+use jaypin_router::{Effect, Event, PeerClock, Report, StoreView, WholeReport};
 
 fn unproved() -> Bed {
     let mut bed = Bed::usual();
@@ -102,3 +102,75 @@
     clock.saw(SECOND, SECOND * 9);
     assert_eq!(clock.own_time(SECOND), None);
 }
+
+/// A watcher's report, sent and proved at these times by its clock.
+fn watcher_report(sequence: u64, sent_at: Duration, proved_at: Duration) -> Report {
+    Report {
+        run: 2,
+        sequence,
+        is_ready: true,
+        loads: Vec::new(),
+        usage: Vec::new(),
+        changes: Vec::new(),
+        whole: Some(WholeReport {
+            host: "host-2".into(),
+            address: common::address(7_002),
+            callers: common::address(8_002),
+            failure_domain: "b".into(),
+            cell: 0,
+            sent_at,
+            store: StoreView {
+                version: 1,
+                proved_at: Some(proved_at),
+                may_watch: true,
+                is_watching: true,
+                digest: 0,
+            },
+            samples: Vec::new(),
+            strikes: Vec::new(),
+            cell_callers: None,
+        }),
+    }
+}
+
+/// Lets a peer prove the configuration for a while, by a clock that is ahead by `ahead` and
+/// that it states wrongly by `error`; then lets time go on without it.
+fn is_proved_after(ahead: Duration, error: Duration) -> bool {
+    let mut bed = Bed::usual();
+    for sequence in 1..20 {
+        bed.wait(Duration::from_millis(300));
+        let clock = bed.boot + ahead;
+        let report = watcher_report(sequence, clock.saturating_sub(error), clock);
+        let boot_time = bed.boot;
+        bed.apply(Event::Reported { report, boot_time });
+    }
+    bed.wait(Duration::from_millis(3_500));
+    bed.router.is_ready(bed.boot)
+}
+
+#[test]
+fn a_watcher_s_proof_holds_for_its_cell() {
+    assert!(is_proved_after(Duration::from_secs(90_000), Duration::ZERO));
+}
+
+/// A host loses power, starts again and reports before it has read its clock: its reports
+/// say that they were sent at time 0. The map from its clock to others' was wrong by hours,
+/// its proofs lay in the future, and withdrawn credentials were accepted for as long.
+#[test]
+fn a_peer_whose_clock_makes_no_sense_proves_nothing() {
+    assert!(!is_proved_after(
+        Duration::from_secs(90_000),
+        Duration::from_secs(5_000)
+    ));
+}
+
+#[test]
+fn nothing_is_reported_before_the_clock_was_read() {
+    let mut bed = Bed::unconfigured();
+    let found = Event::HostFound {
+        host: "host-2".into(),
+        address: common::address(7_002),
+    };
+    assert_eq!(bed.apply(found), []);
+    assert!(matches!(bed.tick()[..], [Effect::Tell { .. }]));
+}
