Serve metrics by OpenTelemetry; drop ordinary log lines first

Cause: on-call engineers have only logs and metrics, and the entry host had no metrics and dropped log lines whatever their kind.

Change: counters and histograms on the port of the command line; a quarter of the log queue is kept for warnings and errors, and one line tells what was dropped.

--- a/crates/jaypin_entry/src/callers/directory.rs
+++ b/crates/jaypin_entry/src/callers/directory.rs
@@ -19,12 +19,15 @@
 use super::answer::{AnswerResponse, full};
 use crate::boot_clock::boot_time;
 use crate::host::Host;
+use crate::metrics;
 
 /// How long an entry answer holds. Callers hear of a new or leaving host within that time,
 /// and ask once in it: a hundred callers cost each of thirteen hosts three answers a second.
 const ENTRY_TIME: Duration = Duration::from_secs(2);
 /// Addresses in one answer; callers take no more of them.
 const MOST_ADDRESSES: usize = 64;
+/// Path of the metrics.
+const METRICS: &str = "/metrics";
 /// Time for a header, and between two questions on one connection.
 const HEADER_TIME: Duration = Duration::from_secs(20);
 /// Pause after a connection could not be accepted.
@@ -72,9 +75,22 @@
         let addresses = host.look(|router| router.caller_addresses(now, boot_time()));
         return entry(host, addresses);
     }
+    if req.uri().path() == METRICS {
+        return metrics(host);
+    }
     empty(StatusCode::NOT_FOUND)
 }
 
+fn metrics(host: &Host) -> AnswerResponse {
+    let now = Instant::now().into_std();
+    let counts = host.look(|router| router.counts(now));
+    let is_ready = host.look(|router| router.is_ready(boot_time()));
+    match metrics::render(counts, is_ready) {
+        Some(text) => Response::new(full(text)),
+        None => empty(StatusCode::NOT_FOUND),
+    }
+}
+
 /// A host that knows of none that is ready answers 503, and callers ask another one.
 fn entry(host: &Host, mut addresses: Vec<SocketAddr>) -> AnswerResponse {
     if addresses.is_empty() {
--- a/crates/jaypin_entry/src/callers/drive.rs
+++ b/crates/jaypin_entry/src/callers/drive.rs
@@ -22,6 +22,7 @@
     read_whole,
 };
 use crate::host::{Directive, Host, Mailbox};
+use crate::metrics;
 use crate::ports::{BackendAnswer, Forward};
 
 /// Header with which a stream is gone on with, by the standard of server-sent events.
@@ -90,11 +91,10 @@
                     let outcome = self.attempt(&order).await;
                     let number = self.number;
                     self.host.apply(Event::Ended { number, outcome });
+                    metrics::call(outcome.as_str());
                     self.log(outcome.as_str(), &order.backend, &order.grounds);
-                    if matches!(
-                        outcome,
-                        AttemptOutcome::Complete | AttemptOutcome::Abandoned
-                    ) {
+                    if outcome.is_final() {
+                        self.count(outcome.as_str());
                         break;
                     }
                 }
@@ -126,29 +126,41 @@
     fn finish(&mut self, directive: Directive) {
         let response = match directive {
             Directive::Reject(reason, grounds) => {
+                self.count(reason.as_str());
                 self.log(reason.as_str(), "", &grounds);
                 rejection(reason)
             }
             Directive::Refuse(refused, grounds) => {
+                self.count(refused.reason.as_str());
                 self.log(refused.reason.as_str(), "", &grounds);
                 refusal(&refused)
             }
-            Directive::PassOn | Directive::Send(_) => match self.failure.take() {
-                Some(failure) => pass_on(failure),
-                None => refusal(&Refusal::after_dispatch(Reason::BackendLost, Ran::Unknown)),
-            },
+            Directive::PassOn | Directive::Send(_) => {
+                self.count("failed");
+                match self.failure.take() {
+                    Some(failure) => pass_on(failure),
+                    None => refusal(&Refusal::after_dispatch(Reason::BackendLost, Ran::Unknown)),
+                }
+            }
         };
         self.delivery.finish(response);
     }
 
+    fn count(&self, outcome: &'static str) {
+        metrics::request(outcome, self.call.received_at.elapsed());
+        if let Some(first) = self.times.first {
+            metrics::stream(first - self.call.received_at, self.times.longest_pause);
+        }
+    }
+
     fn log(&self, outcome: &str, backend: &str, grounds: &dyn std::fmt::Display) {
         let ms = self.call.received_at.elapsed().as_millis();
         let id = &self.call.says.id;
         let first = self.times.first.map(|at| at - self.call.received_at);
         let first_ms = first.unwrap_or_default().as_millis();
         let pause_ms = self.times.longest_pause.as_millis();
-        let account = self.call.says.tokens.unwrap_or_default();
-        log::info!(id, outcome, backend, ms, first_ms, pause_ms, tokens:? = account, why:% = grounds; "request");
+        let tokens = self.call.says.tokens.unwrap_or_default();
+        log::info!(id, outcome, backend, ms, first_ms, pause_ms, tokens:?, why:% = grounds; "request");
     }
 
     // ------------------------------------------------------------------ one call
--- a/crates/jaypin_entry/src/lib.rs
+++ b/crates/jaypin_entry/src/lib.rs
@@ -9,6 +9,7 @@
 mod calls;
 mod host;
 mod logs;
+mod metrics;
 mod peers;
 mod ports;
 mod serve;
@@ -20,4 +21,4 @@
     BackendAnswer, CallerRequest, Collection, DecodeError, Forward, HostRecord, HostSettings,
     Object, ObjectChange, ObjectChanges, ObjectPage, Platform,
 };
-pub use serve::serve;
+pub use serve::{ServeOptions, serve};
--- a/crates/jaypin_entry/src/logs/queue.rs
+++ b/crates/jaypin_entry/src/logs/queue.rs
@@ -8,6 +8,12 @@
 
 /// Lines that may wait to be written: some seconds of the heaviest load.
 const MOST_LINES: usize = 512;
+/// Places of these that only warnings and errors may take: ordinary lines are dropped
+/// first.
+const FOR_WARNINGS: usize = 128;
+/// How the lines of warnings and errors begin: fields are in order of their names, so the
+/// level is looked for.
+const WARNINGS: [&[u8]; 2] = [b"\"level\":\"WARN\"", b"\"level\":\"ERROR\""];
 
 /// Takes lines without waiting.
 ///
@@ -17,7 +23,19 @@
 #[derive(Debug)]
 pub struct LogQueue {
     lines: Sender<Vec<u8>>,
-    dropped: Arc<AtomicU64>,
+    dropped: Arc<Dropped>,
+}
+
+/// Lines dropped and not yet told, by kind.
+#[derive(Debug, Default)]
+struct Dropped {
+    ordinary: AtomicU64,
+    warnings: AtomicU64,
+}
+
+fn is_warning(line: &[u8]) -> bool {
+    let has = |part: &[u8]| line.windows(part.len()).any(|it| it == part);
+    WARNINGS.iter().any(|part| has(part))
 }
 
 impl LogQueue {
@@ -27,7 +45,7 @@
     /// Gives what starting it gave.
     pub fn start(out: impl Write + Send + 'static) -> io::Result<Self> {
         let (lines, queue) = bounded(MOST_LINES);
-        let dropped = Arc::new(AtomicU64::new(0));
+        let dropped = Arc::new(Dropped::default());
         let counted = dropped.clone();
         std::thread::Builder::new()
             .name("logs".to_owned())
@@ -38,8 +56,20 @@
 
 impl Write for LogQueue {
     fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
-        if let Err(TrySendError::Full(_)) = self.lines.try_send(buf.to_vec()) {
-            self.dropped.fetch_add(1, Ordering::Relaxed);
+        let is_ordinary = !is_warning(buf);
+        let has_room = self.lines.len() < MOST_LINES - FOR_WARNINGS;
+        let is_dropped = is_ordinary && !has_room
+            || matches!(
+                self.lines.try_send(buf.to_vec()),
+                Err(TrySendError::Full(_))
+            );
+        if is_dropped {
+            let dropped = if is_ordinary {
+                &self.dropped.ordinary
+            } else {
+                &self.dropped.warnings
+            };
+            dropped.fetch_add(1, Ordering::Relaxed);
         }
         Ok(buf.len())
     }
@@ -49,13 +79,14 @@
     }
 }
 
-fn write_lines(queue: &Receiver<Vec<u8>>, dropped: &AtomicU64, mut out: impl Write) {
+fn write_lines(queue: &Receiver<Vec<u8>>, dropped: &Dropped, mut out: impl Write) {
     for line in queue {
-        let lost = dropped.swap(0, Ordering::Relaxed);
-        if lost > 0 {
+        let ordinary = dropped.ordinary.swap(0, Ordering::Relaxed);
+        let warnings = dropped.warnings.swap(0, Ordering::Relaxed);
+        if ordinary + warnings > 0 {
             let told = writeln!(
                 out,
-                "{{\"level\":\"WARN\",\"msg\":\"log lines dropped\",\"count\":{lost}}}"
+                "{{\"level\":\"WARN\",\"msg\":\"log lines dropped\",\"ordinary\":{ordinary},\"warnings\":{warnings}}}"
             );
             if told.is_err() {
                 return;
--- /dev/null
+++ b/crates/jaypin_entry/src/metrics.rs
@@ -0,0 +1,131 @@
+//! Counts and times for scraping, in the names and units of OpenTelemetry.
+//!
+//! No label names a client account, a request or a credential: the number of series must
+//! not grow with those.
+
+use std::sync::OnceLock;
+use std::time::Duration;
+
+use jaypin_router::RouterCounts;
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Encoder, Registry, TextEncoder};
+
+/// Bounds of times to a first event and to a whole answer, in seconds: around the aims of
+/// 0.1, 0.5 and 1 second, and up to the longest deadline.
+const TIME_BOUNDS: [f64; 12] = [
+    0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.5, 0.75, 1.0, 2.0, 5.0, 15.0,
+];
+
+static INSTRUMENTS: OnceLock<Instruments> = OnceLock::new();
+
+/// All instruments of the process.
+#[derive(Debug)]
+struct Instruments {
+    registry: Registry,
+    requests: Counter<u64>,
+    calls: Counter<u64>,
+    store_calls: Counter<u64>,
+    first_event: Histogram<f64>,
+    duration: Histogram<f64>,
+    pause: Histogram<f64>,
+    waiting: Gauge<u64>,
+    running: Gauge<u64>,
+    hosts: Gauge<u64>,
+    backends: Gauge<u64>,
+    version: Gauge<u64>,
+    ready: Gauge<u64>,
+    // Kept because its end would end the instruments.
+    _provider: SdkMeterProvider,
+}
+
+/// Starts counting. A host that nobody scrapes counts nothing and keeps nothing: its memory
+/// has a price.
+///
+/// # Errors
+/// Says what the library can't set up.
+pub fn start() -> Result<(), String> {
+    let registry = Registry::new();
+    let exporter = opentelemetry_prometheus::exporter()
+        .with_registry(registry.clone())
+        .build()
+        .map_err(|error| error.to_string())?;
+    let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+    let meter = provider.meter("jaypin");
+    let histogram = |name: &'static str| {
+        let built = meter.f64_histogram(name).with_unit("s");
+        built.with_boundaries(TIME_BOUNDS.to_vec()).build()
+    };
+    let instruments = Instruments {
+        requests: meter.u64_counter("jaypin.requests").build(),
+        calls: meter.u64_counter("jaypin.backend.calls").build(),
+        store_calls: meter.u64_counter("jaypin.store.calls").build(),
+        first_event: histogram("jaypin.request.first_event"),
+        duration: histogram("jaypin.request.duration"),
+        pause: histogram("jaypin.stream.longest_pause"),
+        waiting: meter.u64_gauge("jaypin.requests.waiting").build(),
+        running: meter.u64_gauge("jaypin.requests.running").build(),
+        hosts: meter.u64_gauge("jaypin.hosts.heard").build(),
+        backends: meter.u64_gauge("jaypin.backends.ready").build(),
+        version: meter.u64_gauge("jaypin.configuration.version").build(),
+        ready: meter.u64_gauge("jaypin.ready").build(),
+        registry,
+        _provider: provider,
+    };
+    // A second start would be a mistake of the program; the first one counts on.
+    let _ = INSTRUMENTS.set(instruments);
+    Ok(())
+}
+
+/// Counts the end of a request, by its outcome.
+pub fn request(outcome: &'static str, after: Duration) {
+    if let Some(all) = INSTRUMENTS.get() {
+        let labels = [KeyValue::new("outcome", outcome)];
+        all.requests.add(1, &labels);
+        all.duration.record(after.as_secs_f64(), &labels);
+    }
+}
+
+/// Counts the end of a call to a backend server, by its outcome.
+pub fn call(outcome: &'static str) {
+    if let Some(all) = INSTRUMENTS.get() {
+        all.calls.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+}
+
+/// Takes the times of a stream: to its first event, and the longest between two.
+pub fn stream(first: Duration, pause: Duration) {
+    if let Some(all) = INSTRUMENTS.get() {
+        all.first_event.record(first.as_secs_f64(), &[]);
+        all.pause.record(pause.as_secs_f64(), &[]);
+    }
+}
+
+/// Counts a call to the platform's store.
+pub fn store_call(kind: &'static str, outcome: &'static str) {
+    if let Some(all) = INSTRUMENTS.get() {
+        let labels = [
+            KeyValue::new("kind", kind),
+            KeyValue::new("outcome", outcome),
+        ];
+        all.store_calls.add(1, &labels);
+    }
+}
+
+/// Gives everything in the text format of Prometheus; nothing when nobody counts.
+pub fn render(counts: RouterCounts, is_ready: bool) -> Option<String> {
+    let all = INSTRUMENTS.get()?;
+    let wide = |count: usize| u64::try_from(count).unwrap_or(u64::MAX);
+    all.waiting.record(wide(counts.waiting), &[]);
+    all.running.record(wide(counts.running), &[]);
+    all.hosts.record(wide(counts.hosts), &[]);
+    all.backends.record(wide(counts.backends), &[]);
+    all.version.record(counts.version, &[]);
+    all.ready.record(u64::from(is_ready), &[]);
+    let mut buf = Vec::new();
+    if let Err(error) = TextEncoder::new().encode(&all.registry.gather(), &mut buf) {
+        log::error!(error:%; "can't write the metrics");
+    }
+    Some(String::from_utf8_lossy(&buf).into_owned())
+}
--- a/crates/jaypin_entry/src/serve.rs
+++ b/crates/jaypin_entry/src/serve.rs
@@ -1,6 +1,7 @@
 //! Puts an entry host together and runs it until it is told to leave.
 
-use std::path::Path;
+use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -15,6 +16,7 @@
 use crate::boot_clock::boot_time;
 use crate::callers::{Leaving, listen, serve_callers, serve_questions};
 use crate::host::Host;
+use crate::metrics;
 use crate::peers::{PeerSocket, hear_peers};
 use crate::ports::{HostSettings, Platform};
 use crate::store::{follow_backends, follow_configuration, join_fleet};
@@ -31,13 +33,23 @@
 /// Descriptors that are left to files.
 const FILE_DESCRIPTORS: u64 = 16;
 
+/// What the command line says of a host.
+#[derive(Debug, Clone)]
+pub struct ServeOptions {
+    /// The platform's settings file.
+    pub settings: PathBuf,
+    /// Port on which metrics are scraped; without one nothing is counted.
+    pub metrics_port: Option<u16>,
+}
+
 /// Runs a host to its end.
 ///
 /// # Errors
 /// Says what keeps it from starting.
-pub fn serve(platform: Rc<dyn Platform>, settings: &Path) -> Result<(), String> {
-    let name = settings.display();
-    let text = std::fs::read_to_string(settings).map_err(|error| format!("{name}: {error}"))?;
+pub fn serve(platform: Rc<dyn Platform>, options: &ServeOptions) -> Result<(), String> {
+    let name = options.settings.display();
+    let text =
+        std::fs::read_to_string(&options.settings).map_err(|error| format!("{name}: {error}"))?;
     let read = platform.settings(&text);
     let read = read.map_err(|error| format!("{name}: {error}"))?;
     let limit = read.open_files.max(FILE_DESCRIPTORS);
@@ -48,13 +60,20 @@
         .enable_all()
         .build()
         .map_err(|error| error.to_string())?;
-    LocalSet::new().block_on(&runtime, run(platform, read))
+    LocalSet::new().block_on(&runtime, run(platform, read, options.metrics_port))
 }
 
-async fn run(platform: Rc<dyn Platform>, settings: HostSettings) -> Result<(), String> {
+async fn run(
+    platform: Rc<dyn Platform>,
+    settings: HostSettings,
+    metrics_port: Option<u16>,
+) -> Result<(), String> {
     let callers = open("callers", listen(settings.callers), settings.callers)?;
     let readiness = open("readiness", listen(settings.readiness), settings.readiness)?;
     let directory = open("directory", listen(settings.directory), settings.directory)?;
+    let scraped = metrics_port.map(|port| SocketAddr::new(settings.callers.ip(), port));
+    let scraped = scraped.map(|address| open("metrics", listen(address), address));
+    let scraped = scraped.transpose()?;
     let peers = PeerSocket::open(settings.peers).await;
     let peers = open("peers", peers, settings.peers)?;
     let mut term = on_signal(SignalKind::terminate())?;
@@ -79,6 +98,10 @@
     spawn_local(keep_time(host.clone()));
     spawn_local(serve_questions(host.clone(), readiness));
     spawn_local(serve_questions(host.clone(), directory));
+    if let Some(listener) = scraped {
+        metrics::start()?;
+        spawn_local(serve_questions(host.clone(), listener));
+    }
     spawn_local(serve_callers(host.clone(), callers, leaving));
     spawn_local(note_hang_ups(hang_up));
     term.recv().await;
--- a/crates/jaypin_entry/src/store/client.rs
+++ b/crates/jaypin_entry/src/store/client.rs
@@ -11,6 +11,7 @@
 
 use crate::calls::{Connection, ConnectionOptions, connect, read_whole};
 use crate::host::Host;
+use crate::metrics;
 use crate::ports::{Collection, DecodeError, Object, ObjectChanges, ObjectPage};
 
 /// Time for a call that the store answers at once. It answers in milliseconds, and in some
@@ -42,6 +43,18 @@
     },
 }
 
+impl StoreError {
+    /// The error in one word.
+    fn as_str(&self) -> &'static str {
+        match self {
+            Self::Unreached => "unreached",
+            Self::TimedOut => "timed-out",
+            Self::Status { .. } => "status",
+            Self::Decode { .. } => "unreadable",
+        }
+    }
+}
+
 impl From<DecodeError> for StoreError {
     fn from(source: DecodeError) -> Self {
         Self::Decode { source }
@@ -121,16 +134,25 @@
         body: Bytes,
         limit: Duration,
     ) -> Result<Bytes, StoreError> {
+        let kind = if method == Method::GET {
+            "read"
+        } else {
+            "write"
+        };
         let made = self.call_on_connection(method, path, body);
-        let (status, body) = match timeout(limit, made).await {
-            Ok(answer) => answer?,
-            Err(_) => return Err(StoreError::TimedOut),
+        let answer = match timeout(limit, made).await {
+            Ok(answer) => answer,
+            Err(_) => Err(StoreError::TimedOut),
         };
-        if status.is_success() {
-            Ok(body)
-        } else {
-            Err(StoreError::Status { status })
-        }
+        let answer = answer.and_then(|(status, body)| match status {
+            status if status.is_success() => Ok(body),
+            status => Err(StoreError::Status { status }),
+        });
+        let outcome = answer
+            .as_ref()
+            .map_or_else(StoreError::as_str, |_| "answered");
+        metrics::store_call(kind, outcome);
+        answer
     }
 
     async fn call_on_connection(
--- a/crates/jaypin_router/src/request.rs
+++ b/crates/jaypin_router/src/request.rs
@@ -64,6 +64,12 @@
         matches!(self, Self::Unreached | Self::NotRun | Self::Replaced)
     }
 
+    /// Whether nothing is left to be decided.
+    #[must_use]
+    pub fn is_final(self) -> bool {
+        matches!(self, Self::Complete | Self::Abandoned)
+    }
+
     /// The outcome in one word.
     #[must_use]
     pub fn as_str(self) -> &'static str {
