Let accounts use the fleet's slack at once

Change: at once besides the burst: 0.7 seconds of the rate and 0.6 of the slack that operators state; a common restart still keeps to the window (tests).

--- a/crates/jaypin_router/src/quota.rs
+++ b/crates/jaypin_router/src/quota.rs
@@ -21,6 +21,9 @@
 /// common restart in that window. With this much, both together stay within a tenth of
 /// what a window allows.
 const CATCH_UP_SECONDS: f64 = 0.7;
+/// Part of the fleet's slack that an account may use at once besides, for the same reason:
+/// small accounts send a prompt of several seconds' rate now and then.
+const SLACK_PART: f64 = 0.6;
 /// Seconds of its rate that an account may use at once right after this host's start.
 const FIRST_SECONDS: f64 = 0.2;
 /// Longest wait that is stated to an account over its quota.
@@ -38,6 +41,7 @@
 #[derive(Debug)]
 pub struct FleetQuota {
     window: Duration,
+    slack: f64,
     accounts: HashMap<AccountId, Usage>,
     heard_part: f64,
 }
@@ -56,11 +60,13 @@
 }
 
 impl FleetQuota {
-    /// Starts with a window over which use is counted.
+    /// Starts with a window over which use is counted, and the units by which an account
+    /// may exceed its quota in one.
     #[must_use]
-    pub fn new(window: Duration) -> Self {
+    pub fn new(window: Duration, slack: f64) -> Self {
         Self {
             window,
+            slack,
             accounts: HashMap::new(),
             heard_part: 1.0,
         }
@@ -91,7 +97,7 @@
     /// # Errors
     /// Gives the time after which there is enough, when there is not.
     pub fn take(&mut self, account: &AccountId, units: f64, now: Instant) -> Result<(), Duration> {
-        let (part, window) = (self.part(), self.window);
+        let (part, window, slack) = (self.part(), self.window, self.slack);
         let allowed_part = self.heard_part;
         let Some(usage) = self.accounts.get_mut(account) else {
             return Ok(());
@@ -103,7 +109,7 @@
         if excess > 0.0 {
             return Err(usage.time_until_free(excess, part).min(LONGEST_WAIT));
         }
-        usage.fill(allowed_part, now);
+        usage.fill(allowed_part, slack, now);
         let missing = units.min(usage.quota.burst) - usage.at_once;
         if missing > 0.0 {
             let rate = (usage.quota.rate * allowed_part).max(1e-3);
@@ -186,8 +192,10 @@
     }
 
     /// Fills up what may be used at once.
-    fn fill(&mut self, allowed_part: f64, now: Instant) {
-        let most = self.quota.burst + self.quota.rate * CATCH_UP_SECONDS;
+    fn fill(&mut self, allowed_part: f64, slack: f64, now: Instant) {
+        let most = self.quota.burst
+            + self.quota.rate * CATCH_UP_SECONDS
+            + slack * SLACK_PART * allowed_part;
         let since = now.saturating_duration_since(self.filled_at).as_secs_f64();
         self.at_once += self.quota.rate * allowed_part * since;
         self.at_once = self.at_once.min(most);
--- a/crates/jaypin_router/src/router/mod.rs
+++ b/crates/jaypin_router/src/router/mod.rs
@@ -36,6 +36,8 @@
     pub revoke: Duration,
     /// Window over which the use of quotas is counted.
     pub quota_window: Duration,
+    /// Units by which an account may exceed its quota in such a window.
+    pub quota_slack: f64,
     /// Window of the budget for sends beyond the first of each request.
     pub resend_window: Duration,
     /// Such sends for each request in a window.
@@ -234,7 +236,7 @@
             backends: BTreeMap::new(),
             vanished: Vanished::default(),
             fleet: Fleet::default(),
-            quota: FleetQuota::new(cfg.bounds.quota_window),
+            quota: FleetQuota::new(cfg.bounds.quota_window, cfg.bounds.quota_slack),
             budgets: HashMap::new(),
             residence: HashMap::new(),
             sizes: Sizes::default(),
--- a/crates/jaypin_router/tests/common/mod.rs
+++ b/crates/jaypin_router/tests/common/mod.rs
@@ -148,6 +148,7 @@
     Bounds {
         revoke: Duration::from_secs(5),
         quota_window: Duration::from_secs(8),
+        quota_slack: 0.0,
         resend_window: Duration::from_secs(10),
         resend_ratio: 0.2,
         resend_allowance: 113.0,
--- a/crates/jaypin_router/tests/quota.rs
+++ b/crates/jaypin_router/tests/quota.rs
@@ -26,7 +26,7 @@
 
 /// A quota of a host that has run for a while.
 fn settled(now: Instant) -> FleetQuota {
-    let mut quota = FleetQuota::new(WINDOW);
+    let mut quota = FleetQuota::new(WINDOW, 0.0);
     let started = now - WINDOW * 2;
     quota.configure(&[account(token_quota(RATE, RATE))], started);
     quota
@@ -68,7 +68,7 @@
         let mut quota = settled(now);
         let before = Duration::from_secs(before);
         let mut taken = press(&mut quota, &mut now, before);
-        let mut quota = FleetQuota::new(WINDOW);
+        let mut quota = FleetQuota::new(WINDOW, 0.0);
         quota.configure(&[account(token_quota(RATE, RATE))], now);
         taken += press(&mut quota, &mut now, WINDOW - before);
         assert!(taken <= RATE * 9.0 * 1.1, "{taken} after {before:?}");
@@ -79,7 +79,7 @@
 #[test]
 fn a_restart_refuses_nobody_who_keeps_to_the_quota() {
     let mut now = Instant::now();
-    let mut quota = FleetQuota::new(WINDOW);
+    let mut quota = FleetQuota::new(WINDOW, 0.0);
     quota.configure(&[account(token_quota(RATE, RATE))], now);
     for _ in 0..400 {
         assert_eq!(quota.take(&farm(), 10.0, now), Ok(()));
@@ -131,3 +131,36 @@
     let other = AccountId::from("other");
     assert_eq!(quota.take(&other, f64::MAX, now), Ok(()));
 }
+
+/// A small account sends a prompt of three seconds' rate now and then. It keeps to its rate
+/// over any window, so it must not be refused.
+#[test]
+fn the_fleet_s_slack_lets_small_accounts_send_long_prompts() {
+    let mut now = Instant::now();
+    let mut quota = FleetQuota::new(WINDOW, RATE * 5.0);
+    quota.configure(&[account(token_quota(RATE, RATE))], now - WINDOW * 2);
+    for _ in 0..8 {
+        assert_eq!(quota.take(&farm(), RATE * 3.0, now), Ok(()));
+        now += Duration::from_secs(4);
+    }
+}
+
+/// The same account presses and all hosts restart: the slack is used once and not twice.
+#[test]
+fn slack_is_not_used_twice_after_a_common_restart() {
+    let slack = RATE * 5.0;
+    for before in 1..8 {
+        let mut now = Instant::now();
+        let mut quota = FleetQuota::new(WINDOW, slack);
+        quota.configure(&[account(token_quota(RATE, RATE))], now - WINDOW * 2);
+        let before = Duration::from_secs(before);
+        let mut taken = press(&mut quota, &mut now, before);
+        let mut quota = FleetQuota::new(WINDOW, slack);
+        quota.configure(&[account(token_quota(RATE, RATE))], now);
+        taken += press(&mut quota, &mut now, WINDOW - before);
+        assert!(
+            taken <= RATE * 9.0 * 1.1 + slack,
+            "{taken} after {before:?}"
+        );
+    }
+}
