--- a/crates/jaypin_entry/src/peers/wire.rs
+++ b/crates/jaypin_entry/src/peers/wire.rs
@@ -240,8 +240,8 @@
     }
 }
 
-fn change((id, revision, stated): WireChange) -> EntryChange {
-    let Some((started, service, address, failure_domain, slots, is_ready)) = stated else {
+fn change((id, revision, statement): WireChange) -> EntryChange {
+    let Some((started, service, address, failure_domain, slots, is_ready)) = statement else {
         let id = BackendId::from(id);
         return EntryChange::Removed { id, revision };
     };
--- a/crates/jaypin_entry/src/serve.rs
+++ b/crates/jaypin_entry/src/serve.rs
@@ -25,7 +25,7 @@
 const SWEEP_PAUSE: Duration = Duration::from_secs(1);
 /// Time for which a leaving host stays though it is idle: callers that have not heard of
 /// it get an answer instead of a refused connection.
-const LEAST_LEAVING: Duration = Duration::from_millis(3_000);
+const LEAST_LEAVING: Duration = Duration::from_secs(3);
 /// Pause between two looks at whether everything has ended.
 const LEAVING_PAUSE: Duration = Duration::from_millis(50);
 /// Part of the grace after which the host leaves with requests unfinished.
--- a/crates/jaypin_entry/src/store/backends.rs
+++ b/crates/jaypin_entry/src/store/backends.rs
@@ -14,7 +14,7 @@
 
 /// How long one watch waits. Answers come at once when something changes; a connection
 /// that went silent is noticed after this time and a call's.
-const WATCH: Duration = Duration::from_millis(4_000);
+const WATCH: Duration = Duration::from_secs(4);
 
 /// Follows the backend servers until the task is dropped: by watches if this host is to
 /// watch, else by what its peers tell, and by reading all when that differs for long.
--- a/crates/jaypin_entry/src/store/configuration.rs
+++ b/crates/jaypin_entry/src/store/configuration.rs
@@ -15,7 +15,7 @@
 
 /// How long one watch waits. The proof that a configuration is the newest is as old as the
 /// last answer, so this bounds its age; each watch has its price.
-const WATCH: Duration = Duration::from_millis(1_000);
+const WATCH: Duration = Duration::from_secs(1);
 /// Time by which a watch may lag behind what was written: a store that drops its history
 /// tells watches nothing for up to a second before.
 const WATCH_LAG: Duration = Duration::from_millis(1_200);
--- a/crates/jaypin_entry/src/store/hosts.rs
+++ b/crates/jaypin_entry/src/store/hosts.rs
@@ -52,12 +52,11 @@
     let platform = &host.platform;
     let body = platform.host_body(own, replaces);
     let path = platform.object_path(Collection::Hosts, &own.host);
-    let written = match replaces {
-        Some(_) => client.write(Method::PUT, &path, body).await,
-        None => {
-            let kind = platform.list_path(Collection::Hosts, None);
-            client.write(Method::POST, &kind, body).await
-        }
+    let written = if replaces.is_some() {
+        client.write(Method::PUT, &path, body).await
+    } else {
+        let kind = platform.list_path(Collection::Hosts, None);
+        client.write(Method::POST, &kind, body).await
     };
     match written {
         // An earlier try whose answer was lost, or this host's process before this one.
--- a/crates/jaypin_router/src/fleet.rs
+++ b/crates/jaypin_router/src/fleet.rs
@@ -65,6 +65,11 @@
     }
 }
 
+/// A count that is divided.
+fn number_of<T>(items: impl Iterator<Item = T>) -> f64 {
+    items.map(|_| 1.0).sum()
+}
+
 fn is_recent(at: Instant, now: Instant) -> bool {
     now.saturating_duration_since(at) < CELL_SILENCE
 }
@@ -171,10 +176,9 @@
     /// Which part of the fleet this host hears, itself included.
     #[must_use]
     pub fn heard_part(&self, now: Instant) -> f64 {
-        let heard = self.heard(now).count() + 1;
+        let heard = 1.0 + number_of(self.heard(now));
         let silent = self.peers.values().filter(|it| it.may_be_cut_off(now));
-        let all = heard + silent.count();
-        heard as f64 / all as f64
+        heard / (heard + number_of(silent))
     }
 
     /// Hosts that take part, this one included.
--- a/crates/jaypin_router/src/router/arrival.rs
+++ b/crates/jaypin_router/src/router/arrival.rs
@@ -60,7 +60,7 @@
 const FIRST_PLAIN_RESIDENCE: Duration = Duration::from_millis(20);
 
 impl Router {
-    pub(super) fn arrived(&mut self, now: Instant, arrival: Arrival, fx: &mut Vec<Effect>) {
+    pub(super) fn arrived(&mut self, now: Instant, arrival: &Arrival, fx: &mut Vec<Effect>) {
         let number = arrival.number;
         let Some(table) = self.table.clone() else {
             let refusal = Refusal::not_run(Reason::NotReady).retry_after(UNREADY_RETURN);
@@ -84,7 +84,7 @@
         }
         match admitted {
             Ok((route, account)) => {
-                let request = self.admit(&arrival, route, account);
+                let request = self.admit(arrival, route, account);
                 self.start(now, request, &table, fx);
             }
             Err(reason) => fx.push(Effect::Reject {
@@ -201,12 +201,12 @@
     /// Sends a request, keeps it waiting, or gives it up.
     pub(super) fn place(&mut self, now: Instant, request: Request<Waiting>, fx: &mut Vec<Effect>) {
         if now >= request.admitted.deadline {
-            return self.give_up(request, Reason::TooLate, Grounds::Deadline, fx);
+            return self.give_up(&request, Reason::TooLate, Grounds::Deadline, fx);
         }
         let is_over = now >= request.state.until;
         let Some(choice) = self.choose(&request.admitted, now) else {
             if is_over {
-                return self.give_up(request, Reason::NoBackend, Grounds::NoPlace, fx);
+                return self.give_up(&request, Reason::NoBackend, Grounds::NoPlace, fx);
             }
             return self.waiting.push(request);
         };
@@ -219,7 +219,7 @@
         if is_in_time || is_resort {
             self.send(now, request, choice, grounds, fx);
         } else if is_over {
-            self.give_up(request, Reason::Shed, grounds, fx);
+            self.give_up(&request, Reason::Shed, grounds, fx);
         } else {
             self.waiting.push(request);
         }
@@ -300,7 +300,7 @@
         fx: &mut Vec<Effect>,
     ) {
         let Some(backend) = self.backends.get_mut(&choice.backend) else {
-            return self.give_up(request, Reason::NoBackend, grounds, fx);
+            return self.give_up(&request, Reason::NoBackend, grounds, fx);
         };
         let admitted = &request.admitted;
         let (number, tokens) = (admitted.number, admitted.prompt_tokens);
@@ -329,7 +329,7 @@
     /// Ends a request that has no place, at once and with what is true of it.
     pub(super) fn give_up(
         &mut self,
-        request: Request<Waiting>,
+        request: &Request<Waiting>,
         reason: Reason,
         grounds: Grounds,
         fx: &mut Vec<Effect>,
--- a/crates/jaypin_router/src/router/attempt.rs
+++ b/crates/jaypin_router/src/router/attempt.rs
@@ -83,23 +83,18 @@
         outcome: AttemptOutcome,
         fx: &mut Vec<Effect>,
     ) {
-        let until = request.admitted.arrived_at + self.hold(&request.admitted);
+        let until = request.admitted.arrived_at + second_look(&request.admitted);
         let service = request.admitted.service.clone();
         let is_free = outcome == AttemptOutcome::Unreached;
         let is_tried_often = request.admitted.tried.len() >= MOST_DECLINED;
         let request = request.take_back(until);
         if is_tried_often || !(is_free || self.budget(&service, now).take(now)) {
             let grounds = call_grounds(&request.admitted);
-            return self.give_up(request, Reason::Shed, grounds, fx);
+            return self.give_up(&request, Reason::Shed, grounds, fx);
         }
         self.place(now, request, fx);
     }
 
-    fn hold(&self, admitted: &Admitted) -> Duration {
-        // What was declined looks for another place as long as its aim can be met.
-        admitted.route.aim / 2
-    }
-
     /// A call failed on which the request may have run.
     fn failed(
         &mut self,
@@ -123,7 +118,7 @@
             && outcome != AttemptOutcome::TimedOut
             && self.quarantined_for(admitted.fingerprint, now).is_none();
         if may_run && self.budget(&service, now).take(now) {
-            let until = now + self.hold(&request.admitted);
+            let until = now + second_look(&request.admitted);
             return self.place(now, request.take_back(until), fx);
         }
         let grounds = call_grounds(&request.admitted);
@@ -141,6 +136,12 @@
     }
 }
 
+/// Time for which a request whose call did not succeed looks for another place: as long as
+/// its aim can still be met.
+fn second_look(admitted: &Admitted) -> Duration {
+    admitted.route.aim / 2
+}
+
 fn call_grounds(admitted: &Admitted) -> Grounds {
     Grounds::Call {
         runs: admitted.runs,
--- a/crates/jaypin_router/src/router/knowledge.rs
+++ b/crates/jaypin_router/src/router/knowledge.rs
@@ -28,7 +28,7 @@
 /// Backend servers that have to die under a content before it is refused.
 const STRIKES: u32 = 3;
 /// Time for which a content stays refused after the last death.
-const QUARANTINE: Duration = Duration::from_secs(300);
+const QUARANTINE: Duration = Duration::from_mins(5);
 
 impl Router {
     /// Takes a configuration; an older one than the one in use changes nothing, whatever
@@ -85,12 +85,11 @@
 
     pub(super) fn backend_changed(&mut self, record: BackendRecord) {
         self.vanished.is_back(&record.id);
-        match self.backends.get_mut(&record.id) {
-            Some(backend) => backend.restate(record),
-            None => {
-                let id = record.id.clone();
-                self.backends.insert(id, Backend::new(record));
-            }
+        if let Some(backend) = self.backends.get_mut(&record.id) {
+            backend.restate(record);
+        } else {
+            let id = record.id.clone();
+            self.backends.insert(id, Backend::new(record));
         }
     }
 
--- a/crates/jaypin_router/src/router/lapse.rs
+++ b/crates/jaypin_router/src/router/lapse.rs
@@ -19,9 +19,9 @@
 const DISTURBED: Duration = Duration::from_secs(3);
 /// Time within which entries that vanish count as vanished together.
 const TOGETHER: Duration = Duration::from_millis(500);
-/// Part of a service's backend servers that does not leave together without a word: a
-/// third stands in one failure domain.
-const TOO_MANY: f64 = 0.4;
+/// Part of a service's backend servers that does not leave together without a word, two
+/// fifths: a third stands in one failure domain.
+const TOO_MANY: (usize, usize) = (2, 5);
 
 /// Entries that vanished, and when their backend servers are to be dropped.
 #[derive(Debug, Default)]
@@ -97,7 +97,8 @@
         let gone = dropped.iter().filter(is_of_service).count();
         let left = self.backends.values();
         let left = left.filter(|it| it.record.service == service).count();
-        if gone < 2 || (gone as f64) < TOO_MANY * (gone + left) as f64 {
+        let is_usual = gone * TOO_MANY.1 < (gone + left) * TOO_MANY.0;
+        if gone < 2 || is_usual {
             return;
         }
         for (at, backend) in std::mem::take(dropped) {
--- a/crates/jaypin_router/src/router/mod.rs
+++ b/crates/jaypin_router/src/router/mod.rs
@@ -267,7 +267,7 @@
                 self.backends_listed(entries, revision, now);
             }
             Event::BackendChanged(change) => self.backend_told(change, now),
-            Event::Arrived(arrival) => self.arrived(now, arrival, &mut fx),
+            Event::Arrived(arrival) => self.arrived(now, &arrival, &mut fx),
             Event::Answered(number) => self.answered(now, number),
             Event::Ended { number, outcome } => self.ended(now, number, outcome, &mut fx),
             Event::CallerGone(number) => self.caller_gone(number),
--- a/crates/jaypin_router/src/router/telling.rs
+++ b/crates/jaypin_router/src/router/telling.rs
@@ -32,7 +32,7 @@
 const LONG_SILENCE: Duration = Duration::from_secs(30);
 /// Silence after which a host is told no more. Longer than any cut: two parts of a fleet
 /// that both gave up would not find each other again.
-const FOUND_FOR: Duration = Duration::from_secs(900);
+const FOUND_FOR: Duration = Duration::from_mins(15);
 /// Contents under suspicion in one report: more would not fit a datagram.
 const STRIKES_TOLD: usize = 16;
 
--- a/crates/jaypin_router/src/router/watching.rs
+++ b/crates/jaypin_router/src/router/watching.rs
@@ -12,7 +12,7 @@
 const WATCHERS: usize = 2;
 /// Age of the newest proof from which a host asks the store itself, and from which a peer
 /// is no watcher any more: a watch and its answer take less.
-const OLD_PROOF: Duration = Duration::from_millis(3_000);
+const OLD_PROOF: Duration = Duration::from_secs(3);
 /// Time for which a host may know other entries than a watcher before it reads them all:
 /// changes on their way arrive in less.
 const DIFFERENT_FOR: Duration = Duration::from_millis(700);
--- a/crates/jaypin_router/tests/common/mod.rs
+++ b/crates/jaypin_router/tests/common/mod.rs
@@ -256,7 +256,7 @@
     /// A request of the account arrives.
     pub fn arrive(&mut self, path: &str, tokens: (u32, u32)) -> (RequestNumber, Told) {
         self.arrive_as(|arrival| {
-            arrival.path = path.to_owned();
+            path.clone_into(&mut arrival.path);
             arrival.tokens = Some(tokens);
         })
     }
--- a/crates/jaypin_router/tests/heavy_days.rs
+++ b/crates/jaypin_router/tests/heavy_days.rs
@@ -96,7 +96,7 @@
         .collect();
     times.sort();
     assert!(
-        times[35] - times[4] >= Duration::from_millis(80),
+        times[35] >= times[4] + Duration::from_millis(80),
         "{times:?}"
     );
 }
@@ -171,7 +171,7 @@
 fn a_long_answer_is_refused_before_a_short_one() {
     let mut bed = Bed::new(common::configuration(1));
     bed.state(record("engine-1", ENGINES, 9));
-    let mut ask = |bed: &mut Bed, expected| {
+    let ask = |bed: &mut Bed, expected| {
         bed.arrive_as(|it| {
             it.tokens = Some((2_400, 3_000));
             it.expected_answer = Some(expected);
--- a/crates/jaypin_router/tests/lapse.rs
+++ b/crates/jaypin_router/tests/lapse.rs
@@ -43,7 +43,7 @@
         bed.remove(id);
     }
     assert!(is_served(&mut bed));
-    bed.wait(Duration::from_millis(1_000));
+    bed.wait(Duration::from_secs(1));
     for id in &ids {
         bed.state(record(id, ENGINES, 9));
     }
--- a/crates/jaypin_router/tests/proof.rs
+++ b/crates/jaypin_router/tests/proof.rs
@@ -65,7 +65,7 @@
     }
     let mut bed = Bed::new(configuration);
     bed.state(record("engine-1", "engines", 9));
-    bed.wait(Duration::from_secs(60));
+    bed.wait(Duration::from_mins(1));
     let (_, told) = bed.arrive("/ask/1", (10, 10));
     assert!(matches!(told, Told::Sent(_)), "{told:?}");
 }
@@ -93,7 +93,7 @@
     clock.saw(SECOND * 110, SECOND * 13);
     let own = clock.own_time(SECOND * 110).expect("the clock is known");
     assert!(own <= SECOND * 10, "{own:?}");
-    assert!(own >= SECOND * 10 - Duration::from_millis(100), "{own:?}");
+    assert!(own + Duration::from_millis(100) >= SECOND * 10, "{own:?}");
 }
 
 #[test]
@@ -150,7 +150,7 @@
 
 #[test]
 fn a_watcher_s_proof_holds_for_its_cell() {
-    assert!(is_proved_after(Duration::from_secs(90_000), Duration::ZERO));
+    assert!(is_proved_after(Duration::from_hours(25), Duration::ZERO));
 }
 
 /// A host loses power, starts again and reports before it has read its clock: its reports
@@ -159,7 +159,7 @@
 #[test]
 fn a_peer_whose_clock_makes_no_sense_proves_nothing() {
     assert!(!is_proved_after(
-        Duration::from_secs(90_000),
+        Duration::from_hours(25),
         Duration::from_secs(5_000)
     ));
 }
--- a/crates/jaypin_router/tests/quota.rs
+++ b/crates/jaypin_router/tests/quota.rs
@@ -20,6 +20,12 @@
     }
 }
 
+/// A start so long ago that nothing of it counts any more.
+fn long_before(now: Instant) -> Instant {
+    now.checked_sub(WINDOW * 2)
+        .expect("the machine runs for longer")
+}
+
 fn farm() -> AccountId {
     AccountId::from("farm")
 }
@@ -27,7 +33,7 @@
 /// A quota of a host that has run for a while.
 fn settled(now: Instant) -> FleetQuota {
     let mut quota = FleetQuota::new(WINDOW, 0.0);
-    let started = now - WINDOW * 2;
+    let started = long_before(now);
     quota.configure(&[account(token_quota(RATE, RATE))], started);
     quota
 }
@@ -70,7 +76,7 @@
         let mut taken = press(&mut quota, &mut now, before);
         let mut quota = FleetQuota::new(WINDOW, 0.0);
         quota.configure(&[account(token_quota(RATE, RATE))], now);
-        taken += press(&mut quota, &mut now, WINDOW - before);
+        taken += press(&mut quota, &mut now, WINDOW.saturating_sub(before));
         assert!(taken <= RATE * 9.0 * 1.1, "{taken} after {before:?}");
     }
 }
@@ -138,7 +144,7 @@
 fn the_fleet_s_slack_lets_small_accounts_send_long_prompts() {
     let mut now = Instant::now();
     let mut quota = FleetQuota::new(WINDOW, RATE * 5.0);
-    quota.configure(&[account(token_quota(RATE, RATE))], now - WINDOW * 2);
+    quota.configure(&[account(token_quota(RATE, RATE))], long_before(now));
     for _ in 0..8 {
         assert_eq!(quota.take(&farm(), RATE * 3.0, now), Ok(()));
         now += Duration::from_secs(4);
@@ -152,12 +158,12 @@
     for before in 1..8 {
         let mut now = Instant::now();
         let mut quota = FleetQuota::new(WINDOW, slack);
-        quota.configure(&[account(token_quota(RATE, RATE))], now - WINDOW * 2);
+        quota.configure(&[account(token_quota(RATE, RATE))], long_before(now));
         let before = Duration::from_secs(before);
         let mut taken = press(&mut quota, &mut now, before);
         let mut quota = FleetQuota::new(WINDOW, slack);
         quota.configure(&[account(token_quota(RATE, RATE))], now);
-        taken += press(&mut quota, &mut now, WINDOW - before);
+        taken += press(&mut quota, &mut now, WINDOW.saturating_sub(before));
         assert!(
             taken <= RATE * 9.0 * 1.1 + slack,
             "{taken} after {before:?}"
--- a/crates/jaypin_router/tests/routes.rs
+++ b/crates/jaypin_router/tests/routes.rs
@@ -9,7 +9,7 @@
     let mut configuration = configuration(1);
     for (name, prefix) in [("all", "/"), ("a", "/a/"), ("a-b", "/a/b/")] {
         let mut route = route(name, Repeat::Idempotent, "plain");
-        route.prefix = prefix.to_owned();
+        prefix.clone_into(&mut route.prefix);
         configuration.routes.push(route);
     }
     RouteTable::new(configuration)
