--- a/crates/jaypin/src/cli/mod.rs
+++ b/crates/jaypin/src/cli/mod.rs
@@ -4,6 +4,7 @@
 mod drain;
 mod entry;
 mod explain;
+mod explain_log;
 mod rules;
 mod serve;
 mod settings;
--- a/crates/jaypin/tests/command_line.rs
+++ b/crates/jaypin/tests/command_line.rs
@@ -39,6 +39,16 @@
     help_of_audit: ["audit", "--help"] => 0, "usage: jaypin audit";
     help_of_status: ["status", "--help"] => 0, "usage: jaypin status";
     help_of_explain: ["explain", "--help"] => 0, "usage: jaypin explain";
+    a_refusal_is_explained_from_a_log:
+        ["explain", "6f72d5fc2fa35ad2", "--log", "tests/entry-log.jsonl"] => 0,
+        "after 62 ms shed: first event in 161 ms of 288, 10 running, 4612 tokens ahead";
+    a_resumed_stream_is_explained_from_a_log:
+        ["explain", "2cc62190f03fef8b", "--log", "tests/entry-log.jsonl"] => 0,
+        "call to engine-9 ended as complete after 2713 ms, first event after 88 ms";
+    a_request_that_a_log_lacks_is_a_failure:
+        ["explain", "nobody", "--log", "tests/entry-log.jsonl"] => 1, "says nothing of nobody";
+    entry_needs_settings: ["entry"] => 2, "--settings FILE is missing";
+    help_of_entry: ["entry", "--help"] => 0, "usage: jaypin entry";
     help_of_drain: ["drain", "--help"] => 0, "usage: jaypin drain";
     an_example_is_good: ["rules", "check", "../../examples/lanyang-rules.yaml"] => 0, "good";
     a_requester_is_named: ["rules", "who", "3", "../../examples/hanbit-rules.yaml"] => 0,
