Assume of the time before a start only a cell's part of the use

Ruled out: an account that presses (all accounts were refused), silent peers (heard within a second).

--- a/crates/jaypin_router/src/quota.rs
+++ b/crates/jaypin_router/src/quota.rs
@@ -51,6 +51,8 @@
     quota: Quota,
     /// Use by part of the window, the oldest first.
     parts: VecDeque<f64>,
+    /// Parts of the window that lie before this host's start.
+    unknown_parts: u32,
     newest_since: Instant,
     /// Units that may be used at once; below 0 a debt.
     at_once: f64,
@@ -78,7 +80,7 @@
         let limited = accounts.iter().filter_map(|it| Some((it, it.quota?)));
         for (account, quota) in limited {
             let known = before.remove(&account.name);
-            let mut usage = known.unwrap_or_else(|| Usage::new(quota, self.part(), now));
+            let mut usage = known.unwrap_or_else(|| Usage::new(quota, now));
             usage.quota = quota;
             self.accounts.insert(account.name.clone(), usage);
         }
@@ -105,9 +107,11 @@
         usage.forget(part, now);
         let allowed = usage.quota.allowed(window) * allowed_part;
         // A request larger than all that is allowed passes when nothing was used.
-        let excess = usage.total() + units.min(allowed) - allowed;
+        let assumed = usage.assumed(part) * allowed_part;
+        let excess = usage.total() + assumed + units.min(allowed) - allowed;
         if excess > 0.0 {
-            return Err(usage.time_until_free(excess, part).min(LONGEST_WAIT));
+            let wait = usage.time_until_free(excess, allowed_part, part);
+            return Err(wait.min(LONGEST_WAIT));
         }
         usage.fill(allowed_part, slack, now);
         let missing = units.min(usage.quota.burst) - usage.at_once;
@@ -143,7 +147,8 @@
     pub fn level(&self, account: &AccountId) -> Option<(f64, f64)> {
         let usage = self.accounts.get(account)?;
         let allowed = usage.quota.allowed(self.window) * self.heard_part;
-        Some((usage.total(), allowed))
+        let assumed = usage.assumed(self.part()) * self.heard_part;
+        Some((usage.total() + assumed, allowed))
     }
 
     /// What this host used of each account's quota in its run.
@@ -165,11 +170,11 @@
 }
 
 impl Usage {
-    fn new(quota: Quota, part: Duration, now: Instant) -> Self {
-        let assumed = quota.rate * part.as_secs_f64() * ASSUMED_USE;
+    fn new(quota: Quota, now: Instant) -> Self {
         Self {
             quota,
-            parts: (0..PARTS).map(|_| assumed).collect(),
+            parts: (0..PARTS).map(|_| 0.0).collect(),
+            unknown_parts: PARTS,
             newest_since: now,
             at_once: quota.rate * FIRST_SECONDS,
             filled_at: now,
@@ -181,12 +186,14 @@
         let elapsed = now.saturating_duration_since(self.newest_since);
         if elapsed >= part * PARTS {
             self.parts.iter_mut().for_each(|it| *it = 0.0);
+            self.unknown_parts = 0;
             self.newest_since = now;
             return;
         }
         while now.saturating_duration_since(self.newest_since) >= part {
             self.parts.pop_front();
             self.parts.push_back(0.0);
+            self.unknown_parts = self.unknown_parts.saturating_sub(1);
             self.newest_since += part;
         }
     }
@@ -213,12 +220,20 @@
         self.parts.iter().sum()
     }
 
+    /// Use that is assumed of the time before this host's start, over the whole fleet.
+    fn assumed(&self, part: Duration) -> f64 {
+        let time = part * self.unknown_parts;
+        self.quota.rate * time.as_secs_f64() * ASSUMED_USE
+    }
+
     /// Time until so much of the use is forgotten.
-    fn time_until_free(&self, excess: f64, part: Duration) -> Duration {
+    fn time_until_free(&self, excess: f64, allowed_part: f64, part: Duration) -> Duration {
+        let assumed = self.quota.rate * part.as_secs_f64() * ASSUMED_USE * allowed_part;
         let mut freed = 0.0;
         let mut time = Duration::ZERO;
-        for used in &self.parts {
-            freed += used;
+        for (place, used) in (0..).zip(&self.parts) {
+            let is_unknown = place < self.unknown_parts;
+            freed += used + if is_unknown { assumed } else { 0.0 };
             time += part;
             if freed >= excess {
                 break;
--- a/crates/jaypin_router/tests/quota.rs
+++ b/crates/jaypin_router/tests/quota.rs
@@ -170,3 +170,18 @@
         );
     }
 }
+
+/// A fleet of four cells restarts. Each cell may give a quarter of a quota; if it took the
+/// whole fleet's use before as its own, every account would be refused for six seconds.
+#[test]
+fn a_cell_takes_its_part_of_the_unknown_use_as_its_own() {
+    let mut now = Instant::now();
+    let mut quota = FleetQuota::new(WINDOW, 0.0);
+    quota.configure(&[account(token_quota(RATE, RATE))], now);
+    quota.set_heard_part(0.25);
+    now += Duration::from_secs(1);
+    for _ in 0..100 {
+        assert_eq!(quota.take(&farm(), 2.0, now), Ok(()));
+        now += Duration::from_millis(20);
+    }
+}
