Say what two comments left wrong

Cause: one comment said that a stream's silence is counted in its route's pauses; it is counted in half seconds. One test used the platform's word for a client account. Ruled out: a change of behaviour; only comments differ, so nothing was measured.

--- a/crates/jaypin_entry/src/callers/drive.rs
+++ b/crates/jaypin_entry/src/callers/drive.rs
@@ -27,10 +27,10 @@
 
 /// Header with which a stream is gone on with, by the standard of server-sent events.
 const LAST_EVENT_ID: HeaderName = HeaderName::from_static("last-event-id");
-/// Pauses between two events after which a stream that may be gone on with elsewhere is
-/// given up, in longest pauses of its route. Callers give up after eight.
+/// Pauses after which a stream that may be gone on with elsewhere is given up. Callers give
+/// up after eight.
 const SILENT_PAUSES: u32 = 3;
-/// Such a pause where the route states none.
+/// One such pause, whatever the route states: half a second, as today's routes do.
 const DEFAULT_PAUSE: std::time::Duration = std::time::Duration::from_millis(500);
 
 /// Takes a request in and gives the head of its answer.
--- a/crates/jaypin_router/tests/quota.rs
+++ b/crates/jaypin_router/tests/quota.rs
@@ -51,7 +51,7 @@
     taken
 }
 
-/// One tenant sends many times its usual. Over any window it gets its rate and burst, and
+/// One account sends many times its usual. Over any window it gets its rate and burst, and
 /// not more.
 #[test]
 fn an_account_that_presses_gets_its_rate_and_burst() {
