Make connections and cut streams into events in one place

Cause: the two ways of running a host each had their own reader of events and their own way to connect. They had drifted: one reader knew both line ends, the other only one; one kind of connection noticed silence, the other waited for its deadline.

Change: jaypin_http holds both; jaypin serve's calls now give up a connection that acknowledges nothing for 5 s. The pause after which a resumable stream is given up comes with the order to send, from its route (three allowed pauses); it was 1.5 s whatever the route states.

Ruled out: spawning the connection in the shared crate, since one host runs on one thread and the other on several.

--- a/crates/jaypin/src/backend_call/connect.rs
+++ b/crates/jaypin/src/backend_call/connect.rs
@@ -1,46 +1,27 @@
-//! Connections to backend servers and the small requests made on them.
+//! The small requests made on connections of their own.
 
-use std::io::ErrorKind;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper::header::{HOST, HeaderValue};
 use hyper::{Method, Request, Response};
-use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
+use jaypin_http::{ConnectLimits, Sender, Unreached};
 use tokio::time::timeout;
 
-/// Longest time to open a connection to a backend server.
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// How long a backend server may take to be connected to, and to acknowledge bytes.
+const LIMITS: ConnectLimits = ConnectLimits {
+    open: Duration::from_secs(1),
+    silence: Duration::from_secs(5),
+};
 /// Longest time for the head of an answer that needs no work.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Why a backend server was not reached; no byte of a request left.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Unreached {
-    /// Nothing listens at its address: its process is gone.
-    Refused,
-    /// The connection could not be made for another reason.
-    Failed,
-}
-
 /// Opens a connection.
-pub async fn connect(address: &str) -> Result<SendRequest<Full<Bytes>>, Unreached> {
-    let stream = match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
-        Ok(Ok(stream)) => stream,
-        Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
-            return Err(Unreached::Refused);
-        }
-        Ok(Err(_)) | Err(_) => return Err(Unreached::Failed),
-    };
-    let _ = stream.set_nodelay(true);
-    let (sender, connection) = handshake(TokioIo::new(stream))
-        .await
-        .map_err(|_| Unreached::Failed)?;
-    tokio::spawn(connection);
+pub async fn connect(address: &str) -> Result<Sender, Unreached> {
+    let (sender, driver) = jaypin_http::connect(address, LIMITS).await?;
+    tokio::spawn(driver);
     Ok(sender)
 }
 
--- a/crates/jaypin/src/backend_call/mod.rs
+++ b/crates/jaypin/src/backend_call/mod.rs
@@ -4,7 +4,7 @@
 //! whose connections go silent: no call rests on a connection that worked before.
 
 mod connect;
-mod event_reader;
+mod event_kind;
 mod load;
 mod paces;
 mod stream;
--- a/crates/jaypin/src/backend_call/stream.rs
+++ b/crates/jaypin/src/backend_call/stream.rs
@@ -6,11 +6,12 @@
 use hyper::body::Incoming;
 use hyper::{Method, Response, StatusCode};
 use jaypin_core::{CallOutcome, CallProgress};
+use jaypin_http::{EventReader, Unreached};
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep, timeout};
 
-use super::connect::{Unreached, request};
-use super::event_reader::{EventKind, EventReader};
+use super::connect::request;
+use super::event_kind::EventKind;
 use super::{Cx, Passed, copy_type};
 use crate::answer::{ChunkSender, Chunks};
 
@@ -132,7 +133,8 @@
         if !reader.push(&bytes) {
             return Stopped::Cut;
         }
-        while let Some((kind, bytes)) = reader.next_event() {
+        while let Some(bytes) = reader.next_event() {
+            let kind = EventKind::of(&bytes);
             if tx.send(Ok(bytes)).await.is_err() {
                 return Stopped::CallerLeft;
             }
--- a/crates/jaypin/src/backend_call/whole.rs
+++ b/crates/jaypin/src/backend_call/whole.rs
@@ -8,10 +8,11 @@
 use hyper::header::CONTENT_TYPE;
 use hyper::http::response;
 use jaypin_core::{CallOutcome, CallProgress, Event, MAX_STORED_ANSWER, StoredAnswer};
+use jaypin_http::Unreached;
 use serde::Deserialize;
 use tokio::time::timeout;
 
-use super::connect::{Unreached, connect};
+use super::connect::connect;
 use super::{Call, Cx, Passed, copy_type};
 use crate::answer::full;
 
@@ -48,7 +49,7 @@
 pub async fn after_cut(cx: &Cx<'_>) -> CallOutcome {
     match connect(&cx.call.address).await {
         Err(Unreached::Refused) => CallOutcome::Died,
-        Ok(_) | Err(Unreached::Failed) => CallOutcome::Lost,
+        Ok(_) | Err(_) => CallOutcome::Lost,
     }
 }
 
--- a/crates/jaypin_entry/src/callers/drive.rs
+++ b/crates/jaypin_entry/src/callers/drive.rs
@@ -8,6 +8,7 @@
 use hyper::header::{CONTENT_ENCODING, HeaderName, HeaderValue};
 use hyper::{Request, Response, Uri};
 use jaypin_core::{Ran, Reason, Refusal};
+use jaypin_http::EventReader;
 use jaypin_router::{Arrival, AttemptOutcome, Event, RequestNumber};
 use tokio::sync::oneshot;
 use tokio::task::spawn_local;
@@ -18,8 +19,7 @@
 use super::read_request::CallerCall;
 use crate::boot_clock::boot_time;
 use crate::calls::{
-    CallError, Connection, ConnectionOptions, EventReader, SendOrder, WholeAnswer, connect,
-    read_whole,
+    CallError, Connection, DEFAULT_LIMITS, SendOrder, WholeAnswer, connect, event_id, read_whole,
 };
 use crate::host::{Directive, Host, Mailbox};
 use crate::metrics;
@@ -27,12 +27,6 @@
 
 /// Header with which a stream is gone on with, by the standard of server-sent events.
 const LAST_EVENT_ID: HeaderName = HeaderName::from_static("last-event-id");
-/// Pauses after which a stream that may be gone on with elsewhere is given up. Callers give
-/// up after eight.
-const SILENT_PAUSES: u32 = 3;
-/// One such pause, whatever the route states: half a second, as today's routes do.
-const DEFAULT_PAUSE: std::time::Duration = std::time::Duration::from_millis(500);
-
 /// Takes a request in and gives the head of its answer.
 ///
 /// The request runs in a task of its own, which notices when this future is dropped: that
@@ -181,7 +175,7 @@
     }
 
     async fn is_reachable(&self, order: &SendOrder) -> bool {
-        match connect(&order.address, ConnectionOptions::default()).await {
+        match connect(&order.address, DEFAULT_LIMITS).await {
             Ok(connection) => {
                 self.host.connections.give_back(connection);
                 true
@@ -300,8 +294,7 @@
         let mut is_answered = false;
         loop {
             let silence = if is_answered {
-                let may_move = order.repeat.may_run_again();
-                may_move.then(|| DEFAULT_PAUSE * SILENT_PAUSES)
+                order.longest_pause
             } else {
                 order.silence.map(|it| it.saturating_sub(sent_at.elapsed()))
             };
@@ -319,8 +312,9 @@
                 return AttemptOutcome::Lost;
             }
             while let Some(event) = reader.next_event() {
+                let id = event_id(&event);
                 // After a change of backend servers, what was passed on does not come again.
-                if event.id.is_some() && event.id <= self.last_id {
+                if id.is_some() && id <= self.last_id {
                     continue;
                 }
                 if !is_answered {
@@ -328,9 +322,9 @@
                     self.host.apply(Event::Answered(self.number));
                     delivery.begin(head.status, &head.headers);
                 }
-                self.last_id = event.id.or(self.last_id);
+                self.last_id = id.or(self.last_id);
                 self.times.saw_event();
-                if !delivery.event(event.bytes).await {
+                if !delivery.event(event).await {
                     return AttemptOutcome::Abandoned;
                 }
             }
--- a/crates/jaypin_entry/src/calls/connections.rs
+++ b/crates/jaypin_entry/src/calls/connections.rs
@@ -2,34 +2,28 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
-use std::io;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper::header::{CONNECTION, HeaderName};
 use hyper::{HeaderMap, Request, Response};
-use hyper_util::rt::TokioIo;
-use socket2::{SockRef, TcpKeepalive};
-use tokio::net::TcpStream;
+use jaypin_http::{ConnectLimits, Sender, Unreached};
 use tokio::task::spawn_local;
-use tokio::time::{Instant, timeout};
+use tokio::time::Instant;
 
-/// Longest time to open a connection. Three network delays at the largest distance of
-/// today's fleets are 20 ms; a lost opening packet is sent again only after a second, and
-/// another backend server is found sooner.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-/// Time without an acknowledgement after which a connection is given up.
+/// How long a backend server may take to be connected to, and to acknowledge bytes.
 ///
-/// Guards against connections that go silent for good: no reset arrives, and a call on one
-/// would wait until its deadline.
-const USER_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// Idle time before a keep-alive probe, and pause between probes.
-const KEEPALIVE: Duration = Duration::from_secs(1);
-/// Probes without an answer after which a connection is given up.
-const KEEPALIVE_PROBES: u32 = 2;
+/// Three network delays at the largest distance of today's fleets are 20 ms; a lost opening
+/// packet is sent again only after a second, and another backend server is found sooner.
+pub const DEFAULT_LIMITS: ConnectLimits = ConnectLimits {
+    open: Duration::from_millis(300),
+    silence: SILENCE,
+};
+/// Time without an acknowledgement after which a connection is given up: bytes that were
+/// lost are sent again several times in it.
+const SILENCE: Duration = Duration::from_millis(1_500);
 /// Time for which an idle connection is used again when its backend server states none.
 const UNSTATED_IDLE: Duration = Duration::from_millis(500);
 /// Time by which a stated idle time is cut: the backend server counts from when it sent
@@ -38,25 +32,10 @@
 /// Header with a stated idle time.
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
-/// Options of a new connection.
-#[derive(Debug, Clone, Copy)]
-pub struct ConnectionOptions {
-    /// Longest time to open it.
-    pub timeout: Duration,
-}
-
-impl Default for ConnectionOptions {
-    fn default() -> Self {
-        Self {
-            timeout: CONNECT_TIMEOUT,
-        }
-    }
-}
-
 /// An open connection with no call on it.
 #[derive(Debug)]
 pub struct Connection {
-    sender: SendRequest<Full<Bytes>>,
+    sender: Sender,
     address: String,
     expires: Option<Instant>,
     /// Whether it served a call before.
@@ -125,12 +104,12 @@
     /// Takes an idle connection, or opens one.
     ///
     /// # Errors
-    /// Gives what connecting gave.
-    pub async fn take(&self, address: &str) -> io::Result<Connection> {
+    /// Says why none was made.
+    pub async fn take(&self, address: &str) -> Result<Connection, Unreached> {
         if let Some(connection) = self.take_idle(address) {
             return Ok(connection);
         }
-        connect(address, ConnectionOptions::default()).await
+        connect(address, DEFAULT_LIMITS).await
     }
 
     fn take_idle(&self, address: &str) -> Option<Connection> {
@@ -170,24 +149,11 @@
 /// Opens a connection.
 ///
 /// # Errors
-/// Gives what connecting gave, or `TimedOut`.
-pub async fn connect(address: &str, options: ConnectionOptions) -> io::Result<Connection> {
-    let stream = timeout(options.timeout, TcpStream::connect(address))
-        .await
-        .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
-    stream.set_nodelay(true)?;
-    let socket = SockRef::from(&stream);
-    socket.set_tcp_user_timeout(Some(USER_TIMEOUT))?;
-    let keepalive = TcpKeepalive::new()
-        .with_time(KEEPALIVE)
-        .with_interval(KEEPALIVE)
-        .with_retries(KEEPALIVE_PROBES);
-    socket.set_tcp_keepalive(&keepalive)?;
-    let (sender, connection) = handshake(TokioIo::new(stream))
-        .await
-        .map_err(io::Error::other)?;
+/// Says why none was made.
+pub async fn connect(address: &str, limits: ConnectLimits) -> Result<Connection, Unreached> {
+    let (sender, driver) = jaypin_http::connect(address, limits).await?;
     spawn_local(async move {
-        if let Err(error) = connection.await {
+        if let Err(error) = driver.await {
             log::debug!(error:%; "a connection broke off");
         }
     });
--- a/crates/jaypin_entry/src/calls/mod.rs
+++ b/crates/jaypin_entry/src/calls/mod.rs
@@ -1,11 +1,11 @@
 //! Calls to backend servers.
 
 mod connections;
-mod event_reader;
+mod event_id;
 mod whole_answer;
 
-pub use connections::{CallError, Connection, ConnectionOptions, Connections, connect};
-pub use event_reader::EventReader;
+pub use connections::{CallError, Connection, Connections, DEFAULT_LIMITS, connect};
+pub use event_id::event_id;
 pub use whole_answer::{WholeAnswer, read_whole};
 
 use std::time::Duration;
@@ -27,6 +27,8 @@
     pub repeat: Repeat,
     /// Time after which a call without a first event is given up.
     pub silence: Option<Duration>,
+    /// Pause between two events after which a stream is given up.
+    pub longest_pause: Option<Duration>,
     /// When the whole answer is due.
     pub deadline: Instant,
     /// What the choice rests on.
--- a/crates/jaypin_entry/src/host.rs
+++ b/crates/jaypin_entry/src/host.rs
@@ -154,6 +154,7 @@
                 account,
                 repeat,
                 silence,
+                longest_pause,
                 deadline,
                 grounds,
             } => {
@@ -163,6 +164,7 @@
                     account,
                     repeat,
                     silence,
+                    longest_pause,
                     deadline: deadline.into(),
                     grounds,
                 };
--- a/crates/jaypin_entry/src/ports.rs
+++ b/crates/jaypin_entry/src/ports.rs
@@ -203,12 +203,6 @@
     /// Says what makes no sense.
     fn changes(&self, body: &[u8]) -> Result<ObjectChanges, DecodeError>;
 
-    /// Reads one object.
-    ///
-    /// # Errors
-    /// Says what makes no sense.
-    fn object(&self, body: &[u8]) -> Result<Object, DecodeError>;
-
     /// Reads a configuration.
     ///
     /// # Errors
--- a/crates/jaypin_entry/src/store/client.rs
+++ b/crates/jaypin_entry/src/store/client.rs
@@ -6,10 +6,11 @@
 use http_body_util::Full;
 use hyper::header::{CONTENT_TYPE, HOST, HeaderValue};
 use hyper::{Method, Request, StatusCode};
+use jaypin_http::ConnectLimits;
 use snafu::Snafu;
 use tokio::time::timeout;
 
-use crate::calls::{Connection, ConnectionOptions, connect, read_whole};
+use crate::calls::{Connection, DEFAULT_LIMITS, connect, read_whole};
 use crate::host::Host;
 use crate::metrics;
 use crate::ports::{Collection, DecodeError, Object, ObjectChanges, ObjectPage};
@@ -184,10 +185,11 @@
 
     async fn connect(&self) -> Result<Connection, StoreError> {
         let address = self.host.settings.store.to_string();
-        let options = ConnectionOptions {
-            timeout: CONNECT_TIMEOUT,
+        let limits = ConnectLimits {
+            open: CONNECT_TIMEOUT,
+            ..DEFAULT_LIMITS
         };
-        let made = connect(&address, options).await;
+        let made = connect(&address, limits).await;
         made.map_err(|_| StoreError::Unreached)
     }
 }
--- a/crates/jaypin_router/src/router/arrival.rs
+++ b/crates/jaypin_router/src/router/arrival.rs
@@ -9,7 +9,7 @@
 use super::{Effect, Router};
 use crate::placement::{Choice, Demand, best_place};
 use crate::request::{Admitted, Request, Sent, Waiting};
-use crate::{Account, Arrival, Grounds, QuotaUnit, RequestNumber, Route, RouteTable};
+use crate::{Account, Arrival, Grounds, QuotaUnit, Repeat, RequestNumber, Route, RouteTable};
 
 /// Part of the aim for which a request may wait for a place before it is refused: long
 /// enough for a slot to come free, short enough for the caller to come back in time.
@@ -59,6 +59,12 @@
 /// The same for plain services.
 const FIRST_PLAIN_RESIDENCE: Duration = Duration::from_millis(20);
 
+/// Allowed pauses without an event after which a stream is given up: one is missed when a
+/// long prompt is read beside it.
+const SILENT_PAUSES: u32 = 3;
+/// One such pause, where a route states none.
+const USUAL_PAUSE: Duration = Duration::from_millis(500);
+
 impl Router {
     pub(super) fn arrived(&mut self, now: Instant, arrival: &Arrival, fx: &mut Vec<Effect>) {
         let number = arrival.number;
@@ -313,6 +319,7 @@
             account: admitted.account.clone(),
             repeat: admitted.route.repeat,
             silence: silence(admitted, &choice),
+            longest_pause: longest_pause(&admitted.route),
             deadline: admitted.deadline,
             grounds,
         });
@@ -398,6 +405,15 @@
     may_run_again.then(|| choice.first_event * 3 + admitted.route.aim.mul_f64(1.5))
 }
 
+/// Pause after which a stream that may go on elsewhere is given up: its engine hangs, or the
+/// connection went silent. Callers give up after eight of the pauses that they allow, so
+/// there is time for another backend server.
+fn longest_pause(route: &Route) -> Option<Duration> {
+    let allowed = route.longest_pause.unwrap_or(USUAL_PAUSE);
+    let may_move = route.repeat == Repeat::ResumableStream;
+    may_move.then(|| allowed * SILENT_PAUSES)
+}
+
 fn refuse(number: RequestNumber, refusal: Refusal, grounds: Grounds) -> Effect {
     Effect::Refuse {
         number,
--- a/crates/jaypin_router/src/router/mod.rs
+++ b/crates/jaypin_router/src/router/mod.rs
@@ -136,6 +136,9 @@
         /// Time after which a call without a first event is given up, if it may be sent
         /// again.
         silence: Option<Duration>,
+        /// Pause between two events after which the stream is given up, if another backend
+        /// server may go on with it.
+        longest_pause: Option<Duration>,
         /// When the whole answer is due.
         deadline: Instant,
         /// What the choice rests on.
--- a/crates/jaypin_router/tests/attempts.rs
+++ b/crates/jaypin_router/tests/attempts.rs
@@ -4,9 +4,9 @@
 
 use std::time::{Duration, Instant};
 
-use common::{Bed, Told};
+use common::{Bed, ENGINES, Told, record};
 use jaypin_core::{Ran, Reason};
-use jaypin_router::{AttemptOutcome as Outcome, ResendBudget};
+use jaypin_router::{AttemptOutcome as Outcome, Effect, ResendBudget};
 
 /// What a request of a path is told after its first call ended so.
 fn after(path: &str, outcome: Outcome) -> Told {
@@ -126,3 +126,26 @@
     assert_eq!(told.refusal().reason, Reason::Draining);
     assert!(!bed.router.is_ready(bed.boot));
 }
+
+/// A route allows pauses of 600 ms. Its engine hangs in the middle of a stream: after the
+/// pause of another route the stream would be moved while it was only slow, and after the
+/// caller's patience there would be nobody left to move it for.
+#[test]
+fn a_stream_is_given_up_after_three_pauses_of_its_own_route() {
+    let mut configuration = common::configuration(1);
+    for route in &mut configuration.routes {
+        route.longest_pause = Some(Duration::from_millis(600));
+    }
+    let mut bed = Bed::new(configuration);
+    bed.state(record("engine-1", ENGINES, 9));
+    let pauses = |bed: &mut Bed, path: &str| {
+        let fx = bed.arrive_fx(path, (600, 300));
+        fx.iter().find_map(|effect| match effect {
+            Effect::Send { longest_pause, .. } => Some(*longest_pause),
+            _ => None,
+        })
+    };
+    let resumable = pauses(&mut bed, "/ask/1");
+    assert_eq!(resumable, Some(Some(Duration::from_millis(1_800))));
+    assert_eq!(pauses(&mut bed, "/label/1"), Some(None));
+}
--- a/crates/jaypin_router/tests/common/mod.rs
+++ b/crates/jaypin_router/tests/common/mod.rs
@@ -263,6 +263,20 @@
 
     /// A request arrives that differs from the usual one.
     pub fn arrive_as(&mut self, change: impl FnOnce(&mut Arrival)) -> (RequestNumber, Told) {
+        let number = self.next + 1;
+        let fx = self.arrive_with(change);
+        (number, told(&fx, number))
+    }
+
+    /// A request of the account arrives; gives all that is to be done.
+    pub fn arrive_fx(&mut self, path: &str, tokens: (u32, u32)) -> Vec<Effect> {
+        self.arrive_with(|arrival| {
+            path.clone_into(&mut arrival.path);
+            arrival.tokens = Some(tokens);
+        })
+    }
+
+    fn arrive_with(&mut self, change: impl FnOnce(&mut Arrival)) -> Vec<Effect> {
         self.next += 1;
         let number = self.next;
         let mut arrival = Arrival {
@@ -278,8 +292,7 @@
             boot_time: self.boot,
         };
         change(&mut arrival);
-        let fx = self.apply(Event::Arrived(arrival));
-        (number, told(&fx, number))
+        self.apply(Event::Arrived(arrival))
     }
 
     /// A call's first event comes.
