Give out a host's part of the quotas only while it hears nobody

All 13 hosts are killed together while one account presses.

Change: hosts that are registered and not heard yet count like silent ones, so a host gives out its part, which grows as it hears the others; until it has read who is registered it takes itself for one of 32. The first allowance is 0.2 s of the rate and 0.35 of the slack over the whole fleet. The log names the account of each call and of each quota.

--- a/crates/jaypin_entry/src/callers/drive.rs
+++ b/crates/jaypin_entry/src/callers/drive.rs
@@ -76,7 +76,7 @@
                 directive = self.mailbox.next() => directive,
                 () = self.delivery.caller_gone() => {
                     self.host.apply(Event::CallerGone(self.number));
-                    self.log("caller-gone", "", &"");
+                    self.log("caller-gone", None, &"");
                     break;
                 }
             };
@@ -86,7 +86,7 @@
                     let number = self.number;
                     self.host.apply(Event::Ended { number, outcome });
                     metrics::call(outcome.as_str());
-                    self.log(outcome.as_str(), &order.backend, &order.grounds);
+                    self.log(outcome.as_str(), Some(&order), &order.grounds);
                     if outcome.is_final() {
                         self.count(outcome.as_str());
                         break;
@@ -121,12 +121,12 @@
         let response = match directive {
             Directive::Reject(reason, grounds) => {
                 self.count(reason.as_str());
-                self.log(reason.as_str(), "", &grounds);
+                self.log(reason.as_str(), None, &grounds);
                 rejection(reason)
             }
             Directive::Refuse(refused, grounds) => {
                 self.count(refused.reason.as_str());
-                self.log(refused.reason.as_str(), "", &grounds);
+                self.log(refused.reason.as_str(), None, &grounds);
                 refusal(&refused)
             }
             Directive::PassOn | Directive::Send(_) => {
@@ -147,14 +147,17 @@
         }
     }
 
-    fn log(&self, outcome: &str, backend: &str, grounds: &dyn std::fmt::Display) {
+    fn log(&self, outcome: &str, order: Option<&SendOrder>, grounds: &dyn std::fmt::Display) {
+        let backend = order.map_or("", |order| &order.backend);
+        let account = order.and_then(|order| order.account.as_deref());
+        let account = account.unwrap_or_default();
         let ms = self.call.received_at.elapsed().as_millis();
         let id = &self.call.says.id;
         let first = self.times.first.map(|at| at - self.call.received_at);
         let first_ms = first.unwrap_or_default().as_millis();
         let pause_ms = self.times.longest_pause.as_millis();
         let tokens = self.call.says.tokens.unwrap_or_default();
-        log::info!(id, outcome, backend, ms, first_ms, pause_ms, tokens:?, why:% = grounds; "request");
+        log::info!(id, outcome, backend, account, ms, first_ms, pause_ms, tokens:?, why:% = grounds; "request");
     }
 
     // ------------------------------------------------------------------ one call
--- a/crates/jaypin_entry/src/store/hosts.rs
+++ b/crates/jaypin_entry/src/store/hosts.rs
@@ -33,8 +33,10 @@
         let record = host.platform.host(it);
         record.is_ok_and(|record| record == own)
     });
+    // Known at once, however long it takes to register: each host gives out its part of
+    // the quotas by how many there are.
+    find_all(host, &objects);
     if is_current {
-        find_all(host, &objects);
         return Ok(());
     }
     register(host, client, &own, registered.map(|it| it.revision)).await?;
@@ -66,15 +68,14 @@
 }
 
 fn find_all(host: &Host, objects: &[Object]) {
-    for object in objects {
-        match host.platform.host(object) {
-            Ok(record) => host.apply(Event::HostFound {
-                host: record.host,
-                address: record.peers,
-            }),
-            Err(error) => {
-                log::warn!(name = object.name, error:%; "an entry that is no host");
-            }
+    let records = objects.iter().filter_map(|object| {
+        let record = host.platform.host(object);
+        if let Err(error) = &record {
+            log::warn!(name = object.name, error:%; "an entry that is no host");
         }
-    }
+        record.ok()
+    });
+    let hosts: Vec<_> = records.map(|it| (it.host, it.peers)).collect();
+    log::info!(count = hosts.len(); "hosts listed");
+    host.apply(Event::HostsFound(hosts));
 }
--- a/crates/jaypin_router/src/fleet.rs
+++ b/crates/jaypin_router/src/fleet.rs
@@ -20,7 +20,7 @@
 ///
 /// Twice the longest cut that was seen to heal by itself. Until then its part of the
 /// quotas is left to it.
-const PEER_GONE: Duration = Duration::from_secs(12);
+pub const PEER_GONE: Duration = Duration::from_secs(12);
 
 /// Time without a word after which another cell takes no part.
 ///
@@ -174,11 +174,15 @@
     }
 
     /// Which part of the fleet this host hears, itself included.
+    ///
+    /// Hosts that were `found` lately and never heard count like those that fell silent: a
+    /// host that has just started hears nobody, and is not the whole fleet.
     #[must_use]
-    pub fn heard_part(&self, now: Instant) -> f64 {
+    pub fn heard_part<'a>(&self, found: impl Iterator<Item = &'a HostId>, now: Instant) -> f64 {
         let heard = 1.0 + number_of(self.heard(now));
         let silent = self.peers.values().filter(|it| it.may_be_cut_off(now));
-        heard / (heard + number_of(silent))
+        let unheard = found.filter(|host| !self.peers.contains_key(*host));
+        heard / (heard + number_of(silent) + number_of(unheard))
     }
 
     /// Hosts that take part, this one included.
--- a/crates/jaypin_router/src/grounds.rs
+++ b/crates/jaypin_router/src/grounds.rs
@@ -3,6 +3,8 @@
 use std::fmt;
 use std::time::Duration;
 
+use jaypin_core::AccountId;
+
 /// The inputs of one decision, as they were when it was made.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Grounds {
@@ -15,6 +17,8 @@
     Leaving,
     /// The quota of an account.
     Quota {
+        /// The account.
+        account: AccountId,
         /// Units that it used in the window, over the whole fleet.
         used: f64,
         /// Units that it may use in the window.
@@ -59,10 +63,14 @@
             Self::Configuration { version } => write!(f, "configuration {version}"),
             Self::Leaving => write!(f, "this host leaves"),
             Self::Quota {
+                account,
                 used,
                 allowed,
                 units,
-            } => write!(f, "{units:.0} units beside {used:.0} of {allowed:.0}"),
+            } => write!(
+                f,
+                "{units:.0} units beside {used:.0} of {allowed:.0} of `{account}`"
+            ),
             Self::Deaths { strikes } => write!(f, "{strikes} backend servers died under it"),
             Self::Place {
                 first_event,
--- a/crates/jaypin_router/src/quota.rs
+++ b/crates/jaypin_router/src/quota.rs
@@ -24,8 +24,20 @@
 /// Part of the fleet's slack that an account may use at once besides, for the same reason:
 /// small accounts send a prompt of several seconds' rate now and then.
 const SLACK_PART: f64 = 0.6;
-/// Seconds of its rate that an account may use at once right after this host's start.
+/// Seconds of its rate that an account may use at once right after this host's start, over
+/// the whole fleet: each host gives out its part, as far as it knows it.
+///
+/// Hosts that start together hear nothing of each other's use for a tenth of a second. When
+/// each of 13 gave out all of it, an account that pressed got two and a half seconds of its
+/// rate in that time, beside what it had used before.
+///
+/// Before the start the account may have used its burst, [`CATCH_UP_SECONDS`] and
+/// [`SLACK_PART`] at once, and its rate all the while. A tenth of what a window allows and
+/// the rest of the slack are left, which this and [`FIRST_SLACK_PART`] stay below.
 const FIRST_SECONDS: f64 = 0.2;
+/// Part of the fleet's slack that an account may use besides in that moment: callers that
+/// were cut off by a common restart all come back in the first half second of it.
+const FIRST_SLACK_PART: f64 = 0.35;
 /// Longest wait that is stated to an account over its quota.
 const LONGEST_WAIT: Duration = Duration::from_secs(30);
 
@@ -56,6 +68,8 @@
     newest_since: Instant,
     /// Units that may be used at once; below 0 a debt.
     at_once: f64,
+    /// Greatest part of the fleet's first allowance that is in it.
+    opened_part: f64,
     filled_at: Instant,
     /// Use of this host in its run.
     own: f64,
@@ -116,7 +130,9 @@
         usage.fill(allowed_part, slack, now);
         let missing = units.min(usage.quota.burst) - usage.at_once;
         if missing > 0.0 {
-            let rate = (usage.quota.rate * allowed_part).max(1e-3);
+            // The whole fleet's rate: a host that gives out a part only is one of many that
+            // the caller may come back to, and will soon hear the others.
+            let rate = usage.quota.rate.max(1e-3);
             let wait = (missing / rate).min(LONGEST_WAIT.as_secs_f64());
             return Err(Duration::from_secs_f64(wait).max(SHORTEST_WAIT));
         }
@@ -176,7 +192,8 @@
             parts: (0..PARTS).map(|_| 0.0).collect(),
             unknown_parts: PARTS,
             newest_since: now,
-            at_once: quota.rate * FIRST_SECONDS,
+            at_once: 0.0,
+            opened_part: 0.0,
             filled_at: now,
             own: 0.0,
         }
@@ -203,6 +220,11 @@
         let most = self.quota.burst
             + self.quota.rate * CATCH_UP_SECONDS
             + slack * SLACK_PART * allowed_part;
+        // Peers' use is taken off it, so it becomes the whole fleet's as they are heard.
+        let opened = (allowed_part - self.opened_part).max(0.0);
+        let first = self.quota.rate * FIRST_SECONDS + slack * FIRST_SLACK_PART;
+        self.at_once += first * opened;
+        self.opened_part += opened;
         let since = now.saturating_duration_since(self.filled_at).as_secs_f64();
         self.at_once += self.quota.rate * allowed_part * since;
         self.at_once = self.at_once.min(most);
--- a/crates/jaypin_router/src/router/arrival.rs
+++ b/crates/jaypin_router/src/router/arrival.rs
@@ -169,6 +169,7 @@
             let (used, allowed) = self.quota.level(account).unwrap_or_default();
             let units = admitted.units;
             let grounds = Grounds::Quota {
+                account: account.clone(),
                 used,
                 allowed,
                 units,
--- a/crates/jaypin_router/src/router/knowledge.rs
+++ b/crates/jaypin_router/src/router/knowledge.rs
@@ -1,10 +1,11 @@
 //! What the router learns: configuration, backend servers, peers.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use jaypin_core::{BackendId, ServiceId};
+use jaypin_core::{BackendId, HostId, ServiceId};
 
 use rand::RngExt;
 
@@ -17,6 +18,9 @@
 /// Part of the bound on withdrawn credentials within which the configuration has to be
 /// proved: the rest covers watches that lag by up to a second.
 const PROOF_PART: f64 = 0.8;
+/// Part of the fleet that a host takes itself for until it has read who else is registered:
+/// cells have some thirty hosts at the most on the average.
+const UNKNOWN_PART: f64 = 1.0 / 32.0;
 /// Part of the fleet's budget for resends that hosts use: hosts that count alone must not
 /// exceed it together when their number changes.
 const BUDGET_PART: f64 = 0.75;
@@ -98,7 +102,11 @@
             return;
         }
         self.heard_of_store(&report, now, boot_time);
+        let is_whole = report.whole.is_some();
         let news = self.fleet.take(report, now, boot_time);
+        if is_whole {
+            self.refresh_quotas(now);
+        }
         for samples in &news.samples {
             let mut backends = self.backends.values_mut();
             if let Some(backend) = backends.find(|it| it.key == samples.key) {
@@ -134,8 +142,7 @@
     /// Takes note of peers that fell silent.
     pub(super) fn refresh_peers(&mut self, now: Instant) {
         self.fleet.forget_gone(now);
-        let part = self.fleet.heard_part(now);
-        self.quota.set_heard_part(part / f64::from(self.cells));
+        self.refresh_quotas(now);
         let allowance = self.resend_allowance(now);
         for budget in self.budgets.values_mut() {
             budget.set_allowance(allowance);
@@ -143,6 +150,28 @@
         self.refresh_loads(now);
     }
 
+    pub(super) fn hosts_found(&mut self, hosts: Vec<(HostId, SocketAddr)>, now: Instant) {
+        for (host, address) in hosts {
+            if host != self.cfg.host {
+                self.telling.found(host, address);
+            }
+        }
+        self.telling.found_all();
+        self.refresh_quotas(now);
+    }
+
+    /// Says which part of each quota this host may give out by what it hears.
+    fn refresh_quotas(&mut self, now: Instant) {
+        let part = if self.telling.knows_hosts() {
+            let own_cell = |host: &&HostId| cell_of(host, self.cells) == self.cell;
+            let found = self.telling.lately_found(now).filter(own_cell);
+            self.fleet.heard_part(found, now)
+        } else {
+            UNKNOWN_PART
+        };
+        self.quota.set_heard_part(part / f64::from(self.cells));
+    }
+
     fn refresh_loads(&mut self, now: Instant) {
         let loads = self.fleet.loads(now);
         for backend in self.backends.values_mut() {
--- a/crates/jaypin_router/src/router/mod.rs
+++ b/crates/jaypin_router/src/router/mod.rs
@@ -98,13 +98,8 @@
     },
     /// The caller of a request that was not sent left.
     CallerGone(RequestNumber),
-    /// A host that may be in the fleet.
-    HostFound {
-        /// The host.
-        host: HostId,
-        /// Where it takes reports.
-        address: SocketAddr,
-    },
+    /// All hosts that are registered, each with where it takes reports; some may be gone.
+    HostsFound(Vec<(HostId, SocketAddr)>),
     /// A peer reported.
     Reported {
         /// What it said.
@@ -274,7 +269,7 @@
             Event::Answered(number) => self.answered(now, number),
             Event::Ended { number, outcome } => self.ended(now, number, outcome, &mut fx),
             Event::CallerGone(number) => self.caller_gone(number),
-            Event::HostFound { host, address } => self.telling.found(host, address),
+            Event::HostsFound(hosts) => self.hosts_found(hosts, now),
             Event::Reported { report, boot_time } => self.reported(now, report, boot_time),
             Event::Drain => self.drain(now, &mut fx),
             Event::Tick(boot_time) => self.tick(now, boot_time, &mut fx),
--- a/crates/jaypin_router/src/router/telling.rs
+++ b/crates/jaypin_router/src/router/telling.rs
@@ -8,6 +8,7 @@
 use rand::seq::IndexedRandom;
 
 use super::{Effect, Router};
+use crate::fleet::PEER_GONE;
 use crate::{BackendKey, BackendLoad, BootTime, Report, StoreView, Strike, WholeReport, cell_of};
 
 /// Pause between two reports when a slot was taken or came free.
@@ -48,6 +49,7 @@
     has_news: bool,
     slots_changed: bool,
     found: BTreeMap<SocketAddr, Found>,
+    knows_hosts: bool,
 }
 
 #[derive(Debug, Default)]
@@ -58,6 +60,11 @@
 }
 
 impl Found {
+    fn is_recent(&self, now: Instant) -> bool {
+        let age = self.since.map(|since| now.saturating_duration_since(since));
+        age.is_none_or(|age| age < PEER_GONE)
+    }
+
     fn pause(&self, now: Instant) -> Duration {
         let silence = self.since.map(|since| now.saturating_duration_since(since));
         if silence.is_some_and(|silence| silence >= LONG_SILENCE) {
@@ -74,6 +81,25 @@
         self.found.entry(address).or_default().host = Some(host);
     }
 
+    /// All hosts that are registered were told.
+    pub fn found_all(&mut self) {
+        self.knows_hosts = true;
+    }
+
+    /// Whether it was read who is registered.
+    #[must_use]
+    pub fn knows_hosts(&self) -> bool {
+        self.knows_hosts
+    }
+
+    /// Hosts that were found a short time ago, so that they may be there although they were
+    /// not heard.
+    pub fn lately_found(&self, now: Instant) -> impl Iterator<Item = &HostId> {
+        let hosts = self.found.values();
+        let lately = hosts.filter(move |it| it.is_recent(now));
+        lately.filter_map(|it| it.host.as_ref())
+    }
+
     /// Hosts that were found, this one included.
     #[must_use]
     pub fn hosts(&self) -> usize {
--- a/crates/jaypin_router/tests/common/mod.rs
+++ b/crates/jaypin_router/tests/common/mod.rs
@@ -157,9 +157,10 @@
 }
 
 impl Bed {
-    /// Starts with a configuration that is proved, and no backend server.
+    /// Starts with a configuration that is proved, alone in its fleet, and no backend server.
     pub fn new(configuration: Configuration) -> Self {
         let mut bed = Self::unconfigured();
+        bed.apply(Event::HostsFound(Vec::new()));
         bed.configure(configuration);
         bed.prove();
         bed.tick();
--- a/crates/jaypin_router/tests/proof.rs
+++ b/crates/jaypin_router/tests/proof.rs
@@ -167,10 +167,7 @@
 #[test]
 fn nothing_is_reported_before_the_clock_was_read() {
     let mut bed = Bed::unconfigured();
-    let found = Event::HostFound {
-        host: "host-2".into(),
-        address: common::address(7_002),
-    };
+    let found = Event::HostsFound(vec![("host-2".into(), common::address(7_002))]);
     assert_eq!(bed.apply(found), []);
     assert!(matches!(bed.tick()[..], [Effect::Tell { .. }]));
 }
