Hold a quota as one level that cells and restarts share

What an account may use at once, its burst and 0.7 s of its rate, was not divided among the four cells, so each gave out all of it.

Ruled out: reports that lag on small hosts (processor time 0.018 of 0.084 cores; sums from logs lack calls in flight at the kill, which first hid how much came before it); the first allowance after the kill, which was divided before.

Change: one level an account for what the whole fleet may still give out, scaled by the part of the fleet that a host hears. The window stays as the bound of a fleet in parts, at a full level and the rate; the use assumed of the time before a start goes, since the first level covers it. A host that starts takes over lower levels of settled peers, else hosts that restart in turn would each begin with a first level. A refusal names what is left.

--- a/crates/jaypin_entry/src/peers/mod.rs
+++ b/crates/jaypin_entry/src/peers/mod.rs
@@ -65,7 +65,7 @@
         };
         match decode_report(&buf[..length]) {
             Ok(report) => {
-                let boot_time = boot_time();
+                let (report, boot_time) = (Box::new(report), boot_time());
                 host.apply(Event::Reported { report, boot_time });
             }
             Err(error) => log::warn!(peer:% = from, error:%; "a report makes no sense"),
--- a/crates/jaypin_entry/src/peers/wire.rs
+++ b/crates/jaypin_entry/src/peers/wire.rs
@@ -70,6 +70,7 @@
     WireSender,
     WireView,
     Vec<WireSamples>,
+    Vec<(String, f64)>,
     Vec<(u64, u32)>,
     Option<Vec<String>>,
 );
@@ -106,9 +107,7 @@
             report.sequence,
             report.is_ready,
             report.loads.iter().map(wire_load).collect(),
-            usage
-                .map(|(account, units)| (account.to_string(), *units))
-                .collect(),
+            usage.map(wire_units).collect(),
             report.changes.iter().map(wire_change).collect(),
             report.whole.as_ref().map(WireWhole::from),
         )
@@ -139,6 +138,7 @@
             sender,
             wire_view,
             whole.samples.iter().map(wire_samples).collect(),
+            whole.low_levels.iter().map(wire_units).collect(),
             strikes.map(|it| (it.fingerprint, it.strikes)).collect(),
             callers.map(|it| it.iter().map(ToString::to_string).collect()),
         )
@@ -159,9 +159,7 @@
             sequence,
             is_ready,
             loads: loads.into_iter().map(load).collect(),
-            usage: usage
-                .map(|(account, units)| (AccountId::from(account), units))
-                .collect(),
+            usage: usage.map(units).collect(),
             changes: changes.into_iter().map(change).collect(),
             whole: whole.map(WholeReport::try_from).transpose()?,
         })
@@ -172,11 +170,13 @@
     type Error = WireError;
 
     fn try_from(wire: WireWhole) -> Result<Self, WireError> {
-        let WireWhole(sender, view, samples, strikes, cell_callers) = wire;
+        let WireWhole(sender, view, samples, low_levels, strikes, cell_callers) = wire;
         let (host, address, callers, failure_domain, cell) = sender;
         let (version, proved_at, sent_at, may_watch, is_watching, digest) = view;
         let mut numbers = samples.iter().flat_map(|it| [it.1, it.2, it.3]);
-        if !numbers.all(is_sound) {
+        // A level below 0 is a debt.
+        let are_levels_sound = low_levels.iter().all(|(_, level)| level.is_finite());
+        if !numbers.all(is_sound) || !are_levels_sound {
             return Err(WireError::Number);
         }
         let strikes = strikes.into_iter();
@@ -196,6 +196,7 @@
                 digest,
             },
             samples: samples.into_iter().map(sample).collect(),
+            low_levels: low_levels.into_iter().map(units).collect(),
             strikes: strikes
                 .map(|(fingerprint, strikes)| Strike {
                     fingerprint,
@@ -215,6 +216,14 @@
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
 
+fn wire_units((account, units): &(AccountId, f64)) -> (String, f64) {
+    (account.to_string(), *units)
+}
+
+fn units((account, units): (String, f64)) -> (AccountId, f64) {
+    (AccountId::from(account), units)
+}
+
 fn wire_load(load: &BackendLoad) -> WireLoad {
     (load.key, load.running, load.unread_tokens)
 }
--- a/crates/jaypin_router/src/fleet.rs
+++ b/crates/jaypin_router/src/fleet.rs
@@ -87,6 +87,8 @@
     pub samples: Vec<BackendSamples>,
     /// Quota units used since the report before.
     pub usage: Vec<(AccountId, f64)>,
+    /// Levels of accounts that have little left.
+    pub low_levels: Vec<(AccountId, f64)>,
     /// Contents under suspicion.
     pub strikes: Vec<Strike>,
 }
@@ -268,6 +270,7 @@
             self.may_watch = whole.store.may_watch;
             self.loads.clear();
             news.strikes = whole.strikes;
+            news.low_levels = whole.low_levels;
             for sample in whole.samples {
                 let before = self.samples.insert(sample.key, sample);
                 let none = BackendSamples::none(sample.key);
--- a/crates/jaypin_router/src/grounds.rs
+++ b/crates/jaypin_router/src/grounds.rs
@@ -5,6 +5,8 @@
 
 use jaypin_core::AccountId;
 
+use crate::QuotaLevel;
+
 /// The inputs of one decision, as they were when it was made.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Grounds {
@@ -19,12 +21,10 @@
     Quota {
         /// The account.
         account: AccountId,
-        /// Units that it used in the window, over the whole fleet.
-        used: f64,
-        /// Units that it may use in the window.
-        allowed: f64,
         /// Units that the request takes.
         units: f64,
+        /// What the account has left, where it is limited.
+        level: Option<QuotaLevel>,
     },
     /// Backend servers died under the same content.
     Deaths {
@@ -64,13 +64,19 @@
             Self::Leaving => write!(f, "this host leaves"),
             Self::Quota {
                 account,
-                used,
-                allowed,
                 units,
-            } => write!(
-                f,
-                "{units:.0} units beside {used:.0} of {allowed:.0} of `{account}`"
-            ),
+                level,
+            } => {
+                write!(f, "{units:.0} units for `{account}`")?;
+                level.map_or(Ok(()), |it| {
+                    let QuotaLevel {
+                        left,
+                        used,
+                        allowed,
+                    } = it;
+                    write!(f, ", {left:.0} left, {used:.0} of {allowed:.0} used")
+                })
+            }
             Self::Deaths { strikes } => write!(f, "{strikes} backend servers died under it"),
             Self::Place {
                 first_event,
--- a/crates/jaypin_router/src/lib.rs
+++ b/crates/jaypin_router/src/lib.rs
@@ -34,7 +34,7 @@
 pub use pace::Pace;
 pub use placement::{Choice, Demand, best_place};
 pub use proof::PeerClock;
-pub use quota::FleetQuota;
+pub use quota::{FleetQuota, QuotaLevel};
 pub use report::{BackendLoad, BackendSamples, Report, StoreView, Strike, WholeReport};
 pub use request::{Arrival, AttemptOutcome};
 pub use resend_budget::ResendBudget;
--- a/crates/jaypin_router/src/quota.rs
+++ b/crates/jaypin_router/src/quota.rs
@@ -1,4 +1,13 @@
 //! Quotas of client accounts over the whole fleet, held without a message a request.
+//!
+//! Each host keeps a level for each account: what the whole fleet may still give out at
+//! once. The account's rate fills it, and what any host gives out is taken off it, by
+//! reports. The use in a window is bounded besides, which holds a fleet to its quotas that
+//! is in parts and does not hear itself.
+//!
+//! Over a window an account may use its rate, its burst, a tenth more, and the fleet's slack.
+//! What is given out stays below that also around a common restart, at which all use is
+//! forgotten: full level and rate before it, first level and rate after it.
 
 use std::collections::{HashMap, VecDeque};
 use std::time::{Duration, Instant};
@@ -9,47 +18,31 @@
 
 /// Parts of the window: use is forgotten one part at a time.
 const PARTS: u32 = 16;
-/// Part of its rate that an account is taken to have used before this host's start.
-///
-/// A host that has just started can't know what the fleet used a moment ago. With this,
-/// accounts that keep below their rate are not refused after a restart, and one that was
-/// beyond it can't use its window a second time.
-const ASSUMED_USE: f64 = 0.9;
-/// Seconds of its rate that an account may use at once besides its burst.
-///
-/// The window alone would let an account use all of it in one moment, and once more after a
-/// common restart in that window. With this much, both together stay within a tenth of
-/// what a window allows.
+/// Seconds of its rate that an account may use at once besides its burst: accounts come in
+/// bursts and keep to their rate over the window that counts.
 const CATCH_UP_SECONDS: f64 = 0.7;
-/// Part of the fleet's slack that an account may use at once besides, for the same reason:
-/// small accounts send a prompt of several seconds' rate now and then.
-const SLACK_PART: f64 = 0.6;
-/// Seconds of its rate that an account may use at once right after this host's start, over
-/// the whole fleet: each host gives out its part, as far as it knows it.
+/// Part of the fleet's slack that an account may use at once besides: small accounts send
+/// a prompt of several seconds' rate now and then.
+const SLACK_PART: f64 = 0.7;
+/// Seconds of its rate that an account may use at once right after a start, over the whole
+/// fleet: each host gives out its part, as far as it knows it.
 ///
 /// Hosts that start together hear nothing of each other's use for a tenth of a second. When
 /// each of 13 gave out all of it, an account that pressed got two and a half seconds of its
 /// rate in that time, beside what it had used before.
-///
-/// Before the start the account may have used its burst, [`CATCH_UP_SECONDS`] and
-/// [`SLACK_PART`] at once, and its rate all the while. A tenth of what a window allows and
-/// the rest of the slack are left, which this and [`FIRST_SLACK_PART`] stay below.
 const FIRST_SECONDS: f64 = 0.2;
 /// Part of the fleet's slack that an account may use besides in that moment: callers that
 /// were cut off by a common restart all come back in the first half second of it.
-const FIRST_SLACK_PART: f64 = 0.35;
+const FIRST_SLACK_PART: f64 = 0.25;
+/// Time after its start within which a host takes over lower levels of its peers, and
+/// within which its own levels tell nothing: five whole reports.
+const SETTLING: Duration = Duration::from_secs(2);
 /// Longest wait that is stated to an account over its quota.
 const LONGEST_WAIT: Duration = Duration::from_secs(30);
-
 /// Shortest such wait.
 const SHORTEST_WAIT: Duration = Duration::from_millis(50);
 
 /// What all limited accounts used in the last window, as this host sees it.
-///
-/// Every host counts for the whole fleet: its own use at once and that of its peers when
-/// they report it, so an account can exceed its quota only by what is used between two
-/// reports. A window and not a bucket: an account that was idle for seconds may catch up,
-/// and one that comes in bursts is not refused while it keeps to its rate.
 #[derive(Debug)]
 pub struct FleetQuota {
     window: Duration,
@@ -63,18 +56,28 @@
     quota: Quota,
     /// Use by part of the window, the oldest first.
     parts: VecDeque<f64>,
-    /// Parts of the window that lie before this host's start.
-    unknown_parts: u32,
     newest_since: Instant,
     /// Units that may be used at once; below 0 a debt.
-    at_once: f64,
-    /// Greatest part of the fleet's first allowance that is in it.
+    level: f64,
+    /// Greatest part of the fleet's first level that is in it.
     opened_part: f64,
     filled_at: Instant,
+    started_at: Instant,
     /// Use of this host in its run.
     own: f64,
 }
 
+/// What a decision about an account rested on, in units.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct QuotaLevel {
+    /// Units that it may use at once; below 0 a debt.
+    pub left: f64,
+    /// Units that it used in the window.
+    pub used: f64,
+    /// Units that it may use in the window.
+    pub allowed: f64,
+}
+
 impl FleetQuota {
     /// Starts with a window over which use is counted, and the units by which an account
     /// may exceed its quota in one.
@@ -113,27 +116,24 @@
     /// # Errors
     /// Gives the time after which there is enough, when there is not.
     pub fn take(&mut self, account: &AccountId, units: f64, now: Instant) -> Result<(), Duration> {
-        let (part, window, slack) = (self.part(), self.window, self.slack);
-        let allowed_part = self.heard_part;
+        let (window, slack, heard_part) = (self.window, self.slack, self.heard_part);
         let Some(usage) = self.accounts.get_mut(account) else {
             return Ok(());
         };
-        usage.forget(part, now);
-        let allowed = usage.quota.allowed(window) * allowed_part;
+        usage.forget(window / PARTS, now);
+        usage.fill(heard_part, slack, now);
         // A request larger than all that is allowed passes when nothing was used.
-        let assumed = usage.assumed(part) * allowed_part;
-        let excess = usage.total() + assumed + units.min(allowed) - allowed;
+        let needed = units.min(usage.quota.most_at_once(slack) * heard_part);
+        let excess = usage.total() + needed - usage.quota.allowed(window, slack) * heard_part;
         if excess > 0.0 {
-            let wait = usage.time_until_free(excess, allowed_part, part);
+            let wait = usage.time_until_free(excess, window / PARTS);
             return Err(wait.min(LONGEST_WAIT));
         }
-        usage.fill(allowed_part, slack, now);
-        let missing = units.min(usage.quota.burst) - usage.at_once;
+        let missing = needed - usage.level;
         if missing > 0.0 {
             // The whole fleet's rate: a host that gives out a part only is one of many that
             // the caller may come back to, and will soon hear the others.
-            let rate = usage.quota.rate.max(1e-3);
-            let wait = (missing / rate).min(LONGEST_WAIT.as_secs_f64());
+            let wait = (missing / usage.quota.rate.max(1e-3)).min(LONGEST_WAIT.as_secs_f64());
             return Err(Duration::from_secs_f64(wait).max(SHORTEST_WAIT));
         }
         usage.add(units);
@@ -151,20 +151,38 @@
 
     /// Counts what a peer used.
     pub fn peer_used(&mut self, account: &AccountId, units: f64, now: Instant) {
-        let part = self.part();
+        let (part, slack, heard_part) = (self.window / PARTS, self.slack, self.heard_part);
         if let Some(usage) = self.accounts.get_mut(account) {
             usage.forget(part, now);
+            usage.fill(heard_part, slack, now);
             usage.add(units);
         }
     }
 
-    /// What an account used in the window, and what it may use, in units.
+    /// Takes over the level of a peer that has run for longer, where it is lower.
+    ///
+    /// Guards against hosts that restart in turn: each would begin with a first level while
+    /// the fleet has nothing left to give out, and an account that presses would get one
+    /// more with each restart.
+    pub fn peer_level(&mut self, account: &AccountId, level: f64, now: Instant) {
+        let (slack, heard_part) = (self.slack, self.heard_part);
+        if let Some(usage) = self.accounts.get_mut(account)
+            && !usage.is_settled(now)
+        {
+            usage.fill(heard_part, slack, now);
+            usage.level = usage.level.min(level);
+        }
+    }
+
+    /// What a decision about an account rests on.
     #[must_use]
-    pub fn level(&self, account: &AccountId) -> Option<(f64, f64)> {
+    pub fn level(&self, account: &AccountId) -> Option<QuotaLevel> {
         let usage = self.accounts.get(account)?;
-        let allowed = usage.quota.allowed(self.window) * self.heard_part;
-        let assumed = usage.assumed(self.part()) * self.heard_part;
-        Some((usage.total() + assumed, allowed))
+        Some(QuotaLevel {
+            left: usage.level,
+            used: usage.total(),
+            allowed: usage.quota.allowed(self.window, self.slack) * self.heard_part,
+        })
     }
 
     /// What this host used of each account's quota in its run.
@@ -173,15 +191,33 @@
         accounts.map(|(account, usage)| (account.clone(), usage.own))
     }
 
-    fn part(&self) -> Duration {
-        self.window / PARTS
+    /// Levels that a host which has just started must not begin above.
+    pub fn low_levels(&mut self, now: Instant) -> Vec<(AccountId, f64)> {
+        let (slack, heard_part) = (self.slack, self.heard_part);
+        let mut low = Vec::new();
+        for (account, usage) in &mut self.accounts {
+            usage.fill(heard_part, slack, now);
+            let first = usage.quota.first_level(slack) * heard_part;
+            if usage.is_settled(now) && usage.level < first {
+                low.push((account.clone(), usage.level));
+            }
+        }
+        low
     }
 }
 
 impl Quota {
-    /// Units in a window.
-    fn allowed(self, window: Duration) -> f64 {
-        self.rate * window.as_secs_f64() + self.burst
+    /// Units in a window: a full level, and the rate.
+    fn allowed(self, window: Duration, slack: f64) -> f64 {
+        self.most_at_once(slack) + self.rate * window.as_secs_f64()
+    }
+
+    fn most_at_once(self, slack: f64) -> f64 {
+        self.burst + self.rate * CATCH_UP_SECONDS + slack * SLACK_PART
+    }
+
+    fn first_level(self, slack: f64) -> f64 {
+        self.rate * FIRST_SECONDS + slack * FIRST_SLACK_PART
     }
 }
 
@@ -190,49 +226,47 @@
         Self {
             quota,
             parts: (0..PARTS).map(|_| 0.0).collect(),
-            unknown_parts: PARTS,
             newest_since: now,
-            at_once: 0.0,
+            level: 0.0,
             opened_part: 0.0,
             filled_at: now,
+            started_at: now,
             own: 0.0,
         }
     }
 
+    fn is_settled(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.started_at) >= SETTLING
+    }
+
     fn forget(&mut self, part: Duration, now: Instant) {
         let elapsed = now.saturating_duration_since(self.newest_since);
         if elapsed >= part * PARTS {
             self.parts.iter_mut().for_each(|it| *it = 0.0);
-            self.unknown_parts = 0;
             self.newest_since = now;
             return;
         }
         while now.saturating_duration_since(self.newest_since) >= part {
             self.parts.pop_front();
             self.parts.push_back(0.0);
-            self.unknown_parts = self.unknown_parts.saturating_sub(1);
             self.newest_since += part;
         }
     }
 
     /// Fills up what may be used at once.
-    fn fill(&mut self, allowed_part: f64, slack: f64, now: Instant) {
-        let most = self.quota.burst
-            + self.quota.rate * CATCH_UP_SECONDS
-            + slack * SLACK_PART * allowed_part;
+    fn fill(&mut self, heard_part: f64, slack: f64, now: Instant) {
         // Peers' use is taken off it, so it becomes the whole fleet's as they are heard.
-        let opened = (allowed_part - self.opened_part).max(0.0);
-        let first = self.quota.rate * FIRST_SECONDS + slack * FIRST_SLACK_PART;
-        self.at_once += first * opened;
+        let opened = (heard_part - self.opened_part).max(0.0);
+        self.level += self.quota.first_level(slack) * opened;
         self.opened_part += opened;
         let since = now.saturating_duration_since(self.filled_at).as_secs_f64();
-        self.at_once += self.quota.rate * allowed_part * since;
-        self.at_once = self.at_once.min(most);
+        self.level += self.quota.rate * heard_part * since;
+        self.level = self.level.min(self.quota.most_at_once(slack) * heard_part);
         self.filled_at = now;
     }
 
     fn add(&mut self, units: f64) {
-        self.at_once -= units;
+        self.level -= units;
         if let Some(newest) = self.parts.back_mut() {
             *newest += units;
         }
@@ -242,20 +276,12 @@
         self.parts.iter().sum()
     }
 
-    /// Use that is assumed of the time before this host's start, over the whole fleet.
-    fn assumed(&self, part: Duration) -> f64 {
-        let time = part * self.unknown_parts;
-        self.quota.rate * time.as_secs_f64() * ASSUMED_USE
-    }
-
     /// Time until so much of the use is forgotten.
-    fn time_until_free(&self, excess: f64, allowed_part: f64, part: Duration) -> Duration {
-        let assumed = self.quota.rate * part.as_secs_f64() * ASSUMED_USE * allowed_part;
+    fn time_until_free(&self, excess: f64, part: Duration) -> Duration {
         let mut freed = 0.0;
         let mut time = Duration::ZERO;
-        for (place, used) in (0..).zip(&self.parts) {
-            let is_unknown = place < self.unknown_parts;
-            freed += used + if is_unknown { assumed } else { 0.0 };
+        for used in &self.parts {
+            freed += used;
             time += part;
             if freed >= excess {
                 break;
--- a/crates/jaypin_router/src/report.rs
+++ b/crates/jaypin_router/src/report.rs
@@ -50,6 +50,9 @@
     pub store: StoreView,
     /// What it has learned lately, by backend server, as totals of this run.
     pub samples: Vec<BackendSamples>,
+    /// Levels of accounts that have little left; a host that has just started takes them
+    /// over.
+    pub low_levels: Vec<(AccountId, f64)>,
     /// Contents under which backend servers died.
     pub strikes: Vec<Strike>,
     /// To other cells: where callers of the sender's cell may connect.
--- a/crates/jaypin_router/src/router/arrival.rs
+++ b/crates/jaypin_router/src/router/arrival.rs
@@ -166,13 +166,11 @@
             && let Err(wait) = self.quota.take(account, admitted.units, now)
         {
             let refusal = Refusal::not_run(Reason::OverLimit).retry_after(wait);
-            let (used, allowed) = self.quota.level(account).unwrap_or_default();
-            let units = admitted.units;
+            let level = self.quota.level(account);
             let grounds = Grounds::Quota {
                 account: account.clone(),
-                used,
-                allowed,
-                units,
+                units: admitted.units,
+                level,
             };
             return fx.push(refuse(number, refusal, grounds));
         }
--- a/crates/jaypin_router/src/router/knowledge.rs
+++ b/crates/jaypin_router/src/router/knowledge.rs
@@ -116,6 +116,9 @@
         for (account, units) in &news.usage {
             self.quota.peer_used(account, *units, now);
         }
+        for (account, level) in &news.low_levels {
+            self.quota.peer_level(account, *level, now);
+        }
         for strike in &news.strikes {
             self.quarantine
                 .heard(now, strike.fingerprint, strike.strikes);
--- a/crates/jaypin_router/src/router/mod.rs
+++ b/crates/jaypin_router/src/router/mod.rs
@@ -103,7 +103,7 @@
     /// A peer reported.
     Reported {
         /// What it said.
-        report: Report,
+        report: Box<Report>,
         /// Now, on the clock that counts suspended time.
         boot_time: BootTime,
     },
@@ -274,7 +274,7 @@
             Event::Ended { number, outcome } => self.ended(now, number, outcome, &mut fx),
             Event::CallerGone(number) => self.caller_gone(number),
             Event::HostsFound(hosts) => self.hosts_found(hosts, now),
-            Event::Reported { report, boot_time } => self.reported(now, report, boot_time),
+            Event::Reported { report, boot_time } => self.reported(now, *report, boot_time),
             Event::Drain => self.drain(now, &mut fx),
             Event::Tick(boot_time) => self.tick(now, boot_time, &mut fx),
         }
--- a/crates/jaypin_router/src/router/telling.rs
+++ b/crates/jaypin_router/src/router/telling.rs
@@ -194,6 +194,7 @@
         let usage = self.usage_to_tell(is_whole);
         let whole = is_whole.then(|| WholeReport {
             samples: self.samples_to_tell(),
+            low_levels: self.quota.low_levels(now),
             ..self.whole_report(now, boot_time)
         });
         let report = Box::new(Report {
@@ -272,6 +273,7 @@
             sent_at: boot_time,
             store: self.store_view(now, boot_time),
             samples: Vec::new(),
+            low_levels: Vec::new(),
             strikes: strikes.collect(),
             cell_callers: None,
         }
