Write down when a peer or the store is lost and back

Cause: a request that was refused for want of a proof, or beside a quota's part, could not be followed from logs: nothing said when a host lost its peers, and only each failed call told of the store, never its return.

Change: one line each for a peer heard and lost, and for the store that answers again.

Ruled out: a line for each report that fails to come, which would grow with a fleet in parts.

--- a/crates/jaypin_entry/src/peers/mod.rs
+++ b/crates/jaypin_entry/src/peers/mod.rs
@@ -3,8 +3,10 @@
 //! Datagrams, since a report that is late is worth nothing: the next one says more. A
 //! connection would hold reports back behind a lost one.
 
+mod heard;
 mod wire;
 
+pub use heard::HeardPeers;
 pub use wire::{WireError, decode_report, encode_report};
 
 use std::net::SocketAddr;
--- a/crates/jaypin_entry/src/serve.rs
+++ b/crates/jaypin_entry/src/serve.rs
@@ -17,7 +17,7 @@
 use crate::callers::{Leaving, listen, serve_callers, serve_questions};
 use crate::host::Host;
 use crate::metrics;
-use crate::peers::{PeerSocket, hear_peers};
+use crate::peers::{HeardPeers, PeerSocket, hear_peers};
 use crate::ports::{HostSettings, Platform};
 use crate::store::{follow_backends, follow_configuration, join_fleet};
 
@@ -123,12 +123,14 @@
 
 async fn keep_time(host: Rc<Host>) {
     let mut swept_at = Instant::now();
+    let mut heard = HeardPeers::default();
     loop {
         host.wait_for_tick().await;
         host.apply(Event::Tick(boot_time()));
         if swept_at.elapsed() >= SWEEP_PAUSE {
             swept_at = Instant::now();
             host.connections.close_expired();
+            heard.note(&host);
         }
     }
 }
--- a/crates/jaypin_entry/src/store/client.rs
+++ b/crates/jaypin_entry/src/store/client.rs
@@ -54,6 +54,17 @@
             Self::Decode { .. } => "unreadable",
         }
     }
+
+    /// Whether the store does not serve this host; other statuses are answers.
+    fn is_outage(&self) -> bool {
+        match self {
+            Self::Unreached | Self::TimedOut => true,
+            Self::Status { status } => {
+                status.is_server_error() || *status == StatusCode::TOO_MANY_REQUESTS
+            }
+            Self::Decode { .. } => false,
+        }
+    }
 }
 
 impl From<DecodeError> for StoreError {
@@ -68,6 +79,8 @@
 pub struct StoreClient<'a> {
     host: &'a Host,
     connection: Option<Connection>,
+    /// Whether the last call failed.
+    is_lost: bool,
 }
 
 impl<'a> StoreClient<'a> {
@@ -76,6 +89,7 @@
         Self {
             host,
             connection: None,
+            is_lost: false,
         }
     }
 
@@ -153,6 +167,11 @@
             .as_ref()
             .map_or_else(StoreError::as_str, |_| "answered");
         metrics::store_call(kind, outcome);
+        let is_outage = answer.as_ref().is_err_and(StoreError::is_outage);
+        let was_lost = std::mem::replace(&mut self.is_lost, is_outage);
+        if was_lost && !self.is_lost {
+            log::info!("the store answers again");
+        }
         answer
     }
 
--- a/crates/jaypin_router/src/router/mod.rs
+++ b/crates/jaypin_router/src/router/mod.rs
@@ -309,6 +309,11 @@
         }
     }
 
+    /// Peers that were heard lately.
+    pub fn heard_peers(&self, now: Instant) -> impl Iterator<Item = &HostId> {
+        self.fleet.heard(now).map(|(host, _)| host)
+    }
+
     /// Addresses that callers may use now, by what this host knows.
     #[must_use]
     pub fn caller_addresses(&self, now: Instant, boot_time: BootTime) -> Vec<SocketAddr> {
