--- a/crates/jaypin_router/tests/common/mod.rs
+++ b/crates/jaypin_router/tests/common/mod.rs
@@ -9,8 +9,9 @@
 use jaypin_core::{BackendId, Refusal};
 use jaypin_router::{
     Account, Arrival, AttemptOutcome, BackendRecord, BackendStatus, Bounds, CallerLimits,
-    Configuration, Effect, Engine, EntryChange, Event, Quota, QuotaUnit, Repeat, RequestNumber,
-    Route, RouteTable, Router, RouterConfig, Service, Target, Unrouted,
+    Configuration, Effect, Engine, EntryChange, Event, Quota, QuotaUnit, Repeat, Report,
+    RequestNumber, Route, RouteTable, Router, RouterConfig, Service, StoreView, Target, Unrouted,
+    WholeReport,
 };
 
 /// The service of engines.
@@ -143,6 +144,36 @@
     SocketAddr::from(([127, 0, 0, 1], port))
 }
 
+/// What the peer of a number tells in a whole report when it has nothing to tell.
+pub fn whole(peer: u16) -> WholeReport {
+    WholeReport {
+        host: format!("host-{peer}").as_str().into(),
+        address: address(7_000 + peer),
+        callers: address(8_000 + peer),
+        failure_domain: "b".into(),
+        cell: 0,
+        sent_at: Duration::from_secs(1),
+        store: StoreView::default(),
+        samples: Vec::new(),
+        low_levels: Vec::new(),
+        strikes: Vec::new(),
+        cell_callers: None,
+    }
+}
+
+/// A whole report of a peer that has nothing running; its address is its run's number.
+pub fn report(sequence: u64, whole: WholeReport) -> Report {
+    Report {
+        run: whole.address.port().into(),
+        sequence,
+        is_ready: true,
+        loads: Vec::new(),
+        usage: Vec::new(),
+        changes: Vec::new(),
+        whole: Some(whole),
+    }
+}
+
 /// Bounds as operators of today state them.
 pub fn bounds() -> Bounds {
     Bounds {
@@ -198,6 +229,14 @@
         bed
     }
 
+    /// Hears a report.
+    pub fn hear_report(&mut self, report: Report) -> Vec<Effect> {
+        self.apply(Event::Reported {
+            report: Box::new(report),
+            boot_time: self.boot,
+        })
+    }
+
     /// Gives an event.
     pub fn apply(&mut self, event: Event) -> Vec<Effect> {
         self.router.apply(self.now, event)
--- a/crates/jaypin_router/tests/heavy_days.rs
+++ b/crates/jaypin_router/tests/heavy_days.rs
@@ -7,7 +7,7 @@
 
 use common::{Bed, ENGINES, Told, record};
 use jaypin_core::{Ran, Reason};
-use jaypin_router::{AttemptOutcome, BackendLoad, Effect, Event, Report, backend_key};
+use jaypin_router::{AttemptOutcome, BackendLoad, Effect, Event, backend_key};
 
 /// A bed with engines of which all slots are taken by a peer.
 fn full(engines: &[&str]) -> Bed {
@@ -27,7 +27,7 @@
 
 impl Hear for Bed {
     fn hear(&mut self, loads: Vec<(&str, u32)>) {
-        let mut report = common_report(self.revision());
+        let mut report = common::report(self.revision(), common::whole(2));
         report.loads = loads
             .into_iter()
             .map(|(id, running)| BackendLoad {
@@ -36,35 +36,7 @@
                 unread_tokens: 0,
             })
             .collect();
-        let boot_time = self.boot;
-        self.apply(Event::Reported {
-            report: Box::new(report),
-            boot_time,
-        });
-    }
-}
-
-fn common_report(sequence: u64) -> Report {
-    Report {
-        run: 2,
-        sequence,
-        is_ready: true,
-        loads: Vec::new(),
-        usage: Vec::new(),
-        changes: Vec::new(),
-        whole: Some(jaypin_router::WholeReport {
-            host: "host-2".into(),
-            address: common::address(7_002),
-            callers: common::address(8_002),
-            failure_domain: "b".into(),
-            cell: 0,
-            sent_at: Duration::from_secs(1),
-            store: jaypin_router::StoreView::default(),
-            samples: Vec::new(),
-            low_levels: Vec::new(),
-            strikes: Vec::new(),
-            cell_callers: None,
-        }),
+        self.hear_report(report);
     }
 }
 
--- a/crates/jaypin_router/tests/learning.rs
+++ b/crates/jaypin_router/tests/learning.rs
@@ -5,9 +5,7 @@
 use std::time::Duration;
 
 use common::{Bed, ENGINES, record};
-use jaypin_router::{
-    AttemptOutcome, BackendSamples, Effect, Event, Report, StoreView, WholeReport, backend_key,
-};
+use jaypin_router::{AttemptOutcome, BackendSamples, Effect, Report, WholeReport, backend_key};
 
 /// Samples in the whole reports of the next while.
 fn told(bed: &mut Bed, time: Duration) -> Vec<BackendSamples> {
@@ -34,35 +32,11 @@
 }
 
 fn report(sequence: u64, samples: Vec<BackendSamples>) -> Report {
-    Report {
-        run: 2,
-        sequence,
-        is_ready: true,
-        loads: Vec::new(),
-        usage: Vec::new(),
-        changes: Vec::new(),
-        whole: Some(WholeReport {
-            host: "host-2".into(),
-            address: common::address(7_002),
-            callers: common::address(8_002),
-            failure_domain: "b".into(),
-            cell: 0,
-            sent_at: Duration::from_secs(1),
-            store: StoreView::default(),
-            samples,
-            low_levels: Vec::new(),
-            strikes: Vec::new(),
-            cell_callers: None,
-        }),
-    }
-}
-
-fn hear(bed: &mut Bed, report: Report) {
-    let boot_time = bed.boot;
-    bed.apply(Event::Reported {
-        report: Box::new(report),
-        boot_time,
-    });
+    let whole = WholeReport {
+        samples,
+        ..common::whole(2)
+    };
+    common::report(sequence, whole)
 }
 
 /// Calls that a peer had no success with.
@@ -80,7 +54,7 @@
 fn what_was_learned_is_told_twice_and_not_for_ever() {
     let mut bed = Bed::new(common::configuration(1));
     bed.state(record("engine-1", ENGINES, 9));
-    hear(&mut bed, report(1, Vec::new()));
+    bed.hear_report(report(1, Vec::new()));
     serve(&mut bed);
     assert_eq!(told(&mut bed, Duration::from_secs(3)).len(), 2);
     serve(&mut bed);
@@ -94,8 +68,8 @@
     let mut bed = Bed::new(common::configuration(1));
     bed.state(record("engine-1", ENGINES, 9));
     bed.state(record("engine-22", ENGINES, 9));
-    hear(&mut bed, report(1, Vec::new()));
-    hear(&mut bed, report(2, vec![failures(20)]));
+    bed.hear_report(report(1, Vec::new()));
+    bed.hear_report(report(2, vec![failures(20)]));
     let (_, told) = bed.arrive("/ask/1", (600, 30));
     assert_eq!(told.backend(), "engine-22");
 }
@@ -106,11 +80,11 @@
 fn totals_of_a_peer_that_ran_before_are_where_its_differences_begin() {
     let mut bed = Bed::new(common::configuration(1));
     bed.state(record("engine-1", ENGINES, 9));
-    hear(&mut bed, report(5_000, Vec::new()));
-    hear(&mut bed, report(5_001, vec![failures(2_000)]));
+    bed.hear_report(report(5_000, Vec::new()));
+    bed.hear_report(report(5_001, vec![failures(2_000)]));
     let (_, told) = bed.arrive("/ask/1", (600, 30));
     assert_eq!(told.backend(), "engine-1");
-    hear(&mut bed, report(5_002, vec![failures(2_020)]));
+    bed.hear_report(report(5_002, vec![failures(2_020)]));
     bed.state(record("engine-22", ENGINES, 9));
     let (_, told) = bed.arrive("/ask/1", (600, 30));
     assert_eq!(told.backend(), "engine-22");
--- a/crates/jaypin_router/tests/proof.rs
+++ b/crates/jaypin_router/tests/proof.rs
@@ -105,33 +105,18 @@
 
 /// A watcher's report, sent and proved at these times by its clock.
 fn watcher_report(sequence: u64, sent_at: Duration, proved_at: Duration) -> Report {
-    Report {
-        run: 2,
-        sequence,
-        is_ready: true,
-        loads: Vec::new(),
-        usage: Vec::new(),
-        changes: Vec::new(),
-        whole: Some(WholeReport {
-            host: "host-2".into(),
-            address: common::address(7_002),
-            callers: common::address(8_002),
-            failure_domain: "b".into(),
-            cell: 0,
-            sent_at,
-            store: StoreView {
-                version: 1,
-                proved_at: Some(proved_at),
-                may_watch: true,
-                is_watching: true,
-                digest: 0,
-            },
-            samples: Vec::new(),
-            low_levels: Vec::new(),
-            strikes: Vec::new(),
-            cell_callers: None,
-        }),
-    }
+    let whole = WholeReport {
+        sent_at,
+        store: StoreView {
+            version: 1,
+            proved_at: Some(proved_at),
+            may_watch: true,
+            is_watching: true,
+            digest: 0,
+        },
+        ..common::whole(2)
+    };
+    common::report(sequence, whole)
 }
 
 /// Lets a peer prove the configuration for a while, by a clock that is ahead by `ahead` and
--- a/crates/jaypin_router/tests/quota_at_start.rs
+++ b/crates/jaypin_router/tests/quota_at_start.rs
@@ -5,8 +5,10 @@
 use std::time::Duration;
 
 use common::{Bed, ENGINES, Told, record, token_quota};
-use jaypin_router::{Event, Report, StoreView, WholeReport};
+use jaypin_router::Event;
 
+/// Numbers of the other twelve hosts.
+const OTHERS: std::ops::Range<u16> = 2..14;
 const RATE: f64 = 100_000.0;
 /// Seconds of its rate that an account gets from a fleet that has just started.
 const FIRST_SECONDS: f64 = 0.2;
@@ -28,45 +30,12 @@
 }
 
 /// Other hosts, as the store lists them.
-fn find(bed: &mut Bed, others: u16) {
-    let hosts = (0..others).map(|it| (format!("peer-{it}").as_str().into(), peer_address(it)));
+fn find(bed: &mut Bed, others: std::ops::Range<u16>) {
+    let wholes = others.map(common::whole);
+    let hosts = wholes.map(|it| (it.host, it.address));
     bed.apply(Event::HostsFound(hosts.collect()));
 }
 
-fn peer_address(number: u16) -> std::net::SocketAddr {
-    common::address(7_100 + number)
-}
-
-/// One of them reports for the first time.
-fn hear(bed: &mut Bed, number: u16) {
-    let report = Report {
-        run: 100 + u64::from(number),
-        sequence: 1,
-        is_ready: true,
-        loads: Vec::new(),
-        usage: Vec::new(),
-        changes: Vec::new(),
-        whole: Some(WholeReport {
-            host: format!("peer-{number}").as_str().into(),
-            address: peer_address(number),
-            callers: common::address(8_100 + number),
-            failure_domain: "b".into(),
-            cell: 0,
-            sent_at: Duration::from_secs(1),
-            store: StoreView::default(),
-            samples: Vec::new(),
-            low_levels: Vec::new(),
-            strikes: Vec::new(),
-            cell_callers: None,
-        }),
-    };
-    let boot_time = bed.boot;
-    bed.apply(Event::Reported {
-        report: Box::new(report),
-        boot_time,
-    });
-}
-
 /// Presses with more requests than any quota allows; gives the units that were taken.
 fn press(bed: &mut Bed) -> f64 {
     let sent = (0..250).filter(|_| {
@@ -83,7 +52,7 @@
 #[test]
 fn a_host_that_hears_nobody_gives_out_its_part_only() {
     let mut bed = started();
-    find(&mut bed, 12);
+    find(&mut bed, OTHERS);
     let taken = press(&mut bed);
     assert!(taken <= RATE * FIRST_SECONDS / 13.0 + UNITS, "{taken}");
     assert!(taken >= UNITS, "{taken}");
@@ -100,7 +69,7 @@
 #[test]
 fn hosts_that_are_never_heard_count_for_seconds_only() {
     let mut bed = started();
-    find(&mut bed, 12);
+    find(&mut bed, OTHERS);
     for _ in 0..60 {
         bed.wait(Duration::from_millis(250));
         bed.prove();
@@ -114,9 +83,9 @@
 #[test]
 fn a_host_that_hears_all_gives_out_the_whole_rate() {
     let mut bed = started();
-    find(&mut bed, 12);
-    for number in 0..12 {
-        hear(&mut bed, number);
+    find(&mut bed, OTHERS);
+    for peer in OTHERS {
+        bed.hear_report(common::report(1, common::whole(peer)));
     }
     bed.wait(Duration::from_millis(100));
     let taken = press(&mut bed);
--- a/crates/jaypin_router/tests/watching.rs
+++ b/crates/jaypin_router/tests/watching.rs
@@ -10,10 +10,8 @@
 /// A host that has just read its configuration, beside registered hosts that it has not heard.
 fn started(others: u16) -> Bed {
     let mut bed = Bed::unconfigured();
-    let hosts = (0..others).map(|it| {
-        let address = common::address(7_100 + it);
-        (format!("peer-{it}").as_str().into(), address)
-    });
+    let wholes = (2..2 + others).map(common::whole);
+    let hosts = wholes.map(|it| (it.host, it.address));
     bed.apply(Event::HostsFound(hosts.collect()));
     bed.configure(common::configuration(1));
     bed.prove();
