Name in each refusal what was not in time, and leave out empty fields

A refusal for want of a proof named only the version.

Ruled out: no line for requests served in time, since each decision has to be explainable; shorter names of fields, for the same reason.

Change: the grounds of a place hold the estimated wait for a slot and its limit, those of a configuration the age of its proof. Empty texts and times of 0 are left out of lines.

--- a/crates/jaypin/src/cli/explain_log.rs
+++ b/crates/jaypin/src/cli/explain_log.rs
@@ -7,7 +7,8 @@
 use super::{Failure, Outcome};
 
 /// A line of an entry host's log about one request.
-#[derive(Debug, Deserialize)]
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
 struct RequestLine {
     time: String,
     id: String,
--- a/crates/jaypin_entry/src/logs/line.rs
+++ b/crates/jaypin_entry/src/logs/line.rs
@@ -7,6 +7,9 @@
 use log::kv::{Key, Value, VisitSource};
 use serde_json::Map;
 
+/// End of the names of fields with a time. Of these a 0 says that there is none.
+const TIME_FIELD: &str = "_ms";
+
 /// Writes `time`, `level`, `msg`, and the record's own fields.
 pub fn write(buf: &mut Formatter, record: &Record<'_>) -> io::Result<()> {
     let mut fields = Fields(Map::new());
@@ -30,7 +33,16 @@
             Some(number) => number.into(),
             None => value.to_string().into(),
         };
-        self.0.insert(key.as_str().to_owned(), value);
+        if !is_empty(key.as_str(), &value) {
+            self.0.insert(key.as_str().to_owned(), value);
+        }
         Ok(())
     }
 }
+
+/// Whether a field says nothing. A refusal has neither backend server nor times of events;
+/// without these its line is a quarter shorter.
+fn is_empty(name: &str, value: &serde_json::Value) -> bool {
+    let is_time = name.ends_with(TIME_FIELD);
+    value.as_str().is_some_and(str::is_empty) || is_time && value.as_u64() == Some(0)
+}
--- a/crates/jaypin_router/src/grounds.rs
+++ b/crates/jaypin_router/src/grounds.rs
@@ -14,6 +14,8 @@
     Configuration {
         /// Its version; 0 before any.
         version: u64,
+        /// Time since it was the newest for sure, where it ever was.
+        proof_age: Option<Duration>,
     },
     /// The host is leaving.
     Leaving,
@@ -37,6 +39,10 @@
         first_event: Duration,
         /// Time that it may take.
         limit: Duration,
+        /// Estimated wait for a slot there.
+        slot_wait: Duration,
+        /// Time that it may take.
+        slot_limit: Duration,
         /// Requests that run there, of all hosts.
         running: u32,
         /// Prompt tokens that have to be read there before.
@@ -60,7 +66,12 @@
 impl fmt::Display for Grounds {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::Configuration { version } => write!(f, "configuration {version}"),
+            Self::Configuration { version, proof_age } => {
+                write!(f, "configuration {version}")?;
+                proof_age.map_or(Ok(()), |age| {
+                    write!(f, ", proved {} ms ago", age.as_millis())
+                })
+            }
             Self::Leaving => write!(f, "this host leaves"),
             Self::Quota {
                 account,
@@ -81,15 +92,22 @@
             Self::Place {
                 first_event,
                 limit,
+                slot_wait,
+                slot_limit,
                 running,
                 tokens_ahead,
                 is_in_trouble,
             } => {
                 let (first, limit) = (first_event.as_millis(), limit.as_millis());
+                let slot = match slot_wait.as_millis() {
+                    0 => String::new(),
+                    wait if *slot_limit == Duration::MAX => format!(", slot in {wait} ms"),
+                    wait => format!(", slot in {wait} ms of {}", slot_limit.as_millis()),
+                };
                 let trouble = if *is_in_trouble { ", in trouble" } else { "" };
                 write!(
                     f,
-                    "first event in {first} ms of {limit}, {running} running, {tokens_ahead} tokens ahead{trouble}"
+                    "first event in {first} ms of {limit}{slot}, {running} running, {tokens_ahead} tokens ahead{trouble}"
                 )
             }
             Self::NoPlace => write!(f, "no backend server takes requests"),
--- a/crates/jaypin_router/src/router/arrival.rs
+++ b/crates/jaypin_router/src/router/arrival.rs
@@ -70,11 +70,15 @@
         let number = arrival.number;
         let Some(table) = self.table.clone() else {
             let refusal = Refusal::not_run(Reason::NotReady).retry_after(UNREADY_RETURN);
-            let grounds = Grounds::Configuration { version: 0 };
+            let grounds = Grounds::Configuration {
+                version: 0,
+                proof_age: None,
+            };
             return fx.push(refuse(number, refusal, grounds));
         };
         let grounds = Grounds::Configuration {
             version: table.configuration().version,
+            proof_age: self.proof_age(arrival.boot_time),
         };
         let is_proved = self.is_proved(arrival.boot_time);
         let credential = arrival.credential.as_deref();
@@ -216,11 +220,11 @@
             return self.waiting.push(request);
         };
         let limit = self.limit(&request.admitted, &choice, now);
-        let is_in_time = !choice.is_in_trouble
-            && choice.first_event <= limit
-            && choice.slot_wait <= slot_wait_limit(&request.admitted);
+        let slot_limit = slot_wait_limit(&request.admitted);
+        let is_in_time =
+            !choice.is_in_trouble && choice.first_event <= limit && choice.slot_wait <= slot_limit;
         let is_resort = is_over && is_last_resort(&request.admitted, &choice, now);
-        let grounds = self.grounds_of(&choice, limit);
+        let grounds = self.grounds_of(&choice, limit, slot_limit);
         if is_in_time || is_resort {
             self.send(now, request, choice, grounds, fx);
         } else if is_over {
@@ -285,11 +289,13 @@
         limit.saturating_sub(spent).max(own)
     }
 
-    fn grounds_of(&self, choice: &Choice, limit: Duration) -> Grounds {
+    fn grounds_of(&self, choice: &Choice, limit: Duration, slot_limit: Duration) -> Grounds {
         let backend = self.backends.get(&choice.backend);
         Grounds::Place {
             first_event: choice.first_event,
             limit,
+            slot_wait: choice.slot_wait,
+            slot_limit,
             running: backend.map_or(0, crate::Backend::running),
             tokens_ahead: choice.tokens_ahead,
             is_in_trouble: choice.is_in_trouble,
--- a/crates/jaypin_router/src/router/knowledge.rs
+++ b/crates/jaypin_router/src/router/knowledge.rs
@@ -51,8 +51,8 @@
     /// cut off from the store, or was suspended: suspended time counts on this clock.
     pub(super) fn is_proved(&self, boot_time: BootTime) -> bool {
         let limit = self.cfg.bounds.revoke.mul_f64(PROOF_PART);
-        let proved = self.proved_at;
-        self.table.is_some() && proved.is_some_and(|at| boot_time.saturating_sub(at) < limit)
+        let age = self.proof_age(boot_time);
+        self.table.is_some() && age.is_some_and(|age| age < limit)
     }
 
     pub(super) fn backends_listed(
--- a/crates/jaypin_router/src/router/watching.rs
+++ b/crates/jaypin_router/src/router/watching.rs
@@ -42,7 +42,7 @@
     /// Whether this host shall watch the store.
     #[must_use]
     pub fn should_watch(&self, now: Instant, boot_time: BootTime) -> bool {
-        if self.table.is_none() || self.proof_age(boot_time) >= OLD_PROOF {
+        if self.table.is_none() || self.has_old_proof(boot_time) {
             return true;
         }
         let age = now.saturating_duration_since(self.started_at.unwrap_or(now));
@@ -82,12 +82,17 @@
             && self
                 .own_proof
                 .is_none_or(|at| boot_time.saturating_sub(at) < OLD_PROOF)
-            && self.proof_age(boot_time) < OLD_PROOF
+            && !self.has_old_proof(boot_time)
     }
 
-    fn proof_age(&self, boot_time: BootTime) -> Duration {
-        let proved = self.proved_at;
-        proved.map_or(Duration::MAX, |at| boot_time.saturating_sub(at))
+    /// Time since the configuration was the newest for sure, where it ever was.
+    pub(super) fn proof_age(&self, boot_time: BootTime) -> Option<Duration> {
+        self.proved_at.map(|at| boot_time.saturating_sub(at))
+    }
+
+    fn has_old_proof(&self, boot_time: BootTime) -> bool {
+        let age = self.proof_age(boot_time);
+        age.is_none_or(|age| age >= OLD_PROOF)
     }
 
     /// Takes what a peer says of the store.
--- a/crates/jaypin_router/tests/heavy_days.rs
+++ b/crates/jaypin_router/tests/heavy_days.rs
@@ -57,6 +57,23 @@
     assert!(back >= Duration::from_millis(100) && back <= Duration::from_millis(300));
 }
 
+/// An outside monitor reads why a request was refused. Its first event would have been in
+/// time, so the line has to name what was not: the wait for a slot.
+#[test]
+fn a_refusal_for_want_of_a_slot_names_the_wait() {
+    let mut bed = full(&["engine-1"]);
+    bed.arrive("/ask/1", (600, 300));
+    bed.wait(Duration::from_millis(60));
+    let grounds = bed.tick().into_iter().find_map(|effect| match effect {
+        Effect::Refuse { grounds, .. } => Some(grounds.to_string()),
+        _ => None,
+    });
+    insta::assert_snapshot!(
+        grounds.expect("a refusal"),
+        @"first event in 162 ms of 290, slot in 133 ms of 50, 9 running, 0 tokens ahead"
+    );
+}
+
 /// Refused callers that all come back at once would be refused once more.
 #[test]
 fn times_to_come_back_are_spread() {
--- a/crates/jaypin_router/tests/proof.rs
+++ b/crates/jaypin_router/tests/proof.rs
@@ -160,3 +160,17 @@
     assert_eq!(bed.apply(found), []);
     assert!(matches!(bed.tick()[..], [Effect::Tell { .. }]));
 }
+
+/// A caller is refused by a host that the store turned away. Whoever looks into it must see
+/// how old the host's knowledge was.
+#[test]
+fn a_refusal_for_want_of_a_proof_names_its_age() {
+    let mut bed = Bed::usual();
+    bed.wait(Duration::from_secs(5));
+    let grounds = bed.arrive_fx("/ask/1", (600, 300));
+    let grounds = grounds.into_iter().find_map(|effect| match effect {
+        Effect::Refuse { grounds, .. } => Some(grounds.to_string()),
+        _ => None,
+    });
+    insta::assert_snapshot!(grounds.expect("a refusal"), @"configuration 1, proved 5000 ms ago");
+}
