--- a/crates/jaypin_entry/src/logs/line.rs
+++ b/crates/jaypin_entry/src/logs/line.rs
@@ -41,7 +41,7 @@
 }
 
 /// Whether a field says nothing. A refusal has neither backend server nor times of events;
-/// without these its line is a quarter shorter.
+/// without these a log has a tenth fewer bytes when most requests are refused.
 fn is_empty(name: &str, value: &serde_json::Value) -> bool {
     let is_time = name.ends_with(TIME_FIELD);
     value.as_str().is_some_and(str::is_empty) || is_time && value.as_u64() == Some(0)
