Test reports as bytes: every field, numbers that are none, spoilt datagrams

Cause: levels of accounts are new in reports, and the bytes of reports had no test of their own; only fleets of real processes spoke them.

Change: tests only. Each form of report is heard as it was sent; numbers that are not finite or below 0 are rejected, a debt of a level is not; no prefix of a report is one, and 20,000 spoilt ones (fixed seed) return.

--- /dev/null
+++ b/crates/jaypin_entry/tests/report_bytes.rs
@@ -0,0 +1,144 @@
+//! Reports as bytes: what is sent is what is heard, and no bytes stop a host.
+
+use std::time::Duration;
+
+use jaypin_entry::{WireError, decode_report, encode_report};
+use jaypin_router::{
+    BackendLoad, BackendRecord, BackendSamples, BackendStatus, EntryChange, Report, StoreView,
+    Strike, WholeReport,
+};
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+/// A report in which every field holds something.
+fn full() -> Report {
+    let record = BackendRecord {
+        id: "engine-1".into(),
+        started: 1_700_000_000_000,
+        service: "engines".into(),
+        address: "127.0.0.1:9000".to_owned(),
+        failure_domain: "a".into(),
+        slots: 9,
+        status: BackendStatus::Leaving,
+    };
+    Report {
+        run: u64::MAX,
+        sequence: 7,
+        is_ready: true,
+        loads: vec![BackendLoad {
+            key: u32::MAX,
+            running: 3,
+            unread_tokens: 6_610,
+        }],
+        usage: vec![("farm".into(), 123_456.5)],
+        changes: vec![
+            EntryChange::Stated {
+                record,
+                revision: 41,
+            },
+            EntryChange::Removed {
+                id: "engine-2".into(),
+                revision: 42,
+            },
+        ],
+        whole: Some(whole()),
+    }
+}
+
+fn whole() -> WholeReport {
+    WholeReport {
+        host: "host-1".into(),
+        address: ([127, 0, 0, 1], 7_001).into(),
+        callers: ([127, 0, 0, 1], 8_001).into(),
+        failure_domain: "a".into(),
+        cell: 3,
+        sent_at: Duration::from_millis(90_001),
+        store: StoreView {
+            version: 12,
+            proved_at: Some(Duration::from_secs(89)),
+            may_watch: true,
+            is_watching: true,
+            digest: u64::MAX - 1,
+        },
+        samples: vec![BackendSamples {
+            key: 5,
+            tokens: 6_610.0,
+            seconds: 0.108,
+            held: 1.25,
+            good: 2,
+            bad: 1,
+        }],
+        low_levels: vec![("farm".into(), -55_000.25)],
+        strikes: vec![Strike {
+            fingerprint: 99,
+            strikes: 2,
+        }],
+        cell_callers: Some(vec![([127, 0, 0, 1], 8_002).into()]),
+    }
+}
+
+macro_rules! cases {
+    ($($name:ident: $change:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let change: fn(&mut Report) = $change;
+            let mut report = full();
+            change(&mut report);
+            let bytes = encode_report(&report).expect("bytes");
+            let heard = decode_report(&bytes).expect("a report");
+            assert_eq!(heard, report);
+        }
+    )*};
+}
+
+cases! {
+    a_full_report_is_heard_as_it_was_sent: |_| {};
+    a_short_report_is_heard_as_it_was_sent: |it| it.whole = None;
+    a_host_without_a_configuration_is_heard: |it| {
+        it.whole = Some(WholeReport { store: StoreView::default(), ..whole() });
+    };
+    a_report_within_a_cell_is_heard: |it| {
+        it.whole = Some(WholeReport { cell_callers: None, ..whole() });
+    };
+}
+
+/// A number that is not finite would spoil every sum that it enters: an account could use
+/// all it wants, or nothing, on every host that heard it.
+#[test]
+fn numbers_that_are_none_are_rejected() {
+    let spoilt: [fn(&mut Report); 5] = [
+        |it| it.usage[0].1 = f64::NAN,
+        |it| it.usage[0].1 = -1.0,
+        |it| it.whole.as_mut().expect("whole").low_levels[0].1 = f64::NEG_INFINITY,
+        |it| it.whole.as_mut().expect("whole").samples[0].seconds = f64::INFINITY,
+        |it| it.whole.as_mut().expect("whole").samples[0].held = -0.5,
+    ];
+    for spoil in spoilt {
+        let mut report = full();
+        spoil(&mut report);
+        let bytes = encode_report(&report).expect("bytes");
+        let heard = decode_report(&bytes);
+        assert!(matches!(heard, Err(WireError::Number)), "{heard:?}");
+    }
+}
+
+/// Datagrams are cut, and bytes come from whoever can reach the port. None of them may end
+/// the process.
+#[test]
+fn no_bytes_stop_a_host() {
+    let bytes = encode_report(&full()).expect("bytes");
+    for length in 0..bytes.len() {
+        assert!(decode_report(&bytes[..length]).is_err(), "{length} bytes");
+    }
+    let mut rng = ChaCha8Rng::seed_from_u64(41);
+    for _ in 0..20_000 {
+        let mut spoilt = bytes.clone();
+        for _ in 0..rng.random_range(1..6) {
+            let place = rng.random_range(0..spoilt.len());
+            spoilt[place] = rng.random();
+        }
+        // Heard or not: what counts is that it returns.
+        let _ = decode_report(&spoilt);
+    }
+}
