--- a/crates/jaypin_router/src/quota.rs
+++ b/crates/jaypin_router/src/quota.rs
@@ -28,8 +28,8 @@
 /// fleet: each host gives out its part, as far as it knows it.
 ///
 /// Hosts that start together hear nothing of each other's use for a tenth of a second. When
-/// each of 13 gave out all of it, an account that pressed got two and a half seconds of its
-/// rate in that time, beside what it had used before.
+/// each of 13 gave out all of it, an account that pressed got 2.7 seconds of its rate in the
+/// first half second, beside what it had used before.
 const FIRST_SECONDS: f64 = 0.2;
 /// Part of the fleet's slack that an account may use besides in that moment: callers that
 /// were cut off by a common restart all come back in the first half second of it.
--- a/crates/jaypin_router/src/router/telling.rs
+++ b/crates/jaypin_router/src/router/telling.rs
@@ -40,8 +40,8 @@
 /// Whole reports in a row that tell what was newly learned of a backend server: of a
 /// hundred datagrams one is lost, and what is learned next makes up for it.
 ///
-/// Told in each whole report, what was learned of thirty backend servers was two thirds of
-/// all bytes between hosts.
+/// Told in each whole report, what was learned of thirty backend servers was a quarter of
+/// all bytes between failure domains, requests included, with 126 hosts and with 133.
 const SAMPLES_TOLD: u32 = 2;
 /// Contents under suspicion in one report: more would not fit a datagram.
 const STRIKES_TOLD: usize = 16;
--- a/crates/jaypin_router/src/router/watching.rs
+++ b/crates/jaypin_router/src/router/watching.rs
@@ -18,8 +18,8 @@
 const DIFFERENT_FOR: Duration = Duration::from_millis(700);
 /// Time after a host's start within which it takes hosts that are registered for being there,
 /// though it has not heard them: they start together, and hear each other within a third of
-/// it. Without this, each host of a fleet that starts begins to watch, which is half of all
-/// calls that an idle fleet of 130 makes in its first minute.
+/// it. Without this, each host of a fleet that starts begins to watch: 371 of some 1,200
+/// calls that 126 hosts made in their first four seconds.
 const JOINING: Duration = Duration::from_millis(1_500);
 /// Key of the order in which hosts become watchers.
 const WATCH_ORDER: &str = "watch";
