Keep a few slots for urgent requests, by what is asked; order routes within an account

A rank that an account has replaced its route's, so all routes of four accounts in five were equal; and a slot that came free went to whoever came first, at any host, while urgent requests waited 72 ms at another.

Change: a rank is the pair of the account's and the route's. Hosts report how many requests of each rank they were asked for; a request that is less urgent than others is sent only where more slots are free than the more urgent arrivals of 50 ms and one deviation of them take.

--- a/crates/jaypin_entry/src/peers/wire.rs
+++ b/crates/jaypin_entry/src/peers/wire.rs
@@ -5,8 +5,8 @@
 
 use jaypin_core::{AccountId, BackendId, FailureDomain, HostId, ServiceId};
 use jaypin_router::{
-    BackendLoad, BackendRecord, BackendSamples, BackendStatus, EntryChange, Report, StoreView,
-    Strike, WholeReport,
+    Asked, BackendLoad, BackendRecord, BackendSamples, BackendStatus, EntryChange, Rank, Report,
+    StoreView, Strike, WholeReport,
 };
 use serde::{Deserialize, Serialize};
 use snafu::{ResultExt, Snafu};
@@ -42,6 +42,8 @@
 /// Key, tokens, seconds, held seconds, good and bad calls.
 type WireSamples = (u32, f64, f64, f64, u32, u32);
 
+/// Service's key, rank of account and of route, requests.
+type WireAsked = (u32, u8, u8, u32);
 /// Name, reports' address, callers' address, failure domain, cell.
 type WireSender = (String, String, String, String, u32);
 /// Version, proved at and sent at in milliseconds, may watch, watches, digest.
@@ -73,6 +75,7 @@
     Vec<(String, f64)>,
     Vec<(u64, u32)>,
     Option<Vec<String>>,
+    Vec<WireAsked>,
 );
 
 /// Writes a report.
@@ -141,6 +144,7 @@
             whole.low_levels.iter().map(wire_units).collect(),
             strikes.map(|it| (it.fingerprint, it.strikes)).collect(),
             callers.map(|it| it.iter().map(ToString::to_string).collect()),
+            whole.asked.iter().map(wire_asked).collect(),
         )
     }
 }
@@ -170,7 +174,7 @@
     type Error = WireError;
 
     fn try_from(wire: WireWhole) -> Result<Self, WireError> {
-        let WireWhole(sender, view, samples, low_levels, strikes, cell_callers) = wire;
+        let WireWhole(sender, view, samples, low_levels, strikes, cell_callers, asked) = wire;
         let (host, address, callers, failure_domain, cell) = sender;
         let (version, proved_at, sent_at, may_watch, is_watching, digest) = view;
         let mut numbers = samples.iter().flat_map(|it| [it.1, it.2, it.3]);
@@ -197,6 +201,7 @@
             },
             samples: samples.into_iter().map(sample).collect(),
             low_levels: low_levels.into_iter().map(units).collect(),
+            asked: asked.into_iter().map(read_asked).collect(),
             strikes: strikes
                 .map(|(fingerprint, strikes)| Strike {
                     fingerprint,
@@ -224,6 +229,20 @@
     (AccountId::from(account), units)
 }
 
+fn wire_asked(asked: &Asked) -> WireAsked {
+    let rank = asked.rank;
+    (asked.service, rank.account, rank.route, asked.requests)
+}
+
+fn read_asked((service, account, route, requests): WireAsked) -> Asked {
+    let rank = Rank { account, route };
+    Asked {
+        service,
+        rank,
+        requests,
+    }
+}
+
 fn wire_load(load: &BackendLoad) -> WireLoad {
     (load.key, load.running, load.unread_tokens)
 }
--- a/crates/jaypin_entry/tests/report_bytes.rs
+++ b/crates/jaypin_entry/tests/report_bytes.rs
@@ -4,8 +4,8 @@
 
 use jaypin_entry::{WireError, decode_report, encode_report};
 use jaypin_router::{
-    BackendLoad, BackendRecord, BackendSamples, BackendStatus, EntryChange, Report, StoreView,
-    Strike, WholeReport,
+    Asked, BackendLoad, BackendRecord, BackendSamples, BackendStatus, EntryChange, Rank, Report,
+    StoreView, Strike, WholeReport,
 };
 use rand::RngExt;
 use rand::SeedableRng;
@@ -70,6 +70,14 @@
             bad: 1,
         }],
         low_levels: vec![("farm".into(), -55_000.25)],
+        asked: vec![Asked {
+            service: u32::MAX,
+            rank: Rank {
+                account: 1,
+                route: u8::MAX,
+            },
+            requests: 88,
+        }],
         strikes: vec![Strike {
             fingerprint: 99,
             strikes: 2,
--- /dev/null
+++ b/crates/jaypin_router/src/asked.rs
@@ -0,0 +1,83 @@
+//! What is asked of each service, by rank, over the fleet.
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::{Duration, Instant};
+
+use crate::{Rank, ServiceKey};
+
+/// Time after which a request counts for 1/e in the rates.
+///
+/// Bursts begin within a second and last for two to five; a host hears its peers' totals
+/// every 0.4 s.
+const MEMORY: Duration = Duration::from_millis(1_500);
+
+/// Requests of one rank that callers asked of a service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Asked {
+    /// The service.
+    pub service: ServiceKey,
+    /// The rank.
+    pub rank: Rank,
+    /// How many, as a total of the host's run or as a difference between two of them.
+    pub requests: u32,
+}
+
+/// How many requests a second the fleet is asked for.
+#[derive(Debug, Default)]
+pub struct AskedRates {
+    own: BTreeMap<(ServiceKey, Rank), u32>,
+    rates: HashMap<ServiceKey, BTreeMap<Rank, Rate>>,
+}
+
+#[derive(Debug)]
+struct Rate {
+    per_second: f64,
+    at: Instant,
+}
+
+impl AskedRates {
+    /// Counts a request of this host, whether it is served or refused.
+    pub fn saw(&mut self, service: ServiceKey, rank: Rank, now: Instant) {
+        *self.own.entry((service, rank)).or_default() += 1;
+        self.count(service, rank, 1, now);
+    }
+
+    /// Counts what a peer was asked for since its report before.
+    pub fn peer_saw(&mut self, asked: &Asked, now: Instant) {
+        self.count(asked.service, asked.rank, asked.requests, now);
+    }
+
+    /// What this host was asked for in its run.
+    pub fn totals(&self) -> impl Iterator<Item = Asked> {
+        self.own.iter().map(|((service, rank), requests)| Asked {
+            service: *service,
+            rank: *rank,
+            requests: *requests,
+        })
+    }
+
+    /// Requests a second of ranks that are more urgent than one.
+    #[must_use]
+    pub fn above(&self, service: ServiceKey, rank: Rank, now: Instant) -> f64 {
+        let of_service = self.rates.get(&service);
+        let above = of_service.into_iter().flat_map(|it| it.range(..rank));
+        above.map(|(_, rate)| rate.at(now)).sum()
+    }
+
+    fn count(&mut self, service: ServiceKey, rank: Rank, requests: u32, now: Instant) {
+        let of_service = self.rates.entry(service).or_default();
+        let rate = of_service.entry(rank).or_insert(Rate {
+            per_second: 0.0,
+            at: now,
+        });
+        rate.per_second = rate.at(now) + f64::from(requests) / MEMORY.as_secs_f64();
+        rate.at = now;
+    }
+}
+
+impl Rate {
+    fn at(&self, now: Instant) -> f64 {
+        let age = now.saturating_duration_since(self.at);
+        self.per_second * (-age.as_secs_f64() / MEMORY.as_secs_f64()).exp()
+    }
+}
--- a/crates/jaypin_router/src/fleet.rs
+++ b/crates/jaypin_router/src/fleet.rs
@@ -7,8 +7,8 @@
 use jaypin_core::{AccountId, FailureDomain, HostId, Incarnation};
 
 use crate::{
-    BackendKey, BackendLoad, BackendSamples, BootTime, CellIndex, PeerClock, Report, Strike,
-    WholeReport,
+    Asked, BackendKey, BackendLoad, BackendSamples, BootTime, CellIndex, PeerClock, Rank, Report,
+    ServiceKey, Strike, WholeReport,
 };
 
 /// Time without a report after which a host takes no part.
@@ -56,6 +56,7 @@
     loads: HashMap<BackendKey, BackendLoad>,
     samples: HashMap<BackendKey, BackendSamples>,
     usage: HashMap<AccountId, f64>,
+    asked: HashMap<(ServiceKey, Rank), u32>,
 }
 
 impl Peer {
@@ -89,6 +90,8 @@
     pub usage: Vec<(AccountId, f64)>,
     /// Levels of accounts that have little left.
     pub low_levels: Vec<(AccountId, f64)>,
+    /// What callers asked of it since the report before.
+    pub asked: Vec<Asked>,
     /// Contents under suspicion.
     pub strikes: Vec<Strike>,
 }
@@ -253,6 +256,7 @@
             loads: HashMap::new(),
             samples: HashMap::new(),
             usage: HashMap::new(),
+            asked: HashMap::new(),
         }
     }
 
@@ -271,6 +275,14 @@
             self.loads.clear();
             news.strikes = whole.strikes;
             news.low_levels = whole.low_levels;
+            for asked in whole.asked {
+                let key = (asked.service, asked.rank);
+                let before = self.asked.insert(key, asked.requests);
+                if let Some(before) = before.or((!is_new).then_some(0)) {
+                    let requests = asked.requests.saturating_sub(before);
+                    news.asked.push(Asked { requests, ..asked });
+                }
+            }
             for sample in whole.samples {
                 let before = self.samples.insert(sample.key, sample);
                 let none = BackendSamples::none(sample.key);
--- a/crates/jaypin_router/src/lib.rs
+++ b/crates/jaypin_router/src/lib.rs
@@ -5,6 +5,7 @@
 //! of this state. It does no I/O and reads no clock, so the same events give the same
 //! effects.
 
+mod asked;
 mod backend;
 mod cell;
 mod configuration;
@@ -15,14 +16,17 @@
 mod placement;
 mod proof;
 mod quota;
+mod rank;
 mod report;
 mod request;
 mod resend_budget;
+mod reserve;
 mod route_table;
 mod router;
 mod size;
 mod waiting;
 
+pub use asked::{Asked, AskedRates};
 pub use backend::{Backend, BackendRecord, BackendStatus};
 pub use cell::{CellIndex, cell_count, cell_of, share_out};
 pub use configuration::{
@@ -35,9 +39,11 @@
 pub use placement::{Choice, Demand, best_place};
 pub use proof::PeerClock;
 pub use quota::{FleetQuota, QuotaLevel};
+pub use rank::Rank;
 pub use report::{BackendLoad, BackendSamples, Report, StoreView, Strike, WholeReport};
 pub use request::{Arrival, AttemptOutcome};
 pub use resend_budget::ResendBudget;
+pub use reserve::kept_slots;
 pub use route_table::{RouteTable, Unrouted};
 pub use router::{Bounds, Effect, Event, Router, RouterConfig, RouterCounts};
 pub use size::Sizes;
@@ -47,6 +53,8 @@
 pub type RequestNumber = u64;
 /// Short key of a backend server in reports: a hash of its id.
 pub type BackendKey = u32;
+/// Short key of a service in reports: a hash of its name.
+pub type ServiceKey = u32;
 /// Time on a clock that also counts while the host is suspended, since some fixed start.
 pub type BootTime = std::time::Duration;
 
@@ -57,6 +65,16 @@
 /// other's load.
 #[must_use]
 pub fn backend_key(id: &str) -> BackendKey {
-    let hash = xxhash_rust::xxh3::xxh3_64(id.as_bytes());
-    BackendKey::try_from(hash & u64::from(u32::MAX)).unwrap_or_default()
+    short_hash(id)
+}
+
+/// The key under which a service stands in reports.
+#[must_use]
+pub fn service_key(name: &str) -> ServiceKey {
+    short_hash(name)
+}
+
+fn short_hash(text: &str) -> u32 {
+    let hash = xxhash_rust::xxh3::xxh3_64(text.as_bytes());
+    u32::try_from(hash & u64::from(u32::MAX)).unwrap_or_default()
 }
--- a/crates/jaypin_router/src/placement.rs
+++ b/crates/jaypin_router/src/placement.rs
@@ -42,6 +42,8 @@
     pub first_event: Duration,
     /// Estimated wait for a slot.
     pub slot_wait: Duration,
+    /// Mean time between two slots that come free there, while all are taken.
+    pub turn: Duration,
     /// Tokens that it reads before.
     pub tokens_ahead: u32,
     /// Whether a slot is free.
@@ -78,13 +80,15 @@
     let tokens_ahead = backend.unread_tokens();
     let in_line = f64::from((running + 1).saturating_sub(slots));
     let residence = backend.residence().unwrap_or(demand.residence);
-    let slot_wait = in_line * residence.as_secs_f64() / f64::from(slots);
+    let turn = residence / slots;
+    let slot_wait = in_line * turn.as_secs_f64();
     let tokens = f64::from(tokens_ahead) + f64::from(demand.prompt_tokens);
     let prefill = backend.pace.seconds_for(tokens);
     Choice {
         backend: backend.record.id.clone(),
         first_event: CALL_OVERHEAD + Duration::from_secs_f64((slot_wait + prefill).min(3_600.0)),
         slot_wait: Duration::from_secs_f64(slot_wait.min(3_600.0)),
+        turn,
         tokens_ahead,
         has_slot: running < slots,
         is_in_trouble: backend.is_in_trouble(now),
--- a/crates/jaypin_router/src/report.rs
+++ b/crates/jaypin_router/src/report.rs
@@ -4,7 +4,7 @@
 
 use jaypin_core::{AccountId, FailureDomain, HostId, Incarnation};
 
-use crate::{BackendKey, BootTime, CellIndex, EntryChange};
+use crate::{Asked, BackendKey, BootTime, CellIndex, EntryChange};
 
 /// What one host has running and has learned.
 ///
@@ -53,6 +53,8 @@
     /// Levels of accounts that have little left; a host that has just started takes them
     /// over.
     pub low_levels: Vec<(AccountId, f64)>,
+    /// What callers asked of it, as totals of this run.
+    pub asked: Vec<Asked>,
     /// Contents under which backend servers died.
     pub strikes: Vec<Strike>,
     /// To other cells: where callers of the sender's cell may connect.
--- a/crates/jaypin_router/src/request.rs
+++ b/crates/jaypin_router/src/request.rs
@@ -5,7 +5,7 @@
 
 use jaypin_core::{AccountId, BackendId, ServiceId};
 
-use crate::{BootTime, RequestNumber, Route};
+use crate::{BootTime, Rank, RequestNumber, Route};
 
 /// What the decisions are told of a request that was read whole.
 #[derive(Debug, Clone, PartialEq)]
@@ -99,8 +99,8 @@
     pub service: ServiceId,
     /// Its client account.
     pub account: Option<AccountId>,
-    /// Rank; 0 is the most urgent.
-    pub priority: u8,
+    /// How urgent it is.
+    pub rank: Rank,
     /// Tokens of the prompt.
     pub prompt_tokens: u32,
     /// Most tokens of the answer.
--- a/crates/jaypin_router/src/router/arrival.rs
+++ b/crates/jaypin_router/src/router/arrival.rs
@@ -9,7 +9,10 @@
 use super::{Effect, Router};
 use crate::placement::{Choice, Demand, best_place};
 use crate::request::{Admitted, Request, Sent, Waiting};
-use crate::{Account, Arrival, Grounds, QuotaUnit, Repeat, RequestNumber, Route, RouteTable};
+use crate::{
+    Account, Arrival, Grounds, QuotaUnit, Rank, Repeat, RequestNumber, Route, RouteTable,
+    kept_slots, service_key,
+};
 
 /// Part of the aim for which a request may wait for a place before it is refused: long
 /// enough for a slot to come free, short enough for the caller to come back in time.
@@ -39,6 +42,11 @@
 /// Part of the aim up to which a first event is worth sending for although it is late,
 /// where a slot is free.
 const LATE_PART: f64 = 1.6;
+/// Kept slots below which a service takes what comes: hardly anything urgent is asked of it.
+const LEAST_KEPT: f64 = 0.1;
+/// Part of the aim within which a backend server frees its next slot, up to which a queue
+/// there delays nobody, so that nothing has to be kept.
+const QUICK_TURN_PART: f64 = 0.05;
 /// Mean time to come back after a refusal for want of capacity, as a part of the aim: the
 /// caller's second try can still be in time.
 const RETURN_PART: f64 = 0.4;
@@ -113,18 +121,16 @@
     ) -> Request<Waiting> {
         let patience = arrival.patience.unwrap_or(route.timeout);
         let (prompt_tokens, answer_tokens) = arrival.tokens.unwrap_or_default();
-        let priority = account.and_then(|it| it.priority).unwrap_or(route.priority);
+        let rank = Rank::of(account, route);
         let service = self.choose_service(route);
         let expected = arrival.expected_answer.unwrap_or(answer_tokens);
-        let size = self
-            .sizes
-            .relative(&service, priority, prompt_tokens, expected);
+        let size = self.sizes.relative(&service, rank, prompt_tokens, expected);
         let admitted = Admitted {
             number: arrival.number,
             service,
             size,
             account: account.map(|account| account.name.clone()),
-            priority,
+            rank,
             prompt_tokens,
             answer_tokens,
             units: units(account, arrival.tokens),
@@ -189,6 +195,8 @@
         };
         self.residence.entry(service.clone()).or_insert(first);
         self.budget(&service, now).saw_request(now);
+        let rank = request.admitted.rank;
+        self.asked.saw(service_key(&service), rank, now);
         self.place(now, request, fx);
     }
 
@@ -221,9 +229,12 @@
         };
         let limit = self.limit(&request.admitted, &choice, now);
         let slot_limit = slot_wait_limit(&request.admitted);
-        let is_in_time =
-            !choice.is_in_trouble && choice.first_event <= limit && choice.slot_wait <= slot_limit;
-        let is_resort = is_over && is_last_resort(&request.admitted, &choice, now);
+        let has_room = self.has_room(&request.admitted, &choice, now);
+        let is_in_time = has_room
+            && !choice.is_in_trouble
+            && choice.first_event <= limit
+            && choice.slot_wait <= slot_limit;
+        let is_resort = is_over && has_room && is_last_resort(&request.admitted, &choice, now);
         let grounds = self.grounds_of(&choice, limit, slot_limit);
         if is_in_time || is_resort {
             self.send(now, request, choice, grounds, fx);
@@ -266,6 +277,32 @@
         choice
     }
 
+    /// Whether a place is not kept for more urgent requests.
+    fn has_room(&self, admitted: &Admitted, choice: &Choice, now: Instant) -> bool {
+        if admitted.is_started {
+            return true;
+        }
+        let service = service_key(&admitted.service);
+        let of_cell = self.asked.above(service, admitted.rank, now);
+        let above = of_cell * f64::from(self.sharing_cells(&admitted.service));
+        let kept = kept_slots(above);
+        let quick = admitted.route.aim.mul_f64(QUICK_TURN_PART);
+        if kept < LEAST_KEPT || choice.turn <= quick {
+            return true;
+        }
+        choice.has_slot && f64::from(self.free_slots(&admitted.service, now)) > kept
+    }
+
+    /// Free slots of a service's backend servers that this host's cell uses.
+    fn free_slots(&self, service: &ServiceId, now: Instant) -> u32 {
+        let all = self.backends.values();
+        let of_service = all.filter(|it| it.record.service == *service && self.is_ours(it));
+        let usable = of_service.filter(|it| it.takes_requests() && !it.is_in_trouble(now));
+        usable
+            .map(|it| it.record.slots.saturating_sub(it.running()))
+            .sum()
+    }
+
     fn residence_of(&self, service: &ServiceId) -> Duration {
         let known = self.residence.get(service);
         known.copied().unwrap_or(FIRST_PLAIN_RESIDENCE)
@@ -376,7 +413,7 @@
 
 /// The first for the most urgent rank, the second for the others.
 fn of_rank(admitted: &Admitted, (urgent, other): (f64, f64)) -> f64 {
-    if admitted.priority == 0 {
+    if admitted.rank.is_most_urgent() {
         urgent
     } else {
         other
--- a/crates/jaypin_router/src/router/knowledge.rs
+++ b/crates/jaypin_router/src/router/knowledge.rs
@@ -119,6 +119,9 @@
         for (account, level) in &news.low_levels {
             self.quota.peer_level(account, *level, now);
         }
+        for asked in &news.asked {
+            self.asked.peer_saw(asked, now);
+        }
         for strike in &news.strikes {
             self.quarantine
                 .heard(now, strike.fingerprint, strike.strikes);
@@ -133,11 +136,11 @@
     /// tells that it is free. Each waits for its turn, hears of a slot that was taken
     /// meanwhile, and so the most urgent request of the fleet gets it without a question.
     fn look_later(&mut self, now: Instant) {
-        let Some(priority) = self.waiting.first_priority() else {
+        let Some(rank) = self.waiting.first_rank() else {
             return;
         };
-        let rank = f64::from(priority.min(MOST_RANKS));
-        let turn = rank + self.rng.random_range(0.0..1.0);
+        let place = rank.account.saturating_add(rank.route);
+        let turn = f64::from(place.min(MOST_RANKS)) + self.rng.random_range(0.0..1.0);
         let at = now + TURN.mul_f64(turn);
         self.look_at = Some(self.look_at.map_or(at, |earlier| earlier.min(at)));
     }
@@ -217,6 +220,15 @@
         }
     }
 
+    /// Cells that use the same backend servers of a service.
+    pub(super) fn sharing_cells(&self, service: &ServiceId) -> u32 {
+        if self.shares.contains_key(service) {
+            1
+        } else {
+            self.cells
+        }
+    }
+
     /// Whether a backend server is for this host's cell to use.
     pub(super) fn is_ours(&self, backend: &Backend) -> bool {
         let shares = self.shares.get(&backend.record.service);
--- a/crates/jaypin_router/src/router/mod.rs
+++ b/crates/jaypin_router/src/router/mod.rs
@@ -18,9 +18,9 @@
 
 use crate::request::{Request, Sent};
 use crate::{
-    Arrival, AttemptOutcome, Backend, BackendRecord, BootTime, CellIndex, Entries, EntryChange,
-    Fleet, FleetQuota, Grounds, Report, RequestNumber, ResendBudget, RouteTable, Sizes, Unrouted,
-    WaitingList,
+    Arrival, AskedRates, AttemptOutcome, Backend, BackendRecord, BootTime, CellIndex, Entries,
+    EntryChange, Fleet, FleetQuota, Grounds, Report, RequestNumber, ResendBudget, RouteTable,
+    Sizes, Unrouted, WaitingList,
 };
 use lapse::Vanished;
 use telling::Telling;
@@ -206,6 +206,7 @@
     budgets: HashMap<ServiceId, ResendBudget>,
     residence: HashMap<ServiceId, Duration>,
     sizes: Sizes,
+    asked: AskedRates,
     quarantine: Quarantine,
     waiting: WaitingList,
     sent: HashMap<RequestNumber, Request<Sent>>,
@@ -240,6 +241,7 @@
             budgets: HashMap::new(),
             residence: HashMap::new(),
             sizes: Sizes::default(),
+            asked: AskedRates::default(),
             quarantine: Quarantine::default(),
             waiting: WaitingList::default(),
             sent: HashMap::new(),
--- a/crates/jaypin_router/src/router/telling.rs
+++ b/crates/jaypin_router/src/router/telling.rs
@@ -195,6 +195,7 @@
         let whole = is_whole.then(|| WholeReport {
             samples: self.samples_to_tell(),
             low_levels: self.quota.low_levels(now),
+            asked: self.asked.totals().collect(),
             ..self.whole_report(now, boot_time)
         });
         let report = Box::new(Report {
@@ -274,6 +275,7 @@
             store: self.store_view(now, boot_time),
             samples: Vec::new(),
             low_levels: Vec::new(),
+            asked: Vec::new(),
             strikes: strikes.collect(),
             cell_callers: None,
         }
--- a/crates/jaypin_router/src/size.rs
+++ b/crates/jaypin_router/src/size.rs
@@ -8,6 +8,8 @@
 
 use jaypin_core::ServiceId;
 
+use crate::Rank;
+
 /// Prompt tokens that take as long as one token of an answer: engines read prompts at some
 /// sixty tokens a millisecond and make a token in some three and a half.
 const PROMPT_TOKENS_PER_STEP: f64 = 200.0;
@@ -18,7 +20,7 @@
 #[derive(Debug, Default)]
 pub struct Sizes {
     of_service: HashMap<ServiceId, f64>,
-    of_rank: HashMap<(ServiceId, u8), f64>,
+    of_rank: HashMap<(ServiceId, Rank), f64>,
 }
 
 impl Sizes {
@@ -30,7 +32,7 @@
     pub fn relative(
         &mut self,
         service: &ServiceId,
-        rank: u8,
+        rank: Rank,
         prompt_tokens: u32,
         answer_tokens: u32,
     ) -> f64 {
--- a/crates/jaypin_router/src/waiting.rs
+++ b/crates/jaypin_router/src/waiting.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 use std::time::Instant;
 
-use crate::RequestNumber;
 use crate::request::{Request, Waiting};
+use crate::{Rank, RequestNumber};
 
 /// Waiting requests, the most urgent first, then in order of arrival.
 #[derive(Debug, Default)]
@@ -12,7 +12,7 @@
     requests: BTreeMap<Place, Request<Waiting>>,
 }
 
-type Place = (u8, Instant, RequestNumber);
+type Place = (Rank, Instant, RequestNumber);
 
 impl WaitingList {
     /// Adds a request.
@@ -40,7 +40,7 @@
 
     /// Rank of the most urgent one.
     #[must_use]
-    pub fn first_priority(&self) -> Option<u8> {
+    pub fn first_rank(&self) -> Option<Rank> {
         self.requests.keys().next().map(|place| place.0)
     }
 
@@ -59,5 +59,5 @@
 
 fn place(request: &Request<Waiting>) -> Place {
     let admitted = &request.admitted;
-    (admitted.priority, admitted.arrived_at, admitted.number)
+    (admitted.rank, admitted.arrived_at, admitted.number)
 }
--- a/crates/jaypin_router/tests/common/mod.rs
+++ b/crates/jaypin_router/tests/common/mod.rs
@@ -156,6 +156,7 @@
         store: StoreView::default(),
         samples: Vec::new(),
         low_levels: Vec::new(),
+        asked: Vec::new(),
         strikes: Vec::new(),
         cell_callers: None,
     }
--- /dev/null
+++ b/crates/jaypin_router/tests/order.rs
@@ -0,0 +1,163 @@
+//! Days on which urgent work and work that can wait ask for the same slots.
+
+mod common;
+
+use std::time::{Duration, Instant};
+
+use common::{Bed, ENGINES, PLAIN, Told, record};
+use jaypin_router::{
+    Asked, AskedRates, AttemptOutcome, BackendLoad, Rank, Report, backend_key, kept_slots,
+    service_key,
+};
+
+const URGENT: Rank = Rank {
+    account: 0,
+    route: 0,
+};
+const DEFERRABLE: Rank = Rank {
+    account: 0,
+    route: 2,
+};
+
+/// A peer that has `running` requests on one engine and was asked so many urgent ones.
+fn pressed(bed: &mut Bed, running: u32, urgent: u32) -> Report {
+    let mut report = common::report(bed.revision(), common::whole(2));
+    report.loads = vec![BackendLoad {
+        key: backend_key("engine-1"),
+        running,
+        unread_tokens: 0,
+    }];
+    if let Some(whole) = &mut report.whole {
+        whole.asked = vec![Asked {
+            service: service_key(ENGINES),
+            rank: URGENT,
+            requests: urgent,
+        }];
+    }
+    report
+}
+
+/// One engine with 40 slots, of which `free` are free, and a fleet that is asked for 60
+/// urgent requests within a moment.
+fn under_urgent_load(free: u32) -> Bed {
+    let mut bed = Bed::new(common::configuration(1));
+    bed.state(record("engine-1", ENGINES, 40));
+    for urgent in [0, 60] {
+        let report = pressed(&mut bed, 40 - free, urgent);
+        bed.hear_report(report);
+    }
+    bed
+}
+
+macro_rules! slots_of_a_pressed_fleet {
+    ($($name:ident: $path:literal with $free:literal free, sent $sent:literal;)*) => {$(
+        #[test]
+        fn $name() {
+            let mut bed = under_urgent_load($free);
+            let (_, told) = bed.arrive($path, (600, 20));
+            assert_eq!(matches!(told, Told::Sent(_)), $sent, "{told:?}");
+        }
+    )*};
+}
+
+// A shop's draft is refused although notes that could wait until the night get slots.
+// A burst fills the fleet, and whoever comes first takes the slot that comes free.
+// Nobody kept one for the urgent request that came a few milliseconds later.
+slots_of_a_pressed_fleet! {
+    the_last_slots_are_kept_for_the_urgent: "/label/1" with 2 free, sent false;
+    the_urgent_take_the_last_slot: "/urgent/1" with 1 free, sent true;
+    work_that_can_wait_takes_what_is_left: "/label/1" with 8 free, sent true;
+}
+
+/// A quiet fleet has one slot free. Nothing urgent is asked for, so nothing is kept.
+#[test]
+fn nothing_is_kept_where_nothing_urgent_is_asked() {
+    let mut bed = Bed::new(common::configuration(1));
+    bed.state(record("engine-1", ENGINES, 40));
+    for _ in 0..2 {
+        let report = pressed(&mut bed, 39, 0);
+        bed.hear_report(report);
+    }
+    let (_, told) = bed.arrive("/label/1", (600, 20));
+    assert!(matches!(told, Told::Sent(_)), "{told:?}");
+}
+
+/// A burst of urgent work is over. What it kept free is used again within seconds.
+#[test]
+fn what_was_kept_is_free_again_when_the_burst_is_over() {
+    let mut bed = under_urgent_load(2);
+    bed.wait(Duration::from_secs(8));
+    bed.prove();
+    let report = pressed(&mut bed, 38, 60);
+    bed.hear_report(report);
+    let (_, told) = bed.arrive("/label/1", (600, 20));
+    assert!(matches!(told, Told::Sent(_)), "{told:?}");
+}
+
+/// Plain services free a slot every few milliseconds. To keep some would refuse work for
+/// nothing, and a short queue there delays nobody.
+#[test]
+fn plain_services_keep_no_slots() {
+    let mut configuration = common::configuration(1);
+    let urgent = common::route("vip", jaypin_router::Repeat::Idempotent, PLAIN);
+    let urgent = common::RouteExt::with_priority(urgent, 0);
+    configuration.routes.push(urgent);
+    let mut bed = Bed::new(configuration);
+    bed.state(record("plain-1", PLAIN, 6));
+    for _ in 0..60 {
+        let (number, _) = bed.arrive("/vip/1", (0, 0));
+        bed.wait(Duration::from_millis(15));
+        bed.ended(number, AttemptOutcome::Complete);
+        bed.prove();
+    }
+    for _ in 0..8 {
+        let (_, told) = bed.arrive("/read/1", (0, 0));
+        assert!(matches!(told, Told::Sent(_)), "{told:?}");
+    }
+}
+
+/// Operators rank an account before a route: the whole work of a first account goes before
+/// that of a second one, and within one account the routes are ordered.
+#[test]
+fn the_account_ranks_first_and_the_route_within_it() {
+    let mut configuration = common::configuration(1);
+    configuration.accounts[0].priority = Some(1);
+    let route = |path: &str| {
+        let routes = configuration.routes.iter();
+        let mut routes = routes.filter(|it| path.starts_with(&it.prefix));
+        Rank::of(
+            configuration.accounts.first(),
+            routes.next().expect("a route"),
+        )
+    };
+    let first_account = DEFERRABLE;
+    assert!(first_account < route("/urgent/1"));
+    assert!(route("/urgent/1") < route("/ask/1"));
+    assert!(route("/ask/1") < route("/label/1"));
+}
+
+/// Bursts begin within a second: what is asked has to be seen as soon, and forgotten after.
+#[test]
+fn asked_rates_follow_a_burst() {
+    let mut rates = AskedRates::default();
+    let service = service_key(ENGINES);
+    let mut now = Instant::now();
+    for _ in 0..100 {
+        rates.saw(service, URGENT, now);
+        now += Duration::from_millis(20);
+    }
+    let during = rates.above(service, DEFERRABLE, now);
+    assert!((35.0..=52.0).contains(&during), "{during}");
+    assert!(rates.above(service, URGENT, now) < 1e-9);
+    let after = rates.above(service, DEFERRABLE, now + Duration::from_secs(6));
+    assert!(after < 1.0, "{after}");
+}
+
+/// Few slots are kept, whatever is asked: arrivals of a moment and their spread.
+#[test]
+fn few_slots_are_kept() {
+    assert!(kept_slots(0.0) < f64::EPSILON);
+    assert!(kept_slots(40.0) < 5.0);
+    assert!(kept_slots(40.0) >= 2.0);
+    assert!(kept_slots(0.5) < 1.0);
+}
