Let a watcher that the store turns away say so at once

The store turned five hosts away, both watchers among them, 80 ms before credentials were withdrawn. Peers believed in the two until their proofs were three seconds old: the first to ask for itself did so 2.03 s after the change was accepted, the others still later. Requests ran up to 150 ms too late.

Ruled out: time of day and lost datagrams (no peer was lost in those seconds), a host that stood still (requests went on at the hosts in question).

Change: a failed call makes a watcher say in a whole report, at once, that it may not be relied on, until a call is answered. What a watch proves is told at once too, so proofs are younger everywhere and count as old after 2.6 s in place of 3: a store that falls silent towards both watchers is noticed in time as well. Two tests fail without it.

--- a/crates/jaypin_router/src/router/mod.rs
+++ b/crates/jaypin_router/src/router/mod.rs
@@ -191,6 +191,8 @@
     table: Option<Arc<RouteTable>>,
     proved_at: Option<BootTime>,
     own_proof: Option<BootTime>,
+    /// Whether the last call to the store gave nothing.
+    is_turned_away: bool,
     /// The clock that counts suspended time, as it was read last.
     last_boot_time: Option<BootTime>,
     heard: Heard,
@@ -228,6 +230,7 @@
             table: None,
             proved_at: None,
             own_proof: None,
+            is_turned_away: false,
             last_boot_time: None,
             heard: Heard::default(),
             entries: Entries::default(),
@@ -262,11 +265,8 @@
         self.started_at.get_or_insert(now);
         match event {
             Event::Configured(table) => self.configured(table, now),
-            Event::Proved(at) => {
-                self.own_proof = self.own_proof.max(Some(at));
-                self.proved_at = self.proved_at.max(Some(at));
-            }
-            Event::StoreDisturbed => self.vanished.disturbed(now),
+            Event::Proved(at) => self.proved(at),
+            Event::StoreDisturbed => self.store_disturbed(now),
             Event::BackendsListed { entries, revision } => {
                 self.backends_listed(entries, revision, now);
             }
--- a/crates/jaypin_router/src/router/telling.rs
+++ b/crates/jaypin_router/src/router/telling.rs
@@ -139,6 +139,12 @@
         self.has_news = true;
     }
 
+    /// There is something in a whole report that peers should hear at once.
+    pub fn whole_is_due(&mut self) {
+        self.last_whole = None;
+        self.slots_changed = true;
+    }
+
     /// There is something that peers should hear at once.
     pub fn slots_changed(&mut self) {
         self.slots_changed = true;
--- a/crates/jaypin_router/src/router/watching.rs
+++ b/crates/jaypin_router/src/router/watching.rs
@@ -11,8 +11,13 @@
 /// be lost without a moment in which nobody watches.
 const WATCHERS: usize = 2;
 /// Age of the newest proof from which a host asks the store itself, and from which a peer
-/// is no watcher any more: a watch and its answer take less.
-const OLD_PROOF: Duration = Duration::from_secs(3);
+/// is no watcher any more.
+///
+/// A watch proves what was so 1.2 s before and is asked again within a second, and what it
+/// proves is told at once: proofs are less than 2.4 s old. A store that falls silent towards
+/// both watchers is so noticed by the others 1.4 s after its last answer, and read 0.2 s
+/// later, within the two seconds in which a change has to be in force.
+const OLD_PROOF: Duration = Duration::from_millis(2_600);
 /// Time for which a host may know other entries than a watcher before it reads them all:
 /// changes on their way arrive in less.
 const DIFFERENT_FOR: Duration = Duration::from_millis(700);
@@ -82,9 +87,32 @@
             && self
                 .own_proof
                 .is_none_or(|at| boot_time.saturating_sub(at) < OLD_PROOF)
+            && !self.is_turned_away
             && !self.has_old_proof(boot_time)
     }
 
+    /// The store answered this host's watch.
+    pub(super) fn proved(&mut self, at: BootTime) {
+        self.own_proof = self.own_proof.max(Some(at));
+        self.proved_at = self.proved_at.max(Some(at));
+        self.is_turned_away = false;
+        self.telling.whole_is_due();
+    }
+
+    /// A call to the store gave nothing.
+    ///
+    /// Guards against a store that turns both watchers away and serves the others: peers
+    /// that believed in them until their proofs were old learned of a withdrawn credential
+    /// 50 ms after it had to be out of use. Told at once, two others watch half a second
+    /// later, and two more if these are turned away too.
+    pub(super) fn store_disturbed(&mut self, now: Instant) {
+        self.vanished.disturbed(now);
+        if !self.is_turned_away {
+            self.is_turned_away = true;
+            self.telling.whole_is_due();
+        }
+    }
+
     /// Time since the configuration was the newest for sure, where it ever was.
     pub(super) fn proof_age(&self, boot_time: BootTime) -> Option<Duration> {
         self.proved_at.map(|at| boot_time.saturating_sub(at))
--- a/crates/jaypin_router/tests/watching.rs
+++ b/crates/jaypin_router/tests/watching.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use common::Bed;
-use jaypin_router::Event;
+use jaypin_router::{Effect, Event};
 
 /// A host that has just read its configuration, beside registered hosts that it has not heard.
 fn started(others: u16) -> Bed {
@@ -61,3 +61,55 @@
     let bed = Bed::unconfigured();
     assert!(watches(&bed));
 }
+
+/// What a host says of itself in the reports that are due within a moment.
+fn says_it_may_watch(bed: &mut Bed) -> Option<bool> {
+    bed.wait(Duration::from_millis(10));
+    let fx = bed.tick();
+    let wholes = fx.into_iter().filter_map(|effect| match effect {
+        Effect::Tell { report, .. } => report.whole,
+        _ => None,
+    });
+    wholes.last().map(|whole| whole.store.may_watch)
+}
+
+/// A credential is withdrawn while the store turns both watchers away and serves everyone
+/// else. Peers relied on the two until their proofs were three seconds old, so requests with
+/// the credential ran for longer than operators allow.
+#[test]
+fn a_watcher_that_is_turned_away_says_so_at_once() {
+    let mut bed = started(0);
+    let peer = common::report(1, common::whole(2));
+    bed.hear_report(peer);
+    bed.wait(Duration::from_millis(500));
+    bed.prove();
+    assert_eq!(says_it_may_watch(&mut bed), Some(true));
+    bed.apply(Event::StoreDisturbed);
+    assert_eq!(says_it_may_watch(&mut bed), Some(false));
+    bed.prove();
+    assert_eq!(says_it_may_watch(&mut bed), Some(true));
+}
+
+/// The store says nothing more to the two that watch. The others have to ask it themselves
+/// soon enough for a change to be in force two seconds after it was accepted: the last
+/// answer proved what was so 1.2 s before it.
+#[test]
+fn a_silent_store_is_asked_by_others_within_a_second_and_a_half() {
+    let mut bed = started(0);
+    let hear_watchers = |bed: &mut Bed, sequence| {
+        for peer in 2..12 {
+            let mut whole = common::whole(peer);
+            whole.store.may_watch = true;
+            bed.hear_report(common::report(sequence, whole));
+        }
+    };
+    hear_watchers(&mut bed, 1);
+    let last_answer = bed.boot;
+    bed.wait(Duration::from_millis(1_200));
+    bed.apply(Event::Proved(last_answer));
+    bed.wait(Duration::from_millis(1_100));
+    hear_watchers(&mut bed, 2);
+    assert!(!watches(&bed));
+    bed.wait(Duration::from_millis(400));
+    assert!(watches(&bed));
+}
