Leave the last of a quota to urgent routes of the account

An account near its level spent it in order of arrival, and a draft needs the units of several notes.

Ruled out: giving out more.

Change: a request of a less urgent route is over its quota where fewer units would be left than the account's more urgent routes to the same service ask for in a second, by what this host sees times the hosts; at most 0.4 of what may be used at once. The bound on what is given out is unchanged.

Ranks order one service's requests.

--- /dev/null
+++ b/crates/jaypin_router/src/account_asked.rs
@@ -0,0 +1,66 @@
+//! What accounts ask of their quotas, by service and rank of the route.
+//!
+//! Ranks order requests of one service. A booking that takes a few units of a plain service
+//! is not put behind an engine's long prompts.
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::{Duration, Instant};
+
+use jaypin_core::AccountId;
+
+use crate::{Account, DecayedRate, ServiceKey};
+
+/// Time after which a request counts for 1/e.
+///
+/// One of fifteen hosts sees an account's request about once a second; four or five of them
+/// tell within a half how much of its use is urgent.
+const MEMORY: Duration = Duration::from_secs(4);
+/// Time for which an account's urgent requests are provided for, in units of its quota.
+///
+/// A quota that is nearly used up refills at its rate. Whoever takes units as they come
+/// leaves an urgent request, which needs those of several small ones, with too few.
+const COVERED: Duration = Duration::from_secs(1);
+
+/// A service, and the rank of a route to it.
+pub type RouteRank = (ServiceKey, u8);
+
+/// Units that this host's callers ask for, by account, service and rank of the route.
+#[derive(Debug, Default)]
+pub struct AccountAsked {
+    rates: HashMap<AccountId, BTreeMap<RouteRank, DecayedRate>>,
+}
+
+impl AccountAsked {
+    /// Counts a request, whether it is served or refused.
+    pub fn saw(&mut self, account: &AccountId, route: RouteRank, units: f64, now: Instant) {
+        let of_account = self.rates.entry(account.clone()).or_default();
+        let rate = of_account
+            .entry(route)
+            .or_insert_with(|| DecayedRate::new(MEMORY, now));
+        rate.count(units, now);
+    }
+
+    /// Forgets accounts that are gone.
+    pub fn configure(&mut self, accounts: &[Account]) {
+        self.rates
+            .retain(|name, _| accounts.iter().any(|it| it.name == *name));
+    }
+
+    /// Units to be left for the account's more urgent routes to the service, where as much is asked of each
+    /// of so many hosts as of this one.
+    #[must_use]
+    pub fn to_leave(
+        &self,
+        account: &AccountId,
+        (service, rank): RouteRank,
+        hosts: f64,
+        now: Instant,
+    ) -> f64 {
+        let of_account = self.rates.get(account);
+        let above = of_account
+            .into_iter()
+            .flat_map(|it| it.range((service, 0)..(service, rank)));
+        let above: f64 = above.map(|(_, rate)| rate.at(now)).sum();
+        above * hosts * COVERED.as_secs_f64()
+    }
+}
--- a/crates/jaypin_router/src/asked.rs
+++ b/crates/jaypin_router/src/asked.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
 
-use crate::{Rank, ServiceKey};
+use crate::{DecayedRate, Rank, ServiceKey};
 
 /// Time after which a request counts for 1/e in the rates.
 ///
@@ -26,13 +26,7 @@
 #[derive(Debug, Default)]
 pub struct AskedRates {
     own: BTreeMap<(ServiceKey, Rank), u32>,
-    rates: HashMap<ServiceKey, BTreeMap<Rank, Rate>>,
-}
-
-#[derive(Debug)]
-struct Rate {
-    per_second: f64,
-    at: Instant,
+    rates: HashMap<ServiceKey, BTreeMap<Rank, DecayedRate>>,
 }
 
 impl AskedRates {
@@ -66,18 +60,9 @@
 
     fn count(&mut self, service: ServiceKey, rank: Rank, requests: u32, now: Instant) {
         let of_service = self.rates.entry(service).or_default();
-        let rate = of_service.entry(rank).or_insert(Rate {
-            per_second: 0.0,
-            at: now,
-        });
-        rate.per_second = rate.at(now) + f64::from(requests) / MEMORY.as_secs_f64();
-        rate.at = now;
-    }
-}
-
-impl Rate {
-    fn at(&self, now: Instant) -> f64 {
-        let age = now.saturating_duration_since(self.at);
-        self.per_second * (-age.as_secs_f64() / MEMORY.as_secs_f64()).exp()
+        let rate = of_service
+            .entry(rank)
+            .or_insert_with(|| DecayedRate::new(MEMORY, now));
+        rate.count(f64::from(requests), now);
     }
 }
--- a/crates/jaypin_router/src/lib.rs
+++ b/crates/jaypin_router/src/lib.rs
@@ -5,6 +5,7 @@
 //! of this state. It does no I/O and reads no clock, so the same events give the same
 //! effects.
 
+mod account_asked;
 mod asked;
 mod backend;
 mod cell;
@@ -17,6 +18,7 @@
 mod proof;
 mod quota;
 mod rank;
+mod rate;
 mod report;
 mod request;
 mod resend_budget;
@@ -26,6 +28,7 @@
 mod size;
 mod waiting;
 
+pub use account_asked::AccountAsked;
 pub use asked::{Asked, AskedRates};
 pub use backend::{Backend, BackendRecord, BackendStatus};
 pub use cell::{CellIndex, cell_count, cell_of, share_out};
@@ -40,6 +43,7 @@
 pub use proof::PeerClock;
 pub use quota::{FleetQuota, QuotaLevel};
 pub use rank::Rank;
+pub use rate::DecayedRate;
 pub use report::{BackendLoad, BackendSamples, Report, StoreView, Strike, WholeReport};
 pub use request::{Arrival, AttemptOutcome};
 pub use resend_budget::ResendBudget;
--- a/crates/jaypin_router/src/quota.rs
+++ b/crates/jaypin_router/src/quota.rs
@@ -37,6 +37,8 @@
 /// Time after its start within which a host takes over lower levels of its peers, and
 /// within which its own levels tell nothing: five whole reports.
 const SETTLING: Duration = Duration::from_secs(2);
+/// Part of what may be used at once that is left for urgent requests at the most.
+const MOST_LEFT_PART: f64 = 0.4;
 /// Longest wait that is stated to an account over its quota.
 const LONGEST_WAIT: Duration = Duration::from_secs(30);
 /// Shortest such wait.
@@ -116,6 +118,22 @@
     /// # Errors
     /// Gives the time after which there is enough, when there is not.
     pub fn take(&mut self, account: &AccountId, units: f64, now: Instant) -> Result<(), Duration> {
+        self.take_leaving(account, units, 0.0, now)
+    }
+
+    /// Takes units of an account's quota if so many are left after it.
+    ///
+    /// An account that presses then gives the last of its quota to its urgent requests.
+    ///
+    /// # Errors
+    /// Gives the time after which there is enough, when there is not.
+    pub fn take_leaving(
+        &mut self,
+        account: &AccountId,
+        units: f64,
+        left: f64,
+        now: Instant,
+    ) -> Result<(), Duration> {
         let (window, slack, heard_part) = (self.window, self.slack, self.heard_part);
         let Some(usage) = self.accounts.get_mut(account) else {
             return Ok(());
@@ -123,7 +141,10 @@
         usage.forget(window / PARTS, now);
         usage.fill(heard_part, slack, now);
         // A request larger than all that is allowed passes when nothing was used.
-        let needed = units.min(usage.quota.most_at_once(slack) * heard_part);
+        let most = usage.quota.most_at_once(slack) * heard_part;
+        let needed = units.min(most);
+        // Leaving more would refuse such a request for ever.
+        let needed = needed + left.min(most * MOST_LEFT_PART).min(most - needed);
         let excess = usage.total() + needed - usage.quota.allowed(window, slack) * heard_part;
         if excess > 0.0 {
             let wait = usage.time_until_free(excess, window / PARTS);
--- a/crates/jaypin_router/src/router/arrival.rs
+++ b/crates/jaypin_router/src/router/arrival.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use jaypin_core::{Reason, Refusal, ServiceId};
+use jaypin_core::{AccountId, Reason, Refusal, ServiceId};
 use rand::RngExt;
 
 use super::{Effect, Router};
@@ -173,7 +173,7 @@
             return fx.push(refuse(number, refusal, Grounds::Deaths { strikes }));
         }
         if let Some(account) = &admitted.account
-            && let Err(wait) = self.quota.take(account, admitted.units, now)
+            && let Err(wait) = self.take_quota(account, admitted, now)
         {
             let refusal = Refusal::not_run(Reason::OverLimit).retry_after(wait);
             let level = self.quota.level(account);
@@ -200,6 +200,25 @@
         self.place(now, request, fx);
     }
 
+    /// Takes an account's units, and leaves some for more urgent routes of the account.
+    fn take_quota(
+        &mut self,
+        account: &AccountId,
+        admitted: &Admitted,
+        now: Instant,
+    ) -> Result<(), Duration> {
+        let route = (service_key(&admitted.service), admitted.rank.route);
+        let units = admitted.units;
+        if units <= 0.0 {
+            return self.quota.take(account, units, now);
+        }
+        self.account_asked.saw(account, route, units, now);
+        let hosts = u32::try_from(self.fleet.size(now)).unwrap_or(u32::MAX);
+        let hosts = f64::from(hosts) * f64::from(self.cells);
+        let left = self.account_asked.to_leave(account, route, hosts, now);
+        self.quota.take_leaving(account, units, left, now)
+    }
+
     fn choose_service(&mut self, route: &Route) -> ServiceId {
         let total: u32 = route.targets.iter().map(|it| it.weight).sum();
         let mut drawn = self.rng.random_range(0..total.max(1));
--- a/crates/jaypin_router/src/router/knowledge.rs
+++ b/crates/jaypin_router/src/router/knowledge.rs
@@ -41,7 +41,9 @@
         if table.configuration().version <= self.version() {
             return;
         }
-        self.quota.configure(&table.configuration().accounts, now);
+        let accounts = &table.configuration().accounts;
+        self.quota.configure(accounts, now);
+        self.account_asked.configure(accounts);
         self.table = Some(table);
     }
 
--- a/crates/jaypin_router/src/router/mod.rs
+++ b/crates/jaypin_router/src/router/mod.rs
@@ -18,9 +18,9 @@
 
 use crate::request::{Request, Sent};
 use crate::{
-    Arrival, AskedRates, AttemptOutcome, Backend, BackendRecord, BootTime, CellIndex, Entries,
-    EntryChange, Fleet, FleetQuota, Grounds, Report, RequestNumber, ResendBudget, RouteTable,
-    Sizes, Unrouted, WaitingList,
+    AccountAsked, Arrival, AskedRates, AttemptOutcome, Backend, BackendRecord, BootTime, CellIndex,
+    Entries, EntryChange, Fleet, FleetQuota, Grounds, Report, RequestNumber, ResendBudget,
+    RouteTable, Sizes, Unrouted, WaitingList,
 };
 use lapse::Vanished;
 use telling::Telling;
@@ -209,6 +209,7 @@
     residence: HashMap<ServiceId, Duration>,
     sizes: Sizes,
     asked: AskedRates,
+    account_asked: AccountAsked,
     quarantine: Quarantine,
     waiting: WaitingList,
     sent: HashMap<RequestNumber, Request<Sent>>,
@@ -245,6 +246,7 @@
             residence: HashMap::new(),
             sizes: Sizes::default(),
             asked: AskedRates::default(),
+            account_asked: AccountAsked::default(),
             quarantine: Quarantine::default(),
             waiting: WaitingList::default(),
             sent: HashMap::new(),
