--- a/crates/jaypin_router/src/grounds.rs
+++ b/crates/jaypin_router/src/grounds.rs
@@ -50,6 +50,13 @@
         /// Whether it was found in trouble.
         is_in_trouble: bool,
     },
+    /// The slots that are free are kept for requests that are more urgent.
+    Kept {
+        /// Slots of the service that are free.
+        free: u32,
+        /// Slots that are kept.
+        kept: f64,
+    },
     /// No backend server of the service takes requests.
     NoPlace,
     /// The time for the answer is over.
@@ -110,6 +117,12 @@
                     "first event in {first} ms of {limit}{slot}, {running} running, {tokens_ahead} tokens ahead{trouble}"
                 )
             }
+            Self::Kept { free, kept } => {
+                write!(
+                    f,
+                    "{free} slots free, {kept:.1} kept for more urgent requests"
+                )
+            }
             Self::NoPlace => write!(f, "no backend server takes requests"),
             Self::Deadline => write!(f, "the time for the answer is over"),
             Self::Call { runs, tried } => {
--- a/crates/jaypin_router/src/router/mod.rs
+++ b/crates/jaypin_router/src/router/mod.rs
@@ -4,6 +4,7 @@
 mod attempt;
 mod knowledge;
 mod lapse;
+mod placing;
 mod telling;
 mod watching;
 
--- /dev/null
+++ b/crates/jaypin_router/src/router/placing.rs
@@ -0,0 +1,213 @@
+//! Where a request goes: it is sent to a place, waits for one, or is given up.
+
+use std::time::{Duration, Instant};
+
+use jaypin_core::{Reason, Refusal, ServiceId};
+use rand::RngExt;
+
+use super::arrival::{FIRST_PLAIN_RESIDENCE, refuse};
+use super::{Effect, Router};
+use crate::limits::{first_event_limit, is_last_resort, longest_pause, silence, slot_wait_limit};
+use crate::placement::{Choice, Demand, best_place};
+use crate::request::{Admitted, Request, Sent, Waiting};
+use crate::{Grounds, RequestNumber, come_back, kept_slots, service_key};
+
+/// Kept slots below which a service takes what comes: hardly anything urgent is asked of it.
+const LEAST_KEPT: f64 = 0.1;
+/// Part of the aim within which a backend server frees its next slot, up to which a queue
+/// there delays nobody, so that nothing has to be kept.
+const QUICK_TURN_PART: f64 = 0.05;
+
+impl Router {
+    /// Sends a request, keeps it waiting, or gives it up.
+    pub(super) fn place(&mut self, now: Instant, request: Request<Waiting>, fx: &mut Vec<Effect>) {
+        if now >= request.admitted.deadline {
+            return self.give_up(&request, Reason::TooLate, Grounds::Deadline, fx);
+        }
+        let is_over = now >= request.state.until;
+        let Some(choice) = self.choose(&request.admitted, now) else {
+            if is_over {
+                return self.give_up(&request, Reason::NoBackend, Grounds::NoPlace, fx);
+            }
+            return self.waiting.push(request);
+        };
+        let limit = self.limit(&request.admitted, &choice, now);
+        let slot_limit = slot_wait_limit(&request.admitted);
+        let kept = self.kept_for_others(&request.admitted, &choice, now);
+        let has_room = kept.is_none();
+        let is_in_time = has_room
+            && !choice.is_in_trouble
+            && choice.first_event <= limit
+            && choice.slot_wait <= slot_limit;
+        let is_resort = is_over && has_room && is_last_resort(&request.admitted, &choice, now);
+        let grounds = kept.unwrap_or_else(|| self.grounds_of(&choice, limit, slot_limit));
+        if is_in_time || is_resort {
+            self.send(now, request, choice, grounds, fx);
+        } else if is_over {
+            self.give_up(&request, Reason::Shed, grounds, fx);
+        } else {
+            self.waiting.push(request);
+        }
+    }
+
+    /// Looks again for places, the most urgent request first.
+    pub(super) fn place_waiting(&mut self, now: Instant, fx: &mut Vec<Effect>) {
+        self.look_at = None;
+        if self.waiting.is_empty() {
+            return;
+        }
+        for request in self.waiting.take_all() {
+            self.place(now, request, fx);
+        }
+    }
+
+    fn choose(&mut self, admitted: &Admitted, now: Instant) -> Option<Choice> {
+        let demand = Demand {
+            prompt_tokens: admitted.prompt_tokens,
+            aim: admitted.route.aim,
+            longest_pause: admitted.route.longest_pause,
+            residence: self.residence_of(&admitted.service),
+        };
+        let mut rng = self.rng.clone();
+        let mut turn = || rng.random_range(0.0..1.0);
+        let of_service = || {
+            let all = self.backends.values();
+            all.filter(|it| it.record.service == admitted.service)
+        };
+        let ours = of_service().filter(|it| self.is_ours(it));
+        let choice = best_place(ours, &demand, &admitted.tried, &mut turn, now)
+            // A cell whose backend servers are all gone uses those of the others.
+            .or_else(|| best_place(of_service(), &demand, &admitted.tried, &mut turn, now));
+        self.rng = rng;
+        choice
+    }
+
+    /// Whether a place is kept for more urgent requests, and by what.
+    fn kept_for_others(
+        &self,
+        admitted: &Admitted,
+        choice: &Choice,
+        now: Instant,
+    ) -> Option<Grounds> {
+        let quick = admitted.route.aim.mul_f64(QUICK_TURN_PART);
+        if admitted.is_started || choice.turn <= quick {
+            return None;
+        }
+        let service = service_key(&admitted.service);
+        let of_cell = self.asked.above(service, admitted.rank, now);
+        let above = of_cell * f64::from(self.sharing_cells(&admitted.service));
+        let kept = kept_slots(above);
+        if kept < LEAST_KEPT {
+            return None;
+        }
+        let free = self.free_slots(&admitted.service, now);
+        let has_room = choice.has_slot && f64::from(free) > kept;
+        (!has_room).then_some(Grounds::Kept { free, kept })
+    }
+
+    /// Free slots of a service's backend servers that this host's cell uses.
+    fn free_slots(&self, service: &ServiceId, now: Instant) -> u32 {
+        let all = self.backends.values();
+        let of_service = all.filter(|it| it.record.service == *service && self.is_ours(it));
+        let usable = of_service.filter(|it| it.takes_requests() && !it.is_in_trouble(now));
+        usable
+            .map(|it| it.record.slots.saturating_sub(it.running()))
+            .sum()
+    }
+
+    fn residence_of(&self, service: &ServiceId) -> Duration {
+        let known = self.residence.get(service);
+        known.copied().unwrap_or(FIRST_PLAIN_RESIDENCE)
+    }
+
+    /// Time that the first event may take at a place.
+    fn limit(&self, admitted: &Admitted, choice: &Choice, now: Instant) -> Duration {
+        let own = self.backends.get(&choice.backend).map(|backend| {
+            let tokens = f64::from(admitted.prompt_tokens);
+            Duration::from_secs_f64(backend.pace.seconds_for(tokens))
+        });
+        first_event_limit(admitted, own.unwrap_or_default(), now)
+    }
+
+    fn grounds_of(&self, choice: &Choice, limit: Duration, slot_limit: Duration) -> Grounds {
+        let backend = self.backends.get(&choice.backend);
+        Grounds::Place {
+            first_event: choice.first_event,
+            limit,
+            slot_wait: choice.slot_wait,
+            slot_limit,
+            running: backend.map_or(0, crate::Backend::running),
+            tokens_ahead: choice.tokens_ahead,
+            is_in_trouble: choice.is_in_trouble,
+        }
+    }
+
+    fn send(
+        &mut self,
+        now: Instant,
+        request: Request<Waiting>,
+        choice: Choice,
+        grounds: Grounds,
+        fx: &mut Vec<Effect>,
+    ) {
+        let Some(backend) = self.backends.get_mut(&choice.backend) else {
+            return self.give_up(&request, Reason::NoBackend, grounds, fx);
+        };
+        let admitted = &request.admitted;
+        let (number, tokens) = (admitted.number, admitted.prompt_tokens);
+        backend.sent(number, tokens, choice.first_event, now);
+        self.telling.slots_changed();
+        fx.push(Effect::Send {
+            number,
+            backend: choice.backend.clone(),
+            address: backend.record.address.clone(),
+            account: admitted.account.clone(),
+            repeat: admitted.route.repeat,
+            silence: silence(admitted, &choice),
+            longest_pause: longest_pause(&admitted.route),
+            deadline: admitted.deadline,
+            grounds,
+        });
+        let sent = request.send(Sent {
+            backend: choice.backend,
+            at: now,
+            tokens_ahead: choice.tokens_ahead,
+            had_slot: choice.has_slot,
+            is_answered: false,
+        });
+        self.sent.insert(number, sent);
+    }
+
+    /// Ends a request that has no place, at once and with what is true of it.
+    pub(super) fn give_up(
+        &mut self,
+        request: &Request<Waiting>,
+        reason: Reason,
+        grounds: Grounds,
+        fx: &mut Vec<Effect>,
+    ) {
+        let admitted = &request.admitted;
+        let number = admitted.number;
+        if admitted.runs > 0 {
+            return fx.push(Effect::PassOn(number));
+        }
+        self.give_back(admitted);
+        let refusal = Refusal::not_run(reason).retry_after(come_back::for_want_of_capacity(
+            &admitted.route,
+            &mut self.rng,
+        ));
+        fx.push(refuse(number, refusal, grounds));
+    }
+
+    pub(super) fn give_back(&mut self, admitted: &Admitted) {
+        if let Some(account) = &admitted.account {
+            self.quota.give_back(account, admitted.units);
+        }
+    }
+
+    pub(super) fn caller_gone(&mut self, number: RequestNumber) {
+        if let Some(request) = self.waiting.remove(number) {
+            self.give_back(&request.admitted);
+        }
+    }
+}
--- a/crates/jaypin_router/tests/order.rs
+++ b/crates/jaypin_router/tests/order.rs
@@ -6,7 +6,7 @@
 
 use common::{Bed, ENGINES, PLAIN, Told, record};
 use jaypin_router::{
-    Asked, AskedRates, AttemptOutcome, BackendLoad, Rank, Report, backend_key, kept_slots,
+    Asked, AskedRates, AttemptOutcome, BackendLoad, Effect, Rank, Report, backend_key, kept_slots,
     service_key,
 };
 
@@ -161,3 +161,19 @@
     assert!(kept_slots(40.0) >= 2.0);
     assert!(kept_slots(0.5) < 1.0);
 }
+
+/// An outside monitor reads why a label was refused although slots were free.
+#[test]
+fn a_refusal_names_the_slots_that_are_kept() {
+    let mut bed = under_urgent_load(2);
+    bed.arrive("/label/1", (600, 20));
+    bed.wait(Duration::from_millis(60));
+    let grounds = bed.tick().into_iter().find_map(|effect| match effect {
+        Effect::Refuse { grounds, .. } => Some(grounds.to_string()),
+        _ => None,
+    });
+    insta::assert_snapshot!(
+        grounds.expect("a refusal"),
+        @"2 slots free, 3.3 kept for more urgent requests"
+    );
+}
