Sum up who was asked, served and refused, from the logs of hosts

Cause: a log explained one request; that urgent work was refused beside deferrable work could only be seen by adding lines up by hand, and a refusal's line named neither the rank nor, but for quotas, the account.

Change: lines of calls and refusals name account and ranks (`rank` is the account's and the route's). Four cases of the command line; the help says it.

--- a/crates/jaypin/src/cli/mod.rs
+++ b/crates/jaypin/src/cli/mod.rs
@@ -5,6 +5,7 @@
 mod entry;
 mod explain;
 mod explain_log;
+mod load_summary;
 mod rules;
 mod serve;
 mod settings;
--- a/crates/jaypin/tests/command_line.rs
+++ b/crates/jaypin/tests/command_line.rs
@@ -45,6 +45,15 @@
     a_resumed_stream_is_explained_from_a_log:
         ["explain", "2cc62190f03fef8b", "--log", "tests/entry-log.jsonl"] => 0,
         "call to engine-9 ended as complete after 2713 ms, first event after 88 ms";
+    refusals_are_summed_by_rank_and_grounds: ["explain", "--all", "--log", "tests/heavy-log.jsonl"] => 0,
+        "1.2            1       1        2       1   over-limit 1; shed (kept) 1;";
+    refusals_are_summed_by_account: ["explain", "--all", "--log", "tests/heavy-log.jsonl"] => 0,
+        "depot          0       0        2       1   over-limit 1; shed (kept) 1;";
+    a_second_shows_what_was_served_beside_a_refusal:
+        ["explain", "--all", "--log", "tests/heavy-log.jsonl"] => 0,
+        "     1   1.0 0/1 0.0  1.2 1/2 0.5";
+    a_log_without_requests_is_a_failure: ["explain", "--all", "--log", "tests/wrong-settings.yaml"] => 1,
+        "says nothing of requests";
     a_request_that_a_log_lacks_is_a_failure:
         ["explain", "nobody", "--log", "tests/entry-log.jsonl"] => 1, "says nothing of nobody";
     entry_needs_settings: ["entry"] => 2, "--settings FILE is missing";
--- a/crates/jaypin_entry/src/callers/drive.rs
+++ b/crates/jaypin_entry/src/callers/drive.rs
@@ -9,7 +9,7 @@
 use hyper::{Request, Response, Uri};
 use jaypin_core::{Ran, Reason, Refusal};
 use jaypin_http::EventReader;
-use jaypin_router::{Arrival, AttemptOutcome, Event, RequestNumber};
+use jaypin_router::{Arrival, AskedBy, AttemptOutcome, Event, RequestNumber};
 use tokio::sync::oneshot;
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep_until, timeout};
@@ -76,7 +76,7 @@
                 directive = self.mailbox.next() => directive,
                 () = self.delivery.caller_gone() => {
                     self.host.apply(Event::CallerGone(self.number));
-                    self.log("caller-gone", None, &"");
+                    self.log("caller-gone", None, None, &"");
                     break;
                 }
             };
@@ -86,7 +86,8 @@
                     let number = self.number;
                     self.host.apply(Event::Ended { number, outcome });
                     metrics::call(outcome.as_str());
-                    self.log(outcome.as_str(), Some(&order), &order.grounds);
+                    let asked_by = Some(&order.asked_by);
+                    self.log(outcome.as_str(), Some(&order), asked_by, &order.grounds);
                     if outcome.is_final() {
                         self.count(outcome.as_str());
                         break;
@@ -121,12 +122,12 @@
         let response = match directive {
             Directive::Reject(reason, grounds) => {
                 self.count(reason.as_str());
-                self.log(reason.as_str(), None, &grounds);
+                self.log(reason.as_str(), None, None, &grounds);
                 rejection(reason)
             }
-            Directive::Refuse(refused, grounds) => {
+            Directive::Refuse(refused, asked_by, grounds) => {
                 self.count(refused.reason.as_str());
-                self.log(refused.reason.as_str(), None, &grounds);
+                self.log(refused.reason.as_str(), None, asked_by.as_ref(), &grounds);
                 refusal(&refused)
             }
             Directive::PassOn | Directive::Send(_) => {
@@ -147,9 +148,16 @@
         }
     }
 
-    fn log(&self, outcome: &str, order: Option<&SendOrder>, grounds: &dyn std::fmt::Display) {
+    fn log(
+        &self,
+        outcome: &str,
+        order: Option<&SendOrder>,
+        asked_by: Option<&AskedBy>,
+        grounds: &dyn std::fmt::Display,
+    ) {
         let backend = order.map_or("", |order| &order.backend);
-        let account = order.and_then(|order| order.account.as_deref());
+        let account = asked_by.and_then(|it| it.account.as_deref());
+        let rank = asked_by.map(|it| it.rank.to_string()).unwrap_or_default();
         let account = account.unwrap_or_default();
         let ms = self.call.received_at.elapsed().as_millis();
         let id = &self.call.says.id;
@@ -157,7 +165,7 @@
         let first_ms = first.unwrap_or_default().as_millis();
         let pause_ms = self.times.longest_pause.as_millis();
         let tokens = self.call.says.tokens.unwrap_or_default();
-        log::info!(id, outcome, backend, account, ms, first_ms, pause_ms, tokens:?, why:% = grounds; "request");
+        log::info!(id, outcome, backend, account, rank, ms, first_ms, pause_ms, tokens:?, why:% = grounds; "request");
     }
 
     // ------------------------------------------------------------------ one call
@@ -344,7 +352,7 @@
         let time_left = order.deadline.saturating_duration_since(Instant::now());
         let forward = Forward {
             backend: &order.backend,
-            account: order.account.as_ref(),
+            account: order.asked_by.account.as_ref(),
             time_left,
         };
         let mut req = Request::new(Full::new(self.call.body.clone()));
--- a/crates/jaypin_entry/src/calls/mod.rs
+++ b/crates/jaypin_entry/src/calls/mod.rs
@@ -10,8 +10,8 @@
 
 use std::time::Duration;
 
-use jaypin_core::{AccountId, BackendId};
-use jaypin_router::{Grounds, Repeat};
+use jaypin_core::BackendId;
+use jaypin_router::{AskedBy, Grounds, Repeat};
 use tokio::time::Instant;
 
 /// Where and how a request is sent.
@@ -21,8 +21,8 @@
     pub backend: BackendId,
     /// Its address.
     pub address: String,
-    /// The account to name to it.
-    pub account: Option<AccountId>,
+    /// Who asks; the account is named to it.
+    pub asked_by: AskedBy,
     /// Whether it may run again, and whether its answer is a stream.
     pub repeat: Repeat,
     /// Time after which a call without a first event is given up.
--- a/crates/jaypin_entry/src/host.rs
+++ b/crates/jaypin_entry/src/host.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 
 use jaypin_core::Refusal;
-use jaypin_router::{Effect, Event, Grounds, RequestNumber, Router, Unrouted};
+use jaypin_router::{AskedBy, Effect, Event, Grounds, RequestNumber, Router, Unrouted};
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep_until};
 
@@ -22,7 +22,7 @@
     /// Answer that the configuration does not allow it.
     Reject(Unrouted, Grounds),
     /// Answer with a refusal.
-    Refuse(Refusal, Grounds),
+    Refuse(Refusal, Option<AskedBy>, Grounds),
     /// Answer with the failure that a backend server gave.
     PassOn,
 }
@@ -151,7 +151,7 @@
                 number,
                 backend,
                 address,
-                account,
+                asked_by,
                 repeat,
                 silence,
                 longest_pause,
@@ -161,7 +161,7 @@
                 let order = SendOrder {
                     backend,
                     address,
-                    account,
+                    asked_by,
                     repeat,
                     silence,
                     longest_pause,
@@ -177,9 +177,10 @@
             } => self.direct(number, Directive::Reject(reason, grounds)),
             Effect::Refuse {
                 number,
+                asked_by,
                 refusal,
                 grounds,
-            } => self.direct(number, Directive::Refuse(refusal, grounds)),
+            } => self.direct(number, Directive::Refuse(refusal, asked_by, grounds)),
             Effect::PassOn(number) => self.direct(number, Directive::PassOn),
             Effect::Tell { to, report } => self.tell(&to, &report),
         }
--- a/crates/jaypin_router/src/lib.rs
+++ b/crates/jaypin_router/src/lib.rs
@@ -47,7 +47,7 @@
 pub use rank::Rank;
 pub use rate::DecayedRate;
 pub use report::{BackendLoad, BackendSamples, Report, StoreView, Strike, WholeReport};
-pub use request::{Arrival, AttemptOutcome};
+pub use request::{Arrival, AskedBy, AttemptOutcome};
 pub use resend_budget::ResendBudget;
 pub use reserve::kept_slots;
 pub use route_table::{RouteTable, Unrouted};
--- a/crates/jaypin_router/src/rank.rs
+++ b/crates/jaypin_router/src/rank.rs
@@ -1,5 +1,7 @@
 //! How urgent a request is.
 
+use std::fmt;
+
 use crate::{Account, Route};
 
 /// Rank of a request; less is more urgent.
@@ -15,6 +17,12 @@
     pub route: u8,
 }
 
+impl fmt::Display for Rank {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}", self.account, self.route)
+    }
+}
+
 impl Rank {
     /// The rank of an account's requests on a route.
     #[must_use]
--- a/crates/jaypin_router/src/request.rs
+++ b/crates/jaypin_router/src/request.rs
@@ -123,6 +123,26 @@
     pub is_started: bool,
 }
 
+impl Admitted {
+    /// Who asks, and how urgently.
+    #[must_use]
+    pub fn asked_by(&self) -> AskedBy {
+        AskedBy {
+            account: self.account.clone(),
+            rank: self.rank,
+        }
+    }
+}
+
+/// Who asks, and how urgently; for logs.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct AskedBy {
+    /// The client account.
+    pub account: Option<AccountId>,
+    /// The rank.
+    pub rank: Rank,
+}
+
 /// State: waiting for a place.
 #[derive(Debug)]
 pub struct Waiting {
--- a/crates/jaypin_router/src/router/arrival.rs
+++ b/crates/jaypin_router/src/router/arrival.rs
@@ -11,7 +11,8 @@
 use crate::limits::hold;
 use crate::request::{Admitted, Request, Waiting};
 use crate::{
-    Account, Arrival, Grounds, QuotaUnit, Rank, RequestNumber, Route, RouteTable, service_key,
+    Account, Arrival, AskedBy, Grounds, QuotaUnit, Rank, RequestNumber, Route, RouteTable,
+    service_key,
 };
 
 /// Time for which a host that leaves still takes requests: callers hear within a few
@@ -31,7 +32,7 @@
                 version: 0,
                 proof_age: None,
             };
-            return fx.push(refuse(number, refusal, grounds));
+            return fx.push(refuse(number, None, refusal, grounds));
         };
         let grounds = Grounds::Configuration {
             version: table.configuration().version,
@@ -47,7 +48,7 @@
         // withdrawn nor which routes were added, so it says neither yes nor no.
         if !is_proved && !admitted.as_ref().is_ok_and(is_public) {
             let refusal = Refusal::not_run(Reason::Unproven).retry_after(UNREADY_RETURN);
-            return fx.push(refuse(number, refusal, grounds));
+            return fx.push(refuse(number, None, refusal, grounds));
         }
         match admitted {
             Ok((route, account)) => {
@@ -108,18 +109,24 @@
     ) {
         let admitted = &request.admitted;
         let number = admitted.number;
+        let asked_by = Some(admitted.asked_by());
         let leaving_for = self
             .draining_since
             .map(|since| now.saturating_duration_since(since));
         if leaving_for.is_some_and(|time| time >= LEAVING_ACCEPTS) {
             let refusal = Refusal::not_run(Reason::Draining).retry_after(LEAVING_RETURN);
-            return fx.push(refuse(number, refusal, Grounds::Leaving));
+            return fx.push(refuse(number, asked_by, refusal, Grounds::Leaving));
         }
         if let Some(left) = self.quarantined_for(admitted.fingerprint, now) {
             let refusal = Refusal::not_run(Reason::Quarantined);
             let refusal = refusal.retry_after(left.min(QUARANTINE_RETURN));
             let strikes = self.quarantine.strikes(admitted.fingerprint);
-            return fx.push(refuse(number, refusal, Grounds::Deaths { strikes }));
+            return fx.push(refuse(
+                number,
+                asked_by,
+                refusal,
+                Grounds::Deaths { strikes },
+            ));
         }
         if let Some(account) = &admitted.account
             && let Err(wait) = self.take_quota(account, admitted, now)
@@ -131,7 +138,7 @@
                 units: admitted.units,
                 level,
             };
-            return fx.push(refuse(number, refusal, grounds));
+            return fx.push(refuse(number, asked_by, refusal, grounds));
         }
         let service = admitted.service.clone();
         let first = if table
@@ -182,9 +189,15 @@
     }
 }
 
-pub(super) fn refuse(number: RequestNumber, refusal: Refusal, grounds: Grounds) -> Effect {
+pub(super) fn refuse(
+    number: RequestNumber,
+    asked_by: Option<AskedBy>,
+    refusal: Refusal,
+    grounds: Grounds,
+) -> Effect {
     Effect::Refuse {
         number,
+        asked_by,
         refusal,
         grounds,
     }
--- a/crates/jaypin_router/src/router/attempt.rs
+++ b/crates/jaypin_router/src/router/attempt.rs
@@ -4,6 +4,7 @@
 
 use jaypin_core::{Lost, Ran, Reason, Refusal};
 
+use super::arrival::refuse;
 use super::{Effect, Router};
 use crate::pace::CALL_OVERHEAD;
 use crate::request::{Admitted, Request, Sent};
@@ -128,11 +129,8 @@
             _ => Reason::BackendLost,
         };
         let refusal = Refusal::after_dispatch(reason, Ran::Unknown);
-        fx.push(Effect::Refuse {
-            number,
-            refusal,
-            grounds,
-        });
+        let asked_by = Some(request.admitted.asked_by());
+        fx.push(refuse(number, asked_by, refusal, grounds));
     }
 }
 
--- a/crates/jaypin_router/src/router/mod.rs
+++ b/crates/jaypin_router/src/router/mod.rs
@@ -19,9 +19,9 @@
 
 use crate::request::{Request, Sent};
 use crate::{
-    AccountAsked, Arrival, AskedRates, AttemptOutcome, Backend, BackendRecord, BootTime, CellIndex,
-    Entries, EntryChange, Fleet, FleetQuota, Grounds, Report, RequestNumber, ResendBudget,
-    RouteTable, Sizes, Unrouted, WaitingList,
+    AccountAsked, Arrival, AskedBy, AskedRates, AttemptOutcome, Backend, BackendRecord, BootTime,
+    CellIndex, Entries, EntryChange, Fleet, FleetQuota, Grounds, Report, RequestNumber,
+    ResendBudget, RouteTable, Sizes, Unrouted, WaitingList,
 };
 use lapse::Vanished;
 use telling::Telling;
@@ -125,8 +125,8 @@
         backend: BackendId,
         /// Its address.
         address: String,
-        /// The account to name to it.
-        account: Option<jaypin_core::AccountId>,
+        /// Who asks; the account is named to it.
+        asked_by: AskedBy,
         /// Whether the request's answer is a stream that may be resumed.
         repeat: crate::Repeat,
         /// Time after which a call without a first event is given up, if it may be sent
@@ -153,6 +153,8 @@
     Refuse {
         /// The request.
         number: RequestNumber,
+        /// Who asks, where that was found out.
+        asked_by: Option<AskedBy>,
         /// The answer.
         refusal: Refusal,
         /// What it rests on.
--- a/crates/jaypin_router/src/router/placing.rs
+++ b/crates/jaypin_router/src/router/placing.rs
@@ -7,10 +7,11 @@
 
 use super::arrival::{FIRST_PLAIN_RESIDENCE, refuse};
 use super::{Effect, Router};
+use crate::come_back::for_want_of_capacity;
 use crate::limits::{first_event_limit, is_last_resort, longest_pause, silence, slot_wait_limit};
 use crate::placement::{Choice, Demand, best_place};
 use crate::request::{Admitted, Request, Sent, Waiting};
-use crate::{Grounds, RequestNumber, come_back, kept_slots, service_key};
+use crate::{Grounds, RequestNumber, kept_slots, service_key};
 
 /// Kept slots below which a service takes what comes: hardly anything urgent is asked of it.
 const LEAST_KEPT: f64 = 0.1;
@@ -161,7 +162,7 @@
             number,
             backend: choice.backend.clone(),
             address: backend.record.address.clone(),
-            account: admitted.account.clone(),
+            asked_by: admitted.asked_by(),
             repeat: admitted.route.repeat,
             silence: silence(admitted, &choice),
             longest_pause: longest_pause(&admitted.route),
@@ -192,11 +193,9 @@
             return fx.push(Effect::PassOn(number));
         }
         self.give_back(admitted);
-        let refusal = Refusal::not_run(reason).retry_after(come_back::for_want_of_capacity(
-            &admitted.route,
-            &mut self.rng,
-        ));
-        fx.push(refuse(number, refusal, grounds));
+        let back = for_want_of_capacity(&admitted.route, &mut self.rng);
+        let refusal = Refusal::not_run(reason).retry_after(back);
+        fx.push(refuse(number, Some(admitted.asked_by()), refusal, grounds));
     }
 
     pub(super) fn give_back(&mut self, admitted: &Admitted) {
