Serve a part of each rank, however much urgent work is asked for

Cause: strict order starves.

Change: nothing is kept from a rank, neither slots nor units of a quota, while less than 0.08 of its tries at this host were sent.

--- a/crates/jaypin_router/src/lib.rs
+++ b/crates/jaypin_router/src/lib.rs
@@ -13,6 +13,7 @@
 mod configuration;
 mod entries;
 mod fleet;
+mod floor;
 mod grounds;
 mod limits;
 mod pace;
@@ -39,6 +40,7 @@
 };
 pub use entries::{Entries, EntryChange};
 pub use fleet::{Fleet, Peer};
+pub use floor::Floors;
 pub use grounds::Grounds;
 pub use pace::Pace;
 pub use placement::{Choice, Demand, best_place};
--- a/crates/jaypin_router/src/router/arrival.rs
+++ b/crates/jaypin_router/src/router/arrival.rs
@@ -128,6 +128,8 @@
                 Grounds::Deaths { strikes },
             ));
         }
+        let key = service_key(&admitted.service);
+        self.floors.asked(key, admitted.rank);
         if let Some(account) = &admitted.account
             && let Err(wait) = self.take_quota(account, admitted, now)
         {
@@ -140,6 +142,7 @@
             };
             return fx.push(refuse(number, asked_by, refusal, grounds));
         }
+        self.asked.saw(key, admitted.rank, now);
         let service = admitted.service.clone();
         let first = if table
             .service(&service)
@@ -151,8 +154,6 @@
         };
         self.residence.entry(service.clone()).or_insert(first);
         self.budget(&service, now).saw_request(now);
-        let rank = request.admitted.rank;
-        self.asked.saw(service_key(&service), rank, now);
         self.place(now, request, fx);
     }
 
@@ -169,6 +170,9 @@
             return self.quota.take(account, units, now);
         }
         self.account_asked.saw(account, route, units, now);
+        if self.floors.is_behind(route.0, admitted.rank) {
+            return self.quota.take(account, units, now);
+        }
         let hosts = u32::try_from(self.fleet.size(now)).unwrap_or(u32::MAX);
         let hosts = f64::from(hosts) * f64::from(self.cells);
         let left = self.account_asked.to_leave(account, route, hosts, now);
--- a/crates/jaypin_router/src/router/mod.rs
+++ b/crates/jaypin_router/src/router/mod.rs
@@ -20,7 +20,7 @@
 use crate::request::{Request, Sent};
 use crate::{
     AccountAsked, Arrival, AskedBy, AskedRates, AttemptOutcome, Backend, BackendRecord, BootTime,
-    CellIndex, Entries, EntryChange, Fleet, FleetQuota, Grounds, Report, RequestNumber,
+    CellIndex, Entries, EntryChange, Fleet, FleetQuota, Floors, Grounds, Report, RequestNumber,
     ResendBudget, RouteTable, Sizes, Unrouted, WaitingList,
 };
 use lapse::Vanished;
@@ -212,6 +212,7 @@
     residence: HashMap<ServiceId, Duration>,
     sizes: Sizes,
     asked: AskedRates,
+    floors: Floors,
     account_asked: AccountAsked,
     quarantine: Quarantine,
     waiting: WaitingList,
@@ -249,6 +250,7 @@
             residence: HashMap::new(),
             sizes: Sizes::default(),
             asked: AskedRates::default(),
+            floors: Floors::default(),
             account_asked: AccountAsked::default(),
             quarantine: Quarantine::default(),
             waiting: WaitingList::default(),
--- a/crates/jaypin_router/src/router/placing.rs
+++ b/crates/jaypin_router/src/router/placing.rs
@@ -102,7 +102,8 @@
             return None;
         }
         let free = self.free_slots(&admitted.service, now);
-        let has_room = choice.has_slot && f64::from(free) > kept;
+        let is_owed = self.floors.is_behind(service, admitted.rank);
+        let has_room = choice.has_slot && (is_owed || f64::from(free) > kept);
         (!has_room).then_some(Grounds::Kept { free, kept })
     }
 
@@ -158,6 +159,8 @@
         let (number, tokens) = (admitted.number, admitted.prompt_tokens);
         backend.sent(number, tokens, choice.first_event, now);
         self.telling.slots_changed();
+        let service = service_key(&admitted.service);
+        self.floors.sent(service, admitted.rank);
         fx.push(Effect::Send {
             number,
             backend: choice.backend.clone(),
--- a/crates/jaypin_router/tests/order.rs
+++ b/crates/jaypin_router/tests/order.rs
@@ -2,12 +2,13 @@
 
 mod common;
 
+use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
 use common::{Bed, ENGINES, PLAIN, Told, record};
 use jaypin_router::{
-    Asked, AskedRates, AttemptOutcome, BackendLoad, Effect, Rank, Report, backend_key, kept_slots,
-    service_key,
+    Asked, AskedRates, AttemptOutcome, BackendLoad, Effect, Floors, Rank, Report, backend_key,
+    kept_slots, service_key,
 };
 
 const URGENT: Rank = Rank {
@@ -177,3 +178,60 @@
         @"2 slots free, 3.3 kept for more urgent requests"
     );
 }
+
+/// Urgent work fills the fleet for half a minute. Whoever sends work that can wait would be
+/// refused all that time, though a slot is free now and then.
+#[test]
+fn a_part_of_each_rank_is_served_whatever_is_asked() {
+    const HELD: Duration = Duration::from_millis(1_200);
+    let mut bed = under_urgent_load(2);
+    let (mut sent, mut running) = (0, VecDeque::new());
+    for turn in 1..=200 {
+        bed.wait(Duration::from_millis(190));
+        bed.prove();
+        let report = pressed(&mut bed, 38, 60 + turn * 15);
+        bed.hear_report(report);
+        let mut fx = bed.arrive_fx("/label/1", (600, 20));
+        bed.wait(Duration::from_millis(60));
+        fx.extend(bed.tick());
+        for effect in fx {
+            if let Effect::Send { number, .. } = effect {
+                sent += 1;
+                bed.answered(number);
+                running.push_back((bed.now, number));
+            }
+        }
+        // They hold their slots for about a second.
+        while running.front().is_some_and(|it| bed.now >= it.0 + HELD) {
+            let ended = running.pop_front().expect("a running request");
+            bed.ended(ended.1, AttemptOutcome::Complete);
+        }
+    }
+    assert!((14..=20).contains(&sent), "{sent} of 200");
+}
+
+/// A rank that was served for hours is not refused for it when the day turns busy, and one
+/// that was refused for hours does not push in for as long.
+#[test]
+fn floors_forget_what_is_long_over() {
+    let service = service_key(ENGINES);
+    let mut floors = Floors::default();
+    for _ in 0..1_000 {
+        floors.asked(service, DEFERRABLE);
+        floors.sent(service, DEFERRABLE);
+    }
+    let until_owed = (0..100).find(|_| {
+        floors.asked(service, DEFERRABLE);
+        floors.is_behind(service, DEFERRABLE)
+    });
+    assert!(until_owed.is_some_and(|asked| asked < 20), "{until_owed:?}");
+    for _ in 0..1_000 {
+        floors.asked(service, DEFERRABLE);
+    }
+    let pushed = (0..100).take_while(|_| {
+        let is_owed = floors.is_behind(service, DEFERRABLE);
+        floors.sent(service, DEFERRABLE);
+        is_owed
+    });
+    assert!(pushed.count() <= 3);
+}
