Keep queues short enough for the urgent, also where batches are large

Cause: found by reading. Where a backend server frees a slot within a twentieth of a request's own aim, nothing was kept and its queue was bounded by that aim alone. With 120 slots an engine frees one every 10 ms, work with an aim of 2 s could fill 0.2 s of its queue, and an urgent request with an aim of 0.5 s, which may wait for 75 ms, was refused behind it.

Change: such a queue is at most a twentieth of the shortest aim of all routes to the service; the most urgent may wait for three times as long.

No deployment that we have has such batches; the test is the evidence.

--- a/crates/jaypin_router/src/route_table.rs
+++ b/crates/jaypin_router/src/route_table.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use jaypin_core::ServiceId;
 
@@ -14,6 +15,7 @@
     routes: HashMap<String, HashMap<String, Arc<Route>>>,
     credentials: HashMap<String, usize>,
     services: HashMap<ServiceId, usize>,
+    least_aims: HashMap<ServiceId, Duration>,
 }
 
 /// Why a configuration does not allow a request.
@@ -50,6 +52,14 @@
             .flat_map(|(place, account)| account.credentials.iter().map(move |it| (it, place)))
             .map(|(credential, place)| (credential.clone(), place))
             .collect();
+        let mut least_aims: HashMap<ServiceId, Duration> = HashMap::new();
+        for route in &configuration.routes {
+            for target in &route.targets {
+                let least = least_aims.entry(target.service.clone());
+                let least = least.or_insert(route.aim);
+                *least = route.aim.min(*least);
+            }
+        }
         let services = configuration.services.iter().enumerate();
         let services = services
             .map(|(place, service)| (service.name.clone(), place))
@@ -59,6 +69,7 @@
             routes,
             credentials,
             services,
+            least_aims,
         }
     }
 
@@ -87,6 +98,12 @@
         self.configuration.services.get(*place)
     }
 
+    /// The shortest aim of all routes to a service.
+    #[must_use]
+    pub fn least_aim(&self, service: &str) -> Option<Duration> {
+        self.least_aims.get(service).copied()
+    }
+
     /// Finds an account by a credential.
     #[must_use]
     pub fn account(&self, credential: &str) -> Option<&Account> {
--- a/crates/jaypin_router/src/router/placing.rs
+++ b/crates/jaypin_router/src/router/placing.rs
@@ -15,8 +15,9 @@
 
 /// Kept slots below which a service takes what comes: hardly anything urgent is asked of it.
 const LEAST_KEPT: f64 = 0.1;
-/// Part of the aim within which a backend server frees its next slot, up to which a queue
-/// there delays nobody, so that nothing has to be kept.
+/// Part of the service's shortest aim within which a backend server frees its next slot, so that nothing has to
+/// be kept there. A queue that is as short delays nobody: the most urgent may wait for three
+/// times as long, and so find a place behind it.
 const QUICK_TURN_PART: f64 = 0.05;
 
 impl Router {
@@ -90,8 +91,7 @@
         choice: &Choice,
         now: Instant,
     ) -> Option<Grounds> {
-        let quick = admitted.route.aim.mul_f64(QUICK_TURN_PART);
-        if admitted.is_started || choice.turn <= quick {
+        if admitted.is_started {
             return None;
         }
         let service = service_key(&admitted.service);
@@ -102,11 +102,23 @@
             return None;
         }
         let free = self.free_slots(&admitted.service, now);
+        let quick = self.least_aim(admitted).mul_f64(QUICK_TURN_PART);
+        if choice.turn <= quick && choice.slot_wait <= quick {
+            return None;
+        }
         let is_owed = self.floors.is_behind(service, admitted.rank);
         let has_room = choice.has_slot && (is_owed || f64::from(free) > kept);
         (!has_room).then_some(Grounds::Kept { free, kept })
     }
 
+    /// The shortest aim of all routes to the service of a request.
+    fn least_aim(&self, admitted: &Admitted) -> Duration {
+        let aim = admitted.route.aim;
+        let table = self.table.as_ref();
+        let least = table.and_then(|it| it.least_aim(&admitted.service));
+        least.map_or(aim, |least| least.min(aim))
+    }
+
     /// Free slots of a service's backend servers that this host's cell uses.
     fn free_slots(&self, service: &ServiceId, now: Instant) -> u32 {
         let all = self.backends.values();
--- a/crates/jaypin_router/tests/order.rs
+++ b/crates/jaypin_router/tests/order.rs
@@ -117,6 +117,28 @@
     }
 }
 
+/// An engine with 120 slots frees one every 10 ms, so a short queue there delays
+/// nobody. Work that can wait has the longer aim, and must not fill the queue up to where an
+/// urgent request with a short one is refused.
+#[test]
+fn a_queue_leaves_room_for_the_urgent() {
+    let mut configuration = common::configuration(1);
+    for route in &mut configuration.routes {
+        route.aim = Duration::from_millis(if route.priority == 0 { 500 } else { 2_000 });
+    }
+    let mut bed = Bed::new(configuration);
+    bed.state(record("engine-1", ENGINES, 120));
+    for urgent in [0, 60] {
+        let report = pressed(&mut bed, 120, urgent);
+        bed.hear_report(report);
+    }
+    let labels = (0..20).map(|_| bed.arrive("/label/1", (60, 20)).1);
+    let sent = labels.filter(|told| matches!(told, Told::Sent(_))).count();
+    assert!((1..=3).contains(&sent), "{sent}");
+    let (_, told) = bed.arrive("/urgent/1", (60, 20));
+    assert!(matches!(told, Told::Sent(_)), "{told:?}");
+}
+
 /// Operators rank an account before a route: the whole work of a first account goes before
 /// that of a second one, and within one account the routes are ordered.
 #[test]
