Name in a refusal the units of a quota that are kept; record the grown site

Cause: a less urgent request that was over the quota because units are left for urgent ones was explained by what was left alone, which was more than it asked for.

No decision changed.

--- a/crates/jaypin_router/src/grounds.rs
+++ b/crates/jaypin_router/src/grounds.rs
@@ -25,6 +25,8 @@
         account: AccountId,
         /// Units that the request takes.
         units: f64,
+        /// Units that are left for its more urgent requests.
+        kept: f64,
         /// What the account has left, where it is limited.
         level: Option<QuotaLevel>,
     },
@@ -83,9 +85,13 @@
             Self::Quota {
                 account,
                 units,
+                kept,
                 level,
             } => {
                 write!(f, "{units:.0} units for `{account}`")?;
+                if *kept >= 1.0 {
+                    write!(f, ", {kept:.0} kept for more urgent requests")?;
+                }
                 level.map_or(Ok(()), |it| {
                     let QuotaLevel {
                         left,
--- a/crates/jaypin_router/src/router/arrival.rs
+++ b/crates/jaypin_router/src/router/arrival.rs
@@ -23,6 +23,15 @@
 /// The same for plain services.
 pub(super) const FIRST_PLAIN_RESIDENCE: Duration = Duration::from_millis(20);
 
+/// Why an account's quota does not allow a request.
+#[derive(Debug)]
+struct OverQuota {
+    /// Time after which it would.
+    wait: Duration,
+    /// Units that are left for more urgent requests.
+    kept: f64,
+}
+
 impl Router {
     pub(super) fn arrived(&mut self, now: Instant, arrival: &Arrival, fx: &mut Vec<Effect>) {
         let number = arrival.number;
@@ -131,13 +140,14 @@
         let key = service_key(&admitted.service);
         self.floors.asked(key, admitted.rank);
         if let Some(account) = &admitted.account
-            && let Err(wait) = self.take_quota(account, admitted, now)
+            && let Err(over) = self.take_quota(account, admitted, now)
         {
-            let refusal = Refusal::not_run(Reason::OverLimit).retry_after(wait);
+            let refusal = Refusal::not_run(Reason::OverLimit).retry_after(over.wait);
             let level = self.quota.level(account);
             let grounds = Grounds::Quota {
                 account: account.clone(),
                 units: admitted.units,
+                kept: over.kept,
                 level,
             };
             return fx.push(refuse(number, asked_by, refusal, grounds));
@@ -163,20 +173,22 @@
         account: &AccountId,
         admitted: &Admitted,
         now: Instant,
-    ) -> Result<(), Duration> {
+    ) -> Result<(), OverQuota> {
         let route = (service_key(&admitted.service), admitted.rank.route);
         let units = admitted.units;
-        if units <= 0.0 {
-            return self.quota.take(account, units, now);
-        }
-        self.account_asked.saw(account, route, units, now);
-        if self.floors.is_behind(route.0, admitted.rank) {
-            return self.quota.take(account, units, now);
+        if units > 0.0 {
+            self.account_asked.saw(account, route, units, now);
         }
-        let hosts = u32::try_from(self.fleet.size(now)).unwrap_or(u32::MAX);
-        let hosts = f64::from(hosts) * f64::from(self.cells);
-        let left = self.account_asked.to_leave(account, route, hosts, now);
-        self.quota.take_leaving(account, units, left, now)
+        let is_owed = self.floors.is_behind(route.0, admitted.rank);
+        let kept = if is_owed || units <= 0.0 {
+            0.0
+        } else {
+            let hosts = u32::try_from(self.fleet.size(now)).unwrap_or(u32::MAX);
+            let hosts = f64::from(hosts) * f64::from(self.cells);
+            self.account_asked.to_leave(account, route, hosts, now)
+        };
+        let taken = self.quota.take_leaving(account, units, kept, now);
+        taken.map_err(|wait| OverQuota { wait, kept })
     }
 
     fn choose_service(&mut self, route: &Route) -> ServiceId {
--- a/crates/jaypin_router/src/router/placing.rs
+++ b/crates/jaypin_router/src/router/placing.rs
@@ -15,9 +15,11 @@
 
 /// Kept slots below which a service takes what comes: hardly anything urgent is asked of it.
 const LEAST_KEPT: f64 = 0.1;
-/// Part of the service's shortest aim within which a backend server frees its next slot, so that nothing has to
-/// be kept there. A queue that is as short delays nobody: the most urgent may wait for three
-/// times as long, and so find a place behind it.
+/// Part of the service's shortest aim within which a backend server frees its next slot, so
+/// that nothing has to be kept there.
+///
+/// A queue that is as short delays nobody: the most urgent may wait for three times as long,
+/// and so find a place behind it.
 const QUICK_TURN_PART: f64 = 0.05;
 
 impl Router {
@@ -101,11 +103,11 @@
         if kept < LEAST_KEPT {
             return None;
         }
-        let free = self.free_slots(&admitted.service, now);
         let quick = self.least_aim(admitted).mul_f64(QUICK_TURN_PART);
         if choice.turn <= quick && choice.slot_wait <= quick {
             return None;
         }
+        let free = self.free_slots(&admitted.service, now);
         let is_owed = self.floors.is_behind(service, admitted.rank);
         let has_room = choice.has_slot && (is_owed || f64::from(free) > kept);
         (!has_room).then_some(Grounds::Kept { free, kept })
--- a/crates/jaypin_router/tests/quota_order.rs
+++ b/crates/jaypin_router/tests/quota_order.rs
@@ -6,7 +6,7 @@
 
 use common::{Bed, ENGINES, PLAIN, Told, record, token_quota};
 use jaypin_core::{AccountId, Reason};
-use jaypin_router::{Account, AccountAsked, AttemptOutcome, FleetQuota, service_key};
+use jaypin_router::{Account, AccountAsked, AttemptOutcome, Effect, FleetQuota, service_key};
 
 const RATE: f64 = 10_000.0;
 
@@ -156,3 +156,21 @@
     assert!(left(1) > 0.0 && (left(1) - left(2)).abs() < f64::EPSILON);
     assert!(left(255) > left(2));
 }
+
+/// An outside monitor reads why a label was over the quota although units were left.
+#[test]
+fn a_refusal_names_the_units_that_are_kept() {
+    let mut bed = limited();
+    for _ in 0..5 {
+        ask(&mut bed, "/urgent/1", Some((3_500, 500)));
+    }
+    let fx = bed.arrive_fx("/label/1", (300, 50));
+    let grounds = fx.into_iter().find_map(|effect| match effect {
+        Effect::Refuse { grounds, .. } => Some(grounds.to_string()),
+        _ => None,
+    });
+    insta::assert_snapshot!(
+        grounds.expect("a refusal"),
+        @"350 units for `farm`, 5000 kept for more urgent requests, 1000 left, 16000 of 97000 used"
+    );
+}
