--- a/crates/jaypin_router/src/configuration.rs
+++ b/crates/jaypin_router/src/configuration.rs
@@ -61,7 +61,8 @@
     pub repeat: Repeat,
     /// Longest time for the whole answer.
     pub timeout: Duration,
-    /// Time within which an answer, or its first event, is worth most.
+    /// Time within which an answer, or its first event, is worth most; the whole timeout
+    /// where it is nothing.
     pub aim: Duration,
     /// Longest pause between two events of a stream.
     pub longest_pause: Option<Duration>,
--- a/crates/jaypin_router/src/route_table.rs
+++ b/crates/jaypin_router/src/route_table.rs
@@ -41,7 +41,15 @@
 impl RouteTable {
     /// Builds the look-ups.
     #[must_use]
-    pub fn new(configuration: Configuration) -> Self {
+    pub fn new(mut configuration: Configuration) -> Self {
+        // All limits are parts of the aim: without one, every request would be too late.
+        for route in configuration
+            .routes
+            .iter_mut()
+            .filter(|it| it.aim.is_zero())
+        {
+            route.aim = route.timeout;
+        }
         let mut routes: HashMap<String, HashMap<String, Arc<Route>>> = HashMap::new();
         for route in &configuration.routes {
             let of_host = routes.entry(route.host.to_ascii_lowercase()).or_default();
--- a/crates/jaypin_router/tests/common/mod.rs
+++ b/crates/jaypin_router/tests/common/mod.rs
@@ -389,3 +389,12 @@
         }
     }
 }
+
+/// What the first refusal among some effects rests on, as a log says it.
+pub fn refusal_grounds(fx: &[Effect]) -> String {
+    let mut grounds = fx.iter().filter_map(|effect| match effect {
+        Effect::Refuse { grounds, .. } => Some(grounds.to_string()),
+        _ => None,
+    });
+    grounds.next().expect("a refusal")
+}
--- a/crates/jaypin_router/tests/heavy_days.rs
+++ b/crates/jaypin_router/tests/heavy_days.rs
@@ -64,12 +64,9 @@
     let mut bed = full(&["engine-1"]);
     bed.arrive("/ask/1", (600, 300));
     bed.wait(Duration::from_millis(60));
-    let grounds = bed.tick().into_iter().find_map(|effect| match effect {
-        Effect::Refuse { grounds, .. } => Some(grounds.to_string()),
-        _ => None,
-    });
+    let grounds = common::refusal_grounds(&bed.tick());
     insta::assert_snapshot!(
-        grounds.expect("a refusal"),
+        grounds,
         @"first event in 162 ms of 290, slot in 133 ms of 50, 9 running, 0 tokens ahead"
     );
 }
--- a/crates/jaypin_router/tests/order.rs
+++ b/crates/jaypin_router/tests/order.rs
@@ -191,12 +191,9 @@
     let mut bed = under_urgent_load(2);
     bed.arrive("/label/1", (600, 20));
     bed.wait(Duration::from_millis(60));
-    let grounds = bed.tick().into_iter().find_map(|effect| match effect {
-        Effect::Refuse { grounds, .. } => Some(grounds.to_string()),
-        _ => None,
-    });
+    let grounds = common::refusal_grounds(&bed.tick());
     insta::assert_snapshot!(
-        grounds.expect("a refusal"),
+        grounds,
         @"2 slots free, 3.3 kept for more urgent requests"
     );
 }
--- a/crates/jaypin_router/tests/quota_order.rs
+++ b/crates/jaypin_router/tests/quota_order.rs
@@ -6,7 +6,7 @@
 
 use common::{Bed, ENGINES, PLAIN, Told, record, token_quota};
 use jaypin_core::{AccountId, Reason};
-use jaypin_router::{Account, AccountAsked, AttemptOutcome, Effect, FleetQuota, service_key};
+use jaypin_router::{Account, AccountAsked, AttemptOutcome, FleetQuota, service_key};
 
 const RATE: f64 = 10_000.0;
 
@@ -165,12 +165,9 @@
         ask(&mut bed, "/urgent/1", Some((3_500, 500)));
     }
     let fx = bed.arrive_fx("/label/1", (300, 50));
-    let grounds = fx.into_iter().find_map(|effect| match effect {
-        Effect::Refuse { grounds, .. } => Some(grounds.to_string()),
-        _ => None,
-    });
+    let grounds = common::refusal_grounds(&fx);
     insta::assert_snapshot!(
-        grounds.expect("a refusal"),
+        grounds,
         @"350 units for `farm`, 5000 kept for more urgent requests, 1000 left, 16000 of 97000 used"
     );
 }
