--- a/crates/jaypin_entry/src/peers/wire.rs
+++ b/crates/jaypin_entry/src/peers/wire.rs
@@ -57,10 +57,12 @@
 /// A report as it travels, field by field in this order.
 #[derive(Debug, Serialize, Deserialize)]
 struct WireReport(
+    u32,
     u64,
     u64,
     bool,
     Vec<WireLoad>,
+    Vec<WireSamples>,
     Vec<(String, f64)>,
     Vec<WireChange>,
     Option<WireWhole>,
@@ -71,7 +73,6 @@
 struct WireWhole(
     WireSender,
     WireView,
-    Vec<WireSamples>,
     Vec<(String, f64)>,
     Vec<(u64, u32)>,
     Option<Vec<String>>,
@@ -106,10 +107,12 @@
     fn from(report: &Report) -> Self {
         let usage = report.usage.iter();
         Self(
+            report.host,
             report.run,
             report.sequence,
             report.is_ready,
             report.loads.iter().map(wire_load).collect(),
+            report.samples.iter().map(wire_samples).collect(),
             usage.map(wire_units).collect(),
             report.changes.iter().map(wire_change).collect(),
             report.whole.as_ref().map(WireWhole::from),
@@ -140,7 +143,6 @@
         Self(
             sender,
             wire_view,
-            whole.samples.iter().map(wire_samples).collect(),
             whole.low_levels.iter().map(wire_units).collect(),
             strikes.map(|it| (it.fingerprint, it.strikes)).collect(),
             callers.map(|it| it.iter().map(ToString::to_string).collect()),
@@ -153,16 +155,20 @@
     type Error = WireError;
 
     fn try_from(wire: WireReport) -> Result<Self, WireError> {
-        let WireReport(run, sequence, is_ready, loads, usage, changes, whole) = wire;
-        if !usage.iter().all(|(_, units)| is_sound(*units)) {
+        let WireReport(host, run, sequence, is_ready, loads, samples, usage, changes, whole) = wire;
+        let mut learned = samples.iter().flat_map(|it| [it.1, it.2, it.3]);
+        let are_units_sound = usage.iter().all(|(_, units)| is_sound(*units));
+        if !are_units_sound || !learned.all(is_sound) {
             return Err(WireError::Number);
         }
         let usage = usage.into_iter();
         Ok(Self {
+            host,
             run,
             sequence,
             is_ready,
             loads: loads.into_iter().map(load).collect(),
+            samples: samples.into_iter().map(sample).collect(),
             usage: usage.map(units).collect(),
             changes: changes.into_iter().map(change).collect(),
             whole: whole.map(WholeReport::try_from).transpose()?,
@@ -174,13 +180,12 @@
     type Error = WireError;
 
     fn try_from(wire: WireWhole) -> Result<Self, WireError> {
-        let WireWhole(sender, view, samples, low_levels, strikes, cell_callers, asked) = wire;
+        let WireWhole(sender, view, low_levels, strikes, cell_callers, asked) = wire;
         let (host, address, callers, failure_domain, cell) = sender;
         let (version, proved_at, sent_at, may_watch, is_watching, digest) = view;
-        let mut numbers = samples.iter().flat_map(|it| [it.1, it.2, it.3]);
         // A level below 0 is a debt.
         let are_levels_sound = low_levels.iter().all(|(_, level)| level.is_finite());
-        if !numbers.all(is_sound) || !are_levels_sound {
+        if !are_levels_sound {
             return Err(WireError::Number);
         }
         let strikes = strikes.into_iter();
@@ -199,7 +204,6 @@
                 is_watching,
                 digest,
             },
-            samples: samples.into_iter().map(sample).collect(),
             low_levels: low_levels.into_iter().map(units).collect(),
             asked: asked.into_iter().map(read_asked).collect(),
             strikes: strikes
--- a/crates/jaypin_entry/tests/report_bytes.rs
+++ b/crates/jaypin_entry/tests/report_bytes.rs
@@ -23,6 +23,7 @@
         status: BackendStatus::Leaving,
     };
     Report {
+        host: u32::MAX,
         run: u64::MAX,
         sequence: 7,
         is_ready: true,
@@ -31,6 +32,14 @@
             running: 3,
             unread_tokens: 6_610,
         }],
+        samples: vec![BackendSamples {
+            key: 5,
+            tokens: 6_610.0,
+            seconds: 0.108,
+            held: 1.25,
+            good: 2,
+            bad: 1,
+        }],
         usage: vec![("farm".into(), 123_456.5)],
         changes: vec![
             EntryChange::Stated {
@@ -61,14 +70,6 @@
             is_watching: true,
             digest: u64::MAX - 1,
         },
-        samples: vec![BackendSamples {
-            key: 5,
-            tokens: 6_610.0,
-            seconds: 0.108,
-            held: 1.25,
-            good: 2,
-            bad: 1,
-        }],
         low_levels: vec![("farm".into(), -55_000.25)],
         asked: vec![Asked {
             service: u32::MAX,
@@ -119,8 +120,8 @@
         |it| it.usage[0].1 = f64::NAN,
         |it| it.usage[0].1 = -1.0,
         |it| it.whole.as_mut().expect("whole").low_levels[0].1 = f64::NEG_INFINITY,
-        |it| it.whole.as_mut().expect("whole").samples[0].seconds = f64::INFINITY,
-        |it| it.whole.as_mut().expect("whole").samples[0].held = -0.5,
+        |it| it.samples[0].seconds = f64::INFINITY,
+        |it| it.samples[0].held = -0.5,
     ];
     for spoil in spoilt {
         let mut report = full();
--- a/crates/jaypin_router/src/backend.rs
+++ b/crates/jaypin_router/src/backend.rs
@@ -64,7 +64,7 @@
     /// How fast it reads prompts.
     pub pace: Pace,
     /// What peers have running there.
-    pub peers: BackendLoad,
+    peers: PeersThere,
     calls: BTreeMap<RequestNumber, Call>,
     /// What this host learned in its run, for its peers.
     totals: BackendSamples,
@@ -75,6 +75,43 @@
     rests: u32,
 }
 
+/// What peers have running there, and how much of their prompts is still to be read.
+///
+/// They tell that a request began and that it ended, not when its prompt was read: that
+/// follows from the pace. Without this, a prompt would count as unread until its answer
+/// ends.
+#[derive(Debug, Default)]
+struct PeersThere {
+    running: u32,
+    unread_tokens: f64,
+    at: Option<Instant>,
+}
+
+impl PeersThere {
+    fn take(&mut self, load: BackendLoad, begun_tokens: u32, pace: Pace, now: Instant) {
+        let left = f64::from(self.unread_tokens(pace, now)) + f64::from(begun_tokens);
+        self.unread_tokens = left.min(f64::from(load.unread_tokens));
+        self.running = load.running;
+        self.at = Some(now);
+    }
+
+    fn unread_tokens(&self, pace: Pace, now: Instant) -> u32 {
+        let age = self.at.map(|at| now.saturating_duration_since(at));
+        let read = pace.rate() * age.unwrap_or_default().as_secs_f64();
+        whole_tokens(self.unread_tokens - read)
+    }
+}
+
+/// A number of tokens without its fraction; below none there is none.
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "such casts keep to the bounds of the type"
+)]
+fn whole_tokens(tokens: f64) -> u32 {
+    tokens as u32
+}
+
 #[derive(Debug)]
 struct Call {
     tokens: u32,
@@ -91,11 +128,7 @@
             record,
             key,
             pace: Pace::default(),
-            peers: BackendLoad {
-                key,
-                running: 0,
-                unread_tokens: 0,
-            },
+            peers: PeersThere::default(),
             calls: BTreeMap::new(),
             totals: BackendSamples::none(key),
             residence: None,
@@ -115,9 +148,14 @@
 
     /// Prompt tokens that it has to read before a new request's.
     #[must_use]
-    pub fn unread_tokens(&self) -> u32 {
+    pub fn unread_tokens(&self, now: Instant) -> u32 {
         let own = self.own_load().unread_tokens;
-        own.saturating_add(self.peers.unread_tokens)
+        own.saturating_add(self.peers.unread_tokens(self.pace, now))
+    }
+
+    /// Takes what peers have running there now, and the prompt tokens of what they began.
+    pub fn peers_told(&mut self, load: BackendLoad, begun_tokens: u32, now: Instant) {
+        self.peers.take(load, begun_tokens, self.pace, now);
     }
 
     /// What this host has running there.
--- a/crates/jaypin_router/src/cell.rs
+++ b/crates/jaypin_router/src/cell.rs
@@ -1,25 +1,14 @@
-//! Cells: groups of hosts that tell each other everything and share out backend servers.
+//! Cells: groups of hosts that tell each other who is there and what they know.
 //!
-//! A host of a large fleet can't tell all others what it has running. Its cell has a few
-//! dozen hosts, whatever the size of the fleet, and for each service a part of the backend
-//! servers that no other cell uses, so what the cell knows of their load is all there is.
-
-use std::collections::BTreeMap;
-
-use jaypin_core::{BackendId, score};
+//! A host of a large fleet can't tell all others that it is there, what it knows of the store
+//! and what accounts use. Its cell has a few dozen hosts, whatever the size of the fleet. Who
+//! hears of the load of which backend server is another matter: see [`crate::Views`].
 
 /// Number of a cell.
 pub type CellIndex = u32;
 
-/// Hosts in a cell at the most, on the average.
-///
-/// With fewer, chance gives one cell much faster backend servers than another: with eight
-/// a cell the capacity of cells differs by a fifth, with fifteen by an eighth. With more,
-/// reports cost more than the better view gives.
-const MOST_HOSTS: usize = 40;
-/// Backend servers of a service for each cell, at least; services with fewer are used by
-/// all cells.
-const LEAST_BACKENDS: usize = 4;
+/// Hosts in a cell at the most, on the average: what each tells goes to all of them.
+const MOST_HOSTS: usize = crate::view::SMALL_FLEET;
 
 /// Cells of a fleet: a power of two, so that hosts which count the fleet differently for a
 /// moment mostly agree.
@@ -38,35 +27,3 @@
     let hash = xxhash_rust::xxh3::xxh3_64(host.as_bytes());
     u32::try_from(hash % u64::from(count.max(1))).unwrap_or_default()
 }
-
-/// Which cell uses which backend server of a service, by the number of hosts in each cell.
-///
-/// Rendezvous with bounds: each cell gets its part to within one, and when a backend
-/// server comes or goes, few others change their cell. Gives nothing where all cells use
-/// all of them.
-#[must_use]
-pub fn share_out<'a>(
-    backends: impl Iterator<Item = &'a BackendId>,
-    hosts: &BTreeMap<CellIndex, usize>,
-) -> Option<BTreeMap<BackendId, CellIndex>> {
-    let mut ranked: Vec<_> = backends.collect();
-    if hosts.len() < 2 || ranked.len() < LEAST_BACKENDS * hosts.len() {
-        return None;
-    }
-    ranked.sort_by_cached_key(|id| xxhash_rust::xxh3::xxh3_64(id.as_bytes()));
-    let all: usize = hosts.values().sum();
-    let mut room: BTreeMap<CellIndex, usize> = hosts
-        .iter()
-        .map(|(cell, hosts)| (*cell, (ranked.len() * hosts).div_ceil(all.max(1))))
-        .collect();
-    let mut shared = BTreeMap::new();
-    for id in ranked {
-        let with_room = room.iter_mut().filter(|(_, room)| **room > 0);
-        let best = with_room.max_by_key(|(cell, _)| score(id, &cell.to_string()));
-        if let Some((cell, room)) = best {
-            *room -= 1;
-            shared.insert(id.clone(), *cell);
-        }
-    }
-    Some(shared)
-}
--- a/crates/jaypin_router/src/fleet.rs
+++ b/crates/jaypin_router/src/fleet.rs
@@ -6,10 +6,7 @@
 
 use jaypin_core::{AccountId, FailureDomain, HostId, Incarnation};
 
-use crate::{
-    Asked, BackendKey, BackendLoad, BackendSamples, BootTime, CellIndex, PeerClock, Rank, Report,
-    ServiceKey, Strike, WholeReport,
-};
+use crate::{Asked, BootTime, CellIndex, PeerClock, Rank, Report, ServiceKey, Strike, WholeReport};
 
 /// Time without a report after which a host takes no part.
 ///
@@ -27,9 +24,6 @@
 /// Each host hears from each other cell twice a second on the average, at random.
 const CELL_SILENCE: Duration = Duration::from_secs(4);
 
-/// Reports of a run within which it has hardly served anything: the first second or two.
-const FRESH_REPORTS: u64 = 8;
-
 /// A peer, as its last reports show it.
 #[derive(Debug)]
 pub struct Peer {
@@ -48,13 +42,8 @@
     /// Its clock against this host's.
     pub clock: PeerClock,
     earlier_run: Option<Incarnation>,
-    /// Whether all that its run learned was heard; else totals that are new to this host
-    /// may be minutes old.
-    is_known_from_start: bool,
     sequence: Option<u64>,
     heard_at: Instant,
-    loads: HashMap<BackendKey, BackendLoad>,
-    samples: HashMap<BackendKey, BackendSamples>,
     usage: HashMap<AccountId, f64>,
     asked: HashMap<(ServiceKey, Rank), u32>,
 }
@@ -84,8 +73,6 @@
 /// What a report has that was not known before.
 #[derive(Debug, Default)]
 pub struct News {
-    /// What was learned of backend servers since the report before.
-    pub samples: Vec<BackendSamples>,
     /// Quota units used since the report before.
     pub usage: Vec<(AccountId, f64)>,
     /// Levels of accounts that have little left.
@@ -140,11 +127,7 @@
         }
         if known.is_none_or(|peer| peer.run != report.run) {
             let earlier_run = known.map(|peer| peer.run);
-            let is_known_from_start = !is_new || report.sequence <= FRESH_REPORTS;
-            let peer = Peer {
-                is_known_from_start,
-                ..Peer::new(report.run, earlier_run, whole, now)
-            };
+            let peer = Peer::new(report.run, earlier_run, whole, now);
             self.runs.insert(report.run, host.clone());
             self.peers.insert(host.clone(), peer);
         }
@@ -162,6 +145,12 @@
             .filter(move |(_, peer)| peer.is_heard(now))
     }
 
+    /// Where peers took reports that have been silent for a while.
+    pub fn silent_addresses(&self, now: Instant) -> impl Iterator<Item = SocketAddr> {
+        let silent = self.peers.values().filter(move |it| !it.is_heard(now));
+        silent.map(|it| it.address)
+    }
+
     /// A peer.
     #[must_use]
     pub fn peer(&self, host: &str) -> Option<&Peer> {
@@ -175,14 +164,6 @@
         heard.flat_map(|cell| cell.callers.iter().copied())
     }
 
-    /// Hosts in use of other cells that were heard lately.
-    #[must_use]
-    pub fn other_cells(&self, now: Instant) -> BTreeMap<CellIndex, usize> {
-        let heard = self.other_cells.iter();
-        let heard = heard.filter(|(_, it)| is_recent(it.heard_at, now));
-        heard.map(|(cell, it)| (*cell, it.callers.len())).collect()
-    }
-
     /// All peers, heard lately or not.
     pub fn iter(&self) -> impl Iterator<Item = (&HostId, &Peer)> {
         self.peers.iter()
@@ -206,24 +187,6 @@
         self.heard(now).count() + 1
     }
 
-    /// What peers have running, summed up by backend server.
-    #[must_use]
-    pub fn loads(&self, now: Instant) -> HashMap<BackendKey, BackendLoad> {
-        let mut sums: HashMap<BackendKey, BackendLoad> = HashMap::new();
-        for (_, peer) in self.heard(now) {
-            for load in peer.loads.values() {
-                let sum = sums.entry(load.key).or_insert(BackendLoad {
-                    running: 0,
-                    unread_tokens: 0,
-                    ..*load
-                });
-                sum.running += load.running;
-                sum.unread_tokens = sum.unread_tokens.saturating_add(load.unread_tokens);
-            }
-        }
-        sums
-    }
-
     /// Drops peers that were silent for long.
     pub fn forget_gone(&mut self, now: Instant) {
         self.peers
@@ -250,11 +213,8 @@
             may_watch: false,
             clock: PeerClock::default(),
             earlier_run,
-            is_known_from_start: false,
             sequence: None,
             heard_at: now,
-            loads: HashMap::new(),
-            samples: HashMap::new(),
             usage: HashMap::new(),
             asked: HashMap::new(),
         }
@@ -272,7 +232,6 @@
         let mut news = News::default();
         if let Some(whole) = report.whole {
             self.may_watch = whole.store.may_watch;
-            self.loads.clear();
             news.strikes = whole.strikes;
             news.low_levels = whole.low_levels;
             for asked in whole.asked {
@@ -283,17 +242,6 @@
                     news.asked.push(Asked { requests, ..asked });
                 }
             }
-            for sample in whole.samples {
-                let before = self.samples.insert(sample.key, sample);
-                let none = BackendSamples::none(sample.key);
-                let none = self.is_known_from_start.then_some(none);
-                if let Some(before) = before.or(none) {
-                    news.samples.push(sample.since(&before));
-                }
-            }
-        }
-        for load in report.loads {
-            self.loads.insert(load.key, load);
         }
         for (account, used) in report.usage {
             let before = self.usage.insert(account.clone(), used);
@@ -304,29 +252,3 @@
         news
     }
 }
-
-impl BackendSamples {
-    /// Nothing learned yet.
-    #[must_use]
-    pub fn none(key: BackendKey) -> Self {
-        Self {
-            key,
-            tokens: 0.0,
-            seconds: 0.0,
-            held: 0.0,
-            good: 0,
-            bad: 0,
-        }
-    }
-
-    fn since(&self, before: &Self) -> Self {
-        Self {
-            key: self.key,
-            tokens: (self.tokens - before.tokens).max(0.0),
-            seconds: (self.seconds - before.seconds).max(0.0),
-            held: (self.held - before.held).max(0.0),
-            good: self.good.saturating_sub(before.good),
-            bad: self.bad.saturating_sub(before.bad),
-        }
-    }
-}
--- a/crates/jaypin_router/src/lib.rs
+++ b/crates/jaypin_router/src/lib.rs
@@ -8,6 +8,7 @@
 mod account_asked;
 mod asked;
 mod backend;
+mod backend_table;
 mod cell;
 mod come_back;
 mod configuration;
@@ -17,6 +18,7 @@
 mod grounds;
 mod limits;
 mod pace;
+mod peer_loads;
 mod placement;
 mod proof;
 mod quota;
@@ -29,12 +31,14 @@
 mod route_table;
 mod router;
 mod size;
+mod view;
 mod waiting;
 
 pub use account_asked::AccountAsked;
 pub use asked::{Asked, AskedRates};
 pub use backend::{Backend, BackendRecord, BackendStatus};
-pub use cell::{CellIndex, cell_count, cell_of, share_out};
+pub use backend_table::BackendTable;
+pub use cell::{CellIndex, cell_count, cell_of};
 pub use configuration::{
     Account, CallerLimits, Configuration, Engine, Quota, QuotaUnit, Repeat, Route, Service, Target,
 };
@@ -43,6 +47,7 @@
 pub use floor::Floors;
 pub use grounds::Grounds;
 pub use pace::Pace;
+pub use peer_loads::{LoadChange, LoadNews, PeerLoads};
 pub use placement::{Choice, Demand, best_place};
 pub use proof::PeerClock;
 pub use quota::{FleetQuota, QuotaLevel};
@@ -55,12 +60,15 @@
 pub use route_table::{RouteTable, Unrouted};
 pub use router::{Bounds, Effect, Event, Router, RouterConfig, RouterCounts};
 pub use size::Sizes;
+pub use view::{ViewKind, Views};
 pub use waiting::WaitingList;
 
 /// Number of a request in one run of a host's process.
 pub type RequestNumber = u64;
 /// Short key of a backend server in reports: a hash of its id.
 pub type BackendKey = u32;
+/// Short key of a host in reports: a hash of its name.
+pub type HostKey = u32;
 /// Short key of a service in reports: a hash of its name.
 pub type ServiceKey = u32;
 /// Time on a clock that also counts while the host is suspended, since some fixed start.
@@ -76,6 +84,12 @@
     short_hash(id)
 }
 
+/// The key under which a host stands in reports.
+#[must_use]
+pub fn host_key(name: &str) -> HostKey {
+    short_hash(name)
+}
+
 /// The key under which a service stands in reports.
 #[must_use]
 pub fn service_key(name: &str) -> ServiceKey {
--- a/crates/jaypin_router/src/placement.rs
+++ b/crates/jaypin_router/src/placement.rs
@@ -77,7 +77,7 @@
 fn weigh(backend: &Backend, demand: &Demand, now: Instant) -> Choice {
     let slots = backend.record.slots.max(1);
     let running = backend.running();
-    let tokens_ahead = backend.unread_tokens();
+    let tokens_ahead = backend.unread_tokens(now);
     let in_line = f64::from((running + 1).saturating_sub(slots));
     let residence = backend.residence().unwrap_or(demand.residence);
     let turn = residence / slots;
--- a/crates/jaypin_router/src/report.rs
+++ b/crates/jaypin_router/src/report.rs
@@ -4,7 +4,7 @@
 
 use jaypin_core::{AccountId, FailureDomain, HostId, Incarnation};
 
-use crate::{Asked, BackendKey, BootTime, CellIndex, EntryChange};
+use crate::{Asked, BackendKey, BootTime, CellIndex, EntryChange, HostKey};
 
 /// What one host has running and has learned.
 ///
@@ -12,16 +12,19 @@
 /// lost is made good by a later one.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Report {
-    /// Number of the sender's run, drawn at random: it names the sender once a whole
-    /// report was heard, and clocks may jump back.
+    /// The sender.
+    pub host: HostKey,
+    /// Number of the sender's run, drawn at random, since clocks may jump back.
     pub run: Incarnation,
     /// Count of reports within the run; a smaller one is late and ignored.
     pub sequence: u64,
     /// Whether callers should be sent to it.
     pub is_ready: bool,
-    /// What it has running, by backend server: all of it in a whole report, else what
-    /// changed.
+    /// What it has running, where that changed or was not told for a while: to hosts that
+    /// use the same backend servers.
     pub loads: Vec<BackendLoad>,
+    /// What it has learned lately of these, as totals of this run.
+    pub samples: Vec<BackendSamples>,
     /// Quota units that accounts used, as totals of this run: all accounts in a whole
     /// report, else those that used some.
     pub usage: Vec<(AccountId, f64)>,
@@ -48,8 +51,6 @@
     pub sent_at: BootTime,
     /// What it says of the store.
     pub store: StoreView,
-    /// What it has learned lately, by backend server, as totals of this run.
-    pub samples: Vec<BackendSamples>,
     /// Levels of accounts that have little left; a host that has just started takes them
     /// over.
     pub low_levels: Vec<(AccountId, f64)>,
@@ -112,3 +113,43 @@
     /// Backend servers that died.
     pub strikes: u32,
 }
+
+impl BackendLoad {
+    /// Nothing running.
+    #[must_use]
+    pub fn none(key: BackendKey) -> Self {
+        Self {
+            key,
+            running: 0,
+            unread_tokens: 0,
+        }
+    }
+}
+
+impl BackendSamples {
+    /// Nothing learned yet.
+    #[must_use]
+    pub fn none(key: BackendKey) -> Self {
+        Self {
+            key,
+            tokens: 0.0,
+            seconds: 0.0,
+            held: 0.0,
+            good: 0,
+            bad: 0,
+        }
+    }
+
+    /// What was learned since an earlier total.
+    #[must_use]
+    pub fn since(&self, before: &Self) -> Self {
+        Self {
+            key: self.key,
+            tokens: (self.tokens - before.tokens).max(0.0),
+            seconds: (self.seconds - before.seconds).max(0.0),
+            held: (self.held - before.held).max(0.0),
+            good: self.good.saturating_sub(before.good),
+            bad: self.bad.saturating_sub(before.bad),
+        }
+    }
+}
--- a/crates/jaypin_router/src/router/attempt.rs
+++ b/crates/jaypin_router/src/router/attempt.rs
@@ -29,7 +29,6 @@
             return;
         };
         backend.answered(number);
-        self.telling.has_news();
         // With all slots taken, the time tells more of other requests' ends than of this
         // one's prefill.
         let is_first = request.admitted.tried.len() == 1;
@@ -53,7 +52,7 @@
         };
         if let Some(backend) = self.backends.get_mut(&request.state.backend) {
             backend.ended(number, outcome, now);
-            self.telling.slots_changed();
+            self.load_telling.slot_changed(backend.key);
         }
         request.admitted.is_started |= request.state.is_answered;
         match outcome {
--- a/crates/jaypin_router/src/router/knowledge.rs
+++ b/crates/jaypin_router/src/router/knowledge.rs
@@ -1,18 +1,18 @@
 //! What the router learns: configuration, backend servers, peers.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use jaypin_core::{BackendId, HostId, ServiceId};
+use jaypin_core::{BackendId, HostId};
 
 use rand::RngExt;
 
 use super::Router;
 use crate::{
-    Backend, BackendLoad, BackendRecord, BootTime, EntryChange, Report, ResendBudget, RouteTable,
-    cell_count, cell_of, share_out,
+    Backend, BackendRecord, BootTime, EntryChange, LoadChange, LoadNews, Report, ResendBudget,
+    RouteTable, ViewKind, cell_count, cell_of,
 };
 
 /// Part of the bound on withdrawn credentials within which the configuration has to be
@@ -64,7 +64,7 @@
         now: Instant,
     ) {
         let listed: BTreeSet<BackendId> = entries.iter().map(|it| it.0.id.clone()).collect();
-        let known = self.entries.ids().chain(self.backends.keys());
+        let known = self.entries.ids().chain(self.backends.ids());
         let gone: BTreeSet<_> = known.filter(|id| !listed.contains(*id)).cloned().collect();
         for id in gone {
             let removed = EntryChange::Removed {
@@ -91,11 +91,11 @@
 
     pub(super) fn backend_changed(&mut self, record: BackendRecord) {
         self.vanished.is_back(&record.id);
+        self.views.outdate();
         if let Some(backend) = self.backends.get_mut(&record.id) {
             backend.restate(record);
         } else {
-            let id = record.id.clone();
-            self.backends.insert(id, Backend::new(record));
+            self.backends.insert(Backend::new(record));
         }
     }
 
@@ -104,17 +104,17 @@
             return;
         }
         self.heard_of_store(&report, now, boot_time);
+        self.take_loads(&report, now);
         let is_whole = report.whole.is_some();
+        if let Some(whole) = &report.whole
+            && self.telling.found(whole.host.clone(), whole.address)
+        {
+            self.views.outdate();
+        }
         let news = self.fleet.take(report, now, boot_time);
         if is_whole {
             self.refresh_quotas(now);
         }
-        for samples in &news.samples {
-            let mut backends = self.backends.values_mut();
-            if let Some(backend) = backends.find(|it| it.key == samples.key) {
-                backend.peer_learned(samples, now);
-            }
-        }
         for (account, units) in &news.usage {
             self.quota.peer_used(account, *units, now);
         }
@@ -128,8 +128,39 @@
             self.quarantine
                 .heard(now, strike.fingerprint, strike.strikes);
         }
-        self.refresh_loads(now);
-        self.look_later(now);
+    }
+
+    /// Takes what a peer has running and has learned.
+    fn take_loads(&mut self, report: &Report, now: Instant) {
+        let news = self.peer_loads.take(report, now);
+        for samples in &news.samples {
+            if let Some(backend) = self.backends.by_key_mut(samples.key) {
+                backend.peer_learned(samples, now);
+            }
+        }
+        self.loads_changed(&news, now);
+    }
+
+    fn loads_changed(&mut self, news: &LoadNews, now: Instant) {
+        for change in &news.changed {
+            self.load_changed(*change, now);
+        }
+        if news.has_freed {
+            self.look_later(now);
+        }
+    }
+
+    fn load_changed(&mut self, change: LoadChange, now: Instant) {
+        let Some(backend) = self.backends.by_key(change.key) else {
+            return;
+        };
+        let times = self.times_heard(&backend.record.service);
+        let mut load = self.peer_loads.sum(change.key);
+        load.running = load.running.saturating_mul(times);
+        load.unread_tokens = load.unread_tokens.saturating_mul(times);
+        if let Some(backend) = self.backends.by_key_mut(change.key) {
+            backend.peers_told(load, change.begun_tokens.saturating_mul(times), now);
+        }
     }
 
     /// Lets waiting requests look for a place a little later, the urgent ones sooner.
@@ -155,13 +186,14 @@
         for budget in self.budgets.values_mut() {
             budget.set_allowance(allowance);
         }
-        self.refresh_loads(now);
+        let lapsed = self.peer_loads.lapse(now);
+        self.loads_changed(&lapsed, now);
     }
 
     pub(super) fn hosts_found(&mut self, hosts: Vec<(HostId, SocketAddr)>, now: Instant) {
         for (host, address) in hosts {
-            if host != self.cfg.host {
-                self.telling.found(host, address);
+            if host != self.cfg.host && self.telling.found(host, address) {
+                self.views.outdate();
             }
         }
         self.telling.found_all();
@@ -180,62 +212,34 @@
         self.quota.set_heard_part(part / f64::from(self.cells));
     }
 
-    fn refresh_loads(&mut self, now: Instant) {
-        let loads = self.fleet.loads(now);
-        for backend in self.backends.values_mut() {
-            // What all cells use, the other cells use as much as this one.
-            let is_shared = self.shares.contains_key(&backend.record.service);
-            let times = if is_shared { 1 } else { self.cells };
-            let none = BackendLoad {
-                key: backend.key,
-                running: 0,
-                unread_tokens: 0,
-            };
-            let load = loads.get(&backend.key).copied().unwrap_or(none);
-            backend.peers = BackendLoad {
-                running: load.running.saturating_mul(times),
-                unread_tokens: load.unread_tokens.saturating_mul(times),
-                ..load
-            };
-        }
-    }
-
-    /// Finds this host's cell, and what its cell uses.
-    pub(super) fn refresh_cells(&mut self, now: Instant) {
+    /// Finds this host's cell.
+    pub(super) fn refresh_cells(&mut self) {
         self.cells = cell_count(self.telling.hosts());
         self.cell = cell_of(&self.cfg.host, self.cells);
-        self.shares.clear();
-        if self.cells == 1 {
+    }
+
+    /// Finds what this host uses, if hosts or backend servers changed.
+    pub(super) fn refresh_views(&mut self) {
+        if self.views.is_current() {
             return;
         }
-        let mut hosts = self.fleet.other_cells(now);
-        hosts.insert(self.cell, self.fleet.size(now));
-        let mut by_service: BTreeMap<ServiceId, Vec<&BackendId>> = BTreeMap::new();
-        for (id, backend) in &self.backends {
-            let of_service = by_service.entry(backend.record.service.clone());
-            of_service.or_default().push(id);
-        }
-        for (service, ids) in by_service {
-            if let Some(share) = share_out(ids.into_iter(), &hosts) {
-                self.shares.insert(service, share);
-            }
-        }
+        let others: Vec<_> = self.telling.hosts_found().collect();
+        let backends = self.backends.ready_by_service();
+        self.views.derive(&self.cfg.host, &others, backends);
     }
 
-    /// Cells that use the same backend servers of a service.
-    pub(super) fn sharing_cells(&self, service: &ServiceId) -> u32 {
-        if self.shares.contains_key(service) {
-            1
-        } else {
-            self.cells
+    /// By how much more all hosts have running than those that this host hears of.
+    fn times_heard(&self, service: &str) -> u32 {
+        match self.views.kind(service) {
+            ViewKind::Sampled => self.cells,
+            ViewKind::Whole | ViewKind::Part(_) => 1,
         }
     }
 
-    /// Whether a backend server is for this host's cell to use.
-    pub(super) fn is_ours(&self, backend: &Backend) -> bool {
-        let shares = self.shares.get(&backend.record.service);
-        let cell = shares.and_then(|shares| shares.get(&backend.record.id));
-        cell.is_none_or(|cell| *cell == self.cell)
+    /// What the fleet is asked for of the backend servers that this host uses, against what
+    /// its cell is asked for of all.
+    pub(super) fn share_of_asked(&self, service: &str) -> f64 {
+        f64::from(self.cells) * self.views.part(service)
     }
 
     fn resend_allowance(&self, now: Instant) -> f64 {
--- a/crates/jaypin_router/src/router/lapse.rs
+++ b/crates/jaypin_router/src/router/lapse.rs
@@ -62,13 +62,13 @@
         if was_ready && self.vanished.is_disturbed(now) {
             self.vanished.due.entry(id).or_insert(now + GRACE);
         } else {
-            self.backends.remove(&id);
+            self.remove_backend(&id);
         }
     }
 
     /// An entry was removed while the store was watched.
     pub(super) fn backend_removed(&mut self, id: &BackendId, now: Instant) {
-        let Some(backend) = self.backends.remove(id) else {
+        let Some(backend) = self.remove_backend(id) else {
             return;
         };
         self.vanished.due.remove(id);
@@ -104,14 +104,21 @@
         for (at, backend) in std::mem::take(dropped) {
             let id = backend.record.id.clone();
             self.vanished.due.insert(id.clone(), at + GRACE);
-            self.backends.insert(id, backend);
+            self.backends.insert(backend);
+            self.views.outdate();
         }
     }
 
     pub(super) fn drop_vanished(&mut self, now: Instant) {
         let due = self.vanished.due.extract_if(.., |_, at| now >= *at);
-        for (id, _) in due {
-            self.backends.remove(&id);
+        let due: Vec<_> = due.map(|(id, _)| id).collect();
+        for id in due {
+            self.remove_backend(&id);
         }
     }
+
+    fn remove_backend(&mut self, id: &str) -> Option<Backend> {
+        self.views.outdate();
+        self.backends.remove(id)
+    }
 }
--- a/crates/jaypin_router/src/router/mod.rs
+++ b/crates/jaypin_router/src/router/mod.rs
@@ -6,9 +6,10 @@
 mod lapse;
 mod placing;
 mod telling;
+mod telling_loads;
 mod watching;
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -19,16 +20,19 @@
 
 use crate::request::{Request, Sent};
 use crate::{
-    AccountAsked, Arrival, AskedBy, AskedRates, AttemptOutcome, Backend, BackendRecord, BootTime,
-    CellIndex, Entries, EntryChange, Fleet, FleetQuota, Floors, Grounds, Report, RequestNumber,
-    ResendBudget, RouteTable, Sizes, Unrouted, WaitingList,
+    AccountAsked, Arrival, AskedBy, AskedRates, AttemptOutcome, BackendRecord, BackendTable,
+    BootTime, CellIndex, Entries, EntryChange, Fleet, FleetQuota, Floors, Grounds, PeerLoads,
+    Report, RequestNumber, ResendBudget, RouteTable, Sizes, Unrouted, Views, WaitingList,
 };
 use lapse::Vanished;
 use telling::Telling;
+use telling_loads::LoadTelling;
 use watching::Heard;
 
 /// Time between two ticks when nothing is due.
-const LONGEST_TICK: Duration = Duration::from_millis(250);
+const LONGEST_TICK: Duration = Duration::from_millis(100);
+/// Pause between two looks through all peers: a silent one is noticed that much later.
+const REFRESH_PAUSE: Duration = Duration::from_millis(50);
 
 /// Bounds that the fleet's operators state.
 #[derive(Debug, Clone, PartialEq)]
@@ -202,11 +206,11 @@
     entries: Entries,
     cell: CellIndex,
     cells: u32,
-    /// Cells of backend servers, where cells share them out.
-    shares: HashMap<ServiceId, BTreeMap<BackendId, CellIndex>>,
-    backends: BTreeMap<BackendId, Backend>,
+    views: Views,
+    backends: BackendTable,
     vanished: Vanished,
     fleet: Fleet,
+    peer_loads: PeerLoads,
     quota: FleetQuota,
     budgets: HashMap<ServiceId, ResendBudget>,
     residence: HashMap<ServiceId, Duration>,
@@ -218,6 +222,9 @@
     waiting: WaitingList,
     sent: HashMap<RequestNumber, Request<Sent>>,
     telling: Telling,
+    load_telling: LoadTelling,
+    /// When peers and cells were looked through last.
+    refreshed_at: Option<Instant>,
     /// When the first event came.
     started_at: Option<Instant>,
     draining_since: Option<Instant>,
@@ -241,10 +248,11 @@
             entries: Entries::default(),
             cell: 0,
             cells: 1,
-            shares: HashMap::new(),
-            backends: BTreeMap::new(),
+            views: Views::default(),
+            backends: BackendTable::default(),
             vanished: Vanished::default(),
             fleet: Fleet::default(),
+            peer_loads: PeerLoads::default(),
             quota: FleetQuota::new(cfg.bounds.quota_window, cfg.bounds.quota_slack),
             budgets: HashMap::new(),
             residence: HashMap::new(),
@@ -256,6 +264,8 @@
             waiting: WaitingList::default(),
             sent: HashMap::new(),
             telling: Telling::default(),
+            load_telling: LoadTelling::default(),
+            refreshed_at: None,
             started_at: None,
             draining_since: None,
             was_ready: false,
@@ -288,6 +298,7 @@
             Event::Tick(boot_time) => self.tick(now, boot_time, &mut fx),
         }
         self.tell(now, false, &mut fx);
+        self.tell_loads(now, &mut fx);
         fx
     }
 
@@ -297,6 +308,7 @@
         let latest = now + LONGEST_TICK;
         let soonest = [
             self.telling.due_at(),
+            self.load_telling.due_at(),
             self.look_at,
             self.waiting.first_until(),
             self.vanished.next_due(),
@@ -369,8 +381,14 @@
         }
         self.drop_vanished(now);
         self.judge_deaths(now);
-        self.refresh_peers(now);
-        self.refresh_cells(now);
+        let is_time = |at: Instant| now.saturating_duration_since(at) >= REFRESH_PAUSE;
+        if self.refreshed_at.is_none_or(is_time) {
+            self.refreshed_at = Some(now);
+            self.refresh_found(now);
+            self.refresh_peers(now);
+            self.refresh_cells();
+            self.refresh_own_loads(now);
+        }
         self.place_waiting(now, fx);
     }
 
--- a/crates/jaypin_router/src/router/placing.rs
+++ b/crates/jaypin_router/src/router/placing.rs
@@ -11,10 +11,12 @@
 use crate::limits::{first_event_limit, is_last_resort, longest_pause, silence, slot_wait_limit};
 use crate::placement::{Choice, Demand, best_place};
 use crate::request::{Admitted, Request, Sent, Waiting};
-use crate::{Grounds, RequestNumber, kept_slots, service_key};
+use crate::{Backend, Grounds, RequestNumber, kept_slots, service_key};
 
 /// Kept slots below which a service takes what comes: hardly anything urgent is asked of it.
 const LEAST_KEPT: f64 = 0.1;
+/// Pause between two looks of waiting requests when no slot was told to be free.
+const LOOK_PAUSE: Duration = Duration::from_millis(20);
 /// Part of the service's shortest aim within which a backend server frees its next slot, so
 /// that nothing has to be kept there.
 ///
@@ -25,6 +27,7 @@
 impl Router {
     /// Sends a request, keeps it waiting, or gives it up.
     pub(super) fn place(&mut self, now: Instant, request: Request<Waiting>, fx: &mut Vec<Effect>) {
+        self.refresh_views();
         if now >= request.admitted.deadline {
             return self.give_up(&request, Reason::TooLate, Grounds::Deadline, fx);
         }
@@ -33,7 +36,7 @@
             if is_over {
                 return self.give_up(&request, Reason::NoBackend, Grounds::NoPlace, fx);
             }
-            return self.waiting.push(request);
+            return self.keep_waiting(request, now);
         };
         let limit = self.limit(&request.admitted, &choice, now);
         let slot_limit = slot_wait_limit(&request.admitted);
@@ -50,10 +53,17 @@
         } else if is_over {
             self.give_up(&request, Reason::Shed, grounds, fx);
         } else {
-            self.waiting.push(request);
+            self.keep_waiting(request, now);
         }
     }
 
+    /// Prompts are read and engines rest while nobody tells so, so it looks again by itself.
+    fn keep_waiting(&mut self, request: Request<Waiting>, now: Instant) {
+        self.waiting.push(request);
+        let at = now + LOOK_PAUSE;
+        self.look_at = Some(self.look_at.map_or(at, |earlier| earlier.min(at)));
+    }
+
     /// Looks again for places, the most urgent request first.
     pub(super) fn place_waiting(&mut self, now: Instant, fx: &mut Vec<Effect>) {
         self.look_at = None;
@@ -74,14 +84,14 @@
         };
         let mut rng = self.rng.clone();
         let mut turn = || rng.random_range(0.0..1.0);
-        let of_service = || {
-            let all = self.backends.values();
-            all.filter(|it| it.record.service == admitted.service)
-        };
-        let ours = of_service().filter(|it| self.is_ours(it));
+        let ours = self.ours(&admitted.service);
         let choice = best_place(ours, &demand, &admitted.tried, &mut turn, now)
-            // A cell whose backend servers are all gone uses those of the others.
-            .or_else(|| best_place(of_service(), &demand, &admitted.tried, &mut turn, now));
+            // A host whose own backend servers are all gone uses those of the others.
+            .or_else(|| {
+                let all = self.backends.values();
+                let of_service = all.filter(|it| it.record.service == admitted.service);
+                best_place(of_service, &demand, &admitted.tried, &mut turn, now)
+            });
         self.rng = rng;
         choice
     }
@@ -98,7 +108,7 @@
         }
         let service = service_key(&admitted.service);
         let of_cell = self.asked.above(service, admitted.rank, now);
-        let above = of_cell * f64::from(self.sharing_cells(&admitted.service));
+        let above = of_cell * self.share_of_asked(&admitted.service);
         let kept = kept_slots(above);
         if kept < LEAST_KEPT {
             return None;
@@ -121,11 +131,16 @@
         least.map_or(aim, |least| least.min(aim))
     }
 
-    /// Free slots of a service's backend servers that this host's cell uses.
+    /// Backend servers of a service that this host uses.
+    fn ours(&self, service: &ServiceId) -> impl Iterator<Item = &Backend> {
+        let ours = self.views.ours(service).iter();
+        ours.filter_map(|id| self.backends.get(id))
+    }
+
+    /// Free slots of a service's backend servers that this host uses.
     fn free_slots(&self, service: &ServiceId, now: Instant) -> u32 {
-        let all = self.backends.values();
-        let of_service = all.filter(|it| it.record.service == *service && self.is_ours(it));
-        let usable = of_service.filter(|it| it.takes_requests() && !it.is_in_trouble(now));
+        let usable = self.ours(service);
+        let usable = usable.filter(|it| it.takes_requests() && !it.is_in_trouble(now));
         usable
             .map(|it| it.record.slots.saturating_sub(it.running()))
             .sum()
@@ -152,7 +167,7 @@
             limit,
             slot_wait: choice.slot_wait,
             slot_limit,
-            running: backend.map_or(0, crate::Backend::running),
+            running: backend.map_or(0, Backend::running),
             tokens_ahead: choice.tokens_ahead,
             is_in_trouble: choice.is_in_trouble,
         }
@@ -172,7 +187,7 @@
         let admitted = &request.admitted;
         let (number, tokens) = (admitted.number, admitted.prompt_tokens);
         backend.sent(number, tokens, choice.first_event, now);
-        self.telling.slots_changed();
+        self.load_telling.slot_changed(backend.key);
         let service = service_key(&admitted.service);
         self.floors.sent(service, admitted.rank);
         fx.push(Effect::Send {
--- a/crates/jaypin_router/src/router/telling.rs
+++ b/crates/jaypin_router/src/router/telling.rs
@@ -1,4 +1,4 @@
-//! When peers are told what, and who is told.
+//! What a cell's hosts tell each other, and when.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
@@ -9,18 +9,11 @@
 
 use super::{Effect, Router};
 use crate::fleet::PEER_GONE;
-use crate::{
-    BackendKey, BackendLoad, BackendSamples, BootTime, Report, StoreView, Strike, WholeReport,
-    cell_of,
-};
+use crate::{BootTime, Report, StoreView, Strike, WholeReport, cell_of, host_key};
 
-/// Pause between two reports when a slot was taken or came free.
-///
-/// Until a report arrives, peers see a slot as free that is taken, and two requests meet
-/// in it: the second waits for a whole run to end. At full load a pause of 50 ms made one
-/// request in seven miss its aim by that.
-const SLOT_PAUSE: Duration = Duration::from_millis(6);
-/// Pause between two reports when only prompts were read: costs a tenth of a prefill.
+/// Pause between two reports when something is to be heard at once.
+const URGENT_PAUSE: Duration = Duration::from_millis(6);
+/// Pause between two reports when there is news.
 const REPORT_PAUSE: Duration = Duration::from_millis(50);
 /// Pause between two reports when nothing changes.
 const HEARTBEAT: Duration = Duration::from_millis(250);
@@ -37,12 +30,6 @@
 /// Silence after which a host is told no more. Longer than any cut: two parts of a fleet
 /// that both gave up would not find each other again.
 const FOUND_FOR: Duration = Duration::from_mins(15);
-/// Whole reports in a row that tell what was newly learned of a backend server: of a
-/// hundred datagrams one is lost, and what is learned next makes up for it.
-///
-/// Told in each whole report, what was learned of thirty backend servers was a quarter of
-/// all bytes between failure domains, requests included, with 126 hosts and with 133.
-const SAMPLES_TOLD: u32 = 2;
 /// Contents under suspicion in one report: more would not fit a datagram.
 const STRIKES_TOLD: usize = 16;
 
@@ -53,33 +40,13 @@
     last: Option<Instant>,
     last_whole: Option<Instant>,
     last_cross: Option<Instant>,
-    told: HashMap<BackendKey, BackendLoad>,
     told_usage: HashMap<AccountId, f64>,
-    told_samples: HashMap<BackendKey, SamplesTold>,
     has_news: bool,
-    slots_changed: bool,
+    is_urgent: bool,
     found: BTreeMap<SocketAddr, Found>,
     knows_hosts: bool,
 }
 
-/// Up to which call a backend server's samples were told, and how often.
-#[derive(Debug, Default)]
-struct SamplesTold {
-    calls: u32,
-    times: u32,
-}
-
-impl SamplesTold {
-    /// Whether they are to be told in the next whole report; counts them as told.
-    fn is_news(&mut self, calls: u32) -> bool {
-        if self.calls != calls {
-            *self = Self { calls, times: 0 };
-        }
-        self.times += 1;
-        calls > 0 && self.times <= SAMPLES_TOLD
-    }
-}
-
 #[derive(Debug, Default)]
 struct Found {
     host: Option<HostId>,
@@ -104,9 +71,16 @@
 }
 
 impl Telling {
-    /// A host that may be in the fleet.
-    pub fn found(&mut self, host: HostId, address: SocketAddr) {
-        self.found.entry(address).or_default().host = Some(host);
+    /// A host that may be in the fleet; says whether it was not known.
+    pub fn found(&mut self, host: HostId, address: SocketAddr) -> bool {
+        let found = self.found.entry(address).or_default();
+        found.host.replace(host.clone()) != Some(host)
+    }
+
+    /// Hosts that were found, with where they take reports.
+    pub fn hosts_found(&self) -> impl Iterator<Item = (HostId, SocketAddr)> {
+        let found = self.found.iter();
+        found.filter_map(|(address, it)| Some((it.host.clone()?, *address)))
     }
 
     /// All hosts that are registered were told.
@@ -142,12 +116,7 @@
     /// There is something in a whole report that peers should hear at once.
     pub fn whole_is_due(&mut self) {
         self.last_whole = None;
-        self.slots_changed = true;
-    }
-
-    /// There is something that peers should hear at once.
-    pub fn slots_changed(&mut self) {
-        self.slots_changed = true;
+        self.is_urgent = true;
     }
 
     /// When the next report is due.
@@ -157,8 +126,8 @@
     }
 
     fn pause(&self) -> Duration {
-        if self.slots_changed {
-            SLOT_PAUSE
+        if self.is_urgent {
+            URGENT_PAUSE
         } else if self.has_news {
             REPORT_PAUSE
         } else {
@@ -183,44 +152,41 @@
         }
         self.tell_other_cells(now, boot_time, fx);
         let is_whole = is_due(self.telling.last_whole, WHOLE_PAUSE, now) || at_once;
-        let loads = self.loads_to_tell(is_whole);
         self.telling.last = Some(now);
         let to = self.audience(now);
         if to.is_empty() {
             return;
         }
-        for load in &loads {
-            self.telling.told.insert(load.key, *load);
-        }
         self.telling.has_news = false;
-        self.telling.slots_changed = false;
+        self.telling.is_urgent = false;
         if is_whole {
             self.telling.last_whole = Some(now);
         }
         let usage = self.usage_to_tell(is_whole);
         let whole = is_whole.then(|| WholeReport {
-            samples: self.samples_to_tell(),
             low_levels: self.quota.low_levels(now),
             asked: self.asked.totals().collect(),
             ..self.whole_report(now, boot_time)
         });
         let report = Box::new(Report {
-            loads,
             usage,
             changes: self.entries.next_news(),
             whole,
-            ..self.short_report()
+            ..self.empty_report()
         });
         fx.push(Effect::Tell { to, report });
     }
 
-    fn short_report(&mut self) -> Report {
+    /// A report that says nothing yet.
+    pub(super) fn empty_report(&mut self) -> Report {
         self.telling.sequence += 1;
         Report {
+            host: host_key(&self.cfg.host),
             run: self.cfg.run,
             sequence: self.telling.sequence,
             is_ready: self.was_ready,
             loads: Vec::new(),
+            samples: Vec::new(),
             usage: Vec::new(),
             changes: Vec::new(),
             whole: None,
@@ -236,35 +202,7 @@
         usage.collect()
     }
 
-    fn loads_to_tell(&self, is_whole: bool) -> Vec<BackendLoad> {
-        let loads = self.backends.values().map(crate::Backend::own_load);
-        let is_news = |load: &BackendLoad| {
-            let told = self.telling.told.get(&load.key);
-            let is_empty = load.running == 0 && load.unread_tokens == 0;
-            told.map_or(!is_empty, |told| told != load)
-        };
-        if is_whole {
-            loads.filter(|load| load.running > 0).collect()
-        } else {
-            loads.filter(is_news).collect()
-        }
-    }
-
-    fn samples_to_tell(&mut self) -> Vec<BackendSamples> {
-        let backends = &self.backends;
-        let told = &mut self.telling.told_samples;
-        if told.len() > backends.len() {
-            told.retain(|key, _| backends.values().any(|it| it.key == *key));
-        }
-        let samples = backends.values().map(crate::Backend::samples);
-        let news = samples.filter(|it| {
-            let told = told.entry(it.key).or_default();
-            told.is_news(it.good + it.bad)
-        });
-        news.collect()
-    }
-
-    /// All but what was learned of backend servers.
+    /// What this host is and what it knows of the store.
     fn whole_report(&self, now: Instant, boot_time: BootTime) -> WholeReport {
         let strikes = self.quarantine.newest(STRIKES_TOLD).into_iter();
         let strikes = strikes.map(|(fingerprint, strikes)| Strike {
@@ -279,7 +217,6 @@
             cell: self.cell,
             sent_at: boot_time,
             store: self.store_view(now, boot_time),
-            samples: Vec::new(),
             low_levels: Vec::new(),
             asked: Vec::new(),
             strikes: strikes.collect(),
@@ -300,17 +237,8 @@
 
     /// Peers of the cell that were heard, and now and then those that were not.
     fn audience(&mut self, now: Instant) -> Vec<SocketAddr> {
-        for (host, peer) in self.fleet.iter() {
-            self.telling.found(host.clone(), peer.address);
-        }
         let heard: BTreeSet<_> = self.fleet.heard(now).map(|(_, it)| it.address).collect();
-        let own = self.cfg.address;
         let (cell, cells) = (self.cell, self.cells);
-        self.telling.found.retain(|address, found| {
-            let since = *found.since.get_or_insert(now);
-            let is_fresh = now.saturating_duration_since(since) < FOUND_FOR;
-            *address != own && (is_fresh || heard.contains(address))
-        });
         let mut to = Vec::new();
         for (address, found) in &mut self.telling.found {
             let host = found.host.as_deref().unwrap_or_default();
@@ -328,6 +256,21 @@
         to
     }
 
+    /// Drops hosts that were silent for long.
+    pub(super) fn refresh_found(&mut self, now: Instant) {
+        let own = self.cfg.address;
+        let heard: BTreeSet<_> = self.fleet.heard(now).map(|(_, it)| it.address).collect();
+        let before = self.telling.found.len();
+        self.telling.found.retain(|address, found| {
+            let since = *found.since.get_or_insert(now);
+            let is_fresh = now.saturating_duration_since(since) < FOUND_FOR;
+            *address != own && (is_fresh || heard.contains(address))
+        });
+        if self.telling.found.len() != before {
+            self.views.outdate();
+        }
+    }
+
     /// Tells one host of each other cell what this cell is.
     fn tell_other_cells(&mut self, now: Instant, boot_time: BootTime, fx: &mut Vec<Effect>) {
         if self.cells == 1 || !is_due(self.telling.last_cross, CROSS_PAUSE, now) {
@@ -354,7 +297,7 @@
         };
         let report = Box::new(Report {
             whole: Some(whole),
-            ..self.short_report()
+            ..self.empty_report()
         });
         fx.push(Effect::Tell { to, report });
     }
--- /dev/null
+++ b/crates/jaypin_router/src/router/telling_loads.rs
@@ -0,0 +1,175 @@
+//! What this host has running: told to the hosts that use the same backend servers.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use super::{Effect, Router};
+use crate::{BackendKey, BackendLoad, BackendSamples, Report};
+
+/// Pause between two reports when a slot was taken or came free.
+///
+/// Until a report arrives, others see a slot as free that is taken, and two requests meet
+/// in it: the second waits for a whole run to end.
+const SLOT_PAUSE: Duration = Duration::from_millis(6);
+/// Time after which what runs is told again, for those that lost a report.
+const REFRESH: Duration = Duration::from_millis(500);
+/// Pause between two reports of what was learned of a backend server.
+const SAMPLES_PAUSE: Duration = Duration::from_millis(400);
+/// Reports that tell what was newly learned of a backend server: of a hundred datagrams one
+/// is lost, and what is learned next makes up for it.
+const SAMPLES_TOLD: u32 = 2;
+
+/// What was told of this host's own load.
+#[derive(Debug, Default)]
+pub struct LoadTelling {
+    told: HashMap<BackendKey, Told>,
+    changed: BTreeSet<BackendKey>,
+    last: Option<Instant>,
+}
+
+#[derive(Debug)]
+struct Told {
+    load: BackendLoad,
+    at: Instant,
+    samples_at: Option<Instant>,
+    /// Calls up to which samples were told, and how often.
+    calls: u32,
+    times: u32,
+}
+
+impl LoadTelling {
+    /// A slot of a backend server was taken or came free.
+    pub fn slot_changed(&mut self, key: BackendKey) {
+        self.changed.insert(key);
+    }
+
+    /// When the next report is due.
+    pub fn due_at(&self) -> Option<Instant> {
+        let last = self.last?;
+        (!self.changed.is_empty()).then_some(last + SLOT_PAUSE)
+    }
+
+    fn is_due(&self, now: Instant) -> bool {
+        let is_time = |last: Instant| now.saturating_duration_since(last) >= SLOT_PAUSE;
+        !self.changed.is_empty() && self.last.is_none_or(is_time)
+    }
+
+    /// Notes what others have not heard for a while.
+    pub fn refresh(&mut self, loads: impl Iterator<Item = (BackendLoad, u32)>, now: Instant) {
+        for (load, calls) in loads {
+            let told = self.told.get(&load.key);
+            let is_news = told.map_or(load.running > 0 || calls > 0, |told| {
+                let is_old = now.saturating_duration_since(told.at) >= REFRESH;
+                told.load.running != load.running
+                    || (is_old && load.running > 0)
+                    || told.has_samples_to_tell(calls, now)
+            });
+            if is_news {
+                self.changed.insert(load.key);
+            }
+        }
+    }
+
+    /// Forgets backend servers that are gone.
+    pub fn keep_only(&mut self, is_known: impl Fn(BackendKey) -> bool) {
+        self.told.retain(|key, _| is_known(*key));
+    }
+
+    /// Samples to go with a report of a load, which is noted as told.
+    fn tell(
+        &mut self,
+        load: BackendLoad,
+        samples: BackendSamples,
+        now: Instant,
+    ) -> Option<BackendSamples> {
+        let told = self.told.entry(load.key).or_insert(Told {
+            load,
+            at: now,
+            samples_at: None,
+            calls: 0,
+            times: 0,
+        });
+        told.load = load;
+        told.at = now;
+        let calls = samples.good + samples.bad;
+        if !told.has_samples_to_tell(calls, now) {
+            return None;
+        }
+        if told.calls != calls {
+            told.calls = calls;
+            told.times = 0;
+        }
+        told.times += 1;
+        told.samples_at = Some(now);
+        Some(samples)
+    }
+}
+
+impl Told {
+    fn has_samples_to_tell(&self, calls: u32, now: Instant) -> bool {
+        let is_new = self.calls != calls || self.times < SAMPLES_TOLD;
+        let is_time = |at: Instant| now.saturating_duration_since(at) >= SAMPLES_PAUSE;
+        calls > 0 && is_new && self.samples_at.is_none_or(is_time)
+    }
+}
+
+impl Router {
+    /// Tells what changed to those whom it concerns, if it is time to.
+    pub(super) fn tell_loads(&mut self, now: Instant, fx: &mut Vec<Effect>) {
+        if self.last_boot_time.is_none() || !self.load_telling.is_due(now) {
+            return;
+        }
+        self.refresh_views();
+        self.load_telling.last = Some(now);
+        let changed = std::mem::take(&mut self.load_telling.changed);
+        let mut by_hearers: BTreeMap<Vec<SocketAddr>, Vec<BackendKey>> = BTreeMap::new();
+        for key in changed {
+            let Some(backend) = self.backends.by_key(key) else {
+                continue;
+            };
+            let to = self.hearers(&backend.record.service, &backend.record.id, now);
+            by_hearers.entry(to).or_default().push(key);
+        }
+        by_hearers.remove(&Vec::new());
+        for (to, keys) in by_hearers {
+            let report = Box::new(self.load_report(&keys, now));
+            fx.push(Effect::Tell { to, report });
+        }
+    }
+
+    fn load_report(&mut self, keys: &[BackendKey], now: Instant) -> Report {
+        let mut report = self.empty_report();
+        for backend in keys.iter().filter_map(|key| self.backends.by_key(*key)) {
+            let load = backend.own_load();
+            let samples = self.load_telling.tell(load, backend.samples(), now);
+            report.loads.push(load);
+            report.samples.extend(samples);
+        }
+        report
+    }
+
+    /// Notes what has to be told again, for those that lost a report or have just begun.
+    pub(super) fn refresh_own_loads(&mut self, now: Instant) {
+        let all = self.backends.values();
+        let loads = all.map(|it| {
+            let samples = it.samples();
+            (it.own_load(), samples.good + samples.bad)
+        });
+        self.load_telling.refresh(loads, now);
+        let backends = &self.backends;
+        let is_known = |key| backends.by_key(key).is_some();
+        self.load_telling.keep_only(is_known);
+    }
+
+    /// Hosts that use a backend server too, but for those that fell silent.
+    fn hearers(&self, service: &str, backend: &str, now: Instant) -> Vec<SocketAddr> {
+        let Some(mut users) = self.views.users(service, backend) else {
+            let heard = self.fleet.heard(now);
+            return heard.map(|(_, peer)| peer.address).collect();
+        };
+        let silent: HashSet<_> = self.fleet.silent_addresses(now).collect();
+        users.retain(|address| !silent.contains(address));
+        users
+    }
+}
--- /dev/null
+++ b/crates/jaypin_router/src/view.rs
@@ -0,0 +1,220 @@
+//! Which backend servers a host chooses among, and which hosts have to hear of their load.
+//!
+//! The pattern: hundreds of hosts before a hundred engines. None can hear what all others
+//! have running, and groups of hosts that share the engines out differ in room by a third,
+//! and have to agree on who has which. So each host has a view of its own: a dozen or two
+//! engines, drawn by hash from its name and theirs alone. Views overlap, so what is too much
+//! for one host's engines spills over to those of others, and two hosts need no agreement:
+//! which engines another host uses follows from its name.
+
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::net::SocketAddr;
+
+use jaypin_core::{BackendId, HostId, ServiceId};
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Hosts in a fleet of which each uses all backend servers.
+pub const SMALL_FLEET: usize = 40;
+/// Hosts that use one backend server in a larger fleet, on the average: each of them hears
+/// of each request that begins or ends there.
+const HOSTS_PER_BACKEND: usize = 20;
+/// Backend servers in a view at least, where there are as many.
+const LEAST_BACKENDS: usize = 4;
+/// Hosts that may hear of each request at a backend server; a service with so few backend
+/// servers that more would have to is told within a cell only.
+const MOST_HEARERS: usize = 48;
+/// Backend servers by which a sender takes another host's view for larger than it is:
+/// hosts count hosts and backend servers differently for a moment.
+const MARGIN: usize = 1;
+
+/// Which backend servers of a service a host uses.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ViewKind {
+    /// All, and all hosts hear of each other's requests there.
+    Whole,
+    /// So many of them.
+    Part(usize),
+    /// All, and only hosts of one cell hear of each other's requests: there are too few
+    /// backend servers for all these hosts.
+    Sampled,
+}
+
+impl ViewKind {
+    /// The kind that fits so many hosts and backend servers.
+    #[must_use]
+    pub fn of(hosts: usize, backends: usize) -> Self {
+        if hosts <= SMALL_FLEET {
+            return Self::Whole;
+        }
+        let part = (HOSTS_PER_BACKEND * backends).div_ceil(hosts);
+        let part = part.max(LEAST_BACKENDS).min(backends);
+        if part * hosts > MOST_HEARERS * backends {
+            Self::Sampled
+        } else {
+            Self::Part(part)
+        }
+    }
+}
+
+/// The views of one host, by service.
+#[derive(Debug, Default)]
+pub struct Views {
+    of_service: HashMap<ServiceId, View>,
+    is_current: bool,
+}
+
+/// The view of one service.
+#[derive(Debug)]
+struct View {
+    kind: ViewKind,
+    /// What this host uses.
+    ours: Vec<BackendId>,
+    is_ours: HashSet<BackendId>,
+    /// Part of the service's backend servers.
+    part: f64,
+    others: Vec<OtherView>,
+}
+
+/// Another host's view of a service.
+#[derive(Debug)]
+struct OtherView {
+    address: SocketAddr,
+    host: u64,
+    /// Score of the last backend server that it may use.
+    bar: u64,
+}
+
+impl Views {
+    /// Hosts or backend servers changed.
+    pub fn outdate(&mut self) {
+        self.is_current = false;
+    }
+
+    /// Whether hosts and backend servers are the same as when it was derived.
+    #[must_use]
+    pub fn is_current(&self) -> bool {
+        self.is_current
+    }
+
+    /// Derives the views anew.
+    pub fn derive(
+        &mut self,
+        own: &HostId,
+        others: &[(HostId, SocketAddr)],
+        backends: BTreeMap<ServiceId, Vec<BackendId>>,
+    ) {
+        let views = backends.into_iter().map(|(service, ids)| {
+            let view = View::derive(own, others, ids);
+            (service, view)
+        });
+        self.of_service = views.collect();
+        self.is_current = true;
+    }
+
+    /// What this host uses of a service.
+    #[must_use]
+    pub fn ours(&self, service: &str) -> &[BackendId] {
+        let view = self.of_service.get(service);
+        view.map_or(&[], |view| &view.ours)
+    }
+
+    /// Whether this host uses a backend server.
+    #[must_use]
+    pub fn is_ours(&self, service: &str, backend: &str) -> bool {
+        let view = self.of_service.get(service);
+        view.is_some_and(|view| view.is_ours.contains(backend))
+    }
+
+    /// Which part of a service's backend servers this host uses.
+    #[must_use]
+    pub fn part(&self, service: &str) -> f64 {
+        let view = self.of_service.get(service);
+        view.map_or(1.0, |view| view.part)
+    }
+
+    /// Which kind of view this host has of a service.
+    #[must_use]
+    pub fn kind(&self, service: &str) -> ViewKind {
+        let view = self.of_service.get(service);
+        view.map_or(ViewKind::Whole, |view| view.kind)
+    }
+
+    /// Where the hosts take reports that use a backend server too; nothing for a service of
+    /// which only the own cell hears.
+    #[must_use]
+    pub fn users(&self, service: &str, backend: &str) -> Option<Vec<SocketAddr>> {
+        let view = self.of_service.get(service)?;
+        let backend = hash(backend);
+        match view.kind {
+            ViewKind::Sampled => None,
+            ViewKind::Whole | ViewKind::Part(_) => {
+                let others = view.others.iter();
+                let using = others.filter(|it| pair_score(it.host, backend) >= it.bar);
+                Some(using.map(|it| it.address).collect())
+            }
+        }
+    }
+}
+
+impl View {
+    fn derive(own: &HostId, others: &[(HostId, SocketAddr)], mut ids: Vec<BackendId>) -> Self {
+        let kind = ViewKind::of(others.len() + 1, ids.len());
+        let hashes: Vec<_> = ids.iter().map(|id| hash(id)).collect();
+        let all = ids.len();
+        if let ViewKind::Part(count) = kind {
+            let own = hash(own);
+            let bar = bar(own, &hashes, count);
+            ids.retain(|id| pair_score(own, hash(id)) >= bar);
+        }
+        let others = others.iter().map(|(host, address)| {
+            let host = hash(host);
+            let bar = match kind {
+                ViewKind::Part(count) => bar(host, &hashes, count + MARGIN),
+                ViewKind::Whole | ViewKind::Sampled => 0,
+            };
+            OtherView {
+                address: *address,
+                host,
+                bar,
+            }
+        });
+        Self {
+            kind,
+            part: ratio(ids.len(), all),
+            others: others.collect(),
+            is_ours: ids.iter().cloned().collect(),
+            ours: ids,
+        }
+    }
+}
+
+/// The least score among the `count` greatest that a host has with some backend servers.
+fn bar(host: u64, backends: &[u64], count: usize) -> u64 {
+    if count >= backends.len() {
+        return 0;
+    }
+    let mut scores: Vec<_> = backends.iter().map(|it| pair_score(host, *it)).collect();
+    let (_, bar, _) = scores.select_nth_unstable_by(count.max(1) - 1, |a, b| b.cmp(a));
+    *bar
+}
+
+fn hash(name: &str) -> u64 {
+    xxh3_64(name.as_bytes())
+}
+
+/// Score of a backend server for a host; the finalizer of `SplitMix64` over both hashes.
+fn pair_score(host: u64, backend: u64) -> u64 {
+    let mut mixed = host ^ backend.rotate_left(32);
+    mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    mixed ^ (mixed >> 31)
+}
+
+fn ratio(part: usize, whole: usize) -> f64 {
+    let count = |it: usize| f64::from(u32::try_from(it).unwrap_or(u32::MAX));
+    if whole == 0 {
+        1.0
+    } else {
+        count(part) / count(whole)
+    }
+}
--- a/crates/jaypin_router/tests/common/mod.rs
+++ b/crates/jaypin_router/tests/common/mod.rs
@@ -11,7 +11,7 @@
     Account, Arrival, AttemptOutcome, BackendRecord, BackendStatus, Bounds, CallerLimits,
     Configuration, Effect, Engine, EntryChange, Event, Quota, QuotaUnit, Repeat, Report,
     RequestNumber, Route, RouteTable, Router, RouterConfig, Service, StoreView, Target, Unrouted,
-    WholeReport,
+    WholeReport, host_key,
 };
 
 /// The service of engines.
@@ -154,7 +154,6 @@
         cell: 0,
         sent_at: Duration::from_secs(1),
         store: StoreView::default(),
-        samples: Vec::new(),
         low_levels: Vec::new(),
         asked: Vec::new(),
         strikes: Vec::new(),
@@ -165,10 +164,12 @@
 /// A whole report of a peer that has nothing running; its address is its run's number.
 pub fn report(sequence: u64, whole: WholeReport) -> Report {
     Report {
+        host: host_key(&whole.host),
         run: whole.address.port().into(),
         sequence,
         is_ready: true,
         loads: Vec::new(),
+        samples: Vec::new(),
         usage: Vec::new(),
         changes: Vec::new(),
         whole: Some(whole),
--- a/crates/jaypin_router/tests/heavy_days.rs
+++ b/crates/jaypin_router/tests/heavy_days.rs
@@ -257,12 +257,16 @@
     bed.hear(Vec::new());
     bed.wait(Duration::from_millis(500));
     bed.tick();
-    let (_, told) = bed.arrive("/ask/1", (600, 300));
-    let key = backend_key(told.backend());
+    let mut fx = bed.arrive_fx("/ask/1", (600, 300));
+    let backend = fx.iter().find_map(|effect| match effect {
+        Effect::Send { backend, .. } => Some(backend.clone()),
+        _ => None,
+    });
+    let key = backend_key(&backend.expect("it is sent"));
     bed.wait(Duration::from_millis(10));
-    let fx = bed.tick();
-    let report = fx.iter().find_map(|effect| match effect {
-        Effect::Tell { report, .. } => Some(report),
+    fx.extend(bed.tick());
+    let mut loads = fx.iter().filter_map(|effect| match effect {
+        Effect::Tell { report, .. } => Some(report.loads.clone()),
         _ => None,
     });
     let load = BackendLoad {
@@ -270,5 +274,5 @@
         running: 1,
         unread_tokens: 600,
     };
-    assert_eq!(report.map(|it| it.loads.clone()), Some(vec![load]));
+    assert_eq!(loads.find(|it| !it.is_empty()), Some(vec![load]));
 }
--- a/crates/jaypin_router/tests/learning.rs
+++ b/crates/jaypin_router/tests/learning.rs
@@ -5,38 +5,32 @@
 use std::time::Duration;
 
 use common::{Bed, ENGINES, record};
-use jaypin_router::{AttemptOutcome, BackendSamples, Effect, Report, WholeReport, backend_key};
+use jaypin_router::{AttemptOutcome, BackendSamples, Effect, Event, Report, backend_key};
 
-/// Samples in the whole reports of the next while.
-fn told(bed: &mut Bed, time: Duration) -> Vec<BackendSamples> {
-    let mut samples = Vec::new();
+/// Samples in the reports of a call and of the while after it.
+fn told_of_a_call(bed: &mut Bed, time: Duration) -> Vec<BackendSamples> {
+    let (number, _) = bed.arrive("/ask/1", (600, 30));
+    bed.wait(Duration::from_millis(30));
+    bed.answered(number);
+    let outcome = AttemptOutcome::Complete;
+    let mut fx = bed.apply(Event::Ended { number, outcome });
     let end = bed.now + time;
     while bed.now < end {
         bed.wait(Duration::from_millis(50));
-        for effect in bed.tick() {
-            if let Effect::Tell { report, .. } = effect
-                && let Some(whole) = report.whole
-            {
-                samples.extend(whole.samples);
-            }
-        }
+        fx.extend(bed.tick());
     }
-    samples
-}
-
-fn serve(bed: &mut Bed) {
-    let (number, _) = bed.arrive("/ask/1", (600, 30));
-    bed.wait(Duration::from_millis(30));
-    bed.answered(number);
-    bed.ended(number, AttemptOutcome::Complete);
+    let samples = fx.into_iter().filter_map(|effect| match effect {
+        Effect::Tell { report, .. } => Some(report.samples),
+        _ => None,
+    });
+    samples.flatten().collect()
 }
 
 fn report(sequence: u64, samples: Vec<BackendSamples>) -> Report {
-    let whole = WholeReport {
+    Report {
         samples,
-        ..common::whole(2)
-    };
-    common::report(sequence, whole)
+        ..common::report(sequence, common::whole(2))
+    }
 }
 
 /// Calls that a peer had no success with.
@@ -55,10 +49,11 @@
     let mut bed = Bed::new(common::configuration(1));
     bed.state(record("engine-1", ENGINES, 9));
     bed.hear_report(report(1, Vec::new()));
-    serve(&mut bed);
-    assert_eq!(told(&mut bed, Duration::from_secs(3)).len(), 2);
-    serve(&mut bed);
-    let again = told(&mut bed, Duration::from_secs(3));
+    let first = told_of_a_call(&mut bed, Duration::from_secs(3));
+    assert_eq!(first.iter().map(|it| it.good).collect::<Vec<_>>(), [1, 1]);
+    bed.prove();
+    bed.hear_report(report(2, Vec::new()));
+    let again = told_of_a_call(&mut bed, Duration::from_secs(3));
     assert_eq!(again.iter().map(|it| it.good).collect::<Vec<_>>(), [2, 2]);
 }
 
