Hand configuration and entries over between hosts; ask a store that refuses less often

Ruled out: pages (one call lists all of a kind at this size). Change: a host that is behind asks a peer for the configuration, and for all entries where it differs from hosts that watch, over a connection; the store only if no peer gives them. Only hosts that the store lists are asked and answered, since a configuration holds credentials. Pauses after failed calls double up to 2 s. Listings that need not be new say so. Hosts are listed again when a peer is heard that was not listed. A listing that lags removes nothing that came after it.

--- a/crates/jaypin_entry/src/callers/answer.rs
+++ b/crates/jaypin_entry/src/callers/answer.rs
@@ -32,6 +32,18 @@
         .boxed_unsync()
 }
 
+/// An answer that is nothing but a status.
+pub fn empty_answer(status: StatusCode) -> AnswerResponse {
+    let mut response = Response::new(full(""));
+    *response.status_mut() = status;
+    response
+}
+
+/// An answer of bytes.
+pub fn bytes_answer(bytes: impl Into<Bytes>) -> AnswerResponse {
+    Response::new(full(bytes))
+}
+
 /// A refusal by the decisions.
 pub fn refusal(refusal: &Refusal) -> AnswerResponse {
     let body = RefusalBody {
--- a/crates/jaypin_entry/src/callers/directory.rs
+++ b/crates/jaypin_entry/src/callers/directory.rs
@@ -16,7 +16,7 @@
 use tokio::task::spawn_local;
 use tokio::time::Instant;
 
-use super::answer::{AnswerResponse, full};
+use super::answer::{AnswerResponse, empty_answer, full};
 use crate::boot_clock::boot_time;
 use crate::host::Host;
 use crate::metrics;
@@ -35,15 +35,29 @@
 
 /// Answers questions until the task is dropped.
 pub async fn serve_questions(host: Rc<Host>, listener: TcpListener) {
+    serve_answers(host, listener, |_, _| true, answer).await;
+}
+
+/// Serves answers that are at hand, to whom they may go, until the task is dropped.
+pub async fn serve_answers(
+    host: Rc<Host>,
+    listener: TcpListener,
+    is_admitted: fn(&Host, SocketAddr) -> bool,
+    answer: fn(&Host, &Request<Incoming>) -> AnswerResponse,
+) {
     loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
+        let (stream, from) = match listener.accept().await {
+            Ok(accepted) => accepted,
             Err(error) => {
                 log::warn!(error:%; "can't accept a question");
                 tokio::time::sleep(ACCEPT_PAUSE).await;
                 continue;
             }
         };
+        if !is_admitted(&host, from) {
+            log::warn!(from:%; "a stranger was turned away");
+            continue;
+        }
         let host = host.clone();
         let service = service_fn(move |req| {
             let response = answer(&host, &req);
@@ -64,7 +78,7 @@
 fn answer(host: &Host, req: &Request<Incoming>) -> AnswerResponse {
     if host.platform.is_readiness_check(req.method(), req.uri()) {
         let is_ready = host.look(|router| router.is_ready(boot_time()));
-        return empty(if is_ready {
+        return empty_answer(if is_ready {
             StatusCode::OK
         } else {
             StatusCode::SERVICE_UNAVAILABLE
@@ -78,7 +92,7 @@
     if req.uri().path() == METRICS {
         return metrics(host);
     }
-    empty(StatusCode::NOT_FOUND)
+    empty_answer(StatusCode::NOT_FOUND)
 }
 
 fn metrics(host: &Host) -> AnswerResponse {
@@ -87,14 +101,14 @@
     let is_ready = host.look(|router| router.is_ready(boot_time()));
     match metrics::render(counts, is_ready) {
         Some(text) => Response::new(full(text)),
-        None => empty(StatusCode::NOT_FOUND),
+        None => empty_answer(StatusCode::NOT_FOUND),
     }
 }
 
 /// A host that knows of none that is ready answers 503, and callers ask another one.
 fn entry(host: &Host, mut addresses: Vec<SocketAddr>) -> AnswerResponse {
     if addresses.is_empty() {
-        return empty(StatusCode::SERVICE_UNAVAILABLE);
+        return empty_answer(StatusCode::SERVICE_UNAVAILABLE);
     }
     addresses.shuffle(&mut rand::rng());
     addresses.truncate(MOST_ADDRESSES);
@@ -105,9 +119,3 @@
     response.headers_mut().insert(CONTENT_TYPE, json);
     response
 }
-
-fn empty(status: StatusCode) -> AnswerResponse {
-    let mut response = Response::new(full(""));
-    *response.status_mut() = status;
-    response
-}
--- a/crates/jaypin_entry/src/callers/mod.rs
+++ b/crates/jaypin_entry/src/callers/mod.rs
@@ -6,7 +6,8 @@
 mod drive;
 mod read_request;
 
-pub use directory::serve_questions;
+pub use answer::{AnswerResponse, bytes_answer, empty_answer};
+pub use directory::{serve_answers, serve_questions};
 
 use std::convert::Infallible;
 use std::io;
@@ -25,7 +26,7 @@
 use tokio::task::spawn_local;
 
 use crate::host::Host;
-use answer::{AnswerResponse, closing};
+use answer::closing;
 
 /// Connections that may wait to be accepted.
 const BACKLOG: i32 = 1_024;
--- a/crates/jaypin_entry/src/host.rs
+++ b/crates/jaypin_entry/src/host.rs
@@ -12,7 +12,7 @@
 
 use crate::calls::{Connections, SendOrder};
 use crate::peers::PeerSocket;
-use crate::ports::{HostSettings, Platform};
+use crate::ports::{HostSettings, Object, Platform};
 
 /// What the task of a request is told to do next.
 #[derive(Debug)]
@@ -63,6 +63,8 @@
     /// Reports to and from peers.
     pub peers: PeerSocket,
     router: RefCell<Router>,
+    /// The configuration in use as the store has it, for peers that ask.
+    configuration: RefCell<Option<Rc<Object>>>,
     mailboxes: RefCell<HashMap<RequestNumber, Rc<Mailbox>>>,
     next_number: Cell<RequestNumber>,
     planned_tick: Cell<Option<Instant>>,
@@ -83,6 +85,7 @@
             connections: Connections::default(),
             peers,
             router: RefCell::new(router),
+            configuration: RefCell::default(),
             mailboxes: RefCell::default(),
             next_number: Cell::new(1),
             planned_tick: Cell::new(None),
@@ -126,6 +129,16 @@
         self.router.borrow().next_tick(now).into()
     }
 
+    /// Keeps the configuration in use as the store has it.
+    pub fn keep_configuration(&self, object: Object) {
+        *self.configuration.borrow_mut() = Some(Rc::new(object));
+    }
+
+    /// The configuration in use as the store has it.
+    pub fn configuration(&self) -> Option<Rc<Object>> {
+        self.configuration.borrow().clone()
+    }
+
     /// Looks at the decision state.
     pub fn look<T>(&self, look: impl FnOnce(&Router) -> T) -> T {
         look(&self.router.borrow())
--- a/crates/jaypin_entry/src/lib.rs
+++ b/crates/jaypin_entry/src/lib.rs
@@ -16,9 +16,12 @@
 mod store;
 
 pub use logs::start as start_logs;
-pub use peers::{WireError, decode_report, encode_report};
+pub use peers::{
+    WireError, decode_entries, decode_object, decode_report, encode_entries, encode_object,
+    encode_report,
+};
 pub use ports::{
-    BackendAnswer, CallerRequest, Collection, DecodeError, Forward, HostRecord, HostSettings,
-    Object, ObjectChange, ObjectChanges, ObjectPage, Platform,
+    BackendAnswer, CallerRequest, Collection, DecodeError, Forward, Freshness, HostRecord,
+    HostSettings, Object, ObjectChange, ObjectChanges, ObjectPage, Platform,
 };
 pub use serve::{ServeOptions, serve};
--- a/crates/jaypin_entry/src/peers/mod.rs
+++ b/crates/jaypin_entry/src/peers/mod.rs
@@ -1,13 +1,18 @@
-//! Reports between hosts, as datagrams.
+//! What hosts tell and ask each other.
 //!
-//! Datagrams, since a report that is late is worth nothing: the next one says more. A
+//! Reports are datagrams, since one that is late is worth nothing: the next one says more. A
 //! connection would hold reports back behind a lost one.
 
 mod heard;
+mod snapshot;
 mod wire;
 
 pub use heard::HeardPeers;
-pub use wire::{WireError, decode_report, encode_report};
+pub use snapshot::{ask_configuration, ask_entries, serve_snapshots};
+pub use wire::{
+    WireError, decode_entries, decode_object, decode_report, encode_entries, encode_object,
+    encode_report,
+};
 
 use std::net::SocketAddr;
 use std::rc::Rc;
--- a/crates/jaypin_entry/src/peers/wire.rs
+++ b/crates/jaypin_entry/src/peers/wire.rs
@@ -8,9 +8,12 @@
     Asked, BackendLoad, BackendRecord, BackendSamples, BackendStatus, EntryChange, Rank, Report,
     StoreView, Strike, WholeReport,
 };
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use snafu::{ResultExt, Snafu};
 
+use crate::ports::Object;
+
 /// Why bytes are no report, or a report no bytes.
 #[derive(Debug, Snafu)]
 pub enum WireError {
@@ -79,17 +82,55 @@
     Vec<WireAsked>,
 );
 
+/// Name, revision, and what the author wrote.
+type WireObject = (String, u64, serde_json::Value);
+
+/// Writes an object of the store, as hosts hand it over.
+///
+/// # Errors
+/// Gives what the library gives.
+pub fn encode_object(object: &Object) -> Result<Vec<u8>, WireError> {
+    let wire: WireObject = (object.name.clone(), object.revision, object.content.clone());
+    encode(&wire)
+}
+
+/// Reads an object of the store.
+///
+/// # Errors
+/// Says why the bytes are none.
+pub fn decode_object(bytes: &[u8]) -> Result<Object, WireError> {
+    let (name, revision, content): WireObject = decode(bytes)?;
+    Ok(Object {
+        name,
+        revision,
+        content,
+    })
+}
+
+/// Writes entries of backend servers.
+///
+/// # Errors
+/// Gives what the library gives.
+pub fn encode_entries(entries: &[EntryChange]) -> Result<Vec<u8>, WireError> {
+    let wire: Vec<WireChange> = entries.iter().map(wire_change).collect();
+    encode(&wire)
+}
+
+/// Reads entries of backend servers.
+///
+/// # Errors
+/// Says why the bytes are none.
+pub fn decode_entries(bytes: &[u8]) -> Result<Vec<EntryChange>, WireError> {
+    let wire: Vec<WireChange> = decode(bytes)?;
+    Ok(wire.into_iter().map(change).collect())
+}
+
 /// Writes a report.
 ///
 /// # Errors
 /// Gives what the library gives.
 pub fn encode_report(report: &Report) -> Result<Vec<u8>, WireError> {
-    let mut buf = Vec::with_capacity(256);
-    let written = ciborium::into_writer(&WireReport::from(report), &mut buf);
-    written.map_err(|error| WireError::Encode {
-        message: error.to_string(),
-    })?;
-    Ok(buf)
+    encode(&WireReport::from(report))
 }
 
 /// Reads a report.
@@ -97,10 +138,23 @@
 /// # Errors
 /// Says why the bytes are none.
 pub fn decode_report(bytes: &[u8]) -> Result<Report, WireError> {
-    let wire: WireReport = ciborium::from_reader(bytes).map_err(|error| WireError::Decode {
+    let wire: WireReport = decode(bytes)?;
+    Report::try_from(wire)
+}
+
+fn encode(value: &impl Serialize) -> Result<Vec<u8>, WireError> {
+    let mut buf = Vec::with_capacity(256);
+    let written = ciborium::into_writer(value, &mut buf);
+    written.map_err(|error| WireError::Encode {
         message: error.to_string(),
     })?;
-    Report::try_from(wire)
+    Ok(buf)
+}
+
+fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, WireError> {
+    ciborium::from_reader(bytes).map_err(|error| WireError::Decode {
+        message: error.to_string(),
+    })
 }
 
 impl From<&Report> for WireReport {
--- a/crates/jaypin_entry/src/ports.rs
+++ b/crates/jaypin_entry/src/ports.rs
@@ -63,6 +63,15 @@
     Hosts,
 }
 
+/// How new an answer of the store has to be.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Freshness {
+    /// As of the moment at which it was asked.
+    Newest,
+    /// It may be seconds old, and costs the store less.
+    MayLag,
+}
+
 /// An object of the store.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Object {
@@ -183,7 +192,7 @@
     fn backend_answer(&self, status: StatusCode, headers: &HeaderMap) -> BackendAnswer;
 
     /// Path that lists a kind, from behind a name on.
-    fn list_path(&self, kind: Collection, after: Option<&str>) -> String;
+    fn list_path(&self, kind: Collection, after: Option<&str>, freshness: Freshness) -> String;
 
     /// Path that waits for changes of a kind since a revision.
     fn watch_path(&self, kind: Collection, since: u64, wait: Duration) -> String;
--- a/crates/jaypin_entry/src/serve.rs
+++ b/crates/jaypin_entry/src/serve.rs
@@ -17,7 +17,7 @@
 use crate::callers::{Leaving, listen, serve_callers, serve_questions};
 use crate::host::Host;
 use crate::metrics;
-use crate::peers::{HeardPeers, PeerSocket, hear_peers};
+use crate::peers::{HeardPeers, PeerSocket, hear_peers, serve_snapshots};
 use crate::ports::{HostSettings, Platform};
 use crate::store::{follow_backends, follow_configuration, join_fleet};
 
@@ -74,6 +74,7 @@
     let scraped = metrics_port.map(|port| SocketAddr::new(settings.callers.ip(), port));
     let scraped = scraped.map(|address| open("metrics", listen(address), address));
     let scraped = scraped.transpose()?;
+    let snapshots = open("snapshots", listen(settings.peers), settings.peers)?;
     let peers = PeerSocket::open(settings.peers).await;
     let peers = open("peers", peers, settings.peers)?;
     let mut term = on_signal(SignalKind::terminate())?;
@@ -95,6 +96,7 @@
     spawn_local(follow_backends(host.clone()));
     spawn_local(join_fleet(host.clone()));
     spawn_local(hear_peers(host.clone()));
+    spawn_local(serve_snapshots(host.clone(), snapshots));
     spawn_local(keep_time(host.clone()));
     spawn_local(serve_questions(host.clone(), readiness));
     spawn_local(serve_questions(host.clone(), directory));
--- a/crates/jaypin_entry/src/store/backends.rs
+++ b/crates/jaypin_entry/src/store/backends.rs
@@ -8,33 +8,68 @@
 use tokio::time::{Instant, sleep};
 
 use super::client::{StoreClient, StoreError};
-use super::{WATCH_PAUSE, is_watching, pause_after, wait_for_reason};
+use super::{Retries, WATCH_PAUSE, is_watching, wait_for_reason};
 use crate::host::Host;
-use crate::ports::{Collection, Object, ObjectChange};
+use crate::peers::ask_entries;
+use crate::ports::{Collection, Freshness, Object, ObjectChange};
 
 /// How long one watch waits. Answers come at once when something changes; a connection
 /// that went silent is noticed after this time and a call's.
 const WATCH: Duration = Duration::from_secs(4);
 
+/// Time within which entries that a peer handed over should have made this host know what
+/// hosts that watch know; else the store is asked.
+const HANDED_FOR: Duration = Duration::from_secs(3);
+
 /// Follows the backend servers until the task is dropped: by watches if this host is to
-/// watch, else by what its peers tell, and by reading all when that differs for long.
+/// watch, else by what its peers tell, and by asking for all when that differs for long.
 pub async fn follow_backends(host: Rc<Host>) {
     let mut client = StoreClient::new(&host);
-    let mut has_read = false;
+    let mut retries = Retries::default();
+    let mut freshness = Freshness::MayLag;
+    let mut handed_at: Option<Instant> = None;
     loop {
-        if has_read {
+        if retries.has_ended_well() {
             let now = || Instant::now().into_std();
             wait_for_reason(&host, |router| router.has_other_entries(now())).await;
+            let is_handed = handed_at.is_some_and(|at| at.elapsed() < HANDED_FOR);
+            if !is_watching(&host) && !is_handed && take_from_peer(&host).await {
+                handed_at = Some(Instant::now());
+                continue;
+            }
         }
-        match follow(&host, &mut client).await {
-            Ok(()) => has_read = true,
-            Err(error) => pause_after(&host, "backend servers", &error).await,
+        match follow(&host, &mut client, freshness).await {
+            Ok(()) => {
+                retries.ended_well();
+                freshness = Freshness::Newest;
+            }
+            Err(error) => retries.pause_after(&host, "backend servers", &error).await,
         }
     }
 }
 
-async fn follow(host: &Host, client: &mut StoreClient<'_>) -> Result<(), StoreError> {
-    let (objects, mut revision) = client.list(Collection::Backends).await?;
+async fn take_from_peer(host: &Host) -> bool {
+    let Some(entries) = ask_entries(host).await else {
+        return false;
+    };
+    log::info!(count = entries.len(); "entries handed over");
+    host.apply(Event::EntriesHanded(entries));
+    true
+}
+
+/// Reads all, then watches for as long as this host is to; a host that has just started and
+/// doesn't watch takes what may lag, and hears from its peers what changed since.
+async fn follow(
+    host: &Host,
+    client: &mut StoreClient<'_>,
+    freshness: Freshness,
+) -> Result<(), StoreError> {
+    let freshness = if is_watching(host) {
+        Freshness::Newest
+    } else {
+        freshness
+    };
+    let (objects, mut revision) = client.list(Collection::Backends, freshness).await?;
     let entries: Vec<_> = objects
         .iter()
         .filter_map(|object| Some((read(host, object)?, object.revision)))
--- a/crates/jaypin_entry/src/store/client.rs
+++ b/crates/jaypin_entry/src/store/client.rs
@@ -13,7 +13,7 @@
 use crate::calls::{Connection, DEFAULT_LIMITS, connect, read_whole};
 use crate::host::Host;
 use crate::metrics;
-use crate::ports::{Collection, DecodeError, Object, ObjectChanges, ObjectPage};
+use crate::ports::{Collection, DecodeError, Freshness, Object, ObjectChanges, ObjectPage};
 
 /// Time for a call that the store answers at once. It answers in milliseconds, and in some
 /// hundred when it is slow; a connection that went silent is noticed after this time.
@@ -94,12 +94,19 @@
     }
 
     /// Reads all objects of a kind, with the revision from which to watch on.
-    pub async fn list(&mut self, kind: Collection) -> Result<(Vec<Object>, u64), StoreError> {
+    pub async fn list(
+        &mut self,
+        kind: Collection,
+        freshness: Freshness,
+    ) -> Result<(Vec<Object>, u64), StoreError> {
         let mut objects: Vec<Object> = Vec::new();
         let mut first_revision = None;
         loop {
             let after = objects.last().map(|it| it.name.clone());
-            let path = self.host.platform.list_path(kind, after.as_deref());
+            let path = self
+                .host
+                .platform
+                .list_path(kind, after.as_deref(), freshness);
             let body = self.get(&path, CALL_TIMEOUT).await?;
             let page: ObjectPage = self.host.platform.page(&body)?;
             let is_empty = page.objects.is_empty();
--- a/crates/jaypin_entry/src/store/configuration.rs
+++ b/crates/jaypin_entry/src/store/configuration.rs
@@ -8,10 +8,11 @@
 use tokio::time::{Instant, sleep};
 
 use super::client::{StoreClient, StoreError};
-use super::{WATCH_PAUSE, is_watching, pause_after, wait_for_reason};
+use super::{Retries, WATCH_PAUSE, is_watching, wait_for_reason};
 use crate::boot_clock::boot_time;
 use crate::host::Host;
-use crate::ports::{Collection, Object};
+use crate::peers::ask_configuration;
+use crate::ports::{Collection, Freshness, Object};
 
 /// How long one watch waits. The proof that a configuration is the newest is as old as the
 /// last answer, so this bounds its age; each watch has its price.
@@ -20,25 +21,28 @@
 /// tells watches nothing for up to a second before.
 const WATCH_LAG: Duration = Duration::from_millis(1_200);
 
+/// Pause after a version that was told of was not to be had.
+const BEHIND_PAUSE: Duration = Duration::from_millis(500);
+
 /// Follows the configuration until the task is dropped: by watches if this host is to
-/// watch, else by reading it when a peer knows a newer one.
+/// watch, else by asking for it when a peer knows a newer one.
 pub async fn follow_configuration(host: Rc<Host>) {
     let mut client = StoreClient::new(&host);
+    let mut retries = Retries::default();
     loop {
-        if let Err(error) = follow(&host, &mut client).await {
-            pause_after(&host, "configuration", &error).await;
+        match follow(&host, &mut client).await {
+            Ok(()) => retries.ended_well(),
+            Err(error) => retries.pause_after(&host, "configuration", &error).await,
         }
     }
 }
 
 async fn follow(host: &Host, client: &mut StoreClient<'_>) -> Result<(), StoreError> {
     wait_for_reason(host, Router::is_behind).await;
-    let asked_at = boot_time();
-    let (objects, mut revision) = client.list(Collection::Configuration).await?;
-    for object in &objects {
-        take(host, object);
+    if !is_watching(host) {
+        return catch_up(host, client).await;
     }
-    host.apply(Event::Proved(asked_at));
+    let mut revision = read(host, client).await?;
     while is_watching(host) {
         let asked = (boot_time(), Instant::now());
         let Some(news) = client
@@ -47,10 +51,8 @@
         else {
             return Ok(());
         };
-        for change in &news.changes {
-            if !change.is_removed {
-                take(host, &change.object);
-            }
+        for change in news.changes.iter().filter(|it| !it.is_removed) {
+            take(host, &change.object);
         }
         revision = news.revision;
         host.apply(Event::Proved(proved_at(asked)));
@@ -61,6 +63,36 @@
     Ok(())
 }
 
+/// Gets the version that a peer told of, from a peer that has it or from the store.
+async fn catch_up(host: &Host, client: &mut StoreClient<'_>) -> Result<(), StoreError> {
+    let known = known_version(host);
+    if let Some(object) = ask_configuration(host).await {
+        take(host, &object);
+    }
+    if known_version(host) > known {
+        // One that is newer still is asked for next.
+        return Ok(());
+    }
+    read(host, client).await?;
+    if host.look(Router::is_behind) {
+        // A peer told of a version that nobody has.
+        sleep(BEHIND_PAUSE).await;
+    }
+    Ok(())
+}
+
+async fn read(host: &Host, client: &mut StoreClient<'_>) -> Result<u64, StoreError> {
+    let asked_at = boot_time();
+    let (objects, revision) = client
+        .list(Collection::Configuration, Freshness::Newest)
+        .await?;
+    for object in &objects {
+        take(host, object);
+    }
+    host.apply(Event::Proved(asked_at));
+    Ok(revision)
+}
+
 /// The time at which a watch's answer was surely the newest.
 ///
 /// It was asked before and may tell of that moment only; an answer that came later tells
@@ -80,13 +112,11 @@
     match host.platform.configuration(object) {
         Ok(configuration) => {
             let version = configuration.version;
-            let known = host.look(|router| {
-                let table = router.table();
-                table.map_or(0, |table| table.configuration().version)
-            });
+            let known = known_version(host);
             if version > known {
                 log::info!(version, known; "configuration");
                 let table = Arc::new(RouteTable::new(configuration));
+                host.keep_configuration(object.clone());
                 host.apply(Event::Configured(table));
             }
         }
@@ -95,3 +125,10 @@
         }
     }
 }
+
+fn known_version(host: &Host) -> u64 {
+    host.look(|router| {
+        let table = router.table();
+        table.map_or(0, |table| table.configuration().version)
+    })
+}
--- a/crates/jaypin_entry/src/store/hosts.rs
+++ b/crates/jaypin_entry/src/store/hosts.rs
@@ -1,33 +1,62 @@
 //! Registers this host and finds the others.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use hyper::{Method, StatusCode};
 use jaypin_router::Event;
+use rand::RngExt;
+use tokio::time::{Instant, sleep};
 
+use super::Retries;
 use super::client::{StoreClient, StoreError};
-use super::pause_after;
 use crate::host::Host;
-use crate::ports::{Collection, HostRecord, Object};
+use crate::ports::{Collection, Freshness, HostRecord, Object};
 
-/// Registers this host, then reads who else has registered.
+/// Pause between two looks at whether a peer is heard that was not listed.
+const LOOK_PAUSE: Duration = Duration::from_secs(1);
+/// Pause between two listings for the sake of such peers, and its spread: a new host is heard
+/// by its whole cell at once.
+const LIST_PAUSE: Duration = Duration::from_secs(3);
+const LIST_SPREAD: std::ops::Range<f64> = 0.3..1.7;
+
+/// Registers this host, then reads who else has registered, and again when a peer is heard
+/// that was not listed.
 ///
 /// Nobody watches these entries: each host tells those that it finds, and who registers
 /// later finds it. Of two hosts that start together at least one sees the other's entry,
 /// since both write before they read.
 pub async fn join_fleet(host: Rc<Host>) {
     let mut client = StoreClient::new(&host);
+    let mut retries = Retries::default();
     while let Err(error) = join(&host, &mut client).await {
-        pause_after(&host, "registration", &error).await;
+        retries.pause_after(&host, "registration", &error).await;
+    }
+    loop {
+        let spread = rand::rng().random_range(LIST_SPREAD);
+        sleep(LIST_PAUSE.mul_f64(spread)).await;
+        while !hears_unlisted(&host) {
+            sleep(LOOK_PAUSE).await;
+        }
+        match client.list(Collection::Hosts, Freshness::MayLag).await {
+            Ok((objects, _)) => find_all(&host, &objects),
+            Err(error) => log::info!(error:%; "hosts could not be listed again"),
+        }
     }
 }
 
+fn hears_unlisted(host: &Host) -> bool {
+    let now = Instant::now().into_std();
+    host.look(|router| router.hears_unlisted(now))
+}
+
 async fn join(host: &Host, client: &mut StoreClient<'_>) -> Result<(), StoreError> {
     let own = HostRecord {
         host: host.settings.host.clone(),
         peers: host.settings.peers,
     };
-    let (objects, _) = client.list(Collection::Hosts).await?;
+    // One that has been there for long lists all that matter also if it lags.
+    let (objects, _) = client.list(Collection::Hosts, Freshness::MayLag).await?;
     let registered = objects.iter().find(|it| *it.name == *own.host);
     let is_current = registered.is_some_and(|it| {
         let record = host.platform.host(it);
@@ -40,7 +69,7 @@
         return Ok(());
     }
     register(host, client, &own, registered.map(|it| it.revision)).await?;
-    let (objects, _) = client.list(Collection::Hosts).await?;
+    let (objects, _) = client.list(Collection::Hosts, Freshness::Newest).await?;
     find_all(host, &objects);
     Ok(())
 }
@@ -57,7 +86,7 @@
     let written = if replaces.is_some() {
         client.write(Method::PUT, &path, body).await
     } else {
-        let kind = platform.list_path(Collection::Hosts, None);
+        let kind = platform.list_path(Collection::Hosts, None, Freshness::Newest);
         client.write(Method::POST, &kind, body).await
     };
     match written {
--- a/crates/jaypin_entry/src/store/mod.rs
+++ b/crates/jaypin_entry/src/store/mod.rs
@@ -19,10 +19,12 @@
 use crate::host::Host;
 use client::StoreError;
 
-/// Pause after a call that failed. Each call has its price, also a refused one, and a host
-/// needs to know within a second that the store is back.
-const RETRY_PAUSE: Duration = Duration::from_millis(400);
-/// Spread of that pause, so that a fleet does not come back in one moment.
+/// Pause after a call that failed; doubled with each further one.
+const FIRST_RETRY: Duration = Duration::from_millis(400);
+/// Longest such pause. Each call has its price, also a refused one; in a fleet the first host
+/// that finds the store back tells the others, so no single one has to ask often.
+const LONGEST_RETRY: Duration = Duration::from_secs(2);
+/// Spread of pauses, so that a fleet does not come back in one moment.
 const RETRY_SPREAD: std::ops::Range<f64> = 0.7..1.3;
 
 /// Pause after a watch that told something.
@@ -48,10 +50,32 @@
     }
 }
 
-/// Logs a failed call, tells the decisions, and waits before the next.
-async fn pause_after(host: &Host, what: &str, error: &StoreError) {
-    log::warn!(what, error:%; "the store did not answer");
-    host.apply(jaypin_router::Event::StoreDisturbed);
-    let spread = rand::rng().random_range(RETRY_SPREAD);
-    sleep(RETRY_PAUSE.mul_f64(spread)).await;
+/// Pauses between tries of one kind of call.
+#[derive(Debug, Default)]
+struct Retries {
+    failures: u32,
+    has_ended_well: bool,
+}
+
+impl Retries {
+    /// A try succeeded.
+    fn ended_well(&mut self) {
+        self.failures = 0;
+        self.has_ended_well = true;
+    }
+
+    /// Whether any try succeeded.
+    fn has_ended_well(&self) -> bool {
+        self.has_ended_well
+    }
+
+    /// Logs a failed call, tells the decisions, and waits before the next.
+    async fn pause_after(&mut self, host: &Host, what: &str, error: &StoreError) {
+        log::warn!(what, error:%; "the store did not answer");
+        host.apply(jaypin_router::Event::StoreDisturbed);
+        let pause = FIRST_RETRY.saturating_mul(2_u32.saturating_pow(self.failures));
+        self.failures += 1;
+        let spread = rand::rng().random_range(RETRY_SPREAD);
+        sleep(pause.min(LONGEST_RETRY).mul_f64(spread)).await;
+    }
 }
--- a/crates/jaypin_entry/tests/report_bytes.rs
+++ b/crates/jaypin_entry/tests/report_bytes.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use jaypin_entry::{WireError, decode_report, encode_report};
+use jaypin_entry::{
+    Object, WireError, decode_entries, decode_object, decode_report, encode_entries, encode_object,
+    encode_report,
+};
 use jaypin_router::{
     Asked, BackendLoad, BackendRecord, BackendSamples, BackendStatus, EntryChange, Rank, Report,
     StoreView, Strike, WholeReport,
@@ -151,3 +154,36 @@
         let _ = decode_report(&spoilt);
     }
 }
+
+/// What a peer hands over is used in place of what the store says, so nothing may get lost.
+#[test]
+fn a_configuration_is_handed_over_as_it_is() {
+    let content = serde_json::json!({
+        "version": u64::MAX, "rate": 12.5, "none": null, "routes": [{ "name": "ask" }, -3],
+    });
+    let object = Object {
+        name: "main".to_owned(),
+        revision: 77,
+        content,
+    };
+    let bytes = encode_object(&object).expect("bytes");
+    assert_eq!(decode_object(&bytes).expect("an object"), object);
+}
+
+#[test]
+fn entries_are_handed_over_as_they_are() {
+    let entries = full().changes;
+    let bytes = encode_entries(&entries).expect("bytes");
+    assert_eq!(decode_entries(&bytes).expect("entries"), entries);
+}
+
+/// An answer is cut, or comes from something else that listens there.
+#[test]
+fn no_answer_of_a_peer_stops_a_host() {
+    let bytes = encode_entries(&full().changes).expect("bytes");
+    for length in 0..bytes.len() {
+        assert!(decode_entries(&bytes[..length]).is_err(), "{length} bytes");
+        // Or read as something else: what counts is that it returns.
+        let _ = decode_object(&bytes[..length]);
+    }
+}
--- a/crates/jaypin_router/src/entries.rs
+++ b/crates/jaypin_router/src/entries.rs
@@ -71,6 +71,28 @@
         self.hashes.keys()
     }
 
+    /// Whether something newer than a revision was heard of an entry.
+    #[must_use]
+    pub fn is_newer(&self, id: &str, revision: u64) -> bool {
+        self.revisions
+            .get(id)
+            .is_some_and(|newest| *newest > revision)
+    }
+
+    /// All entries, with their revisions.
+    pub fn stated(&self) -> impl Iterator<Item = (&BackendId, u64)> {
+        let revisions = self.revisions.iter();
+        let stated = revisions.filter(|(id, _)| self.hashes.contains_key(*id));
+        stated.map(|(id, revision)| (id, *revision))
+    }
+
+    /// Those that are gone, with a revision at which they were.
+    pub fn removed(&self) -> impl Iterator<Item = (&BackendId, u64)> {
+        let revisions = self.revisions.iter();
+        let gone = revisions.filter(|(id, _)| !self.hashes.contains_key(*id));
+        gone.map(|(id, revision)| (id, *revision))
+    }
+
     /// Takes a change; says whether it is one.
     ///
     /// Guards against an older state that is told after a newer one, by another watcher or
--- a/crates/jaypin_router/src/fleet.rs
+++ b/crates/jaypin_router/src/fleet.rs
@@ -39,6 +39,10 @@
     pub is_ready: bool,
     /// Whether it may be relied on to watch the store.
     pub may_watch: bool,
+    /// Version of its configuration; 0 before any.
+    pub version: u64,
+    /// A number that stands for all entries of backend servers that it knows.
+    pub digest: u64,
     /// Its clock against this host's.
     pub clock: PeerClock,
     earlier_run: Option<Incarnation>,
@@ -211,6 +215,8 @@
             failure_domain: whole.failure_domain.clone(),
             is_ready: false,
             may_watch: false,
+            version: 0,
+            digest: 0,
             clock: PeerClock::default(),
             earlier_run,
             sequence: None,
@@ -232,6 +238,8 @@
         let mut news = News::default();
         if let Some(whole) = report.whole {
             self.may_watch = whole.store.may_watch;
+            self.version = whole.store.version;
+            self.digest = whole.store.digest;
             news.strikes = whole.strikes;
             news.low_levels = whole.low_levels;
             for asked in whole.asked {
--- a/crates/jaypin_router/src/router/knowledge.rs
+++ b/crates/jaypin_router/src/router/knowledge.rs
@@ -67,6 +67,10 @@
         let known = self.entries.ids().chain(self.backends.ids());
         let gone: BTreeSet<_> = known.filter(|id| !listed.contains(*id)).cloned().collect();
         for id in gone {
+            // A listing that lags says nothing of what came after it.
+            if self.entries.is_newer(&id, revision) {
+                continue;
+            }
             let removed = EntryChange::Removed {
                 id: id.clone(),
                 revision,
@@ -192,9 +196,13 @@
 
     pub(super) fn hosts_found(&mut self, hosts: Vec<(HostId, SocketAddr)>, now: Instant) {
         for (host, address) in hosts {
-            if host != self.cfg.host && self.telling.found(host, address) {
+            if host == self.cfg.host {
+                continue;
+            }
+            if self.telling.found(host, address) {
                 self.views.outdate();
             }
+            self.telling.registered(address);
         }
         self.telling.found_all();
         self.refresh_quotas(now);
--- a/crates/jaypin_router/src/router/mod.rs
+++ b/crates/jaypin_router/src/router/mod.rs
@@ -5,6 +5,7 @@
 mod knowledge;
 mod lapse;
 mod placing;
+mod snapshot;
 mod telling;
 mod telling_loads;
 mod watching;
@@ -90,6 +91,8 @@
     },
     /// The entry of a backend server changed.
     BackendChanged(EntryChange),
+    /// A peer handed over all entries that it knows.
+    EntriesHanded(Vec<EntryChange>),
     /// A request was read whole.
     Arrived(Arrival),
     /// The first event or the whole answer of a call came.
@@ -288,6 +291,7 @@
                 self.backends_listed(entries, revision, now);
             }
             Event::BackendChanged(change) => self.backend_told(change, now),
+            Event::EntriesHanded(entries) => self.entries_handed(entries, now),
             Event::Arrived(arrival) => self.arrived(now, &arrival, &mut fx),
             Event::Answered(number) => self.answered(now, number),
             Event::Ended { number, outcome } => self.ended(now, number, outcome, &mut fx),
--- a/crates/jaypin_router/src/router/telling.rs
+++ b/crates/jaypin_router/src/router/telling.rs
@@ -1,7 +1,7 @@
 //! What a cell's hosts tell each other, and when.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::{Duration, Instant};
 
 use jaypin_core::{AccountId, HostId};
@@ -50,6 +50,7 @@
 #[derive(Debug, Default)]
 struct Found {
     host: Option<HostId>,
+    is_registered: bool,
     since: Option<Instant>,
     told_at: Option<Instant>,
 }
@@ -77,6 +78,24 @@
         found.host.replace(host.clone()) != Some(host)
     }
 
+    /// The store lists a host.
+    pub fn registered(&mut self, address: SocketAddr) {
+        self.found.entry(address).or_default().is_registered = true;
+    }
+
+    /// Whether the store lists a host that takes reports there.
+    #[must_use]
+    pub fn is_registered(&self, address: &SocketAddr) -> bool {
+        self.found.get(address).is_some_and(|it| it.is_registered)
+    }
+
+    /// Whether the store lists a host with this address.
+    #[must_use]
+    pub fn has_registered(&self, address: IpAddr) -> bool {
+        let mut found = self.found.iter();
+        found.any(|(at, it)| it.is_registered && at.ip() == address)
+    }
+
     /// Hosts that were found, with where they take reports.
     pub fn hosts_found(&self) -> impl Iterator<Item = (HostId, SocketAddr)> {
         let found = self.found.iter();
--- a/crates/jaypin_router/src/router/watching.rs
+++ b/crates/jaypin_router/src/router/watching.rs
@@ -33,6 +33,8 @@
 #[derive(Debug, Default)]
 pub struct Heard {
     newest_version: u64,
+    /// What a host that watches knows, by its last word.
+    watched_digest: Option<u64>,
     different_since: Option<Instant>,
 }
 
@@ -74,6 +76,16 @@
         self.heard.newest_version > self.version()
     }
 
+    /// The newest version that any host told of.
+    pub(super) fn newest_heard(&self) -> u64 {
+        self.heard.newest_version
+    }
+
+    /// What hosts that watch know of entries.
+    pub(super) fn watched_digest(&self) -> Option<u64> {
+        self.heard.watched_digest
+    }
+
     /// Whether this host has known other entries than a watcher for too long.
     #[must_use]
     pub fn has_other_entries(&self, now: Instant) -> bool {
@@ -136,6 +148,7 @@
         if !view.is_watching || whole.cell_callers.is_some() {
             return;
         }
+        self.heard.watched_digest = Some(view.digest);
         if view.digest == self.entries.digest() {
             self.heard.different_since = None;
         } else {
--- /dev/null
+++ b/crates/jaypin_router/tests/snapshots.rs
@@ -0,0 +1,120 @@
+//! What hosts hand over to each other whole, and what a listing that lags may change.
+
+mod common;
+
+use common::{Bed, ENGINES, Told, record};
+use jaypin_router::{BackendStatus, EntryChange, Event, Report, StoreView, WholeReport};
+
+/// A peer that watches the store, as it reports.
+fn watcher(sequence: u64, version: u64, digest: u64) -> Report {
+    let store = StoreView {
+        version,
+        proved_at: None,
+        may_watch: true,
+        is_watching: true,
+        digest,
+    };
+    let whole = WholeReport {
+        store,
+        ..common::whole(2)
+    };
+    common::report(sequence, whole)
+}
+
+fn found(bed: &mut Bed) {
+    let whole = common::whole(2);
+    bed.apply(Event::HostsFound(vec![(whole.host, whole.address)]));
+}
+
+/// A stranger inside the network reports a version that nobody has. If a host fetched it from
+/// there, the stranger could give itself a credential.
+#[test]
+fn a_host_that_the_store_does_not_list_is_not_asked() {
+    let mut bed = Bed::usual();
+    bed.hear_report(watcher(1, 7, 1));
+    assert!(bed.router.is_behind());
+    assert_eq!(bed.router.configuration_holders(bed.now), []);
+    assert!(!bed.router.is_host(common::address(1).ip()));
+    found(&mut bed);
+    let address = common::whole(2).address;
+    assert_eq!(bed.router.configuration_holders(bed.now), [address]);
+    assert!(bed.router.is_host(address.ip()));
+}
+
+#[test]
+fn a_host_with_an_older_version_is_not_asked() {
+    let mut bed = Bed::usual();
+    found(&mut bed);
+    bed.hear_report(watcher(1, 7, 1));
+    let mut other = watcher(1, 6, 1);
+    other.run = 99;
+    other.host = 99;
+    if let Some(whole) = &mut other.whole {
+        *whole = WholeReport {
+            store: whole.store.clone(),
+            ..common::whole(3)
+        };
+    }
+    bed.hear_report(other);
+    assert_eq!(
+        bed.router.configuration_holders(bed.now),
+        [common::whole(2).address]
+    );
+}
+
+/// A host was turned away by the store while an engine came and another left, and lost the
+/// reports that told so. It takes over what a peer knows.
+#[test]
+fn entries_that_are_handed_over_make_two_hosts_know_the_same() {
+    let mut knows = Bed::usual();
+    knows.state(record("engine-333", ENGINES, 9));
+    knows.remove("engine-1");
+    let mut lacks = Bed::usual();
+    let entries = knows.router.entry_snapshot();
+    lacks.apply(Event::EntriesHanded(entries.clone()));
+    assert_eq!(lacks.router.entry_snapshot(), entries);
+    for _ in 0..18 {
+        let (_, told) = lacks.arrive("/ask/1", (600, 30));
+        assert!(matches!(told, Told::Sent(_)));
+        assert_ne!(told.backend(), "engine-1");
+    }
+}
+
+/// What a peer hands over may be older than what this host has heard since.
+#[test]
+fn older_entries_that_are_handed_over_change_nothing() {
+    let mut bed = Bed::usual();
+    let older = bed.router.entry_snapshot();
+    let leaving = jaypin_router::BackendRecord {
+        status: BackendStatus::Leaving,
+        ..record("engine-1", ENGINES, 9)
+    };
+    bed.state(leaving);
+    let newer = bed.router.entry_snapshot();
+    bed.apply(Event::EntriesHanded(older));
+    assert_eq!(bed.router.entry_snapshot(), newer);
+}
+
+/// A host that starts lists backend servers as they were seconds ago, after a peer has told it
+/// of an engine that came since. The engine must not vanish again.
+#[test]
+fn a_listing_that_lags_removes_nothing_that_came_after_it() {
+    let mut bed = Bed::new(common::configuration(1));
+    let record = record("engine-1", ENGINES, 9);
+    bed.apply(Event::BackendChanged(EntryChange::Stated {
+        record,
+        revision: 500,
+    }));
+    bed.apply(Event::BackendsListed {
+        entries: Vec::new(),
+        revision: 450,
+    });
+    let (_, told) = bed.arrive("/ask/1", (600, 30));
+    assert!(matches!(told, Told::Sent(_)), "{told:?}");
+    bed.apply(Event::BackendsListed {
+        entries: Vec::new(),
+        revision: 501,
+    });
+    let (_, told) = bed.arrive("/ask/1", (600, 30));
+    assert!(!matches!(told, Told::Sent(_)), "{told:?}");
+}
