Leave the last slots to short answers of a rank; take any place that serves

Of two answers of a rank the long one was as welcome as the short. Change: a request that is expected to hold its slot twice as long as usual leaves the last slots to its own rank too and waits for less; places that serve go before those that don't. Tests: three in order.rs, two of which fail without the change.

--- a/crates/jaypin_router/src/asked.rs
+++ b/crates/jaypin_router/src/asked.rs
@@ -1,6 +1,7 @@
 //! What is asked of each service, by rank, over the fleet.
 
 use std::collections::{BTreeMap, HashMap};
+use std::ops::RangeBounds;
 use std::time::{Duration, Instant};
 
 use crate::{DecayedRate, Rank, ServiceKey};
@@ -53,9 +54,21 @@
     /// Requests a second of ranks that are more urgent than one.
     #[must_use]
     pub fn above(&self, service: ServiceKey, rank: Rank, now: Instant) -> f64 {
-        let of_service = self.rates.get(&service);
-        let above = of_service.into_iter().flat_map(|it| it.range(..rank));
-        above.map(|(_, rate)| rate.at(now)).sum()
+        self.sum(service, ..rank, now)
+    }
+
+    /// Requests a second of ranks that are at least as urgent as one.
+    #[must_use]
+    pub fn down_to(&self, service: ServiceKey, rank: Rank, now: Instant) -> f64 {
+        self.sum(service, ..=rank, now)
+    }
+
+    fn sum(&self, service: ServiceKey, ranks: impl RangeBounds<Rank>, now: Instant) -> f64 {
+        let Some(of_service) = self.rates.get(&service) else {
+            return 0.0;
+        };
+        let of_ranks = of_service.range(ranks);
+        of_ranks.map(|(_, rate)| rate.at(now)).sum()
     }
 
     fn count(&mut self, service: ServiceKey, rank: Rank, requests: u32, now: Instant) {
--- a/crates/jaypin_router/src/limits.rs
+++ b/crates/jaypin_router/src/limits.rs
@@ -31,6 +31,8 @@
 /// were refused are served. The most urgent rank pays less for its length, or it would be
 /// refused before deferrable short work.
 const MOST_SIZES: (f64, f64) = (2.0, 6.0);
+/// Size from which a request leaves the last free slots to others of its rank.
+const LONG_SIZE: f64 = 2.0;
 /// Factor on a prompt's own prefill that is accepted whatever the aim: a prompt too long
 /// for its aim on every engine is served late and not refused for ever.
 const OWN_PREFILL_FACTOR: f64 = 1.5;
@@ -63,14 +65,21 @@
 }
 
 /// Time that a request may wait for a slot; a stream that broke off takes any.
+///
+/// One that holds its slot for long waits for less: where slots are short, the time that it
+/// would take goes to several others.
 pub fn slot_wait_limit(admitted: &Admitted) -> Duration {
     if admitted.is_started {
         return Duration::MAX;
     }
-    admitted
-        .route
-        .aim
-        .mul_f64(of_rank(admitted, SLOT_WAIT_PARTS))
+    let part = of_rank(admitted, SLOT_WAIT_PARTS) / admitted.size.max(1.0).powi(2);
+    admitted.route.aim.mul_f64(part)
+}
+
+/// Whether a request holds its slot for so long that others of its rank go first where slots
+/// are short.
+pub fn is_long(admitted: &Admitted) -> bool {
+    admitted.size >= LONG_SIZE
 }
 
 /// Where nothing better is left: a late first event, or a backend server in trouble that
--- a/crates/jaypin_router/src/placement.rs
+++ b/crates/jaypin_router/src/placement.rs
@@ -20,6 +20,9 @@
 /// Cost of a backend server in trouble, in aims: taken only where there is no other.
 const WEIGHT_OF_TROUBLE: f64 = 50.0;
 
+/// Cost of a place that does not serve, in aims: less than that of one in trouble.
+const WEIGHT_OF_LACK: f64 = 10.0;
+
 /// What a request needs.
 #[derive(Debug, Clone, Copy)]
 pub struct Demand {
@@ -52,19 +55,26 @@
     pub is_in_trouble: bool,
 }
 
-/// Finds the best place; several that are equally good are taken by turns, given by
-/// `turn`, since all hosts see the same loads at nearly the same time.
+/// Finds the best place, one that `serves` the request before one that does not; several that
+/// are equally good are taken by turns, given by `turn`, since all hosts see the same loads at
+/// nearly the same time.
 pub fn best_place<'a>(
     backends: impl Iterator<Item = &'a Backend>,
     demand: &Demand,
     tried: &[BackendId],
+    serves: impl Fn(&Backend, &Choice) -> bool,
     mut turn: impl FnMut() -> f64,
     now: Instant,
 ) -> Option<Choice> {
     let usable = backends.filter(|it| it.takes_requests() && !tried.contains(&it.record.id));
     let scored = usable.map(|backend| {
         let choice = weigh(backend, demand, now);
-        let score = score(backend, &choice, demand) + turn() * JITTER;
+        let lacks = if serves(backend, &choice) {
+            0.0
+        } else {
+            WEIGHT_OF_LACK
+        };
+        let score = score(backend, &choice, demand) + lacks + turn() * JITTER;
         (score, choice)
     });
     let best = scored.min_by(|a, b| a.0.total_cmp(&b.0));
--- a/crates/jaypin_router/src/router/placing.rs
+++ b/crates/jaypin_router/src/router/placing.rs
@@ -8,7 +8,9 @@
 use super::arrival::{FIRST_PLAIN_RESIDENCE, refuse};
 use super::{Effect, Router};
 use crate::come_back::for_want_of_capacity;
-use crate::limits::{first_event_limit, is_last_resort, longest_pause, silence, slot_wait_limit};
+use crate::limits::{
+    first_event_limit, is_last_resort, is_long, longest_pause, silence, slot_wait_limit,
+};
 use crate::placement::{Choice, Demand, best_place};
 use crate::request::{Admitted, Request, Sent, Waiting};
 use crate::{Backend, Grounds, RequestNumber, kept_slots, service_key};
@@ -32,7 +34,8 @@
             return self.give_up(&request, Reason::TooLate, Grounds::Deadline, fx);
         }
         let is_over = now >= request.state.until;
-        let Some(choice) = self.choose(&request.admitted, now) else {
+        let tightness = self.tightness(&request.admitted, now);
+        let Some(choice) = self.choose(&request.admitted, tightness.as_ref(), now) else {
             if is_over {
                 return self.give_up(&request, Reason::NoBackend, Grounds::NoPlace, fx);
             }
@@ -40,14 +43,17 @@
         };
         let limit = self.limit(&request.admitted, &choice, now);
         let slot_limit = slot_wait_limit(&request.admitted);
-        let kept = self.kept_for_others(&request.admitted, &choice, now);
+        let kept = tightness.filter(|it| !it.spares(&choice));
         let has_room = kept.is_none();
-        let is_in_time = has_room
-            && !choice.is_in_trouble
-            && choice.first_event <= limit
-            && choice.slot_wait <= slot_limit;
+        let is_in_time = has_room && is_in_time(&choice, limit, slot_limit);
         let is_resort = is_over && has_room && is_last_resort(&request.admitted, &choice, now);
-        let grounds = kept.unwrap_or_else(|| self.grounds_of(&choice, limit, slot_limit));
+        let grounds = match kept {
+            Some(it) => Grounds::Kept {
+                free: it.free,
+                kept: it.kept,
+            },
+            None => self.grounds_of(&choice, limit, slot_limit),
+        };
         if is_in_time || is_resort {
             self.send(now, request, choice, grounds, fx);
         } else if is_over {
@@ -75,7 +81,12 @@
         }
     }
 
-    fn choose(&mut self, admitted: &Admitted, now: Instant) -> Option<Choice> {
+    fn choose(
+        &mut self,
+        admitted: &Admitted,
+        tightness: Option<&Tightness>,
+        now: Instant,
+    ) -> Option<Choice> {
         let demand = Demand {
             prompt_tokens: admitted.prompt_tokens,
             aim: admitted.route.aim,
@@ -84,43 +95,44 @@
         };
         let mut rng = self.rng.clone();
         let mut turn = || rng.random_range(0.0..1.0);
+        let slot_limit = slot_wait_limit(admitted);
+        let serves = |backend: &Backend, choice: &Choice| {
+            let limit = limit_at(backend, admitted, now);
+            is_in_time(choice, limit, slot_limit) && tightness.is_none_or(|it| it.spares(choice))
+        };
         let ours = self.ours(&admitted.service);
-        let choice = best_place(ours, &demand, &admitted.tried, &mut turn, now)
+        let choice = best_place(ours, &demand, &admitted.tried, serves, &mut turn, now)
             // A host whose own backend servers are all gone uses those of the others.
             .or_else(|| {
                 let all = self.backends.values();
                 let of_service = all.filter(|it| it.record.service == admitted.service);
-                best_place(of_service, &demand, &admitted.tried, &mut turn, now)
+                best_place(of_service, &demand, &admitted.tried, serves, &mut turn, now)
             });
         self.rng = rng;
         choice
     }
 
-    /// Whether a place is kept for more urgent requests, and by what.
-    fn kept_for_others(
-        &self,
-        admitted: &Admitted,
-        choice: &Choice,
-        now: Instant,
-    ) -> Option<Grounds> {
+    /// What others need of the free slots, where hardly more are free.
+    fn tightness(&self, admitted: &Admitted, now: Instant) -> Option<Tightness> {
         if admitted.is_started {
             return None;
         }
         let service = service_key(&admitted.service);
-        let of_cell = self.asked.above(service, admitted.rank, now);
-        let above = of_cell * self.share_of_asked(&admitted.service);
-        let kept = kept_slots(above);
-        if kept < LEAST_KEPT {
+        if self.floors.is_behind(service, admitted.rank) {
             return None;
         }
-        let quick = self.least_aim(admitted).mul_f64(QUICK_TURN_PART);
-        if choice.turn <= quick && choice.slot_wait <= quick {
+        let of_cell = if is_long(admitted) {
+            self.asked.down_to(service, admitted.rank, now)
+        } else {
+            self.asked.above(service, admitted.rank, now)
+        };
+        let kept = kept_slots(of_cell * self.share_of_asked(&admitted.service));
+        if kept < LEAST_KEPT {
             return None;
         }
         let free = self.free_slots(&admitted.service, now);
-        let is_owed = self.floors.is_behind(service, admitted.rank);
-        let has_room = choice.has_slot && (is_owed || f64::from(free) > kept);
-        (!has_room).then_some(Grounds::Kept { free, kept })
+        let quick = self.least_aim(admitted).mul_f64(QUICK_TURN_PART);
+        (f64::from(free) <= kept).then_some(Tightness { free, kept, quick })
     }
 
     /// The shortest aim of all routes to the service of a request.
@@ -153,11 +165,8 @@
 
     /// Time that the first event may take at a place.
     fn limit(&self, admitted: &Admitted, choice: &Choice, now: Instant) -> Duration {
-        let own = self.backends.get(&choice.backend).map(|backend| {
-            let tokens = f64::from(admitted.prompt_tokens);
-            Duration::from_secs_f64(backend.pace.seconds_for(tokens))
-        });
-        first_event_limit(admitted, own.unwrap_or_default(), now)
+        let backend = self.backends.get(&choice.backend);
+        backend.map_or_else(Duration::default, |it| limit_at(it, admitted, now))
     }
 
     fn grounds_of(&self, choice: &Choice, limit: Duration, slot_limit: Duration) -> Grounds {
@@ -242,3 +251,31 @@
         }
     }
 }
+
+/// Few slots are free, and requests that go before this one are about to come.
+#[derive(Debug, Clone, Copy)]
+struct Tightness {
+    free: u32,
+    /// Slots that they need.
+    kept: f64,
+    /// A turn that is so short delays nobody.
+    quick: Duration,
+}
+
+impl Tightness {
+    /// Whether a place may be taken nevertheless.
+    fn spares(&self, choice: &Choice) -> bool {
+        choice.turn <= self.quick && choice.slot_wait <= self.quick
+    }
+}
+
+fn is_in_time(choice: &Choice, limit: Duration, slot_limit: Duration) -> bool {
+    !choice.is_in_trouble && choice.first_event <= limit && choice.slot_wait <= slot_limit
+}
+
+/// Time that the first event may take at a backend server.
+fn limit_at(backend: &Backend, admitted: &Admitted, now: Instant) -> Duration {
+    let tokens = f64::from(admitted.prompt_tokens);
+    let own = Duration::from_secs_f64(backend.pace.seconds_for(tokens));
+    first_event_limit(admitted, own, now)
+}
--- a/crates/jaypin_router/tests/order.rs
+++ b/crates/jaypin_router/tests/order.rs
@@ -70,6 +70,76 @@
     work_that_can_wait_takes_what_is_left: "/label/1" with 8 free, sent true;
 }
 
+/// Answers of one rank differ a hundredfold in length, and a tenth of them takes half of all
+/// slot time. In a burst, the last slots go to the many that are soon over.
+#[test]
+fn the_last_slots_go_to_short_answers_of_a_rank() {
+    let mut bed = under_urgent_load(3);
+    let ask = |bed: &mut Bed, expected| {
+        let (_, told) = bed.arrive_as(|it| {
+            "/urgent/1".clone_into(&mut it.path);
+            it.tokens = Some((600, 3_000));
+            it.expected_answer = Some(expected);
+        });
+        told
+    };
+    assert!(matches!(ask(&mut bed, 100), Told::Sent(_)));
+    assert_eq!(ask(&mut bed, 3_000), Told::Waits);
+    assert!(matches!(ask(&mut bed, 100), Told::Sent(_)));
+}
+
+/// Nobody else asks, so a long answer takes the last slot.
+#[test]
+fn a_long_answer_takes_the_last_slot_of_a_quiet_fleet() {
+    let mut bed = Bed::new(common::configuration(1));
+    bed.state(record("engine-1", ENGINES, 1));
+    let (_, told) = bed.arrive_as(|it| {
+        it.tokens = Some((600, 3_000));
+        it.expected_answer = Some(3_000);
+    });
+    assert!(matches!(told, Told::Sent(_)), "{told:?}");
+}
+
+/// The best engine by estimate has a queue that is too long, and a slower one is free. A
+/// request was refused because only the best was looked at.
+#[test]
+fn a_place_that_serves_goes_before_one_that_does_not() {
+    let mut bed = Bed::new(common::configuration(1));
+    for id in ["engine-1", "engine-22"] {
+        bed.state(record(id, ENGINES, 1));
+    }
+    // One engine reads a prompt in 60 ms and the other in 400, and each answer takes 100 more.
+    for _ in 0..8 {
+        let pair = [
+            bed.arrive("/urgent/1", (6_000, 30)),
+            bed.arrive("/urgent/1", (6_000, 30)),
+        ];
+        let start = bed.now;
+        let mut ends = pair.map(|(number, told)| {
+            let is_fast = told.backend() == "engine-1";
+            (if is_fast { 60 } else { 400 }, number)
+        });
+        ends.sort_unstable();
+        for (millis, number) in ends {
+            bed.now = start + Duration::from_millis(millis + 14);
+            bed.answered(number);
+            bed.now += Duration::from_millis(100);
+            bed.ended(number, AttemptOutcome::Complete);
+        }
+        bed.boot += Duration::from_millis(514);
+        bed.prove();
+    }
+    let mut report = common::report(bed.revision(), common::whole(2));
+    report.loads = vec![BackendLoad {
+        key: backend_key("engine-1"),
+        running: 1,
+        unread_tokens: 0,
+    }];
+    bed.hear_report(report);
+    let (_, told) = bed.arrive("/urgent/1", (6_000, 30));
+    assert_eq!(told.backend(), "engine-22");
+}
+
 /// A quiet fleet has one slot free. Nothing urgent is asked for, so nothing is kept.
 #[test]
 fn nothing_is_kept_where_nothing_urgent_is_asked() {
