Let hosts vouch for each other's configuration over a connection

Cause: a host that has just started can't use proofs in reports for some 3 s, as it doesn't know its peers' clocks, and its own holds for 2.6 s: so each listed the configuration a second time. Change: the answer to a host that asks for the configuration says how long ago it was proved, so the proof needs no map between clocks: it is taken as older by the time of the question. Only peers that are ready are asked. Pauses after failed calls grow with the hosts that are heard, 0.1 s each, between 0.4 and 2 s. Test: a proof that is handed over grows no younger.

--- a/crates/jaypin_entry/src/lib.rs
+++ b/crates/jaypin_entry/src/lib.rs
@@ -17,8 +17,8 @@
 
 pub use logs::start as start_logs;
 pub use peers::{
-    WireError, decode_entries, decode_object, decode_report, encode_entries, encode_object,
-    encode_report,
+    HandedConfiguration, WireError, decode_configuration, decode_entries, decode_report,
+    encode_configuration, encode_entries, encode_report,
 };
 pub use ports::{
     BackendAnswer, CallerRequest, Collection, DecodeError, Forward, Freshness, HostRecord,
--- a/crates/jaypin_entry/src/peers/mod.rs
+++ b/crates/jaypin_entry/src/peers/mod.rs
@@ -10,8 +10,8 @@
 pub use heard::HeardPeers;
 pub use snapshot::{ask_configuration, ask_entries, serve_snapshots};
 pub use wire::{
-    WireError, decode_entries, decode_object, decode_report, encode_entries, encode_object,
-    encode_report,
+    HandedConfiguration, WireError, decode_configuration, decode_entries, decode_report,
+    encode_configuration, encode_entries, encode_report,
 };
 
 use std::net::SocketAddr;
--- a/crates/jaypin_entry/src/store/configuration.rs
+++ b/crates/jaypin_entry/src/store/configuration.rs
@@ -39,8 +39,9 @@
 
 async fn follow(host: &Host, client: &mut StoreClient<'_>) -> Result<(), StoreError> {
     wait_for_reason(host, Router::is_behind).await;
-    if !is_watching(host) {
-        return catch_up(host, client).await;
+    let is_watcher = host.look(|router| router.is_watcher(Instant::now().into_std()));
+    if !is_watcher && take_from_peer(host).await {
+        return Ok(());
     }
     let mut revision = read(host, client).await?;
     while is_watching(host) {
@@ -60,25 +61,31 @@
             sleep(WATCH_PAUSE).await;
         }
     }
+    if host.look(Router::is_behind) {
+        // A peer told of a version that nobody has.
+        sleep(BEHIND_PAUSE).await;
+    }
     Ok(())
 }
 
-/// Gets the version that a peer told of, from a peer that has it or from the store.
-async fn catch_up(host: &Host, client: &mut StoreClient<'_>) -> Result<(), StoreError> {
+/// Takes the newest configuration from a peer, or its word that this host has it; says
+/// whether that was all that this host needs.
+async fn take_from_peer(host: &Host) -> bool {
+    let Some(word) = ask_configuration(host).await else {
+        return false;
+    };
     let known = known_version(host);
-    if let Some(object) = ask_configuration(host).await {
-        take(host, &object);
-    }
-    if known_version(host) > known {
-        // One that is newer still is asked for next.
-        return Ok(());
+    if let Some(object) = &word.object {
+        take(host, object);
     }
-    read(host, client).await?;
-    if host.look(Router::is_behind) {
-        // A peer told of a version that nobody has.
-        sleep(BEHIND_PAUSE).await;
+    if known_version(host) == word.version
+        && let Some(at) = word.proved_at
+    {
+        host.apply(Event::Vouched(at));
     }
-    Ok(())
+    let is_satisfied = !is_watching(host) && !host.look(Router::is_behind);
+    // One that is newer still is asked for next.
+    is_satisfied || known_version(host) > known
 }
 
 async fn read(host: &Host, client: &mut StoreClient<'_>) -> Result<u64, StoreError> {
--- a/crates/jaypin_entry/src/store/mod.rs
+++ b/crates/jaypin_entry/src/store/mod.rs
@@ -21,9 +21,11 @@
 
 /// Pause after a call that failed; doubled with each further one.
 const FIRST_RETRY: Duration = Duration::from_millis(400);
-/// Longest such pause. Each call has its price, also a refused one; in a fleet the first host
-/// that finds the store back tells the others, so no single one has to ask often.
+/// Longest such pause, and its part for each host that is heard. Each call has its price, also
+/// a refused one; the first host that finds the store back tells the others, so in a large
+/// fleet no single one has to ask often.
 const LONGEST_RETRY: Duration = Duration::from_secs(2);
+const RETRY_FOR_EACH: Duration = Duration::from_millis(100);
 /// Spread of pauses, so that a fleet does not come back in one moment.
 const RETRY_SPREAD: std::ops::Range<f64> = 0.7..1.3;
 
@@ -73,9 +75,14 @@
     async fn pause_after(&mut self, host: &Host, what: &str, error: &StoreError) {
         log::warn!(what, error:%; "the store did not answer");
         host.apply(jaypin_router::Event::StoreDisturbed);
+        let now = Instant::now().into_std();
+        let heard = host.look(|router| router.heard_peers(now).count());
+        let heard = u32::try_from(heard).unwrap_or(u32::MAX);
+        let longest = RETRY_FOR_EACH.saturating_mul(heard);
+        let longest = longest.clamp(FIRST_RETRY, LONGEST_RETRY);
         let pause = FIRST_RETRY.saturating_mul(2_u32.saturating_pow(self.failures));
         self.failures += 1;
         let spread = rand::rng().random_range(RETRY_SPREAD);
-        sleep(pause.min(LONGEST_RETRY).mul_f64(spread)).await;
+        sleep(pause.min(longest).mul_f64(spread)).await;
     }
 }
--- a/crates/jaypin_entry/tests/report_bytes.rs
+++ b/crates/jaypin_entry/tests/report_bytes.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use jaypin_entry::{
-    Object, WireError, decode_entries, decode_object, decode_report, encode_entries, encode_object,
-    encode_report,
+    HandedConfiguration, Object, WireError, decode_configuration, decode_entries, decode_report,
+    encode_configuration, encode_entries, encode_report,
 };
 use jaypin_router::{
     Asked, BackendLoad, BackendRecord, BackendSamples, BackendStatus, EntryChange, Rank, Report,
@@ -166,8 +166,31 @@
         revision: 77,
         content,
     };
-    let bytes = encode_object(&object).expect("bytes");
-    assert_eq!(decode_object(&bytes).expect("an object"), object);
+    let handed = HandedConfiguration {
+        version: u64::MAX,
+        proof_age: None,
+        object: Some(object),
+    };
+    let bytes = encode_configuration(&handed).expect("bytes");
+    let heard = decode_configuration(&bytes).expect("a configuration");
+    assert_eq!(heard, handed);
+}
+
+/// A proof that grew younger on its way would let a withdrawn credential in for longer.
+#[test]
+fn a_proof_that_is_handed_over_grows_no_younger() {
+    for micros in [0, 1, 999, 1_000, 1_001, 3_999_999] {
+        let age = Duration::from_micros(micros);
+        let handed = HandedConfiguration {
+            version: 3,
+            proof_age: Some(age),
+            object: None,
+        };
+        let bytes = encode_configuration(&handed).expect("bytes");
+        let heard = decode_configuration(&bytes).expect("a configuration");
+        let heard = heard.proof_age.expect("an age");
+        assert!(heard >= age && heard <= age + Duration::from_millis(1));
+    }
 }
 
 #[test]
@@ -184,6 +207,6 @@
     for length in 0..bytes.len() {
         assert!(decode_entries(&bytes[..length]).is_err(), "{length} bytes");
         // Or read as something else: what counts is that it returns.
-        let _ = decode_object(&bytes[..length]);
+        let _ = decode_configuration(&bytes[..length]);
     }
 }
--- a/crates/jaypin_router/src/router/mod.rs
+++ b/crates/jaypin_router/src/router/mod.rs
@@ -80,6 +80,8 @@
     Configured(Arc<RouteTable>),
     /// What is known of the configuration was the newest at this time.
     Proved(BootTime),
+    /// A peer that has the same configuration said that it was the newest at this time.
+    Vouched(BootTime),
     /// The platform's store did not answer as it should.
     StoreDisturbed,
     /// All entries of backend servers were read, each with its revision.
@@ -286,6 +288,7 @@
         match event {
             Event::Configured(table) => self.configured(table, now),
             Event::Proved(at) => self.proved(at),
+            Event::Vouched(at) => self.vouched(at),
             Event::StoreDisturbed => self.store_disturbed(now),
             Event::BackendsListed { entries, revision } => {
                 self.backends_listed(entries, revision, now);
@@ -371,7 +374,9 @@
         self.table.as_ref()
     }
 
-    fn version(&self) -> u64 {
+    /// Version of the configuration in use; 0 before any.
+    #[must_use]
+    pub fn version(&self) -> u64 {
         let table = self.table.as_ref();
         table.map_or(0, |table| table.configuration().version)
     }
--- a/crates/jaypin_router/src/router/snapshot.rs
+++ b/crates/jaypin_router/src/router/snapshot.rs
@@ -10,11 +10,11 @@
 use crate::{EntryChange, Peer};
 
 impl Router {
-    /// Peers that have the newest configuration that was heard of.
+    /// Peers that have the newest configuration that was heard of, and know it to be.
     #[must_use]
     pub fn configuration_holders(&self, now: Instant) -> Vec<SocketAddr> {
         let newest = self.newest_heard();
-        self.holders(now, |peer| peer.version >= newest)
+        self.holders(now, |peer| peer.is_ready && peer.version >= newest)
     }
 
     /// Peers that know the same entries as those who watch the store.
--- a/crates/jaypin_router/src/router/watching.rs
+++ b/crates/jaypin_router/src/router/watching.rs
@@ -46,12 +46,15 @@
 }
 
 impl Router {
-    /// Whether this host shall watch the store.
+    /// Whether this host shall ask the store, and watch it.
     #[must_use]
     pub fn should_watch(&self, now: Instant, boot_time: BootTime) -> bool {
-        if self.table.is_none() || self.has_old_proof(boot_time) {
-            return true;
-        }
+        self.table.is_none() || self.has_old_proof(boot_time) || self.is_watcher(now)
+    }
+
+    /// Whether it falls to this host to watch the store for its cell.
+    #[must_use]
+    pub fn is_watcher(&self, now: Instant) -> bool {
         let age = now.saturating_duration_since(self.started_at.unwrap_or(now));
         let is_joining = age < JOINING;
         if is_joining && !self.telling.knows_hosts() {
@@ -111,6 +114,11 @@
         self.telling.whole_is_due();
     }
 
+    /// A peer said over a connection that this host's configuration is the newest.
+    pub(super) fn vouched(&mut self, at: BootTime) {
+        self.proved_at = self.proved_at.max(Some(at));
+    }
+
     /// A call to the store gave nothing.
     ///
     /// Guards against a store that turns both watchers away and serves the others: peers
@@ -126,7 +134,8 @@
     }
 
     /// Time since the configuration was the newest for sure, where it ever was.
-    pub(super) fn proof_age(&self, boot_time: BootTime) -> Option<Duration> {
+    #[must_use]
+    pub fn proof_age(&self, boot_time: BootTime) -> Option<Duration> {
         self.proved_at.map(|at| boot_time.saturating_sub(at))
     }
 
