Send long answers where they end in time, by the pace of events

Change: hosts learn from running streams how long an engine takes for an event and tell those that use it; a place where the answer is expected to take over 0.4 of its time counts less, one where it would take all of it does not serve. The grounds of a decision name the part of the time.

--- a/crates/jaypin_entry/src/callers/drive.rs
+++ b/crates/jaypin_entry/src/callers/drive.rs
@@ -1,6 +1,7 @@
 //! One request from its arrival to its answer.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
@@ -16,6 +17,7 @@
 
 use super::answer::{AnswerResponse, refusal, rejection};
 use super::delivery::{Delivery, pass_on};
+use super::event_times::{CallPace, EventTimes};
 use super::read_request::CallerCall;
 use crate::boot_clock::boot_time;
 use crate::calls::{
@@ -27,6 +29,7 @@
 
 /// Header with which a stream is gone on with, by the standard of server-sent events.
 const LAST_EVENT_ID: HeaderName = HeaderName::from_static("last-event-id");
+
 /// Takes a request in and gives the head of its answer.
 ///
 /// The request runs in a task of its own, which notices when this future is dropped: that
@@ -301,6 +304,7 @@
     ) -> AttemptOutcome {
         let (head, mut body) = response.into_parts();
         let mut reader = EventReader::default();
+        let mut pace = CallPace::default();
         let sent_at = Instant::now();
         let mut is_answered = false;
         loop {
@@ -335,6 +339,14 @@
                 }
                 self.last_id = id.or(self.last_id);
                 self.times.saw_event();
+                if let Some((events, time)) = pace.saw_event() {
+                    let number = self.number;
+                    self.host.apply(Event::Streamed {
+                        number,
+                        events,
+                        time,
+                    });
+                }
                 if !delivery.event(event).await {
                     return AttemptOutcome::Abandoned;
                 }
@@ -370,24 +382,6 @@
     }
 }
 
-/// When the first event came, and the longest time between two.
-#[derive(Debug, Default)]
-struct EventTimes {
-    first: Option<Instant>,
-    last: Option<Instant>,
-    longest_pause: std::time::Duration,
-}
-
-impl EventTimes {
-    fn saw_event(&mut self) {
-        let now = Instant::now();
-        self.first.get_or_insert(now);
-        if let Some(last) = self.last.replace(now) {
-            self.longest_pause = self.longest_pause.max(now - last);
-        }
-    }
-}
-
 /// The path and query without a host: what a caller sent in the absolute form is asked of
 /// the backend server in the usual one.
 fn origin_form(uri: &Uri) -> Uri {
@@ -395,10 +389,7 @@
     path.map(Uri::from).unwrap_or_default()
 }
 
-async fn within<T>(
-    limit: Option<std::time::Duration>,
-    future: impl Future<Output = T>,
-) -> Option<T> {
+async fn within<T>(limit: Option<Duration>, future: impl Future<Output = T>) -> Option<T> {
     match limit {
         Some(limit) => timeout(limit, future).await.ok(),
         None => Some(future.await),
--- a/crates/jaypin_entry/src/callers/mod.rs
+++ b/crates/jaypin_entry/src/callers/mod.rs
@@ -4,6 +4,7 @@
 mod delivery;
 mod directory;
 mod drive;
+mod event_times;
 mod read_request;
 
 pub use answer::{AnswerResponse, bytes_answer, empty_answer};
--- a/crates/jaypin_entry/src/peers/wire.rs
+++ b/crates/jaypin_entry/src/peers/wire.rs
@@ -42,8 +42,8 @@
 
 /// Key, running requests, unread tokens.
 type WireLoad = (u32, u32, u32);
-/// Key, tokens, seconds, held seconds, good and bad calls.
-type WireSamples = (u32, f64, f64, f64, u32, u32);
+/// Key; tokens and seconds of prompts, held seconds, events and their seconds; good and bad calls.
+type WireSamples = (u32, [f64; 5], u32, u32);
 
 /// Service's key, rank of account and of route, requests.
 type WireAsked = (u32, u8, u8, u32);
@@ -232,7 +232,7 @@
 
     fn try_from(wire: WireReport) -> Result<Self, WireError> {
         let WireReport(host, run, sequence, is_ready, loads, samples, usage, changes, whole) = wire;
-        let mut learned = samples.iter().flat_map(|it| [it.1, it.2, it.3]);
+        let mut learned = samples.iter().flat_map(|it| it.1);
         let are_units_sound = usage.iter().all(|(_, units)| is_sound(*units));
         if !are_units_sound || !learned.all(is_sound) {
             return Err(WireError::Number);
@@ -328,7 +328,8 @@
 }
 
 fn wire_samples(it: &BackendSamples) -> WireSamples {
-    (it.key, it.tokens, it.seconds, it.held, it.good, it.bad)
+    let sums = [it.tokens, it.seconds, it.held, it.events, it.event_seconds];
+    (it.key, sums, it.good, it.bad)
 }
 
 fn wire_change(change: &EntryChange) -> WireChange {
@@ -382,12 +383,15 @@
     }
 }
 
-fn sample((key, tokens, seconds, held, good, bad): WireSamples) -> BackendSamples {
+fn sample((key, sums, good, bad): WireSamples) -> BackendSamples {
+    let [tokens, seconds, held, events, event_seconds] = sums;
     BackendSamples {
         key,
         tokens,
         seconds,
         held,
+        events,
+        event_seconds,
         good,
         bad,
     }
--- a/crates/jaypin_entry/tests/report_bytes.rs
+++ b/crates/jaypin_entry/tests/report_bytes.rs
@@ -40,6 +40,8 @@
             tokens: 6_610.0,
             seconds: 0.108,
             held: 1.25,
+            events: 40.0,
+            event_seconds: 0.95,
             good: 2,
             bad: 1,
         }],
@@ -119,12 +121,13 @@
 /// all it wants, or nothing, on every host that heard it.
 #[test]
 fn numbers_that_are_none_are_rejected() {
-    let spoilt: [fn(&mut Report); 5] = [
+    let spoilt: [fn(&mut Report); 6] = [
         |it| it.usage[0].1 = f64::NAN,
         |it| it.usage[0].1 = -1.0,
         |it| it.whole.as_mut().expect("whole").low_levels[0].1 = f64::NEG_INFINITY,
         |it| it.samples[0].seconds = f64::INFINITY,
         |it| it.samples[0].held = -0.5,
+        |it| it.samples[0].event_seconds = f64::NAN,
     ];
     for spoil in spoilt {
         let mut report = full();
--- a/crates/jaypin_router/src/backend.rs
+++ b/crates/jaypin_router/src/backend.rs
@@ -5,7 +5,9 @@
 
 use jaypin_core::{BackendId, FailureDomain, ServiceId};
 
-use crate::{AttemptOutcome, BackendKey, BackendLoad, BackendSamples, Pace, RequestNumber};
+use crate::{
+    AttemptOutcome, BackendKey, BackendLoad, BackendSamples, EventPace, Pace, RequestNumber,
+};
 
 /// Rest after the first call that could not reach it; doubled with each further one.
 const FIRST_REST: Duration = Duration::from_millis(400);
@@ -63,6 +65,8 @@
     pub key: BackendKey,
     /// How fast it reads prompts.
     pub pace: Pace,
+    /// How fast it makes events.
+    pub event_pace: EventPace,
     /// What peers have running there.
     peers: PeersThere,
     calls: BTreeMap<RequestNumber, Call>,
@@ -128,6 +132,7 @@
             record,
             key,
             pace: Pace::default(),
+            event_pace: EventPace::default(),
             peers: PeersThere::default(),
             calls: BTreeMap::new(),
             totals: BackendSamples::none(key),
@@ -223,6 +228,13 @@
         self.totals.seconds += seconds;
     }
 
+    /// Learns how long so many events of a stream took.
+    pub fn saw_events(&mut self, events: f64, seconds: f64) {
+        self.event_pace.saw(events, seconds);
+        self.totals.events += events;
+        self.totals.event_seconds += seconds;
+    }
+
     /// Counts the end of a call.
     pub fn ended(&mut self, number: RequestNumber, outcome: AttemptOutcome, now: Instant) {
         let call = self.calls.remove(&number);
@@ -256,6 +268,9 @@
         if samples.tokens > 0.0 {
             self.pace.saw(samples.tokens, samples.seconds);
         }
+        if samples.events > 0.0 {
+            self.event_pace.saw(samples.events, samples.event_seconds);
+        }
         if samples.good > 0 {
             let mean = samples.held / f64::from(samples.good);
             self.learn_residence(Duration::from_secs_f64(mean));
--- a/crates/jaypin_router/src/grounds.rs
+++ b/crates/jaypin_router/src/grounds.rs
@@ -49,6 +49,9 @@
         running: u32,
         /// Prompt tokens that have to be read there before.
         tokens_ahead: u32,
+        /// Part of the time for the whole answer that it is expected to take, where that is
+        /// known.
+        part_of_time: Option<f64>,
         /// Whether it was found in trouble.
         is_in_trouble: bool,
     },
@@ -109,6 +112,7 @@
                 slot_limit,
                 running,
                 tokens_ahead,
+                part_of_time,
                 is_in_trouble,
             } => {
                 let (first, limit) = (first_event.as_millis(), limit.as_millis());
@@ -117,10 +121,14 @@
                     wait if *slot_limit == Duration::MAX => format!(", slot in {wait} ms"),
                     wait => format!(", slot in {wait} ms of {}", slot_limit.as_millis()),
                 };
+                let answer = match part_of_time {
+                    Some(part) => format!(", answer in {:.0}% of its time", part * 100.0),
+                    None => String::new(),
+                };
                 let trouble = if *is_in_trouble { ", in trouble" } else { "" };
                 write!(
                     f,
-                    "first event in {first} ms of {limit}{slot}, {running} running, {tokens_ahead} tokens ahead{trouble}"
+                    "first event in {first} ms of {limit}{slot}, {running} running, {tokens_ahead} tokens ahead{answer}{trouble}"
                 )
             }
             Self::Kept { free, kept } => {
--- a/crates/jaypin_router/src/lib.rs
+++ b/crates/jaypin_router/src/lib.rs
@@ -13,6 +13,7 @@
 mod come_back;
 mod configuration;
 mod entries;
+mod event_pace;
 mod fleet;
 mod floor;
 mod grounds;
@@ -43,6 +44,7 @@
     Account, CallerLimits, Configuration, Engine, Quota, QuotaUnit, Repeat, Route, Service, Target,
 };
 pub use entries::{Entries, EntryChange};
+pub use event_pace::EventPace;
 pub use fleet::{Fleet, Peer};
 pub use floor::Floors;
 pub use grounds::Grounds;
--- a/crates/jaypin_router/src/placement.rs
+++ b/crates/jaypin_router/src/placement.rs
@@ -20,6 +20,11 @@
 /// Cost of a backend server in trouble, in aims: taken only where there is no other.
 const WEIGHT_OF_TROUBLE: f64 = 50.0;
 
+/// Part of the time for an answer that it may take as expected, so that most answers end in
+/// time: half of them are longer than expected, some twice as long.
+const SAFE_PART: f64 = 0.4;
+/// Weight of what an answer takes beyond that part.
+const WEIGHT_OF_OVERRUN: f64 = 1.5;
 /// Cost of a place that does not serve, in aims: less than that of one in trouble.
 const WEIGHT_OF_LACK: f64 = 10.0;
 
@@ -34,6 +39,10 @@
     pub longest_pause: Option<Duration>,
     /// Time that a request of the service holds its slot, where none was seen.
     pub residence: Duration,
+    /// Events that its answer is expected to have.
+    pub events: Option<f64>,
+    /// Time within which the whole answer is worth anything.
+    pub time_left: Duration,
 }
 
 /// A backend server that was chosen.
@@ -43,6 +52,8 @@
     pub backend: BackendId,
     /// Estimated time to the first event.
     pub first_event: Duration,
+    /// Part of the time for the whole answer that it is estimated to take, where that is known.
+    pub part_of_time: Option<f64>,
     /// Estimated wait for a slot.
     pub slot_wait: Duration,
     /// Mean time between two slots that come free there, while all are taken.
@@ -94,9 +105,15 @@
     let slot_wait = in_line * turn.as_secs_f64();
     let tokens = f64::from(tokens_ahead) + f64::from(demand.prompt_tokens);
     let prefill = backend.pace.seconds_for(tokens);
+    let first_event = CALL_OVERHEAD + Duration::from_secs_f64((slot_wait + prefill).min(3_600.0));
+    let answer = demand
+        .events
+        .and_then(|it| backend.event_pace.seconds_for(it));
+    let time_left = demand.time_left.as_secs_f64().max(0.001);
     Choice {
         backend: backend.record.id.clone(),
-        first_event: CALL_OVERHEAD + Duration::from_secs_f64((slot_wait + prefill).min(3_600.0)),
+        first_event,
+        part_of_time: answer.map(|it| (first_event.as_secs_f64() + it) / time_left),
         slot_wait: Duration::from_secs_f64(slot_wait.min(3_600.0)),
         turn,
         tokens_ahead,
@@ -116,6 +133,8 @@
         let excess = backend.pace.seconds_for(tokens) / longest - 1.0;
         score += WEIGHT_OF_PAUSE * running * excess.max(0.0);
     }
+    let overrun = choice.part_of_time.unwrap_or_default() - SAFE_PART;
+    score += WEIGHT_OF_OVERRUN * overrun.max(0.0);
     if choice.is_in_trouble {
         score += WEIGHT_OF_TROUBLE;
     }
--- a/crates/jaypin_router/src/report.rs
+++ b/crates/jaypin_router/src/report.rs
@@ -99,6 +99,10 @@
     pub seconds: f64,
     /// Seconds for which the calls that succeeded held their slots.
     pub held: f64,
+    /// Events of streams, behind the first of each.
+    pub events: f64,
+    /// Seconds that they took.
+    pub event_seconds: f64,
     /// Calls that succeeded.
     pub good: u32,
     /// Calls that failed by the backend server's fault.
@@ -135,6 +139,8 @@
             tokens: 0.0,
             seconds: 0.0,
             held: 0.0,
+            events: 0.0,
+            event_seconds: 0.0,
             good: 0,
             bad: 0,
         }
@@ -148,6 +154,8 @@
             tokens: (self.tokens - before.tokens).max(0.0),
             seconds: (self.seconds - before.seconds).max(0.0),
             held: (self.held - before.held).max(0.0),
+            events: (self.events - before.events).max(0.0),
+            event_seconds: (self.event_seconds - before.event_seconds).max(0.0),
             good: self.good.saturating_sub(before.good),
             bad: self.bad.saturating_sub(before.bad),
         }
--- a/crates/jaypin_router/src/request.rs
+++ b/crates/jaypin_router/src/request.rs
@@ -105,6 +105,8 @@
     pub prompt_tokens: u32,
     /// Most tokens of the answer.
     pub answer_tokens: u32,
+    /// Events that its answer is expected to have, where it is a stream of an engine.
+    pub expected_events: Option<f64>,
     /// Time that it holds a slot, relative to what is usual; 1 is usual.
     pub size: f64,
     /// Quota units that it takes.
--- a/crates/jaypin_router/src/router/arrival.rs
+++ b/crates/jaypin_router/src/router/arrival.rs
@@ -86,8 +86,9 @@
         let size = self.sizes.relative(&service, rank, prompt_tokens, expected);
         let admitted = Admitted {
             number: arrival.number,
-            service,
             size,
+            expected_events: self.events_of(&service, expected),
+            service,
             account: account.map(|account| account.name.clone()),
             rank,
             prompt_tokens,
@@ -108,6 +109,13 @@
         }
     }
 
+    /// Events that carry so many tokens.
+    fn events_of(&self, service: &ServiceId, tokens: u32) -> Option<f64> {
+        let engine = self.table.as_ref()?.service(service)?.engine.as_ref()?;
+        let events = f64::from(tokens) / f64::from(engine.tokens_per_event.max(1));
+        (tokens > 0).then_some(events)
+    }
+
     /// Checks what every request has to pass, whatever its route, and looks for a place.
     fn start(
         &mut self,
--- a/crates/jaypin_router/src/router/attempt.rs
+++ b/crates/jaypin_router/src/router/attempt.rs
@@ -12,6 +12,9 @@
 
 /// Backend servers that may decline one request before it is refused.
 const MOST_DECLINED: usize = 4;
+/// Factor by which an engine's events are slower than a moment before that others should hear
+/// of at once.
+const WORTH_TELLING: f64 = 4.0 / 3.0;
 /// Weight of one request in the mean time that requests hold their slots.
 const RESIDENCE_WEIGHT: f64 = 0.05;
 
@@ -40,6 +43,21 @@
         }
     }
 
+    pub(super) fn streamed(&mut self, number: RequestNumber, events: u32, time: Duration) {
+        let Some(request) = self.sent.get(&number) else {
+            return;
+        };
+        if let Some(backend) = self.backends.get_mut(&request.state.backend) {
+            let before = backend.event_pace.seconds_for(1.0);
+            backend.saw_events(f64::from(events), time.as_secs_f64());
+            let after = backend.event_pace.seconds_for(1.0);
+            let slower = before.zip(after).map(|(before, after)| after / before);
+            if slower.is_some_and(|it| it >= WORTH_TELLING) {
+                self.load_telling.learned_much(backend.key);
+            }
+        }
+    }
+
     pub(super) fn ended(
         &mut self,
         now: Instant,
--- a/crates/jaypin_router/src/router/mod.rs
+++ b/crates/jaypin_router/src/router/mod.rs
@@ -99,6 +99,15 @@
     Arrived(Arrival),
     /// The first event or the whole answer of a call came.
     Answered(RequestNumber),
+    /// Events of a stream came, behind its first one or those that were told before.
+    Streamed {
+        /// The request.
+        number: RequestNumber,
+        /// How many.
+        events: u32,
+        /// Time that they took.
+        time: Duration,
+    },
     /// A call ended.
     Ended {
         /// The request.
@@ -297,6 +306,11 @@
             Event::EntriesHanded(entries) => self.entries_handed(entries, now),
             Event::Arrived(arrival) => self.arrived(now, &arrival, &mut fx),
             Event::Answered(number) => self.answered(now, number),
+            Event::Streamed {
+                number,
+                events,
+                time,
+            } => self.streamed(number, events, time),
             Event::Ended { number, outcome } => self.ended(now, number, outcome, &mut fx),
             Event::CallerGone(number) => self.caller_gone(number),
             Event::HostsFound(hosts) => self.hosts_found(hosts, now),
--- a/crates/jaypin_router/src/router/placing.rs
+++ b/crates/jaypin_router/src/router/placing.rs
@@ -92,6 +92,8 @@
             aim: admitted.route.aim,
             longest_pause: admitted.route.longest_pause,
             residence: self.residence_of(&admitted.service),
+            events: admitted.expected_events,
+            time_left: admitted.deadline.saturating_duration_since(now),
         };
         let mut rng = self.rng.clone();
         let mut turn = || rng.random_range(0.0..1.0);
@@ -178,6 +180,7 @@
             slot_limit,
             running: backend.map_or(0, Backend::running),
             tokens_ahead: choice.tokens_ahead,
+            part_of_time: choice.part_of_time,
             is_in_trouble: choice.is_in_trouble,
         }
     }
@@ -270,7 +273,10 @@
 }
 
 fn is_in_time(choice: &Choice, limit: Duration, slot_limit: Duration) -> bool {
-    !choice.is_in_trouble && choice.first_event <= limit && choice.slot_wait <= slot_limit
+    !choice.is_in_trouble
+        && choice.first_event <= limit
+        && choice.slot_wait <= slot_limit
+        && choice.part_of_time.is_none_or(|it| it <= 1.0)
 }
 
 /// Time that the first event may take at a backend server.
--- a/crates/jaypin_router/src/router/telling_loads.rs
+++ b/crates/jaypin_router/src/router/telling_loads.rs
@@ -20,6 +20,9 @@
 /// is lost, and what is learned next makes up for it.
 const SAMPLES_TOLD: u32 = 2;
 
+/// Events of streams that are as much news as a call that ended.
+const EVENTS_IN_NEWS: f64 = 16.0;
+
 /// What was told of this host's own load.
 #[derive(Debug, Default)]
 pub struct LoadTelling {
@@ -33,17 +36,42 @@
     load: BackendLoad,
     at: Instant,
     samples_at: Option<Instant>,
+    /// Whether what was learned since should not wait for its turn.
+    is_pressing: bool,
     /// Calls up to which samples were told, and how often.
     calls: u32,
     times: u32,
 }
 
+/// What was learned, as a number that grows with it.
+fn learned(samples: &BackendSamples) -> u32 {
+    let groups = (samples.events / EVENTS_IN_NEWS).min(f64::from(u32::MAX));
+    samples.good + samples.bad + whole(groups)
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "such casts keep to the bounds of the type"
+)]
+fn whole(number: f64) -> u32 {
+    number as u32
+}
+
 impl LoadTelling {
     /// A slot of a backend server was taken or came free.
     pub fn slot_changed(&mut self, key: BackendKey) {
         self.changed.insert(key);
     }
 
+    /// What was learned of a backend server should not wait for its turn.
+    pub fn learned_much(&mut self, key: BackendKey) {
+        self.changed.insert(key);
+        if let Some(told) = self.told.get_mut(&key) {
+            told.is_pressing = true;
+        }
+    }
+
     /// When the next report is due.
     pub fn due_at(&self) -> Option<Instant> {
         let last = self.last?;
@@ -87,13 +115,15 @@
             load,
             at: now,
             samples_at: None,
+            is_pressing: false,
             calls: 0,
             times: 0,
         });
         told.load = load;
         told.at = now;
-        let calls = samples.good + samples.bad;
-        if !told.has_samples_to_tell(calls, now) {
+        let calls = learned(&samples);
+        let is_pressing = std::mem::take(&mut told.is_pressing);
+        if !is_pressing && !told.has_samples_to_tell(calls, now) {
             return None;
         }
         if told.calls != calls {
@@ -154,7 +184,7 @@
         let all = self.backends.values();
         let loads = all.map(|it| {
             let samples = it.samples();
-            (it.own_load(), samples.good + samples.bad)
+            (it.own_load(), learned(&samples))
         });
         self.load_telling.refresh(loads, now);
         let backends = &self.backends;
