Tell versions of a service apart, and end their roll-outs together

Cause: no source knew versions. Change: orders from the store, told on in whole reports; versions in force, under trial, or barred; a share of each host's own requests for the version under trial; answers of both versions counted by route and summed over the fleet; a sequential test against the old version in the same seconds; one conditional write by the first of the hosts, the others after it; long answers that can't go on elsewhere go to new servers before the old ones are stopped. Slow and failed answers of hosts that have no fresh proof are not risked: such a host tries nothing.

--- a/crates/jaypin_entry/src/host.rs
+++ b/crates/jaypin_entry/src/host.rs
@@ -6,8 +6,11 @@
 use std::rc::Rc;
 
 use jaypin_core::Refusal;
-use jaypin_router::{AskedBy, Effect, Event, Grounds, RequestNumber, Router, Unrouted};
+use jaypin_router::{
+    AskedBy, Effect, Event, Grounds, RequestNumber, RolloutWrite, Router, Unrouted,
+};
 use tokio::sync::Notify;
+use tokio::sync::mpsc::UnboundedSender;
 use tokio::time::{Instant, sleep_until};
 
 use crate::calls::{Connections, SendOrder};
@@ -69,6 +72,7 @@
     next_number: Cell<RequestNumber>,
     planned_tick: Cell<Option<Instant>>,
     tick_moved: Notify,
+    rollout_writes: UnboundedSender<RolloutWrite>,
 }
 
 impl Host {
@@ -78,6 +82,7 @@
         settings: HostSettings,
         router: Router,
         peers: PeerSocket,
+        rollout_writes: UnboundedSender<RolloutWrite>,
     ) -> Self {
         Self {
             platform,
@@ -90,6 +95,7 @@
             next_number: Cell::new(1),
             planned_tick: Cell::new(None),
             tick_moved: Notify::new(),
+            rollout_writes,
         }
     }
 
@@ -195,6 +201,7 @@
                 grounds,
             } => self.direct(number, Directive::Refuse(refusal, asked_by, grounds)),
             Effect::PassOn(number) => self.direct(number, Directive::PassOn),
+            Effect::WriteRollout(write) => self.write_rollout(write),
             Effect::Tell { to, report } => self.tell(&to, &report),
         }
     }
@@ -205,6 +212,12 @@
         }
     }
 
+    fn write_rollout(&self, write: RolloutWrite) {
+        if self.rollout_writes.send(write).is_err() {
+            log::error!("the task that writes rollouts has ended");
+        }
+    }
+
     fn tell(&self, to: &[SocketAddr], report: &jaypin_router::Report) {
         self.peers.tell(to, report);
     }
--- a/crates/jaypin_entry/src/peers/wire.rs
+++ b/crates/jaypin_entry/src/peers/wire.rs
@@ -5,8 +5,9 @@
 
 use jaypin_core::{AccountId, BackendId, FailureDomain, HostId, ServiceId};
 use jaypin_router::{
-    Asked, BackendLoad, BackendRecord, BackendSamples, BackendStatus, EntryChange, Rank, Report,
-    StoreView, Strike, WholeReport,
+    Asked, BackendLoad, BackendRecord, BackendSamples, BackendStatus, EntryChange, OutcomeCounts,
+    Rank, Report, RolloutOrder, RolloutReport, RolloutState, RouteOutcomes, SoftwareVersion,
+    StoreView, Strike, VersionOutcomes, WholeReport,
 };
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -38,6 +39,12 @@
     /// A number that is none, which would spoil every sum that it enters.
     #[snafu(display("a number that is not finite or below 0"))]
     Number,
+    /// A state of an order that is none.
+    #[snafu(display("no state of a rollout: {state}"))]
+    State {
+        /// What stands in its place.
+        state: u8,
+    },
 }
 
 /// Key, running requests, unread tokens.
@@ -51,8 +58,14 @@
 type WireSender = (String, String, String, String, u32);
 /// Version, proved at and sent at in milliseconds, may watch, watches, digest.
 type WireView = (u64, Option<u64>, u64, bool, bool, u64);
-/// Start, service, address, failure domain, slots, whether it is ready.
-type WireRecord = (u64, String, String, String, u32, bool);
+/// Start, service, address, failure domain, slots, whether it is ready, version.
+type WireRecord = (u64, String, String, String, u32, bool, String);
+/// Service, version, time in milliseconds, revision, state.
+type WireOrder = (String, String, u64, u64, u8);
+/// Route's key; good, slow and bad answers of the old and of the new version.
+type WireOutcomes = (u32, [u32; 6]);
+/// Order, age in milliseconds, whether the version is bad, answers.
+type WireRollout = (WireOrder, u64, bool, Vec<WireOutcomes>);
 
 /// A change of an entry: its id, revision, and statement if it is not gone.
 type WireChange = (String, u64, Option<WireRecord>);
@@ -80,6 +93,7 @@
     Vec<(u64, u32)>,
     Option<Vec<String>>,
     Vec<WireAsked>,
+    Vec<WireRollout>,
 );
 
 /// Name, revision, and what the author wrote.
@@ -121,6 +135,7 @@
         name,
         revision,
         content,
+        status: serde_json::Value::Null,
     });
     Ok(HandedConfiguration {
         version,
@@ -223,6 +238,7 @@
             strikes.map(|it| (it.fingerprint, it.strikes)).collect(),
             callers.map(|it| it.iter().map(ToString::to_string).collect()),
             whole.asked.iter().map(wire_asked).collect(),
+            whole.rollouts.iter().map(wire_rollout).collect(),
         )
     }
 }
@@ -256,7 +272,7 @@
     type Error = WireError;
 
     fn try_from(wire: WireWhole) -> Result<Self, WireError> {
-        let WireWhole(sender, view, low_levels, strikes, cell_callers, asked) = wire;
+        let WireWhole(sender, view, low_levels, strikes, cell_callers, asked, rollouts) = wire;
         let (host, address, callers, failure_domain, cell) = sender;
         let (version, proved_at, sent_at, may_watch, is_watching, digest) = view;
         // A level below 0 is a debt.
@@ -282,6 +298,10 @@
             },
             low_levels: low_levels.into_iter().map(units).collect(),
             asked: asked.into_iter().map(read_asked).collect(),
+            rollouts: rollouts
+                .into_iter()
+                .map(read_rollout)
+                .collect::<Result<_, _>>()?,
             strikes: strikes
                 .map(|(fingerprint, strikes)| Strike {
                     fingerprint,
@@ -323,6 +343,79 @@
     }
 }
 
+fn wire_rollout(rollout: &RolloutReport) -> WireRollout {
+    let order = &rollout.order;
+    let wire_order = (
+        order.service.to_string(),
+        order.to.to_string(),
+        milliseconds(order.time),
+        order.revision,
+        wire_state(order.state),
+    );
+    let routes = rollout.outcomes.routes().map(|(route, it)| {
+        let (old, new) = (it.old, it.new);
+        (
+            route,
+            [old.good, old.slow, old.bad, new.good, new.slow, new.bad],
+        )
+    });
+    let age = milliseconds(rollout.age);
+    (wire_order, age, rollout.is_bad, routes.collect())
+}
+
+fn read_rollout((order, age, is_bad, routes): WireRollout) -> Result<RolloutReport, WireError> {
+    let (service, to, time, revision, state) = order;
+    let routes = routes.into_iter().map(|(route, counts)| {
+        let [old_good, old_slow, old_bad, new_good, new_slow, new_bad] = counts;
+        let outcomes = RouteOutcomes {
+            old: OutcomeCounts {
+                good: old_good,
+                slow: old_slow,
+                bad: old_bad,
+            },
+            new: OutcomeCounts {
+                good: new_good,
+                slow: new_slow,
+                bad: new_bad,
+            },
+        };
+        (route, outcomes)
+    });
+    Ok(RolloutReport {
+        order: RolloutOrder {
+            service: ServiceId::from(service),
+            to: SoftwareVersion::from(to),
+            time: Duration::from_millis(time),
+            revision,
+            state: read_state(state)?,
+        },
+        age: Duration::from_millis(age),
+        is_bad,
+        outcomes: VersionOutcomes::from_routes(routes),
+    })
+}
+
+fn wire_state(state: RolloutState) -> u8 {
+    match state {
+        RolloutState::Ordered => 0,
+        RolloutState::Running => 1,
+        RolloutState::Done => 2,
+        RolloutState::RolledBack => 3,
+        RolloutState::Withdrawn => 4,
+    }
+}
+
+fn read_state(state: u8) -> Result<RolloutState, WireError> {
+    match state {
+        0 => Ok(RolloutState::Ordered),
+        1 => Ok(RolloutState::Running),
+        2 => Ok(RolloutState::Done),
+        3 => Ok(RolloutState::RolledBack),
+        4 => Ok(RolloutState::Withdrawn),
+        _ => Err(WireError::State { state }),
+    }
+}
+
 fn wire_load(load: &BackendLoad) -> WireLoad {
     (load.key, load.running, load.unread_tokens)
 }
@@ -343,6 +436,7 @@
                 record.failure_domain.to_string(),
                 record.slots,
                 record.status == BackendStatus::Ready,
+                record.version.to_string(),
             );
             (record.id.to_string(), *revision, Some(stated))
         }
@@ -350,7 +444,8 @@
 }
 
 fn change((id, revision, statement): WireChange) -> EntryChange {
-    let Some((started, service, address, failure_domain, slots, is_ready)) = statement else {
+    let Some((started, service, address, failure_domain, slots, is_ready, version)) = statement
+    else {
         let id = BackendId::from(id);
         return EntryChange::Removed { id, revision };
     };
@@ -367,6 +462,7 @@
         failure_domain: FailureDomain::from(failure_domain),
         slots,
         status,
+        version: SoftwareVersion::from(version),
     };
     EntryChange::Stated { record, revision }
 }
--- a/crates/jaypin_entry/src/ports.rs
+++ b/crates/jaypin_entry/src/ports.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use hyper::{HeaderMap, Method, StatusCode, Uri};
 use jaypin_core::{AccountId, BackendId, FailureDomain, HostId};
-use jaypin_router::{BackendRecord, Bounds, Configuration};
+use jaypin_router::{BackendRecord, Bounds, Configuration, RolloutOrder};
 use serde_json::Value;
 use snafu::Snafu;
 
@@ -61,6 +61,8 @@
     Backends,
     /// Hosts of this fleet, each registered by itself.
     Hosts,
+    /// Orders for new versions, one object a service.
+    Rollouts,
 }
 
 /// How new an answer of the store has to be.
@@ -81,6 +83,8 @@
     pub revision: u64,
     /// What its author wrote.
     pub content: Value,
+    /// What the fleet wrote of it.
+    pub status: Value,
 }
 
 /// A page of a listing.
@@ -200,6 +204,15 @@
     /// Path of one object.
     fn object_path(&self, kind: Collection, name: &str) -> String;
 
+    /// Path of what the fleet says of one object.
+    fn status_path(&self, kind: Collection, name: &str) -> String;
+
+    /// Reads one object.
+    ///
+    /// # Errors
+    /// Says what makes no sense.
+    fn object(&self, body: &[u8]) -> Result<Object, DecodeError>;
+
     /// Reads a page of a listing.
     ///
     /// # Errors
@@ -224,6 +237,15 @@
     /// Says what makes no sense.
     fn backend(&self, object: &Object) -> Result<BackendRecord, DecodeError>;
 
+    /// Reads an order for a new version.
+    ///
+    /// # Errors
+    /// Says what makes no sense.
+    fn rollout(&self, object: &Object) -> Result<RolloutOrder, DecodeError>;
+
+    /// The body that writes the state of an order, if the store still has its revision.
+    fn rollout_status(&self, order: &RolloutOrder) -> Bytes;
+
     /// Reads a host's registration.
     ///
     /// # Errors
--- a/crates/jaypin_entry/src/serve.rs
+++ b/crates/jaypin_entry/src/serve.rs
@@ -9,7 +9,7 @@
 use rand::RngExt;
 use tokio::runtime::Builder;
 use tokio::signal::unix::{Signal, SignalKind, signal};
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::{Instant, sleep};
 
@@ -19,7 +19,9 @@
 use crate::metrics;
 use crate::peers::{HeardPeers, PeerSocket, hear_peers, serve_snapshots};
 use crate::ports::{HostSettings, Platform};
-use crate::store::{follow_backends, follow_configuration, join_fleet};
+use crate::store::{
+    follow_backends, follow_configuration, follow_rollouts, join_fleet, write_rollouts,
+};
 
 /// Pause between two looks at idle connections.
 const SWEEP_PAUSE: Duration = Duration::from_secs(1);
@@ -90,10 +92,14 @@
         bounds: settings.bounds.clone(),
     });
     log::info!(host:% = settings.host, run, callers:% = settings.callers; "started");
-    let host = Rc::new(Host::new(platform, settings, router, peers));
+    let (rollout_writes, rollout_orders) = mpsc::unbounded_channel();
+    let host = Host::new(platform, settings, router, peers, rollout_writes);
+    let host = Rc::new(host);
     let (show, leaving) = watch::channel(Leaving::No);
     spawn_local(follow_configuration(host.clone()));
     spawn_local(follow_backends(host.clone()));
+    spawn_local(follow_rollouts(host.clone()));
+    spawn_local(write_rollouts(host.clone(), rollout_orders));
     spawn_local(join_fleet(host.clone()));
     spawn_local(hear_peers(host.clone()));
     spawn_local(serve_snapshots(host.clone(), snapshots));
--- a/crates/jaypin_entry/src/store/mod.rs
+++ b/crates/jaypin_entry/src/store/mod.rs
@@ -4,10 +4,12 @@
 mod client;
 mod configuration;
 mod hosts;
+mod rollouts;
 
 pub use backends::follow_backends;
 pub use configuration::follow_configuration;
 pub use hosts::join_fleet;
+pub use rollouts::{follow_rollouts, write_rollouts};
 
 use std::time::Duration;
 
--- /dev/null
+++ b/crates/jaypin_entry/src/store/rollouts.rs
@@ -0,0 +1,168 @@
+//! Follows orders for new versions of services, and writes what became of them.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::{Method, StatusCode};
+use jaypin_router::{Event, RolloutOrder, RolloutState, RolloutWrite, Router};
+use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::time::{Instant, sleep};
+
+use super::client::{StoreClient, StoreError};
+use super::{LOOK_PAUSE, Retries, WATCH_PAUSE};
+use crate::host::Host;
+use crate::ports::{Collection, Freshness, Object, ObjectChange};
+
+/// How long one watch waits. Answers come at once when something changes, and the other
+/// watchers make up for a connection that went silent.
+const WATCH: Duration = Duration::from_secs(8);
+/// Time for an answer to a read after a write that was refused.
+const READ_TIME: Duration = Duration::from_secs(1);
+
+/// Follows orders while it falls to this host to watch the store; the others hear of them in
+/// reports. A deployment without a bound for new versions has none.
+pub async fn follow_rollouts(host: Rc<Host>) {
+    if host.settings.bounds.exposure.is_none() {
+        return;
+    }
+    let mut client = StoreClient::new(&host);
+    let mut retries = Retries::default();
+    loop {
+        while !is_watcher(&host) {
+            sleep(LOOK_PAUSE).await;
+        }
+        match follow(&host, &mut client).await {
+            Ok(()) => retries.ended_well(),
+            Err(error) => retries.pause_after(&host, "rollouts", &error).await,
+        }
+    }
+}
+
+fn is_watcher(host: &Host) -> bool {
+    let now = Instant::now().into_std();
+    host.look(|router| router.table().is_some() && router.is_watcher(now))
+}
+
+async fn follow(host: &Host, client: &mut StoreClient<'_>) -> Result<(), StoreError> {
+    let (objects, mut revision) = client.list(Collection::Rollouts, Freshness::Newest).await?;
+    let listed: Vec<_> = objects.iter().filter_map(|it| read(host, it)).collect();
+    for order in withdrawn(host, &listed, revision) {
+        take(host, order);
+    }
+    for order in listed {
+        take(host, order);
+    }
+    while is_watcher(host) {
+        let Some(news) = client.watch(Collection::Rollouts, revision, WATCH).await? else {
+            return Ok(());
+        };
+        for change in &news.changes {
+            if let Some(order) = changed(host, change, news.revision) {
+                take(host, order);
+            }
+        }
+        revision = news.revision;
+        if !news.changes.is_empty() {
+            sleep(WATCH_PAUSE).await;
+        }
+    }
+    Ok(())
+}
+
+/// Orders that this host knows and that a listing of a revision has no more.
+fn withdrawn(host: &Host, listed: &[RolloutOrder], revision: u64) -> Vec<RolloutOrder> {
+    let known = host.look(|router| router.rollout_orders().cloned().collect::<Vec<_>>());
+    let is_listed = |order: &RolloutOrder| listed.iter().any(|it| it.service == order.service);
+    let gone = known
+        .into_iter()
+        .filter(|it| !is_listed(it) && it.revision < revision);
+    let orders = gone.map(|order| RolloutOrder {
+        state: RolloutState::Withdrawn,
+        revision,
+        ..order
+    });
+    orders.collect()
+}
+
+fn changed(host: &Host, change: &ObjectChange, revision: u64) -> Option<RolloutOrder> {
+    let order = read(host, &change.object)?;
+    if !change.is_removed {
+        return Some(order);
+    }
+    Some(RolloutOrder {
+        state: RolloutState::Withdrawn,
+        revision: order.revision.max(revision),
+        ..order
+    })
+}
+
+fn read(host: &Host, object: &Object) -> Option<RolloutOrder> {
+    match host.platform.rollout(object) {
+        Ok(order) => Some(order),
+        Err(error) => {
+            log::warn!(name = object.name, error:%; "an entry that is no rollout");
+            None
+        }
+    }
+}
+
+fn take(host: &Host, order: RolloutOrder) {
+    host.apply(Event::RolloutTold(order));
+}
+
+/// Writes states of orders until the host ends.
+///
+/// Each is written once under the condition that nobody changed the order; the decisions ask
+/// again for what the store does not show.
+pub async fn write_rollouts(host: Rc<Host>, mut writes: UnboundedReceiver<RolloutWrite>) {
+    let mut client = StoreClient::new(&host);
+    while let Some(write) = writes.recv().await {
+        let RolloutWrite {
+            order,
+            evidence,
+            outcomes,
+        } = write;
+        if host.look(|router| is_stale(router, &order)) {
+            continue;
+        }
+        let state = order.state.as_str();
+        log::info!(
+            service:% = order.service, version:% = order.to, state, evidence:?, why:% = outcomes;
+            "rollout is written"
+        );
+        match write_state(&host, &mut client, &order).await {
+            Ok(object) => {
+                if let Some(order) = read(&host, &object) {
+                    take(&host, order);
+                }
+            }
+            Err(error) => log::warn!(error:%; "a rollout's state was not written"),
+        }
+    }
+}
+
+/// Whether the order has changed since its state was to be written.
+fn is_stale(router: &Router, order: &RolloutOrder) -> bool {
+    let mut known = router.rollout_orders();
+    !known.any(|it| it.service == order.service && it.revision == order.revision)
+}
+
+/// Gives the object as the store has it afterwards.
+async fn write_state(
+    host: &Host,
+    client: &mut StoreClient<'_>,
+    order: &RolloutOrder,
+) -> Result<Object, StoreError> {
+    let platform = &host.platform;
+    let path = platform.status_path(Collection::Rollouts, &order.service);
+    let body = platform.rollout_status(order);
+    let answer: Bytes = match client.write(Method::PUT, &path, body).await {
+        Err(StoreError::Status { status }) if status == StatusCode::CONFLICT => {
+            let path = platform.object_path(Collection::Rollouts, &order.service);
+            client.get(&path, READ_TIME).await?
+        }
+        answer => answer?,
+    };
+    Ok(platform.object(&answer)?)
+}
--- a/crates/jaypin_entry/tests/report_bytes.rs
+++ b/crates/jaypin_entry/tests/report_bytes.rs
@@ -7,8 +7,9 @@
     encode_configuration, encode_entries, encode_report,
 };
 use jaypin_router::{
-    Asked, BackendLoad, BackendRecord, BackendSamples, BackendStatus, EntryChange, Rank, Report,
-    StoreView, Strike, WholeReport,
+    Asked, BackendLoad, BackendRecord, BackendSamples, BackendStatus, EntryChange, OutcomeCounts,
+    Rank, Report, RolloutOrder, RolloutReport, RolloutState, RouteOutcomes, StoreView, Strike,
+    VersionOutcomes, WholeReport,
 };
 use rand::RngExt;
 use rand::SeedableRng;
@@ -24,6 +25,7 @@
         failure_domain: "a".into(),
         slots: 9,
         status: BackendStatus::Leaving,
+        version: "v1".into(),
     };
     Report {
         host: u32::MAX,
@@ -88,10 +90,35 @@
             fingerprint: 99,
             strikes: 2,
         }],
+        rollouts: vec![rollout()],
         cell_callers: Some(vec![([127, 0, 0, 1], 8_002).into()]),
     }
 }
 
+fn rollout() -> RolloutReport {
+    let counts = |good| OutcomeCounts {
+        good,
+        slow: 2,
+        bad: 1,
+    };
+    let outcomes = RouteOutcomes {
+        old: counts(300),
+        new: counts(30),
+    };
+    RolloutReport {
+        order: RolloutOrder {
+            service: "engines".into(),
+            to: "v2".into(),
+            time: Duration::from_secs(14),
+            revision: 77,
+            state: RolloutState::Running,
+        },
+        age: Duration::from_millis(1_234),
+        is_bad: true,
+        outcomes: VersionOutcomes::from_routes([(9, outcomes)]),
+    }
+}
+
 macro_rules! cases {
     ($($name:ident: $change:expr;)*) => {$(
         #[test]
@@ -165,6 +192,7 @@
         "version": u64::MAX, "rate": 12.5, "none": null, "routes": [{ "name": "ask" }, -3],
     });
     let object = Object {
+        status: serde_json::Value::Null,
         name: "main".to_owned(),
         revision: 77,
         content,
--- a/crates/jaypin_router/src/backend.rs
+++ b/crates/jaypin_router/src/backend.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     AttemptOutcome, BackendKey, BackendLoad, BackendSamples, EventPace, Pace, RequestNumber,
+    SoftwareVersion,
 };
 
 /// Rest after the first call that could not reach it; doubled with each further one.
@@ -54,6 +55,8 @@
     pub slots: u32,
     /// Whether it takes new requests.
     pub status: BackendStatus,
+    /// Version of its software.
+    pub version: SoftwareVersion,
 }
 
 /// A backend server with all that this host knows of it.
--- a/crates/jaypin_router/src/backend_table.rs
+++ b/crates/jaypin_router/src/backend_table.rs
@@ -4,7 +4,7 @@
 
 use jaypin_core::{BackendId, ServiceId};
 
-use crate::{Backend, BackendKey, BackendStatus};
+use crate::{Backend, BackendKey, BackendRecord, BackendStatus};
 
 /// Backend servers by id, found by the key of reports as well.
 #[derive(Debug, Default)]
@@ -56,7 +56,7 @@
     }
 
     /// All, in the order of their ids.
-    pub fn values(&self) -> impl Iterator<Item = &Backend> {
+    pub fn values(&self) -> impl Iterator<Item = &Backend> + Clone {
         self.by_id.values()
     }
 
@@ -65,12 +65,16 @@
         self.by_id.values_mut()
     }
 
-    /// Ids of those that take requests, by service.
+    /// Ids of those that take requests and that are chosen, by service.
     #[must_use]
-    pub fn ready_by_service(&self) -> BTreeMap<ServiceId, Vec<BackendId>> {
+    pub fn ready_by_service(
+        &self,
+        is_chosen: impl Fn(&BackendRecord) -> bool,
+    ) -> BTreeMap<ServiceId, Vec<BackendId>> {
         let mut by_service: BTreeMap<ServiceId, Vec<BackendId>> = BTreeMap::new();
         let ready = self.values().map(|it| &it.record);
-        for record in ready.filter(|it| it.status == BackendStatus::Ready) {
+        let ready = ready.filter(|it| it.status == BackendStatus::Ready);
+        for record in ready.filter(|it| is_chosen(it)) {
             let of_service = by_service.entry(record.service.clone()).or_default();
             of_service.push(record.id.clone());
         }
--- a/crates/jaypin_router/src/entries.rs
+++ b/crates/jaypin_router/src/entries.rs
@@ -155,5 +155,6 @@
     let is_ready = u64::from(record.status == BackendStatus::Ready);
     let id = xxh3_64_with_seed(record.id.as_bytes(), record.started);
     let address = xxh3_64_with_seed(record.address.as_bytes(), id);
-    xxh3_64_with_seed(&record.slots.to_le_bytes(), address ^ is_ready)
+    let version = xxh3_64_with_seed(record.version.as_bytes(), address);
+    xxh3_64_with_seed(&record.slots.to_le_bytes(), version ^ is_ready)
 }
--- a/crates/jaypin_router/src/grounds.rs
+++ b/crates/jaypin_router/src/grounds.rs
@@ -5,7 +5,7 @@
 
 use jaypin_core::AccountId;
 
-use crate::QuotaLevel;
+use crate::{QuotaLevel, SoftwareVersion};
 
 /// The inputs of one decision, as they were when it was made.
 #[derive(Debug, Clone, PartialEq)]
@@ -54,6 +54,8 @@
         part_of_time: Option<f64>,
         /// Whether it was found in trouble.
         is_in_trouble: bool,
+        /// Its version, where that is under trial.
+        version: Option<SoftwareVersion>,
     },
     /// The slots that are free are kept for requests that are more urgent.
     Kept {
@@ -114,6 +116,7 @@
                 tokens_ahead,
                 part_of_time,
                 is_in_trouble,
+                version,
             } => {
                 let (first, limit) = (first_event.as_millis(), limit.as_millis());
                 let slot = match slot_wait.as_millis() {
@@ -129,7 +132,10 @@
                 write!(
                     f,
                     "first event in {first} ms of {limit}{slot}, {running} running, {tokens_ahead} tokens ahead{answer}{trouble}"
-                )
+                )?;
+                version
+                    .as_ref()
+                    .map_or(Ok(()), |it| write!(f, ", trial of version {it}"))
             }
             Self::Kept { free, kept } => {
                 write!(
--- a/crates/jaypin_router/src/lib.rs
+++ b/crates/jaypin_router/src/lib.rs
@@ -29,6 +29,7 @@
 mod request;
 mod resend_budget;
 mod reserve;
+mod rollout;
 mod route_table;
 mod router;
 mod size;
@@ -55,12 +56,18 @@
 pub use quota::{FleetQuota, QuotaLevel};
 pub use rank::Rank;
 pub use rate::DecayedRate;
-pub use report::{BackendLoad, BackendSamples, Report, StoreView, Strike, WholeReport};
+pub use report::{
+    BackendLoad, BackendSamples, Report, RolloutReport, StoreView, Strike, WholeReport,
+};
 pub use request::{Arrival, AskedBy, AttemptOutcome};
 pub use resend_budget::ResendBudget;
 pub use reserve::kept_slots;
+pub use rollout::{
+    Evidence, Exposure, Outcome, OutcomeCounts, Rollout, RolloutOrder, RolloutState, RolloutWrite,
+    Rollouts, RouteKey, RouteOutcomes, SlowAnswers, VersionOutcomes, VersionRole, VersionTest,
+};
 pub use route_table::{RouteTable, Unrouted};
-pub use router::{Bounds, Effect, Event, Router, RouterConfig, RouterCounts};
+pub use router::{Bounds, Effect, Event, ExposureBound, Router, RouterConfig, RouterCounts};
 pub use size::Sizes;
 pub use view::{ViewKind, Views};
 pub use waiting::WaitingList;
@@ -73,6 +80,8 @@
 pub type HostKey = u32;
 /// Short key of a service in reports: a hash of its name.
 pub type ServiceKey = u32;
+/// Name of a version of the software that a service's backend servers run.
+pub type SoftwareVersion = std::sync::Arc<str>;
 /// Time on a clock that also counts while the host is suspended, since some fixed start.
 pub type BootTime = std::time::Duration;
 
@@ -98,6 +107,12 @@
     short_hash(name)
 }
 
+/// The key under which a route stands in reports.
+#[must_use]
+pub fn route_key(name: &str) -> RouteKey {
+    short_hash(name)
+}
+
 fn short_hash(text: &str) -> u32 {
     let hash = xxhash_rust::xxh3::xxh3_64(text.as_bytes());
     u32::try_from(hash & u64::from(u32::MAX)).unwrap_or_default()
--- a/crates/jaypin_router/src/report.rs
+++ b/crates/jaypin_router/src/report.rs
@@ -2,9 +2,13 @@
 
 use std::net::SocketAddr;
 
+use std::time::Duration;
+
 use jaypin_core::{AccountId, FailureDomain, HostId, Incarnation};
 
-use crate::{Asked, BackendKey, BootTime, CellIndex, EntryChange, HostKey};
+use crate::{
+    Asked, BackendKey, BootTime, CellIndex, EntryChange, HostKey, RolloutOrder, VersionOutcomes,
+};
 
 /// What one host has running and has learned.
 ///
@@ -58,6 +62,8 @@
     pub asked: Vec<Asked>,
     /// Contents under which backend servers died.
     pub strikes: Vec<Strike>,
+    /// Orders for new versions of services that are under way or have just ended.
+    pub rollouts: Vec<RolloutReport>,
     /// To other cells: where callers of the sender's cell may connect.
     pub cell_callers: Option<Vec<SocketAddr>>,
 }
@@ -77,6 +83,19 @@
     pub digest: u64,
 }
 
+/// What a host knows of an order for a new version.
+#[derive(Debug, Clone, PartialEq)]
+pub struct RolloutReport {
+    /// The order, as the store had it last.
+    pub order: RolloutOrder,
+    /// Time since anyone heard of it first.
+    pub age: Duration,
+    /// Whether the new version was found bad.
+    pub is_bad: bool,
+    /// What the host saw; to other cells: what it knows of its cell.
+    pub outcomes: VersionOutcomes,
+}
+
 /// What a host has running on a backend server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct BackendLoad {
--- a/crates/jaypin_router/src/request.rs
+++ b/crates/jaypin_router/src/request.rs
@@ -163,8 +163,8 @@
     pub tokens_ahead: u32,
     /// Whether a slot was free, by what was known.
     pub had_slot: bool,
-    /// Whether its first event or answer came.
-    pub is_answered: bool,
+    /// When its first event or answer came.
+    pub answered_at: Option<Instant>,
 }
 
 /// A request in one state of its life; sending consumes the waiting one.
--- /dev/null
+++ b/crates/jaypin_router/src/rollout/versions.rs
@@ -0,0 +1,178 @@
+//! Which versions of a service's software may get requests.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::time::{Duration, Instant};
+
+use jaypin_core::ServiceId;
+
+use super::{Exposure, Rollout, RolloutOrder, RolloutState};
+use crate::{BackendRecord, BackendStatus, SoftwareVersion};
+
+/// What a version of a service may get.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum VersionRole {
+    /// All requests.
+    InForce,
+    /// A share of them.
+    Trial,
+    /// None: no order names it, or it was given up or replaced.
+    Barred,
+}
+
+/// All orders, and the versions in force.
+#[derive(Debug, Default)]
+pub struct Rollouts {
+    by_service: BTreeMap<ServiceId, Rollout>,
+    in_force: HashMap<ServiceId, SoftwareVersion>,
+    /// Versions that were given up.
+    refused: BTreeSet<(ServiceId, SoftwareVersion)>,
+}
+
+impl Rollouts {
+    /// The order of a service.
+    #[must_use]
+    pub fn get(&self, service: &str) -> Option<&Rollout> {
+        self.by_service.get(service)
+    }
+
+    /// The order of a service, to be changed.
+    pub fn get_mut(&mut self, service: &str) -> Option<&mut Rollout> {
+        self.by_service.get_mut(service)
+    }
+
+    /// All orders.
+    pub fn values(&self) -> impl Iterator<Item = &Rollout> {
+        self.by_service.values()
+    }
+
+    /// All orders, to be changed.
+    pub fn values_mut(&mut self) -> impl Iterator<Item = &mut Rollout> {
+        self.by_service.values_mut()
+    }
+
+    /// Takes an order as the store has it, heard of `age` ago; says whether it is news.
+    pub fn take(
+        &mut self,
+        order: RolloutOrder,
+        age: Duration,
+        exposure: impl FnOnce() -> Exposure,
+        now: Instant,
+    ) -> bool {
+        let started = now.checked_sub(age).unwrap_or(now);
+        let known = self.by_service.get_mut(&order.service);
+        let is_reordered = |it: &Rollout| it.order.state.is_final() && !order.state.is_final();
+        let is_same = |it: &Rollout| it.order.to == order.to && !is_reordered(it);
+        let Some(known) = known.filter(|it| is_same(it)) else {
+            return self.replace(order, started, exposure, now);
+        };
+        known.started = known.started.min(started);
+        if order.revision <= known.order.revision {
+            return false;
+        }
+        let was_final = known.order.state.is_final();
+        known.order = order;
+        if known.order.state.is_final() {
+            known.ended.get_or_insert(now);
+        }
+        let is_final = known.order.state.is_final();
+        let (service, to) = (known.order.service.clone(), known.order.to.clone());
+        if is_final && !was_final {
+            self.settle(&service, &to);
+        }
+        true
+    }
+
+    /// An order to another version, or the first one of a service.
+    fn replace(
+        &mut self,
+        order: RolloutOrder,
+        started: Instant,
+        exposure: impl FnOnce() -> Exposure,
+        now: Instant,
+    ) -> bool {
+        let service = order.service.clone();
+        if let Some(known) = self.by_service.get(&service) {
+            if order.revision <= known.order.revision {
+                return false;
+            }
+            if known.order.state != RolloutState::Done {
+                let given_up = (service.clone(), known.order.to.clone());
+                self.refused.insert(given_up);
+            }
+        }
+        let to = order.to.clone();
+        self.refused.remove(&(service.clone(), to.clone()));
+        let mut rollout = Rollout::new(order, exposure(), now);
+        rollout.started = started;
+        let is_final = rollout.order.state.is_final();
+        self.by_service.insert(service.clone(), rollout);
+        if is_final {
+            self.settle(&service, &to);
+        }
+        true
+    }
+
+    /// Notes how an order ended.
+    fn settle(&mut self, service: &ServiceId, to: &SoftwareVersion) {
+        let state = self.by_service.get(service).map(|it| it.order.state);
+        if state == Some(RolloutState::Done) {
+            self.in_force.insert(service.clone(), to.clone());
+        } else {
+            self.refused.insert((service.clone(), to.clone()));
+        }
+    }
+
+    /// Finds the version in force of each service, where none is known to be: that of its
+    /// oldest backend server, since new versions start beside those that run.
+    pub fn find_in_force<'a>(&mut self, records: impl Iterator<Item = &'a BackendRecord> + Clone) {
+        let ready = records.filter(|it| it.status == BackendStatus::Ready);
+        let mut oldest: BTreeMap<&ServiceId, &BackendRecord> = BTreeMap::new();
+        for record in ready.clone() {
+            if self.is_given_up(record) {
+                continue;
+            }
+            let known = oldest.entry(&record.service).or_insert(record);
+            if record.started < known.started {
+                *known = record;
+            }
+        }
+        for (service, record) in oldest {
+            let mut of_service = ready.clone().filter(|it| it.service == *service);
+            let known = self.in_force.get(service);
+            let is_alive = known.is_some_and(|known| of_service.any(|it| it.version == *known));
+            if !is_alive && !self.is_tried(record) {
+                self.in_force
+                    .insert(service.clone(), record.version.clone());
+            }
+        }
+    }
+
+    fn is_given_up(&self, record: &BackendRecord) -> bool {
+        let key = (record.service.clone(), record.version.clone());
+        self.refused.contains(&key)
+    }
+
+    fn is_tried(&self, record: &BackendRecord) -> bool {
+        let rollout = self.by_service.get(&record.service);
+        rollout.is_some_and(|it| it.order.to == record.version && !it.order.state.is_final())
+    }
+
+    /// What a backend server's version may get.
+    #[must_use]
+    pub fn role(&self, record: &BackendRecord) -> VersionRole {
+        if self.is_tried(record) {
+            let rollout = self.by_service.get(&record.service);
+            return if rollout.is_some_and(Rollout::is_trying) {
+                VersionRole::Trial
+            } else {
+                VersionRole::Barred
+            };
+        }
+        let in_force = self.in_force.get(&record.service);
+        if in_force.is_none_or(|it| *it == record.version) {
+            VersionRole::InForce
+        } else {
+            VersionRole::Barred
+        }
+    }
+}
--- a/crates/jaypin_router/src/router/attempt.rs
+++ b/crates/jaypin_router/src/router/attempt.rs
@@ -24,10 +24,10 @@
             return;
         };
         let state = &mut request.state;
-        if state.is_answered {
+        if state.answered_at.is_some() {
             return;
         }
-        state.is_answered = true;
+        state.answered_at = Some(now);
         let Some(backend) = self.backends.get_mut(&state.backend) else {
             return;
         };
@@ -72,7 +72,8 @@
             backend.ended(number, outcome, now);
             self.load_telling.slot_changed(backend.key);
         }
-        request.admitted.is_started |= request.state.is_answered;
+        self.compare_versions(&request, outcome);
+        request.admitted.is_started |= request.state.answered_at.is_some();
         match outcome {
             AttemptOutcome::Complete => self.learn_residence(&request, now),
             AttemptOutcome::Abandoned => {}
@@ -124,7 +125,7 @@
         if outcome == AttemptOutcome::Died {
             let lost = Lost {
                 fingerprint: request.admitted.fingerprint,
-                had_token: request.state.is_answered,
+                had_token: request.state.answered_at.is_some(),
             };
             self.quarantine.died(now, &request.state.backend, lost);
         }
--- a/crates/jaypin_router/src/router/knowledge.rs
+++ b/crates/jaypin_router/src/router/knowledge.rs
@@ -12,7 +12,7 @@
 use super::Router;
 use crate::{
     Backend, BackendRecord, BootTime, EntryChange, LoadChange, LoadNews, Report, ResendBudget,
-    RouteTable, ViewKind, cell_count, cell_of,
+    RouteTable, VersionRole, ViewKind, cell_count, cell_of,
 };
 
 /// Part of the bound on withdrawn credentials within which the configuration has to be
@@ -108,6 +108,7 @@
             return;
         }
         self.heard_of_store(&report, now, boot_time);
+        self.heard_of_rollouts(&report, now);
         self.take_loads(&report, now);
         let is_whole = report.whole.is_some();
         if let Some(whole) = &report.whole
@@ -158,7 +159,7 @@
         let Some(backend) = self.backends.by_key(change.key) else {
             return;
         };
-        let times = self.times_heard(&backend.record.service);
+        let times = self.times_heard(&backend.record);
         let mut load = self.peer_loads.sum(change.key);
         load.running = load.running.saturating_mul(times);
         load.unread_tokens = load.unread_tokens.saturating_mul(times);
@@ -232,13 +233,18 @@
             return;
         }
         let others: Vec<_> = self.telling.hosts_found().collect();
-        let backends = self.backends.ready_by_service();
-        self.views.derive(&self.cfg.host, &others, backends);
+        self.find_versions_in_force();
+        let in_force = self.ready_in_role(VersionRole::InForce);
+        let under_trial = self.ready_in_role(VersionRole::Trial);
+        self.views.derive(&self.cfg.host, &others, in_force);
+        self.trial_views
+            .derive(&self.cfg.host, &others, under_trial);
     }
 
     /// By how much more all hosts have running than those that this host hears of.
-    fn times_heard(&self, service: &str) -> u32 {
-        match self.views.kind(service) {
+    fn times_heard(&self, record: &BackendRecord) -> u32 {
+        let views = self.views_of(record).unwrap_or(&self.views);
+        match views.kind(&record.service) {
             ViewKind::Sampled => self.cells,
             ViewKind::Whole | ViewKind::Part(_) => 1,
         }
--- a/crates/jaypin_router/src/router/mod.rs
+++ b/crates/jaypin_router/src/router/mod.rs
@@ -5,6 +5,7 @@
 mod knowledge;
 mod lapse;
 mod placing;
+mod rollouts;
 mod snapshot;
 mod telling;
 mod telling_loads;
@@ -23,7 +24,8 @@
 use crate::{
     AccountAsked, Arrival, AskedBy, AskedRates, AttemptOutcome, BackendRecord, BackendTable,
     BootTime, CellIndex, Entries, EntryChange, Fleet, FleetQuota, Floors, Grounds, PeerLoads,
-    Report, RequestNumber, ResendBudget, RouteTable, Sizes, Unrouted, Views, WaitingList,
+    Report, RequestNumber, ResendBudget, RolloutOrder, RolloutWrite, Rollouts, RouteTable, Sizes,
+    SlowAnswers, Unrouted, Views, WaitingList,
 };
 use lapse::Vanished;
 use telling::Telling;
@@ -52,6 +54,17 @@
     pub resend_allowance: f64,
     /// Time that a host has to finish once it is told to leave.
     pub grace: Duration,
+    /// What a version under trial may get; without it versions are not told apart.
+    pub exposure: Option<ExposureBound>,
+}
+
+/// What a version under trial may get, over the whole fleet.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ExposureBound {
+    /// Part of the requests that reach its service.
+    pub share: f64,
+    /// Requests besides.
+    pub slack: f64,
 }
 
 /// What a router is told at its start.
@@ -126,6 +139,8 @@
         /// Now, on the clock that counts suspended time.
         boot_time: BootTime,
     },
+    /// The store was read or written and has this order for a new version of a service.
+    RolloutTold(RolloutOrder),
     /// The host shall finish what it has and leave.
     Drain,
     /// Time went on, also on the clock that counts suspended time.
@@ -180,6 +195,8 @@
     },
     /// Answer with the failure that a backend server gave.
     PassOn(RequestNumber),
+    /// Write the state of an order to the store, if it has the order's revision.
+    WriteRollout(RolloutWrite),
     /// Tell a report to these hosts.
     Tell {
         /// Their addresses.
@@ -221,6 +238,10 @@
     cell: CellIndex,
     cells: u32,
     views: Views,
+    /// The same for backend servers with a version under trial.
+    trial_views: Views,
+    rollouts: Rollouts,
+    slow_answers: SlowAnswers,
     backends: BackendTable,
     vanished: Vanished,
     fleet: Fleet,
@@ -263,6 +284,9 @@
             cell: 0,
             cells: 1,
             views: Views::default(),
+            trial_views: Views::default(),
+            rollouts: Rollouts::default(),
+            slow_answers: SlowAnswers::default(),
             backends: BackendTable::default(),
             vanished: Vanished::default(),
             fleet: Fleet::default(),
@@ -315,6 +339,7 @@
             Event::CallerGone(number) => self.caller_gone(number),
             Event::HostsFound(hosts) => self.hosts_found(hosts, now),
             Event::Reported { report, boot_time } => self.reported(now, *report, boot_time),
+            Event::RolloutTold(order) => self.rollout_told(order, now),
             Event::Drain => self.drain(now, &mut fx),
             Event::Tick(boot_time) => self.tick(now, boot_time, &mut fx),
         }
@@ -411,6 +436,7 @@
             self.refresh_peers(now);
             self.refresh_cells();
             self.refresh_own_loads(now);
+            self.judge_rollouts(now, boot_time, fx);
         }
         self.place_waiting(now, fx);
     }
--- a/crates/jaypin_router/src/router/placing.rs
+++ b/crates/jaypin_router/src/router/placing.rs
@@ -13,7 +13,7 @@
 };
 use crate::placement::{Choice, Demand, best_place};
 use crate::request::{Admitted, Request, Sent, Waiting};
-use crate::{Backend, Grounds, RequestNumber, kept_slots, service_key};
+use crate::{Backend, Grounds, RequestNumber, VersionRole, kept_slots, service_key};
 
 /// Kept slots below which a service takes what comes: hardly anything urgent is asked of it.
 const LEAST_KEPT: f64 = 0.1;
@@ -35,7 +35,13 @@
         }
         let is_over = now >= request.state.until;
         let tightness = self.tightness(&request.admitted, now);
-        let Some(choice) = self.choose(&request.admitted, tightness.as_ref(), now) else {
+        let in_force = self.choose(&request.admitted, tightness.as_ref(), now);
+        if let Some(choice) = self.trial_place(&request.admitted, in_force.as_ref(), now) {
+            let limit = self.limit(&request.admitted, &choice, now);
+            let grounds = self.grounds_of(&choice, limit, slot_wait_limit(&request.admitted));
+            return self.send(now, request, choice, grounds, fx);
+        }
+        let Some(choice) = in_force else {
             if is_over {
                 return self.give_up(&request, Reason::NoBackend, Grounds::NoPlace, fx);
             }
@@ -87,14 +93,7 @@
         tightness: Option<&Tightness>,
         now: Instant,
     ) -> Option<Choice> {
-        let demand = Demand {
-            prompt_tokens: admitted.prompt_tokens,
-            aim: admitted.route.aim,
-            longest_pause: admitted.route.longest_pause,
-            residence: self.residence_of(&admitted.service),
-            events: admitted.expected_events,
-            time_left: admitted.deadline.saturating_duration_since(now),
-        };
+        let demand = self.demand(admitted, now);
         let mut rng = self.rng.clone();
         let mut turn = || rng.random_range(0.0..1.0);
         let slot_limit = slot_wait_limit(admitted);
@@ -108,12 +107,26 @@
             .or_else(|| {
                 let all = self.backends.values();
                 let of_service = all.filter(|it| it.record.service == admitted.service);
+                let of_service =
+                    of_service.filter(|it| self.role_of(&it.record) == VersionRole::InForce);
                 best_place(of_service, &demand, &admitted.tried, serves, &mut turn, now)
             });
         self.rng = rng;
         choice
     }
 
+    /// What a request needs of a place.
+    pub(super) fn demand(&self, admitted: &Admitted, now: Instant) -> Demand {
+        Demand {
+            prompt_tokens: admitted.prompt_tokens,
+            aim: admitted.route.aim,
+            longest_pause: admitted.route.longest_pause,
+            residence: self.residence_of(&admitted.service),
+            events: admitted.expected_events,
+            time_left: admitted.deadline.saturating_duration_since(now),
+        }
+    }
+
     /// What others need of the free slots, where hardly more are free.
     fn tightness(&self, admitted: &Admitted, now: Instant) -> Option<Tightness> {
         if admitted.is_started {
@@ -182,6 +195,7 @@
             tokens_ahead: choice.tokens_ahead,
             part_of_time: choice.part_of_time,
             is_in_trouble: choice.is_in_trouble,
+            version: backend.and_then(|it| self.trial_version(&it.record)),
         }
     }
 
@@ -200,12 +214,14 @@
         let (number, tokens) = (admitted.number, admitted.prompt_tokens);
         backend.sent(number, tokens, choice.first_event, now);
         self.load_telling.slot_changed(backend.key);
+        let record = backend.record.clone();
+        self.count_exposure(&record);
         let service = service_key(&admitted.service);
         self.floors.sent(service, admitted.rank);
         fx.push(Effect::Send {
             number,
             backend: choice.backend.clone(),
-            address: backend.record.address.clone(),
+            address: record.address,
             asked_by: admitted.asked_by(),
             repeat: admitted.route.repeat,
             silence: silence(admitted, &choice),
@@ -218,7 +234,7 @@
             at: now,
             tokens_ahead: choice.tokens_ahead,
             had_slot: choice.has_slot,
-            is_answered: false,
+            answered_at: None,
         });
         self.sent.insert(number, sent);
     }
@@ -272,7 +288,7 @@
     }
 }
 
-fn is_in_time(choice: &Choice, limit: Duration, slot_limit: Duration) -> bool {
+pub(super) fn is_in_time(choice: &Choice, limit: Duration, slot_limit: Duration) -> bool {
     !choice.is_in_trouble
         && choice.first_event <= limit
         && choice.slot_wait <= slot_limit
@@ -280,7 +296,7 @@
 }
 
 /// Time that the first event may take at a backend server.
-fn limit_at(backend: &Backend, admitted: &Admitted, now: Instant) -> Duration {
+pub(super) fn limit_at(backend: &Backend, admitted: &Admitted, now: Instant) -> Duration {
     let tokens = f64::from(admitted.prompt_tokens);
     let own = Duration::from_secs_f64(backend.pace.seconds_for(tokens));
     first_event_limit(admitted, own, now)
--- a/crates/jaypin_router/src/router/telling.rs
+++ b/crates/jaypin_router/src/router/telling.rs
@@ -239,6 +239,7 @@
             low_levels: Vec::new(),
             asked: Vec::new(),
             strikes: strikes.collect(),
+            rollouts: self.rollouts_to_tell(now, false),
             cell_callers: None,
         }
     }
@@ -312,6 +313,7 @@
         callers.extend(self.was_ready.then_some(self.cfg.callers));
         let whole = WholeReport {
             cell_callers: Some(callers),
+            rollouts: self.rollouts_to_tell(now, true),
             ..self.whole_report(now, boot_time)
         };
         let report = Box::new(Report {
--- a/crates/jaypin_router/src/router/telling_loads.rs
+++ b/crates/jaypin_router/src/router/telling_loads.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use super::{Effect, Router};
-use crate::{BackendKey, BackendLoad, BackendSamples, Report};
+use crate::{BackendKey, BackendLoad, BackendRecord, BackendSamples, Report};
 
 /// Pause between two reports when a slot was taken or came free.
 ///
@@ -158,7 +158,7 @@
             let Some(backend) = self.backends.by_key(key) else {
                 continue;
             };
-            let to = self.hearers(&backend.record.service, &backend.record.id, now);
+            let to = self.hearers(&backend.record, now);
             by_hearers.entry(to).or_default().push(key);
         }
         by_hearers.remove(&Vec::new());
@@ -193,8 +193,11 @@
     }
 
     /// Hosts that use a backend server too, but for those that fell silent.
-    fn hearers(&self, service: &str, backend: &str, now: Instant) -> Vec<SocketAddr> {
-        let Some(mut users) = self.views.users(service, backend) else {
+    fn hearers(&self, record: &BackendRecord, now: Instant) -> Vec<SocketAddr> {
+        let Some(views) = self.views_of(record) else {
+            return Vec::new();
+        };
+        let Some(mut users) = views.users(&record.service, &record.id) else {
             let heard = self.fleet.heard(now);
             return heard.map(|(_, peer)| peer.address).collect();
         };
--- a/crates/jaypin_router/src/router/watching.rs
+++ b/crates/jaypin_router/src/router/watching.rs
@@ -139,7 +139,7 @@
         self.proved_at.map(|at| boot_time.saturating_sub(at))
     }
 
-    fn has_old_proof(&self, boot_time: BootTime) -> bool {
+    pub(super) fn has_old_proof(&self, boot_time: BootTime) -> bool {
         let age = self.proof_age(boot_time);
         age.is_none_or(|age| age >= OLD_PROOF)
     }
--- a/crates/jaypin_router/tests/common/mod.rs
+++ b/crates/jaypin_router/tests/common/mod.rs
@@ -136,6 +136,7 @@
         failure_domain: "a".into(),
         slots,
         status: BackendStatus::Ready,
+        version: "v1".into(),
     }
 }
 
@@ -157,6 +158,7 @@
         low_levels: Vec::new(),
         asked: Vec::new(),
         strikes: Vec::new(),
+        rollouts: Vec::new(),
         cell_callers: None,
     }
 }
@@ -186,6 +188,7 @@
         resend_ratio: 0.2,
         resend_allowance: 113.0,
         grace: Duration::from_secs(8),
+        exposure: None,
     }
 }
 
