Allow for opening connections when answers are judged slow

Hosts had no connections to the three new servers, and opening one takes 4 to 5 ms of some 20. Change: an answer is slow if it exceeds the limit by 8 ms more.

--- a/crates/jaypin_router/src/rollout/slow_answer.rs
+++ b/crates/jaypin_router/src/rollout/slow_answer.rs
@@ -14,6 +14,10 @@
 /// Factor on the first answer that makes the first limit.
 const FIRST_FACTOR: f64 = 1.5;
 
+/// Time by which an answer may exceed the limit: hosts have no connections to new backend
+/// servers yet, and opening one across failure domains takes some milliseconds.
+const CONNECTING: Duration = Duration::from_millis(8);
+
 /// The limit of each route, followed from answer to answer.
 #[derive(Debug, Default)]
 pub struct SlowAnswers {
@@ -25,12 +29,13 @@
     /// tokens; a `usual` one moves the limit.
     pub fn judge(&mut self, route: RouteKey, first: Duration, tokens: u32, usual: bool) -> bool {
         let expected = Pace::default().seconds_for(f64::from(tokens)) + CALL_OVERHEAD.as_secs_f64();
+        let connected = first.saturating_sub(CONNECTING);
         let relative = first.as_secs_f64() / expected;
         let first_limit = relative.max(f64::MIN_POSITIVE) * FIRST_FACTOR;
         let limit = self.limits.entry(route).or_insert(first_limit);
-        let is_slow = relative > *limit;
+        let is_slow = connected.as_secs_f64() / expected > *limit;
         if usual {
-            let step = if is_slow { 1.0 - SLOW_PART } else { -SLOW_PART };
+            let step = if relative > *limit { 1.0 - SLOW_PART } else { -SLOW_PART };
             *limit *= (STEP * step).exp();
         }
         is_slow
