Let few hosts ask the store when all lack a proof, or when it is away

Ruled out: entries that differ (14 hosts were handed them by peers). Change: backend servers are followed by watchers with a fresh proof only; hosts take proofs from any peer with the same configuration; where the bound on a configuration is longer than 2 s hosts ask in turn once proofs are old; after a failed call a host of a large fleet waits for 0.22 s a host that it hears, up to 8 s, unless a peer has what it lacks.

--- a/crates/jaypin_entry/src/store/backends.rs
+++ b/crates/jaypin_entry/src/store/backends.rs
@@ -8,7 +8,7 @@
 use tokio::time::{Instant, sleep};
 
 use super::client::{StoreClient, StoreError};
-use super::{Retries, WATCH_PAUSE, is_watching, wait_for_reason};
+use super::{Retries, WATCH_PAUSE, is_watcher, now, wait_until};
 use crate::host::Host;
 use crate::peers::ask_entries;
 use crate::ports::{Collection, Freshness, Object, ObjectChange};
@@ -30,10 +30,12 @@
     let mut handed_at: Option<Instant> = None;
     loop {
         if retries.has_ended_well() {
-            let now = || Instant::now().into_std();
-            wait_for_reason(&host, |router| router.has_other_entries(now())).await;
+            wait_until(&host, |router| {
+                is_watcher(router) || router.has_other_entries(now())
+            })
+            .await;
             let is_handed = handed_at.is_some_and(|at| at.elapsed() < HANDED_FOR);
-            if !is_watching(&host) && !is_handed && take_from_peer(&host).await {
+            if !host.look(is_watcher) && !is_handed && take_from_peer(&host).await {
                 handed_at = Some(Instant::now());
                 continue;
             }
@@ -64,7 +66,7 @@
     client: &mut StoreClient<'_>,
     freshness: Freshness,
 ) -> Result<(), StoreError> {
-    let freshness = if is_watching(host) {
+    let freshness = if host.look(is_watcher) {
         Freshness::Newest
     } else {
         freshness
@@ -76,7 +78,7 @@
         .collect();
     log::info!(count = entries.len(), revision; "backend servers listed");
     host.apply(Event::BackendsListed { entries, revision });
-    while is_watching(host) {
+    while host.look(is_watcher) {
         let Some(news) = client.watch(Collection::Backends, revision, WATCH).await? else {
             return Ok(());
         };
--- a/crates/jaypin_entry/src/store/configuration.rs
+++ b/crates/jaypin_entry/src/store/configuration.rs
@@ -8,7 +8,7 @@
 use tokio::time::{Instant, sleep};
 
 use super::client::{StoreClient, StoreError};
-use super::{Retries, WATCH_PAUSE, is_watching, wait_for_reason};
+use super::{Retries, WATCH_PAUSE, now, wait_until};
 use crate::boot_clock::boot_time;
 use crate::host::Host;
 use crate::peers::ask_configuration;
@@ -21,6 +21,14 @@
 /// tells watches nothing for up to a second before.
 const WATCH_LAG: Duration = Duration::from_millis(1_200);
 
+/// Bound on a configuration within which all hosts have to ask the store themselves as soon as
+/// their proofs are old.
+const QUICK_CONVERGE: Duration = Duration::from_secs(2);
+/// Time between two hosts that ask the store once proofs are old, and the longest such wait:
+/// proofs hold for 1.4 s longer.
+const TURN: Duration = Duration::from_millis(40);
+const LONGEST_TURN: Duration = Duration::from_millis(900);
+
 /// Pause after a version that was told of was not to be had.
 const BEHIND_PAUSE: Duration = Duration::from_millis(500);
 
@@ -38,13 +46,17 @@
 }
 
 async fn follow(host: &Host, client: &mut StoreClient<'_>) -> Result<(), StoreError> {
-    wait_for_reason(host, Router::is_behind).await;
-    let is_watcher = host.look(|router| router.is_watcher(Instant::now().into_std()));
+    wait_until(host, |router| is_needed(router) || router.is_behind()).await;
+    wait_for_turn(host).await;
+    if !host.look(|router| is_needed(router) || router.is_behind()) {
+        return Ok(());
+    }
+    let is_watcher = host.look(|router| router.is_watcher(now()));
     if !is_watcher && take_from_peer(host).await {
         return Ok(());
     }
     let mut revision = read(host, client).await?;
-    while is_watching(host) {
+    while host.look(is_needed) {
         let asked = (boot_time(), Instant::now());
         let Some(news) = client
             .watch(Collection::Configuration, revision, WATCH)
@@ -68,6 +80,33 @@
     Ok(())
 }
 
+/// Whether this host shall ask the store, and watch it.
+fn is_needed(router: &Router) -> bool {
+    router.should_watch(now(), boot_time())
+}
+
+/// Lets hosts that go before this one ask the store first.
+///
+/// Guards against all hosts of a large fleet asking at once: their proofs grow old in the same
+/// moment, as they come from the same hosts. Where the bound on a configuration leaves time,
+/// the first ones ask and tell the others.
+async fn wait_for_turn(host: &Host) {
+    let room = host.settings.bounds.converge.saturating_sub(QUICK_CONVERGE);
+    let until = Instant::now() + host.look(|router| turn(router, room));
+    let has_waited = |router: &Router| {
+        Instant::now() >= until || router.table().is_none() || !router.is_stale(boot_time())
+    };
+    wait_until(host, has_waited).await;
+}
+
+fn turn(router: &Router, room: Duration) -> Duration {
+    let place = u32::try_from(router.watch_place(now())).unwrap_or(u32::MAX);
+    if router.asks_first(now()) || !router.is_stale(boot_time()) {
+        return Duration::ZERO;
+    }
+    TURN.saturating_mul(place).min(room).min(LONGEST_TURN)
+}
+
 /// Takes the newest configuration from a peer, or its word that this host has it; says
 /// whether that was all that this host needs.
 async fn take_from_peer(host: &Host) -> bool {
@@ -83,7 +122,7 @@
     {
         host.apply(Event::Vouched(at));
     }
-    let is_satisfied = !is_watching(host) && !host.look(Router::is_behind);
+    let is_satisfied = !host.look(is_needed) && !host.look(Router::is_behind);
     // One that is newer still is asked for next.
     is_satisfied || known_version(host) > known
 }
--- a/crates/jaypin_entry/src/store/mod.rs
+++ b/crates/jaypin_entry/src/store/mod.rs
@@ -26,8 +26,14 @@
 /// Longest such pause, and its part for each host that is heard. Each call has its price, also
 /// a refused one; the first host that finds the store back tells the others, so in a large
 /// fleet no single one has to ask often.
-const LONGEST_RETRY: Duration = Duration::from_secs(2);
+const LONGEST_RETRY: Duration = Duration::from_secs(8);
 const RETRY_FOR_EACH: Duration = Duration::from_millis(100);
+/// The same in a fleet in which nearly all calls would come from hosts that need not ask.
+const RETRY_IN_LARGE_FLEET: Duration = Duration::from_millis(220);
+/// Hosts that are heard from which on a fleet is large in this respect.
+const LARGE_FLEET: u32 = 20;
+/// Longest pause of the hosts that ask first.
+const LONGEST_FIRST_RETRY: Duration = Duration::from_millis(800);
 /// Spread of pauses, so that a fleet does not come back in one moment.
 const RETRY_SPREAD: std::ops::Range<f64> = 0.7..1.3;
 
@@ -41,19 +47,42 @@
 /// Pause between two looks at whether there is a reason to call.
 const LOOK_PAUSE: Duration = Duration::from_millis(150);
 
-/// Whether this host shall watch the store.
-fn is_watching(host: &Host) -> bool {
-    let now = Instant::now().into_std();
-    host.look(|router| router.should_watch(now, boot_time()))
-}
-
-/// Waits until this host shall watch, or has another reason to read.
-async fn wait_for_reason(host: &Host, has_reason: impl Fn(&Router) -> bool) {
-    while !is_watching(host) && !host.look(&has_reason) {
+/// Waits until something holds.
+async fn wait_until(host: &Host, holds: impl Fn(&Router) -> bool) {
+    while !host.look(&holds) {
         sleep(LOOK_PAUSE).await;
     }
 }
 
+/// Whether it falls to this host to follow what the store has besides the configuration. While
+/// no host knows the configuration to be the newest, that is asked for first.
+fn is_watcher(router: &Router) -> bool {
+    router.has_fresh_proof(boot_time()) && router.is_watcher(now())
+}
+
+fn now() -> std::time::Instant {
+    Instant::now().into_std()
+}
+
+/// Longest pause before this host asks the store again.
+fn longest_retry(router: &Router) -> Duration {
+    let heard = u32::try_from(router.heard_peers(now()).count()).unwrap_or(u32::MAX);
+    let (for_each, longest) = if heard < LARGE_FLEET {
+        (RETRY_FOR_EACH, LONGEST_RETRY)
+    } else if router.asks_first(now()) {
+        (RETRY_IN_LARGE_FLEET, LONGEST_FIRST_RETRY)
+    } else {
+        (RETRY_IN_LARGE_FLEET, LONGEST_RETRY)
+    };
+    let pause = for_each.saturating_mul(heard);
+    pause.clamp(FIRST_RETRY, longest)
+}
+
+/// Whether a peer has what this host lacks, so that it need not wait for the store.
+fn has_word_of_store(router: &Router) -> bool {
+    !router.has_fresh_proof(boot_time()) && !router.configuration_holders(now()).is_empty()
+}
+
 /// Pauses between tries of one kind of call.
 #[derive(Debug, Default)]
 struct Retries {
@@ -77,14 +106,13 @@
     async fn pause_after(&mut self, host: &Host, what: &str, error: &StoreError) {
         log::warn!(what, error:%; "the store did not answer");
         host.apply(jaypin_router::Event::StoreDisturbed);
-        let now = Instant::now().into_std();
-        let heard = host.look(|router| router.heard_peers(now).count());
-        let heard = u32::try_from(heard).unwrap_or(u32::MAX);
-        let longest = RETRY_FOR_EACH.saturating_mul(heard);
-        let longest = longest.clamp(FIRST_RETRY, LONGEST_RETRY);
+        let longest = host.look(longest_retry);
         let pause = FIRST_RETRY.saturating_mul(2_u32.saturating_pow(self.failures));
         self.failures += 1;
         let spread = rand::rng().random_range(RETRY_SPREAD);
-        sleep(pause.min(longest).mul_f64(spread)).await;
+        let until = Instant::now() + pause.min(longest).mul_f64(spread);
+        while Instant::now() < until && !host.look(has_word_of_store) {
+            sleep(LOOK_PAUSE.min(until - Instant::now())).await;
+        }
     }
 }
--- a/crates/jaypin_entry/src/store/rollouts.rs
+++ b/crates/jaypin_entry/src/store/rollouts.rs
@@ -7,10 +7,10 @@
 use hyper::{Method, StatusCode};
 use jaypin_router::{Event, RolloutOrder, RolloutState, RolloutWrite, Router};
 use tokio::sync::mpsc::UnboundedReceiver;
-use tokio::time::{Instant, sleep};
+use tokio::time::sleep;
 
 use super::client::{StoreClient, StoreError};
-use super::{LOOK_PAUSE, Retries, WATCH_PAUSE};
+use super::{Retries, WATCH_PAUSE, is_watcher, wait_until};
 use crate::host::Host;
 use crate::ports::{Collection, Freshness, Object, ObjectChange};
 
@@ -29,9 +29,7 @@
     let mut client = StoreClient::new(&host);
     let mut retries = Retries::default();
     loop {
-        while !is_watcher(&host) {
-            sleep(LOOK_PAUSE).await;
-        }
+        wait_until(&host, is_watcher).await;
         match follow(&host, &mut client).await {
             Ok(()) => retries.ended_well(),
             Err(error) => retries.pause_after(&host, "rollouts", &error).await,
@@ -39,11 +37,6 @@
     }
 }
 
-fn is_watcher(host: &Host) -> bool {
-    let now = Instant::now().into_std();
-    host.look(|router| router.table().is_some() && router.is_watcher(now))
-}
-
 async fn follow(host: &Host, client: &mut StoreClient<'_>) -> Result<(), StoreError> {
     let (objects, mut revision) = client.list(Collection::Rollouts, Freshness::Newest).await?;
     let listed: Vec<_> = objects.iter().filter_map(|it| read(host, it)).collect();
@@ -53,7 +46,7 @@
     for order in listed {
         take(host, order);
     }
-    while is_watcher(host) {
+    while host.look(is_watcher) {
         let Some(news) = client.watch(Collection::Rollouts, revision, WATCH).await? else {
             return Ok(());
         };
--- a/crates/jaypin_router/src/rollout/slow_answer.rs
+++ b/crates/jaypin_router/src/rollout/slow_answer.rs
@@ -35,7 +35,11 @@
         let limit = self.limits.entry(route).or_insert(first_limit);
         let is_slow = connected.as_secs_f64() / expected > *limit;
         if usual {
-            let step = if relative > *limit { 1.0 - SLOW_PART } else { -SLOW_PART };
+            let step = if relative > *limit {
+                1.0 - SLOW_PART
+            } else {
+                -SLOW_PART
+            };
             *limit *= (STEP * step).exp();
         }
         is_slow
--- a/crates/jaypin_router/src/router/mod.rs
+++ b/crates/jaypin_router/src/router/mod.rs
@@ -52,6 +52,8 @@
     pub resend_ratio: f64,
     /// Such sends in a window besides, over the whole fleet.
     pub resend_allowance: f64,
+    /// Time within which a configuration has to be in force.
+    pub converge: Duration,
     /// Time that a host has to finish once it is told to leave.
     pub grace: Duration,
     /// What a version under trial may get; without it versions are not told apart.
--- a/crates/jaypin_router/src/router/rollouts.rs
+++ b/crates/jaypin_router/src/router/rollouts.rs
@@ -206,8 +206,7 @@
 
     /// Whether this host hears soon enough that an order has changed.
     fn knows_orders(&self) -> bool {
-        self.last_boot_time
-            .is_some_and(|at| !self.has_old_proof(at))
+        self.last_boot_time.is_some_and(|at| !self.is_stale(at))
     }
 
     /// A request is sent to a backend server.
--- a/crates/jaypin_router/src/router/watching.rs
+++ b/crates/jaypin_router/src/router/watching.rs
@@ -46,10 +46,32 @@
 }
 
 impl Router {
+    /// Hosts that go before this one when the store is asked whether it is back.
+    #[must_use]
+    pub fn watch_place(&self, now: Instant) -> usize {
+        let own = score(WATCH_ORDER, &self.cfg.host);
+        let heard = self.fleet.heard(now);
+        let before = heard.filter(|(host, _)| score(WATCH_ORDER, host) > own);
+        before.count()
+    }
+
+    /// Whether this host goes first when the store is asked whether it is back.
+    #[must_use]
+    pub fn asks_first(&self, now: Instant) -> bool {
+        self.watch_place(now) < WATCHERS
+    }
+
+    /// Whether the configuration was the newest a short time ago, by this host's own word or
+    /// a peer's.
+    #[must_use]
+    pub fn has_fresh_proof(&self, boot_time: BootTime) -> bool {
+        self.table.is_some() && !self.is_stale(boot_time)
+    }
+
     /// Whether this host shall ask the store, and watch it.
     #[must_use]
     pub fn should_watch(&self, now: Instant, boot_time: BootTime) -> bool {
-        self.table.is_none() || self.has_old_proof(boot_time) || self.is_watcher(now)
+        self.table.is_none() || self.is_stale(boot_time) || self.is_watcher(now)
     }
 
     /// Whether it falls to this host to watch the store for its cell.
@@ -103,7 +125,7 @@
                 .own_proof
                 .is_none_or(|at| boot_time.saturating_sub(at) < OLD_PROOF)
             && !self.is_turned_away
-            && !self.has_old_proof(boot_time)
+            && !self.is_stale(boot_time)
     }
 
     /// The store answered this host's watch.
@@ -139,7 +161,9 @@
         self.proved_at.map(|at| boot_time.saturating_sub(at))
     }
 
-    pub(super) fn has_old_proof(&self, boot_time: BootTime) -> bool {
+    /// Whether the configuration was not proved lately to be the newest.
+    #[must_use]
+    pub fn is_stale(&self, boot_time: BootTime) -> bool {
         let age = self.proof_age(boot_time);
         age.is_none_or(|age| age >= OLD_PROOF)
     }
@@ -154,14 +178,16 @@
         };
         let view = &whole.store;
         self.heard.newest_version = self.heard.newest_version.max(view.version);
-        if !view.is_watching || whole.cell_callers.is_some() {
+        if whole.cell_callers.is_some() {
             return;
         }
-        self.heard.watched_digest = Some(view.digest);
-        if view.digest == self.entries.digest() {
-            self.heard.different_since = None;
-        } else {
-            self.heard.different_since.get_or_insert(now);
+        if view.is_watching {
+            self.heard.watched_digest = Some(view.digest);
+            if view.digest == self.entries.digest() {
+                self.heard.different_since = None;
+            } else {
+                self.heard.different_since.get_or_insert(now);
+            }
         }
         let peer = self.fleet.peer(&whole.host);
         let proved = view.proved_at.and_then(|at| peer?.clock.own_time(at));
--- a/crates/jaypin_router/tests/common/mod.rs
+++ b/crates/jaypin_router/tests/common/mod.rs
@@ -187,6 +187,7 @@
         resend_window: Duration::from_secs(10),
         resend_ratio: 0.2,
         resend_allowance: 113.0,
+        converge: Duration::from_secs(2),
         grace: Duration::from_secs(8),
         exposure: None,
     }
