--- a/crates/jaypin_router/tests/common/mod.rs
+++ b/crates/jaypin_router/tests/common/mod.rs
@@ -206,14 +206,32 @@
 
     /// Starts with nothing known.
     pub fn unconfigured() -> Self {
+        Self::unconfigured_as(1)
+    }
+
+    /// The same for the host of a number.
+    pub fn unconfigured_as(number: u16) -> Self {
+        Self::with(number, bounds())
+    }
+
+    /// Starts alone in its fleet, with other bounds and nothing else known.
+    pub fn bounded(change: impl FnOnce(&mut Bounds)) -> Self {
+        let mut bounds = bounds();
+        change(&mut bounds);
+        let mut bed = Self::with(1, bounds);
+        bed.apply(Event::HostsFound(Vec::new()));
+        bed
+    }
+
+    fn with(number: u16, bounds: Bounds) -> Self {
         let router = Router::new(RouterConfig {
-            host: "host-1".into(),
-            run: 1,
-            address: address(7_001),
-            callers: address(8_001),
+            host: format!("host-{number}").as_str().into(),
+            run: number.into(),
+            address: address(7_000 + number),
+            callers: address(8_000 + number),
             failure_domain: "a".into(),
             seed: 7,
-            bounds: bounds(),
+            bounds,
         });
         Self {
             router,
--- a/crates/jaypin_router/tests/proof.rs
+++ b/crates/jaypin_router/tests/proof.rs
@@ -105,13 +105,17 @@
 
 /// A watcher's report, sent and proved at these times by its clock.
 fn watcher_report(sequence: u64, sent_at: Duration, proved_at: Duration) -> Report {
+    peer_report(sequence, sent_at, proved_at, true)
+}
+
+fn peer_report(sequence: u64, sent_at: Duration, proved_at: Duration, watches: bool) -> Report {
     let whole = WholeReport {
         sent_at,
         store: StoreView {
             version: 1,
             proved_at: Some(proved_at),
-            may_watch: true,
-            is_watching: true,
+            may_watch: watches,
+            is_watching: watches,
             digest: 0,
         },
         ..common::whole(2)
@@ -142,6 +146,18 @@
     assert!(is_proved_after(Duration::from_hours(25), Duration::ZERO));
 }
 
+/// All hosts of a large fleet ask the store because none of them watches any more.
+#[test]
+fn a_proof_of_a_peer_that_does_not_watch_holds_too() {
+    let mut bed = Bed::usual();
+    for sequence in 1..20 {
+        bed.wait(Duration::from_millis(300));
+        let report = peer_report(sequence, bed.boot, bed.boot, false);
+        bed.hear_report(report);
+    }
+    assert!(bed.router.has_fresh_proof(bed.boot));
+}
+
 /// A host loses power, starts again and reports before it has read its clock: its reports
 /// say that they were sent at time 0. The map from its clock to others' was wrong by hours,
 /// its proofs lay in the future, and withdrawn credentials were accepted for as long.
--- a/crates/jaypin_router/tests/watching.rs
+++ b/crates/jaypin_router/tests/watching.rs
@@ -55,6 +55,29 @@
     assert!(watches(&bed));
 }
 
+/// All hosts ask the store at once whether it is back, also those that peers will tell.
+#[test]
+fn two_hosts_go_first_when_the_store_is_asked_again() {
+    let beds: Vec<_> = (1..=12).map(|own| heard_by(own, 12)).collect();
+    let first = beds.iter().filter(|it| it.router.asks_first(it.now));
+    assert_eq!(first.count(), 2);
+    let mut places: Vec<_> = beds
+        .iter()
+        .map(|it| it.router.watch_place(it.now))
+        .collect();
+    places.sort_unstable();
+    assert_eq!(places, (0..12).collect::<Vec<_>>());
+}
+
+/// A host of a number that has heard all others.
+fn heard_by(own: u16, hosts: u16) -> Bed {
+    let mut bed = Bed::unconfigured_as(own);
+    for peer in (1..=hosts).filter(|it| *it != own) {
+        bed.hear_report(common::report(1, common::whole(peer)));
+    }
+    bed
+}
+
 /// Nothing is known yet, so there is nothing that could be left to others.
 #[test]
 fn a_host_without_a_configuration_reads_at_once() {
