--- a/crates/jaypin_router/tests/rollouts.rs
+++ b/crates/jaypin_router/tests/rollouts.rs
@@ -84,20 +84,20 @@
 use RolloutState::{Done, Ordered, RolledBack, Running, Withdrawn};
 
 states! {
-    without_an_order_the_oldest_version_serves: Vec::new() => 0..=0;
-    a_version_under_trial_gets_a_part: vec![order("v2", 5, Ordered)] => 1..=21;
-    a_running_order_is_a_trial: vec![order("v2", 5, Running)] => 1..=21;
-    after_the_end_only_the_new_version_serves: vec![order("v2", 5, Done)] => 40..=40;
-    a_version_that_was_rolled_back_gets_nothing: vec![order("v2", 5, RolledBack)] => 0..=0;
+    without_an_order_the_oldest_version_serves: [] => 0..=0;
+    a_version_under_trial_gets_a_part: [order("v2", 5, Ordered)] => 1..=21;
+    a_running_order_is_a_trial: [order("v2", 5, Running)] => 1..=21;
+    after_the_end_only_the_new_version_serves: [order("v2", 5, Done)] => 40..=40;
+    a_version_that_was_rolled_back_gets_nothing: [order("v2", 5, RolledBack)] => 0..=0;
     a_withdrawn_order_allows_nothing:
-        vec![order("v2", 5, Ordered), order("v2", 6, Withdrawn)] => 0..=0;
+        [order("v2", 5, Ordered), order("v2", 6, Withdrawn)] => 0..=0;
     an_older_state_that_comes_late_changes_nothing:
-        vec![order("v2", 6, RolledBack), order("v2", 5, Running)] => 0..=0;
+        [order("v2", 6, RolledBack), order("v2", 5, Running)] => 0..=0;
     an_order_that_was_replaced_allows_nothing:
-        vec![order("v2", 5, Ordered), order("v3", 6, Ordered)] => 0..=0;
+        [order("v2", 5, Ordered), order("v3", 6, Ordered)] => 0..=0;
     a_version_that_is_ordered_again_is_tried_again:
-        vec![order("v2", 5, RolledBack), order("v2", 7, Ordered)] => 1..=21;
-    an_order_to_a_version_that_nobody_runs: vec![order("v9", 5, Ordered)] => 0..=0;
+        [order("v2", 5, RolledBack), order("v2", 7, Ordered)] => 1..=21;
+    an_order_to_a_version_that_nobody_runs: [order("v9", 5, Ordered)] => 0..=0;
 }
 
 /// A deployment without a bound for new versions loses the backend servers that differ.
