--- /dev/null
+++ b/crates/jaypin_entry/src/peers/wire/handed.rs
@@ -0,0 +1,54 @@
+//! A configuration as bytes, as hosts hand it over.
+
+use std::time::Duration;
+
+use super::{WireError, decode, encode, milliseconds};
+use crate::ports::Object;
+
+/// Name, revision, and what the author wrote.
+type WireObject = (String, u64, serde_json::Value);
+/// Version, milliseconds since it was the newest, and the object if it was asked for.
+type WireHanded = (u64, Option<u64>, Option<WireObject>);
+
+/// A configuration as hosts hand it over.
+#[derive(Debug, Clone, PartialEq)]
+pub struct HandedConfiguration {
+    /// Its version.
+    pub version: u64,
+    /// Time since it was the newest for sure, where it ever was.
+    pub proof_age: Option<Duration>,
+    /// The store's object, unless the asking host has this version.
+    pub object: Option<Object>,
+}
+
+/// Writes a configuration.
+///
+/// # Errors
+/// Gives what the library gives.
+pub fn encode_configuration(handed: &HandedConfiguration) -> Result<Vec<u8>, WireError> {
+    let object = handed.object.as_ref();
+    let object = object.map(|it| (it.name.clone(), it.revision, it.content.clone()));
+    // Rounded up: a proof must not grow younger on its way.
+    let age = handed.proof_age.map(|age| milliseconds(age) + 1);
+    let wire: WireHanded = (handed.version, age, object);
+    encode(&wire)
+}
+
+/// Reads a configuration.
+///
+/// # Errors
+/// Says why the bytes are none.
+pub fn decode_configuration(bytes: &[u8]) -> Result<HandedConfiguration, WireError> {
+    let (version, age, object): WireHanded = decode(bytes)?;
+    let object = object.map(|(name, revision, content)| Object {
+        name,
+        revision,
+        content,
+        status: serde_json::Value::Null,
+    });
+    Ok(HandedConfiguration {
+        version,
+        proof_age: age.map(Duration::from_millis),
+        object,
+    })
+}
--- a/crates/jaypin_entry/src/peers/wire.rs
+++ b/crates/jaypin_entry/src/peers/wire/mod.rs
@@ -1,19 +1,23 @@
 //! Reports as bytes: CBOR arrays, so that no field name travels.
 
+mod handed;
+mod rollout;
+
+pub use handed::{HandedConfiguration, decode_configuration, encode_configuration};
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use jaypin_core::{AccountId, BackendId, FailureDomain, HostId, ServiceId};
 use jaypin_router::{
-    Asked, BackendLoad, BackendRecord, BackendSamples, BackendStatus, EntryChange, OutcomeCounts,
-    Rank, Report, RolloutOrder, RolloutReport, RolloutState, RouteOutcomes, SoftwareVersion,
-    StoreView, Strike, VersionOutcomes, WholeReport,
+    Asked, BackendLoad, BackendRecord, BackendSamples, BackendStatus, EntryChange, Rank, Report,
+    SoftwareVersion, StoreView, Strike, WholeReport,
 };
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use snafu::{ResultExt, Snafu};
 
-use crate::ports::Object;
+use rollout::{WireRollout, read_rollout, wire_rollout};
 
 /// Why bytes are no report, or a report no bytes.
 #[derive(Debug, Snafu)]
@@ -60,12 +64,6 @@
 type WireView = (u64, Option<u64>, u64, bool, bool, u64);
 /// Start, service, address, failure domain, slots, whether it is ready, version.
 type WireRecord = (u64, String, String, String, u32, bool, String);
-/// Service, version, time in milliseconds, revision, state.
-type WireOrder = (String, String, u64, u64, u8);
-/// Route's key; good, slow and bad answers of the old and of the new version.
-type WireOutcomes = (u32, [u32; 6]);
-/// Order, age in milliseconds, whether the version is bad, answers.
-type WireRollout = (WireOrder, u64, bool, Vec<WireOutcomes>);
 
 /// A change of an entry: its id, revision, and statement if it is not gone.
 type WireChange = (String, u64, Option<WireRecord>);
@@ -96,54 +94,6 @@
     Vec<WireRollout>,
 );
 
-/// Name, revision, and what the author wrote.
-type WireObject = (String, u64, serde_json::Value);
-/// Version, milliseconds since it was the newest, and the object if it was asked for.
-type WireHanded = (u64, Option<u64>, Option<WireObject>);
-
-/// A configuration as hosts hand it over.
-#[derive(Debug, Clone, PartialEq)]
-pub struct HandedConfiguration {
-    /// Its version.
-    pub version: u64,
-    /// Time since it was the newest for sure, where it ever was.
-    pub proof_age: Option<Duration>,
-    /// The store's object, unless the asking host has this version.
-    pub object: Option<Object>,
-}
-
-/// Writes a configuration.
-///
-/// # Errors
-/// Gives what the library gives.
-pub fn encode_configuration(handed: &HandedConfiguration) -> Result<Vec<u8>, WireError> {
-    let object = handed.object.as_ref();
-    let object = object.map(|it| (it.name.clone(), it.revision, it.content.clone()));
-    // Rounded up: a proof must not grow younger on its way.
-    let age = handed.proof_age.map(|age| milliseconds(age) + 1);
-    let wire: WireHanded = (handed.version, age, object);
-    encode(&wire)
-}
-
-/// Reads a configuration.
-///
-/// # Errors
-/// Says why the bytes are none.
-pub fn decode_configuration(bytes: &[u8]) -> Result<HandedConfiguration, WireError> {
-    let (version, age, object): WireHanded = decode(bytes)?;
-    let object = object.map(|(name, revision, content)| Object {
-        name,
-        revision,
-        content,
-        status: serde_json::Value::Null,
-    });
-    Ok(HandedConfiguration {
-        version,
-        proof_age: age.map(Duration::from_millis),
-        object,
-    })
-}
-
 /// Writes entries of backend servers.
 ///
 /// # Errors
@@ -343,79 +293,6 @@
     }
 }
 
-fn wire_rollout(rollout: &RolloutReport) -> WireRollout {
-    let order = &rollout.order;
-    let wire_order = (
-        order.service.to_string(),
-        order.to.to_string(),
-        milliseconds(order.time),
-        order.revision,
-        wire_state(order.state),
-    );
-    let routes = rollout.outcomes.routes().map(|(route, it)| {
-        let (old, new) = (it.old, it.new);
-        (
-            route,
-            [old.good, old.slow, old.bad, new.good, new.slow, new.bad],
-        )
-    });
-    let age = milliseconds(rollout.age);
-    (wire_order, age, rollout.is_bad, routes.collect())
-}
-
-fn read_rollout((order, age, is_bad, routes): WireRollout) -> Result<RolloutReport, WireError> {
-    let (service, to, time, revision, state) = order;
-    let routes = routes.into_iter().map(|(route, counts)| {
-        let [old_good, old_slow, old_bad, new_good, new_slow, new_bad] = counts;
-        let outcomes = RouteOutcomes {
-            old: OutcomeCounts {
-                good: old_good,
-                slow: old_slow,
-                bad: old_bad,
-            },
-            new: OutcomeCounts {
-                good: new_good,
-                slow: new_slow,
-                bad: new_bad,
-            },
-        };
-        (route, outcomes)
-    });
-    Ok(RolloutReport {
-        order: RolloutOrder {
-            service: ServiceId::from(service),
-            to: SoftwareVersion::from(to),
-            time: Duration::from_millis(time),
-            revision,
-            state: read_state(state)?,
-        },
-        age: Duration::from_millis(age),
-        is_bad,
-        outcomes: VersionOutcomes::from_routes(routes),
-    })
-}
-
-fn wire_state(state: RolloutState) -> u8 {
-    match state {
-        RolloutState::Ordered => 0,
-        RolloutState::Running => 1,
-        RolloutState::Done => 2,
-        RolloutState::RolledBack => 3,
-        RolloutState::Withdrawn => 4,
-    }
-}
-
-fn read_state(state: u8) -> Result<RolloutState, WireError> {
-    match state {
-        0 => Ok(RolloutState::Ordered),
-        1 => Ok(RolloutState::Running),
-        2 => Ok(RolloutState::Done),
-        3 => Ok(RolloutState::RolledBack),
-        4 => Ok(RolloutState::Withdrawn),
-        _ => Err(WireError::State { state }),
-    }
-}
-
 fn wire_load(load: &BackendLoad) -> WireLoad {
     (load.key, load.running, load.unread_tokens)
 }
--- a/crates/jaypin_router/src/account_asked.rs
+++ b/crates/jaypin_router/src/account_asked.rs
@@ -18,9 +18,7 @@
 /// Time for which an account's urgent requests are provided for, in units of its quota.
 ///
 /// A quota that is nearly used up refills at its rate. Whoever takes units as they come
-/// leaves an urgent request, which needs those of several small ones, with too few. On calm
-/// days of three fleets this was worth 0.026 to 0.044 of the credit less prices (means of
-/// five seeds); other times were not tried.
+/// leaves an urgent request, which needs those of several small ones, with too few.
 const COVERED: Duration = Duration::from_secs(1);
 
 /// A service, and the rank of a route to it.
--- a/crates/jaypin_router/src/fleet.rs
+++ b/crates/jaypin_router/src/fleet.rs
@@ -15,7 +15,7 @@
 pub const PEER_SILENCE: Duration = Duration::from_millis(1_100);
 /// Time after which a silent host is taken for gone and not for cut off.
 ///
-/// Twice the longest cut that was seen to heal by itself. Until then its part of the
+/// Longer than cuts that heal by themselves. Until then its part of the
 /// quotas is left to it.
 pub const PEER_GONE: Duration = Duration::from_secs(12);
 
--- a/crates/jaypin_router/src/floor.rs
+++ b/crates/jaypin_router/src/floor.rs
@@ -1,9 +1,7 @@
 //! What is served of each rank, however much is asked that is more urgent.
 //!
 //! The pattern: urgent work alone fills the fleet for half a minute. Strict order then
-//! refuses everything else, and callers whose work can wait for a while wait for ever. At
-//! three times the usual load for 28 s, 0.18 of the least urgent requests were served
-//! without a floor, of all 0.81.
+//! refuses everything else, and callers whose work can wait for a while wait for ever.
 
 use std::collections::HashMap;
 
@@ -11,9 +9,8 @@
 
 /// Part of the requests of a rank for which nothing is kept for others.
 ///
-/// Callers come back once, so a twelfth of the tries is a sixth of the requests; with what is
-/// left over between bursts that was a quarter of them. With 0.12 the same day served 0.29
-/// of the least urgent and 0.37 of the next in place of 0.77.
+/// Callers come back once, so a twelfth of the tries is a sixth of the requests. A greater
+/// part is taken from the rank next above, whose requests are worth more.
 const FLOOR_PART: f64 = 0.08;
 /// Requests by which a rank may be behind its floor: what was served in a quiet hour is no
 /// reason to refuse in a busy one, and a long shortage gives no right to push in for as long.
--- a/crates/jaypin_router/src/limits.rs
+++ b/crates/jaypin_router/src/limits.rs
@@ -19,17 +19,14 @@
 /// for which one of another rank may.
 ///
 /// A queue of one inside an engine keeps its slots full; a longer one only makes long
-/// prompts late, whose own prefill takes most of their aim. With 0.9 of the aim the worst
-/// kind of request earned 0.48 of its worth at one and a half times capacity, with these
-/// 0.54.
+/// prompts late, whose own prefill takes most of their aim.
 const SLOT_WAIT_PARTS: (f64, f64) = (0.15, 0.1);
 /// Greatest size by which the accepted time is divided, for the most urgent rank and for
 /// the others.
 ///
 /// A request that holds its slot for long is sent only where it hardly waits, so that at
-/// full load the time it would take goes to several short ones: four requests in ten that
-/// were refused are served. The most urgent rank pays less for its length, or it would be
-/// refused before deferrable short work.
+/// full load the time it would take goes to several short ones. The most urgent rank pays
+/// less for its length, or it would be refused before deferrable short work.
 const MOST_SIZES: (f64, f64) = (2.0, 6.0);
 /// Size from which a request leaves the last free slots to others of its rank.
 const LONG_SIZE: f64 = 2.0;
--- a/crates/jaypin_router/src/quota.rs
+++ b/crates/jaypin_router/src/quota.rs
@@ -27,9 +27,7 @@
 /// Seconds of its rate that an account may use at once right after a start, over the whole
 /// fleet: each host gives out its part, as far as it knows it.
 ///
-/// Hosts that start together hear nothing of each other's use for a tenth of a second. When
-/// each of 13 gave out all of it, an account that pressed got 2.7 seconds of its rate in the
-/// first half second, beside what it had used before.
+/// Hosts that start together hear nothing of each other's use for a tenth of a second.
 const FIRST_SECONDS: f64 = 0.2;
 /// Part of the fleet's slack that an account may use besides in that moment: callers that
 /// were cut off by a common restart all come back in the first half second of it.
@@ -39,7 +37,7 @@
 const SETTLING: Duration = Duration::from_secs(2);
 /// Part of what may be used at once that is left for urgent requests at the most: an account
 /// whose urgent work alone exceeds its rate still gets the other part for the rest after a
-/// calm second or two. Reasoned, not measured.
+/// calm second or two.
 const MOST_LEFT_PART: f64 = 0.4;
 /// Longest wait that is stated to an account over its quota.
 const LONGEST_WAIT: Duration = Duration::from_secs(30);
--- a/crates/jaypin_router/src/reserve.rs
+++ b/crates/jaypin_router/src/reserve.rs
@@ -5,18 +5,11 @@
 //! run. Urgent requests alone rarely exceed what comes free, so a few slots are enough
 //! (trunk reservation): one that is kept is taken within milliseconds by the next urgent
 //! request, and while none is asked for nothing is kept.
-//!
-//! On three heavy days of a fleet with 48 slots the most urgent route earned 0.70 to
-//! 0.82 of its worth without this and 0.92 to 0.97 with it, the least urgent one 0.93 to 0.96
-//! and 0.78 to 0.86 (means of five seeds).
 
 use std::time::Duration;
 
 /// Time for which urgent arrivals are provided for: a host hears of a slot that another
 /// took or freed within some 10 ms, and looks again within three turns of 10 ms.
-///
-/// With 30 ms, or with two standard deviations, the same days were served equally within
-/// what seeds differ by.
 const COVERED: Duration = Duration::from_millis(50);
 /// Standard deviations of a random number of arrivals besides.
 const SPREAD: f64 = 1.0;
--- /dev/null
+++ b/crates/jaypin_router/src/router/event.rs
@@ -0,0 +1,198 @@
+//! What a router is told, and what it wants done.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use jaypin_core::{BackendId, FailureDomain, HostId, Incarnation, Refusal};
+
+use crate::{
+    Arrival, AskedBy, AttemptOutcome, BackendRecord, BootTime, EntryChange, Grounds, Report,
+    RequestNumber, RolloutOrder, RolloutWrite, RouteTable, Unrouted,
+};
+
+/// Bounds that the fleet's operators state.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Bounds {
+    /// Longest time for which a withdrawn credential may still be accepted.
+    pub revoke: Duration,
+    /// Window over which the use of quotas is counted.
+    pub quota_window: Duration,
+    /// Units by which an account may exceed its quota in such a window.
+    pub quota_slack: f64,
+    /// Window of the budget for sends beyond the first of each request.
+    pub resend_window: Duration,
+    /// Such sends for each request in a window.
+    pub resend_ratio: f64,
+    /// Such sends in a window besides, over the whole fleet.
+    pub resend_allowance: f64,
+    /// Time within which a configuration has to be in force.
+    pub converge: Duration,
+    /// Time that a host has to finish once it is told to leave.
+    pub grace: Duration,
+    /// What a version under trial may get; without it versions are not told apart.
+    pub exposure: Option<ExposureBound>,
+}
+
+/// What a version under trial may get, over the whole fleet.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ExposureBound {
+    /// Part of the requests that reach its service.
+    pub share: f64,
+    /// Requests besides.
+    pub slack: f64,
+}
+
+/// What a router is told at its start.
+#[derive(Debug, Clone, PartialEq)]
+pub struct RouterConfig {
+    /// This host.
+    pub host: HostId,
+    /// Number of this run, drawn at random.
+    pub run: Incarnation,
+    /// Where this host takes reports.
+    pub address: SocketAddr,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where the host stands.
+    pub failure_domain: FailureDomain,
+    /// Seed of all random choices.
+    pub seed: u64,
+    /// Bounds that hold for the fleet.
+    pub bounds: Bounds,
+}
+
+/// Something that happened.
+#[derive(Debug, Clone)]
+pub enum Event {
+    /// A version of the configuration was read.
+    Configured(Arc<RouteTable>),
+    /// What is known of the configuration was the newest at this time.
+    Proved(BootTime),
+    /// A peer that has the same configuration said that it was the newest at this time.
+    Vouched(BootTime),
+    /// The platform's store did not answer as it should.
+    StoreDisturbed,
+    /// All entries of backend servers were read, each with its revision.
+    BackendsListed {
+        /// The entries.
+        entries: Vec<(BackendRecord, u64)>,
+        /// The store's revision.
+        revision: u64,
+    },
+    /// The entry of a backend server changed.
+    BackendChanged(EntryChange),
+    /// A peer handed over all entries that it knows.
+    EntriesHanded(Vec<EntryChange>),
+    /// A request was read whole.
+    Arrived(Arrival),
+    /// The first event or the whole answer of a call came.
+    Answered(RequestNumber),
+    /// Events of a stream came, behind its first one or those that were told before.
+    Streamed {
+        /// The request.
+        number: RequestNumber,
+        /// How many.
+        events: u32,
+        /// Time that they took.
+        time: Duration,
+    },
+    /// A call ended.
+    Ended {
+        /// The request.
+        number: RequestNumber,
+        /// How it ended.
+        outcome: AttemptOutcome,
+    },
+    /// The caller of a request that was not sent left.
+    CallerGone(RequestNumber),
+    /// All hosts that are registered, each with where it takes reports; some may be gone.
+    HostsFound(Vec<(HostId, SocketAddr)>),
+    /// A peer reported.
+    Reported {
+        /// What it said.
+        report: Box<Report>,
+        /// Now, on the clock that counts suspended time.
+        boot_time: BootTime,
+    },
+    /// The store was read or written and has this order for a new version of a service.
+    RolloutTold(RolloutOrder),
+    /// The host shall finish what it has and leave.
+    Drain,
+    /// Time went on, also on the clock that counts suspended time.
+    Tick(BootTime),
+}
+
+/// Something to be done.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Effect {
+    /// Send the request to a backend server.
+    Send {
+        /// The request.
+        number: RequestNumber,
+        /// The backend server.
+        backend: BackendId,
+        /// Its address.
+        address: String,
+        /// Who asks; the account is named to it.
+        asked_by: AskedBy,
+        /// Whether the request's answer is a stream that may be resumed.
+        repeat: crate::Repeat,
+        /// Time after which a call without a first event is given up, if it may be sent
+        /// again.
+        silence: Option<Duration>,
+        /// Pause between two events after which the stream is given up, if another backend
+        /// server may go on with it.
+        longest_pause: Option<Duration>,
+        /// When the whole answer is due.
+        deadline: Instant,
+        /// What the choice rests on.
+        grounds: Grounds,
+    },
+    /// Answer that the configuration does not allow the request.
+    Reject {
+        /// The request.
+        number: RequestNumber,
+        /// What it does not allow.
+        reason: Unrouted,
+        /// What that rests on.
+        grounds: Grounds,
+    },
+    /// Answer with a refusal.
+    Refuse {
+        /// The request.
+        number: RequestNumber,
+        /// Who asks, where that was found out.
+        asked_by: Option<AskedBy>,
+        /// The answer.
+        refusal: Refusal,
+        /// What it rests on.
+        grounds: Grounds,
+    },
+    /// Answer with the failure that a backend server gave.
+    PassOn(RequestNumber),
+    /// Write the state of an order to the store, if it has the order's revision.
+    WriteRollout(RolloutWrite),
+    /// Tell a report to these hosts.
+    Tell {
+        /// Their addresses.
+        to: Vec<SocketAddr>,
+        /// The report.
+        report: Box<Report>,
+    },
+}
+
+/// Counts for metrics and status.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct RouterCounts {
+    /// Requests that wait for a place.
+    pub waiting: usize,
+    /// Requests that were sent and not ended.
+    pub running: usize,
+    /// Hosts that take part, this one included.
+    pub hosts: usize,
+    /// Backend servers that take requests.
+    pub backends: usize,
+    /// Version of the configuration; 0 before any.
+    pub version: u64,
+}
--- a/crates/jaypin_router/src/router/watching.rs
+++ b/crates/jaypin_router/src/router/watching.rs
@@ -23,8 +23,7 @@
 const DIFFERENT_FOR: Duration = Duration::from_millis(700);
 /// Time after a host's start within which it takes hosts that are registered for being there,
 /// though it has not heard them: they start together, and hear each other within a third of
-/// it. Without this, each host of a fleet that starts begins to watch: 371 of some 1,200
-/// calls that 126 hosts made in their first four seconds.
+/// it. Without this, each host of a fleet that starts begins to watch.
 const JOINING: Duration = Duration::from_millis(1_500);
 /// Key of the order in which hosts become watchers.
 const WATCH_ORDER: &str = "watch";
