Pause after each failed call to the store, whatever peers know

Change: a pause lasts 0.4 s at the least; a host that the store turns away takes what its peers have, also where it should watch.

--- a/crates/jaypin_entry/src/store/configuration.rs
+++ b/crates/jaypin_entry/src/store/configuration.rs
@@ -51,8 +51,9 @@
     if !host.look(|router| is_needed(router) || router.is_behind()) {
         return Ok(());
     }
-    let is_watcher = host.look(|router| router.is_watcher(now()));
-    if !is_watcher && take_from_peer(host).await {
+    // One that the store turns away takes what its peers have, also if it should watch.
+    let asks_store = host.look(|router| router.is_watcher(now()) && !router.is_turned_away());
+    if !asks_store && take_from_peer(host).await {
         return Ok(());
     }
     let mut revision = read(host, client).await?;
--- a/crates/jaypin_entry/src/store/mod.rs
+++ b/crates/jaypin_entry/src/store/mod.rs
@@ -21,7 +21,7 @@
 use crate::host::Host;
 use client::StoreError;
 
-/// Pause after a call that failed; doubled with each further one.
+/// Pause after a call that failed, at the least; doubled with each further one.
 const FIRST_RETRY: Duration = Duration::from_millis(400);
 /// Longest such pause, and its part for each host that is heard. Each call has its price, also
 /// a refused one; the first host that finds the store back tells the others, so in a large
@@ -111,8 +111,9 @@
         self.failures += 1;
         let spread = rand::rng().random_range(RETRY_SPREAD);
         let until = Instant::now() + pause.min(longest).mul_f64(spread);
+        sleep(FIRST_RETRY.mul_f64(spread)).await;
         while Instant::now() < until && !host.look(has_word_of_store) {
-            sleep(LOOK_PAUSE.min(until - Instant::now())).await;
+            sleep(LOOK_PAUSE).await;
         }
     }
 }
--- a/crates/jaypin_router/src/router/watching.rs
+++ b/crates/jaypin_router/src/router/watching.rs
@@ -45,6 +45,12 @@
 }
 
 impl Router {
+    /// Whether the last call to the store gave nothing.
+    #[must_use]
+    pub fn is_turned_away(&self) -> bool {
+        self.is_turned_away
+    }
+
     /// Hosts that go before this one when the store is asked whether it is back.
     #[must_use]
     pub fn watch_place(&self, now: Instant) -> usize {
