Find the version in force again when an order says otherwise

Cause, found by reading: a host that starts during a trial, after its old backend servers were replaced, takes the version under trial for the one in force until it hears of the order, and then bars the old one; one that hears of an order's end before the new entries goes back to the old version for as long as its entries stand. Change: an order that is not ended, or was rolled back, takes its version out of force; one that is done puts it in force as soon as a backend server has it. Tests: two cases that fail without the change.

--- a/crates/jaypin_entry/src/store/backends.rs
+++ b/crates/jaypin_entry/src/store/backends.rs
@@ -8,7 +8,7 @@
 use tokio::time::{Instant, sleep};
 
 use super::client::{StoreClient, StoreError};
-use super::{Retries, WATCH_PAUSE, is_watcher, now, wait_until};
+use super::{Retries, WATCH_PAUSE, follows_store, now, wait_until};
 use crate::host::Host;
 use crate::peers::ask_entries;
 use crate::ports::{Collection, Freshness, Object, ObjectChange};
@@ -31,11 +31,11 @@
     loop {
         if retries.has_ended_well() {
             wait_until(&host, |router| {
-                is_watcher(router) || router.has_other_entries(now())
+                follows_store(router) || router.has_other_entries(now())
             })
             .await;
             let is_handed = handed_at.is_some_and(|at| at.elapsed() < HANDED_FOR);
-            if !host.look(is_watcher) && !is_handed && take_from_peer(&host).await {
+            if !host.look(follows_store) && !is_handed && take_from_peer(&host).await {
                 handed_at = Some(Instant::now());
                 continue;
             }
@@ -66,7 +66,7 @@
     client: &mut StoreClient<'_>,
     freshness: Freshness,
 ) -> Result<(), StoreError> {
-    let freshness = if host.look(is_watcher) {
+    let freshness = if host.look(follows_store) {
         Freshness::Newest
     } else {
         freshness
@@ -78,7 +78,7 @@
         .collect();
     log::info!(count = entries.len(), revision; "backend servers listed");
     host.apply(Event::BackendsListed { entries, revision });
-    while host.look(is_watcher) {
+    while host.look(follows_store) {
         let Some(news) = client.watch(Collection::Backends, revision, WATCH).await? else {
             return Ok(());
         };
--- a/crates/jaypin_entry/src/store/mod.rs
+++ b/crates/jaypin_entry/src/store/mod.rs
@@ -56,7 +56,7 @@
 
 /// Whether it falls to this host to follow what the store has besides the configuration. While
 /// no host knows the configuration to be the newest, that is asked for first.
-fn is_watcher(router: &Router) -> bool {
+fn follows_store(router: &Router) -> bool {
     router.has_fresh_proof(boot_time()) && router.is_watcher(now())
 }
 
--- a/crates/jaypin_entry/src/store/rollouts.rs
+++ b/crates/jaypin_entry/src/store/rollouts.rs
@@ -10,7 +10,7 @@
 use tokio::time::sleep;
 
 use super::client::{StoreClient, StoreError};
-use super::{Retries, WATCH_PAUSE, is_watcher, wait_until};
+use super::{Retries, WATCH_PAUSE, follows_store, wait_until};
 use crate::host::Host;
 use crate::ports::{Collection, Freshness, Object, ObjectChange};
 
@@ -29,7 +29,7 @@
     let mut client = StoreClient::new(&host);
     let mut retries = Retries::default();
     loop {
-        wait_until(&host, is_watcher).await;
+        wait_until(&host, follows_store).await;
         match follow(&host, &mut client).await {
             Ok(()) => retries.ended_well(),
             Err(error) => retries.pause_after(&host, "rollouts", &error).await,
@@ -46,7 +46,7 @@
     for order in listed {
         take(host, order);
     }
-    while host.look(is_watcher) {
+    while host.look(follows_store) {
         let Some(news) = client.watch(Collection::Rollouts, revision, WATCH).await? else {
             return Ok(());
         };
--- a/crates/jaypin_router/src/rollout/versions.rs
+++ b/crates/jaypin_router/src/rollout/versions.rs
@@ -108,22 +108,34 @@
         self.by_service.insert(service.clone(), rollout);
         if is_final {
             self.settle(&service, &to);
+        } else {
+            self.forget_in_force(&service, &to);
         }
         true
     }
 
+    /// A version turns out not to be in force: a host that starts during a trial may take the
+    /// version under trial for it until it hears of the order.
+    fn forget_in_force(&mut self, service: &ServiceId, version: &SoftwareVersion) {
+        if self.in_force.get(service) == Some(version) {
+            self.in_force.remove(service);
+        }
+    }
+
     /// Notes how an order ended.
     fn settle(&mut self, service: &ServiceId, to: &SoftwareVersion) {
         let state = self.by_service.get(service).map(|it| it.order.state);
         if state == Some(RolloutState::Done) {
             self.in_force.insert(service.clone(), to.clone());
         } else {
+            self.forget_in_force(service, to);
             self.refused.insert((service.clone(), to.clone()));
         }
     }
 
-    /// Finds the version in force of each service, where none is known to be: that of its
-    /// oldest backend server, since new versions start beside those that run.
+    /// Finds the version in force of each service: the one that an order brought in, else the
+    /// one that was in force while any backend server has it, else that of the oldest one,
+    /// since new versions start beside those that run.
     pub fn find_in_force<'a>(&mut self, records: impl Iterator<Item = &'a BackendRecord> + Clone) {
         let ready = records.filter(|it| it.status == BackendStatus::Ready);
         let mut oldest: BTreeMap<&ServiceId, &BackendRecord> = BTreeMap::new();
@@ -137,16 +149,27 @@
             }
         }
         for (service, record) in oldest {
-            let mut of_service = ready.clone().filter(|it| it.service == *service);
+            let is_alive = |version: &SoftwareVersion| {
+                let mut of_service = ready.clone().filter(|it| it.service == *service);
+                of_service.any(|it| it.version == *version)
+            };
+            let ordered = self.done(service).filter(|it| is_alive(it)).cloned();
             let known = self.in_force.get(service);
-            let is_alive = known.is_some_and(|known| of_service.any(|it| it.version == *known));
-            if !is_alive && !self.is_tried(record) {
-                self.in_force
-                    .insert(service.clone(), record.version.clone());
+            if let Some(version) = ordered {
+                self.in_force.insert(service.clone(), version);
+            } else if !known.is_some_and(is_alive) && !self.is_tried(record) {
+                let version = record.version.clone();
+                self.in_force.insert(service.clone(), version);
             }
         }
     }
 
+    /// The version that an order has brought in.
+    fn done(&self, service: &ServiceId) -> Option<&SoftwareVersion> {
+        let order = &self.by_service.get(service)?.order;
+        (order.state == RolloutState::Done).then_some(&order.to)
+    }
+
     fn is_given_up(&self, record: &BackendRecord) -> bool {
         let key = (record.service.clone(), record.version.clone());
         self.refused.contains(&key)
--- a/crates/jaypin_router/tests/rollouts.rs
+++ b/crates/jaypin_router/tests/rollouts.rs
@@ -22,6 +22,15 @@
 
 /// A host before two old and two new engines.
 fn bed() -> Bed {
+    let mut bed = bed_of_old();
+    for (id, started) in [("new-1", 20), ("new-2", 21)] {
+        state(&mut bed, id, "v2", started);
+    }
+    bed
+}
+
+/// A host before two old engines.
+fn bed_of_old() -> Bed {
     let mut bed = Bed::bounded(|bounds| {
         bounds.exposure = Some(ExposureBound {
             share: 0.5,
@@ -31,20 +40,19 @@
     bed.configure(configuration(1));
     bed.prove();
     bed.tick();
-    for (id, version, started) in [
-        ("old-1", "v1", 10),
-        ("old-2", "v1", 11),
-        ("new-1", "v2", 20),
-        ("new-2", "v2", 21),
-    ] {
-        let mut record = record(id, ENGINES, 9);
-        record.version = version.into();
-        record.started = started;
-        bed.state(record);
+    for (id, started) in [("old-1", 10), ("old-2", 11)] {
+        state(&mut bed, id, "v1", started);
     }
     bed
 }
 
+fn state(bed: &mut Bed, id: &str, version: &str, started: u64) {
+    let mut record = record(id, ENGINES, 9);
+    record.version = version.into();
+    record.started = started;
+    bed.state(record);
+}
+
 fn told(bed: &mut Bed, order: RolloutOrder) {
     bed.apply(Event::RolloutTold(order));
 }
@@ -183,3 +191,32 @@
     }
     panic!("nothing was tried");
 }
+
+/// A host that starts during a trial hears of the order later than of the backend servers, of
+/// which the oldest ones were replaced meanwhile, and serves from the version under trial only.
+#[test]
+fn a_version_that_turns_out_to_be_tried_is_not_in_force() {
+    let mut bed = bed();
+    bed.remove("old-1");
+    bed.remove("old-2");
+    bed.wait(Duration::from_secs(2));
+    bed.prove();
+    bed.tick();
+    assert_eq!(new_ones(&served(&mut bed)), 40);
+    state(&mut bed, "old-3", "v1", 30);
+    told(&mut bed, order("v2", 50, Running));
+    let all = served(&mut bed);
+    assert!(new_ones(&all) <= 21, "{all:?}");
+}
+
+/// The order's end is heard before the new backend servers' entries, and requests go to those
+/// that were stopped.
+#[test]
+fn a_version_that_was_brought_in_is_used_once_it_is_there() {
+    let mut bed = bed_of_old();
+    told(&mut bed, order("v2", 50, Done));
+    bed.tick();
+    served(&mut bed);
+    state(&mut bed, "new-3", "v2", 40);
+    assert_eq!(new_ones(&served(&mut bed)), 40);
+}
