Let a host that has just started ask the store every two seconds at the latest

Cause, found by reading: with pauses of up to 8 s a host that started while the store was out could have its configuration from a peer and no backend server for as long. Also: a file name says what it holds.

--- a/crates/jaypin_entry/src/store/mod.rs
+++ b/crates/jaypin_entry/src/store/mod.rs
@@ -34,6 +34,8 @@
 const LARGE_FLEET: u32 = 20;
 /// Longest pause of the hosts that ask first.
 const LONGEST_FIRST_RETRY: Duration = Duration::from_millis(800);
+/// Longest pause of a host that has just started: nobody else reads the backend servers for it.
+const LONGEST_START_RETRY: Duration = Duration::from_secs(2);
 /// Spread of pauses, so that a fleet does not come back in one moment.
 const RETRY_SPREAD: std::ops::Range<f64> = 0.7..1.3;
 
@@ -106,7 +108,10 @@
     async fn pause_after(&mut self, host: &Host, what: &str, error: &StoreError) {
         log::warn!(what, error:%; "the store did not answer");
         host.apply(jaypin_router::Event::StoreDisturbed);
-        let longest = host.look(longest_retry);
+        let mut longest = host.look(longest_retry);
+        if !self.has_ended_well {
+            longest = longest.min(LONGEST_START_RETRY);
+        }
         let pause = FIRST_RETRY.saturating_mul(2_u32.saturating_pow(self.failures));
         self.failures += 1;
         let spread = rand::rng().random_range(RETRY_SPREAD);
--- a/crates/jaypin_router/src/rollout/mod.rs
+++ b/crates/jaypin_router/src/rollout/mod.rs
@@ -6,17 +6,17 @@
 //! judges by itself.
 
 mod exposure;
-mod one;
 mod order;
 mod outcomes;
+mod progress;
 mod slow_answer;
 mod version_test;
 mod versions;
 
 pub use exposure::Exposure;
-pub use one::{Rollout, RolloutWrite};
 pub use order::{RolloutOrder, RolloutState};
 pub use outcomes::{Outcome, OutcomeCounts, RouteKey, RouteOutcomes, VersionOutcomes};
+pub use progress::{Rollout, RolloutWrite};
 pub use slow_answer::SlowAnswers;
 pub use version_test::{Evidence, VersionTest};
 pub use versions::{Rollouts, VersionRole};
