--- a/crates/jaypin_router/tests/rollout_fleet.rs
+++ b/crates/jaypin_router/tests/rollout_fleet/fleet.rs
@@ -1,12 +1,9 @@
-//! A fleet of hosts that brings in a new version: requests, delayed reports, one store.
+//! Hosts, requests, delayed reports, and one store with one order.
 
-mod common;
-
-use std::collections::{BTreeMap, HashSet};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use common::{ENGINES, address, bounds, configuration, record};
+use super::common::{ENGINES, address, bounds, configuration, record};
 use jaypin_core::HostId;
 use jaypin_router::{
     Arrival, AttemptOutcome, BootTime, Effect, EntryChange, Event, ExposureBound, Report,
@@ -17,20 +14,25 @@
 
 const STEP: Duration = Duration::from_millis(20);
 /// Time that a report or an answer of the store takes.
-const DELAY: Duration = Duration::from_millis(20);
-const ORDERED_AT: Duration = Duration::from_secs(3);
-const ORDER_TIME: Duration = Duration::from_secs(12);
+pub const DELAY: Duration = Duration::from_millis(20);
+/// When the version is ordered, and the time of the order.
+pub const ORDERED_AT: Duration = Duration::from_secs(3);
+pub const ORDER_TIME: Duration = Duration::from_secs(12);
 const END: Duration = Duration::from_secs(17);
 const SHARE: f64 = 0.1;
 const SLACK: f64 = 50.0;
 
 /// How a version answers at a time since the order.
-type Answers = fn(since: Duration, rng: &mut ChaCha8Rng) -> Answer;
+pub type Answers = fn(since: Duration, rng: &mut ChaCha8Rng) -> Answer;
 
+/// How one request is answered.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Answer {
+pub enum Answer {
+    /// Whole and quick.
     Good,
+    /// Whole and late.
     Slow,
+    /// By a failure.
     Fails,
 }
 
@@ -43,65 +45,58 @@
     End(RequestNumber, AttemptOutcome),
 }
 
-struct Host {
+/// A host.
+pub struct Host {
+    /// Whether its process runs.
+    pub is_up: bool,
+    /// Whether it is cut off from the store and its peers.
+    pub is_cut: bool,
     router: Router,
     boot: BootTime,
-    is_up: bool,
-    /// Whether it reaches the store and its peers.
-    is_cut: bool,
     coming: Vec<(Instant, Coming)>,
 }
 
 /// What backend servers saw.
 #[derive(Debug, Default)]
-struct Seen {
-    all: u32,
-    new: u32,
-    bad: u32,
-    new_after_end: u32,
-    ended: Option<(RolloutState, Duration)>,
-    writes: u32,
+pub struct Seen {
+    /// Requests of the service, from the order to its time.
+    pub all: u32,
+    /// Those that the new version got.
+    pub new: u32,
+    /// Those of them that failed or were slow.
+    pub bad: u32,
+    /// Those that it got after it was given up.
+    pub new_after_end: u32,
+    /// How the order ended, and when.
+    pub ended: Option<(RolloutState, Duration)>,
+    /// Writes to the store.
+    pub writes: u32,
 }
 
-struct Fleet {
-    hosts: Vec<Host>,
-    now: Instant,
-    start: Instant,
+/// A fleet before old and new engines.
+pub struct Fleet {
+    /// Its hosts.
+    pub hosts: Vec<Host>,
+    /// Now.
+    pub now: Instant,
+    /// When it started.
+    pub start: Instant,
+    /// The order, as the store has it.
+    pub store: RolloutOrder,
+    /// Whether the store answers nobody.
+    pub store_is_out: bool,
+    /// How the old version answers.
+    pub old_answers: Answers,
+    /// What backend servers saw.
+    pub seen: Seen,
     rng: ChaCha8Rng,
-    store: RolloutOrder,
     is_ordered: bool,
-    store_is_out: bool,
     answers: Answers,
-    old_answers: Answers,
     next: RequestNumber,
-    seen: Seen,
-}
-
-fn good(_: Duration, _: &mut ChaCha8Rng) -> Answer {
-    Answer::Good
-}
-
-fn fails_at_once(_: Duration, rng: &mut ChaCha8Rng) -> Answer {
-    fails(0.4, rng)
-}
-
-fn fails_later(since: Duration, rng: &mut ChaCha8Rng) -> Answer {
-    if since > Duration::from_secs(5) {
-        fails(0.4, rng)
-    } else {
-        Answer::Good
-    }
-}
-
-fn fails_a_little(_: Duration, rng: &mut ChaCha8Rng) -> Answer {
-    fails(0.1, rng)
-}
-
-fn is_slow(_: Duration, _: &mut ChaCha8Rng) -> Answer {
-    Answer::Slow
 }
 
-fn fails(part: f64, rng: &mut ChaCha8Rng) -> Answer {
+/// Fails a part of requests.
+pub fn fails(part: f64, rng: &mut ChaCha8Rng) -> Answer {
     if rng.random_range(0.0..1.0) < part {
         Answer::Fails
     } else {
@@ -110,7 +105,8 @@
 }
 
 impl Fleet {
-    fn new(seed: u64, answers: Answers) -> Self {
+    /// Starts it.
+    pub fn new(seed: u64, answers: Answers) -> Self {
         let now = Instant::now();
         let mut fleet = Self {
             hosts: (0..12).map(|n| host(n, seed)).collect(),
@@ -121,7 +117,7 @@
             is_ordered: false,
             store_is_out: false,
             answers,
-            old_answers: good,
+            old_answers: |_, _| Answer::Good,
             next: 1,
             seen: Seen::default(),
         };
@@ -132,7 +128,7 @@
     }
 
     /// A host's process starts and learns what the store has.
-    fn begin(&mut self, n: usize) {
+    pub fn begin(&mut self, n: usize) {
         let seed = self.rng.random();
         let all: Vec<_> = (0..self.hosts.len())
             .map(|other| (name(other), address(7_000 + port(other))))
@@ -230,8 +226,8 @@
         if is_new {
             self.seen.new += 1;
             self.seen.bad += u32::from(answer != Answer::Good);
-            let is_rolled_back = self.store.state == RolloutState::RolledBack;
-            self.seen.new_after_end += u32::from(is_over && is_rolled_back);
+            let is_given_up = self.store.state == RolloutState::RolledBack;
+            self.seen.new_after_end += u32::from(is_over && is_given_up);
         }
         let first = Duration::from_millis(match answer {
             Answer::Good => self.rng.random_range(25..60),
@@ -248,7 +244,8 @@
         coming.push((self.now + first * 3, end));
     }
 
-    fn step(&mut self) {
+    /// Lets a moment pass.
+    pub fn step(&mut self) {
         self.now += STEP;
         if !self.is_ordered && self.now >= self.start + ORDERED_AT {
             self.is_ordered = true;
@@ -321,12 +318,13 @@
         self.apply(n, Event::Arrived(arrival));
     }
 
-    fn run(&mut self) -> &Seen {
+    /// Runs to the end.
+    pub fn run(&mut self) -> &Seen {
         self.run_with(|_, _| {})
     }
 
     /// Runs to the end, with something done at each step.
-    fn run_with(&mut self, act: impl Fn(&mut Self, Duration)) -> &Seen {
+    pub fn run_with(&mut self, act: impl Fn(&mut Self, Duration)) -> &Seen {
         while self.now < self.start + END {
             let since = self.now - self.start;
             act(self, since);
@@ -337,7 +335,8 @@
 }
 
 impl Seen {
-    fn keeps_its_share(&self) -> bool {
+    /// Whether the new version got no more than its share.
+    pub fn keeps_its_share(&self) -> bool {
         f64::from(self.new) <= SHARE * f64::from(self.all) + SLACK
     }
 }
@@ -392,154 +391,3 @@
         revision: 10,
     }
 }
-
-fn seeds() -> std::ops::Range<u64> {
-    0..5
-}
-
-/// A good version is never brought in, or its trial takes more than its share.
-#[test]
-fn a_good_version_is_done_in_time() {
-    for seed in seeds() {
-        let mut fleet = Fleet::new(seed, good);
-        let seen = fleet.run_with(|fleet, _| {
-            let is_trial = !fleet.store.state.is_final();
-            assert!(
-                !is_trial || fleet.seen.keeps_its_share(),
-                "{:?}",
-                fleet.seen
-            );
-        });
-        let (state, at) = seen.ended.expect("an end");
-        assert_eq!(state, RolloutState::Done, "seed {seed}");
-        assert!(at < ORDER_TIME, "seed {seed}: {at:?}");
-        assert!(seen.writes <= 4, "{seen:?}");
-    }
-}
-
-macro_rules! bad_versions {
-    ($($name:ident: $answers:expr, most $most:literal;)*) => {$(
-        /// Callers are served by a bad version for longer than it takes to see that it is.
-        #[test]
-        fn $name() {
-            let mut bad = Vec::new();
-            for seed in seeds() {
-                let mut fleet = Fleet::new(seed, $answers);
-                let seen = fleet.run();
-                let (state, _) = seen.ended.expect("an end");
-                assert_eq!(state, RolloutState::RolledBack, "seed {seed}");
-                assert!(seen.keeps_its_share(), "seed {seed}: {seen:?}");
-                assert_eq!(seen.new_after_end, 0, "seed {seed}");
-                assert!(seen.bad < 50, "seed {seed}: {seen:?}");
-                bad.push(seen.bad);
-            }
-            bad.sort_unstable();
-            let median = bad[bad.len() / 2];
-            assert!(median <= $most, "{median} bad answers on the median: {bad:?}");
-        }
-    )*};
-}
-
-bad_versions! {
-    a_version_that_fails_at_once_is_given_up: fails_at_once, most 20;
-    a_version_that_fails_later_is_given_up: fails_later, most 20;
-    a_version_that_fails_a_little_is_given_up: fails_a_little, most 20;
-    a_slow_version_is_given_up: is_slow, most 40;
-}
-
-/// Hosts that start in the middle of a trial give out the share anew.
-#[test]
-fn restarts_do_not_add_to_the_share() {
-    for seed in seeds() {
-        let mut fleet = Fleet::new(seed, good);
-        let seen = fleet.run_with(|fleet, since| {
-            let step = since.as_millis() / 20;
-            if (200..600).contains(&step) && step % 10 == 0 {
-                let n = usize::try_from(step / 10).expect("small") % 12;
-                fleet.begin(n);
-            }
-            let is_trial = !fleet.store.state.is_final();
-            assert!(
-                !is_trial || fleet.seen.keeps_its_share(),
-                "{:?}",
-                fleet.seen
-            );
-        });
-        assert!(seen.new > 0);
-    }
-}
-
-/// A host that can't hear of the end goes on sending to the new version.
-#[test]
-fn a_host_that_is_cut_off_sends_nothing_to_a_version_under_trial() {
-    let mut fleet = Fleet::new(1, good);
-    let cut_at = ORDERED_AT + Duration::from_secs(2);
-    let grace = Duration::from_secs(3);
-    let mut before = 0;
-    while fleet.now < fleet.start + cut_at + grace {
-        if fleet.now >= fleet.start + cut_at {
-            for host in &mut fleet.hosts {
-                host.is_cut = true;
-            }
-        }
-        fleet.step();
-        before = fleet.seen.new;
-    }
-    for _ in 0..100 {
-        fleet.step();
-    }
-    assert_eq!(fleet.seen.new, before);
-}
-
-/// The host whose turn it is to write is gone, and nobody else does.
-#[test]
-fn another_host_ends_an_order_when_the_first_is_gone() {
-    for seed in seeds() {
-        let mut fleet = Fleet::new(seed, fails_at_once);
-        let writers: HashSet<usize> = (2..11).collect();
-        let seen = fleet.run_with(|fleet, since| {
-            if since < ORDERED_AT + DELAY {
-                return;
-            }
-            for n in &writers {
-                fleet.hosts[*n].is_up = false;
-            }
-        });
-        let state = seen.ended.map(|it| it.0);
-        assert_eq!(state, Some(RolloutState::RolledBack), "seed {seed}");
-    }
-}
-
-/// A store that is away when a bad version is found keeps it in use.
-#[test]
-fn a_bad_version_is_left_though_the_store_is_out() {
-    for seed in seeds() {
-        let mut fleet = Fleet::new(seed, fails_at_once);
-        let out = Duration::from_secs(3)..Duration::from_secs(9);
-        let seen = fleet.run_with(|fleet, since| {
-            let since = since.saturating_sub(ORDERED_AT);
-            fleet.store_is_out = since > Duration::from_millis(100) && since < out.end;
-        });
-        assert!(seen.bad < 50, "seed {seed}: {seen:?}");
-        let state = seen.ended.map(|it| it.0);
-        assert_eq!(state, Some(RolloutState::RolledBack), "seed {seed}");
-    }
-}
-
-/// A sound version is given up because all backend servers fail for a while.
-#[test]
-fn trouble_of_both_versions_speaks_against_none() {
-    fn troubled(since: Duration, rng: &mut ChaCha8Rng) -> Answer {
-        let is_troubled = (4_000..7_000).contains(&since.as_millis());
-        fails(if is_troubled { 0.4 } else { 0.0 }, rng)
-    }
-    let mut ends: BTreeMap<&str, u32> = BTreeMap::new();
-    for seed in seeds() {
-        let mut fleet = Fleet::new(seed, troubled);
-        fleet.old_answers = troubled;
-        let state = fleet.run().ended.map_or("open", |it| it.0.as_str());
-        *ends.entry(state).or_default() += 1;
-    }
-    assert_eq!(ends.get("rolled-back"), None, "{ends:?}");
-    assert!(ends.get("done") >= Some(&4), "{ends:?}");
-}
