Log and count what backend servers state of the requests they take

Cause: logs and metrics could not tell which host had heard a limit, so two hypotheses of the incident were alike in them. Change: the header of an answer is decoded in platform/, kept by backend server and process (signals.rs), logged when it changes and counted (jaypin.backends.limited). A value that is no rate is refused with a log line. No decision reads it. Ruled out: counting in the log line of each request (3.4 KB a second and host already). Conclusion: from here on a log says when each host heard of a limit.

--- a/crates/jaypin_entry/src/callers/drive.rs
+++ b/crates/jaypin_entry/src/callers/drive.rs
@@ -231,6 +231,7 @@
         if let Some(outcome) = self.misplaced(&says, &response) {
             return outcome;
         }
+        self.note_signals(order, &says);
         if says.is_declined {
             return self.declined(connection, response, &says).await;
         }
@@ -240,6 +241,29 @@
         self.whole(connection, response, delivery).await
     }
 
+    /// Tells the reducer what the backend server says of itself, and logs a change.
+    fn note_signals(&self, order: &SendOrder, says: &BackendAnswer) {
+        let backend = &order.backend;
+        // The server that answered is not the one that is known by this id.
+        if says.is_other_backend {
+            return;
+        }
+        let signals = match &says.signals {
+            Ok(signals) => *signals,
+            Err(error) => {
+                log::warn!(backend, error:%; "signals of a backend server make no sense");
+                return;
+            }
+        };
+        let number = self.number;
+        let before = self.host.look(|router| router.signals_of(backend));
+        self.host.apply(Event::Signalled { number, signals });
+        let after = self.host.look(|router| router.signals_of(backend));
+        if before != after {
+            log::info!(backend, before:?, after:?; "signals of a backend server changed");
+        }
+    }
+
     /// An answer to another request, or bytes that no backend server of ours marked.
     ///
     /// Guards against answers that come late or twice: on a kept connection they would be
--- a/crates/jaypin_entry/src/metrics.rs
+++ b/crates/jaypin_entry/src/metrics.rs
@@ -34,6 +34,7 @@
     running: Gauge<u64>,
     hosts: Gauge<u64>,
     backends: Gauge<u64>,
+    limited_backends: Gauge<u64>,
     version: Gauge<u64>,
     ready: Gauge<u64>,
     // Kept because its end would end the instruments.
@@ -68,6 +69,7 @@
         running: meter.u64_gauge("jaypin.requests.running").build(),
         hosts: meter.u64_gauge("jaypin.hosts.heard").build(),
         backends: meter.u64_gauge("jaypin.backends.ready").build(),
+        limited_backends: meter.u64_gauge("jaypin.backends.limited").build(),
         version: meter.u64_gauge("jaypin.configuration.version").build(),
         ready: meter.u64_gauge("jaypin.ready").build(),
         registry,
@@ -121,6 +123,8 @@
     all.running.record(wide(counts.running), &[]);
     all.hosts.record(wide(counts.hosts), &[]);
     all.backends.record(wide(counts.backends), &[]);
+    all.limited_backends
+        .record(wide(counts.limited_backends), &[]);
     all.version.record(counts.version, &[]);
     all.ready.record(u64::from(is_ready), &[]);
     let mut buf = Vec::new();
--- a/crates/jaypin_entry/src/ports.rs
+++ b/crates/jaypin_entry/src/ports.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use hyper::{HeaderMap, Method, StatusCode, Uri};
 use jaypin_core::{AccountId, BackendId, FailureDomain, HostId};
-use jaypin_router::{BackendRecord, Bounds, Configuration, RolloutOrder};
+use jaypin_router::{BackendRecord, BackendSignals, Bounds, Configuration, RolloutOrder};
 use serde_json::Value;
 use snafu::Snafu;
 
@@ -154,7 +154,7 @@
 }
 
 /// What the header of a backend server's answer says.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug)]
 pub struct BackendAnswer {
     /// The id of the try that it answers, where it says so.
     pub id: Option<String>,
@@ -164,6 +164,8 @@
     pub is_declined: bool,
     /// Whether another backend server has the address.
     pub is_other_backend: bool,
+    /// What the backend server says of itself, unless that makes no sense.
+    pub signals: Result<BackendSignals, DecodeError>,
 }
 
 /// An adapter to a platform: translation and nothing else.
--- a/crates/jaypin_router/src/lib.rs
+++ b/crates/jaypin_router/src/lib.rs
@@ -32,6 +32,7 @@
 mod rollout;
 mod route_table;
 mod router;
+mod signals;
 mod size;
 mod view;
 mod waiting;
@@ -68,6 +69,7 @@
 };
 pub use route_table::{RouteTable, Unrouted};
 pub use router::{Bounds, Effect, Event, ExposureBound, Router, RouterConfig, RouterCounts};
+pub use signals::{BackendSignals, SignalTable};
 pub use size::Sizes;
 pub use view::{ViewKind, Views};
 pub use waiting::WaitingList;
--- a/crates/jaypin_router/src/router/event.rs
+++ b/crates/jaypin_router/src/router/event.rs
@@ -7,8 +7,8 @@
 use jaypin_core::{BackendId, FailureDomain, HostId, Incarnation, Refusal};
 
 use crate::{
-    Arrival, AskedBy, AttemptOutcome, BackendRecord, BootTime, EntryChange, Grounds, Report,
-    RequestNumber, RolloutOrder, RolloutWrite, RouteTable, Unrouted,
+    Arrival, AskedBy, AttemptOutcome, BackendRecord, BackendSignals, BootTime, EntryChange,
+    Grounds, Report, RequestNumber, RolloutOrder, RolloutWrite, RouteTable, Unrouted,
 };
 
 /// Bounds that the fleet's operators state.
@@ -86,6 +86,13 @@
     EntriesHanded(Vec<EntryChange>),
     /// A request was read whole.
     Arrived(Arrival),
+    /// The header of a call's answer came.
+    Signalled {
+        /// The request.
+        number: RequestNumber,
+        /// What it says of the backend server.
+        signals: BackendSignals,
+    },
     /// The first event or the whole answer of a call came.
     Answered(RequestNumber),
     /// Events of a stream came, behind its first one or those that were told before.
@@ -193,6 +200,8 @@
     pub hosts: usize,
     /// Backend servers that take requests.
     pub backends: usize,
+    /// Backend servers that state a limit on what they take.
+    pub limited_backends: usize,
     /// Version of the configuration; 0 before any.
     pub version: u64,
 }
--- a/crates/jaypin_router/src/router/mod.rs
+++ b/crates/jaypin_router/src/router/mod.rs
@@ -25,9 +25,9 @@
 
 use crate::request::{Request, Sent};
 use crate::{
-    AccountAsked, AskedRates, BackendTable, BootTime, CellIndex, Entries, Fleet, FleetQuota,
-    Floors, PeerLoads, RequestNumber, ResendBudget, Rollouts, RouteTable, Sizes, SlowAnswers,
-    Views, WaitingList,
+    AccountAsked, AskedRates, Backend, BackendSignals, BackendTable, BootTime, CellIndex, Entries,
+    Fleet, FleetQuota, Floors, PeerLoads, RequestNumber, ResendBudget, Rollouts, RouteTable,
+    SignalTable, Sizes, SlowAnswers, Views, WaitingList,
 };
 use lapse::Vanished;
 use telling::Telling;
@@ -61,6 +61,7 @@
     rollouts: Rollouts,
     slow_answers: SlowAnswers,
     backends: BackendTable,
+    signals: SignalTable,
     vanished: Vanished,
     fleet: Fleet,
     peer_loads: PeerLoads,
@@ -106,6 +107,7 @@
             rollouts: Rollouts::default(),
             slow_answers: SlowAnswers::default(),
             backends: BackendTable::default(),
+            signals: SignalTable::default(),
             vanished: Vanished::default(),
             fleet: Fleet::default(),
             peer_loads: PeerLoads::default(),
@@ -147,6 +149,7 @@
             Event::BackendChanged(change) => self.backend_told(change, now),
             Event::EntriesHanded(entries) => self.entries_handed(entries, now),
             Event::Arrived(arrival) => self.arrived(now, &arrival, &mut fx),
+            Event::Signalled { number, signals } => self.signalled(now, number, signals),
             Event::Answered(number) => self.answered(now, number),
             Event::Streamed {
                 number,
@@ -189,11 +192,24 @@
             waiting: self.waiting.len(),
             running: self.sent.len(),
             hosts: self.fleet.size(now),
+            limited_backends: backends.clone().filter(|it| self.is_limited(it)).count(),
             backends: backends.filter(|it| it.takes_requests()).count(),
             version: self.version(),
         }
     }
 
+    /// What a backend server's answers said of it last.
+    #[must_use]
+    pub fn signals_of(&self, backend: &str) -> BackendSignals {
+        let backend = self.backends.get(backend);
+        let signals = backend.map(|it| self.signals.of(&it.record));
+        signals.unwrap_or_default()
+    }
+
+    fn is_limited(&self, backend: &Backend) -> bool {
+        self.signals.of(&backend.record).rate_limit.is_some()
+    }
+
     /// Peers that were heard lately.
     pub fn heard_peers(&self, now: Instant) -> impl Iterator<Item = &HostId> {
         self.fleet.heard(now).map(|(host, _)| host)
