Keep to the rate limits that backend servers state, over the whole fleet

Cause: the header was passed by, and nothing shares a rate among hosts. Change: a few hosts by rendezvous share a stated rate and space their requests evenly; signals travel in reports; refusals name limits. Why it works: of k hosts with k/L seconds between two requests each, at most 4 L + k requests fall into 4 s, and k is at most L. Ruled out: equal parts for all hosts, since windows of 139 hosts that send once a minute add up by chance.

--- a/crates/jaypin_entry/src/peers/wire/mod.rs
+++ b/crates/jaypin_entry/src/peers/wire/mod.rs
@@ -10,8 +10,8 @@
 
 use jaypin_core::{AccountId, BackendId, FailureDomain, HostId, ServiceId};
 use jaypin_router::{
-    Asked, BackendLoad, BackendRecord, BackendSamples, BackendStatus, EntryChange, Rank, Report,
-    SoftwareVersion, StoreView, Strike, WholeReport,
+    Asked, BackendLoad, BackendRecord, BackendSamples, BackendSignals, BackendStatus, EntryChange,
+    Rank, Report, SignalReport, SoftwareVersion, StoreView, Strike, WholeReport,
 };
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -56,6 +56,9 @@
 /// Key; tokens and seconds of prompts, held seconds, events and their seconds; good and bad calls.
 type WireSamples = (u32, [f64; 5], u32, u32);
 
+/// Key, start of its process, limit of requests a second, age in milliseconds.
+type WireSignals = (u32, u64, Option<f64>, u64);
+
 /// Service's key, rank of account and of route, requests.
 type WireAsked = (u32, u8, u8, u32);
 /// Name, reports' address, callers' address, failure domain, cell.
@@ -78,6 +81,7 @@
     Vec<WireLoad>,
     Vec<WireSamples>,
     Vec<(String, f64)>,
+    Vec<WireSignals>,
     Vec<WireChange>,
     Option<WireWhole>,
 );
@@ -155,6 +159,7 @@
             report.loads.iter().map(wire_load).collect(),
             report.samples.iter().map(wire_samples).collect(),
             usage.map(wire_units).collect(),
+            report.signals.iter().map(wire_signals).collect(),
             report.changes.iter().map(wire_change).collect(),
             report.whole.as_ref().map(WireWhole::from),
         )
@@ -197,10 +202,22 @@
     type Error = WireError;
 
     fn try_from(wire: WireReport) -> Result<Self, WireError> {
-        let WireReport(host, run, sequence, is_ready, loads, samples, usage, changes, whole) = wire;
+        let WireReport(
+            host,
+            run,
+            sequence,
+            is_ready,
+            loads,
+            samples,
+            usage,
+            signals,
+            changes,
+            whole,
+        ) = wire;
         let mut learned = samples.iter().flat_map(|it| it.1);
         let are_units_sound = usage.iter().all(|(_, units)| is_sound(*units));
-        if !are_units_sound || !learned.all(is_sound) {
+        let mut limits = signals.iter().filter_map(|it| it.2);
+        if !are_units_sound || !learned.all(is_sound) || !limits.all(is_sound) {
             return Err(WireError::Number);
         }
         let usage = usage.into_iter();
@@ -212,6 +229,7 @@
             loads: loads.into_iter().map(load).collect(),
             samples: samples.into_iter().map(sample).collect(),
             usage: usage.map(units).collect(),
+            signals: signals.into_iter().map(read_signals).collect(),
             changes: changes.into_iter().map(change).collect(),
             whole: whole.map(WholeReport::try_from).transpose()?,
         })
@@ -302,6 +320,20 @@
     (it.key, sums, it.good, it.bad)
 }
 
+fn wire_signals(told: &SignalReport) -> WireSignals {
+    let age = milliseconds(told.age);
+    (told.key, told.started, told.signals.rate_limit, age)
+}
+
+fn read_signals((key, started, rate_limit, age): WireSignals) -> SignalReport {
+    SignalReport {
+        key,
+        started,
+        signals: BackendSignals { rate_limit },
+        age: Duration::from_millis(age),
+    }
+}
+
 fn wire_change(change: &EntryChange) -> WireChange {
     match change {
         EntryChange::Removed { id, revision } => (id.to_string(), *revision, None),
--- a/crates/jaypin_entry/tests/report_bytes.rs
+++ b/crates/jaypin_entry/tests/report_bytes.rs
@@ -7,9 +7,9 @@
     encode_configuration, encode_entries, encode_report,
 };
 use jaypin_router::{
-    Asked, BackendLoad, BackendRecord, BackendSamples, BackendStatus, EntryChange, OutcomeCounts,
-    Rank, Report, RolloutOrder, RolloutReport, RolloutState, RouteOutcomes, StoreView, Strike,
-    VersionOutcomes, WholeReport,
+    Asked, BackendLoad, BackendRecord, BackendSamples, BackendSignals, BackendStatus, EntryChange,
+    OutcomeCounts, Rank, Report, RolloutOrder, RolloutReport, RolloutState, RouteOutcomes,
+    SignalReport, StoreView, Strike, VersionOutcomes, WholeReport,
 };
 use rand::RngExt;
 use rand::SeedableRng;
@@ -47,6 +47,14 @@
             good: 2,
             bad: 1,
         }],
+        signals: vec![SignalReport {
+            key: 7,
+            started: 1_790_000_000_000,
+            signals: BackendSignals {
+                rate_limit: Some(2.4),
+            },
+            age: Duration::from_millis(30),
+        }],
         usage: vec![("farm".into(), 123_456.5)],
         changes: vec![
             EntryChange::Stated {
--- a/crates/jaypin_router/src/backend.rs
+++ b/crates/jaypin_router/src/backend.rs
@@ -5,6 +5,7 @@
 
 use jaypin_core::{BackendId, FailureDomain, ServiceId};
 
+use crate::throttle::Throttle;
 use crate::{
     AttemptOutcome, BackendKey, BackendLoad, BackendSamples, EventPace, Pace, RequestNumber,
     SoftwareVersion,
@@ -80,6 +81,8 @@
     failures: f64,
     rest_until: Option<Instant>,
     rests: u32,
+    /// How this host spaces its requests, where the backend server states a limit.
+    throttle: Option<Throttle>,
 }
 
 /// What peers have running there, and how much of their prompts is still to be read.
@@ -143,6 +146,7 @@
             failures: 0.0,
             rest_until: None,
             rests: 0,
+            throttle: None,
         }
     }
 
@@ -185,8 +189,9 @@
 
     /// Whether new requests may go there.
     #[must_use]
-    pub fn takes_requests(&self) -> bool {
-        self.record.status == BackendStatus::Ready
+    pub fn takes_requests(&self, now: Instant) -> bool {
+        let has_turn = self.throttle.as_ref().is_none_or(|it| it.allows(now));
+        self.record.status == BackendStatus::Ready && has_turn
     }
 
     /// Whether it was found unreachable or failing a moment ago, or a call there got no
@@ -215,6 +220,9 @@
             overdue_at: Some(overdue_at),
         };
         self.calls.insert(number, call);
+        if let Some(throttle) = &mut self.throttle {
+            throttle.sent(now);
+        }
     }
 
     /// Notes the first event of a call.
@@ -286,6 +294,17 @@
         }
     }
 
+    /// Spaces this host's requests; without a pause it sends none.
+    pub fn throttle(&mut self, pause: Option<Duration>, now: Instant) {
+        let throttle = self.throttle.get_or_insert_with(|| Throttle::new(now));
+        throttle.set_pause(pause, now);
+    }
+
+    /// Lets requests go there as they come.
+    pub fn stop_throttling(&mut self) {
+        self.throttle = None;
+    }
+
     /// Takes a newer statement of itself; a new run has nothing of the one before.
     pub fn restate(&mut self, record: BackendRecord) {
         if record.started == self.record.started && record.address == self.record.address {
--- a/crates/jaypin_router/src/grounds.rs
+++ b/crates/jaypin_router/src/grounds.rs
@@ -64,8 +64,11 @@
         /// Slots that are kept.
         kept: f64,
     },
-    /// No backend server of the service takes requests.
-    NoPlace,
+    /// No backend server of the service takes requests now.
+    NoPlace {
+        /// Backend servers whose rate limit leaves nothing for this host at the moment.
+        limited: usize,
+    },
     /// The time for the answer is over.
     Deadline,
     /// How the last call ended, and how often the request may have run.
@@ -143,7 +146,13 @@
                     "{free} slots free, {kept:.1} kept for more urgent requests"
                 )
             }
-            Self::NoPlace => write!(f, "no backend server takes requests"),
+            Self::NoPlace { limited: 0 } => write!(f, "no backend server takes requests"),
+            Self::NoPlace { limited } => {
+                write!(
+                    f,
+                    "no backend server takes requests, {limited} state a rate limit"
+                )
+            }
             Self::Deadline => write!(f, "the time for the answer is over"),
             Self::Call { runs, tried } => {
                 write!(f, "{tried} backend servers tried, may have run on {runs}")
--- a/crates/jaypin_router/src/lib.rs
+++ b/crates/jaypin_router/src/lib.rs
@@ -34,6 +34,7 @@
 mod router;
 mod signals;
 mod size;
+mod throttle;
 mod view;
 mod waiting;
 
@@ -58,7 +59,8 @@
 pub use rank::Rank;
 pub use rate::DecayedRate;
 pub use report::{
-    BackendLoad, BackendSamples, Report, RolloutReport, StoreView, Strike, WholeReport,
+    BackendLoad, BackendSamples, Report, RolloutReport, SignalReport, StoreView, Strike,
+    WholeReport,
 };
 pub use request::{Arrival, AskedBy, AttemptOutcome};
 pub use resend_budget::ResendBudget;
--- a/crates/jaypin_router/src/placement.rs
+++ b/crates/jaypin_router/src/placement.rs
@@ -77,7 +77,7 @@
     mut turn: impl FnMut() -> f64,
     now: Instant,
 ) -> Option<Choice> {
-    let usable = backends.filter(|it| it.takes_requests() && !tried.contains(&it.record.id));
+    let usable = backends.filter(|it| it.takes_requests(now) && !tried.contains(&it.record.id));
     let scored = usable.map(|backend| {
         let choice = weigh(backend, demand, now);
         let lacks = if serves(backend, &choice) {
--- a/crates/jaypin_router/src/report.rs
+++ b/crates/jaypin_router/src/report.rs
@@ -7,7 +7,8 @@
 use jaypin_core::{AccountId, FailureDomain, HostId, Incarnation};
 
 use crate::{
-    Asked, BackendKey, BootTime, CellIndex, EntryChange, HostKey, RolloutOrder, VersionOutcomes,
+    Asked, BackendKey, BackendSignals, BootTime, CellIndex, EntryChange, HostKey, RolloutOrder,
+    VersionOutcomes,
 };
 
 /// What one host has running and has learned.
@@ -32,6 +33,9 @@
     /// Quota units that accounts used, as totals of this run: all accounts in a whole
     /// report, else those that used some.
     pub usage: Vec<(AccountId, f64)>,
+    /// What answers said of backend servers: of all in a whole report, else of those whose
+    /// load it tells.
+    pub signals: Vec<SignalReport>,
     /// Entries that changed lately, from hosts that watch.
     pub changes: Vec<EntryChange>,
     /// The rest, in a whole report.
@@ -128,6 +132,19 @@
     pub bad: u32,
 }
 
+/// What an answer said of a backend server.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct SignalReport {
+    /// The backend server.
+    pub key: BackendKey,
+    /// Start of its process, as it states it.
+    pub started: u64,
+    /// What was said.
+    pub signals: BackendSignals,
+    /// Time since it was heard.
+    pub age: Duration,
+}
+
 /// A content under which backend servers died.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Strike {
--- a/crates/jaypin_router/src/router/attempt.rs
+++ b/crates/jaypin_router/src/router/attempt.rs
@@ -8,7 +8,7 @@
 use super::{Effect, Router};
 use crate::pace::CALL_OVERHEAD;
 use crate::request::{Admitted, Request, Sent};
-use crate::{AttemptOutcome, BackendSignals, Grounds, RequestNumber};
+use crate::{AttemptOutcome, Grounds, RequestNumber};
 
 /// Backend servers that may decline one request before it is refused.
 const MOST_DECLINED: usize = 4;
@@ -19,22 +19,6 @@
 const RESIDENCE_WEIGHT: f64 = 0.05;
 
 impl Router {
-    /// Takes what an answer's header says of its backend server.
-    pub(super) fn signalled(
-        &mut self,
-        now: Instant,
-        number: RequestNumber,
-        signals: BackendSignals,
-    ) {
-        let Some(request) = self.sent.get(&number) else {
-            return;
-        };
-        let Sent { backend, at, .. } = &request.state;
-        if let Some(backend) = self.backends.get(backend) {
-            self.signals.heard(&backend.record, signals, *at, now);
-        }
-    }
-
     pub(super) fn answered(&mut self, now: Instant, number: RequestNumber) {
         let Some(request) = self.sent.get_mut(&number) else {
             return;
--- a/crates/jaypin_router/src/router/knowledge.rs
+++ b/crates/jaypin_router/src/router/knowledge.rs
@@ -93,7 +93,7 @@
         }
     }
 
-    pub(super) fn backend_changed(&mut self, record: BackendRecord) {
+    pub(super) fn backend_changed(&mut self, record: BackendRecord, now: Instant) {
         self.vanished.is_back(&record.id);
         self.views.outdate();
         if let Some(backend) = self.backends.get_mut(&record.id) {
@@ -101,6 +101,9 @@
         } else {
             self.backends.insert(Backend::new(record));
         }
+        if !self.signals.is_empty() {
+            self.refresh_throttles(now);
+        }
     }
 
     pub(super) fn reported(&mut self, now: Instant, report: Report, boot_time: BootTime) {
@@ -109,6 +112,7 @@
         }
         self.heard_of_store(&report, now, boot_time);
         self.heard_of_rollouts(&report, now);
+        self.heard_of_signals(&report, now);
         self.take_loads(&report, now);
         let is_whole = report.whole.is_some();
         if let Some(whole) = &report.whole
--- a/crates/jaypin_router/src/router/mod.rs
+++ b/crates/jaypin_router/src/router/mod.rs
@@ -10,6 +10,7 @@
 mod snapshot;
 mod telling;
 mod telling_loads;
+mod throttling;
 mod watching;
 
 pub use event::{Bounds, Effect, Event, ExposureBound, RouterConfig, RouterCounts};
@@ -193,7 +194,7 @@
             running: self.sent.len(),
             hosts: self.fleet.size(now),
             limited_backends: backends.clone().filter(|it| self.is_limited(it)).count(),
-            backends: backends.filter(|it| it.takes_requests()).count(),
+            backends: backends.filter(|it| it.takes_requests(now)).count(),
             version: self.version(),
         }
     }
@@ -270,6 +271,7 @@
             self.refresh_peers(now);
             self.refresh_cells();
             self.refresh_own_loads(now);
+            self.refresh_signals(now);
             self.judge_rollouts(now, boot_time, fx);
         }
         self.place_waiting(now, fx);
--- a/crates/jaypin_router/src/router/placing.rs
+++ b/crates/jaypin_router/src/router/placing.rs
@@ -43,7 +43,8 @@
         }
         let Some(choice) = in_force else {
             if is_over {
-                return self.give_up(&request, Reason::NoBackend, Grounds::NoPlace, fx);
+                let grounds = self.no_place(&request.admitted.service);
+                return self.give_up(&request, Reason::NoBackend, grounds, fx);
             }
             return self.keep_waiting(request, now);
         };
@@ -69,6 +70,13 @@
         }
     }
 
+    fn no_place(&self, service: &ServiceId) -> Grounds {
+        let all = self.backends.values();
+        let of_service = all.filter(|it| it.record.service == *service);
+        let limited = of_service.filter(|it| self.is_limited(it)).count();
+        Grounds::NoPlace { limited }
+    }
+
     /// Prompts are read and engines rest while nobody tells so, so it looks again by itself.
     fn keep_waiting(&mut self, request: Request<Waiting>, now: Instant) {
         self.waiting.push(request);
@@ -167,7 +175,7 @@
     /// Free slots of a service's backend servers that this host uses.
     fn free_slots(&self, service: &ServiceId, now: Instant) -> u32 {
         let usable = self.ours(service);
-        let usable = usable.filter(|it| it.takes_requests() && !it.is_in_trouble(now));
+        let usable = usable.filter(|it| it.takes_requests(now) && !it.is_in_trouble(now));
         usable
             .map(|it| it.record.slots.saturating_sub(it.running()))
             .sum()
--- a/crates/jaypin_router/src/router/telling.rs
+++ b/crates/jaypin_router/src/router/telling.rs
@@ -9,7 +9,7 @@
 
 use super::{Effect, Router};
 use crate::fleet::PEER_GONE;
-use crate::{BootTime, Report, StoreView, Strike, WholeReport, cell_of, host_key};
+use crate::{BootTime, Report, SignalReport, StoreView, Strike, WholeReport, cell_of, host_key};
 
 /// Pause between two reports when something is to be heard at once.
 const URGENT_PAUSE: Duration = Duration::from_millis(6);
@@ -187,8 +187,10 @@
             asked: self.asked.totals().collect(),
             ..self.whole_report(now, boot_time)
         });
+        let signals = self.signals_to_tell(is_whole, now);
         let report = Box::new(Report {
             usage,
+            signals,
             changes: self.entries.next_news(),
             whole,
             ..self.empty_report()
@@ -207,11 +209,20 @@
             loads: Vec::new(),
             samples: Vec::new(),
             usage: Vec::new(),
+            signals: Vec::new(),
             changes: Vec::new(),
             whole: None,
         }
     }
 
+    fn signals_to_tell(&self, is_whole: bool, now: Instant) -> Vec<SignalReport> {
+        if is_whole {
+            self.signals.all_to_tell(now).collect()
+        } else {
+            Vec::new()
+        }
+    }
+
     fn usage_to_tell(&mut self, is_whole: bool) -> Vec<(AccountId, f64)> {
         let told = &mut self.telling.told_usage;
         let usage = self.quota.usage().filter(|(account, used)| {
@@ -317,6 +328,7 @@
             ..self.whole_report(now, boot_time)
         };
         let report = Box::new(Report {
+            signals: self.signals_to_tell(true, now),
             whole: Some(whole),
             ..self.empty_report()
         });
--- a/crates/jaypin_router/src/router/telling_loads.rs
+++ b/crates/jaypin_router/src/router/telling_loads.rs
@@ -174,6 +174,9 @@
             let load = backend.own_load();
             let samples = self.load_telling.tell(load, backend.samples(), now);
             report.loads.push(load);
+            report
+                .signals
+                .extend(self.signals.to_tell(backend.key, now));
             report.samples.extend(samples);
         }
         report
--- /dev/null
+++ b/crates/jaypin_router/src/router/throttling.rs
@@ -0,0 +1,116 @@
+//! Which part of a backend server's rate limit this host uses.
+
+use std::collections::HashSet;
+use std::time::Instant;
+
+use super::Router;
+use crate::throttle::pause_at;
+use crate::view::{hash, pair_score};
+use crate::{Backend, BackendSignals, Report, RequestNumber, cell_of};
+
+/// Hosts that share the rate limits of backend servers, as this host sees them.
+#[derive(Debug)]
+struct Sharers {
+    own: u64,
+    /// Whether this host is one of them.
+    is_one: bool,
+    others: Vec<u64>,
+}
+
+impl Router {
+    /// Takes what an answer's header says of its backend server.
+    pub(super) fn signalled(
+        &mut self,
+        now: Instant,
+        number: RequestNumber,
+        signals: BackendSignals,
+    ) {
+        let Some(request) = self.sent.get(&number) else {
+            return;
+        };
+        let state = &request.state;
+        let Some(backend) = self.backends.get(&state.backend) else {
+            return;
+        };
+        if self.signals.heard(&backend.record, signals, state.at, now) {
+            self.load_telling.slot_changed(backend.key);
+            self.refresh_throttles(now);
+        }
+    }
+
+    /// Takes what a peer's backend servers say of themselves.
+    pub(super) fn heard_of_signals(&mut self, report: &Report, now: Instant) {
+        let mut has_news = false;
+        for told in &report.signals {
+            has_news |= self.signals.peer_heard(told, now);
+        }
+        if has_news {
+            self.refresh_throttles(now);
+        }
+    }
+
+    /// Forgets old signals, and divides the limits anew among the hosts that are there now.
+    pub(super) fn refresh_signals(&mut self, now: Instant) {
+        if self.signals.is_empty() {
+            return;
+        }
+        let backends = &self.backends;
+        let is_known = |key| backends.by_key(key).is_some();
+        self.signals.forget_old(is_known, now);
+        self.refresh_throttles(now);
+    }
+
+    /// Sets how this host spaces its requests to each backend server.
+    pub(super) fn refresh_throttles(&mut self, now: Instant) {
+        let sharers = self.sharers(now);
+        for backend in self.backends.values_mut() {
+            let limit = self.signals.of(&backend.record).rate_limit;
+            match limit {
+                Some(rate) => backend.throttle(sharers.pause(backend, rate), now),
+                None => backend.stop_throttling(),
+            }
+        }
+    }
+
+    /// Hosts that callers are sent to. Where none is, all that are heard.
+    fn sharers(&self, now: Instant) -> Sharers {
+        let heard = self.fleet.heard(now);
+        let ready = heard.filter(|(_, peer)| peer.is_ready);
+        let mut others: Vec<_> = ready.map(|(host, _)| hash(host)).collect();
+        others.extend(self.ready_in_other_cells(now));
+        let is_one = self.was_ready || others.is_empty();
+        if others.is_empty() && !self.was_ready {
+            let heard = self.fleet.heard(now);
+            others = heard.map(|(host, _)| hash(host)).collect();
+        }
+        Sharers {
+            own: hash(&self.cfg.host),
+            is_one,
+            others,
+        }
+    }
+
+    /// Other cells tell where their callers may connect; which hosts these are follows from
+    /// their network addresses.
+    fn ready_in_other_cells(&self, now: Instant) -> impl Iterator<Item = u64> {
+        let callers = self.fleet.other_callers(now);
+        let ready: HashSet<_> = callers.map(|address| address.ip()).collect();
+        let found = self.telling.hosts_found();
+        let elsewhere = found.filter(|(host, _)| cell_of(host, self.cells) != self.cell);
+        let elsewhere = elsewhere.filter(move |(_, address)| ready.contains(&address.ip()));
+        elsewhere.map(|(host, _)| hash(&host))
+    }
+}
+
+impl Sharers {
+    fn pause(&self, backend: &Backend, rate: f64) -> Option<std::time::Duration> {
+        if !self.is_one {
+            return None;
+        }
+        let backend = hash(&backend.record.id);
+        let own = pair_score(self.own, backend);
+        let others = self.others.iter();
+        let place = others.filter(|it| pair_score(**it, backend) > own).count();
+        pause_at(place, self.others.len() + 1, rate)
+    }
+}
--- a/crates/jaypin_router/src/router/watching.rs
+++ b/crates/jaypin_router/src/router/watching.rs
@@ -210,7 +210,7 @@
             return false;
         }
         match change {
-            EntryChange::Stated { record, .. } => self.backend_changed(record),
+            EntryChange::Stated { record, .. } => self.backend_changed(record, now),
             EntryChange::Removed { id, .. } => self.backend_removed(&id, now),
         }
         true
--- a/crates/jaypin_router/src/signals.rs
+++ b/crates/jaypin_router/src/signals.rs
@@ -1,11 +1,20 @@
 //! What backend servers say of themselves in the headers of their answers.
+//!
+//! An answer is nearer to the truth than the store, so its signals go before what the store
+//! states. They belong to one process of a backend server and hold until that process takes
+//! them back: that a host has had no answer since says nothing.
 
-use std::collections::BTreeMap;
-use std::time::Instant;
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
 
-use jaypin_core::BackendId;
+use crate::{BackendKey, BackendRecord, SignalReport, backend_key};
 
-use crate::BackendRecord;
+/// Time by which a peer's word has to be newer than the same one that is known: each report
+/// that passes it on makes it look a little younger.
+const RELAY_MARGIN: Duration = Duration::from_millis(100);
+/// Time for which a signal that was taken back is told, so that no host that was cut off for
+/// a while brings it back.
+const TOLD_AFTER_END: Duration = Duration::from_mins(1);
 
 /// What the header of one answer says of the backend server that gave it.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
@@ -14,10 +23,16 @@
     pub rate_limit: Option<f64>,
 }
 
+impl BackendSignals {
+    fn is_none(self) -> bool {
+        self == Self::default()
+    }
+}
+
 /// The newest signals of each backend server.
 #[derive(Debug, Default)]
 pub struct SignalTable {
-    heard: BTreeMap<BackendId, HeardSignals>,
+    heard: HashMap<BackendKey, HeardSignals>,
 }
 
 /// Signals, and which process gave them when.
@@ -31,9 +46,10 @@
 }
 
 impl SignalTable {
-    /// Takes the signals of an answer to a request that was sent at some time.
+    /// Takes the signals of an answer to a request that was sent at some time; says whether
+    /// they differ from those that were known.
     ///
-    /// An answer without a signal withdraws it only if its request was sent after the signal
+    /// An answer without a signal takes it back only if its request was sent after the signal
     /// was heard: answers on different connections overtake each other.
     pub fn heard(
         &mut self,
@@ -41,25 +57,94 @@
         signals: BackendSignals,
         sent_at: Instant,
         now: Instant,
-    ) {
-        let known = self.heard.get(&record.id);
+    ) -> bool {
+        let key = backend_key(&record.id);
+        let known = self.heard.get(&key);
         let known = known.filter(|it| it.started == record.started);
-        if signals == BackendSignals::default() && known.is_none_or(|it| sent_at < it.at) {
-            return;
+        if signals.is_none() && known.is_none_or(|it| sent_at < it.at) {
+            return false;
         }
+        let before = known.map(|it| it.signals).unwrap_or_default();
         let heard = HeardSignals {
             signals,
             started: record.started,
             at: now,
         };
-        self.heard.insert(record.id.clone(), heard);
+        self.heard.insert(key, heard);
+        before != signals
+    }
+
+    /// Takes what a peer has heard, unless something newer is known; says whether it differs
+    /// from what was known.
+    pub fn peer_heard(&mut self, told: &SignalReport, now: Instant) -> bool {
+        let Some(at) = now.checked_sub(told.age) else {
+            return false;
+        };
+        let known = self.heard.get(&told.key);
+        let is_same = known
+            .is_some_and(|known| known.signals == told.signals && known.started == told.started);
+        let is_news = known.is_none_or(|known| {
+            let margin = if is_same {
+                RELAY_MARGIN
+            } else {
+                Duration::ZERO
+            };
+            at > known.at + margin
+        });
+        if is_news {
+            let heard = HeardSignals {
+                signals: told.signals,
+                started: told.started,
+                at,
+            };
+            self.heard.insert(told.key, heard);
+        }
+        is_news && !is_same
     }
 
     /// The signals of a backend server's present process.
     #[must_use]
     pub fn of(&self, record: &BackendRecord) -> BackendSignals {
-        let known = self.heard.get(&record.id);
+        let known = self.heard.get(&backend_key(&record.id));
         let known = known.filter(|it| it.started == record.started);
         known.map(|it| it.signals).unwrap_or_default()
     }
+
+    /// Whether nothing was heard that still matters.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.heard.is_empty()
+    }
+
+    /// What peers should know of a backend server.
+    #[must_use]
+    pub fn to_tell(&self, key: BackendKey, now: Instant) -> Option<SignalReport> {
+        let heard = self.heard.get(&key)?;
+        Some(heard.report(key, now))
+    }
+
+    /// What peers should know of all backend servers.
+    pub fn all_to_tell(&self, now: Instant) -> impl Iterator<Item = SignalReport> {
+        let all = self.heard.iter();
+        all.map(move |(key, heard)| heard.report(*key, now))
+    }
+
+    /// Forgets what was taken back long ago, or was said by backend servers that are gone.
+    pub fn forget_old(&mut self, is_known: impl Fn(BackendKey) -> bool, now: Instant) {
+        self.heard.retain(|key, heard| {
+            let is_old = now.saturating_duration_since(heard.at) >= TOLD_AFTER_END;
+            !is_old || (is_known(*key) && !heard.signals.is_none())
+        });
+    }
+}
+
+impl HeardSignals {
+    fn report(&self, key: BackendKey, now: Instant) -> SignalReport {
+        SignalReport {
+            key,
+            started: self.started,
+            signals: self.signals,
+            age: now.saturating_duration_since(self.at),
+        }
+    }
 }
--- a/crates/jaypin_router/src/view.rs
+++ b/crates/jaypin_router/src/view.rs
@@ -198,12 +198,13 @@
     *bar
 }
 
-fn hash(name: &str) -> u64 {
+/// Hash of a host's name or a backend server's id, for [`pair_score`].
+pub fn hash(name: &str) -> u64 {
     xxh3_64(name.as_bytes())
 }
 
-/// Score of a backend server for a host; the finalizer of `SplitMix64` over both hashes.
-fn pair_score(host: u64, backend: u64) -> u64 {
+/// Score of a backend server for a host: a host uses those with the greatest scores. The finalizer of `SplitMix64` over both hashes.
+pub fn pair_score(host: u64, backend: u64) -> u64 {
     let mut mixed = host ^ backend.rotate_left(32);
     mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
     mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
--- a/crates/jaypin_router/tests/common/mod.rs
+++ b/crates/jaypin_router/tests/common/mod.rs
@@ -173,6 +173,7 @@
         loads: Vec::new(),
         samples: Vec::new(),
         usage: Vec::new(),
+        signals: Vec::new(),
         changes: Vec::new(),
         whole: Some(whole),
     }
