Log when an answer says that its backend server leaves

Cause: logs could not tell a host that never heard the word from one that lost it when entries were read again. Change: the word is decoded, kept by backend server and process beside the stated limit, told in reports and logged. A limit that can't be read no longer hides it. No choice of a place reads it. Ruled out: a line for each answer that says so. Conclusion: the two hypotheses differ in a log from here on.

--- a/crates/jaypin_entry/src/callers/drive.rs
+++ b/crates/jaypin_entry/src/callers/drive.rs
@@ -10,7 +10,7 @@
 use hyper::{Request, Response, Uri};
 use jaypin_core::{Ran, Reason, Refusal};
 use jaypin_http::EventReader;
-use jaypin_router::{Arrival, AskedBy, AttemptOutcome, Event, RequestNumber};
+use jaypin_router::{Arrival, AskedBy, AttemptOutcome, BackendSignals, Event, RequestNumber};
 use tokio::sync::oneshot;
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep_until, timeout};
@@ -248,15 +248,19 @@
         if says.is_other_backend {
             return;
         }
-        let signals = match &says.signals {
-            Ok(signals) => *signals,
+        let number = self.number;
+        let before = self.host.look(|router| router.signals_of(backend));
+        let rate_limit = match &says.rate_limit {
+            Ok(rate_limit) => *rate_limit,
             Err(error) => {
                 log::warn!(backend, error:%; "signals of a backend server make no sense");
-                return;
+                before.rate_limit
             }
         };
-        let number = self.number;
-        let before = self.host.look(|router| router.signals_of(backend));
+        let signals = BackendSignals {
+            rate_limit,
+            is_leaving: says.is_leaving,
+        };
         self.host.apply(Event::Signalled { number, signals });
         let after = self.host.look(|router| router.signals_of(backend));
         if before != after {
--- a/crates/jaypin_entry/src/peers/wire/mod.rs
+++ b/crates/jaypin_entry/src/peers/wire/mod.rs
@@ -56,8 +56,9 @@
 /// Key; tokens and seconds of prompts, held seconds, events and their seconds; good and bad calls.
 type WireSamples = (u32, [f64; 5], u32, u32);
 
-/// Key, start of its process, limit of requests a second, age in milliseconds.
-type WireSignals = (u32, u64, Option<f64>, u64);
+/// Key, start of its process, limit of requests a second, whether it leaves, age in
+/// milliseconds.
+type WireSignals = (u32, u64, Option<f64>, bool, u64);
 
 /// Service's key, rank of account and of route, requests.
 type WireAsked = (u32, u8, u8, u32);
@@ -321,15 +322,22 @@
 }
 
 fn wire_signals(told: &SignalReport) -> WireSignals {
+    let BackendSignals {
+        rate_limit,
+        is_leaving,
+    } = told.signals;
     let age = milliseconds(told.age);
-    (told.key, told.started, told.signals.rate_limit, age)
+    (told.key, told.started, rate_limit, is_leaving, age)
 }
 
-fn read_signals((key, started, rate_limit, age): WireSignals) -> SignalReport {
+fn read_signals((key, started, rate_limit, is_leaving, age): WireSignals) -> SignalReport {
     SignalReport {
         key,
         started,
-        signals: BackendSignals { rate_limit },
+        signals: BackendSignals {
+            rate_limit,
+            is_leaving,
+        },
         age: Duration::from_millis(age),
     }
 }
--- a/crates/jaypin_entry/src/ports.rs
+++ b/crates/jaypin_entry/src/ports.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use hyper::{HeaderMap, Method, StatusCode, Uri};
 use jaypin_core::{AccountId, BackendId, FailureDomain, HostId};
-use jaypin_router::{BackendRecord, BackendSignals, Bounds, Configuration, RolloutOrder};
+use jaypin_router::{BackendRecord, Bounds, Configuration, RolloutOrder};
 use serde_json::Value;
 use snafu::Snafu;
 
@@ -164,8 +164,10 @@
     pub is_declined: bool,
     /// Whether another backend server has the address.
     pub is_other_backend: bool,
-    /// What the backend server says of itself, unless that makes no sense.
-    pub signals: Result<BackendSignals, DecodeError>,
+    /// Requests a second that it takes from all hosts together, where it says so.
+    pub rate_limit: Result<Option<f64>, DecodeError>,
+    /// Whether it finishes what it has and ends.
+    pub is_leaving: bool,
 }
 
 /// An adapter to a platform: translation and nothing else.
--- a/crates/jaypin_entry/tests/report_bytes.rs
+++ b/crates/jaypin_entry/tests/report_bytes.rs
@@ -52,6 +52,7 @@
             started: 1_790_000_000_000,
             signals: BackendSignals {
                 rate_limit: Some(2.4),
+                is_leaving: true,
             },
             age: Duration::from_millis(30),
         }],
--- a/crates/jaypin_router/src/signals.rs
+++ b/crates/jaypin_router/src/signals.rs
@@ -21,6 +21,8 @@
 pub struct BackendSignals {
     /// Requests a second that it takes from all hosts together; without it as many as it can.
     pub rate_limit: Option<f64>,
+    /// Whether it finishes what it has and ends. Its process never takes that back.
+    pub is_leaving: bool,
 }
 
 impl BackendSignals {
@@ -49,7 +51,7 @@
     /// Takes the signals of an answer to a request that was sent at some time; says whether
     /// they differ from those that were known.
     ///
-    /// An answer without a signal takes it back only if its request was sent after the signal
+    /// An answer without a limit takes it back only if its request was sent after the limit
     /// was heard: answers on different connections overtake each other.
     pub fn heard(
         &mut self,
@@ -60,18 +62,22 @@
     ) -> bool {
         let key = backend_key(&record.id);
         let known = self.heard.get(&key);
-        let known = known.filter(|it| it.started == record.started);
-        if signals.is_none() && known.is_none_or(|it| sent_at < it.at) {
+        let known = known.filter(|it| it.started == record.started).copied();
+        if signals.is_none() && known.is_none() {
             return false;
         }
         let before = known.map(|it| it.signals).unwrap_or_default();
+        let overtaken = known.filter(|it| signals.rate_limit.is_none() && sent_at < it.at);
         let heard = HeardSignals {
-            signals,
+            signals: BackendSignals {
+                rate_limit: overtaken.map_or(signals.rate_limit, |it| it.signals.rate_limit),
+                is_leaving: before.is_leaving || signals.is_leaving,
+            },
             started: record.started,
-            at: now,
+            at: overtaken.map_or(now, |it| it.at),
         };
         self.heard.insert(key, heard);
-        before != signals
+        before != heard.signals
     }
 
     /// Takes what a peer has heard, unless something newer is known; says whether it differs
@@ -80,26 +86,31 @@
         let Some(at) = now.checked_sub(told.age) else {
             return false;
         };
-        let known = self.heard.get(&told.key);
-        let is_same = known
-            .is_some_and(|known| known.signals == told.signals && known.started == told.started);
-        let is_news = known.is_none_or(|known| {
-            let margin = if is_same {
-                RELAY_MARGIN
-            } else {
-                Duration::ZERO
-            };
-            at > known.at + margin
-        });
-        if is_news {
-            let heard = HeardSignals {
-                signals: told.signals,
-                started: told.started,
-                at,
-            };
-            self.heard.insert(told.key, heard);
+        let mut heard = HeardSignals {
+            signals: told.signals,
+            started: told.started,
+            at,
+        };
+        let known = self.heard.get(&told.key).copied();
+        match known {
+            Some(known) if known.started == told.started => {
+                heard.signals.is_leaving |= known.signals.is_leaving;
+                let is_same = known.signals.rate_limit == told.signals.rate_limit;
+                let margin = if is_same {
+                    RELAY_MARGIN
+                } else {
+                    Duration::ZERO
+                };
+                if at <= known.at + margin {
+                    heard.signals.rate_limit = known.signals.rate_limit;
+                    heard.at = known.at;
+                }
+            }
+            Some(known) if at <= known.at => return false,
+            _ => {}
         }
-        is_news && !is_same
+        self.heard.insert(told.key, heard);
+        known.is_none_or(|it| it.signals != heard.signals || it.started != heard.started)
     }
 
     /// The signals of a backend server's present process.
--- a/crates/jaypin_router/tests/stated_limits.rs
+++ b/crates/jaypin_router/tests/stated_limits.rs
@@ -40,7 +40,11 @@
         let is_stated = STATED.contains(&(call.at - self.start));
         let limit = self.limits.get(&call.backend);
         let rate_limit = limit.copied().filter(|_| is_stated);
-        Answer::good(BackendSignals { rate_limit }, rng)
+        let signals = BackendSignals {
+            rate_limit,
+            ..BackendSignals::default()
+        };
+        Answer::good(signals, rng)
     }
 
     fn told(&mut self, host: usize, backend: &BackendId, signals: BackendSignals, at: Instant) {
