--- a/crates/jaypin_entry/src/callers/drive.rs
+++ b/crates/jaypin_entry/src/callers/drive.rs
@@ -10,7 +10,9 @@
 use hyper::{Request, Response, Uri};
 use jaypin_core::{Ran, Reason, Refusal};
 use jaypin_http::EventReader;
-use jaypin_router::{Arrival, AskedBy, AttemptOutcome, BackendSignals, Event, RequestNumber};
+use jaypin_router::{
+    Arrival, AskedBy, AttemptOutcome, BackendSignals, BackendStatus, Event, RequestNumber,
+};
 use tokio::sync::oneshot;
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep_until, timeout};
@@ -259,7 +261,7 @@
         };
         let signals = BackendSignals {
             rate_limit,
-            is_leaving: says.is_leaving,
+            is_leaving: says.status == BackendStatus::Leaving,
         };
         self.host.apply(Event::Signalled { number, signals });
         let after = self.host.look(|router| router.signals_of(backend));
--- a/crates/jaypin_entry/src/ports.rs
+++ b/crates/jaypin_entry/src/ports.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use hyper::{HeaderMap, Method, StatusCode, Uri};
 use jaypin_core::{AccountId, BackendId, FailureDomain, HostId};
-use jaypin_router::{BackendRecord, Bounds, Configuration, RolloutOrder};
+use jaypin_router::{BackendRecord, BackendStatus, Bounds, Configuration, RolloutOrder};
 use serde_json::Value;
 use snafu::Snafu;
 
@@ -166,8 +166,8 @@
     pub is_other_backend: bool,
     /// Requests a second that it takes from all hosts together, where it says so.
     pub rate_limit: Result<Option<f64>, DecodeError>,
-    /// Whether it finishes what it has and ends.
-    pub is_leaving: bool,
+    /// Whether the backend server takes new requests, by its own word.
+    pub status: BackendStatus,
 }
 
 /// An adapter to a platform: translation and nothing else.
