Send nothing new to a backend server that says in an answer that it leaves

Callers: streams that began on a server 11 s after it had said that it leaves could be cut when it ended. Cause: only the store's entries said who leaves, and the store was away when the server left; a listing after its return still called it ready. Why it works: no listing, restated entry or return of an entry of the same process touches it. Ruled out: writing it to the store (the store is what is away); dropping the backend server (the next listing brings it back).

--- a/crates/jaypin_router/src/backend.rs
+++ b/crates/jaypin_router/src/backend.rs
@@ -81,6 +81,8 @@
     failures: f64,
     rest_until: Option<Instant>,
     rests: u32,
+    /// Whether an answer said that its process leaves.
+    has_said_it_leaves: bool,
     /// How this host spaces its requests, where the backend server states a limit.
     throttle: Option<Throttle>,
 }
@@ -146,6 +148,7 @@
             failures: 0.0,
             rest_until: None,
             rests: 0,
+            has_said_it_leaves: false,
             throttle: None,
         }
     }
@@ -191,7 +194,13 @@
     #[must_use]
     pub fn takes_requests(&self, now: Instant) -> bool {
         let has_turn = self.throttle.as_ref().is_none_or(|it| it.allows(now));
-        self.record.status == BackendStatus::Ready && has_turn
+        self.is_ready() && has_turn
+    }
+
+    /// Whether it takes new requests by its entry and by its own answers.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.record.status == BackendStatus::Ready && !self.has_said_it_leaves
     }
 
     /// Whether it was found unreachable or failing a moment ago, or a call there got no
@@ -294,6 +303,11 @@
         }
     }
 
+    /// Takes no requests from now on, whatever its entry states.
+    pub fn says_it_leaves(&mut self) {
+        self.has_said_it_leaves = true;
+    }
+
     /// Spaces this host's requests; without a pause it sends none.
     pub fn throttle(&mut self, pause: Option<Duration>, now: Instant) {
         let throttle = self.throttle.get_or_insert_with(|| Throttle::new(now));
--- a/crates/jaypin_router/src/backend_table.rs
+++ b/crates/jaypin_router/src/backend_table.rs
@@ -4,7 +4,7 @@
 
 use jaypin_core::{BackendId, ServiceId};
 
-use crate::{Backend, BackendKey, BackendRecord, BackendStatus};
+use crate::{Backend, BackendKey, BackendRecord};
 
 /// Backend servers by id, found by the key of reports as well.
 #[derive(Debug, Default)]
@@ -72,9 +72,8 @@
         is_chosen: impl Fn(&BackendRecord) -> bool,
     ) -> BTreeMap<ServiceId, Vec<BackendId>> {
         let mut by_service: BTreeMap<ServiceId, Vec<BackendId>> = BTreeMap::new();
-        let ready = self.values().map(|it| &it.record);
-        let ready = ready.filter(|it| it.status == BackendStatus::Ready);
-        for record in ready.filter(|it| is_chosen(it)) {
+        let ready = self.values().filter(|it| it.is_ready());
+        for record in ready.map(|it| &it.record).filter(|it| is_chosen(it)) {
             let of_service = by_service.entry(record.service.clone()).or_default();
             of_service.push(record.id.clone());
         }
--- a/crates/jaypin_router/src/router/throttling.rs
+++ b/crates/jaypin_router/src/router/backend_signals.rs
@@ -1,4 +1,5 @@
-//! Which part of a backend server's rate limit this host uses.
+//! What this host makes of the signals of backend servers: who gets nothing new, and which
+//! part of a rate limit is its own.
 
 use std::collections::HashSet;
 use std::time::Instant;
@@ -34,7 +35,7 @@
         };
         if self.signals.heard(&backend.record, signals, state.at, now) {
             self.load_telling.slot_changed(backend.key);
-            self.refresh_throttles(now);
+            self.apply_signals(now);
         }
     }
 
@@ -45,7 +46,7 @@
             has_news |= self.signals.peer_heard(told, now);
         }
         if has_news {
-            self.refresh_throttles(now);
+            self.apply_signals(now);
         }
     }
 
@@ -57,15 +58,19 @@
         let backends = &self.backends;
         let is_known = |key| backends.by_key(key).is_some();
         self.signals.forget_old(is_known, now);
-        self.refresh_throttles(now);
+        self.apply_signals(now);
     }
 
-    /// Sets how this host spaces its requests to each backend server.
-    pub(super) fn refresh_throttles(&mut self, now: Instant) {
+    /// Sets for each backend server whether it leaves, and how this host spaces its requests.
+    pub(super) fn apply_signals(&mut self, now: Instant) {
         let sharers = self.sharers(now);
         for backend in self.backends.values_mut() {
-            let limit = self.signals.of(&backend.record).rate_limit;
-            match limit {
+            let signals = self.signals.of(&backend.record);
+            if signals.is_leaving && backend.is_ready() {
+                backend.says_it_leaves();
+                self.views.outdate();
+            }
+            match signals.rate_limit {
                 Some(rate) => backend.throttle(sharers.pause(backend, rate), now),
                 None => backend.stop_throttling(),
             }
--- a/crates/jaypin_router/src/router/knowledge.rs
+++ b/crates/jaypin_router/src/router/knowledge.rs
@@ -102,7 +102,7 @@
             self.backends.insert(Backend::new(record));
         }
         if !self.signals.is_empty() {
-            self.refresh_throttles(now);
+            self.apply_signals(now);
         }
     }
 
--- a/crates/jaypin_router/src/router/lapse.rs
+++ b/crates/jaypin_router/src/router/lapse.rs
@@ -6,7 +6,7 @@
 use jaypin_core::BackendId;
 
 use super::Router;
-use crate::{Backend, BackendStatus};
+use crate::Backend;
 
 /// Time for which an entry that may have lapsed is still used.
 ///
@@ -58,7 +58,7 @@
     /// An entry is missing from a listing.
     pub(super) fn backend_missing(&mut self, id: BackendId, now: Instant) {
         let known = self.backends.get(&id);
-        let was_ready = known.is_some_and(|it| it.record.status == BackendStatus::Ready);
+        let was_ready = known.is_some_and(Backend::is_ready);
         if was_ready && self.vanished.is_disturbed(now) {
             self.vanished.due.entry(id).or_insert(now + GRACE);
         } else {
@@ -72,7 +72,7 @@
             return;
         };
         self.vanished.due.remove(id);
-        if backend.record.status == BackendStatus::Ready {
+        if backend.is_ready() {
             self.vanished.dropped.push_back((now, backend));
             self.take_back_lapsed(now);
         }
--- a/crates/jaypin_router/src/router/mod.rs
+++ b/crates/jaypin_router/src/router/mod.rs
@@ -2,6 +2,7 @@
 
 mod arrival;
 mod attempt;
+mod backend_signals;
 mod event;
 mod knowledge;
 mod lapse;
@@ -10,7 +11,6 @@
 mod snapshot;
 mod telling;
 mod telling_loads;
-mod throttling;
 mod watching;
 
 pub use event::{Bounds, Effect, Event, ExposureBound, RouterConfig, RouterCounts};
