Log when a backend server asks a host for rest

Cause: logs could not tell a rest that was never read from calls that were already under way. Change: the time in a 503 is decoded and logged with the backend server; one that makes no sense is logged and passed over. No choice of a place reads it. Ruled out: reading it off other answers: only a request that is turned away states a rest. Conclusion: a log says who asked whom, when.

--- a/crates/jaypin_entry/src/callers/drive.rs
+++ b/crates/jaypin_entry/src/callers/drive.rs
@@ -259,11 +259,26 @@
                 before.rate_limit
             }
         };
+        let rest = match &says.rest {
+            Ok(rest) => *rest,
+            Err(error) => {
+                log::warn!(backend, error:%; "the rest that a backend server asks for makes no sense");
+                None
+            }
+        };
+        if let Some(rest) = rest {
+            let ms = rest.as_millis();
+            log::info!(backend, ms; "a backend server asks for rest");
+        }
         let signals = BackendSignals {
             rate_limit,
             is_leaving: says.status == BackendStatus::Leaving,
         };
-        self.host.apply(Event::Signalled { number, signals });
+        self.host.apply(Event::Signalled {
+            number,
+            signals,
+            rest,
+        });
         let after = self.host.look(|router| router.signals_of(backend));
         if before != after {
             log::info!(backend, before:?, after:?; "signals of a backend server changed");
--- a/crates/jaypin_entry/src/ports.rs
+++ b/crates/jaypin_entry/src/ports.rs
@@ -168,6 +168,9 @@
     pub rate_limit: Result<Option<f64>, DecodeError>,
     /// Whether the backend server takes new requests, by its own word.
     pub status: BackendStatus,
+    /// Time for which it wants nothing from this host, where it turned the request away and
+    /// says so.
+    pub rest: Result<Option<Duration>, DecodeError>,
 }
 
 /// An adapter to a platform: translation and nothing else.
--- a/crates/jaypin_router/src/router/mod.rs
+++ b/crates/jaypin_router/src/router/mod.rs
@@ -150,7 +150,9 @@
             Event::BackendChanged(change) => self.backend_told(change, now),
             Event::EntriesHanded(entries) => self.entries_handed(entries, now),
             Event::Arrived(arrival) => self.arrived(now, &arrival, &mut fx),
-            Event::Signalled { number, signals } => self.signalled(now, number, signals),
+            Event::Signalled {
+                number, signals, ..
+            } => self.signalled(now, number, signals),
             Event::Answered(number) => self.answered(now, number),
             Event::Streamed {
                 number,
--- a/crates/jaypin_router/tests/common/fleet.rs
+++ b/crates/jaypin_router/tests/common/fleet.rs
@@ -39,6 +39,8 @@
 pub struct Answer {
     /// What the header of its answer says.
     pub signals: BackendSignals,
+    /// Time for which it wants nothing from the host.
+    pub rest: Option<Duration>,
     /// Time to the header.
     pub first: Duration,
     /// Time to the end.
@@ -53,16 +55,18 @@
         let first = Duration::from_millis(rng.random_range(25..60));
         Self {
             signals,
+            rest: None,
             first,
             end: first * 6,
             outcome: AttemptOutcome::Complete,
         }
     }
 
-    /// It turns the request away.
-    pub fn declined(signals: BackendSignals) -> Self {
+    /// It turns the request away and asks for rest.
+    pub fn declined(rest: Duration) -> Self {
         Self {
-            signals,
+            signals: BackendSignals::default(),
+            rest: Some(rest),
             first: DELAY,
             end: DELAY,
             outcome: AttemptOutcome::NotRun,
@@ -76,14 +80,14 @@
     fn answer(&mut self, call: &Call, rng: &mut ChaCha8Rng) -> Answer;
 
     /// An answer's header reached a host.
-    fn told(&mut self, host: usize, backend: &BackendId, signals: BackendSignals, at: Instant);
+    fn told(&mut self, host: usize, backend: &BackendId, answer: &Answer, at: Instant);
 }
 
 /// Something on its way to a host.
 #[derive(Debug)]
 enum Coming {
     Report(Box<Report>),
-    Header(RequestNumber, BackendId, BackendSignals, AttemptOutcome),
+    Header(RequestNumber, BackendId, Answer),
     End(RequestNumber, AttemptOutcome),
 }
 
@@ -210,16 +214,12 @@
             backend: backend.clone(),
             at: self.now,
         };
-        let Answer {
-            signals,
-            first,
-            end,
-            outcome,
-        } = self.backends.answer(&call, &mut self.rng);
+        let answer = self.backends.answer(&call, &mut self.rng);
         let coming = &mut self.hosts[n].coming;
-        let header = Coming::Header(number, backend, signals, outcome);
-        coming.push((self.now + first, header));
-        coming.push((self.now + end, Coming::End(number, outcome)));
+        let header = Coming::Header(number, backend, answer);
+        coming.push((self.now + answer.first, header));
+        let end = Coming::End(number, answer.outcome);
+        coming.push((self.now + answer.end, end));
     }
 
     /// Lets a moment pass.
@@ -252,10 +252,17 @@
         for (_, coming) in due {
             match coming {
                 Coming::Report(report) => self.apply(n, Event::Reported { report, boot_time }),
-                Coming::Header(number, backend, signals, outcome) => {
-                    self.backends.told(n, &backend, signals, now);
-                    self.apply(n, Event::Signalled { number, signals });
-                    if outcome == AttemptOutcome::Complete {
+                Coming::Header(number, backend, answer) => {
+                    self.backends.told(n, &backend, &answer, now);
+                    self.apply(
+                        n,
+                        Event::Signalled {
+                            number,
+                            signals: answer.signals,
+                            rest: answer.rest,
+                        },
+                    );
+                    if answer.outcome == AttemptOutcome::Complete {
                         self.apply(n, Event::Answered(number));
                     }
                 }
--- a/crates/jaypin_router/tests/leaving_backends.rs
+++ b/crates/jaypin_router/tests/leaving_backends.rs
@@ -35,6 +35,7 @@
         bed.apply(Event::Signalled {
             number,
             signals: LEAVING,
+            rest: None,
         });
         bed.answered(number);
         bed.ended(number, AttemptOutcome::Complete);
@@ -92,7 +93,7 @@
     };
     an_answer_without_the_word_changes_nothing: |bed: &mut Bed| {
         let signals = BackendSignals::default();
-        bed.apply(Event::Signalled { number: 1, signals });
+        bed.apply(Event::Signalled { number: 1, signals, rest: None });
     };
 }
 
@@ -158,8 +159,8 @@
         Answer::good(signals, rng)
     }
 
-    fn told(&mut self, host: usize, _: &BackendId, signals: BackendSignals, at: Instant) {
-        if signals.is_leaving {
+    fn told(&mut self, host: usize, _: &BackendId, answer: &Answer, at: Instant) {
+        if answer.signals.is_leaving {
             self.told.entry(host).or_insert(at);
         }
     }
--- a/crates/jaypin_router/tests/stated_limits.rs
+++ b/crates/jaypin_router/tests/stated_limits.rs
@@ -47,8 +47,8 @@
         Answer::good(signals, rng)
     }
 
-    fn told(&mut self, host: usize, backend: &BackendId, signals: BackendSignals, at: Instant) {
-        if signals.rate_limit.is_some() {
+    fn told(&mut self, host: usize, backend: &BackendId, answer: &Answer, at: Instant) {
+        if answer.signals.rate_limit.is_some() {
             let key = (host, backend.clone());
             self.told.entry(key).or_insert(at);
         }
