Give backend servers the rest that they ask a host for

Callers: requests sent into a rest were turned away and tried elsewhere, late. Cause: the time in a 503 was passed by; a host came back by its own measure of failures, 1.5 s later. Change: the time is kept by process and bars every choice of a place; a request that is still connecting has a last look and goes elsewhere as not run, without counting as a failure or a resend; where all of a service rest, callers are told when the first rest ends. Why it works: all ways to a backend server ask the same question, and only the time or its next process ends the bar. Ruled out: telling peers (the word is for one host); treating it as trouble, which is a last resort still.

--- a/crates/jaypin_entry/src/callers/drive.rs
+++ b/crates/jaypin_entry/src/callers/drive.rs
@@ -209,6 +209,10 @@
             let Ok(mut connection) = taken else {
                 return AttemptOutcome::Unreached;
             };
+            if !self.host.still_takes(&order.backend) {
+                self.host.connections.give_back(connection);
+                return AttemptOutcome::Withheld;
+            }
             let req = self.request(order);
             let silence = order.silence.filter(|_| !delivery.is_streaming());
             let answered = tokio::select! {
--- a/crates/jaypin_entry/src/host.rs
+++ b/crates/jaypin_entry/src/host.rs
@@ -150,6 +150,12 @@
         look(&self.router.borrow())
     }
 
+    /// Whether a request that was chosen for a backend server may still be sent there.
+    pub fn still_takes(&self, backend: &str) -> bool {
+        let now = Instant::now().into_std();
+        self.router.borrow().still_takes(backend, now)
+    }
+
     /// Opens the mailbox of a new request.
     pub fn open_mailbox(&self) -> (RequestNumber, Rc<Mailbox>) {
         let number = self.next_number.get();
--- a/crates/jaypin_router/src/backend.rs
+++ b/crates/jaypin_router/src/backend.rs
@@ -81,6 +81,8 @@
     failures: f64,
     rest_until: Option<Instant>,
     rests: u32,
+    /// Until when it wants nothing from this host, by its own answer.
+    asked_rest_until: Option<Instant>,
     /// Whether an answer said that its process leaves.
     has_said_it_leaves: bool,
     /// How this host spaces its requests, where the backend server states a limit.
@@ -148,6 +150,7 @@
             failures: 0.0,
             rest_until: None,
             rests: 0,
+            asked_rest_until: None,
             has_said_it_leaves: false,
             throttle: None,
         }
@@ -194,7 +197,20 @@
     #[must_use]
     pub fn takes_requests(&self, now: Instant) -> bool {
         let has_turn = self.throttle.as_ref().is_none_or(|it| it.allows(now));
-        self.is_ready() && has_turn
+        self.is_ready() && has_turn && !self.is_resting_as_asked(now)
+    }
+
+    /// Whether it asked this host for rest, which is not over.
+    #[must_use]
+    pub fn is_resting_as_asked(&self, now: Instant) -> bool {
+        self.rest_left(now) > Duration::ZERO
+    }
+
+    /// What is left of the rest that it asked this host for.
+    #[must_use]
+    pub fn rest_left(&self, now: Instant) -> Duration {
+        let until = self.asked_rest_until;
+        until.map_or(Duration::ZERO, |until| until.saturating_duration_since(now))
     }
 
     /// Whether it takes new requests by its entry and by its own answers.
@@ -279,7 +295,7 @@
                 self.totals.bad += 1;
                 self.learn_outcome(true, now);
             }
-            AttemptOutcome::Abandoned => {}
+            AttemptOutcome::Abandoned | AttemptOutcome::Withheld => {}
         }
     }
 
@@ -308,6 +324,11 @@
         self.has_said_it_leaves = true;
     }
 
+    /// Takes no requests of this host until a time.
+    pub fn rest_as_asked(&mut self, until: Option<Instant>) {
+        self.asked_rest_until = until;
+    }
+
     /// Spaces this host's requests; without a pause it sends none.
     pub fn throttle(&mut self, pause: Option<Duration>, now: Instant) {
         let throttle = self.throttle.get_or_insert_with(|| Throttle::new(now));
--- a/crates/jaypin_router/src/grounds.rs
+++ b/crates/jaypin_router/src/grounds.rs
@@ -68,6 +68,8 @@
     NoPlace {
         /// Backend servers whose rate limit leaves nothing for this host at the moment.
         limited: usize,
+        /// Backend servers that asked this host for rest.
+        resting: usize,
     },
     /// The time for the answer is over.
     Deadline,
@@ -146,12 +148,15 @@
                     "{free} slots free, {kept:.1} kept for more urgent requests"
                 )
             }
-            Self::NoPlace { limited: 0 } => write!(f, "no backend server takes requests"),
-            Self::NoPlace { limited } => {
-                write!(
-                    f,
-                    "no backend server takes requests, {limited} state a rate limit"
-                )
+            Self::NoPlace { limited, resting } => {
+                write!(f, "no backend server takes requests")?;
+                if *limited > 0 {
+                    write!(f, ", {limited} state a rate limit")?;
+                }
+                if *resting > 0 {
+                    write!(f, ", {resting} asked for rest")?;
+                }
+                Ok(())
             }
             Self::Deadline => write!(f, "the time for the answer is over"),
             Self::Call { runs, tried } => {
--- a/crates/jaypin_router/src/request.rs
+++ b/crates/jaypin_router/src/request.rs
@@ -39,6 +39,8 @@
     Complete,
     /// No connection could be made; no byte of the request left.
     Unreached,
+    /// Nothing was sent, since the backend server had said meanwhile that it wants nothing.
+    Withheld,
     /// It answered that it did not run the request.
     NotRun,
     /// It answered that another backend server has its address; nothing was run.
@@ -61,7 +63,10 @@
     /// Whether the backend server surely did not run the request.
     #[must_use]
     pub fn is_surely_not_run(self) -> bool {
-        matches!(self, Self::Unreached | Self::NotRun | Self::Replaced)
+        matches!(
+            self,
+            Self::Unreached | Self::Withheld | Self::NotRun | Self::Replaced
+        )
     }
 
     /// Whether nothing is left to be decided.
@@ -76,6 +81,7 @@
         match self {
             Self::Complete => "complete",
             Self::Unreached => "unreached",
+            Self::Withheld => "withheld",
             Self::NotRun => "not-run",
             Self::Replaced => "replaced",
             Self::Failed => "failed",
--- a/crates/jaypin_router/src/router/attempt.rs
+++ b/crates/jaypin_router/src/router/attempt.rs
@@ -104,12 +104,15 @@
     ) {
         let until = request.admitted.arrived_at + second_look(&request.admitted);
         let service = request.admitted.service.clone();
-        let is_free = outcome == AttemptOutcome::Unreached;
+        let is_free = matches!(
+            outcome,
+            AttemptOutcome::Unreached | AttemptOutcome::Withheld
+        );
         let is_tried_often = request.admitted.tried.len() >= MOST_DECLINED;
         let request = request.take_back(until);
         if is_tried_often || !(is_free || self.budget(&service, now).take(now)) {
             let grounds = call_grounds(&request.admitted);
-            return self.give_up(&request, Reason::Shed, grounds, fx);
+            return self.give_up(now, &request, Reason::Shed, grounds, fx);
         }
         self.place(now, request, fx);
     }
--- a/crates/jaypin_router/src/router/backend_signals.rs
+++ b/crates/jaypin_router/src/router/backend_signals.rs
@@ -2,12 +2,14 @@
 //! part of a rate limit is its own.
 
 use std::collections::HashSet;
-use std::time::Instant;
+use std::time::{Duration, Instant};
+
+use jaypin_core::ServiceId;
 
 use super::Router;
 use crate::throttle::pause_at;
 use crate::view::{hash, pair_score};
-use crate::{Backend, BackendSignals, Report, RequestNumber, cell_of};
+use crate::{Backend, BackendSignals, Grounds, Report, RequestNumber, cell_of};
 
 /// Hosts that share the rate limits of backend servers, as this host sees them.
 #[derive(Debug)]
@@ -25,6 +27,7 @@
         now: Instant,
         number: RequestNumber,
         signals: BackendSignals,
+        rest: Option<Duration>,
     ) {
         let Some(request) = self.sent.get(&number) else {
             return;
@@ -33,8 +36,14 @@
         let Some(backend) = self.backends.get(&state.backend) else {
             return;
         };
-        if self.signals.heard(&backend.record, signals, state.at, now) {
+        if let Some(rest) = rest {
+            self.signals.asked_for_rest(&backend.record, rest, now);
+        }
+        let has_news = self.signals.heard(&backend.record, signals, state.at, now);
+        if has_news {
             self.load_telling.slot_changed(backend.key);
+        }
+        if has_news || rest.is_some() {
             self.apply_signals(now);
         }
     }
@@ -61,7 +70,8 @@
         self.apply_signals(now);
     }
 
-    /// Sets for each backend server whether it leaves, and how this host spaces its requests.
+    /// Sets for each backend server whether it leaves or rests, and how this host spaces its
+    /// requests.
     pub(super) fn apply_signals(&mut self, now: Instant) {
         let sharers = self.sharers(now);
         for backend in self.backends.values_mut() {
@@ -70,6 +80,7 @@
                 backend.says_it_leaves();
                 self.views.outdate();
             }
+            backend.rest_as_asked(self.signals.rest_until(&backend.record));
             match signals.rate_limit {
                 Some(rate) => backend.throttle(sharers.pause(backend, rate), now),
                 None => backend.stop_throttling(),
@@ -77,6 +88,25 @@
         }
     }
 
+    /// Time until a backend server of a service wants requests again; none where one does now.
+    pub(super) fn rest_left(&self, service: &ServiceId, now: Instant) -> Duration {
+        let ready = self.backends.values().filter(|it| it.is_ready());
+        let of_service = ready.filter(|it| it.record.service == *service);
+        let left = of_service.map(|it| it.rest_left(now));
+        left.min().unwrap_or_default()
+    }
+
+    /// Why a service has no place for a request.
+    pub(super) fn no_place(&self, service: &ServiceId, now: Instant) -> Grounds {
+        let all = self.backends.values();
+        let of_service = all.filter(|it| it.record.service == *service);
+        let resting = of_service.clone().filter(|it| it.is_resting_as_asked(now));
+        Grounds::NoPlace {
+            limited: of_service.filter(|it| self.is_limited(it)).count(),
+            resting: resting.count(),
+        }
+    }
+
     /// Hosts that callers are sent to. Where none is, all that are heard.
     fn sharers(&self, now: Instant) -> Sharers {
         let heard = self.fleet.heard(now);
@@ -108,7 +138,7 @@
 }
 
 impl Sharers {
-    fn pause(&self, backend: &Backend, rate: f64) -> Option<std::time::Duration> {
+    fn pause(&self, backend: &Backend, rate: f64) -> Option<Duration> {
         if !self.is_one {
             return None;
         }
--- a/crates/jaypin_router/src/router/mod.rs
+++ b/crates/jaypin_router/src/router/mod.rs
@@ -151,8 +151,10 @@
             Event::EntriesHanded(entries) => self.entries_handed(entries, now),
             Event::Arrived(arrival) => self.arrived(now, &arrival, &mut fx),
             Event::Signalled {
-                number, signals, ..
-            } => self.signalled(now, number, signals),
+                number,
+                signals,
+                rest,
+            } => self.signalled(now, number, signals, rest),
             Event::Answered(number) => self.answered(now, number),
             Event::Streamed {
                 number,
@@ -209,6 +211,14 @@
         signals.unwrap_or_default()
     }
 
+    /// Whether a request that was chosen for a backend server may still be sent there: it may
+    /// have said something since.
+    #[must_use]
+    pub fn still_takes(&self, backend: &str, now: Instant) -> bool {
+        let backend = self.backends.get(backend);
+        backend.is_some_and(|it| it.is_ready() && !it.is_resting_as_asked(now))
+    }
+
     fn is_limited(&self, backend: &Backend) -> bool {
         self.signals.of(&backend.record).rate_limit.is_some()
     }
--- a/crates/jaypin_router/src/router/placing.rs
+++ b/crates/jaypin_router/src/router/placing.rs
@@ -31,7 +31,7 @@
     pub(super) fn place(&mut self, now: Instant, request: Request<Waiting>, fx: &mut Vec<Effect>) {
         self.refresh_views();
         if now >= request.admitted.deadline {
-            return self.give_up(&request, Reason::TooLate, Grounds::Deadline, fx);
+            return self.give_up(now, &request, Reason::TooLate, Grounds::Deadline, fx);
         }
         let is_over = now >= request.state.until;
         let tightness = self.tightness(&request.admitted, now);
@@ -43,8 +43,8 @@
         }
         let Some(choice) = in_force else {
             if is_over {
-                let grounds = self.no_place(&request.admitted.service);
-                return self.give_up(&request, Reason::NoBackend, grounds, fx);
+                let grounds = self.no_place(&request.admitted.service, now);
+                return self.give_up(now, &request, Reason::NoBackend, grounds, fx);
             }
             return self.keep_waiting(request, now);
         };
@@ -64,19 +64,12 @@
         if is_in_time || is_resort {
             self.send(now, request, choice, grounds, fx);
         } else if is_over {
-            self.give_up(&request, Reason::Shed, grounds, fx);
+            self.give_up(now, &request, Reason::Shed, grounds, fx);
         } else {
             self.keep_waiting(request, now);
         }
     }
 
-    fn no_place(&self, service: &ServiceId) -> Grounds {
-        let all = self.backends.values();
-        let of_service = all.filter(|it| it.record.service == *service);
-        let limited = of_service.filter(|it| self.is_limited(it)).count();
-        Grounds::NoPlace { limited }
-    }
-
     /// Prompts are read and engines rest while nobody tells so, so it looks again by itself.
     fn keep_waiting(&mut self, request: Request<Waiting>, now: Instant) {
         self.waiting.push(request);
@@ -216,7 +209,7 @@
         fx: &mut Vec<Effect>,
     ) {
         let Some(backend) = self.backends.get_mut(&choice.backend) else {
-            return self.give_up(&request, Reason::NoBackend, grounds, fx);
+            return self.give_up(now, &request, Reason::NoBackend, grounds, fx);
         };
         let admitted = &request.admitted;
         let (number, tokens) = (admitted.number, admitted.prompt_tokens);
@@ -250,6 +243,7 @@
     /// Ends a request that has no place, at once and with what is true of it.
     pub(super) fn give_up(
         &mut self,
+        now: Instant,
         request: &Request<Waiting>,
         reason: Reason,
         grounds: Grounds,
@@ -262,6 +256,7 @@
         }
         self.give_back(admitted);
         let back = for_want_of_capacity(&admitted.route, &mut self.rng);
+        let back = back + self.rest_left(&admitted.service, now);
         let refusal = Refusal::not_run(reason).retry_after(back);
         fx.push(refuse(number, Some(admitted.asked_by()), refusal, grounds));
     }
--- a/crates/jaypin_router/src/signals.rs
+++ b/crates/jaypin_router/src/signals.rs
@@ -35,6 +35,7 @@
 #[derive(Debug, Default)]
 pub struct SignalTable {
     heard: HashMap<BackendKey, HeardSignals>,
+    rests: HashMap<BackendKey, Rest>,
 }
 
 /// Signals, and which process gave them when.
@@ -47,6 +48,13 @@
     at: Instant,
 }
 
+/// A time for which a process of a backend server wants nothing from this host.
+#[derive(Debug, Clone, Copy)]
+struct Rest {
+    started: u64,
+    until: Instant,
+}
+
 impl SignalTable {
     /// Takes the signals of an answer to a request that was sent at some time; says whether
     /// they differ from those that were known.
@@ -80,6 +88,28 @@
         before != heard.signals
     }
 
+    /// Takes a time for which a backend server wants nothing from this host. A shorter one
+    /// that is asked for meanwhile changes nothing.
+    pub fn asked_for_rest(&mut self, record: &BackendRecord, rest: Duration, now: Instant) {
+        let Some(until) = now.checked_add(rest) else {
+            return;
+        };
+        let until = self.rest_until(record).map_or(until, |it| it.max(until));
+        let rest = Rest {
+            started: record.started,
+            until,
+        };
+        self.rests.insert(backend_key(&record.id), rest);
+    }
+
+    /// When a backend server's present process may be sent requests again, if it asked this
+    /// host for rest.
+    #[must_use]
+    pub fn rest_until(&self, record: &BackendRecord) -> Option<Instant> {
+        let rest = self.rests.get(&backend_key(&record.id))?;
+        (rest.started == record.started).then_some(rest.until)
+    }
+
     /// Takes what a peer has heard, unless something newer is known; says whether it differs
     /// from what was known.
     pub fn peer_heard(&mut self, told: &SignalReport, now: Instant) -> bool {
@@ -124,7 +154,7 @@
     /// Whether nothing was heard that still matters.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.heard.is_empty()
+        self.heard.is_empty() && self.rests.is_empty()
     }
 
     /// What peers should know of a backend server.
@@ -142,6 +172,7 @@
 
     /// Forgets what was taken back long ago, or was said by backend servers that are gone.
     pub fn forget_old(&mut self, is_known: impl Fn(BackendKey) -> bool, now: Instant) {
+        self.rests.retain(|_, rest| now < rest.until);
         self.heard.retain(|key, heard| {
             let is_old = now.saturating_duration_since(heard.at) >= TOLD_AFTER_END;
             !is_old || (is_known(*key) && !heard.signals.is_none())
--- a/crates/jaypin_router/tests/asked_rests.rs
+++ b/crates/jaypin_router/tests/asked_rests.rs
@@ -140,6 +140,28 @@
     assert!(common::refusal_grounds(&fx).contains("2 asked for rest"));
 }
 
+/// Guards against a request that was chosen for a backend server, and is still connecting when
+/// another answer asks for rest.
+#[test]
+fn a_request_that_is_not_sent_yet_goes_elsewhere() {
+    let mut bed = Bed::usual();
+    let all: Vec<_> = (0..10).map(|_| bed.arrive("/command/x", (0, 0))).collect();
+    let there = |it: &&(u64, Told)| it.1 == Told::Sent("plain-1".into());
+    let calls: Vec<_> = all.iter().filter(there).collect();
+    assert!(bed.router.still_takes("plain-1", bed.now));
+    bed.apply(Event::Signalled {
+        number: calls[0].0,
+        signals: BackendSignals::default(),
+        rest: Some(REST),
+    });
+    assert!(!bed.router.still_takes("plain-1", bed.now));
+    for (number, _) in &calls[1..] {
+        // No byte was sent, so also a command may go elsewhere.
+        let told = bed.ended(*number, AttemptOutcome::Withheld);
+        assert_eq!(told, Told::Sent("plain-22".into()));
+    }
+}
+
 /// Backend servers that turn everything away for a while.
 struct Shedding {
     start: Instant,
