--- a/crates/jaypin_entry/src/peers/wire/handed.rs
+++ b/crates/jaypin_entry/src/peers/wire/handed.rs
@@ -2,11 +2,11 @@
 
 use std::time::Duration;
 
-use super::{WireError, decode, encode, milliseconds};
+use super::{WireError, WirePoint, decode, encode, milliseconds, read_point, wire_point};
 use crate::ports::Object;
 
-/// Name, revision, and what the author wrote.
-type WireObject = (String, u64, serde_json::Value);
+/// Name, point, and what the author wrote.
+type WireObject = (String, WirePoint, serde_json::Value);
 /// Version, milliseconds since it was the newest, and the object if it was asked for.
 type WireHanded = (u64, Option<u64>, Option<WireObject>);
 
@@ -27,7 +27,7 @@
 /// Gives what the library gives.
 pub fn encode_configuration(handed: &HandedConfiguration) -> Result<Vec<u8>, WireError> {
     let object = handed.object.as_ref();
-    let object = object.map(|it| (it.name.clone(), it.revision, it.content.clone()));
+    let object = object.map(|it| (it.name.clone(), wire_point(it.point), it.content.clone()));
     // Rounded up: a proof must not grow younger on its way.
     let age = handed.proof_age.map(|age| milliseconds(age) + 1);
     let wire: WireHanded = (handed.version, age, object);
@@ -40,9 +40,9 @@
 /// Says why the bytes are none.
 pub fn decode_configuration(bytes: &[u8]) -> Result<HandedConfiguration, WireError> {
     let (version, age, object): WireHanded = decode(bytes)?;
-    let object = object.map(|(name, revision, content)| Object {
+    let object = object.map(|(name, point, content)| Object {
         name,
-        revision,
+        point: read_point(point),
         content,
         status: serde_json::Value::Null,
     });
--- a/crates/jaypin_entry/src/peers/wire/mod.rs
+++ b/crates/jaypin_entry/src/peers/wire/mod.rs
@@ -11,7 +11,7 @@
 use jaypin_core::{AccountId, BackendId, FailureDomain, HostId, ServiceId};
 use jaypin_router::{
     Asked, BackendLoad, BackendRecord, BackendSamples, BackendSignals, BackendStatus, EntryChange,
-    Rank, Report, SignalReport, SoftwareVersion, StoreView, Strike, WholeReport,
+    Rank, Report, SignalReport, SoftwareVersion, StorePoint, StoreView, Strike, WholeReport,
 };
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -64,13 +64,15 @@
 type WireAsked = (u32, u8, u8, u32);
 /// Name, reports' address, callers' address, failure domain, cell.
 type WireSender = (String, String, String, String, u32);
-/// Version, proved at and sent at in milliseconds, may watch, watches, digest.
-type WireView = (u64, Option<u64>, u64, bool, bool, u64);
+/// Version, proved at and sent at in milliseconds, may watch, watches, digest, era.
+type WireView = (u64, Option<u64>, u64, bool, bool, u64, Option<u64>);
 /// Start, service, address, failure domain, slots, whether it is ready, version.
 type WireRecord = (u64, String, String, String, u32, bool, String);
 
-/// A change of an entry: its id, revision, and statement if it is not gone.
-type WireChange = (String, u64, Option<WireRecord>);
+/// Era and revision.
+type WirePoint = (u64, u64);
+/// A change of an entry: its id, point, and statement if it is not gone.
+type WireChange = (String, WirePoint, Option<WireRecord>);
 
 /// A report as it travels, field by field in this order.
 #[derive(Debug, Serialize, Deserialize)]
@@ -184,6 +186,7 @@
             view.may_watch,
             view.is_watching,
             view.digest,
+            view.era,
         );
         let strikes = whole.strikes.iter();
         let callers = whole.cell_callers.as_ref();
@@ -243,7 +246,7 @@
     fn try_from(wire: WireWhole) -> Result<Self, WireError> {
         let WireWhole(sender, view, low_levels, strikes, cell_callers, asked, rollouts) = wire;
         let (host, address, callers, failure_domain, cell) = sender;
-        let (version, proved_at, sent_at, may_watch, is_watching, digest) = view;
+        let (version, proved_at, sent_at, may_watch, is_watching, digest, era) = view;
         // A level below 0 is a debt.
         let are_levels_sound = low_levels.iter().all(|(_, level)| level.is_finite());
         if !are_levels_sound {
@@ -264,6 +267,7 @@
                 may_watch,
                 is_watching,
                 digest,
+                era,
             },
             low_levels: low_levels.into_iter().map(units).collect(),
             asked: asked.into_iter().map(read_asked).collect(),
@@ -342,10 +346,18 @@
     }
 }
 
+fn wire_point(point: StorePoint) -> WirePoint {
+    (point.era, point.revision)
+}
+
+fn read_point((era, revision): WirePoint) -> StorePoint {
+    StorePoint { era, revision }
+}
+
 fn wire_change(change: &EntryChange) -> WireChange {
     match change {
-        EntryChange::Removed { id, revision } => (id.to_string(), *revision, None),
-        EntryChange::Stated { record, revision } => {
+        EntryChange::Removed { id, point } => (id.to_string(), wire_point(*point), None),
+        EntryChange::Stated { record, point } => {
             let stated = (
                 record.started,
                 record.service.to_string(),
@@ -355,16 +367,17 @@
                 record.status == BackendStatus::Ready,
                 record.version.to_string(),
             );
-            (record.id.to_string(), *revision, Some(stated))
+            (record.id.to_string(), wire_point(*point), Some(stated))
         }
     }
 }
 
-fn change((id, revision, statement): WireChange) -> EntryChange {
+fn change((id, point, statement): WireChange) -> EntryChange {
+    let point = read_point(point);
     let Some((started, service, address, failure_domain, slots, is_ready, version)) = statement
     else {
         let id = BackendId::from(id);
-        return EntryChange::Removed { id, revision };
+        return EntryChange::Removed { id, point };
     };
     let status = if is_ready {
         BackendStatus::Ready
@@ -381,7 +394,7 @@
         status,
         version: SoftwareVersion::from(version),
     };
-    EntryChange::Stated { record, revision }
+    EntryChange::Stated { record, point }
 }
 
 fn read_address(text: &str) -> Result<SocketAddr, WireError> {
--- a/crates/jaypin_entry/src/peers/wire/rollout.rs
+++ b/crates/jaypin_entry/src/peers/wire/rollout.rs
@@ -8,14 +8,14 @@
     VersionOutcomes,
 };
 
-use super::{WireError, milliseconds};
+use super::{WireError, WirePoint, milliseconds, read_point, wire_point};
 
-/// Service, version, time in milliseconds, revision, state.
-type WireOrder = (String, String, u64, u64, u8);
+/// Service, version, time in milliseconds, point, state.
+type WireOrder = (String, String, u64, WirePoint, u8);
 /// Route's key; good, slow and bad answers of the old and of the new version.
 type WireOutcomes = (u32, [u32; 6]);
-/// Order, age in milliseconds, whether the version is bad, answers.
-pub type WireRollout = (WireOrder, u64, bool, Vec<WireOutcomes>);
+/// Order, age in milliseconds, whether the version is bad, whether its end was lost, answers.
+pub type WireRollout = (WireOrder, u64, bool, bool, Vec<WireOutcomes>);
 
 pub fn wire_rollout(rollout: &RolloutReport) -> WireRollout {
     let order = &rollout.order;
@@ -23,7 +23,7 @@
         order.service.to_string(),
         order.to.to_string(),
         milliseconds(order.time),
-        order.revision,
+        wire_point(order.point),
         wire_state(order.state),
     );
     let routes = rollout.outcomes.routes().map(|(route, it)| {
@@ -34,11 +34,14 @@
         )
     });
     let age = milliseconds(rollout.age);
-    (wire_order, age, rollout.is_bad, routes.collect())
+    let routes = routes.collect();
+    (wire_order, age, rollout.is_bad, rollout.is_end_lost, routes)
 }
 
-pub fn read_rollout((order, age, is_bad, routes): WireRollout) -> Result<RolloutReport, WireError> {
-    let (service, to, time, revision, state) = order;
+pub fn read_rollout(
+    (order, age, is_bad, is_end_lost, routes): WireRollout,
+) -> Result<RolloutReport, WireError> {
+    let (service, to, time, point, state) = order;
     let routes = routes.into_iter().map(|(route, counts)| {
         let [old_good, old_slow, old_bad, new_good, new_slow, new_bad] = counts;
         let outcomes = RouteOutcomes {
@@ -60,11 +63,12 @@
             service: ServiceId::from(service),
             to: SoftwareVersion::from(to),
             time: Duration::from_millis(time),
-            revision,
+            point: read_point(point),
             state: read_state(state)?,
         },
         age: Duration::from_millis(age),
         is_bad,
+        is_end_lost,
         outcomes: VersionOutcomes::from_routes(routes),
     })
 }
--- a/crates/jaypin_entry/src/ports.rs
+++ b/crates/jaypin_entry/src/ports.rs
@@ -6,7 +6,9 @@
 use bytes::Bytes;
 use hyper::{HeaderMap, Method, StatusCode, Uri};
 use jaypin_core::{AccountId, BackendId, FailureDomain, HostId};
-use jaypin_router::{BackendRecord, BackendStatus, Bounds, Configuration, RolloutOrder};
+use jaypin_router::{
+    BackendRecord, BackendStatus, Bounds, Configuration, RolloutOrder, StoreEra, StorePoint,
+};
 use serde_json::Value;
 use snafu::Snafu;
 
@@ -79,8 +81,8 @@
 pub struct Object {
     /// Its name within its kind.
     pub name: String,
-    /// Revision of its last change.
-    pub revision: u64,
+    /// Of its last change, in the store's history.
+    pub point: StorePoint,
     /// What its author wrote.
     pub content: Value,
     /// What the fleet wrote of it.
@@ -94,8 +96,8 @@
     pub objects: Vec<Object>,
     /// Whether there are more behind the last one.
     pub has_more: bool,
-    /// The store's revision.
-    pub revision: u64,
+    /// When they were so, in the store's history.
+    pub point: StorePoint,
 }
 
 /// A change of an object.
@@ -112,8 +114,8 @@
 pub struct ObjectChanges {
     /// The changes, in order.
     pub changes: Vec<ObjectChange>,
-    /// The revision up to which they are told.
-    pub revision: u64,
+    /// The point up to which they are told.
+    pub point: StorePoint,
 }
 
 /// A host of this fleet, as it registers itself.
@@ -214,23 +216,29 @@
     /// Path of what the fleet says of one object.
     fn status_path(&self, kind: Collection, name: &str) -> String;
 
+    /// Reads the store's era off the header of one of its answers; nothing where it states none.
+    ///
+    /// # Errors
+    /// Says why it is no era.
+    fn store_era(&self, headers: &HeaderMap) -> Result<Option<StoreEra>, DecodeError>;
+
     /// Reads one object.
     ///
     /// # Errors
     /// Says what makes no sense.
-    fn object(&self, body: &[u8]) -> Result<Object, DecodeError>;
+    fn object(&self, body: &[u8], era: StoreEra) -> Result<Object, DecodeError>;
 
     /// Reads a page of a listing.
     ///
     /// # Errors
     /// Says what makes no sense.
-    fn page(&self, body: &[u8]) -> Result<ObjectPage, DecodeError>;
+    fn page(&self, body: &[u8], era: StoreEra) -> Result<ObjectPage, DecodeError>;
 
     /// Reads the answer of a watch.
     ///
     /// # Errors
     /// Says what makes no sense.
-    fn changes(&self, body: &[u8]) -> Result<ObjectChanges, DecodeError>;
+    fn changes(&self, body: &[u8], era: StoreEra) -> Result<ObjectChanges, DecodeError>;
 
     /// Reads a configuration.
     ///
--- a/crates/jaypin_entry/src/store/backends.rs
+++ b/crates/jaypin_entry/src/store/backends.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use jaypin_core::BackendId;
-use jaypin_router::{BackendRecord, EntryChange, Event};
+use jaypin_router::{BackendRecord, EntryChange, Event, StorePoint};
 use tokio::time::{Instant, sleep};
 
 use super::client::{StoreClient, StoreError};
@@ -71,23 +71,23 @@
     } else {
         freshness
     };
-    let (objects, mut revision) = client.list(Collection::Backends, freshness).await?;
+    let (objects, mut point) = client.list(Collection::Backends, freshness).await?;
     let entries: Vec<_> = objects
         .iter()
-        .filter_map(|object| Some((read(host, object)?, object.revision)))
+        .filter_map(|object| Some((read(host, object)?, object.point)))
         .collect();
-    log::info!(count = entries.len(), revision; "backend servers listed");
-    host.apply(Event::BackendsListed { entries, revision });
+    log::info!(count = entries.len(), point:?; "backend servers listed");
+    host.apply(Event::BackendsListed { entries, point });
     while host.look(follows_store) {
-        let Some(news) = client.watch(Collection::Backends, revision, WATCH).await? else {
+        let Some(news) = client.watch(Collection::Backends, point, WATCH).await? else {
             return Ok(());
         };
         for change in &news.changes {
-            let change = entry_change(host, change, news.revision);
+            let change = entry_change(host, change, news.point);
             log::info!(change:?; "backend server");
             host.apply(Event::BackendChanged(change));
         }
-        revision = news.revision;
+        point = news.point;
         if !news.changes.is_empty() {
             sleep(WATCH_PAUSE).await;
         }
@@ -96,16 +96,16 @@
 }
 
 /// An entry that can't be read names no backend server to use.
-fn entry_change(host: &Host, change: &ObjectChange, revision: u64) -> EntryChange {
+fn entry_change(host: &Host, change: &ObjectChange, point: StorePoint) -> EntryChange {
     let object = &change.object;
     match read(host, object).filter(|_| !change.is_removed) {
         Some(record) => EntryChange::Stated {
             record,
-            revision: object.revision,
+            point: object.point,
         },
         None => EntryChange::Removed {
             id: BackendId::from(object.name.as_str()),
-            revision: object.revision.max(revision),
+            point: object.point.max(point),
         },
     }
 }
--- a/crates/jaypin_entry/src/store/client.rs
+++ b/crates/jaypin_entry/src/store/client.rs
@@ -7,10 +7,11 @@
 use hyper::header::{CONTENT_TYPE, HOST, HeaderValue};
 use hyper::{Method, Request, StatusCode};
 use jaypin_http::ConnectLimits;
+use jaypin_router::{Event, Router, StoreEra, StorePoint};
 use snafu::Snafu;
 use tokio::time::timeout;
 
-use crate::calls::{Connection, DEFAULT_LIMITS, connect, read_whole};
+use crate::calls::{Connection, DEFAULT_LIMITS, WholeAnswer, connect, read_whole};
 use crate::host::Host;
 use crate::metrics;
 use crate::ports::{Collection, DecodeError, Freshness, Object, ObjectChanges, ObjectPage};
@@ -36,6 +37,14 @@
         /// The status.
         status: StatusCode,
     },
+    /// Its answer states an earlier era than one before, or none.
+    #[snafu(display("era {stated:?} after {known}"))]
+    FormerEra {
+        /// The era.
+        stated: Option<StoreEra>,
+        /// The newest one that the store stated.
+        known: StoreEra,
+    },
     /// Its answer makes no sense.
     #[snafu(display("{source}"))]
     Decode {
@@ -51,6 +60,7 @@
             Self::Unreached => "unreached",
             Self::TimedOut => "timed-out",
             Self::Status { .. } => "status",
+            Self::FormerEra { .. } => "former-era",
             Self::Decode { .. } => "unreadable",
         }
     }
@@ -58,7 +68,7 @@
     /// Whether the store does not serve this host; other statuses are answers.
     fn is_outage(&self) -> bool {
         match self {
-            Self::Unreached | Self::TimedOut => true,
+            Self::Unreached | Self::TimedOut | Self::FormerEra { .. } => true,
             Self::Status { status } => {
                 status.is_server_error() || *status == StatusCode::TOO_MANY_REQUESTS
             }
@@ -73,6 +83,15 @@
     }
 }
 
+/// An answer of the store.
+#[derive(Debug)]
+pub struct StoreAnswer {
+    /// The history that it speaks of.
+    pub era: StoreEra,
+    /// Its body.
+    pub body: Bytes,
+}
+
 /// A client of the store with one connection, which is made anew after each failure: on
 /// one that lost an answer nothing further comes.
 #[derive(Debug)]
@@ -93,28 +112,34 @@
         }
     }
 
-    /// Reads all objects of a kind, with the revision from which to watch on.
+    /// Reads all objects of a kind, with the point from which to watch on.
     pub async fn list(
         &mut self,
         kind: Collection,
         freshness: Freshness,
-    ) -> Result<(Vec<Object>, u64), StoreError> {
+    ) -> Result<(Vec<Object>, StorePoint), StoreError> {
         let mut objects: Vec<Object> = Vec::new();
-        let mut first_revision = None;
+        let mut first_point: Option<StorePoint> = None;
         loop {
             let after = objects.last().map(|it| it.name.clone());
             let path = self
                 .host
                 .platform
                 .list_path(kind, after.as_deref(), freshness);
-            let body = self.get(&path, CALL_TIMEOUT).await?;
-            let page: ObjectPage = self.host.platform.page(&body)?;
+            let StoreAnswer { era, body } = self.get(&path, CALL_TIMEOUT).await?;
+            let page: ObjectPage = self.host.platform.page(&body, era)?;
+            // Pages of two histories make no listing.
+            if first_point.is_some_and(|it| it.era != era) {
+                objects.clear();
+                first_point = None;
+                continue;
+            }
             let is_empty = page.objects.is_empty();
             objects.extend(page.objects);
             // Changes while pages are read are told again by a watch from the first one on.
-            let revision = *first_revision.get_or_insert(page.revision);
+            let point = *first_point.get_or_insert(page.point);
             if !page.has_more || is_empty {
-                return Ok((objects, revision));
+                return Ok((objects, point));
             }
         }
     }
@@ -123,12 +148,17 @@
     pub async fn watch(
         &mut self,
         kind: Collection,
-        since: u64,
+        since: StorePoint,
         wait: Duration,
     ) -> Result<Option<ObjectChanges>, StoreError> {
-        let path = self.host.platform.watch_path(kind, since, wait);
+        let path = self.host.platform.watch_path(kind, since.revision, wait);
         match self.get(&path, wait + CALL_TIMEOUT).await {
-            Ok(body) => Ok(Some(self.host.platform.changes(&body)?)),
+            // The new history may have reached the revision, and lacks what lies between.
+            Ok(answer) if answer.era != since.era => Ok(None),
+            Ok(answer) => {
+                let changes = self.host.platform.changes(&answer.body, answer.era)?;
+                Ok(Some(changes))
+            }
             Err(StoreError::Status { status }) if status == StatusCode::GONE => Ok(None),
             Err(error) => Err(error),
         }
@@ -140,12 +170,12 @@
         method: Method,
         path: &str,
         body: Bytes,
-    ) -> Result<Bytes, StoreError> {
+    ) -> Result<StoreAnswer, StoreError> {
         self.call(method, path, body, CALL_TIMEOUT).await
     }
 
     /// Reads from a path.
-    pub async fn get(&mut self, path: &str, limit: Duration) -> Result<Bytes, StoreError> {
+    pub async fn get(&mut self, path: &str, limit: Duration) -> Result<StoreAnswer, StoreError> {
         self.call(Method::GET, path, Bytes::new(), limit).await
     }
 
@@ -155,7 +185,7 @@
         path: &str,
         body: Bytes,
         limit: Duration,
-    ) -> Result<Bytes, StoreError> {
+    ) -> Result<StoreAnswer, StoreError> {
         let kind = if method == Method::GET {
             "read"
         } else {
@@ -166,10 +196,7 @@
             Ok(answer) => answer,
             Err(_) => Err(StoreError::TimedOut),
         };
-        let answer = answer.and_then(|(status, body)| match status {
-            status if status.is_success() => Ok(body),
-            status => Err(StoreError::Status { status }),
-        });
+        let answer = answer.and_then(|answer| self.check(answer));
         let outcome = answer
             .as_ref()
             .map_or_else(StoreError::as_str, |_| "answered");
@@ -187,7 +214,7 @@
         method: Method,
         path: &str,
         body: Bytes,
-    ) -> Result<(StatusCode, Bytes), StoreError> {
+    ) -> Result<WholeAnswer, StoreError> {
         let mut connection = match self.connection.take() {
             Some(connection) if connection.is_open() => connection,
             _ => self.connect().await?,
@@ -206,7 +233,37 @@
         let response = response.map_err(|_| StoreError::Unreached)?;
         let answer = read_whole(response).await.ok_or(StoreError::Unreached)?;
         self.connection = Some(connection);
-        Ok((answer.status, answer.body))
+        Ok(answer)
+    }
+
+    /// Finds the era of a success, and lets the decisions know it.
+    ///
+    /// Guards against an answer of a former history that arrives late: what it says may have
+    /// been lost since, and its revisions may have been given out again.
+    fn check(&self, answer: WholeAnswer) -> Result<StoreAnswer, StoreError> {
+        let status = answer.status;
+        if !status.is_success() {
+            return Err(StoreError::Status { status });
+        }
+        let stated = self.host.platform.store_era(&answer.headers)?;
+        let known = self.host.look(Router::stated_era);
+        let era = match (stated, known) {
+            (stated, Some(known)) if stated < Some(known) => {
+                return Err(StoreError::FormerEra { stated, known });
+            }
+            // One that never stated any has one history.
+            (stated, _) => stated.unwrap_or_default(),
+        };
+        if stated != known {
+            if let Some(former) = known {
+                log::warn!(era, former; "the store came back with another history");
+            }
+            self.host.apply(Event::StoreEra(era));
+        }
+        Ok(StoreAnswer {
+            era,
+            body: answer.body,
+        })
     }
 
     async fn connect(&self) -> Result<Connection, StoreError> {
--- a/crates/jaypin_entry/src/store/configuration.rs
+++ b/crates/jaypin_entry/src/store/configuration.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use jaypin_router::{BootTime, Event, RouteTable, Router};
+use jaypin_router::{BootTime, Event, RouteTable, Router, StorePoint};
 use tokio::time::{Instant, sleep};
 
 use super::client::{StoreClient, StoreError};
@@ -56,11 +56,12 @@
     if !asks_store && take_from_peer(host).await {
         return Ok(());
     }
-    let mut revision = read(host, client).await?;
+    let mut point = read(host, client).await?;
+    take_what_store_lost(host).await;
     while host.look(is_needed) {
         let asked = (boot_time(), Instant::now());
         let Some(news) = client
-            .watch(Collection::Configuration, revision, WATCH)
+            .watch(Collection::Configuration, point, WATCH)
             .await?
         else {
             return Ok(());
@@ -68,8 +69,9 @@
         for change in news.changes.iter().filter(|it| !it.is_removed) {
             take(host, &change.object);
         }
-        revision = news.revision;
+        point = news.point;
         host.apply(Event::Proved(proved_at(asked)));
+        take_what_store_lost(host).await;
         if !news.changes.is_empty() {
             sleep(WATCH_PAUSE).await;
         }
@@ -81,6 +83,16 @@
     Ok(())
 }
 
+/// Takes a newer configuration from a peer where the store has none.
+///
+/// Guards against a store that came back from an older copy: a host that reads it first would
+/// accept credentials that were withdrawn since, until operators have written again.
+async fn take_what_store_lost(host: &Host) {
+    if host.look(Router::is_behind) {
+        take_from_peer(host).await;
+    }
+}
+
 /// Whether this host shall ask the store, and watch it.
 fn is_needed(router: &Router) -> bool {
     router.should_watch(now(), boot_time())
@@ -128,16 +140,16 @@
     is_satisfied || known_version(host) > known
 }
 
-async fn read(host: &Host, client: &mut StoreClient<'_>) -> Result<u64, StoreError> {
+async fn read(host: &Host, client: &mut StoreClient<'_>) -> Result<StorePoint, StoreError> {
     let asked_at = boot_time();
-    let (objects, revision) = client
+    let (objects, point) = client
         .list(Collection::Configuration, Freshness::Newest)
         .await?;
     for object in &objects {
         take(host, object);
     }
     host.apply(Event::Proved(asked_at));
-    Ok(revision)
+    Ok(point)
 }
 
 /// The time at which a watch's answer was surely the newest.
--- a/crates/jaypin_entry/src/store/hosts.rs
+++ b/crates/jaypin_entry/src/store/hosts.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use hyper::{Method, StatusCode};
-use jaypin_router::Event;
+use jaypin_router::{Event, Router};
 use rand::RngExt;
 use tokio::time::{Instant, sleep};
 
@@ -20,8 +20,12 @@
 const LIST_PAUSE: Duration = Duration::from_secs(3);
 const LIST_SPREAD: std::ops::Range<f64> = 0.3..1.7;
 
+/// Age of a registration from which on each copy of the store has it: copies are seconds old.
+const COPY_AGE: Duration = Duration::from_mins(1);
+
 /// Registers this host, then reads who else has registered, and again when a peer is heard
-/// that was not listed.
+/// that was not listed. A store that came back from an older copy may have lost a young
+/// registration, which is then written again.
 ///
 /// Nobody watches these entries: each host tells those that it finds, and who registers
 /// later finds it. Of two hosts that start together at least one sees the other's entry,
@@ -29,15 +33,27 @@
 pub async fn join_fleet(host: Rc<Host>) {
     let mut client = StoreClient::new(&host);
     let mut retries = Retries::default();
+    let joined_at = Instant::now();
     while let Err(error) = join(&host, &mut client).await {
         retries.pause_after(&host, "registration", &error).await;
     }
+    let mut era = host.look(Router::store_era);
     loop {
         let spread = rand::rng().random_range(LIST_SPREAD);
         sleep(LIST_PAUSE.mul_f64(spread)).await;
-        while !hears_unlisted(&host) {
+        while !hears_unlisted(&host) && era == host.look(Router::store_era) {
             sleep(LOOK_PAUSE).await;
         }
+        let before = std::mem::replace(&mut era, host.look(Router::store_era));
+        let may_be_lost = before.is_some() && before != era && joined_at.elapsed() < COPY_AGE;
+        if may_be_lost && let Err(error) = join(&host, &mut client).await {
+            era = before;
+            retries.pause_after(&host, "registration", &error).await;
+            continue;
+        }
+        if !hears_unlisted(&host) {
+            continue;
+        }
         match client.list(Collection::Hosts, Freshness::MayLag).await {
             Ok((objects, _)) => find_all(&host, &objects),
             Err(error) => log::info!(error:%; "hosts could not be listed again"),
@@ -68,7 +84,7 @@
     if is_current {
         return Ok(());
     }
-    register(host, client, &own, registered.map(|it| it.revision)).await?;
+    register(host, client, &own, registered.map(|it| it.point.revision)).await?;
     let (objects, _) = client.list(Collection::Hosts, Freshness::Newest).await?;
     find_all(host, &objects);
     Ok(())
--- a/crates/jaypin_entry/src/store/rollouts.rs
+++ b/crates/jaypin_entry/src/store/rollouts.rs
@@ -3,9 +3,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use hyper::{Method, StatusCode};
-use jaypin_router::{Event, RolloutOrder, RolloutState, RolloutWrite, Router};
+use jaypin_router::{Event, RolloutOrder, RolloutState, RolloutWrite, Router, StorePoint};
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::time::sleep;
 
@@ -38,24 +37,24 @@
 }
 
 async fn follow(host: &Host, client: &mut StoreClient<'_>) -> Result<(), StoreError> {
-    let (objects, mut revision) = client.list(Collection::Rollouts, Freshness::Newest).await?;
+    let (objects, mut point) = client.list(Collection::Rollouts, Freshness::Newest).await?;
     let listed: Vec<_> = objects.iter().filter_map(|it| read(host, it)).collect();
-    for order in withdrawn(host, &listed, revision) {
+    for order in withdrawn(host, &listed, point) {
         take(host, order);
     }
     for order in listed {
         take(host, order);
     }
     while host.look(follows_store) {
-        let Some(news) = client.watch(Collection::Rollouts, revision, WATCH).await? else {
+        let Some(news) = client.watch(Collection::Rollouts, point, WATCH).await? else {
             return Ok(());
         };
         for change in &news.changes {
-            if let Some(order) = changed(host, change, news.revision) {
+            if let Some(order) = changed(host, change, news.point) {
                 take(host, order);
             }
         }
-        revision = news.revision;
+        point = news.point;
         if !news.changes.is_empty() {
             sleep(WATCH_PAUSE).await;
         }
@@ -63,29 +62,32 @@
     Ok(())
 }
 
-/// Orders that this host knows and that a listing of a revision has no more.
-fn withdrawn(host: &Host, listed: &[RolloutOrder], revision: u64) -> Vec<RolloutOrder> {
+/// Orders that this host knows and that a listing of a point has no more. An order that has
+/// ended and that the store lost by coming back from an older copy is written again by its
+/// author; its end stands.
+fn withdrawn(host: &Host, listed: &[RolloutOrder], point: StorePoint) -> Vec<RolloutOrder> {
     let known = host.look(|router| router.rollout_orders().cloned().collect::<Vec<_>>());
     let is_listed = |order: &RolloutOrder| listed.iter().any(|it| it.service == order.service);
     let gone = known
         .into_iter()
-        .filter(|it| !is_listed(it) && it.revision < revision);
+        .filter(|it| !is_listed(it) && it.point < point)
+        .filter(|it| it.point.era == point.era || !it.state.is_final());
     let orders = gone.map(|order| RolloutOrder {
         state: RolloutState::Withdrawn,
-        revision,
+        point,
         ..order
     });
     orders.collect()
 }
 
-fn changed(host: &Host, change: &ObjectChange, revision: u64) -> Option<RolloutOrder> {
+fn changed(host: &Host, change: &ObjectChange, point: StorePoint) -> Option<RolloutOrder> {
     let order = read(host, &change.object)?;
     if !change.is_removed {
         return Some(order);
     }
     Some(RolloutOrder {
         state: RolloutState::Withdrawn,
-        revision: order.revision.max(revision),
+        point: order.point.max(point),
         ..order
     })
 }
@@ -135,10 +137,14 @@
     }
 }
 
-/// Whether the order has changed since its state was to be written.
+/// Whether the order has changed since its state was to be written, or the store has come
+/// back since: its revision may be another order's now.
 fn is_stale(router: &Router, order: &RolloutOrder) -> bool {
+    if router.store_era().is_some_and(|era| era != order.point.era) {
+        return true;
+    }
     let mut known = router.rollout_orders();
-    !known.any(|it| it.service == order.service && it.revision == order.revision)
+    !known.any(|it| it.service == order.service && it.point == order.point)
 }
 
 /// Gives the object as the store has it afterwards.
@@ -150,12 +156,12 @@
     let platform = &host.platform;
     let path = platform.status_path(Collection::Rollouts, &order.service);
     let body = platform.rollout_status(order);
-    let answer: Bytes = match client.write(Method::PUT, &path, body).await {
+    let answer = match client.write(Method::PUT, &path, body).await {
         Err(StoreError::Status { status }) if status == StatusCode::CONFLICT => {
             let path = platform.object_path(Collection::Rollouts, &order.service);
             client.get(&path, READ_TIME).await?
         }
         answer => answer?,
     };
-    Ok(platform.object(&answer)?)
+    Ok(platform.object(&answer.body, answer.era)?)
 }
--- a/crates/jaypin_entry/tests/report_bytes.rs
+++ b/crates/jaypin_entry/tests/report_bytes.rs
@@ -9,7 +9,7 @@
 use jaypin_router::{
     Asked, BackendLoad, BackendRecord, BackendSamples, BackendSignals, BackendStatus, EntryChange,
     OutcomeCounts, Rank, Report, RolloutOrder, RolloutReport, RolloutState, RouteOutcomes,
-    SignalReport, StoreView, Strike, VersionOutcomes, WholeReport,
+    SignalReport, StorePoint, StoreView, Strike, VersionOutcomes, WholeReport,
 };
 use rand::RngExt;
 use rand::SeedableRng;
@@ -60,11 +60,11 @@
         changes: vec![
             EntryChange::Stated {
                 record,
-                revision: 41,
+                point: StorePoint::new(3, 41),
             },
             EntryChange::Removed {
                 id: "engine-2".into(),
-                revision: 42,
+                point: StorePoint::new(3, 42),
             },
         ],
         whole: Some(whole()),
@@ -85,6 +85,7 @@
             may_watch: true,
             is_watching: true,
             digest: u64::MAX - 1,
+            era: Some(3),
         },
         low_levels: vec![("farm".into(), -55_000.25)],
         asked: vec![Asked {
@@ -119,11 +120,12 @@
             service: "engines".into(),
             to: "v2".into(),
             time: Duration::from_secs(14),
-            revision: 77,
+            point: StorePoint::new(3, 77),
             state: RolloutState::Running,
         },
         age: Duration::from_millis(1_234),
         is_bad: true,
+        is_end_lost: true,
         outcomes: VersionOutcomes::from_routes([(9, outcomes)]),
     }
 }
@@ -203,7 +205,7 @@
     let object = Object {
         status: serde_json::Value::Null,
         name: "main".to_owned(),
-        revision: 77,
+        point: StorePoint::new(3, 77),
         content,
     };
     let handed = HandedConfiguration {
--- a/crates/jaypin_router/src/entries.rs
+++ b/crates/jaypin_router/src/entries.rs
@@ -5,15 +5,15 @@
 use jaypin_core::BackendId;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::{BackendRecord, BackendStatus};
+use crate::{BackendRecord, BackendStatus, StorePoint};
 
 /// Reports that tell a change: two of three may be lost.
 const TIMES_TOLD: u32 = 3;
 /// Changes in one report, so that it fits a datagram; more are told by the next ones.
 const MOST_TOLD: usize = 24;
 
-/// Entries whose revisions are remembered; of those that are gone the oldest are forgotten.
-const MOST_REVISIONS: usize = 4_096;
+/// Entries whose points are remembered; of those that are gone the oldest are forgotten.
+const MOST_POINTS: usize = 4_096;
 
 /// A change of an entry, as hosts that watch the store tell it to the others.
 #[derive(Debug, Clone, PartialEq)]
@@ -22,15 +22,15 @@
     Stated {
         /// The statement.
         record: BackendRecord,
-        /// The store's revision of it.
-        revision: u64,
+        /// When that was so, in the store's history.
+        point: StorePoint,
     },
     /// It is gone.
     Removed {
         /// The backend server.
         id: BackendId,
-        /// A revision of the store at which it was gone.
-        revision: u64,
+        /// A point in the store's history at which it was gone.
+        point: StorePoint,
     },
 }
 
@@ -42,9 +42,9 @@
         }
     }
 
-    fn revision(&self) -> u64 {
+    fn point(&self) -> StorePoint {
         match self {
-            Self::Stated { revision, .. } | Self::Removed { revision, .. } => *revision,
+            Self::Stated { point, .. } | Self::Removed { point, .. } => *point,
         }
     }
 }
@@ -53,8 +53,8 @@
 #[derive(Debug, Default)]
 pub struct Entries {
     hashes: BTreeMap<BackendId, u64>,
-    /// Newest revision heard of each entry, also of those that are gone.
-    revisions: BTreeMap<BackendId, u64>,
+    /// Newest point heard of each entry, also of those that are gone.
+    points: BTreeMap<BackendId, StorePoint>,
     digest: u64,
     news: VecDeque<(EntryChange, u32)>,
 }
@@ -71,26 +71,24 @@
         self.hashes.keys()
     }
 
-    /// Whether something newer than a revision was heard of an entry.
+    /// Whether something newer than a point was heard of an entry.
     #[must_use]
-    pub fn is_newer(&self, id: &str, revision: u64) -> bool {
-        self.revisions
-            .get(id)
-            .is_some_and(|newest| *newest > revision)
+    pub fn is_newer(&self, id: &str, point: StorePoint) -> bool {
+        self.points.get(id).is_some_and(|newest| *newest > point)
     }
 
-    /// All entries, with their revisions.
-    pub fn stated(&self) -> impl Iterator<Item = (&BackendId, u64)> {
-        let revisions = self.revisions.iter();
-        let stated = revisions.filter(|(id, _)| self.hashes.contains_key(*id));
-        stated.map(|(id, revision)| (id, *revision))
+    /// All entries, with their points.
+    pub fn stated(&self) -> impl Iterator<Item = (&BackendId, StorePoint)> {
+        let points = self.points.iter();
+        let stated = points.filter(|(id, _)| self.hashes.contains_key(*id));
+        stated.map(|(id, point)| (id, *point))
     }
 
-    /// Those that are gone, with a revision at which they were.
-    pub fn removed(&self) -> impl Iterator<Item = (&BackendId, u64)> {
-        let revisions = self.revisions.iter();
-        let gone = revisions.filter(|(id, _)| !self.hashes.contains_key(*id));
-        gone.map(|(id, revision)| (id, *revision))
+    /// Those that are gone, with a point at which they were.
+    pub fn removed(&self) -> impl Iterator<Item = (&BackendId, StorePoint)> {
+        let points = self.points.iter();
+        let gone = points.filter(|(id, _)| !self.hashes.contains_key(*id));
+        gone.map(|(id, point)| (id, *point))
     }
 
     /// Takes a change; says whether it is one.
@@ -99,11 +97,11 @@
     /// a late datagram: a backend server that leaves would be taken for ready again.
     pub fn take(&mut self, change: &EntryChange) -> bool {
         let id = change.id();
-        let newest = self.revisions.get(id).copied();
-        if newest.is_some_and(|newest| change.revision() <= newest) {
+        let newest = self.points.get(id).copied();
+        if newest.is_some_and(|newest| change.point() <= newest) {
             return false;
         }
-        self.revisions.insert(id.clone(), change.revision());
+        self.points.insert(id.clone(), change.point());
         self.forget_oldest();
         let new = match change {
             EntryChange::Stated { record, .. } => Some(hash(record)),
@@ -121,14 +119,14 @@
     }
 
     fn forget_oldest(&mut self) {
-        if self.revisions.len() <= MOST_REVISIONS {
+        if self.points.len() <= MOST_POINTS {
             return;
         }
-        let gone = self.revisions.iter();
+        let gone = self.points.iter();
         let gone = gone.filter(|(id, _)| !self.hashes.contains_key(*id));
-        let oldest = gone.min_by_key(|(_, revision)| **revision);
+        let oldest = gone.min_by_key(|(_, point)| **point);
         if let Some(id) = oldest.map(|(id, _)| id.clone()) {
-            self.revisions.remove(&id);
+            self.points.remove(&id);
         }
     }
 
--- a/crates/jaypin_router/src/lib.rs
+++ b/crates/jaypin_router/src/lib.rs
@@ -34,6 +34,7 @@
 mod router;
 mod signals;
 mod size;
+mod store_point;
 mod throttle;
 mod view;
 mod waiting;
@@ -73,6 +74,7 @@
 pub use router::{Bounds, Effect, Event, ExposureBound, Router, RouterConfig, RouterCounts};
 pub use signals::{BackendSignals, SignalTable};
 pub use size::Sizes;
+pub use store_point::{StoreEra, StorePoint};
 pub use view::{ViewKind, Views};
 pub use waiting::WaitingList;
 
--- a/crates/jaypin_router/src/report.rs
+++ b/crates/jaypin_router/src/report.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     Asked, BackendKey, BackendSignals, BootTime, CellIndex, EntryChange, HostKey, RolloutOrder,
-    VersionOutcomes,
+    StoreEra, VersionOutcomes,
 };
 
 /// What one host has running and has learned.
@@ -85,6 +85,8 @@
     pub is_watching: bool,
     /// A number that stands for all entries of backend servers that it knows.
     pub digest: u64,
+    /// The store's era, once one was heard.
+    pub era: Option<StoreEra>,
 }
 
 /// What a host knows of an order for a new version.
@@ -96,6 +98,8 @@
     pub age: Duration,
     /// Whether the new version was found bad.
     pub is_bad: bool,
+    /// Whether the store has lost the order's end, which the order states here.
+    pub is_end_lost: bool,
     /// What the host saw; to other cells: what it knows of its cell.
     pub outcomes: VersionOutcomes,
 }
--- a/crates/jaypin_router/src/rollout/order.rs
+++ b/crates/jaypin_router/src/rollout/order.rs
@@ -4,7 +4,7 @@
 
 use jaypin_core::ServiceId;
 
-use crate::SoftwareVersion;
+use crate::{SoftwareVersion, StorePoint};
 
 /// How far an order is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -50,8 +50,8 @@
     pub to: SoftwareVersion,
     /// Time within which it should be ended.
     pub time: Duration,
-    /// The store's revision of the order; a greater one is newer.
-    pub revision: u64,
+    /// Of the order's last change, in the store's history; a greater one is newer.
+    pub point: StorePoint,
     /// How far it is.
     pub state: RolloutState,
 }
--- a/crates/jaypin_router/src/rollout/progress.rs
+++ b/crates/jaypin_router/src/rollout/progress.rs
@@ -6,7 +6,7 @@
 use jaypin_core::Incarnation;
 
 use super::{Evidence, Exposure, RolloutOrder, RolloutState, VersionOutcomes, VersionTest};
-use crate::CellIndex;
+use crate::{CellIndex, StorePoint};
 
 /// Part of the ordered time after which a version that is good takes over. The rest is left
 /// for a store that is slow or away.
@@ -44,6 +44,7 @@
     of_cells: BTreeMap<CellIndex, VersionOutcomes>,
     test: VersionTest,
     is_bad: bool,
+    is_end_lost: bool,
     to_write: Option<(RolloutState, Instant)>,
 }
 
@@ -62,6 +63,7 @@
             of_cells: BTreeMap::new(),
             test: VersionTest::default(),
             is_bad: false,
+            is_end_lost: false,
             to_write: None,
         }
     }
@@ -83,6 +85,40 @@
         !std::mem::replace(&mut self.is_bad, true)
     }
 
+    /// Whether the store has lost the end of the order.
+    #[must_use]
+    pub fn is_end_lost(&self) -> bool {
+        self.is_end_lost
+    }
+
+    /// Takes a newer word of the store.
+    pub fn take(&mut self, order: RolloutOrder) {
+        self.order = order;
+        self.is_end_lost = false;
+    }
+
+    /// Whether the store, after its return from an older copy, states the order as it was
+    /// before its end.
+    #[must_use]
+    pub fn takes_as_lost_end(&self, order: &RolloutOrder) -> bool {
+        let is_later_era = order.point.era > self.order.point.era;
+        let is_ended = matches!(
+            self.order.state,
+            RolloutState::Done | RolloutState::RolledBack
+        );
+        let is_before_end = !order.state.is_final() && order.to == self.order.to;
+        is_ended && is_before_end && (is_later_era || self.is_end_lost)
+    }
+
+    /// The end stands, and has to be written again over a point of the new history. Says
+    /// whether that is news.
+    pub fn end_was_lost(&mut self, point: StorePoint) -> bool {
+        let is_news = !self.is_end_lost || point > self.order.point;
+        self.order.point = self.order.point.max(point);
+        self.is_end_lost = true;
+        is_news
+    }
+
     /// The test of the new version.
     #[must_use]
     pub fn test(&self) -> &VersionTest {
@@ -137,6 +173,9 @@
 
     /// What the store should say, where it does not.
     fn wanted(&self, now: Instant) -> Option<RolloutState> {
+        if self.is_end_lost {
+            return Some(self.order.state);
+        }
         let is_due = now >= self.take_over_at();
         match self.order.state {
             RolloutState::Done | RolloutState::RolledBack | RolloutState::Withdrawn => None,
--- a/crates/jaypin_router/src/rollout/versions.rs
+++ b/crates/jaypin_router/src/rollout/versions.rs
@@ -60,17 +60,25 @@
     ) -> bool {
         let started = now.checked_sub(age).unwrap_or(now);
         let known = self.by_service.get_mut(&order.service);
+        if let Some(known) = known
+            && known.takes_as_lost_end(&order)
+        {
+            return known.end_was_lost(order.point);
+        }
+        let known = self.by_service.get_mut(&order.service);
         let is_reordered = |it: &Rollout| it.order.state.is_final() && !order.state.is_final();
         let is_same = |it: &Rollout| it.order.to == order.to && !is_reordered(it);
         let Some(known) = known.filter(|it| is_same(it)) else {
             return self.replace(order, started, exposure, now);
         };
         known.started = known.started.min(started);
-        if order.revision <= known.order.revision {
+        let has_ended = order.state.is_final() && !known.order.state.is_final();
+        let is_end = has_ended && order.point == known.order.point;
+        if order.point <= known.order.point && !is_end {
             return false;
         }
         let was_final = known.order.state.is_final();
-        known.order = order;
+        known.take(order);
         if known.order.state.is_final() {
             known.ended.get_or_insert(now);
         }
@@ -82,6 +90,16 @@
         true
     }
 
+    /// A peer knows that the store has lost the end of an order.
+    pub fn end_was_lost(&mut self, order: &RolloutOrder) {
+        let known = self.by_service.get_mut(&order.service);
+        let is_same = |it: &Rollout| it.order.to == order.to && it.order.state == order.state;
+        // One that knows a later word of the store knows better.
+        if let Some(known) = known.filter(|it| is_same(it) && it.order.point <= order.point) {
+            known.end_was_lost(order.point);
+        }
+    }
+
     /// An order to another version, or the first one of a service.
     fn replace(
         &mut self,
@@ -92,7 +110,7 @@
     ) -> bool {
         let service = order.service.clone();
         if let Some(known) = self.by_service.get(&service) {
-            if order.revision <= known.order.revision {
+            if order.point <= known.order.point {
                 return false;
             }
             if known.order.state != RolloutState::Done {
--- a/crates/jaypin_router/src/router/event.rs
+++ b/crates/jaypin_router/src/router/event.rs
@@ -8,7 +8,8 @@
 
 use crate::{
     Arrival, AskedBy, AttemptOutcome, BackendRecord, BackendSignals, BootTime, EntryChange,
-    Grounds, Report, RequestNumber, RolloutOrder, RolloutWrite, RouteTable, Unrouted,
+    Grounds, Report, RequestNumber, RolloutOrder, RolloutWrite, RouteTable, StoreEra, StorePoint,
+    Unrouted,
 };
 
 /// Bounds that the fleet's operators state.
@@ -73,12 +74,14 @@
     Vouched(BootTime),
     /// The platform's store did not answer as it should.
     StoreDisturbed,
-    /// All entries of backend servers were read, each with its revision.
+    /// The platform's store stated its era.
+    StoreEra(StoreEra),
+    /// All entries of backend servers were read, each with the point of its last change.
     BackendsListed {
         /// The entries.
-        entries: Vec<(BackendRecord, u64)>,
-        /// The store's revision.
-        revision: u64,
+        entries: Vec<(BackendRecord, StorePoint)>,
+        /// When they were so, in the store's history.
+        point: StorePoint,
     },
     /// The entry of a backend server changed.
     BackendChanged(EntryChange),
--- a/crates/jaypin_router/src/router/knowledge.rs
+++ b/crates/jaypin_router/src/router/knowledge.rs
@@ -12,7 +12,7 @@
 use super::Router;
 use crate::{
     Backend, BackendRecord, BootTime, EntryChange, LoadChange, LoadNews, Report, ResendBudget,
-    RouteTable, VersionRole, ViewKind, cell_count, cell_of,
+    RouteTable, StorePoint, VersionRole, ViewKind, cell_count, cell_of,
 };
 
 /// Part of the bound on withdrawn credentials within which the configuration has to be
@@ -59,8 +59,8 @@
 
     pub(super) fn backends_listed(
         &mut self,
-        entries: Vec<(BackendRecord, u64)>,
-        revision: u64,
+        entries: Vec<(BackendRecord, StorePoint)>,
+        point: StorePoint,
         now: Instant,
     ) {
         let listed: BTreeSet<BackendId> = entries.iter().map(|it| it.0.id.clone()).collect();
@@ -68,19 +68,19 @@
         let gone: BTreeSet<_> = known.filter(|id| !listed.contains(*id)).cloned().collect();
         for id in gone {
             // A listing that lags says nothing of what came after it.
-            if self.entries.is_newer(&id, revision) {
+            if self.entries.is_newer(&id, point) {
                 continue;
             }
             let removed = EntryChange::Removed {
                 id: id.clone(),
-                revision,
+                point,
             };
             self.entries.take(&removed);
             self.entries.tell(removed);
             self.backend_missing(id, now);
         }
-        for (record, revision) in entries {
-            self.backend_told(EntryChange::Stated { record, revision }, now);
+        for (record, point) in entries {
+            self.backend_told(EntryChange::Stated { record, point }, now);
         }
         self.heard.read_all();
     }
--- a/crates/jaypin_router/src/router/mod.rs
+++ b/crates/jaypin_router/src/router/mod.rs
@@ -9,6 +9,7 @@
 mod placing;
 mod rollouts;
 mod snapshot;
+mod store_era;
 mod telling;
 mod telling_loads;
 mod watching;
@@ -31,6 +32,7 @@
     SignalTable, Sizes, SlowAnswers, Views, WaitingList,
 };
 use lapse::Vanished;
+use store_era::KnownEra;
 use telling::Telling;
 use telling_loads::LoadTelling;
 use watching::Heard;
@@ -64,6 +66,7 @@
     backends: BackendTable,
     signals: SignalTable,
     vanished: Vanished,
+    era: KnownEra,
     fleet: Fleet,
     peer_loads: PeerLoads,
     quota: FleetQuota,
@@ -110,6 +113,7 @@
             backends: BackendTable::default(),
             signals: SignalTable::default(),
             vanished: Vanished::default(),
+            era: KnownEra::default(),
             fleet: Fleet::default(),
             peer_loads: PeerLoads::default(),
             quota: FleetQuota::new(cfg.bounds.quota_window, cfg.bounds.quota_slack),
@@ -144,9 +148,10 @@
             Event::Proved(at) => self.proved(at),
             Event::Vouched(at) => self.vouched(at),
             Event::StoreDisturbed => self.store_disturbed(now),
-            Event::BackendsListed { entries, revision } => {
-                self.backends_listed(entries, revision, now);
+            Event::BackendsListed { entries, point } => {
+                self.backends_listed(entries, point, now);
             }
+            Event::StoreEra(era) => self.store_stated_era(era, now),
             Event::BackendChanged(change) => self.backend_told(change, now),
             Event::EntriesHanded(entries) => self.entries_handed(entries, now),
             Event::Arrived(arrival) => self.arrived(now, &arrival, &mut fx),
--- a/crates/jaypin_router/src/router/rollouts.rs
+++ b/crates/jaypin_router/src/router/rollouts.rs
@@ -60,6 +60,9 @@
         };
         for told in &whole.rollouts {
             self.take_order(told.order.clone(), told.age, now);
+            if told.is_end_lost {
+                self.rollouts.end_was_lost(&told.order);
+            }
             let rollout = self.rollouts.get_mut(&told.order.service);
             let Some(rollout) = rollout.filter(|it| it.order.to == told.order.to) else {
                 continue;
@@ -79,11 +82,13 @@
     pub(super) fn rollouts_to_tell(&self, now: Instant, is_of_cell: bool) -> Vec<RolloutReport> {
         let age = |at: Instant| now.saturating_duration_since(at);
         let all = self.rollouts.values();
-        let told = all.filter(|it| it.ended.is_none_or(|at| age(at) < TOLD_AFTER_END));
+        let told =
+            all.filter(|it| it.is_end_lost() || it.ended.is_none_or(|at| age(at) < TOLD_AFTER_END));
         let reports = told.map(|rollout| RolloutReport {
             order: rollout.order.clone(),
             age: age(rollout.started),
             is_bad: rollout.is_bad(),
+            is_end_lost: rollout.is_end_lost(),
             outcomes: if is_of_cell {
                 rollout.own_cell()
             } else {
--- a/crates/jaypin_router/src/router/snapshot.rs
+++ b/crates/jaypin_router/src/router/snapshot.rs
@@ -52,14 +52,14 @@
     #[must_use]
     pub fn entry_snapshot(&self) -> Vec<EntryChange> {
         let stated = self.entries.stated();
-        let stated = stated.filter_map(|(id, revision)| {
+        let stated = stated.filter_map(|(id, point)| {
             let record = self.backends.get(id)?.record.clone();
-            Some(EntryChange::Stated { record, revision })
+            Some(EntryChange::Stated { record, point })
         });
         let removed = self.entries.removed();
-        let removed = removed.map(|(id, revision)| EntryChange::Removed {
+        let removed = removed.map(|(id, point)| EntryChange::Removed {
             id: id.clone(),
-            revision,
+            point,
         });
         stated.chain(removed).collect()
     }
--- a/crates/jaypin_router/src/router/telling.rs
+++ b/crates/jaypin_router/src/router/telling.rs
@@ -263,6 +263,7 @@
             may_watch,
             is_watching: may_watch && self.should_watch(now, boot_time),
             digest: self.entries.digest(),
+            era: self.store_era(),
         }
     }
 
--- a/crates/jaypin_router/src/router/watching.rs
+++ b/crates/jaypin_router/src/router/watching.rs
@@ -5,7 +5,7 @@
 use jaypin_core::{HostId, score};
 
 use super::Router;
-use crate::{BootTime, EntryChange, Report, cell_of};
+use crate::{BackendStatus, BootTime, EntryChange, Report, cell_of};
 
 /// Hosts of a cell that watch the store; the others hear from them. Two, so that one can
 /// be lost without a moment in which nobody watches.
@@ -182,6 +182,7 @@
             return;
         };
         let view = &whole.store;
+        self.heard_of_era(view.era, now);
         self.heard.newest_version = self.heard.newest_version.max(view.version);
         if whole.cell_callers.is_some() {
             return;
@@ -210,7 +211,12 @@
             return false;
         }
         match change {
-            EntryChange::Stated { record, .. } => self.backend_changed(record, now),
+            EntryChange::Stated { record, .. } => {
+                if record.status == BackendStatus::Leaving {
+                    self.signals.stated_leaving(&record, now);
+                }
+                self.backend_changed(record, now);
+            }
             EntryChange::Removed { id, .. } => self.backend_removed(&id, now),
         }
         true
--- a/crates/jaypin_router/src/signals.rs
+++ b/crates/jaypin_router/src/signals.rs
@@ -13,8 +13,9 @@
 /// that passes it on makes it look a little younger.
 const RELAY_MARGIN: Duration = Duration::from_millis(100);
 /// Time for which a signal that was taken back is told, so that no host that was cut off for
-/// a while brings it back.
-const TOLD_AFTER_END: Duration = Duration::from_mins(1);
+/// a while brings it back, and for which a process that left is remembered: copies of the
+/// store are seconds old.
+const KEPT_FOR: Duration = Duration::from_mins(1);
 
 /// What the header of one answer says of the backend server that gave it.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
@@ -36,6 +37,8 @@
 pub struct SignalTable {
     heard: HashMap<BackendKey, HeardSignals>,
     rests: HashMap<BackendKey, Rest>,
+    /// Processes that stated to the store that they leave, and when they were heard.
+    left: HashMap<BackendKey, (u64, Instant)>,
 }
 
 /// Signals, and which process gave them when.
@@ -146,15 +149,27 @@
     /// The signals of a backend server's present process.
     #[must_use]
     pub fn of(&self, record: &BackendRecord) -> BackendSignals {
-        let known = self.heard.get(&backend_key(&record.id));
+        let key = backend_key(&record.id);
+        let known = self.heard.get(&key);
         let known = known.filter(|it| it.started == record.started);
-        known.map(|it| it.signals).unwrap_or_default()
+        let mut signals = known.map(|it| it.signals).unwrap_or_default();
+        let left = self.left.get(&key);
+        signals.is_leaving |= left.is_some_and(|it| it.0 == record.started);
+        signals
+    }
+
+    /// Keeps that a process stated to the store that it leaves.
+    ///
+    /// Guards against a store that comes back from an older copy, in which it is ready.
+    pub fn stated_leaving(&mut self, record: &BackendRecord, now: Instant) {
+        let key = backend_key(&record.id);
+        self.left.insert(key, (record.started, now));
     }
 
     /// Whether nothing was heard that still matters.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.heard.is_empty() && self.rests.is_empty()
+        self.heard.is_empty() && self.rests.is_empty() && self.left.is_empty()
     }
 
     /// What peers should know of a backend server.
@@ -173,8 +188,10 @@
     /// Forgets what was taken back long ago, or was said by backend servers that are gone.
     pub fn forget_old(&mut self, is_known: impl Fn(BackendKey) -> bool, now: Instant) {
         self.rests.retain(|_, rest| now < rest.until);
+        let is_old = |at: Instant| now.saturating_duration_since(at) >= KEPT_FOR;
+        self.left.retain(|_, (_, at)| !is_old(*at));
         self.heard.retain(|key, heard| {
-            let is_old = now.saturating_duration_since(heard.at) >= TOLD_AFTER_END;
+            let is_old = is_old(heard.at);
             !is_old || (is_known(*key) && !heard.signals.is_none())
         });
     }
--- a/crates/jaypin_router/tests/common/fleet.rs
+++ b/crates/jaypin_router/tests/common/fleet.rs
@@ -9,7 +9,7 @@
 use jaypin_core::{BackendId, HostId};
 use jaypin_router::{
     Arrival, AttemptOutcome, BackendRecord, BackendSignals, BootTime, Configuration, Effect,
-    EntryChange, Event, Report, RequestNumber, RouteTable, Router, RouterConfig,
+    EntryChange, Event, Report, RequestNumber, RouteTable, Router, RouterConfig, StorePoint,
 };
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -169,7 +169,7 @@
         for record in self.records.clone() {
             let change = EntryChange::Stated {
                 record,
-                revision: 10,
+                point: StorePoint::new(1, 10),
             };
             self.apply(n, Event::BackendChanged(change));
         }
--- a/crates/jaypin_router/tests/common/mod.rs
+++ b/crates/jaypin_router/tests/common/mod.rs
@@ -10,8 +10,8 @@
 use jaypin_router::{
     Account, Arrival, AttemptOutcome, BackendRecord, BackendStatus, Bounds, CallerLimits,
     Configuration, Effect, Engine, EntryChange, Event, Quota, QuotaUnit, Repeat, Report,
-    RequestNumber, Route, RouteTable, Router, RouterConfig, Service, StoreView, Target, Unrouted,
-    WholeReport, host_key,
+    RequestNumber, Route, RouteTable, Router, RouterConfig, Service, StoreEra, StorePoint,
+    StoreView, Target, Unrouted, WholeReport, host_key,
 };
 
 /// The service of engines.
@@ -43,6 +43,8 @@
     /// Now, on the clock that counts suspended time.
     pub boot: Duration,
     next: RequestNumber,
+    /// The store's era.
+    pub era: StoreEra,
 }
 
 /// A route for each kind of request.
@@ -239,6 +241,7 @@
             now: Instant::now(),
             boot: Duration::from_secs(1_000),
             next: 1,
+            era: 1,
         }
     }
 
@@ -280,25 +283,27 @@
 
     /// A backend server states something.
     pub fn state(&mut self, record: BackendRecord) {
-        let revision = self.revision();
-        self.apply(Event::BackendChanged(EntryChange::Stated {
-            record,
-            revision,
-        }));
+        let point = self.point();
+        self.apply(Event::BackendChanged(EntryChange::Stated { record, point }));
     }
 
     /// Its entry is removed.
     pub fn remove(&mut self, id: &str) {
-        let revision = self.revision();
+        let point = self.point();
         let id = id.into();
-        self.apply(Event::BackendChanged(EntryChange::Removed { id, revision }));
+        self.apply(Event::BackendChanged(EntryChange::Removed { id, point }));
     }
 
     /// All entries are read.
     pub fn list(&mut self, records: Vec<BackendRecord>) {
-        let revision = self.revision();
-        let entries = records.into_iter().map(|it| (it, revision)).collect();
-        self.apply(Event::BackendsListed { entries, revision });
+        let point = self.point();
+        let entries = records.into_iter().map(|it| (it, point)).collect();
+        self.apply(Event::BackendsListed { entries, point });
+    }
+
+    /// A point of the store's history that grows with each call.
+    pub fn point(&mut self) -> StorePoint {
+        StorePoint::new(self.era, self.revision())
     }
 
     /// A number that grows with each call.
--- a/crates/jaypin_router/tests/lapse.rs
+++ b/crates/jaypin_router/tests/lapse.rs
@@ -6,7 +6,7 @@
 
 use common::{Bed, ENGINES, Told, record};
 use jaypin_core::Reason;
-use jaypin_router::{BackendStatus, Event};
+use jaypin_router::{BackendStatus, Event, StorePoint};
 
 fn bed(engines: usize) -> (Bed, Vec<String>) {
     let mut bed = Bed::new(common::configuration(1));
@@ -114,11 +114,11 @@
     leaving.status = BackendStatus::Leaving;
     bed.apply(Event::BackendChanged(EntryChange::Stated {
         record: leaving,
-        revision: 90,
+        point: StorePoint::new(1, 90),
     }));
     bed.apply(Event::BackendChanged(EntryChange::Stated {
         record: record("engine-000", ENGINES, 9),
-        revision: 80,
+        point: StorePoint::new(1, 80),
     }));
     assert!(!is_served(&mut bed));
 }
--- a/crates/jaypin_router/tests/proof.rs
+++ b/crates/jaypin_router/tests/proof.rs
@@ -117,6 +117,7 @@
             may_watch: watches,
             is_watching: watches,
             digest: 0,
+            era: None,
         },
         ..common::whole(2)
     };
--- a/crates/jaypin_router/tests/rollout_fleet/fleet.rs
+++ b/crates/jaypin_router/tests/rollout_fleet/fleet.rs
@@ -7,7 +7,7 @@
 use jaypin_core::HostId;
 use jaypin_router::{
     Arrival, AttemptOutcome, BootTime, Effect, EntryChange, Event, ExposureBound, Report,
-    RequestNumber, RolloutOrder, RolloutState, RouteTable, Router, RouterConfig,
+    RequestNumber, RolloutOrder, RolloutState, RouteTable, Router, RouterConfig, StorePoint,
 };
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -184,9 +184,9 @@
             } => self.serve(n, number, &backend),
             Effect::WriteRollout(write) if !self.hosts[n].is_cut && !self.store_is_out => {
                 self.seen.writes += 1;
-                if write.order.revision == self.store.revision {
+                if write.order.point == self.store.point {
                     self.store = RolloutOrder {
-                        revision: self.store.revision + 1,
+                        point: StorePoint::new(1, self.store.point.revision + 1),
                         ..write.order
                     };
                     if self.store.state.is_final() {
@@ -377,7 +377,7 @@
         service: ENGINES.into(),
         to: "v2".into(),
         time: ORDER_TIME,
-        revision: 50,
+        point: StorePoint::new(1, 50),
         state: RolloutState::Ordered,
     }
 }
@@ -388,6 +388,6 @@
     record.started = if version == "v1" { 1 } else { 2 };
     EntryChange::Stated {
         record,
-        revision: 10,
+        point: StorePoint::new(1, 10),
     }
 }
--- a/crates/jaypin_router/tests/rollouts.rs
+++ b/crates/jaypin_router/tests/rollouts.rs
@@ -7,7 +7,7 @@
 use common::{Bed, ENGINES, configuration, record};
 use jaypin_router::{
     AttemptOutcome, Effect, Event, ExposureBound, RolloutOrder, RolloutReport, RolloutState,
-    VersionOutcomes,
+    StorePoint, VersionOutcomes,
 };
 
 fn order(to: &str, revision: u64, state: RolloutState) -> RolloutOrder {
@@ -15,7 +15,7 @@
         service: ENGINES.into(),
         to: to.into(),
         time: Duration::from_secs(12),
-        revision,
+        point: StorePoint::new(1, revision),
         state,
     }
 }
@@ -145,6 +145,7 @@
         order: order("v2", 5, Running),
         age: Duration::from_secs(1),
         is_bad: true,
+        is_end_lost: false,
         outcomes: VersionOutcomes::default(),
     });
     bed.hear_report(common::report(1, whole));
@@ -169,7 +170,7 @@
     bed.wait(Duration::from_millis(100));
     let fx = bed.tick();
     let written = fx.iter().find_map(|effect| match effect {
-        Effect::WriteRollout(write) => Some((write.order.state, write.order.revision)),
+        Effect::WriteRollout(write) => Some((write.order.state, write.order.point.revision)),
         _ => None,
     });
     assert_eq!(written, Some((Running, 5)));
--- a/crates/jaypin_router/tests/snapshots.rs
+++ b/crates/jaypin_router/tests/snapshots.rs
@@ -3,7 +3,9 @@
 mod common;
 
 use common::{Bed, ENGINES, Told, record};
-use jaypin_router::{BackendStatus, EntryChange, Event, Report, StoreView, WholeReport};
+use jaypin_router::{
+    BackendStatus, EntryChange, Event, Report, StorePoint, StoreView, WholeReport,
+};
 
 /// A peer that watches the store, as it reports.
 fn watcher(sequence: u64, version: u64, digest: u64) -> Report {
@@ -13,6 +15,7 @@
         may_watch: true,
         is_watching: true,
         digest,
+        era: None,
     };
     let whole = WholeReport {
         store,
@@ -103,17 +106,17 @@
     let record = record("engine-1", ENGINES, 9);
     bed.apply(Event::BackendChanged(EntryChange::Stated {
         record,
-        revision: 500,
+        point: StorePoint::new(1, 500),
     }));
     bed.apply(Event::BackendsListed {
         entries: Vec::new(),
-        revision: 450,
+        point: StorePoint::new(1, 450),
     });
     let (_, told) = bed.arrive("/ask/1", (600, 30));
     assert!(matches!(told, Told::Sent(_)), "{told:?}");
     bed.apply(Event::BackendsListed {
         entries: Vec::new(),
-        revision: 501,
+        point: StorePoint::new(1, 501),
     });
     let (_, told) = bed.arrive("/ask/1", (600, 30));
     assert!(!matches!(told, Told::Sent(_)), "{told:?}");
