--- a/crates/jaypin_router/tests/watching.rs
+++ b/crates/jaypin_router/tests/watching.rs
@@ -142,8 +142,9 @@
     let mut told = Vec::new();
     for n in 0..40 {
         bed.wait(Duration::from_millis(100));
-        bed.hear_report(common::report(n + 1, common::whole(2)));
-        for effect in bed.tick() {
+        let mut fx = bed.hear_report(common::report(n + 1, common::whole(2)));
+        fx.extend(bed.tick());
+        for effect in fx {
             if let Effect::Tell { report, .. } = effect {
                 told.extend(report.changes.iter().map(|it| format!("{it:?}")));
             }
