--- a/crates/jaypin_entry/src/callers/mod.rs
+++ b/crates/jaypin_entry/src/callers/mod.rs
@@ -1,6 +1,7 @@
 //! HTTP towards callers.
 
 mod answer;
+mod attempt;
 mod delivery;
 mod directory;
 mod drive;
--- a/crates/jaypin_entry/src/peers/wire/handed.rs
+++ b/crates/jaypin_entry/src/peers/wire/handed.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-use super::{WireError, WirePoint, decode, encode, milliseconds, read_point, wire_point};
+use super::entries::{WirePoint, read_point, wire_point};
+use super::{WireError, decode, encode, milliseconds};
 use crate::ports::Object;
 
 /// Name, point, and what the author wrote.
--- a/crates/jaypin_entry/src/peers/wire/mod.rs
+++ b/crates/jaypin_entry/src/peers/wire/mod.rs
@@ -1,22 +1,25 @@
 //! Reports as bytes: CBOR arrays, so that no field name travels.
 
+mod entries;
 mod handed;
 mod rollout;
 
+pub use entries::{decode_entries, encode_entries};
 pub use handed::{HandedConfiguration, decode_configuration, encode_configuration};
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use jaypin_core::{AccountId, BackendId, FailureDomain, HostId, ServiceId};
+use jaypin_core::{AccountId, FailureDomain, HostId};
 use jaypin_router::{
-    Asked, BackendLoad, BackendRecord, BackendSamples, BackendSignals, BackendStatus, EntryChange,
-    Rank, Report, SignalReport, SoftwareVersion, StorePoint, StoreView, Strike, WholeReport,
+    Asked, BackendLoad, BackendSamples, BackendSignals, Rank, Report, SignalReport, StoreView,
+    Strike, WholeReport,
 };
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use snafu::{ResultExt, Snafu};
 
+use entries::{WireChange, read_change, wire_change};
 use rollout::{WireRollout, read_rollout, wire_rollout};
 
 /// Why bytes are no report, or a report no bytes.
@@ -66,14 +69,6 @@
 type WireSender = (String, String, String, String, u32);
 /// Version, proved at and sent at in milliseconds, may watch, watches, digest, era.
 type WireView = (u64, Option<u64>, u64, bool, bool, u64, Option<u64>);
-/// Start, service, address, failure domain, slots, whether it is ready, version.
-type WireRecord = (u64, String, String, String, u32, bool, String);
-
-/// Era and revision.
-type WirePoint = (u64, u64);
-/// A change of an entry: its id, point, and statement if it is not gone.
-type WireChange = (String, WirePoint, Option<WireRecord>);
-
 /// A report as it travels, field by field in this order.
 #[derive(Debug, Serialize, Deserialize)]
 struct WireReport(
@@ -101,24 +96,6 @@
     Vec<WireRollout>,
 );
 
-/// Writes entries of backend servers.
-///
-/// # Errors
-/// Gives what the library gives.
-pub fn encode_entries(entries: &[EntryChange]) -> Result<Vec<u8>, WireError> {
-    let wire: Vec<WireChange> = entries.iter().map(wire_change).collect();
-    encode(&wire)
-}
-
-/// Reads entries of backend servers.
-///
-/// # Errors
-/// Says why the bytes are none.
-pub fn decode_entries(bytes: &[u8]) -> Result<Vec<EntryChange>, WireError> {
-    let wire: Vec<WireChange> = decode(bytes)?;
-    Ok(wire.into_iter().map(change).collect())
-}
-
 /// Writes a report.
 ///
 /// # Errors
@@ -234,7 +211,7 @@
             samples: samples.into_iter().map(sample).collect(),
             usage: usage.map(units).collect(),
             signals: signals.into_iter().map(read_signals).collect(),
-            changes: changes.into_iter().map(change).collect(),
+            changes: changes.into_iter().map(read_change).collect(),
             whole: whole.map(WholeReport::try_from).transpose()?,
         })
     }
@@ -346,57 +323,6 @@
     }
 }
 
-fn wire_point(point: StorePoint) -> WirePoint {
-    (point.era, point.revision)
-}
-
-fn read_point((era, revision): WirePoint) -> StorePoint {
-    StorePoint { era, revision }
-}
-
-fn wire_change(change: &EntryChange) -> WireChange {
-    match change {
-        EntryChange::Removed { id, point } => (id.to_string(), wire_point(*point), None),
-        EntryChange::Stated { record, point } => {
-            let stated = (
-                record.started,
-                record.service.to_string(),
-                record.address.clone(),
-                record.failure_domain.to_string(),
-                record.slots,
-                record.status == BackendStatus::Ready,
-                record.version.to_string(),
-            );
-            (record.id.to_string(), wire_point(*point), Some(stated))
-        }
-    }
-}
-
-fn change((id, point, statement): WireChange) -> EntryChange {
-    let point = read_point(point);
-    let Some((started, service, address, failure_domain, slots, is_ready, version)) = statement
-    else {
-        let id = BackendId::from(id);
-        return EntryChange::Removed { id, point };
-    };
-    let status = if is_ready {
-        BackendStatus::Ready
-    } else {
-        BackendStatus::Leaving
-    };
-    let record = BackendRecord {
-        id: BackendId::from(id),
-        started,
-        service: ServiceId::from(service),
-        address,
-        failure_domain: FailureDomain::from(failure_domain),
-        slots,
-        status,
-        version: SoftwareVersion::from(version),
-    };
-    EntryChange::Stated { record, point }
-}
-
 fn read_address(text: &str) -> Result<SocketAddr, WireError> {
     text.parse().context(AddressSnafu)
 }
--- a/crates/jaypin_entry/src/peers/wire/rollout.rs
+++ b/crates/jaypin_entry/src/peers/wire/rollout.rs
@@ -8,7 +8,8 @@
     VersionOutcomes,
 };
 
-use super::{WireError, WirePoint, milliseconds, read_point, wire_point};
+use super::entries::{WirePoint, read_point, wire_point};
+use super::{WireError, milliseconds};
 
 /// Service, version, time in milliseconds, point, state.
 type WireOrder = (String, String, u64, WirePoint, u8);
