Divide rate limits anew only while there are some

Cause, by reading: for a minute after any backend server had left, each host looked through all backend servers and hashed all hosts every 50 ms, though no limit was stated. Not measured. Ruled out: limits that change hands late: the test of restarts in turn passes. Result: stated_limits 9, leaving_backends 10, asked_rests 12, store_eras 12 pass.

--- a/crates/jaypin_router/src/router/backend_signals.rs
+++ b/crates/jaypin_router/src/router/backend_signals.rs
@@ -67,7 +67,9 @@
         let backends = &self.backends;
         let is_known = |key| backends.by_key(key).is_some();
         self.signals.forget_old(is_known, now);
-        self.apply_signals(now);
+        if self.signals.has_limits() {
+            self.apply_signals(now);
+        }
     }
 
     /// Sets for each backend server whether it leaves or rests, and how this host spaces its
--- a/crates/jaypin_router/src/signals.rs
+++ b/crates/jaypin_router/src/signals.rs
@@ -172,6 +172,13 @@
         self.heard.is_empty() && self.rests.is_empty() && self.left.is_empty()
     }
 
+    /// Whether a backend server states a rate limit.
+    #[must_use]
+    pub fn has_limits(&self) -> bool {
+        let mut heard = self.heard.values();
+        heard.any(|it| it.signals.rate_limit.is_some())
+    }
+
     /// What peers should know of a backend server.
     #[must_use]
     pub fn to_tell(&self, key: BackendKey, now: Instant) -> Option<SignalReport> {
