Count a registration's age from when it was written

Cause, by reading: the age was counted from the host's start. One that had waited for the store for over a minute took its fresh registration for one that each copy has, and a return would have lost it for good. Change: the time is taken once it is written. Ruled out: nothing. No test of its own: it takes a minute of real time. Result: a_registration_that_was_lost_is_written_again passes.

--- a/crates/jaypin_entry/src/store/hosts.rs
+++ b/crates/jaypin_entry/src/store/hosts.rs
@@ -33,10 +33,10 @@
 pub async fn join_fleet(host: Rc<Host>) {
     let mut client = StoreClient::new(&host);
     let mut retries = Retries::default();
-    let joined_at = Instant::now();
     while let Err(error) = join(&host, &mut client).await {
         retries.pause_after(&host, "registration", &error).await;
     }
+    let joined_at = Instant::now();
     let mut era = host.look(Router::store_era);
     loop {
         let spread = rand::rng().random_range(LIST_SPREAD);
