Call the time that a backend server asks for a backoff

Change: names, log lines and pages; nothing else. Ruled out: the same for a host's own pause after failures in backend.rs, which is older and stays apart.

--- a/crates/jaypin_entry/src/callers/attempt.rs
+++ b/crates/jaypin_entry/src/callers/attempt.rs
@@ -112,16 +112,16 @@
                 before.rate_limit
             }
         };
-        let rest = match &says.rest {
-            Ok(rest) => *rest,
+        let backoff = match &says.backoff {
+            Ok(backoff) => *backoff,
             Err(error) => {
-                log::warn!(backend, error:%; "the rest that a backend server asks for makes no sense");
+                log::warn!(backend, error:%; "the backoff that a backend server requests makes no sense");
                 None
             }
         };
-        if let Some(rest) = rest {
-            let ms = rest.as_millis();
-            log::info!(backend, ms; "a backend server asks for rest");
+        if let Some(backoff) = backoff {
+            let ms = backoff.as_millis();
+            log::info!(backend, ms; "a backend server requested backoff");
         }
         let signals = BackendSignals {
             rate_limit,
@@ -130,7 +130,7 @@
         self.host.apply(Event::Signalled {
             number,
             signals,
-            rest,
+            backoff,
         });
         let after = self.host.look(|router| router.signals_of(backend));
         if before != after {
--- a/crates/jaypin_entry/src/ports.rs
+++ b/crates/jaypin_entry/src/ports.rs
@@ -172,7 +172,7 @@
     pub status: BackendStatus,
     /// Time for which it wants nothing from this host, where it turned the request away and
     /// says so.
-    pub rest: Result<Option<Duration>, DecodeError>,
+    pub backoff: Result<Option<Duration>, DecodeError>,
 }
 
 /// An adapter to a platform: translation and nothing else.
--- a/crates/jaypin_router/src/backend.rs
+++ b/crates/jaypin_router/src/backend.rs
@@ -82,7 +82,7 @@
     rest_until: Option<Instant>,
     rests: u32,
     /// Until when it wants nothing from this host, by its own answer.
-    asked_rest_until: Option<Instant>,
+    backoff_until: Option<Instant>,
     /// Whether an answer said that its process leaves.
     has_said_it_leaves: bool,
     /// How this host spaces its requests, where the backend server states a limit.
@@ -150,7 +150,7 @@
             failures: 0.0,
             rest_until: None,
             rests: 0,
-            asked_rest_until: None,
+            backoff_until: None,
             has_said_it_leaves: false,
             throttle: None,
         }
@@ -197,19 +197,19 @@
     #[must_use]
     pub fn takes_requests(&self, now: Instant) -> bool {
         let has_turn = self.throttle.as_ref().is_none_or(|it| it.allows(now));
-        self.is_ready() && has_turn && !self.is_resting_as_asked(now)
+        self.is_ready() && has_turn && !self.is_backing_off(now)
     }
 
-    /// Whether it asked this host for rest, which is not over.
+    /// Whether it asked this host to back off, and the time for that is not over.
     #[must_use]
-    pub fn is_resting_as_asked(&self, now: Instant) -> bool {
-        self.rest_left(now) > Duration::ZERO
+    pub fn is_backing_off(&self, now: Instant) -> bool {
+        self.backoff_left(now) > Duration::ZERO
     }
 
-    /// What is left of the rest that it asked this host for.
+    /// What is left of the backoff that it requested of this host.
     #[must_use]
-    pub fn rest_left(&self, now: Instant) -> Duration {
-        let until = self.asked_rest_until;
+    pub fn backoff_left(&self, now: Instant) -> Duration {
+        let until = self.backoff_until;
         until.map_or(Duration::ZERO, |until| until.saturating_duration_since(now))
     }
 
@@ -325,8 +325,8 @@
     }
 
     /// Takes no requests of this host until a time.
-    pub fn rest_as_asked(&mut self, until: Option<Instant>) {
-        self.asked_rest_until = until;
+    pub fn back_off_until(&mut self, until: Option<Instant>) {
+        self.backoff_until = until;
     }
 
     /// Spaces this host's requests; without a pause it sends none.
--- a/crates/jaypin_router/src/grounds.rs
+++ b/crates/jaypin_router/src/grounds.rs
@@ -68,8 +68,8 @@
     NoPlace {
         /// Backend servers whose rate limit leaves nothing for this host at the moment.
         limited: usize,
-        /// Backend servers that asked this host for rest.
-        resting: usize,
+        /// Backend servers that asked this host to back off.
+        backing_off: usize,
     },
     /// The time for the answer is over.
     Deadline,
@@ -148,13 +148,16 @@
                     "{free} slots free, {kept:.1} kept for more urgent requests"
                 )
             }
-            Self::NoPlace { limited, resting } => {
+            Self::NoPlace {
+                limited,
+                backing_off,
+            } => {
                 write!(f, "no backend server takes requests")?;
                 if *limited > 0 {
                     write!(f, ", {limited} state a rate limit")?;
                 }
-                if *resting > 0 {
-                    write!(f, ", {resting} asked for rest")?;
+                if *backing_off > 0 {
+                    write!(f, ", {backing_off} requested backoff")?;
                 }
                 Ok(())
             }
--- a/crates/jaypin_router/src/router/backend_signals.rs
+++ b/crates/jaypin_router/src/router/backend_signals.rs
@@ -27,7 +27,7 @@
         now: Instant,
         number: RequestNumber,
         signals: BackendSignals,
-        rest: Option<Duration>,
+        backoff: Option<Duration>,
     ) {
         let Some(request) = self.sent.get(&number) else {
             return;
@@ -36,14 +36,15 @@
         let Some(backend) = self.backends.get(&state.backend) else {
             return;
         };
-        if let Some(rest) = rest {
-            self.signals.asked_for_rest(&backend.record, rest, now);
+        if let Some(backoff) = backoff {
+            self.signals
+                .requested_backoff(&backend.record, backoff, now);
         }
         let has_news = self.signals.heard(&backend.record, signals, state.at, now);
         if has_news {
             self.load_telling.slot_changed(backend.key);
         }
-        if has_news || rest.is_some() {
+        if has_news || backoff.is_some() {
             self.apply_signals(now);
         }
     }
@@ -72,7 +73,7 @@
         }
     }
 
-    /// Sets for each backend server whether it leaves or rests, and how this host spaces its
+    /// Sets for each backend server whether it leaves or wants a pause, and how this host spaces its
     /// requests.
     pub(super) fn apply_signals(&mut self, now: Instant) {
         let sharers = self.sharers(now);
@@ -98,10 +99,10 @@
     }
 
     /// Time until a backend server of a service wants requests again; none where one does now.
-    pub(super) fn rest_left(&self, service: &ServiceId, now: Instant) -> Duration {
+    pub(super) fn backoff_left(&self, service: &ServiceId, now: Instant) -> Duration {
         let ready = self.backends.values().filter(|it| it.is_ready());
         let of_service = ready.filter(|it| it.record.service == *service);
-        let left = of_service.map(|it| it.rest_left(now));
+        let left = of_service.map(|it| it.backoff_left(now));
         left.min().unwrap_or_default()
     }
 
@@ -109,10 +110,10 @@
     pub(super) fn no_place(&self, service: &ServiceId, now: Instant) -> Grounds {
         let all = self.backends.values();
         let of_service = all.filter(|it| it.record.service == *service);
-        let resting = of_service.clone().filter(|it| it.is_resting_as_asked(now));
+        let backing_off = of_service.clone().filter(|it| it.is_backing_off(now));
         Grounds::NoPlace {
             limited: of_service.filter(|it| self.is_limited(it)).count(),
-            resting: resting.count(),
+            backing_off: backing_off.count(),
         }
     }
 
@@ -149,7 +150,7 @@
 /// Sets what a backend server's signals mean for this host. Says whether it leaves as of now.
 fn apply(signals: &SignalTable, backend: &mut Backend, sharers: &Sharers, now: Instant) -> bool {
     let said = signals.of(&backend.record);
-    backend.rest_as_asked(signals.rest_until(&backend.record));
+    backend.back_off_until(signals.backoff_until(&backend.record));
     match said.rate_limit {
         Some(rate) => backend.throttle(sharers.pause(backend, rate), now),
         None => backend.stop_throttling(),
--- a/crates/jaypin_router/src/router/event.rs
+++ b/crates/jaypin_router/src/router/event.rs
@@ -96,7 +96,7 @@
         /// What it says of the backend server.
         signals: BackendSignals,
         /// Time for which the backend server wants nothing from this host, if it says so.
-        rest: Option<Duration>,
+        backoff: Option<Duration>,
     },
     /// The first event or the whole answer of a call came.
     Answered(RequestNumber),
--- a/crates/jaypin_router/src/router/mod.rs
+++ b/crates/jaypin_router/src/router/mod.rs
@@ -158,8 +158,8 @@
             Event::Signalled {
                 number,
                 signals,
-                rest,
-            } => self.signalled(now, number, signals, rest),
+                backoff,
+            } => self.signalled(now, number, signals, backoff),
             Event::Answered(number) => self.answered(now, number),
             Event::Streamed {
                 number,
@@ -221,7 +221,7 @@
     #[must_use]
     pub fn still_takes(&self, backend: &str, now: Instant) -> bool {
         let backend = self.backends.get(backend);
-        backend.is_some_and(|it| it.is_ready() && !it.is_resting_as_asked(now))
+        backend.is_some_and(|it| it.is_ready() && !it.is_backing_off(now))
     }
 
     fn is_limited(&self, backend: &Backend) -> bool {
--- a/crates/jaypin_router/src/router/placing.rs
+++ b/crates/jaypin_router/src/router/placing.rs
@@ -256,7 +256,7 @@
         }
         self.give_back(admitted);
         let back = for_want_of_capacity(&admitted.route, &mut self.rng);
-        let back = back + self.rest_left(&admitted.service, now);
+        let back = back + self.backoff_left(&admitted.service, now);
         let refusal = Refusal::not_run(reason).retry_after(back);
         fx.push(refuse(number, Some(admitted.asked_by()), refusal, grounds));
     }
--- a/crates/jaypin_router/src/signals.rs
+++ b/crates/jaypin_router/src/signals.rs
@@ -36,7 +36,7 @@
 #[derive(Debug, Default)]
 pub struct SignalTable {
     heard: HashMap<BackendKey, HeardSignals>,
-    rests: HashMap<BackendKey, Rest>,
+    backoffs: HashMap<BackendKey, Backoff>,
     /// Processes that stated to the store that they leave, and when they were heard.
     left: HashMap<BackendKey, (u64, Instant)>,
 }
@@ -53,7 +53,7 @@
 
 /// A time for which a process of a backend server wants nothing from this host.
 #[derive(Debug, Clone, Copy)]
-struct Rest {
+struct Backoff {
     started: u64,
     until: Instant,
 }
@@ -93,24 +93,24 @@
 
     /// Takes a time for which a backend server wants nothing from this host. A shorter one
     /// that is asked for meanwhile changes nothing.
-    pub fn asked_for_rest(&mut self, record: &BackendRecord, rest: Duration, now: Instant) {
-        let Some(until) = now.checked_add(rest) else {
+    pub fn requested_backoff(&mut self, record: &BackendRecord, backoff: Duration, now: Instant) {
+        let Some(until) = now.checked_add(backoff) else {
             return;
         };
-        let until = self.rest_until(record).map_or(until, |it| it.max(until));
-        let rest = Rest {
+        let until = self.backoff_until(record).map_or(until, |it| it.max(until));
+        let backoff = Backoff {
             started: record.started,
             until,
         };
-        self.rests.insert(backend_key(&record.id), rest);
+        self.backoffs.insert(backend_key(&record.id), backoff);
     }
 
     /// When a backend server's present process may be sent requests again, if it asked this
-    /// host for rest.
+    /// host to back off.
     #[must_use]
-    pub fn rest_until(&self, record: &BackendRecord) -> Option<Instant> {
-        let rest = self.rests.get(&backend_key(&record.id))?;
-        (rest.started == record.started).then_some(rest.until)
+    pub fn backoff_until(&self, record: &BackendRecord) -> Option<Instant> {
+        let backoff = self.backoffs.get(&backend_key(&record.id))?;
+        (backoff.started == record.started).then_some(backoff.until)
     }
 
     /// Takes what a peer has heard, unless something newer is known; says whether it differs
@@ -169,7 +169,7 @@
     /// Whether nothing was heard that still matters.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.heard.is_empty() && self.rests.is_empty() && self.left.is_empty()
+        self.heard.is_empty() && self.backoffs.is_empty() && self.left.is_empty()
     }
 
     /// Whether a backend server states a rate limit.
@@ -194,7 +194,7 @@
 
     /// Forgets what was taken back long ago, or was said by backend servers that are gone.
     pub fn forget_old(&mut self, is_known: impl Fn(BackendKey) -> bool, now: Instant) {
-        self.rests.retain(|_, rest| now < rest.until);
+        self.backoffs.retain(|_, backoff| now < backoff.until);
         let is_old = |at: Instant| now.saturating_duration_since(at) >= KEPT_FOR;
         self.left.retain(|_, (_, at)| !is_old(*at));
         self.heard.retain(|key, heard| {
--- a/crates/jaypin_router/tests/common/fleet.rs
+++ b/crates/jaypin_router/tests/common/fleet.rs
@@ -40,7 +40,7 @@
     /// What the header of its answer says.
     pub signals: BackendSignals,
     /// Time for which it wants nothing from the host.
-    pub rest: Option<Duration>,
+    pub backoff: Option<Duration>,
     /// Time to the header.
     pub first: Duration,
     /// Time to the end.
@@ -55,18 +55,18 @@
         let first = Duration::from_millis(rng.random_range(25..60));
         Self {
             signals,
-            rest: None,
+            backoff: None,
             first,
             end: first * 6,
             outcome: AttemptOutcome::Complete,
         }
     }
 
-    /// It turns the request away and asks for rest.
-    pub fn declined(rest: Duration) -> Self {
+    /// It turns the request away and requests backoff.
+    pub fn declined(backoff: Duration) -> Self {
         Self {
             signals: BackendSignals::default(),
-            rest: Some(rest),
+            backoff: Some(backoff),
             first: DELAY,
             end: DELAY,
             outcome: AttemptOutcome::NotRun,
@@ -259,7 +259,7 @@
                         Event::Signalled {
                             number,
                             signals: answer.signals,
-                            rest: answer.rest,
+                            backoff: answer.backoff,
                         },
                     );
                     if answer.outcome == AttemptOutcome::Complete {
--- a/crates/jaypin_router/tests/leaving_backends.rs
+++ b/crates/jaypin_router/tests/leaving_backends.rs
@@ -35,7 +35,7 @@
         bed.apply(Event::Signalled {
             number,
             signals: LEAVING,
-            rest: None,
+            backoff: None,
         });
         bed.answered(number);
         bed.ended(number, AttemptOutcome::Complete);
@@ -94,7 +94,7 @@
     };
     an_answer_without_the_word_changes_nothing: |bed: &mut Bed| {
         let signals = BackendSignals::default();
-        bed.apply(Event::Signalled { number: 1, signals, rest: None });
+        bed.apply(Event::Signalled { number: 1, signals, backoff: None });
     };
 }
 
--- a/crates/jaypin_router/tests/asked_rests.rs
+++ b/crates/jaypin_router/tests/requested_backoff.rs
@@ -1,4 +1,4 @@
-//! Backend servers that turn a host away and ask it for rest.
+//! Backend servers that turn a host away and ask it to back off.
 
 mod common;
 #[path = "common/fleet.rs"]
@@ -14,11 +14,11 @@
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
 
-const REST: Duration = Duration::from_secs(3);
+const BACKOFF: Duration = Duration::from_secs(3);
 
-/// Sends requests until one reaches a backend server, which turns it away and asks for rest.
+/// Sends requests until one reaches a backend server, which turns it away and requests backoff.
 /// Gives what the request was told then.
-fn turn_away(bed: &mut Bed, path: &str, id: &str, rest: Duration) -> Told {
+fn turn_away(bed: &mut Bed, path: &str, id: &str, backoff: Duration) -> Told {
     for _ in 0..100 {
         let (number, told) = bed.arrive(path, (600, 30));
         if told.backend() != id {
@@ -28,7 +28,7 @@
         bed.apply(Event::Signalled {
             number,
             signals: BackendSignals::default(),
-            rest: Some(rest),
+            backoff: Some(backoff),
         });
         return bed.ended(number, AttemptOutcome::NotRun);
     }
@@ -57,7 +57,7 @@
             #[test]
             fn $name() {
                 let mut bed = Bed::usual();
-                turn_away(&mut bed, "/ask/x", "engine-1", REST);
+                turn_away(&mut bed, "/ask/x", "engine-1", BACKOFF);
                 ($act)(&mut bed);
                 assert!(!is_used(&mut bed, "/ask/x", "engine-1"));
             }
@@ -65,15 +65,15 @@
     };
 }
 
-// Guards against requests to a backend server within the rest that it asked this host for.
+// Guards against requests to a backend server within the backoff that it requested of this host.
 kept! {
-    a_rest_begins_at_once: |_: &mut Bed| {};
-    a_rest_lasts_for_its_time: |bed: &mut Bed| wait(bed, Duration::from_millis(2_900));
-    a_rest_outlasts_a_restated_entry: |bed: &mut Bed| {
+    a_backoff_begins_at_once: |_: &mut Bed| {};
+    a_backoff_lasts_for_its_time: |bed: &mut Bed| wait(bed, Duration::from_millis(2_900));
+    a_backoff_outlasts_a_restated_entry: |bed: &mut Bed| {
         wait(bed, Duration::from_secs(2));
         bed.state(record("engine-1", ENGINES, 10));
     };
-    a_rest_outlasts_an_entry_that_vanished_and_is_back: |bed: &mut Bed| {
+    a_backoff_outlasts_an_entry_that_vanished_and_is_back: |bed: &mut Bed| {
         wait(bed, Duration::from_secs(2));
         bed.remove("engine-1");
         bed.tick();
@@ -83,17 +83,17 @@
 
 /// Guards against two calls that were under way: the answer that comes last asks for less.
 #[test]
-fn a_shorter_rest_does_not_end_a_longer_one() {
+fn a_shorter_backoff_does_not_end_a_longer_one() {
     let mut bed = Bed::usual();
     let all: Vec<_> = (0..10).map(|_| bed.arrive("/ask/x", (600, 30))).collect();
     let there = |told: &Told| *told == Told::Sent("engine-1".into());
     let calls: Vec<_> = all.iter().filter(|it| there(&it.1)).take(2).collect();
     assert_eq!(calls.len(), 2);
-    for (call, rest) in calls.iter().zip([REST, Duration::from_millis(100)]) {
+    for (call, backoff) in calls.iter().zip([BACKOFF, Duration::from_millis(100)]) {
         bed.apply(Event::Signalled {
             number: call.0,
             signals: BackendSignals::default(),
-            rest: Some(rest),
+            backoff: Some(backoff),
         });
     }
     for (number, _) in all {
@@ -107,27 +107,27 @@
 #[test]
 fn a_backend_server_is_used_again_after_its_rest() {
     let mut bed = Bed::usual();
-    turn_away(&mut bed, "/ask/x", "engine-1", REST);
-    wait(&mut bed, REST + Duration::from_secs(2));
+    turn_away(&mut bed, "/ask/x", "engine-1", BACKOFF);
+    wait(&mut bed, BACKOFF + Duration::from_secs(2));
     assert!(is_used(&mut bed, "/ask/x", "engine-1"));
 }
 
-/// Guards against a rest that outlives the process that asked for it.
+/// Guards against a backoff that outlives the process that asked for it.
 #[test]
-fn the_next_process_with_its_id_did_not_ask_for_rest() {
+fn the_next_process_with_its_id_did_not_request_backoff() {
     let mut bed = Bed::usual();
-    turn_away(&mut bed, "/ask/x", "engine-1", REST);
+    turn_away(&mut bed, "/ask/x", "engine-1", BACKOFF);
     let mut next = record("engine-1", ENGINES, 9);
     next.started = 2;
     bed.state(next);
     assert!(is_used(&mut bed, "/ask/x", "engine-1"));
 }
 
-/// Guards against callers that are told to come back into the rest of all backend servers.
+/// Guards against callers that are told to come back while all backend servers want a pause.
 #[test]
-fn a_caller_is_told_to_come_back_after_the_first_rest_ends() {
+fn a_caller_is_told_to_come_back_after_the_first_backoff_ends() {
     let mut bed = Bed::usual();
-    turn_away(&mut bed, "/read/x", "plain-1", REST);
+    turn_away(&mut bed, "/read/x", "plain-1", BACKOFF);
     turn_away(&mut bed, "/read/x", "plain-22", Duration::from_secs(2));
     let (number, told) = bed.arrive("/read/x", (0, 0));
     assert_eq!(told, Told::Waits);
@@ -137,11 +137,11 @@
     let back = told.refusal().retry_after.expect("a time");
     assert!(back >= Duration::from_millis(1_900), "{back:?}");
     assert!(back <= Duration::from_secs(3), "{back:?}");
-    assert!(common::refusal_grounds(&fx).contains("2 asked for rest"));
+    assert!(common::refusal_grounds(&fx).contains("2 requested backoff"));
 }
 
 /// Guards against a request that was chosen for a backend server, and is still connecting when
-/// another answer asks for rest.
+/// another answer requests backoff.
 #[test]
 fn a_request_that_is_not_sent_yet_goes_elsewhere() {
     let mut bed = Bed::usual();
@@ -152,7 +152,7 @@
     bed.apply(Event::Signalled {
         number: calls[0].0,
         signals: BackendSignals::default(),
-        rest: Some(REST),
+        backoff: Some(BACKOFF),
     });
     assert!(!bed.router.still_takes("plain-1", bed.now));
     for (number, _) in &calls[1..] {
@@ -168,7 +168,7 @@
     /// Which of them shed, and when.
     shed: BTreeMap<BackendId, std::ops::Range<Duration>>,
     /// Rests that hosts were asked for: when and for how long.
-    rests: BTreeMap<(usize, BackendId), Vec<(Instant, Duration)>>,
+    backoffs: BTreeMap<(usize, BackendId), Vec<(Instant, Duration)>>,
     /// Requests in each of them, from half a second after the answer on.
     counts: BTreeMap<(usize, BackendId, Instant), u32>,
 }
@@ -177,8 +177,8 @@
     fn answer(&mut self, call: &Call, rng: &mut ChaCha8Rng) -> Answer {
         const REACTION: Duration = Duration::from_millis(500);
         let key = (call.host, call.backend.clone());
-        for (at, rest) in self.rests.get(&key).into_iter().flatten() {
-            if call.at >= *at + REACTION && call.at < *at + *rest {
+        for (at, backoff) in self.backoffs.get(&key).into_iter().flatten() {
+            if call.at >= *at + REACTION && call.at < *at + *backoff {
                 let key = (call.host, call.backend.clone(), *at);
                 *self.counts.entry(key).or_default() += 1;
             }
@@ -193,9 +193,9 @@
     }
 
     fn told(&mut self, host: usize, backend: &BackendId, answer: &Answer, at: Instant) {
-        if let Some(rest) = answer.rest {
+        if let Some(backoff) = answer.backoff {
             let key = (host, backend.clone());
-            self.rests.entry(key).or_default().push((at, rest));
+            self.backoffs.entry(key).or_default().push((at, backoff));
         }
     }
 }
@@ -209,7 +209,7 @@
     let backends = Shedding {
         start: Instant::now(),
         shed: shedding.map(|it| (it.id.clone(), span.clone())).collect(),
-        rests: BTreeMap::new(),
+        backoffs: BTreeMap::new(),
         counts: BTreeMap::new(),
     };
     let mut fleet = Fleet::new(13, seed, configuration(1), records, backends);
@@ -229,7 +229,7 @@
                     fleet.run_until(Duration::from_secs(14), |_| {});
                     let most = fleet.backends.counts.values().max();
                     assert_eq!(most, None, "seed {seed}");
-                    assert!(!fleet.backends.rests.is_empty());
+                    assert!(!fleet.backends.backoffs.is_empty());
                 }
             }
         )*
@@ -238,7 +238,7 @@
 
 // Guards against hosts that come back by their own measure of failures, sooner than asked.
 fleets! {
-    four_of_twelve_engines_get_their_rest: ENGINES, "/ask/x", 12, 4;
-    all_engines_get_their_rest: ENGINES, "/ask/x", 12, 12;
-    all_plain_backend_servers_get_their_rest: PLAIN, "/read/x", 3, 3;
+    four_of_twelve_engines_get_their_backoff: ENGINES, "/ask/x", 12, 4;
+    all_engines_get_their_backoff: ENGINES, "/ask/x", 12, 12;
+    all_plain_backend_servers_get_their_backoff: PLAIN, "/read/x", 3, 3;
 }
