Fetch reported configurations in a task that never waits for the store

What callers saw: 404 on a route that had been added, or a withdrawn credential accepted, more than 3 s after the version was acknowledged.

Cause: one task both called the store and asked peers for versions that they report. After failed calls it pauses, in cells of more than 20 hosts for up to 8 s, and left the pause early only if the host's proof was old. Peers' proofs of the older version keep it fresh, so a version that is written just after an outage was not fetched until the last of them was 2.6 s old, and then a staggered delay of up to 0.9 s came on top. Small fleets pause for 1.2 s at most and don't stagger. Class: a wait for one source of news keeps a host from hearing another.

Why the fix works: the new task waits for nothing but a reported version and a peer that has it. The store is read for such a version only if no peer has returned it for 0.5 s.

--- a/crates/jaypin_entry/src/serve.rs
+++ b/crates/jaypin_entry/src/serve.rs
@@ -20,7 +20,8 @@
 use crate::peers::{LivePeers, PeerSocket, receive_reports, serve_snapshots};
 use crate::ports::{HostSettings, Platform};
 use crate::store::{
-    follow_backends, follow_configuration, follow_rollouts, join_fleet, write_rollouts,
+    fetch_reported_configurations, follow_backends, follow_configuration, follow_rollouts,
+    join_fleet, write_rollouts,
 };
 
 /// Time between two sweeps of idle connections.
@@ -115,6 +116,7 @@
     let host = Rc::new(host);
     let (phase, phase_receiver) = watch::channel(DrainPhase::Serving);
     spawn_local(follow_configuration(host.clone()));
+    spawn_local(fetch_reported_configurations(host.clone()));
     spawn_local(follow_backends(host.clone()));
     spawn_local(follow_rollouts(host.clone()));
     spawn_local(write_rollouts(host.clone(), rollout_orders));
--- a/crates/jaypin_entry/src/store/configuration.rs
+++ b/crates/jaypin_entry/src/store/configuration.rs
@@ -29,11 +29,30 @@
 /// Longest delay of a staggered read. Proofs remain valid for 1.4 s after they count as old.
 const MAX_STAGGER: Duration = Duration::from_millis(900);
 
-/// Pause after a reported version could not be read from any peer.
+/// Pause after a reported version could not be read from any peer, and time after which the store
+/// is read for it.
 const UNAVAILABLE_VERSION_PAUSE: Duration = Duration::from_millis(500);
 
-/// Follows the configuration until the task is dropped: by watches if this host is a watcher,
-/// else by fetching it when a peer reports a newer version.
+/// Fetches configurations that peers report until the task is dropped.
+///
+/// Guards against a host that answers by an older configuration although its peers have the newer
+/// one: the task that calls the store may pause for seconds after failed calls. It also guards
+/// against a store that was restored from an older copy: a host that reads it first would accept
+/// credentials that were withdrawn since, until operators write again.
+pub async fn fetch_reported_configurations(host: Rc<Host>) {
+    loop {
+        wait_until(&host, |router| {
+            router.is_configuration_outdated() && !router.configuration_holders(now()).is_empty()
+        })
+        .await;
+        if !fetch_from_peer(&host).await {
+            sleep(UNAVAILABLE_VERSION_PAUSE).await;
+        }
+    }
+}
+
+/// Reads the configuration from the store until the task is dropped: by watches if this host is a
+/// watcher, else when its proof is old or no peer returns a version that one reported.
 pub async fn follow_configuration(host: Rc<Host>) {
     let mut client = StoreClient::new(&host);
     let mut retries = Retries::default();
@@ -46,22 +65,19 @@
 }
 
 async fn follow(host: &Host, client: &mut StoreClient<'_>) -> Result<(), StoreError> {
-    wait_until(host, |router| {
-        must_watch(router) || router.is_configuration_outdated()
-    })
-    .await;
+    let must_read = |router: &Router| must_watch(router) || is_version_unavailable(router);
+    wait_until(host, must_read).await;
     stagger(host).await;
-    if !host.read(|router| must_watch(router) || router.is_configuration_outdated()) {
+    if !host.read(must_read) {
         return Ok(());
     }
     // A watcher whose last call to the store failed fetches from its peers like other hosts.
     let reads_store =
         host.read(|router| router.is_watcher(now()) && !router.last_store_call_failed());
-    if !reads_store && fetch_from_peer(host).await {
+    if !reads_store && !host.read(is_version_unavailable) && fetch_from_peer(host).await {
         return Ok(());
     }
     let mut point = read_from_store(host, client).await?;
-    recover_lost_configuration(host).await;
     while host.read(must_watch) {
         let requested = (boot_time(), Instant::now());
         let Some(updates) = client
@@ -75,26 +91,20 @@
         }
         point = updates.point;
         host.apply(Event::ConfigurationProved(proved_at(requested)));
-        recover_lost_configuration(host).await;
         if !updates.changes.is_empty() {
             sleep(WATCH_PAUSE).await;
         }
     }
-    if host.read(Router::is_configuration_outdated) {
-        // A peer reported a version that no peer returns.
+    if host.read(is_version_unavailable) {
         sleep(UNAVAILABLE_VERSION_PAUSE).await;
     }
     Ok(())
 }
 
-/// Fetches a newer configuration from a peer if the store has an older one.
-///
-/// Guards against a store that was restored from an older copy: a host that reads it first
-/// would accept credentials that were withdrawn since, until operators write again.
-async fn recover_lost_configuration(host: &Host) {
-    if host.read(Router::is_configuration_outdated) {
-        fetch_from_peer(host).await;
-    }
+/// Returns whether a peer reported a newer version a while ago and no peer has returned it.
+fn is_version_unavailable(router: &Router) -> bool {
+    let outdated = router.outdated_for(now());
+    outdated.is_some_and(|time| time >= UNAVAILABLE_VERSION_PAUSE)
 }
 
 /// Returns whether this host has to read and watch the store.
--- a/crates/jaypin_entry/src/store/mod.rs
+++ b/crates/jaypin_entry/src/store/mod.rs
@@ -8,7 +8,7 @@
 mod rollouts;
 
 pub use backends::follow_backends;
-pub use configuration::follow_configuration;
+pub use configuration::{fetch_reported_configurations, follow_configuration};
 pub use hosts::join_fleet;
 pub use rollouts::{follow_rollouts, write_rollouts};
 
