Fetch a lost configuration from another cell, and void proofs of an older one

What callers see: after the store has returned from a copy some seconds old, one cell of a large fleet goes on accepting a withdrawn credential, or rejecting requests on an added route, until operators have written the version again.

Cause: a version that was acknowledged shortly before the return may be known to one cell only. Reports between cells state it, but hosts asked only peers of their own cell for it, and what the store's copy confirmed counted as a proof of the older version. Class: a statement that is known to be outdated still counts as evidence.

Why the fix works: if no peer has the newest version, the last host of another cell that reported it is asked, as long as the store lists that host. A proof does not count while a listed host is known to have a newer version, and the host then refuses requests, as not run, once its last proof is as old as the bound for applying a configuration.

--- a/crates/jaypin_router/src/fleet.rs
+++ b/crates/jaypin_router/src/fleet.rs
@@ -101,11 +101,52 @@
     other_cells: BTreeMap<CellIndex, OtherCell>,
 }
 
-/// Another cell, as the last report from one of its hosts shows it.
+/// Another cell, as the reports from its hosts show it.
 #[derive(Debug)]
 struct OtherCell {
     callers: Vec<SocketAddr>,
     last_report_at: Instant,
+    /// The host with the newest configuration among those that reported recently.
+    holder: Option<ConfigurationHolder>,
+}
+
+/// A host of another cell that callers may be sent to, and its configuration.
+#[derive(Debug, Clone, Copy)]
+struct ConfigurationHolder {
+    address: SocketAddr,
+    version: u64,
+    reported_at: Instant,
+}
+
+impl OtherCell {
+    fn new(now: Instant) -> Self {
+        Self {
+            callers: Vec::new(),
+            last_report_at: now,
+            holder: None,
+        }
+    }
+
+    /// Applies a report of one of its hosts.
+    fn apply(
+        &mut self,
+        report: &Report,
+        whole: &WholeReport,
+        callers: &[SocketAddr],
+        now: Instant,
+    ) {
+        self.callers = callers.to_vec();
+        self.last_report_at = now;
+        let reporter = ConfigurationHolder {
+            address: whole.address,
+            version: whole.store.version,
+            reported_at: now,
+        };
+        let known = self.holder.filter(|it| is_cell_live(it.reported_at, now));
+        if report.is_ready && known.is_none_or(|it| it.version <= reporter.version) {
+            self.holder = Some(reporter);
+        }
+    }
 }
 
 impl Fleet {
@@ -118,11 +159,9 @@
             return peer.map_or_else(PeerUpdate::default, |peer| peer.apply(report, false, now));
         };
         if let Some(callers) = &whole.cell_callers {
-            let other = OtherCell {
-                callers: callers.clone(),
-                last_report_at: now,
-            };
-            self.other_cells.insert(whole.cell, other);
+            let other = self.other_cells.entry(whole.cell);
+            let other = other.or_insert_with(|| OtherCell::new(now));
+            other.apply(&report, whole, callers, now);
             return PeerUpdate {
                 crash_counts: whole.crash_counts.clone(),
                 ..PeerUpdate::default()
@@ -171,6 +210,19 @@
         live.flat_map(|cell| cell.callers.iter().copied())
     }
 
+    /// Iterates over the addresses of hosts in other cells that reported this version of the
+    /// configuration, or a newer one, a short time ago.
+    pub fn other_cell_holders(
+        &self,
+        version: u64,
+        now: Instant,
+    ) -> impl Iterator<Item = SocketAddr> {
+        let holders = self.other_cells.values().filter_map(|it| it.holder);
+        let live = holders.filter(move |it| is_cell_live(it.reported_at, now));
+        let newest = live.filter(move |it| it.version >= version);
+        newest.map(|it| it.address)
+    }
+
     /// Iterates over all known peers, live or not.
     pub fn iter(&self) -> impl Iterator<Item = (&HostId, &Peer)> {
         self.peers.iter()
--- a/crates/jaypin_router/src/router/snapshot.rs
+++ b/crates/jaypin_router/src/router/snapshot.rs
@@ -11,11 +11,18 @@
 
 impl Router {
     /// Returns the addresses of ready peers that have the newest version of the configuration
-    /// that was reported.
+    /// that was reported; of hosts in other cells if no peer has it.
     #[must_use]
     pub fn configuration_holders(&self, now: Instant) -> Vec<SocketAddr> {
         let newest = self.newest_reported_version();
-        self.holders(now, |peer| peer.is_ready && peer.version >= newest)
+        let peers = self.holders(now, |peer| peer.is_ready && peer.version >= newest);
+        if !peers.is_empty() {
+            return peers;
+        }
+        let others = self.fleet.other_cell_holders(newest, now);
+        others
+            .filter(|address| self.report_state.is_registered(address))
+            .collect()
     }
 
     /// Returns the addresses of peers that know the same entries as the watchers of the store.
--- a/crates/jaypin_router/src/router/updates.rs
+++ b/crates/jaypin_router/src/router/updates.rs
@@ -52,9 +52,15 @@
     /// Returns whether the configuration is known to have been the newest recently enough.
     ///
     /// Guards against a host that still accepts a revoked credential because it is cut off from
-    /// the store or was suspended. The boot clock counts suspended time.
+    /// the store or was suspended. The boot clock counts suspended time. A host that knows of a
+    /// newer version must not answer by its own for longer than that version may take to be
+    /// applied.
     pub(super) fn is_proved(&self, boot_time: BootTime) -> bool {
-        let limit = self.cfg.bounds.revocation_limit.mul_f64(PROOF_FRACTION);
+        let bounds = &self.cfg.bounds;
+        let mut limit = bounds.revocation_limit.mul_f64(PROOF_FRACTION);
+        if self.has_newer_version() {
+            limit = limit.min(bounds.convergence_limit);
+        }
         let age = self.proof_age(boot_time);
         self.table.is_some() && age.is_some_and(|age| age < limit)
     }
--- a/crates/jaypin_router/src/router/watching.rs
+++ b/crates/jaypin_router/src/router/watching.rs
@@ -1,5 +1,6 @@
 //! Which hosts watch the store, and what the others learn of it from reports.
 
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use jaypin_core::{HostId, score};
@@ -34,6 +35,8 @@
 pub struct ReportedStore {
     /// Newest version of the configuration that a peer reported.
     newest_version: u64,
+    /// The same, of the hosts that the store lists.
+    newest_listed_version: u64,
     /// When a peer first reported a newer version than the one in use.
     outdated_since: Option<Instant>,
     /// Digest of the entries in the last report of a watcher.
@@ -167,14 +170,31 @@
     /// Records that the store answered this host's watch, which proves the configuration.
     pub(super) fn record_proof(&mut self, at: BootTime) {
         self.own_proved_at = self.own_proved_at.max(Some(at));
-        self.proved_at = self.proved_at.max(Some(at));
+        self.advance_proof(at);
         self.last_store_call_failed = false;
         self.report_state.report_whole_at_once();
     }
 
     /// Records that a peer confirmed the configuration of this host over a connection.
     pub(super) fn record_peer_confirmation(&mut self, at: BootTime) {
-        self.proved_at = self.proved_at.max(Some(at));
+        self.advance_proof(at);
+    }
+
+    /// Returns whether a newer version of the configuration exists, as a host reported that the
+    /// store lists. The reports of other senders don't count: any of them could make this host
+    /// refuse all requests.
+    pub(super) fn has_newer_version(&self) -> bool {
+        self.reported_store.newest_listed_version > self.version()
+    }
+
+    /// Applies a proof, unless a newer version is known to exist.
+    ///
+    /// Guards against a store that was restored from an older copy: it confirms an older version
+    /// until operators have written the newer one again.
+    fn advance_proof(&mut self, at: BootTime) {
+        if !self.has_newer_version() {
+            self.proved_at = self.proved_at.max(Some(at));
+        }
     }
 
     /// Records a failed call to the store, and reports it at once.
@@ -220,8 +240,7 @@
         };
         let view = &whole.store;
         self.record_reported_era(view.era, now);
-        self.reported_store.newest_version = self.reported_store.newest_version.max(view.version);
-        self.update_outdated_since(now);
+        self.record_reported_version(view.version, whole.address, now);
         if whole.cell_callers.is_some() {
             return;
         }
@@ -237,12 +256,23 @@
         let proved_at = view.proved_at.and_then(|at| peer?.clock.to_local_time(at));
         // Guards against a peer whose clock is wrong: a proof from the future would stay valid
         // until that time has passed.
-        let is_past = proved_at.is_some_and(|at| at <= boot_time);
-        if view.version == self.version() && is_past {
-            self.proved_at = self.proved_at.max(proved_at);
+        let past = proved_at.filter(|at| *at <= boot_time);
+        if let Some(at) = past
+            && view.version == self.version()
+        {
+            self.advance_proof(at);
         }
     }
 
+    fn record_reported_version(&mut self, version: u64, from: SocketAddr, now: Instant) {
+        let reported = &mut self.reported_store;
+        reported.newest_version = reported.newest_version.max(version);
+        if self.report_state.is_registered(&from) {
+            reported.newest_listed_version = reported.newest_listed_version.max(version);
+        }
+        self.update_outdated_since(now);
+    }
+
     /// Applies a change of an entry from any source. Returns whether the entry changed.
     pub(super) fn apply_entry_change(&mut self, change: EntryChange, now: Instant) -> bool {
         if !self.entries.apply(&change) {
--- a/crates/jaypin_router/tests/proof.rs
+++ b/crates/jaypin_router/tests/proof.rs
@@ -58,6 +58,67 @@
     an_unknown_route_is_not_rejected_without_a_proof: Some("key".to_owned()), "/nothing/";
 }
 
+/// Lists host 2 if `is_listed`, and receives its report that it has version 2.
+fn receive_newer_version(host: &mut TestHost, is_listed: bool) {
+    let mut whole = common::whole_report(2);
+    if is_listed {
+        let listed = vec![(whole.host.clone(), whole.address)];
+        host.apply(Event::HostsListed(listed));
+    }
+    whole.store.version = 2;
+    host.receive_report(common::report(1, whole));
+}
+
+/// Lets the store confirm the configuration several times within the time in which a newer one
+/// must be applied.
+fn prove_for_a_while(host: &mut TestHost) {
+    for _ in 0..5 {
+        host.wait(Duration::from_millis(500));
+        host.prove();
+    }
+}
+
+/// Guards against a store that was restored from a copy without the newest configuration. It
+/// confirms the version before, and hosts that had not read the newer one rejected requests on
+/// its routes and accepted credentials that it had withdrawn.
+#[test]
+fn a_proof_of_a_version_that_is_known_to_be_older_does_not_count() {
+    let mut host = TestHost::with_backends();
+    receive_newer_version(&mut host, true);
+    prove_for_a_while(&mut host);
+    for path in ["/ask/1", "/nothing/"] {
+        let (_, decision) = host.arrive(path, (10, 10));
+        assert_eq!(decision.refusal().reason, Reason::Unproven);
+    }
+    assert!(!host.router.is_ready(host.boot_time));
+    host.configure(configuration(2));
+    host.prove();
+    let (_, decision) = host.arrive("/ask/1", (10, 10));
+    assert!(matches!(decision, Decision::Sent(_)), "{decision:?}");
+}
+
+/// Guards against a host that starts after such a restore and reads the older version first.
+#[test]
+fn a_host_that_starts_with_an_older_version_refuses_requests() {
+    let mut host = TestHost::unconfigured();
+    receive_newer_version(&mut host, true);
+    host.configure(configuration(1));
+    host.prove();
+    let (_, decision) = host.arrive("/ask/1", (10, 10));
+    assert_eq!(decision.refusal().reason, Reason::Unproven);
+}
+
+/// Guards against a sender outside the fleet that makes a host refuse all requests by reporting a
+/// version which nobody has.
+#[test]
+fn a_version_that_an_unlisted_host_reports_voids_no_proof() {
+    let mut host = TestHost::with_backends();
+    receive_newer_version(&mut host, false);
+    prove_for_a_while(&mut host);
+    let (_, decision) = host.arrive("/ask/1", (10, 10));
+    assert!(matches!(decision, Decision::Sent(_)), "{decision:?}");
+}
+
 #[test]
 fn a_public_route_needs_no_proof() {
     let mut configuration = configuration(1);
--- a/crates/jaypin_router/tests/snapshots.rs
+++ b/crates/jaypin_router/tests/snapshots.rs
@@ -45,6 +45,64 @@
     assert!(host.router.is_registered_host(address.ip()));
 }
 
+/// Returns a report of host `peer` of another cell, which has this version.
+fn report_from_other_cell(sequence: u64, peer: u16, version: u64) -> Report {
+    let store = StoreView {
+        version,
+        ..StoreView::default()
+    };
+    let whole = WholeReport {
+        store,
+        cell: 1,
+        cell_callers: Some(Vec::new()),
+        ..common::whole_report(peer)
+    };
+    common::report(sequence, whole)
+}
+
+/// Returns a host with version 1 whose store lists hosts 2 and 3, both in another cell. Host 2
+/// has reported version 7, host 3 version 1.
+fn host_of_outdated_cell() -> TestHost {
+    let mut host = TestHost::with_backends();
+    let listed = [2, 3].map(common::whole_report);
+    let listed = listed.map(|it| (it.host, it.address)).to_vec();
+    host.apply(Event::HostsListed(listed));
+    host.receive_report(report_from_other_cell(1, 2, 7));
+    host.receive_report(report_from_other_cell(1, 3, 1));
+    host
+}
+
+/// Guards against a cell that has no way to a configuration which another cell has: the store
+/// was restored from a copy without it.
+#[test]
+fn a_configuration_that_no_peer_has_is_fetched_from_another_cell() {
+    let host = host_of_outdated_cell();
+    let holder = common::whole_report(2).address;
+    assert_eq!(host.router.configuration_holders(host.now), [holder]);
+}
+
+#[test]
+fn a_peer_is_asked_before_another_cell() {
+    let mut host = host_of_outdated_cell();
+    let whole = WholeReport {
+        store: StoreView {
+            version: 7,
+            ..StoreView::default()
+        },
+        ..common::whole_report(3)
+    };
+    host.receive_report(common::report(2, whole));
+    let holder = common::whole_report(3).address;
+    assert_eq!(host.router.configuration_holders(host.now), [holder]);
+}
+
+#[test]
+fn a_silent_host_of_another_cell_is_not_asked() {
+    let mut host = host_of_outdated_cell();
+    host.wait(std::time::Duration::from_secs(5));
+    assert_eq!(host.router.configuration_holders(host.now), []);
+}
+
 #[test]
 fn no_configuration_is_fetched_from_a_host_with_an_older_version() {
     let mut host = TestHost::with_backends();
