Watch the store if no preceding peer reports that it does

What callers saw: a request was sent to a backend server 3,003 ms after it was acknowledged as leaving (3,000 allowed), by a host that had been added 1.6 s before.

Cause: while a fleet grows across 40, 80 or 160 hosts, hosts divide it into different numbers of cells. An added host took peers for the watchers of its cell that rely on watchers of the other half, and was told of no change until the hosts from before had listed the hosts again (0.9 to 5.1 s). Class: a service of a peer is assumed from membership, not from what the peer says it does.

Why the fix works: a watcher's reports say that it watches. A host that has had no such report from a preceding peer of its cell for 1.5 s watches the store itself. Peers of another cell no longer count.

The test `other_hosts_query_a_silent_store_within_a_second_and_a_half` had peers that could watch and said that they did not, which watchers never do. They now say that they watch; its checks are as before.

--- a/crates/jaypin_router/src/router/watching.rs
+++ b/crates/jaypin_router/src/router/watching.rs
@@ -27,6 +27,9 @@
 /// they have not reported. Hosts that start together receive each other's reports within a third
 /// of this time. Without the assumption, each host of a starting fleet would begin to watch.
 const JOIN_TIME: Duration = Duration::from_millis(1_500);
+/// Time without a report of a preceding peer that watches the store, after which a host watches it
+/// although peers precede it. If both watchers of a cell fail, others replace them in less time.
+const MAX_UNWATCHED: Duration = Duration::from_millis(1_500);
 /// Key of the hash order in which hosts become watchers.
 const WATCH_RANK_KEY: &str = "watch";
 
@@ -39,6 +42,8 @@
     newest_listed_version: u64,
     /// When a peer first reported a newer version than the one in use.
     outdated_since: Option<Instant>,
+    /// When a peer that precedes this host as a watcher last reported that it watches the store.
+    watched_at: Option<Instant>,
     /// Digest of the entries in the last report of a watcher.
     watched_digest: Option<u64>,
     /// When the entries of this host began to differ from that digest.
@@ -104,17 +109,30 @@
         if is_joining && !self.report_state.has_host_list() {
             return false;
         }
-        let own = score(WATCH_RANK_KEY, &self.cfg.host);
-        let precedes = |host: &HostId| score(WATCH_RANK_KEY, host) > own;
+        let precedes = |host: &HostId| self.precedes_as_watcher(host);
         let live = self.fleet.live_peers(now);
         let live = live.filter(|(host, peer)| peer.may_watch && precedes(host));
-        let joining = self.report_state.recently_discovered(now).filter(|host| {
-            is_joining
-                && self.fleet.peer(host).is_none()
-                && cell_of(host, self.cells) == self.cell
-                && precedes(host)
-        });
-        live.count() + joining.count() < WATCHERS
+        let joining = self
+            .report_state
+            .recently_discovered(now)
+            .filter(|host| is_joining && self.fleet.peer(host).is_none() && precedes(host));
+        live.count() + joining.count() < WATCHERS || self.lacks_watcher(now)
+    }
+
+    /// Returns whether a host is in the cell of this one and becomes a watcher before it.
+    fn precedes_as_watcher(&self, host: &HostId) -> bool {
+        let own = score(WATCH_RANK_KEY, &self.cfg.host);
+        cell_of(host, self.cells) == self.cell && score(WATCH_RANK_KEY, host) > own
+    }
+
+    /// Returns whether no preceding peer has reported for a while that it watches the store.
+    ///
+    /// Guards against hosts that divide the fleet into different numbers of cells, as they do
+    /// while it grows: the peers that a host relies on may rely on watchers that report to another
+    /// cell, and the host would learn of no change.
+    fn lacks_watcher(&self, now: Instant) -> bool {
+        let since = self.reported_store.watched_at.max(self.started_at);
+        now.saturating_duration_since(since.unwrap_or(now)) >= MAX_UNWATCHED
     }
 
     /// Returns whether a peer reported a newer version of the configuration.
@@ -244,6 +262,9 @@
         if whole.cell_callers.is_some() {
             return;
         }
+        if view.is_watching && self.precedes_as_watcher(&whole.host) {
+            self.reported_store.watched_at = Some(now);
+        }
         if view.is_watching {
             self.reported_store.watched_digest = Some(view.digest);
             if view.digest == self.entries.digest() {
--- a/crates/jaypin_router/tests/common/mod.rs
+++ b/crates/jaypin_router/tests/common/mod.rs
@@ -38,6 +38,8 @@
 pub struct TestHost {
     /// The router.
     pub router: Router,
+    /// Number of the host, which its name and addresses contain.
+    pub number: u16,
     /// Current time on the steady clock.
     pub now: Instant,
     /// Current time on the clock that also counts suspended time.
@@ -240,6 +242,7 @@
         });
         Self {
             router,
+            number,
             now: Instant::now(),
             boot_time: Duration::from_secs(1_000),
             counter: 1,
--- a/crates/jaypin_router/tests/watching.rs
+++ b/crates/jaypin_router/tests/watching.rs
@@ -132,6 +132,7 @@
         for peer in 2..12 {
             let mut whole = common::whole_report(peer);
             whole.store.may_watch = true;
+            whole.store.is_watching = true;
             host.receive_report(common::report(sequence, whole));
         }
     };
@@ -146,6 +147,40 @@
     assert!(should_watch(&host));
 }
 
+/// Returns a host that receives reports of ten live peers for `time`. All of them could watch the
+/// store; those in `watching` state that they do.
+fn host_with_peers(time: Duration, watching: &[u16]) -> TestHost {
+    let mut host = started_host(0);
+    let rounds = time.as_millis() / 250;
+    for sequence in 1..=u64::try_from(rounds).expect("few") {
+        host.wait(Duration::from_millis(250));
+        host.apply(Event::ConfirmedByPeer(host.boot_time));
+        for peer in 2..12 {
+            let mut whole = common::whole_report(peer);
+            whole.store.may_watch = true;
+            whole.store.is_watching = watching.contains(&peer);
+            host.receive_report(common::report(sequence, whole));
+        }
+    }
+    host
+}
+
+/// Guards against requests to a backend server that left seconds ago: in a fleet that grew into
+/// more cells, the peers on which a new host relied relied on watchers that no longer reported to
+/// its cell, so nobody told it of the change.
+#[test]
+fn a_host_watches_if_no_preceding_peer_does() {
+    assert!(!should_watch(&host_with_peers(Duration::from_secs(1), &[])));
+    assert!(should_watch(&host_with_peers(Duration::from_secs(2), &[])));
+}
+
+#[test]
+fn a_host_with_preceding_watchers_does_not_watch() {
+    let all: Vec<u16> = (2..12).collect();
+    let host = host_with_peers(Duration::from_secs(4), &all);
+    assert!(!should_watch(&host));
+}
+
 /// Returns the entry changes that the host reports in the next 4 s.
 fn reported_changes(host: &mut TestHost) -> Vec<String> {
     let mut reported = Vec::new();
