--- a/crates/jaypin_router/tests/rollout_fleet/fleet.rs
+++ b/crates/jaypin_router/tests/rollout_fleet/fleet.rs
@@ -239,8 +239,8 @@
         if is_new {
             self.counts.new_requests += 1;
             self.counts.bad_new += u32::from(answer != Answer::Good);
-            let is_rolled_back = self.stored_order.state == RolloutState::RolledBack;
-            self.counts.new_after_rollback += u32::from(has_ended && is_rolled_back);
+            let is_reverted = self.stored_order.state == RolloutState::RolledBack;
+            self.counts.new_after_rollback += u32::from(has_ended && is_reverted);
         }
         let first = Duration::from_millis(match answer {
             Answer::Good => self.rng.random_range(25..60),
--- a/crates/jaypin_router/tests/rollout_fleet/main.rs
+++ b/crates/jaypin_router/tests/rollout_fleet/main.rs
@@ -84,10 +84,10 @@
 }
 
 bad_versions! {
-    a_version_that_fails_at_once_is_rolled_back: fails_at_once, most 20;
-    a_version_that_fails_later_is_rolled_back: fails_later, most 20;
-    a_version_that_fails_one_in_ten_is_rolled_back: fails_one_in_ten, most 20;
-    a_slow_version_is_rolled_back: slow, most 40;
+    a_version_that_fails_at_once_is_reverted: fails_at_once, most 20;
+    a_version_that_fails_later_is_reverted: fails_later, most 20;
+    a_version_that_fails_one_in_ten_is_reverted: fails_one_in_ten, most 20;
+    a_slow_version_is_reverted: slow, most 40;
 }
 
 /// Guards against hosts that restart in the middle of a rollout and grant the canary version its
--- a/crates/jaypin_router/tests/rollouts.rs
+++ b/crates/jaypin_router/tests/rollouts.rs
@@ -100,7 +100,7 @@
     a_canary_version_gets_a_part: [order("v2", 5, Ordered)] => 1..=21;
     the_version_of_a_running_order_gets_a_part: [order("v2", 5, Running)] => 1..=21;
     after_the_end_only_the_new_version_serves: [order("v2", 5, Done)] => 40..=40;
-    a_rolled_back_version_gets_nothing: [order("v2", 5, RolledBack)] => 0..=0;
+    a_reverted_version_gets_nothing: [order("v2", 5, RolledBack)] => 0..=0;
     a_withdrawn_order_allows_nothing:
         [order("v2", 5, Ordered), order("v2", 6, Withdrawn)] => 0..=0;
     an_older_state_that_comes_late_changes_nothing:
