--- a/crates/jaypin_router/tests/snapshots.rs
+++ b/crates/jaypin_router/tests/snapshots.rs
@@ -45,6 +45,30 @@
     assert!(host.router.is_registered_host(address.ip()));
 }
 
+/// Guards against a host that can't fetch the newest configuration from its peers, and refuses all
+/// requests while the store has lost it, because a sender outside the fleet reported a version
+/// which nobody has.
+#[test]
+fn an_unlisted_host_keeps_no_host_from_fetching_a_configuration() {
+    let mut host = TestHost::with_backends();
+    discover_peer(&mut host);
+    let mut unlisted = watcher_report(1, 99, 1);
+    unlisted.run = 99;
+    unlisted.host = 99;
+    if let Some(whole) = &mut unlisted.whole {
+        *whole = WholeReport {
+            store: whole.store.clone(),
+            ..common::whole_report(3)
+        };
+    }
+    host.receive_report(unlisted);
+    host.receive_report(watcher_report(1, 7, 1));
+    assert_eq!(
+        host.router.configuration_holders(host.now),
+        [common::whole_report(2).address]
+    );
+}
+
 /// Returns a report of host `peer` of another cell, which has this version.
 fn report_from_other_cell(sequence: u64, peer: u16, version: u64) -> Report {
     let store = StoreView {
