Look for a configuration by the versions that listed hosts report

A version that a sender outside the store's list reported counted as the newest, so a host found no peer to fetch it from, read the store instead, and refused requests where the store had lost the version. Only the versions of listed hosts now say which peer has the newest configuration. A newer version that another sender reports (a host that has just registered) still makes a host read the store once; if the store, asked later, has no such version, the claim is dropped and not believed again until a listed host reports it.

Test: an_unlisted_host_keeps_no_host_from_fetching_a_configuration, as it stood; failed each time before, passes.

--- a/crates/jaypin_router/src/router/snapshot.rs
+++ b/crates/jaypin_router/src/router/snapshot.rs
@@ -11,10 +11,10 @@
 
 impl Router {
     /// Returns the addresses of ready peers that have the newest version of the configuration
-    /// that was reported; of hosts in other cells if no peer has it.
+    /// that a listed host reported; of hosts in other cells if no peer has it.
     #[must_use]
     pub fn configuration_holders(&self, now: Instant) -> Vec<SocketAddr> {
-        let newest = self.newest_reported_version();
+        let newest = self.newest_listed_version();
         let peers = self.holders(now, |peer| peer.is_ready && peer.version >= newest);
         if !peers.is_empty() {
             return peers;
--- a/crates/jaypin_router/src/router/watching.rs
+++ b/crates/jaypin_router/src/router/watching.rs
@@ -36,10 +36,12 @@
 /// State of the store as peers report it, where it may differ from this host's state.
 #[derive(Debug, Default)]
 pub struct ReportedStore {
-    /// Newest version of the configuration that a peer reported.
-    newest_version: u64,
-    /// The same, of the hosts that the store lists.
+    /// Newest version of the configuration that a host which the store lists reported.
     newest_listed_version: u64,
+    /// A newer version that another sender reported and the store has not refuted.
+    unlisted_claim: Option<UnlistedClaim>,
+    /// Newest version whose report by such a sender the store has refuted.
+    refuted_version: u64,
     /// When a peer first reported a newer version than the one in use.
     outdated_since: Option<Instant>,
     /// When a peer that precedes this host as a watcher last reported that it watches the store.
@@ -51,7 +53,33 @@
     has_read_all: bool,
 }
 
+/// A version of the configuration as reported by a sender that the store does not list: a host
+/// that has just registered, or one that does not belong to the fleet.
+#[derive(Debug, Clone, Copy)]
+struct UnlistedClaim {
+    version: u64,
+    /// When it was last reported, by the clock that also counts suspended time.
+    at: BootTime,
+}
+
 impl ReportedStore {
+    /// Returns the newest version that was reported.
+    fn newest_version(&self) -> u64 {
+        let claimed = self.unlisted_claim.map(|it| it.version);
+        self.newest_listed_version.max(claimed.unwrap_or_default())
+    }
+
+    /// Drops a claim that the store refutes: it did not have the version after the claim was made.
+    ///
+    /// Guards against a sender outside the fleet that makes hosts look for a version which nobody
+    /// has, and read the store for it again and again.
+    fn refute_claim(&mut self, proved_at: BootTime) {
+        let refuted = self.unlisted_claim.take_if(|it| it.at < proved_at);
+        if let Some(claim) = refuted {
+            self.refuted_version = self.refuted_version.max(claim.version);
+        }
+    }
+
     /// Records that all entries were read.
     pub fn record_read_all(&mut self) {
         self.diverged_since = None;
@@ -138,7 +166,7 @@
     /// Returns whether a peer reported a newer version of the configuration.
     #[must_use]
     pub fn is_configuration_outdated(&self) -> bool {
-        self.reported_store.newest_version > self.version()
+        self.reported_store.newest_version() > self.version()
     }
 
     /// Returns the time since a peer first reported a newer version of the configuration than the
@@ -158,9 +186,9 @@
         }
     }
 
-    /// Returns the newest version of the configuration that a peer reported.
-    pub(super) fn newest_reported_version(&self) -> u64 {
-        self.reported_store.newest_version
+    /// Returns the newest version of the configuration that a host which the store lists reported.
+    pub(super) fn newest_listed_version(&self) -> u64 {
+        self.reported_store.newest_listed_version
     }
 
     /// Returns the digest of the entries that a watcher reported last.
@@ -189,6 +217,7 @@
     pub(super) fn record_proof(&mut self, at: BootTime) {
         self.own_proved_at = self.own_proved_at.max(Some(at));
         self.advance_proof(at);
+        self.reported_store.refute_claim(at);
         self.last_store_call_failed = false;
         self.report_state.report_whole_at_once();
     }
@@ -258,7 +287,8 @@
         };
         let view = &whole.store;
         self.record_reported_era(view.era, now);
-        self.record_reported_version(view.version, whole.address, now);
+        self.record_reported_version(view.version, whole.address, boot_time);
+        self.update_outdated_since(now);
         if whole.cell_callers.is_some() {
             return;
         }
@@ -285,11 +315,16 @@
         }
     }
 
-    fn record_reported_version(&mut self, version: u64, from: SocketAddr, now: Instant) {
+    fn record_reported_version(&mut self, version: u64, from: SocketAddr, at: BootTime) {
+        let own_version = self.version();
         let reported = &mut self.reported_store;
-        reported.newest_version = reported.newest_version.max(version);
         if self.report_state.is_registered(&from) {
             reported.newest_listed_version = reported.newest_listed_version.max(version);
+            return;
+        }
+        let known = reported.newest_version().max(reported.refuted_version);
+        if version > known.max(own_version) {
+            reported.unlisted_claim = Some(UnlistedClaim { version, at });
         }
         self.update_outdated_since(now);
     }
