Compare the configuration with peers before a host that has just started relies on it

A host that started after the store had returned from an older copy read the copy before a peer had reported the newer configuration, and accepted the credential that it withdrew for up to 0.3 s. Where the store states an era, a host that has listed the registered hosts now counts its configuration as proved only once a ready listed peer has reported no newer one, or 1.5 s have passed without a report, or nobody else is registered. A store that states no era is not restored from copies, and nothing waits there.

--- /dev/null
+++ b/crates/jaypin_router/src/router/joining.rs
@@ -0,0 +1,63 @@
+//! What a host that has just started waits for before it relies on what it read from the store.
+
+use std::time::{Duration, Instant};
+
+use super::Router;
+use super::watching::JOIN_TIME;
+
+/// Time after the list of hosts was read within which live peers have reported to this host: they
+/// report to a new host within a heartbeat of its first report, and one datagram may be lost.
+const FIRST_REPORTS_TIME: Duration = Duration::from_millis(1_500);
+
+/// Whether this host has compared its configuration with its peers' since its start.
+#[derive(Debug, Default)]
+pub struct JoinState {
+    /// When the list of hosts was first read.
+    listed_at: Option<Instant>,
+    has_compared: bool,
+}
+
+impl JoinState {
+    /// Records that the list of hosts was read.
+    pub fn record_host_list(&mut self, now: Instant) {
+        self.listed_at.get_or_insert(now);
+    }
+}
+
+impl Router {
+    /// Returns whether the configuration may still be older than the one that the fleet uses.
+    ///
+    /// Guards against a host that starts after the store was restored from an older copy: the copy
+    /// confirms credentials that were withdrawn since, until operators have written again. Peers
+    /// remember the newer version. A store that states no era is never restored.
+    pub(super) fn may_lag_behind_peers(&self) -> bool {
+        self.store_era().is_some() && !self.join.has_compared
+    }
+
+    /// Records whether a ready peer has reported no newer version, or no peer exists that could.
+    pub(super) fn compare_with_peers(&mut self, now: Instant) {
+        let Some(listed_at) = self.join.listed_at.filter(|_| !self.join.has_compared) else {
+            return;
+        };
+        if self.table.is_none() || self.has_newer_version() {
+            return;
+        }
+        let waited = now.saturating_duration_since(listed_at);
+        self.join.has_compared = waited >= FIRST_REPORTS_TIME
+            || !self.report_state.has_registered_hosts()
+            || self.has_ready_listed_peer(now);
+    }
+
+    /// Returns whether this host has listed the registered hosts so recently that live ones may not
+    /// have reported yet.
+    #[must_use]
+    pub fn is_joining(&self, now: Instant) -> bool {
+        let since = self.join.listed_at.or(self.started_at).unwrap_or(now);
+        now.saturating_duration_since(since) < JOIN_TIME
+    }
+
+    fn has_ready_listed_peer(&self, now: Instant) -> bool {
+        let mut live = self.fleet.live_peers(now);
+        live.any(|(_, peer)| peer.is_ready && self.report_state.is_registered(&peer.address))
+    }
+}
--- a/crates/jaypin_router/src/router/mod.rs
+++ b/crates/jaypin_router/src/router/mod.rs
@@ -4,6 +4,8 @@
 mod attempt;
 mod backend_signals;
 mod event;
+mod fleet_quota;
+mod joining;
 mod load_reporting;
 mod missing_entries;
 mod placing;
@@ -31,6 +33,8 @@
     CellIndex, Entries, Fleet, FleetQuota, MinimumShares, PeerLoads, RequestNumber, ResendBudget,
     Rollouts, RouteTable, SignalTable, Sizes, SlowAnswerDetector, WaitingList,
 };
+use fleet_quota::FleetQuotaState;
+use joining::JoinState;
 use load_reporting::LoadReportState;
 use missing_entries::MissingEntries;
 use reporting::ReportState;
@@ -71,6 +75,7 @@
     signals: SignalTable,
     missing_entries: MissingEntries,
     era: KnownEra,
+    join: JoinState,
     fleet: Fleet,
     peer_loads: PeerLoads,
     quota: FleetQuota,
@@ -118,6 +123,7 @@
             signals: SignalTable::default(),
             missing_entries: MissingEntries::default(),
             era: KnownEra::default(),
+            join: JoinState::default(),
             fleet: Fleet::default(),
             peer_loads: PeerLoads::default(),
             quota: FleetQuota::new(cfg.bounds.quota_window, cfg.bounds.quota_slack),
@@ -286,6 +292,7 @@
 
     fn tick(&mut self, now: Instant, boot_time: BootTime, fx: &mut Vec<Effect>) {
         self.last_boot_time = Some(boot_time);
+        self.compare_with_peers(now);
         let is_ready = self.is_ready(boot_time);
         if is_ready != self.was_ready {
             self.was_ready = is_ready;
--- a/crates/jaypin_router/src/router/reporting.rs
+++ b/crates/jaypin_router/src/router/reporting.rs
@@ -101,6 +101,12 @@
             .is_some_and(|it| it.is_registered)
     }
 
+    /// Returns whether the store lists any host besides this one.
+    #[must_use]
+    pub fn has_registered_hosts(&self) -> bool {
+        self.known_hosts.values().any(|it| it.is_registered)
+    }
+
     /// Returns whether the store lists a host with this IP address.
     #[must_use]
     pub fn has_registered(&self, address: IpAddr) -> bool {
--- a/crates/jaypin_router/src/router/updates.rs
+++ b/crates/jaypin_router/src/router/updates.rs
@@ -62,7 +62,7 @@
             limit = limit.min(bounds.convergence_limit);
         }
         let age = self.proof_age(boot_time);
-        self.table.is_some() && age.is_some_and(|age| age < limit)
+        self.table.is_some() && age.is_some_and(|age| age < limit) && !self.may_lag_behind_peers()
     }
 
     pub(super) fn apply_backend_list(
@@ -138,6 +138,7 @@
         }
         let update = self.fleet.apply(report, now, boot_time);
         if is_whole {
+            self.compare_with_peers(now);
             self.refresh_quotas(now);
         }
         for (account, units) in &update.usage {
@@ -228,6 +229,8 @@
             self.report_state.mark_registered(address);
         }
         self.report_state.mark_host_list_read();
+        self.join.record_host_list(now);
+        self.refresh_cells();
         self.refresh_quotas(now);
     }
 
--- a/crates/jaypin_router/src/router/watching.rs
+++ b/crates/jaypin_router/src/router/watching.rs
@@ -23,10 +23,10 @@
 /// Time for which a host may know other entries than a watcher before it reads all of them.
 /// Changes in transit arrive in less time.
 const MAX_DIVERGENCE: Duration = Duration::from_millis(700);
-/// Time after a host's start during which it assumes that registered hosts are live although
-/// they have not reported. Hosts that start together receive each other's reports within a third
-/// of this time. Without the assumption, each host of a starting fleet would begin to watch.
-const JOIN_TIME: Duration = Duration::from_millis(1_500);
+/// Time after a host has listed the registered hosts during which it assumes that they are live
+/// although they have not reported. Hosts that start together receive each other's reports within a
+/// third of this time. Without the assumption, each host of a starting fleet would begin to watch.
+pub(super) const JOIN_TIME: Duration = Duration::from_millis(1_500);
 /// Time without a report of a preceding peer that watches the store, after which a host watches it
 /// although peers precede it. If both watchers of a cell fail, others replace them in less time.
 const MAX_UNWATCHED: Duration = Duration::from_millis(1_500);
@@ -132,8 +132,7 @@
     /// Returns whether this host is one of the watchers of its cell.
     #[must_use]
     pub fn is_watcher(&self, now: Instant) -> bool {
-        let age = now.saturating_duration_since(self.started_at.unwrap_or(now));
-        let is_joining = age < JOIN_TIME;
+        let is_joining = self.is_joining(now);
         if is_joining && !self.report_state.has_host_list() {
             return false;
         }
