Begin to watch the configuration where it was read last

A host that starts alone read the configuration before the list of hosts, took itself for no watcher until then, and listed it a second time to begin its watch. A host that becomes a watcher while its proof is fresh now watches from the point up to which it has read.

--- a/crates/jaypin_entry/src/store/configuration.rs
+++ b/crates/jaypin_entry/src/store/configuration.rs
@@ -56,16 +56,26 @@
 pub async fn follow_configuration(host: Rc<Host>) {
     let mut client = StoreClient::new(&host);
     let mut retries = Retries::default();
+    let mut last_point = None;
     loop {
-        match follow(&host, &mut client).await {
+        match follow(&host, &mut client, &mut last_point).await {
             Ok(()) => retries.record_success(),
             Err(error) => retries.back_off(&host, "configuration", &error).await,
         }
     }
 }
 
-async fn follow(host: &Host, client: &mut StoreClient<'_>) -> Result<(), StoreError> {
-    let must_read = |router: &Router| must_watch(router) || is_version_unavailable(router);
+/// Reads the configuration once it is needed, and watches it for as long as this host has to. A
+/// host that becomes a watcher while its proof is fresh watches from `last_point`, up to which it
+/// knows all changes, without reading the configuration again.
+async fn follow(
+    host: &Host,
+    client: &mut StoreClient<'_>,
+    last_point: &mut Option<StorePoint>,
+) -> Result<(), StoreError> {
+    let must_read = |router: &Router| {
+        !router.awaits_peers(now()) && (must_watch(router) || is_version_unavailable(router))
+    };
     wait_until(host, must_read).await;
     stagger(host).await;
     if !host.read(must_read) {
@@ -77,8 +87,21 @@
     if !reads_store && !host.read(is_version_unavailable) && fetch_from_peer(host).await {
         return Ok(());
     }
-    let mut point = read_from_store(host, client).await?;
-    while host.read(must_watch) {
+    if host.read(Router::is_relay)
+        && !host.read(is_version_unavailable)
+        && follow_watchers(host).await
+    {
+        return Ok(());
+    }
+    let may_continue = host.read(|router| must_watch(router) && !router.is_stale(boot_time()));
+    let mut point = match last_point.take().filter(|_| may_continue) {
+        Some(point) => point,
+        None => read_from_store(host, client).await?,
+    };
+    let read_at = Instant::now();
+    let is_fallback_over =
+        |router: &Router| router.is_relay() && read_at.elapsed() >= RELAY_FALLBACK_TIME;
+    while host.read(|router| must_watch(router) && !is_fallback_over(router)) {
         let requested = (boot_time(), Instant::now());
         let Some(updates) = client
             .watch(Collection::Configuration, point, WATCH_TIMEOUT)
@@ -95,6 +118,7 @@
             sleep(WATCH_PAUSE).await;
         }
     }
+    *last_point = Some(point);
     if host.read(is_version_unavailable) {
         sleep(UNAVAILABLE_VERSION_PAUSE).await;
     }
