Read the store for a starting host of a large fleet through its peers

A registration that was replaced by someone else is read again instead of being taken for written. - In a fleet of more than one cell, only the hosts that would watch read configuration and entries at their start; the others get both from a peer, and read the store after 1.5 s without one. A host waits at most 8 s for the list of hosts.

--- a/crates/jaypin_entry/src/ports.rs
+++ b/crates/jaypin_entry/src/ports.rs
@@ -218,7 +218,7 @@
     fn watch_path(&self, collection: Collection, since: u64, wait: Duration) -> String;
 
     /// Returns the path of one object.
-    fn object_path(&self, collection: Collection, name: &str) -> String;
+    fn object_path(&self, collection: Collection, name: &str, freshness: Freshness) -> String;
 
     /// Returns the path of the status of one object.
     fn status_path(&self, collection: Collection, name: &str) -> String;
--- a/crates/jaypin_entry/src/store/backends.rs
+++ b/crates/jaypin_entry/src/store/backends.rs
@@ -29,6 +29,11 @@
     let mut retries = Retries::default();
     let mut freshness = Freshness::AllowStale;
     let mut fetched_at: Option<Instant> = None;
+    if fetch_at_start(&host).await {
+        retries.record_success();
+        freshness = Freshness::Newest;
+        fetched_at = Some(Instant::now());
+    }
     loop {
         if retries.has_succeeded() {
             wait_until(&host, |router| {
@@ -51,6 +56,64 @@
     }
 }
 
+/// Waits after the start of this host until it watches the store or a peer has the entries, which it
+/// then fetches. Returns whether it did; if not, it reads the store.
+async fn fetch_at_start(host: &Host) -> bool {
+    while host.read(|router| router.awaits_peers(now())) {
+        sleep(CHECK_INTERVAL).await;
+        let is_held = host.read(|router| !router.entry_holders(now()).is_empty());
+        if is_held && fetch_from_peer(host).await {
+            return true;
+        }
+    }
+    // A watcher lists the entries once it knows the configuration, and not a second time then.
+    wait_until(host, |router| {
+        follows_store(router) || !router.is_watcher(now())
+    })
+    .await;
+    false
+}
+
+/// Returns whether this host watches the store through the watchers of another cell.
+fn relays_store(router: &Router) -> bool {
+    follows_store(router) && router.is_relay()
+}
+
+/// Follows the entries as watchers of other cells read them, for as long as this host is a watcher
+/// of its cell. Returns `false` if none of them responds.
+async fn follow_watchers(host: &Host) -> bool {
+    let mut point = None;
+    while host.read(relays_store) {
+        let Some(updates) = watch_entries(host, point, WATCH_TIMEOUT).await else {
+            log::warn!("no watcher of another cell has the entries; reading the store");
+            return false;
+        };
+        point = point.max(Some(updates.point));
+        if updates.is_whole {
+            log::info!(count = updates.changes.len(), point:? = updates.point; "backend server entries read from a watcher");
+            apply_whole(host, updates);
+            continue;
+        }
+        for change in updates.changes {
+            log::info!(change:?; "backend server entry changed");
+            host.apply(Event::BackendChanged(change));
+        }
+    }
+    true
+}
+
+/// Applies all entries of a watcher, like a listing of the store.
+fn apply_whole(host: &Host, updates: EntryChanges) {
+    let stated = updates.changes.into_iter().filter_map(|it| match it {
+        EntryChange::Stated { record, point } => Some((record, point)),
+        EntryChange::Removed { .. } => None,
+    });
+    host.apply(Event::BackendsListed {
+        entries: stated.collect(),
+        point: updates.point,
+    });
+}
+
 /// Fetches all entries from a peer. Returns whether one responded.
 async fn fetch_from_peer(host: &Host) -> bool {
     let Some(entries) = fetch_entries(host).await else {
--- a/crates/jaypin_entry/src/store/hosts.rs
+++ b/crates/jaypin_entry/src/store/hosts.rs
@@ -20,6 +20,16 @@
 /// Random factor on the pause: a new host's reports reach its whole cell at once.
 const LIST_SPREAD: std::ops::Range<f64> = 0.3..1.7;
 
+/// Pause before the first check whether a copy of the store contains a new registration, doubled
+/// with each further check.
+const FIRST_COPY_PAUSE: Duration = Duration::from_millis(200);
+/// Longest pause between two such checks.
+const MAX_COPY_PAUSE: Duration = Duration::from_secs(1);
+/// Longest time for which a copy of the store is waited for.
+const MAX_COPY_LAG: Duration = Duration::from_secs(6);
+/// Timeout of reading a registration.
+const REGISTRATION_TIMEOUT: Duration = Duration::from_millis(1_200);
+
 /// Age from which on a registration is contained in every copy of the store: copies are only
 /// seconds old.
 const REPLICATION_TIME: Duration = Duration::from_mins(1);
@@ -30,13 +40,16 @@
 ///
 /// No host watches these entries: each host sends reports to the hosts that it lists, and hosts
 /// that register later list it. Of two hosts that start together at least one lists the other,
-/// since both write before they read.
+/// since both list from copies that contain their own registration.
 pub async fn join_fleet(host: Rc<Host>) {
     let mut client = StoreClient::new(&host);
     let mut retries = Retries::default();
     while let Err(error) = ensure_registered(&host, &mut client).await {
         retries.back_off(&host, "registration", &error).await;
     }
+    while let Err(error) = list_hosts(&host, &mut client).await {
+        retries.back_off(&host, "registered hosts", &error).await;
+    }
     let joined_at = Instant::now();
     let mut era = host.read(Router::store_era);
     loop {
@@ -53,14 +66,10 @@
             retries.back_off(&host, "registration", &error).await;
             continue;
         }
-        if !has_unlisted_peer(&host) {
-            continue;
-        }
-        match client.list(Collection::Hosts, Freshness::AllowStale).await {
-            Ok((objects, _)) => record_hosts(&host, &objects),
-            Err(error) => {
-                log::info!(error:%; "listing the registered hosts failed; retrying after a pause");
-            }
+        if has_unlisted_peer(&host)
+            && let Err(error) = list_hosts(&host, &mut client).await
+        {
+            log::info!(error:%; "listing the registered hosts failed; retrying after a pause");
         }
     }
 }
@@ -70,30 +79,63 @@
     host.read(|router| router.has_unlisted_peer(now))
 }
 
-/// Registers this host if the store has no current registration of it.
+/// Registers this host if the store has no current registration of it, and waits until the copies
+/// of the store from which hosts are listed contain it. A copy that never does is used all the same
+/// after [`MAX_COPY_LAG`].
 async fn ensure_registered(host: &Host, client: &mut StoreClient<'_>) -> Result<(), StoreError> {
     let own = HostRecord {
         host: host.settings.host.clone(),
         peer_address: host.settings.peer_address,
     };
-    // A stale listing suffices for a host that registered long ago: it contains all hosts that
-    // matter.
+    let known = read_registration(host, client, &own.host).await?;
+    if is_current(host, known.as_ref(), &own) {
+        return Ok(());
+    }
+    register(host, client, &own, known.map(|it| it.point.revision)).await?;
+    let registered_at = Instant::now();
+    let mut pause = FIRST_COPY_PAUSE;
+    while registered_at.elapsed() < MAX_COPY_LAG {
+        sleep(pause).await;
+        pause = (pause * 2).min(MAX_COPY_PAUSE);
+        let copied = read_registration(host, client, &own.host).await?;
+        if is_current(host, copied.as_ref(), &own) {
+            return Ok(());
+        }
+    }
+    log::warn!(host:% = own.host; "the store's copies lack the registration of this host");
+    Ok(())
+}
+
+/// Reads the registration of a host from a copy of the store.
+async fn read_registration(
+    host: &Host,
+    client: &mut StoreClient<'_>,
+    name: &str,
+) -> Result<Option<Object>, StoreError> {
+    let path = host
+        .platform
+        .object_path(Collection::Hosts, name, Freshness::AllowStale);
+    match client.get(&path, REGISTRATION_TIMEOUT).await {
+        Ok(response) => Ok(Some(
+            host.platform.parse_object(&response.body, response.era)?,
+        )),
+        Err(StoreError::Status { status }) if status == StatusCode::NOT_FOUND => Ok(None),
+        Err(error) => Err(error),
+    }
+}
+
+/// Returns whether an object is the given registration.
+fn is_current(host: &Host, object: Option<&Object>, own: &HostRecord) -> bool {
+    let record = object.map(|it| host.platform.parse_host(it));
+    record.is_some_and(|record| record.is_ok_and(|record| record == *own))
+}
+
+/// Lists the registered hosts. A listing that lags suffices: it contains all hosts that registered
+/// before this one.
+async fn list_hosts(host: &Host, client: &mut StoreClient<'_>) -> Result<(), StoreError> {
     let (objects, _) = client
         .list(Collection::Hosts, Freshness::AllowStale)
         .await?;
-    let registered = objects.iter().find(|it| *it.name == *own.host);
-    let is_current = registered.is_some_and(|it| {
-        let record = host.platform.parse_host(it);
-        record.is_ok_and(|record| record == own)
-    });
-    // The hosts are applied before this host registers, however long that takes: each host
-    // grants a share of the quotas that depends on the number of hosts.
-    record_hosts(host, &objects);
-    if is_current {
-        return Ok(());
-    }
-    register(host, client, &own, registered.map(|it| it.point.revision)).await?;
-    let (objects, _) = client.list(Collection::Hosts, Freshness::Newest).await?;
     record_hosts(host, &objects);
     Ok(())
 }
@@ -107,7 +149,7 @@
 ) -> Result<(), StoreError> {
     let platform = &host.platform;
     let body = platform.host_body(own, replaces);
-    let path = platform.object_path(Collection::Hosts, &own.host);
+    let path = platform.object_path(Collection::Hosts, &own.host, Freshness::Newest);
     let written = if replaces.is_some() {
         client.write(Method::PUT, &path, body).await
     } else {
@@ -117,7 +159,11 @@
     match written {
         // An earlier attempt whose response was lost, or a former process of this host, has
         // registered it.
-        Err(StoreError::Status { status }) if status == StatusCode::CONFLICT => Ok(()),
+        Err(StoreError::Status { status })
+            if status == StatusCode::CONFLICT && replaces.is_none() =>
+        {
+            Ok(())
+        }
         other => other.map(drop),
     }
 }
--- a/crates/jaypin_entry/src/store/rollouts.rs
+++ b/crates/jaypin_entry/src/store/rollouts.rs
@@ -167,7 +167,8 @@
     let body = platform.rollout_status_body(order);
     let response = match client.write(Method::PUT, &path, body).await {
         Err(StoreError::Status { status }) if status == StatusCode::CONFLICT => {
-            let path = platform.object_path(Collection::Rollouts, &order.service);
+            let path =
+                platform.object_path(Collection::Rollouts, &order.service, Freshness::Newest);
             client.get(&path, READ_TIMEOUT).await?
         }
         response => response?,
--- a/crates/jaypin_router/src/router/joining.rs
+++ b/crates/jaypin_router/src/router/joining.rs
@@ -4,7 +4,11 @@
 
 use super::Router;
 use super::watching::JOIN_TIME;
+use crate::cell_count;
 
+/// Longest time after its start for which a host waits for the list of hosts before it reads
+/// anything else: a copy of the store that lags contains its registration only after seconds.
+const MAX_LIST_TIME: Duration = Duration::from_secs(8);
 /// Time after the list of hosts was read within which live peers have reported to this host: they
 /// report to a new host within a heartbeat of its first report, and one datagram may be lost.
 const FIRST_REPORTS_TIME: Duration = Duration::from_millis(1_500);
@@ -56,6 +60,20 @@
         now.saturating_duration_since(since) < JOIN_TIME
     }
 
+    /// Returns whether this host has just started and leaves it to others to read the store.
+    ///
+    /// Guards against a store that is called by all hosts of a large fleet which start together:
+    /// the watchers of each cell read it, and the others get what they read.
+    #[must_use]
+    pub fn awaits_peers(&self, now: Instant) -> bool {
+        let age = |at: Instant| now.saturating_duration_since(at);
+        let Some(listed_at) = self.join.listed_at else {
+            return age(self.started_at.unwrap_or(now)) < MAX_LIST_TIME;
+        };
+        let is_large = cell_count(self.report_state.host_count()) > 1;
+        is_large && age(listed_at) < JOIN_TIME && !self.is_watcher(now)
+    }
+
     fn has_ready_listed_peer(&self, now: Instant) -> bool {
         let mut live = self.fleet.live_peers(now);
         live.any(|(_, peer)| peer.is_ready && self.report_state.is_registered(&peer.address))
--- a/crates/jaypin_router/src/router/snapshot.rs
+++ b/crates/jaypin_router/src/router/snapshot.rs
@@ -7,7 +7,10 @@
 use std::time::Instant;
 
 use super::Router;
-use crate::{EntryChange, Peer};
+use crate::{EntryChange, Peer, StorePoint};
+
+/// Digest of a host that knows no entries: there is nothing to transfer from it.
+const NO_ENTRIES: u64 = 0;
 
 impl Router {
     /// Returns the addresses of ready peers that have the newest version of the configuration
@@ -28,7 +31,7 @@
     /// Returns the addresses of peers that know the same entries as the watchers of the store.
     #[must_use]
     pub fn entry_holders(&self, now: Instant) -> Vec<SocketAddr> {
-        let watched = self.watched_digest();
+        let watched = self.watched_digest().filter(|digest| *digest != NO_ENTRIES);
         self.holders(now, |peer| watched == Some(peer.digest))
     }
 
