Watch the store in four cells, and read through these in all others

The watchers of the cells from the fifth on (relays) now request what the watchers of the first four cells read: the configuration by a request that is held until there is a newer one or a newer proof, the entries by one that is held until some changed after the stated point. A proof counts from the time of the request plus the time for which it was held, by clocks that count suspended time. A relay to which nobody confirms the configuration until its proof is old, or whose request for entries fails, reads the store itself for 10 s.

Not built: orders of roll-outs are still watched in each cell, where a deployment has them.

--- a/crates/jaypin_entry/src/callers/directory.rs
+++ b/crates/jaypin_entry/src/callers/directory.rs
@@ -36,17 +36,20 @@
 
 /// Serves readiness checks, address lists and metrics until the task is dropped.
 pub async fn serve_queries(host: Rc<Host>, listener: TcpListener) {
+    let respond = |host: Rc<Host>, req| async move { respond(&host, &req) };
     serve_responses(host, listener, |_, _| true, respond).await;
 }
 
-/// Serves responses that need no waiting until the task is dropped. Connections from
+/// Serves responses that this host generates until the task is dropped. Connections from
 /// addresses that `is_admitted` rejects are closed.
-pub async fn serve_responses(
+pub async fn serve_responses<F>(
     host: Rc<Host>,
     listener: TcpListener,
     is_admitted: fn(&Host, SocketAddr) -> bool,
-    respond: fn(&Host, &Request<Incoming>) -> HttpResponse,
-) {
+    respond: impl Fn(Rc<Host>, Request<Incoming>) -> F + Copy + 'static,
+) where
+    F: Future<Output = HttpResponse> + 'static,
+{
     loop {
         let (stream, from) = match listener.accept().await {
             Ok(accepted) => accepted,
@@ -62,8 +65,8 @@
         }
         let host = host.clone();
         let service = service_fn(move |req| {
-            let response = respond(&host, &req);
-            async move { Ok::<_, Infallible>(response) }
+            let response = respond(host.clone(), req);
+            async move { Ok::<_, Infallible>(response.await) }
         });
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
--- a/crates/jaypin_entry/src/host.rs
+++ b/crates/jaypin_entry/src/host.rs
@@ -16,6 +16,7 @@
 use crate::calls::{ConnectionPool, SendOrder};
 use crate::peers::PeerSocket;
 use crate::ports::{HostSettings, Object, Platform};
+use crate::watch_progress::WatchProgress;
 
 /// The next step of a request, sent by the reducer to the task of the request.
 #[derive(Debug)]
@@ -65,6 +66,8 @@
     pub connections: ConnectionPool,
     /// Socket for reports to and from peers.
     pub peers: PeerSocket,
+    /// How far the watches of the store have come.
+    pub watches: WatchProgress,
     router: RefCell<Router>,
     /// The store's object of the configuration in use, which is served to peers.
     configuration: RefCell<Option<Rc<Object>>>,
@@ -89,6 +92,7 @@
             settings,
             connections: ConnectionPool::default(),
             peers,
+            watches: WatchProgress::default(),
             router: RefCell::new(router),
             configuration: RefCell::default(),
             mailboxes: RefCell::default(),
--- a/crates/jaypin_entry/src/lib.rs
+++ b/crates/jaypin_entry/src/lib.rs
@@ -14,11 +14,13 @@
 mod ports;
 mod serve;
 mod store;
+mod watch_progress;
 
 pub use logs::start as start_logs;
 pub use peers::{
-    ConfigurationSnapshot, WireError, decode_configuration, decode_entries, decode_report,
-    encode_configuration, encode_entries, encode_report,
+    ConfigurationSnapshot, Datagram, EntryChanges, WireError, decode_configuration,
+    decode_datagram, decode_entries, decode_entry_changes, decode_report, encode_account_use,
+    encode_configuration, encode_entries, encode_entry_changes, encode_report,
 };
 pub use ports::{
     BackendResponse, CallerRequest, Collection, DecodeError, ForwardContext, Freshness, HostRecord,
--- a/crates/jaypin_entry/src/peers/mod.rs
+++ b/crates/jaypin_entry/src/peers/mod.rs
@@ -8,10 +8,14 @@
 mod wire;
 
 pub use live_peers::LivePeers;
-pub use snapshot::{fetch_configuration, fetch_entries, serve_snapshots};
+pub use snapshot::{
+    PeerConfiguration, fetch_configuration, fetch_entries, serve_snapshots, watch_configuration,
+    watch_entries,
+};
 pub use wire::{
-    ConfigurationSnapshot, WireError, decode_configuration, decode_entries, decode_report,
-    encode_configuration, encode_entries, encode_report,
+    ConfigurationSnapshot, Datagram, EntryChanges, WireError, decode_configuration,
+    decode_datagram, decode_entries, decode_entry_changes, decode_report, encode_account_use,
+    encode_configuration, encode_entries, encode_entry_changes, encode_report,
 };
 
 use std::net::SocketAddr;
--- a/crates/jaypin_entry/src/peers/wire/entries.rs
+++ b/crates/jaypin_entry/src/peers/wire/entries.rs
@@ -13,6 +13,39 @@
 /// Change of an entry: id, point, and the record unless the entry was removed.
 pub type WireChange = (String, WirePoint, Option<WireRecord>);
 
+/// Changes of entries as one host sends them to another.
+#[derive(Debug, Clone, PartialEq)]
+pub struct EntryChanges {
+    /// Point up to which they are complete.
+    pub point: StorePoint,
+    /// Whether they are all entries, instead of those that changed.
+    pub is_whole: bool,
+    /// The changes.
+    pub changes: Vec<EntryChange>,
+}
+
+/// Encodes changes of entries.
+///
+/// # Errors
+/// Fails if the CBOR library does.
+pub fn encode_entry_changes(updates: &EntryChanges) -> Result<Vec<u8>, WireError> {
+    let changes: Vec<WireChange> = updates.changes.iter().map(wire_change).collect();
+    encode(&(wire_point(updates.point), updates.is_whole, changes))
+}
+
+/// Decodes changes of entries.
+///
+/// # Errors
+/// Fails if the bytes are not changes of entries.
+pub fn decode_entry_changes(bytes: &[u8]) -> Result<EntryChanges, WireError> {
+    let (point, is_whole, changes): (WirePoint, bool, Vec<WireChange>) = decode(bytes)?;
+    Ok(EntryChanges {
+        point: read_point(point),
+        is_whole,
+        changes: changes.into_iter().map(read_change).collect(),
+    })
+}
+
 /// Encodes entries of backend servers.
 ///
 /// # Errors
--- a/crates/jaypin_entry/src/peers/wire/mod.rs
+++ b/crates/jaypin_entry/src/peers/wire/mod.rs
@@ -7,7 +7,9 @@
 
 pub use configuration::{ConfigurationSnapshot, decode_configuration, encode_configuration};
 
-pub use entries::{decode_entries, encode_entries};
+pub use entries::{
+    EntryChanges, decode_entries, decode_entry_changes, encode_entries, encode_entry_changes,
+};
 
 use std::net::SocketAddr;
 use std::time::Duration;
--- a/crates/jaypin_entry/src/store/backends.rs
+++ b/crates/jaypin_entry/src/store/backends.rs
@@ -4,13 +4,15 @@
 use std::time::Duration;
 
 use jaypin_core::BackendId;
-use jaypin_router::{BackendRecord, EntryChange, Event, StorePoint};
+use jaypin_router::{BackendRecord, EntryChange, Event, Router, StorePoint};
 use tokio::time::{Instant, sleep};
 
 use super::client::{StoreClient, StoreError};
-use super::{Retries, WATCH_PAUSE, follows_store, now, wait_until};
+use super::{
+    CHECK_INTERVAL, RELAY_FALLBACK_TIME, Retries, WATCH_PAUSE, follows_store, now, wait_until,
+};
 use crate::host::Host;
-use crate::peers::fetch_entries;
+use crate::peers::{EntryChanges, fetch_entries, watch_entries};
 use crate::ports::{Collection, Freshness, Object, ObjectChange};
 
 /// Time for which one watch waits. It returns at once when something changes; a dead connection
@@ -46,7 +48,12 @@
                 continue;
             }
         }
-        match follow(&host, &mut client, freshness).await {
+        if host.read(relays_store) && follow_watchers(&host).await {
+            continue;
+        }
+        let followed = follow(&host, &mut client, freshness).await;
+        host.watches.set_entries_point(None);
+        match followed {
             Ok(()) => {
                 retries.record_success();
                 freshness = Freshness::Newest;
@@ -143,7 +150,11 @@
         .collect();
     log::info!(count = entries.len(), point:?; "backend server entries listed");
     host.apply(Event::BackendsListed { entries, point });
-    while host.read(follows_store) {
+    let listed_at = Instant::now();
+    let is_fallback_over =
+        |router: &Router| router.is_relay() && listed_at.elapsed() >= RELAY_FALLBACK_TIME;
+    while host.read(|router| follows_store(router) && !is_fallback_over(router)) {
+        host.watches.set_entries_point(Some(point));
         let Some(updates) = client
             .watch(Collection::Backends, point, WATCH_TIMEOUT)
             .await?
--- a/crates/jaypin_entry/src/store/configuration.rs
+++ b/crates/jaypin_entry/src/store/configuration.rs
@@ -8,10 +8,10 @@
 use tokio::time::{Instant, sleep};
 
 use super::client::{StoreClient, StoreError};
-use super::{Retries, WATCH_PAUSE, now, wait_until};
+use super::{CHECK_INTERVAL, RELAY_FALLBACK_TIME, Retries, WATCH_PAUSE, now, wait_until};
 use crate::boot_clock::boot_time;
 use crate::host::Host;
-use crate::peers::fetch_configuration;
+use crate::peers::{PeerConfiguration, fetch_configuration, watch_configuration};
 use crate::ports::{Collection, Freshness, Object};
 
 /// Time for which one watch waits. A watch's response proves that the configuration is the
@@ -114,6 +114,7 @@
         }
         point = updates.point;
         host.apply(Event::ConfigurationProved(proved_at(requested)));
+        host.watches.advance();
         if !updates.changes.is_empty() {
             sleep(WATCH_PAUSE).await;
         }
@@ -125,6 +126,48 @@
     Ok(())
 }
 
+/// Follows the configuration as watchers of other cells read it, for as long as this host has to
+/// watch. Returns `false` if none of them has confirmed it for too long.
+async fn follow_watchers(host: &Host) -> bool {
+    while host.read(|router| must_watch(router) && router.is_relay()) {
+        let is_stale = |router: &Router| router.is_stale(boot_time());
+        // A response that is held brings the next proof; a host without a proof needs the last.
+        let wait = if host.read(is_stale) {
+            Duration::ZERO
+        } else {
+            WATCH_TIMEOUT
+        };
+        if let Some(from_watcher) = watch_configuration(host, wait).await {
+            apply_from_host(host, &from_watcher, Event::ConfigurationProved);
+            sleep(WATCH_PAUSE).await;
+        } else {
+            sleep(CHECK_INTERVAL).await;
+        }
+        if host.read(|router| is_stale(router) && !router.is_joining(now())) {
+            log::warn!("no watcher of another cell confirms the configuration; reading the store");
+            return false;
+        }
+    }
+    true
+}
+
+/// Applies the configuration that another host sent, and its proof if this host then has the same
+/// version.
+fn apply_from_host(
+    host: &Host,
+    from_host: &PeerConfiguration,
+    proof: impl FnOnce(BootTime) -> Event,
+) {
+    if let Some(object) = &from_host.object {
+        apply_object(host, object, Source::Peer);
+    }
+    if known_version(host) == from_host.version
+        && let Some(at) = from_host.proved_at
+    {
+        host.apply(proof(at));
+    }
+}
+
 /// Returns whether a peer reported a newer version a while ago and no peer has returned it.
 fn is_version_unavailable(router: &Router) -> bool {
     let outdated = router.outdated_for(now());
@@ -173,14 +216,7 @@
         return false;
     };
     let known = known_version(host);
-    if let Some(object) = &from_peer.object {
-        apply_object(host, object, Source::Peer);
-    }
-    if known_version(host) == from_peer.version
-        && let Some(at) = from_peer.proved_at
-    {
-        host.apply(Event::ConfirmedByPeer(at));
-    }
+    apply_from_host(host, &from_peer, Event::ConfirmedByPeer);
     let is_up_to_date = !host.read(must_watch) && !host.read(Router::is_configuration_outdated);
     // If a still newer version was reported, it is fetched next.
     is_up_to_date || known_version(host) > known
@@ -199,6 +235,7 @@
         apply_object(host, object, Source::Store);
     }
     host.apply(Event::ConfigurationProved(requested_at));
+    host.watches.advance();
     Ok(point)
 }
 
--- a/crates/jaypin_entry/src/store/mod.rs
+++ b/crates/jaypin_entry/src/store/mod.rs
@@ -51,6 +51,9 @@
 /// tightest bound on applying any of them is two seconds.
 const WATCH_PAUSE: Duration = Duration::from_millis(300);
 
+/// Time for which a relay reads the store itself once no watcher of another cell responds.
+const RELAY_FALLBACK_TIME: Duration = Duration::from_secs(10);
+
 /// Time between two checks whether the store has to be called.
 const CHECK_INTERVAL: Duration = Duration::from_millis(150);
 
--- a/crates/jaypin_router/src/cell.rs
+++ b/crates/jaypin_router/src/cell.rs
@@ -11,6 +11,10 @@
 /// Greatest number of hosts in a cell, on average: the reports of each go to all of them.
 const MAX_HOSTS: usize = crate::backend_subset::SMALL_FLEET;
 
+/// Number of cells whose watchers read the store. The watchers of further cells read from these, so
+/// that calls to the store don't grow with the fleet.
+pub const LEAD_CELLS: u32 = 4;
+
 /// Returns the number of cells of a fleet. It is a power of two, so that hosts which count the
 /// fleet differently for a moment mostly agree.
 #[must_use]
--- a/crates/jaypin_router/src/entries.rs
+++ b/crates/jaypin_router/src/entries.rs
@@ -37,14 +37,18 @@
 }
 
 impl EntryChange {
-    fn id(&self) -> &BackendId {
+    /// Returns the id of the backend server.
+    #[must_use]
+    pub fn id(&self) -> &BackendId {
         match self {
             Self::Stated { record, .. } => &record.id,
             Self::Removed { id, .. } => id,
         }
     }
 
-    fn point(&self) -> StorePoint {
+    /// Returns the point in the store's history at which the entry was like this.
+    #[must_use]
+    pub fn point(&self) -> StorePoint {
         match self {
             Self::Stated { point, .. } | Self::Removed { point, .. } => *point,
         }
@@ -57,6 +61,12 @@
     hashes: BTreeMap<BackendId, u64>,
     /// Newest known point of each entry, including removed ones.
     points: BTreeMap<BackendId, StorePoint>,
+    /// The removed entries by their points, the oldest first.
+    removed: BTreeSet<(StorePoint, BackendId)>,
+    /// Newest point of a removed entry that was dropped.
+    dropped: StorePoint,
+    /// Newest point of all entries.
+    newest: StorePoint,
     digest: u64,
     /// Changes to be sent, each with the number of reports that contained it.
     unsent: VecDeque<(EntryChange, u32)>,
@@ -89,9 +99,20 @@
 
     /// Iterates over the removed entries, each with a point at which it did not exist.
     pub fn removed(&self) -> impl Iterator<Item = (&BackendId, StorePoint)> {
-        let points = self.points.iter();
-        let removed_points = points.filter(|(id, _)| !self.hashes.contains_key(*id));
-        removed_points.map(|(id, point)| (id, *point))
+        self.removed.iter().map(|(point, id)| (id, *point))
+    }
+
+    /// Returns the newest point at which an entry changed.
+    #[must_use]
+    pub fn newest_point(&self) -> StorePoint {
+        self.newest
+    }
+
+    /// Returns whether all changes after a point are known, also those of entries that were
+    /// removed.
+    #[must_use]
+    pub fn knows_changes_since(&self, point: StorePoint) -> bool {
+        point.era == self.newest.era && point >= self.dropped
     }
 
     /// Applies a change; returns whether it changed anything.
@@ -105,8 +126,16 @@
         if newest.is_some_and(|newest| change.point() <= newest) {
             return false;
         }
-        self.points.insert(id.clone(), change.point());
-        self.remove_oldest();
+        let point = change.point();
+        self.points.insert(id.clone(), point);
+        self.newest = self.newest.max(point);
+        if let Some(newest) = newest {
+            self.removed.remove(&(newest, id.clone()));
+        }
+        if matches!(change, EntryChange::Removed { .. }) {
+            self.removed.insert((point, id.clone()));
+            self.drop_oldest_removed();
+        }
         let new = match change {
             EntryChange::Stated { record, .. } => Some(hash(record)),
             EntryChange::Removed { .. } => None,
--- a/crates/jaypin_router/src/lib.rs
+++ b/crates/jaypin_router/src/lib.rs
@@ -43,7 +43,7 @@
 pub use backend::{Backend, BackendRecord, BackendStatus};
 pub use backend_subset::{BackendSubsets, SubsetKind};
 pub use backend_table::BackendTable;
-pub use cell::{CellIndex, cell_count, cell_of};
+pub use cell::{CellIndex, LEAD_CELLS, cell_count, cell_of};
 pub use configuration::{
     Account, CallerLimits, Configuration, Engine, Quota, QuotaUnit, Repeat, Route, Service, Target,
 };
--- a/crates/jaypin_router/src/router/snapshot.rs
+++ b/crates/jaypin_router/src/router/snapshot.rs
@@ -76,6 +76,21 @@
         stated.chain(removed).collect()
     }
 
+    /// Returns whether an entry changed after a point.
+    #[must_use]
+    pub fn has_entry_changes_since(&self, point: StorePoint) -> bool {
+        self.entries.newest_point() > point
+    }
+
+    /// Returns the entries that changed after a point; nothing if this host no longer remembers
+    /// all that were removed since.
+    #[must_use]
+    pub fn entry_changes_since(&self, point: StorePoint) -> Option<Vec<EntryChange>> {
+        let is_newer = |change: &EntryChange| change.point() > point;
+        let is_complete = self.entries.knows_changes_since(point);
+        is_complete.then(|| self.entry_snapshot().into_iter().filter(is_newer).collect())
+    }
+
     pub(super) fn apply_entry_snapshot(&mut self, entries: Vec<EntryChange>, now: Instant) {
         for change in entries {
             self.apply_entry_change(change, now);
