--- a/crates/jaypin_router/src/entries.rs
+++ b/crates/jaypin_router/src/entries.rs
@@ -1,6 +1,6 @@
 //! Entries of backend servers as the store has them, and their recent changes.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use jaypin_core::BackendId;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -13,9 +13,8 @@
 /// contain the others.
 const MAX_CHANGES_PER_REPORT: usize = 24;
 
-/// Number of entries whose points are kept; beyond it, the oldest of the removed ones are
-/// dropped.
-const MAX_POINTS: usize = 4_096;
+/// Number of removed entries whose points are kept; beyond it, the oldest are dropped.
+const MAX_REMOVED: usize = 4_096;
 
 /// A change of an entry, as hosts that watch the store send it to the others.
 #[derive(Debug, Clone, PartialEq)]
@@ -151,15 +150,12 @@
         true
     }
 
-    fn remove_oldest(&mut self) {
-        if self.points.len() <= MAX_POINTS {
-            return;
-        }
-        let removed_points = self.points.iter();
-        let removed_points = removed_points.filter(|(id, _)| !self.hashes.contains_key(*id));
-        let oldest = removed_points.min_by_key(|(_, point)| **point);
-        if let Some(id) = oldest.map(|(id, _)| id.clone()) {
+    fn drop_oldest_removed(&mut self) {
+        if self.removed.len() > MAX_REMOVED
+            && let Some((point, id)) = self.removed.pop_first()
+        {
             self.points.remove(&id);
+            self.dropped = self.dropped.max(point);
         }
     }
 
