Report to a fixed number of other cells, whatever the size of the fleet

Each host sent its cell's summary to one host of each other cell twice a second: 62 datagrams a second sent and received by each of 986 hosts, about 1 KB each (reckoned), and twice as many in a fleet of twice the size. It now sends it to four cells a round. What it carries spreads from host to host: versions and eras, contents that crash backend servers, roll-outs, addresses of callers. Fleets of up to five cells send as before.

--- a/crates/jaypin_router/src/fleet.rs
+++ b/crates/jaypin_router/src/fleet.rs
@@ -23,7 +23,8 @@
 
 /// Time without a report after which another cell no longer counts as live.
 ///
-/// Each host receives a report from each other cell twice a second on average, at random times.
+/// Each host receives a report from each other cell twice a second on average, at random times; in
+/// a fleet of many cells, from most of them within this time.
 const CELL_TIMEOUT: Duration = Duration::from_secs(4);
 
 /// A peer, as its last reports show it.
--- a/crates/jaypin_router/src/router/reporting.rs
+++ b/crates/jaypin_router/src/router/reporting.rs
@@ -23,6 +23,9 @@
 const WHOLE_PAUSE: Duration = Duration::from_millis(400);
 /// Pause between two rounds of reports to other cells. Each round goes to one host of each cell.
 const OTHER_CELLS_PAUSE: Duration = Duration::from_millis(500);
+/// Number of cells in one round, each of which one host gets the report for. Hosts pass on what they
+/// learn, so it reaches all cells of a large fleet in a few rounds.
+const CELLS_PER_ROUND: usize = 4;
 /// Pause between two reports to a host that is silent, or was discovered but has never reported.
 const SILENT_PAUSE: Duration = Duration::from_secs(1);
 /// The same after a longer silence.
@@ -336,7 +339,7 @@
         }
     }
 
-    /// Sends a summary of this cell to one random host of each other cell, if that is due.
+    /// Sends a summary of this cell to one random host of some other cells, if that is due.
     fn report_to_other_cells(&mut self, now: Instant, boot_time: BootTime, fx: &mut Vec<Effect>) {
         if self.cells == 1
             || !is_due(
@@ -355,8 +358,11 @@
             by_cell.entry(cell).or_default().push(*address);
         }
         by_cell.remove(&self.cell);
-        let to: Vec<_> = by_cell
-            .values()
+        let other_cells: Vec<_> = by_cell.into_values().collect();
+        let receiving = other_cells.sample(&mut self.rng, CELLS_PER_ROUND);
+        let receiving: Vec<_> = receiving.collect();
+        let to: Vec<_> = receiving
+            .into_iter()
             .filter_map(|addresses| addresses.choose(&mut self.rng).copied())
             .collect();
         let ready = self.fleet.live_peers(now).filter(|(_, peer)| peer.is_ready);
