Keep hosts of other cells in the host list after a quarter of an hour

Found by reading: a host forgets hosts that have not reported for 15 min, but hosts of other cells report to it only now and then, so all of them would be forgotten at once a quarter of an hour after its start. The fleet would shrink to its own cell until reports from the others arrive, and with it the number of cells and the subsets. Only hosts of the own cell are forgotten now; a host of another cell that is gone for good stays in the list, as its registration stays in the store.

Test: hosts_of_other_cells_are_not_forgotten.

--- a/crates/jaypin_router/src/router/reporting.rs
+++ b/crates/jaypin_router/src/router/reporting.rs
@@ -320,9 +320,11 @@
         to
     }
 
-    /// Removes hosts that have been silent for a long time.
+    /// Removes hosts of this cell that have been silent for a long time. Hosts of other cells report
+    /// elsewhere, so their silence says nothing.
     pub(super) fn forget_silent_hosts(&mut self, now: Instant) {
         let own = self.cfg.peer_address;
+        let (cell, cells) = (self.cell, self.cells);
         let live: BTreeSet<_> = self
             .fleet
             .live_peers(now)
@@ -332,7 +334,9 @@
         self.report_state.known_hosts.retain(|address, known| {
             let last_live_at = *known.last_live_at.get_or_insert(now);
             let is_remembered = now.saturating_duration_since(last_live_at) < FORGET_AFTER;
-            *address != own && (is_remembered || live.contains(address))
+            let name = known.host.as_deref().unwrap_or_default();
+            *address != own
+                && (is_remembered || live.contains(address) || cell_of(name, cells) != cell)
         });
         if self.report_state.known_hosts.len() != previous_count {
             self.stable_subsets.invalidate();
