Report the use of accounts while it changes, not for as long as a host runs

A whole report contained the total of each account that had used anything in the host's run: it grows with the run, and with 17,000 accounts (some 300 KB, reckoned) it would not fit into a datagram, so the host would seem gone. A total now stands in four whole reports after it has changed, four further accounts in turn in each for peers that missed all of these, and at most 512 in one report. The first total that a host receives of an account of a peer that had run before counts as old use.

Covered by the tests of quotas (quota, quota_at_start, quota_cells); no test of its own.

--- a/crates/jaypin_router/src/fleet.rs
+++ b/crates/jaypin_router/src/fleet.rs
@@ -27,6 +27,9 @@
 /// a fleet of many cells, from most of them within this time.
 const CELL_TIMEOUT: Duration = Duration::from_secs(4);
 
+/// Number of reports of a run within which a host has hardly granted anything.
+const FIRST_REPORTS: u64 = 8;
+
 /// A peer, as its last reports show it.
 #[derive(Debug)]
 pub struct Peer {
@@ -52,6 +55,8 @@
     earlier_run: Option<Incarnation>,
     /// Number of the newest report.
     sequence: Option<u64>,
+    /// Whether reports were received from the beginning of the run.
+    is_known_from_start: bool,
     last_report_at: Instant,
     usage: HashMap<AccountId, f64>,
     arrivals: HashMap<(ServiceKey, Rank), u32>,
@@ -176,7 +181,8 @@
         }
         if known.is_none_or(|peer| peer.run != report.run) {
             let earlier_run = known.map(|peer| peer.run);
-            let peer = Peer::new(report.run, earlier_run, whole, now);
+            let mut peer = Peer::new(report.run, earlier_run, whole, now);
+            peer.is_known_from_start = earlier_run.is_some() || report.sequence <= FIRST_REPORTS;
             self.runs.insert(report.run, host.clone());
             self.peers.insert(host.clone(), peer);
         }
@@ -281,6 +287,7 @@
             clock: PeerClock::default(),
             earlier_run,
             sequence: None,
+            is_known_from_start: false,
             last_report_at: now,
             usage: HashMap::new(),
             arrivals: HashMap::new(),
@@ -314,7 +321,8 @@
         }
         for (account, used) in report.usage {
             let before = self.usage.insert(account.clone(), used);
-            if let Some(before) = before.or((!is_new).then_some(0.0)) {
+            // A total that was first received long after the run began says nothing of recent use.
+            if let Some(before) = before.or(self.is_known_from_start.then_some(0.0)) {
                 update.usage.push((account, used - before));
             }
         }
--- a/crates/jaypin_router/src/quota.rs
+++ b/crates/jaypin_router/src/quota.rs
@@ -211,8 +211,8 @@
 
     /// Iterates over the units that this host granted to each account in its run.
     pub fn usage(&self) -> impl Iterator<Item = (AccountId, f64)> {
-        let accounts = self.accounts.iter();
-        accounts.map(|(account, usage)| (account.clone(), usage.own))
+        let used = self.accounts.iter().filter(|(_, usage)| usage.own > 0.0);
+        used.map(|(account, usage)| (account.clone(), usage.own))
     }
 
     /// Returns the levels above which a host that has just started must not begin.
--- a/crates/jaypin_router/src/report.rs
+++ b/crates/jaypin_router/src/report.rs
@@ -30,8 +30,8 @@
     pub loads: Vec<BackendLoad>,
     /// What it has observed recently of these backend servers, as totals of this run.
     pub samples: Vec<BackendSamples>,
-    /// Quota units that accounts used, as totals of this run: all accounts in a whole report,
-    /// otherwise those that used some.
+    /// Quota units that accounts used, as totals of this run: of accounts that used some since the
+    /// previous report; in a whole report, also of some that used none.
     pub usage: Vec<(AccountId, f64)>,
     /// Signals from the answers of backend servers: of all in a whole report, otherwise of those
     /// whose load is reported.
--- a/crates/jaypin_router/src/router/reporting.rs
+++ b/crates/jaypin_router/src/router/reporting.rs
@@ -38,6 +38,13 @@
 /// Number of suspected request contents in one report; more would not fit into a datagram.
 const MAX_REPORTED_CONTENTS: usize = 16;
 
+/// Number of whole reports that contain the use of an account after it has changed.
+const REPORTS_PER_USAGE: u32 = 4;
+/// Number of further accounts in each whole report, in turn, for peers that missed all of these.
+const REPEATED_ACCOUNTS: usize = 4;
+/// Greatest number of accounts in one report, so that it fits into a datagram.
+const MAX_REPORTED_ACCOUNTS: usize = 512;
+
 /// When reports were sent and what they contained, and the hosts that may receive them.
 #[derive(Debug, Default)]
 pub struct ReportState {
@@ -46,13 +53,23 @@
     last_whole: Option<Instant>,
     last_to_other_cells: Option<Instant>,
     /// Quota units that were last reported, by account.
-    reported_usage: HashMap<AccountId, f64>,
+    reported_usage: HashMap<AccountId, ReportedUsage>,
+    /// Position of the next account whose use is reported although it has not changed.
+    next_repeated_account: usize,
     has_changes: bool,
     is_urgent: bool,
     known_hosts: BTreeMap<SocketAddr, KnownHost>,
     has_host_list: bool,
 }
 
+/// The last report of an account's use.
+#[derive(Debug, Default)]
+struct ReportedUsage {
+    units: Option<f64>,
+    /// Number of whole reports that contained it.
+    times: u32,
+}
+
 /// A host that may be in the fleet.
 #[derive(Debug, Default)]
 struct KnownHost {
@@ -248,12 +265,29 @@
     }
 
     fn usage_to_report(&mut self, is_whole: bool) -> Vec<(AccountId, f64)> {
-        let reported = &mut self.report_state.reported_usage;
-        let usage = self.quota.usage().filter(|(account, used)| {
-            let previous = reported.insert(account.clone(), *used);
-            *used > 0.0 && (is_whole || previous != Some(*used))
-        });
-        usage.collect()
+        let state = &mut self.report_state;
+        let used: Vec<_> = self.quota.usage().collect();
+        let mut usage = Vec::new();
+        for (account, units) in &used {
+            let reported = state.reported_usage.entry(account.clone()).or_default();
+            let has_changed = reported.units != Some(*units);
+            if has_changed {
+                reported.units = Some(*units);
+                reported.times = 0;
+            }
+            let is_recent = is_whole && reported.times < REPORTS_PER_USAGE;
+            if (has_changed || is_recent) && usage.len() < MAX_REPORTED_ACCOUNTS {
+                reported.times += u32::from(is_whole);
+                usage.push((account.clone(), *units));
+            }
+        }
+        if is_whole && !used.is_empty() {
+            let first = state.next_repeated_account % used.len();
+            state.next_repeated_account = first + REPEATED_ACCOUNTS;
+            let repeated = used.iter().cycle().skip(first);
+            usage.extend(repeated.take(REPEATED_ACCOUNTS.min(used.len())).cloned());
+        }
+        usage
     }
 
     /// Describes this host and its state of the store.
