Update the subsets of other hosts instead of drawing all of them again

A host now keeps the score of the last backend server in each other host's subset and how many are above it.

Test: the_work_for_one_engine_grows_no_faster_than_the_fleet counts scores (493 and 1,440; 986 and 2,880): below two and a half times as many at twice the size and below a tenth of the product, where each change took the whole product.

--- a/crates/jaypin_router/src/backend_subset.rs
+++ b/crates/jaypin_router/src/backend_subset.rs
@@ -7,7 +7,7 @@
 //! one host's engines moves on to those of others, and two hosts need no agreement: which engines
 //! another host uses follows from its name.
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::net::SocketAddr;
 
 use jaypin_core::{BackendId, HostId, ServiceId};
@@ -26,6 +26,9 @@
 /// Number of backend servers by which a sender assumes another host's subset to be larger than it
 /// is: hosts count hosts and backend servers differently for a moment.
 const SUBSET_MARGIN: usize = 1;
+/// Part of another host's subset, as a divisor, by which a sender may assume it to be larger still:
+/// the subset is drawn again only when it has changed by more.
+const EXCESS_DIVISOR: usize = 16;
 
 /// Which backend servers of a service a host uses.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -67,22 +70,27 @@
 #[derive(Debug)]
 struct BackendSubset {
     kind: SubsetKind,
+    /// All backend servers of the service, with the hashes of their ids.
+    backends: BTreeMap<BackendId, u64>,
     /// Ids of the backend servers that this host uses.
     own: Vec<BackendId>,
     /// The same ids, for lookups.
     own_set: HashSet<BackendId>,
     /// Fraction of the service's backend servers that this host uses.
     fraction: f64,
-    others: Vec<OtherSubset>,
+    others: BTreeMap<SocketAddr, OtherSubset>,
+    /// Number of scores that were computed.
+    scored: usize,
 }
 
 /// Another host's subset of a service.
 #[derive(Debug)]
 struct OtherSubset {
-    address: SocketAddr,
     host: u64,
     /// Score of the last backend server that it may use.
     min_score: u64,
+    /// Number of backend servers with at least this score.
+    size: usize,
 }
 
 impl BackendSubsets {
@@ -98,21 +106,30 @@
         self.is_current
     }
 
-    /// Computes the subsets anew.
-    pub fn recompute(
+    /// Updates the subsets after hosts or backend servers have changed.
+    pub fn update(
         &mut self,
         own: &HostId,
         others: &[(HostId, SocketAddr)],
         backends: BTreeMap<ServiceId, Vec<BackendId>>,
     ) {
+        let mut before = std::mem::take(&mut self.of_service);
         let subsets = backends.into_iter().map(|(service, ids)| {
-            let subset = BackendSubset::derive(own, others, ids);
+            let mut subset = before.remove(&service).unwrap_or_default();
+            subset.update(own, others, &ids);
             (service, subset)
         });
         self.of_service = subsets.collect();
         self.is_current = true;
     }
 
+    /// Returns the number of scores of a host with a backend server that were computed so far, of
+    /// which the work of an update consists.
+    #[must_use]
+    pub fn scored(&self) -> usize {
+        self.of_service.values().map(|subset| subset.scored).sum()
+    }
+
     /// Returns the backend servers of a service that this host uses.
     #[must_use]
     pub fn own_subset(&self, service: &str) -> &[BackendId] {
@@ -151,54 +168,122 @@
             SubsetKind::AllWithinCell => None,
             SubsetKind::All | SubsetKind::Subset(_) => {
                 let others = subset.others.iter();
-                let using = others.filter(|it| pair_score(it.host, backend) >= it.min_score);
-                Some(using.map(|it| it.address).collect())
+                let using = others.filter(|(_, other)| other.uses(backend));
+                Some(using.map(|(address, _)| *address).collect())
             }
         }
     }
 }
 
+impl Default for BackendSubset {
+    fn default() -> Self {
+        Self {
+            kind: SubsetKind::All,
+            backends: BTreeMap::new(),
+            own: Vec::new(),
+            own_set: HashSet::new(),
+            fraction: 1.0,
+            others: BTreeMap::new(),
+            scored: 0,
+        }
+    }
+}
+
 impl BackendSubset {
-    fn derive(own: &HostId, others: &[(HostId, SocketAddr)], mut ids: Vec<BackendId>) -> Self {
-        let kind = SubsetKind::of(others.len() + 1, ids.len());
-        let hashes: Vec<_> = ids.iter().map(|id| hash(id)).collect();
-        let all = ids.len();
-        if let SubsetKind::Subset(count) = kind {
-            let own = hash(own);
-            let min_score = min_score(own, &hashes, count);
-            ids.retain(|id| pair_score(own, hash(id)) >= min_score);
+    /// Updates the subset to these hosts and backend servers.
+    ///
+    /// A change of a backend server changes the subsets of the hosts that use it. Only these are
+    /// drawn again from all backend servers, so the work grows with the backend servers, and not
+    /// with their product with the hosts.
+    fn update(&mut self, own: &HostId, others: &[(HostId, SocketAddr)], ids: &[BackendId]) {
+        let (added, removed) = self.replace_backends(ids);
+        self.kind = SubsetKind::of(others.len() + 1, ids.len());
+        self.update_others(others, &added, &removed);
+        self.own = self.draw_own(hash(own));
+        self.own_set = self.own.iter().cloned().collect();
+        self.fraction = ratio(self.own.len(), ids.len());
+    }
+
+    /// Replaces the backend servers. Returns the hashes of those that are new and those that are
+    /// gone.
+    fn replace_backends(&mut self, ids: &[BackendId]) -> (Vec<u64>, Vec<u64>) {
+        let current: BTreeSet<&BackendId> = ids.iter().collect();
+        let gone = self.backends.extract_if(.., |id, _| !current.contains(id));
+        let removed: Vec<_> = gone.map(|(_, hash)| hash).collect();
+        let mut added = Vec::new();
+        for id in ids {
+            if !self.backends.contains_key(id) {
+                let hash = hash(id);
+                added.push(hash);
+                self.backends.insert(id.clone(), hash);
+            }
         }
-        let others = others.iter().map(|(host, address)| {
+        (added, removed)
+    }
+
+    fn draw_own(&mut self, own: u64) -> Vec<BackendId> {
+        let SubsetKind::Subset(count) = self.kind else {
+            return self.backends.keys().cloned().collect();
+        };
+        let min_score = self.min_score(own, count);
+        let used = self.backends.iter();
+        let used = used.filter(|(_, hash)| pair_score(own, **hash) >= min_score);
+        used.map(|(id, _)| id.clone()).collect()
+    }
+
+    fn update_others(&mut self, others: &[(HostId, SocketAddr)], added: &[u64], removed: &[u64]) {
+        let count = match self.kind {
+            SubsetKind::Subset(count) => count + SUBSET_MARGIN,
+            SubsetKind::All | SubsetKind::AllWithinCell => self.backends.len(),
+        };
+        let sizes = count..=count + count / EXCESS_DIVISOR;
+        let mut before = std::mem::take(&mut self.others);
+        for (host, address) in others {
             let host = hash(host);
-            let min_score = match kind {
-                SubsetKind::Subset(count) => min_score(host, &hashes, count + SUBSET_MARGIN),
-                SubsetKind::All | SubsetKind::AllWithinCell => 0,
-            };
-            OtherSubset {
-                address: *address,
-                host,
-                min_score,
+            let known = before.remove(address).filter(|it| it.host == host);
+            let mut other = known.unwrap_or_else(|| OtherSubset::unknown(host));
+            other.size += other.count_used(added);
+            other.size -= other.count_used(removed).min(other.size);
+            self.scored += added.len() + removed.len();
+            if !sizes.contains(&other.size) {
+                other.min_score = self.min_score(host, count);
+                other.size = count.min(self.backends.len());
             }
-        });
-        Self {
-            kind,
-            fraction: ratio(ids.len(), all),
-            others: others.collect(),
-            own_set: ids.iter().cloned().collect(),
-            own: ids,
+            self.others.insert(*address, other);
+        }
+    }
+
+    /// Returns the smallest among the `count` greatest scores that a host has with the backend
+    /// servers.
+    fn min_score(&mut self, host: u64, count: usize) -> u64 {
+        if count >= self.backends.len() {
+            return 0;
         }
+        self.scored += self.backends.len();
+        let backends = self.backends.values();
+        let mut scores: Vec<_> = backends.map(|it| pair_score(host, *it)).collect();
+        let (_, min_score, _) = scores.select_nth_unstable_by(count.max(1) - 1, |a, b| b.cmp(a));
+        *min_score
     }
 }
 
-/// Returns the smallest among the `count` greatest scores that a host has with some backend
-/// servers.
-fn min_score(host: u64, backends: &[u64], count: usize) -> u64 {
-    if count >= backends.len() {
-        return 0;
+impl OtherSubset {
+    /// Creates the subset of a host before it is drawn.
+    fn unknown(host: u64) -> Self {
+        Self {
+            host,
+            min_score: 0,
+            size: 0,
+        }
+    }
+
+    fn uses(&self, backend: u64) -> bool {
+        pair_score(self.host, backend) >= self.min_score
+    }
+
+    fn count_used(&self, backends: &[u64]) -> usize {
+        backends.iter().filter(|it| self.uses(**it)).count()
     }
-    let mut scores: Vec<_> = backends.iter().map(|it| pair_score(host, *it)).collect();
-    let (_, min_score, _) = scores.select_nth_unstable_by(count.max(1) - 1, |a, b| b.cmp(a));
-    *min_score
 }
 
 /// Returns the hash of a host's name or a backend server's id, for [`pair_score`].
--- a/crates/jaypin_router/src/router/updates.rs
+++ b/crates/jaypin_router/src/router/updates.rs
@@ -264,10 +264,8 @@
         self.update_stable_versions();
         let stable = self.ready_in_role(VersionRole::Stable);
         let canary = self.ready_in_role(VersionRole::Canary);
-        self.stable_subsets
-            .recompute(&self.cfg.host, &others, stable);
-        self.canary_subsets
-            .recompute(&self.cfg.host, &others, canary);
+        self.stable_subsets.update(&self.cfg.host, &others, stable);
+        self.canary_subsets.update(&self.cfg.host, &others, canary);
     }
 
     /// Returns the factor by which the load of all hosts exceeds that of the hosts that report
--- a/crates/jaypin_router/tests/backend_subsets.rs
+++ b/crates/jaypin_router/tests/backend_subsets.rs
@@ -42,7 +42,7 @@
             .collect();
         let backends = BTreeMap::from([(ServiceId::from(SERVICE), engines.to_vec())]);
         let mut subsets = BackendSubsets::default();
-        subsets.recompute(own, &others, backends);
+        subsets.update(own, &others, backends);
         subsets
     }
 
@@ -150,6 +150,57 @@
     }
 }
 
+/// Returns the number of scores that a host computes when one engine is replaced, on average.
+fn scores_per_replaced_engine(hosts: u16, engines: usize) -> usize {
+    const REPLACED: usize = 20;
+    let fleet = Fleet::new(hosts, engines + REPLACED);
+    let (own, others) = fleet.hosts.split_first().expect("hosts");
+    let mut subsets = BackendSubsets::default();
+    let mut known = fleet.engines[..engines].to_vec();
+    let mut update = |known: &[BackendId]| {
+        let backends = BTreeMap::from([(ServiceId::from(SERVICE), known.to_vec())]);
+        subsets.update(&own.0, others, backends);
+        subsets.scored()
+    };
+    let before = update(&known);
+    for n in 0..REPLACED {
+        known[n] = fleet.engines[engines + n].clone();
+        update(&known);
+    }
+    (update(&known) - before) / REPLACED
+}
+
+/// Guards against a fleet that is busy with itself while engines are replaced: each host drew the
+/// subsets of all others again, which grows with the product of hosts and engines.
+#[test]
+fn the_work_for_one_engine_grows_no_faster_than_the_fleet() {
+    let (half, whole) = (
+        scores_per_replaced_engine(493, 1_440),
+        scores_per_replaced_engine(986, 2_880),
+    );
+    assert!(whole < half * 5 / 2, "{half} and {whole} scores");
+    assert!(whole < 986 * 2_880 / 10, "{whole} scores");
+}
+
+/// Guards against updates that drift from what a host derives anew.
+#[test]
+fn updated_subsets_equal_those_derived_at_once() {
+    let fleet = Fleet::new(195, 117);
+    let (own, others) = fleet.hosts.split_first().expect("hosts");
+    let mut updated = BackendSubsets::default();
+    for n in (0..=40).rev() {
+        let backends = BTreeMap::from([(ServiceId::from(SERVICE), fleet.engines[n..].to_vec())]);
+        updated.update(&own.0, &others[n..], backends);
+    }
+    let derived = fleet.subsets_of(0);
+    assert_eq!(updated.own_subset(SERVICE), derived.own_subset(SERVICE));
+    for engine in derived.own_subset(SERVICE) {
+        let users = updated.peers_using(SERVICE, engine).expect("users");
+        let least = derived.peers_using(SERVICE, engine).expect("users");
+        assert!(least.iter().all(|it| users.contains(it)), "{engine}");
+    }
+}
+
 /// Guards against a fleet in which one part refuses urgent requests while another serves
 /// deferrable ones: when some hosts get much of the load, it must spread to all engines.
 #[test]
