Refuse no account that is far below its quota because its cell has little left

A cell grants its share of a quota, with 32 cells less than one long prompt, and such a prompt leaves the cell in debt. Two hosts for each account, by rendezvous hashing over all known hosts, now add up its use in all cells: each host sends them what it granted within 50 ms, in datagrams of their own; nothing waits for an answer. While more than a third of what may be used at once is left, shares and reserves limit nothing. When less is left, these hosts tell one host of each cell, which passes it on, every 0.4 s; then an account needs both the cell's share and the fleet's level. Shares alone decide, as before, in a fleet of one cell, for 2 s after a start, and where less than 0.85 of the own cell is live, so that a host that is cut off or a common restart gives no second quota.

Tests: quota_cells.rs, fleets of routers: an account at 0.55 of its rate in 1, 4 and 8 cells below one refusal in a thousand; one at six times its rate gets no more than a window allows, also after a common restart.

--- a/crates/jaypin_entry/src/host.rs
+++ b/crates/jaypin_entry/src/host.rs
@@ -2,7 +2,6 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::rc::Rc;
 
 use jaypin_core::Refusal;
@@ -214,7 +213,10 @@
                 self.send_directive(number, Directive::ForwardFailure);
             }
             Effect::WriteRollout(write) => self.queue_rollout_write(write),
-            Effect::SendReport { to, report } => self.send_report(&to, &report),
+            Effect::SendReport { to, report } => self.peers.send(&to, &report),
+            Effect::SendAccountUse { to, account_use } => {
+                self.peers.send_account_use(&to, &account_use);
+            }
         }
     }
 
@@ -229,8 +231,4 @@
             log::error!("the rollout writer task has ended; a rollout state is not written");
         }
     }
-
-    fn send_report(&self, to: &[SocketAddr], report: &jaypin_router::Report) {
-        self.peers.send(to, report);
-    }
 }
--- a/crates/jaypin_entry/src/peers/mod.rs
+++ b/crates/jaypin_entry/src/peers/mod.rs
@@ -21,7 +21,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use jaypin_router::{Event, Report};
+use jaypin_router::{AccountUse, Event, Report};
 use tokio::net::UdpSocket;
 
 use crate::boot_clock::boot_time;
@@ -46,9 +46,19 @@
         Ok(Self { socket })
     }
 
-    /// Sends a report to each address. A datagram that can't be sent at once is dropped.
+    /// Sends a report to each address.
     pub fn send(&self, to: &[SocketAddr], report: &Report) {
-        let bytes = match encode_report(report) {
+        self.send_encoded(to, encode_report(report));
+    }
+
+    /// Sends the use of accounts to each address.
+    pub fn send_account_use(&self, to: &[SocketAddr], account_use: &AccountUse) {
+        self.send_encoded(to, encode_account_use(account_use));
+    }
+
+    /// Sends a datagram to each address. One that can't be sent at once is dropped.
+    fn send_encoded(&self, to: &[SocketAddr], encoded: Result<Vec<u8>, WireError>) {
+        let bytes = match encoded {
             Ok(bytes) => bytes,
             Err(error) => {
                 log::error!(error:%; "encoding a report failed; it is not sent");
@@ -74,11 +84,14 @@
                 continue;
             }
         };
-        match decode_report(&buf[..length]) {
-            Ok(report) => {
-                let (report, boot_time) = (Box::new(report), boot_time());
+        match decode_datagram(&buf[..length]) {
+            Ok(Datagram::Report(report)) => {
+                let boot_time = boot_time();
                 host.apply(Event::ReportReceived { report, boot_time });
             }
+            Ok(Datagram::AccountUse(account_use)) => {
+                host.apply(Event::AccountUseReceived(account_use));
+            }
             Err(error) => log::warn!(peer:% = from, error:%; "invalid report from a peer; ignored"),
         }
     }
--- a/crates/jaypin_entry/src/peers/wire/mod.rs
+++ b/crates/jaypin_entry/src/peers/wire/mod.rs
@@ -1,10 +1,12 @@
 //! Wire format of reports and snapshots: CBOR arrays, which contain no field names.
 
+mod account_use;
 mod configuration;
 
 mod entries;
 mod rollout;
 
+pub use account_use::encode_account_use;
 pub use configuration::{ConfigurationSnapshot, decode_configuration, encode_configuration};
 
 pub use entries::{
@@ -16,13 +18,14 @@
 
 use jaypin_core::{AccountId, FailureDomain, HostId};
 use jaypin_router::{
-    ArrivalCount, BackendLoad, BackendSamples, BackendSignals, CrashCount, Rank, Report,
-    SignalReport, StoreView, WholeReport,
+    AccountUse, ArrivalCount, BackendLoad, BackendSamples, BackendSignals, CrashCount, Rank,
+    Report, SignalReport, StoreView, WholeReport,
 };
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use snafu::{ResultExt, Snafu};
 
+use account_use::{WireAccountUse, read_account_use};
 use entries::{WireChange, read_change, wire_change};
 use rollout::{WireRollout, read_rollout, wire_rollout};
 
@@ -113,6 +116,31 @@
     encode(&WireReport::from(report))
 }
 
+/// What one datagram contains.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Datagram {
+    /// A report.
+    Report(Box<Report>),
+    /// The use of accounts.
+    AccountUse(Box<AccountUse>),
+}
+
+/// Decodes a datagram.
+///
+/// # Errors
+/// Fails if the bytes are no datagram of a host, or if an address or a number in it is invalid.
+pub fn decode_datagram(bytes: &[u8]) -> Result<Datagram, WireError> {
+    let error = match decode_report(bytes) {
+        Ok(report) => return Ok(Datagram::Report(Box::new(report))),
+        Err(error) => error,
+    };
+    let Ok(wire) = decode::<WireAccountUse>(bytes) else {
+        return Err(error);
+    };
+    let account_use = read_account_use(wire)?;
+    Ok(Datagram::AccountUse(Box::new(account_use)))
+}
+
 /// Decodes a report.
 ///
 /// # Errors
--- a/crates/jaypin_entry/tests/report_bytes.rs
+++ b/crates/jaypin_entry/tests/report_bytes.rs
@@ -4,13 +4,15 @@
 use std::time::Duration;
 
 use jaypin_entry::{
-    ConfigurationSnapshot, Object, WireError, decode_configuration, decode_entries, decode_report,
-    encode_configuration, encode_entries, encode_report,
+    ConfigurationSnapshot, Datagram, EntryChanges, Object, WireError, decode_configuration,
+    decode_datagram, decode_entries, decode_entry_changes, decode_report, encode_account_use,
+    encode_configuration, encode_entries, encode_entry_changes, encode_report,
 };
 use jaypin_router::{
-    ArrivalCount, BackendLoad, BackendRecord, BackendSamples, BackendSignals, BackendStatus,
-    CrashCount, EntryChange, OutcomeCounts, Rank, Report, RolloutOrder, RolloutReport,
-    RolloutState, RouteOutcomes, SignalReport, StorePoint, StoreView, VersionOutcomes, WholeReport,
+    AccountUse, ArrivalCount, BackendLoad, BackendRecord, BackendSamples, BackendSignals,
+    BackendStatus, CrashCount, EntryChange, OutcomeCounts, Rank, Report, RolloutOrder,
+    RolloutReport, RolloutState, RouteOutcomes, SignalReport, StorePoint, StoreView,
+    VersionOutcomes, WholeReport,
 };
 use rand::RngExt;
 use rand::SeedableRng;
@@ -178,6 +180,50 @@
     }
 }
 
+fn account_use() -> AccountUse {
+    AccountUse {
+        granted: vec![("farm".into(), 6_640.0), ("vet".into(), -658.0)],
+        low_levels: vec![("farm".into(), -12.5)],
+        is_forwarded: true,
+    }
+}
+
+/// Guards against datagrams of one kind that are taken for the other.
+#[test]
+fn datagrams_round_trip() {
+    let report = full();
+    let bytes = encode_report(&report).expect("bytes");
+    let decoded = decode_datagram(&bytes).expect("a datagram");
+    assert_eq!(decoded, Datagram::Report(Box::new(report)));
+    let bytes = encode_account_use(&account_use()).expect("bytes");
+    let decoded = decode_datagram(&bytes).expect("a datagram");
+    assert_eq!(decoded, Datagram::AccountUse(Box::new(account_use())));
+    assert!(decode_datagram(b"nothing").is_err());
+}
+
+/// Guards against a number that corrupts every sum that it is added to.
+#[test]
+fn use_that_is_not_finite_is_rejected() {
+    for units in [f64::NAN, f64::INFINITY] {
+        let mut account_use = account_use();
+        account_use.granted[0].1 = units;
+        let bytes = encode_account_use(&account_use).expect("bytes");
+        let decoded = decode_datagram(&bytes);
+        assert!(matches!(decoded, Err(WireError::Number)), "{decoded:?}");
+    }
+}
+
+#[test]
+fn changes_of_entries_round_trip() {
+    let changes = EntryChanges {
+        point: StorePoint::new(2, 900),
+        is_whole: false,
+        changes: full().changes,
+    };
+    let bytes = encode_entry_changes(&changes).expect("bytes");
+    assert_eq!(decode_entry_changes(&bytes).expect("changes"), changes);
+}
+
 /// Datagrams may be truncated, and any process that reaches the port can send bytes. No input may
 /// end the process.
 #[test]
--- a/crates/jaypin_router/src/lib.rs
+++ b/crates/jaypin_router/src/lib.rs
@@ -5,6 +5,7 @@
 //! state. It does no I/O and reads no clock, so the same events give the same effects.
 
 mod account_arrivals;
+mod account_totals;
 mod arrivals;
 mod backend;
 mod backend_subset;
@@ -39,6 +40,7 @@
 mod waiting;
 
 pub use account_arrivals::AccountArrivals;
+pub use account_totals::{AccountTotals, AccountUse, FleetLevels};
 pub use arrivals::{ArrivalCount, ArrivalRates};
 pub use backend::{Backend, BackendRecord, BackendStatus};
 pub use backend_subset::{BackendSubsets, SubsetKind};
@@ -56,7 +58,7 @@
 pub use peer_loads::{LoadChange, LoadUpdate, PeerLoads};
 pub use placement::{Choice, Demand, choose_backend};
 pub use prefill_rate::PrefillRate;
-pub use quota::{FleetQuota, QuotaLevel};
+pub use quota::{FleetLevel, FleetQuota, QuotaLevel};
 pub use rank::Rank;
 pub use rate::DecayedRate;
 pub use report::{
--- a/crates/jaypin_router/src/quota.rs
+++ b/crates/jaypin_router/src/quota.rs
@@ -69,6 +69,17 @@
     own: f64,
 }
 
+/// What is known of the quota that an account has left in the whole fleet.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum FleetLevel {
+    /// Nothing: each cell grants its share.
+    Unknown,
+    /// Enough for all requests until the next report.
+    Ample,
+    /// These units; a negative number is a debt.
+    Low(f64),
+}
+
 /// Inputs of a decision about an account, in units.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct QuotaLevel {
@@ -118,12 +129,14 @@
     /// # Errors
     /// Returns the time after which there are enough units, if there are too few now.
     pub fn take(&mut self, account: &AccountId, units: f64, now: Instant) -> Result<(), Duration> {
-        self.take_with_reserve(account, units, 0.0, now)
+        self.take_with_reserve(account, units, 0.0, FleetLevel::Unknown, now)
     }
 
     /// Takes units from an account's quota if `reserved` units remain after that.
     ///
-    /// An account at its limit thus gives the last units of its quota to its urgent requests.
+    /// An account at its limit thus gives the last units of its quota to its urgent requests. If
+    /// enough of the quota is known to be left in the whole fleet, the share of this host's cell
+    /// limits nothing.
     ///
     /// # Errors
     /// Returns the time after which there are enough units, if there are too few now.
@@ -132,6 +145,7 @@
         account: &AccountId,
         units: f64,
         reserved: f64,
+        fleet: FleetLevel,
         now: Instant,
     ) -> Result<(), Duration> {
         let (window, slack, live_fraction) = (self.window, self.slack, self.live_fraction);
@@ -140,6 +154,17 @@
         };
         usage.drop_old_parts(window / PARTS, now);
         usage.fill(live_fraction, slack, now);
+        if fleet == FleetLevel::Ample && usage.is_settled(now) {
+            usage.add(units);
+            // Other cells may use the share of this one, so it owes nothing.
+            usage.level = usage.level.max(0.0);
+            usage.own += units;
+            return Ok(());
+        }
+        if let FleetLevel::Low(level) = fleet {
+            let most = usage.quota.most_at_once(slack);
+            usage.quota.wait_for(units.min(most) + reserved - level)?;
+        }
         // A request for more than may ever be used at once passes when nothing was used.
         let most = usage.quota.most_at_once(slack) * live_fraction;
         let needed = units.min(most);
@@ -153,13 +178,9 @@
             let wait = usage.time_until_free(excess, window / PARTS);
             return Err(wait.min(MAX_WAIT));
         }
-        let missing = needed - usage.level;
-        if missing > 0.0 {
-            // This uses the rate of the whole fleet: a host that grants only a part is one of
-            // many that the caller may retry at, and will soon receive the others' reports.
-            let wait = (missing / usage.quota.rate.max(1e-3)).min(MAX_WAIT.as_secs_f64());
-            return Err(Duration::from_secs_f64(wait).max(MIN_WAIT));
-        }
+        // This uses the rate of the whole fleet: a host that grants only a part is one of many that
+        // the caller may retry at, and will soon receive the others' reports.
+        usage.quota.wait_for(needed - usage.level)?;
         usage.add(units);
         usage.own += units;
         Ok(())
@@ -198,6 +219,12 @@
         }
     }
 
+    /// Returns the quota of an account; nothing if it is not limited.
+    #[must_use]
+    pub fn quota_of(&self, account: &AccountId) -> Option<Quota> {
+        self.accounts.get(account).map(|usage| usage.quota)
+    }
+
     /// Returns the inputs of a decision about an account; nothing if it is not limited.
     #[must_use]
     pub fn level(&self, account: &AccountId) -> Option<QuotaLevel> {
@@ -209,7 +236,7 @@
         })
     }
 
-    /// Iterates over the units that this host granted to each account in its run.
+    /// Iterates over the units that this host granted in its run, of each account that used some.
     pub fn usage(&self) -> impl Iterator<Item = (AccountId, f64)> {
         let used = self.accounts.iter().filter(|(_, usage)| usage.own > 0.0);
         used.map(|(account, usage)| (account.clone(), usage.own))
@@ -236,13 +263,24 @@
         self.most_at_once(slack) + self.rate * window.as_secs_f64()
     }
 
-    fn most_at_once(self, slack: f64) -> f64 {
+    /// Returns the units that may be used at once.
+    pub(crate) fn most_at_once(self, slack: f64) -> f64 {
         self.burst + self.rate * CATCH_UP_SECONDS + slack * SLACK_FRACTION
     }
 
-    fn first_level(self, slack: f64) -> f64 {
+    /// Returns the units that may be used at once right after a start.
+    pub(crate) fn first_level(self, slack: f64) -> f64 {
         self.rate * FIRST_SECONDS + slack * FIRST_SLACK_FRACTION
     }
+
+    /// Returns the time in which missing units are refilled as an error, if any are missing.
+    fn wait_for(self, missing: f64) -> Result<(), Duration> {
+        if missing <= 0.0 {
+            return Ok(());
+        }
+        let wait = (missing / self.rate.max(1e-3)).min(MAX_WAIT.as_secs_f64());
+        Err(Duration::from_secs_f64(wait).max(MIN_WAIT))
+    }
 }
 
 impl Usage {
--- a/crates/jaypin_router/src/router/arrival.rs
+++ b/crates/jaypin_router/src/router/arrival.rs
@@ -201,8 +201,13 @@
             self.account_arrivals
                 .units_to_reserve(account, route, hosts, now)
         };
-        let charged = self.quota.take_with_reserve(account, units, reserved, now);
-        charged.map_err(|wait| OverQuota { wait, reserved })
+        let fleet = self.fleet_level(account, now);
+        let charged = self
+            .quota
+            .take_with_reserve(account, units, reserved, fleet, now);
+        charged.map_err(|wait| OverQuota { wait, reserved })?;
+        self.record_granted(account, units);
+        Ok(())
     }
 
     fn choose_service(&mut self, route: &Route) -> ServiceId {
--- a/crates/jaypin_router/src/router/event.rs
+++ b/crates/jaypin_router/src/router/event.rs
@@ -7,9 +7,9 @@
 use jaypin_core::{BackendId, FailureDomain, HostId, Incarnation, Refusal};
 
 use crate::{
-    Arrival, AttemptOutcome, BackendRecord, BackendSignals, BootTime, DecisionInputs, EntryChange,
-    Report, RequestNumber, Requester, RolloutOrder, RolloutWrite, RouteTable, StoreEra, StorePoint,
-    Unrouted,
+    AccountUse, Arrival, AttemptOutcome, BackendRecord, BackendSignals, BootTime, DecisionInputs,
+    EntryChange, Report, RequestNumber, Requester, RolloutOrder, RolloutWrite, RouteTable,
+    StoreEra, StorePoint, Unrouted,
 };
 
 /// Limits and budgets that the operators of the fleet set.
@@ -131,6 +131,8 @@
         /// Current time on the boot clock, which also counts suspended time.
         boot_time: BootTime,
     },
+    /// A host's report of the use of accounts was received.
+    AccountUseReceived(Box<AccountUse>),
     /// A read or write of the store returned this order to move a service to a new version.
     RolloutOrderRead(RolloutOrder),
     /// The host must finish its requests and then exit.
@@ -198,6 +200,13 @@
         /// The report.
         report: Box<Report>,
     },
+    /// Send the use of accounts to these hosts.
+    SendAccountUse {
+        /// Addresses at which they receive reports.
+        to: Vec<SocketAddr>,
+        /// The use.
+        account_use: Box<AccountUse>,
+    },
 }
 
 /// Counts for metrics and the status page.
--- a/crates/jaypin_router/src/router/mod.rs
+++ b/crates/jaypin_router/src/router/mod.rs
@@ -79,6 +79,7 @@
     fleet: Fleet,
     peer_loads: PeerLoads,
     quota: FleetQuota,
+    fleet_quota: FleetQuotaState,
     budgets: HashMap<ServiceId, ResendBudget>,
     hold_times: HashMap<ServiceId, Duration>,
     sizes: Sizes,
@@ -127,6 +128,7 @@
             fleet: Fleet::default(),
             peer_loads: PeerLoads::default(),
             quota: FleetQuota::new(cfg.bounds.quota_window, cfg.bounds.quota_slack),
+            fleet_quota: FleetQuotaState::default(),
             budgets: HashMap::new(),
             hold_times: HashMap::new(),
             sizes: Sizes::default(),
@@ -184,12 +186,16 @@
             Event::ReportReceived { report, boot_time } => {
                 self.handle_report(now, *report, boot_time);
             }
+            Event::AccountUseReceived(account_use) => {
+                self.handle_account_use(&account_use, now, &mut fx);
+            }
             Event::RolloutOrderRead(order) => self.apply_stored_order(order, now),
             Event::Drain => self.start_draining(now, &mut fx),
             Event::Tick(boot_time) => self.tick(now, boot_time, &mut fx),
         }
         self.send_report(now, false, &mut fx);
         self.send_load_reports(now, &mut fx);
+        self.send_granted(now, &mut fx);
         fx
     }
 
@@ -200,6 +206,7 @@
         let soonest = [
             self.report_state.due_at(),
             self.load_report_state.due_at(),
+            self.use_report_due_at(),
             self.next_placement_at,
             self.waiting.next_expiry(),
             self.missing_entries.next_due(),
@@ -309,6 +316,7 @@
             self.refresh_own_loads(now);
             self.refresh_signals(now);
             self.evaluate_rollouts(now, boot_time, fx);
+            self.refresh_fleet_quota(now, fx);
         }
         self.place_waiting(now, fx);
     }
--- a/crates/jaypin_router/src/router/placing.rs
+++ b/crates/jaypin_router/src/router/placing.rs
@@ -301,6 +301,7 @@
     pub(super) fn refund_quota(&mut self, admitted: &Admitted) {
         if let Some(account) = &admitted.account {
             self.quota.give_back(account, admitted.units);
+            self.record_granted(account, -admitted.units);
         }
     }
 
--- a/crates/jaypin_router/src/router/reporting.rs
+++ b/crates/jaypin_router/src/router/reporting.rs
@@ -21,7 +21,7 @@
 const HEARTBEAT: Duration = Duration::from_millis(250);
 /// Pause between two whole reports, which make up for lost reports.
 const WHOLE_PAUSE: Duration = Duration::from_millis(400);
-/// Pause between two rounds of reports to other cells. Each round goes to one host of each cell.
+/// Pause between two rounds of reports to other cells.
 const OTHER_CELLS_PAUSE: Duration = Duration::from_millis(500);
 /// Number of cells in one round, each of which one host gets the report for. Hosts pass on what they
 /// learn, so it reaches all cells of a large fleet in a few rounds.
@@ -134,6 +134,12 @@
         known.any(|(at, it)| it.is_registered && at.ip() == address)
     }
 
+    /// Returns the hosts that the store lists, with their report addresses.
+    pub fn registered_hosts(&self) -> impl Iterator<Item = (&HostId, SocketAddr)> {
+        let listed = self.known_hosts.iter().filter(|(_, it)| it.is_registered);
+        listed.filter_map(|(address, it)| Some((it.host.as_ref()?, *address)))
+    }
+
     /// Returns the known hosts with their report addresses.
     pub fn known_hosts(&self) -> impl Iterator<Item = (HostId, SocketAddr)> {
         let known = self.known_hosts.iter();
@@ -264,6 +270,10 @@
         }
     }
 
+    /// Returns the totals that peers may lack: those that have changed, in whole reports also those
+    /// that changed shortly before, and a few others in turn.
+    ///
+    /// An account that is idle costs nothing, however long the host has run.
     fn usage_to_report(&mut self, is_whole: bool) -> Vec<(AccountId, f64)> {
         let state = &mut self.report_state;
         let used: Vec<_> = self.quota.usage().collect();
@@ -373,7 +383,7 @@
                 && (is_remembered || live.contains(address) || cell_of(name, cells) != cell)
         });
         if self.report_state.known_hosts.len() != previous_count {
-            self.stable_subsets.invalidate();
+            self.handle_host_change();
         }
     }
 
--- a/crates/jaypin_router/src/router/updates.rs
+++ b/crates/jaypin_router/src/router/updates.rs
@@ -134,7 +134,7 @@
                 .report_state
                 .add_host(whole.host.clone(), whole.address)
         {
-            self.stable_subsets.invalidate();
+            self.handle_host_change();
         }
         let update = self.fleet.apply(report, now, boot_time);
         if is_whole {
@@ -224,7 +224,7 @@
                 continue;
             }
             if self.report_state.add_host(host, address) {
-                self.stable_subsets.invalidate();
+                self.handle_host_change();
             }
             self.report_state.mark_registered(address);
         }
@@ -234,6 +234,12 @@
         self.refresh_quotas(now);
     }
 
+    /// Handles a change of the known hosts.
+    pub(super) fn handle_host_change(&mut self) {
+        self.stable_subsets.invalidate();
+        self.fleet_quota.forget_hosts();
+    }
+
     /// Updates the part of each quota that this host may use, by the part of its cell from which
     /// it receives reports.
     fn refresh_quotas(&mut self, now: Instant) {
@@ -244,6 +250,7 @@
         } else {
             INITIAL_FLEET_FRACTION
         };
+        self.fleet_quota.set_cell_live_fraction(fraction);
         self.quota
             .set_live_fraction(fraction / f64::from(self.cells));
     }
--- a/crates/jaypin_router/tests/common/fleet.rs
+++ b/crates/jaypin_router/tests/common/fleet.rs
@@ -3,13 +3,16 @@
 
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
+use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use jaypin_core::{BackendId, HostId};
 use jaypin_router::{
-    Arrival, AttemptOutcome, BackendRecord, BackendSignals, BootTime, Configuration, Effect,
-    EntryChange, Event, Report, RequestNumber, RouteTable, Router, RouterConfig, StorePoint,
+    AccountUse, Arrival, AttemptOutcome, BackendRecord, BackendSignals, BootTime, Bounds,
+    Configuration, Effect, EntryChange, Event, Report, RequestNumber, RouteTable, Router,
+    RouterConfig, StorePoint,
 };
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -87,6 +90,7 @@
 #[derive(Debug)]
 enum Delivery {
     Report(Box<Report>),
+    AccountUse(Box<AccountUse>),
     Header(RequestNumber, BackendId, Answer),
     End(RequestNumber, AttemptOutcome),
 }
@@ -118,10 +122,19 @@
     pub rate: f64,
     /// Path that callers request.
     pub path: &'static str,
+    /// Prompt tokens of the next request.
+    pub prompt_tokens: u32,
+    /// Prompt tokens of each request so far.
+    pub arrived: HashMap<RequestNumber, u32>,
+    /// Requests that were sent to a backend server, with the time since the start.
+    pub sent: Vec<(Duration, RequestNumber)>,
+    /// Requests that were refused.
+    pub refused: Vec<RequestNumber>,
     /// Random numbers of the simulation and the test.
     pub rng: ChaCha8Rng,
     records: Vec<BackendRecord>,
     configuration: Configuration,
+    bounds: Bounds,
     next: RequestNumber,
 }
 
@@ -133,19 +146,36 @@
         configuration: Configuration,
         records: Vec<BackendRecord>,
         backends: B,
+    ) -> Self {
+        Self::with_bounds(bounds(), hosts, seed, configuration, records, backends)
+    }
+
+    /// Creates a fleet of `hosts` hosts with these bounds and starts them.
+    pub fn with_bounds(
+        bounds: Bounds,
+        hosts: usize,
+        seed: u64,
+        configuration: Configuration,
+        records: Vec<BackendRecord>,
+        backends: B,
     ) -> Self {
         let now = Instant::now();
         let mut fleet = Self {
-            hosts: (0..hosts).map(|n| host(n, seed)).collect(),
+            hosts: (0..hosts).map(|n| host(n, seed, &bounds)).collect(),
             now,
             start: now,
             backends,
             report_loss: 0.01,
             rate: 0.0,
             path: "/ask/x",
+            prompt_tokens: 600,
+            arrived: HashMap::new(),
+            sent: Vec::new(),
+            refused: Vec::new(),
             rng: ChaCha8Rng::seed_from_u64(seed),
             records,
             configuration,
+            bounds,
             next: 1,
         };
         for n in 0..hosts {
@@ -158,7 +188,7 @@
     pub fn start_host(&mut self, n: usize) {
         let seed = self.rng.random();
         let boot_time = self.hosts[n].boot_time;
-        self.hosts[n] = host(n, seed);
+        self.hosts[n] = host(n, seed, &self.bounds);
         self.hosts[n].boot_time = boot_time;
         let all = (0..self.hosts.len()).map(|it| (name(it), address(7_000 + port(it))));
         let all = all.collect();
@@ -191,23 +221,33 @@
     fn carry_out(&mut self, n: usize, effect: Effect) {
         match effect {
             Effect::SendReport { to, report } => {
-                for address in to {
-                    if self.rng.random_range(0.0..1.0) < self.report_loss {
-                        continue;
-                    }
-                    let peer = usize::from(address.port() - 7_001);
-                    let report = Delivery::Report(report.clone());
-                    let at = self.now + NETWORK_DELAY;
-                    self.hosts[peer].deliveries.push((at, report));
-                }
+                self.send(&to, || Delivery::Report(report.clone()));
+            }
+            Effect::SendAccountUse { to, account_use } => {
+                self.send(&to, || Delivery::AccountUse(account_use.clone()));
             }
             Effect::Send {
                 number, backend, ..
-            } => self.serve(n, number, backend),
+            } => {
+                self.sent.push((self.since_start(), number));
+                self.serve(n, number, backend);
+            }
+            Effect::Refuse { number, .. } => self.refused.push(number),
             _ => {}
         }
     }
 
+    fn send(&mut self, to: &[SocketAddr], delivery: impl Fn() -> Delivery) {
+        for address in to {
+            if self.rng.random_range(0.0..1.0) < self.report_loss {
+                continue;
+            }
+            let peer = usize::from(address.port() - 7_001);
+            let at = self.now + NETWORK_DELAY;
+            self.hosts[peer].deliveries.push((at, delivery()));
+        }
+    }
+
     fn serve(&mut self, n: usize, number: RequestNumber, backend: BackendId) {
         let call = Call {
             host: n,
@@ -254,6 +294,9 @@
                 Delivery::Report(report) => {
                     self.apply(n, Event::ReportReceived { report, boot_time });
                 }
+                Delivery::AccountUse(account_use) => {
+                    self.apply(n, Event::AccountUseReceived(account_use));
+                }
                 Delivery::Header(number, backend, answer) => {
                     self.backends.header_received(n, &backend, &answer, now);
                     self.apply(
@@ -283,12 +326,13 @@
     fn arrive(&mut self, n: usize) {
         let number = self.next;
         self.next += 1;
+        self.arrived.insert(number, self.prompt_tokens);
         let arrival = Arrival {
             number,
             host: "api.example".to_owned(),
             path: self.path.to_owned(),
             credential: Some("key".to_owned()),
-            tokens: Some((600, 30)),
+            tokens: Some((self.prompt_tokens, 30)),
             expected_answer: None,
             timeout: None,
             fingerprint: number,
@@ -315,7 +359,7 @@
     u16::try_from(n).expect("few hosts") + 1
 }
 
-fn host(n: usize, seed: u64) -> Host {
+fn host(n: usize, seed: u64, bounds: &Bounds) -> Host {
     Host {
         router: Router::new(RouterConfig {
             host: name(n),
@@ -324,7 +368,7 @@
             caller_address: address(8_000 + port(n)),
             failure_domain: "a".into(),
             seed,
-            bounds: bounds(),
+            bounds: bounds.clone(),
         }),
         boot_time: Duration::from_secs(1_000),
         is_up: true,
--- a/crates/jaypin_router/tests/quota_order.rs
+++ b/crates/jaypin_router/tests/quota_order.rs
@@ -6,7 +6,9 @@
 
 use common::{Decision, ENGINES, PLAIN, TestHost, record, token_quota};
 use jaypin_core::{AccountId, Reason};
-use jaypin_router::{Account, AccountArrivals, AttemptOutcome, FleetQuota, service_key};
+use jaypin_router::{
+    Account, AccountArrivals, AttemptOutcome, FleetLevel, FleetQuota, service_key,
+};
 
 const RATE: f64 = 10_000.0;
 
@@ -138,7 +140,7 @@
     quota.configure(&[account], now);
     let later = now + Duration::from_secs(20);
     assert_eq!(
-        quota.take_with_reserve(&farm(), 5_000.0, f64::MAX, later),
+        quota.take_with_reserve(&farm(), 5_000.0, f64::MAX, FleetLevel::Unknown, later),
         Ok(())
     );
 }
--- a/crates/jaypin_router/tests/watching.rs
+++ b/crates/jaypin_router/tests/watching.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use common::{ENGINES, TestHost, record};
-use jaypin_router::{BackendRecord, BackendStatus, Effect, Event};
+use jaypin_router::{BackendRecord, BackendStatus, Effect, EntryChange, Event, StorePoint};
 
 /// Returns a host that has just read its configuration and knows `others` registered hosts, none
 /// of which has sent a report.
@@ -244,3 +244,157 @@
     }
     assert_eq!(reported.len(), 450);
 }
+
+/// Returns the numbered host of a fleet whose hosts have all just been listed.
+fn listed_host(own: u16, hosts: u16) -> TestHost {
+    let mut host = TestHost::unconfigured_as(own);
+    let others = (1..=hosts).filter(|it| *it != own);
+    let listed = others.map(common::whole_report);
+    let listed = listed.map(|it| (it.host, it.address)).collect();
+    host.apply(Event::HostsListed(listed));
+    host
+}
+
+/// Returns the numbers of the hosts that watch the store in a fleet that has just started.
+fn store_watchers(hosts: u16) -> Vec<u16> {
+    let watches = |own: &u16| {
+        let host = listed_host(*own, hosts);
+        host.router.is_store_watcher(host.now)
+    };
+    (1..=hosts).filter(watches).collect()
+}
+
+/// Guards against calls to the store that grow with the fleet, as they do if each cell watches it.
+#[test]
+fn as_many_hosts_watch_the_store_in_a_fleet_of_twice_the_size() {
+    assert_eq!(store_watchers(340).len(), 8);
+    assert_eq!(store_watchers(680).len(), 8);
+}
+
+/// Guards against cells that learn of no change because they ask hosts that don't watch the store.
+#[test]
+fn each_host_of_another_cell_knows_the_hosts_that_watch_the_store() {
+    let watchers = store_watchers(340);
+    let watchers: Vec<_> = watchers
+        .iter()
+        .map(|it| common::whole_report(*it).address)
+        .collect();
+    for own in (1..=340).step_by(20) {
+        let host = listed_host(own, 340);
+        let known = host.router.probable_watchers();
+        let is_known = |it: &_| known.contains(it);
+        assert!(!host.router.is_relay() || watchers.iter().all(is_known));
+    }
+}
+
+/// Guards against a store that each host of a starting fleet reads.
+#[test]
+fn a_starting_host_of_a_large_fleet_leaves_reading_to_the_watchers() {
+    let waiting = (1..=90).filter(|own| {
+        let host = listed_host(*own, 90);
+        host.router.awaits_peers(host.now)
+    });
+    assert_eq!(waiting.count(), 90 - 2 * 4);
+    let mut host = listed_host(1, 90);
+    host.wait(Duration::from_secs(2));
+    assert!(!host.router.awaits_peers(host.now));
+}
+
+#[test]
+fn a_starting_host_of_a_small_fleet_reads_the_store_itself() {
+    let host = listed_host(1, 12);
+    assert!(!host.router.awaits_peers(host.now));
+}
+
+/// Guards against a host that reads the store for a fleet that it does not know yet.
+#[test]
+fn a_starting_host_first_lists_the_hosts() {
+    let mut host = TestHost::unconfigured();
+    assert!(host.router.awaits_peers(host.now));
+    host.apply(Event::HostsListed(Vec::new()));
+    assert!(!host.router.awaits_peers(host.now));
+}
+
+/// Returns the number of reports that a host sends to other cells in 10 s.
+fn reports_to_other_cells(hosts: u16) -> usize {
+    let mut host = listed_host(1, hosts);
+    let mut reports = 0;
+    for _ in 0..100 {
+        host.wait(Duration::from_millis(100));
+        for effect in host.tick() {
+            if let Effect::SendReport { to, report } = effect
+                && report.whole.is_some_and(|it| it.cell_callers.is_some())
+            {
+                reports += to.len();
+            }
+        }
+    }
+    reports
+}
+
+/// Guards against reports that each host sends to every cell, so that a host of a fleet of twice the
+/// size sends and receives twice as many.
+#[test]
+fn a_host_sends_as_many_reports_to_other_cells_in_a_fleet_of_twice_the_size() {
+    let reports = reports_to_other_cells(340);
+    assert_eq!(reports, reports_to_other_cells(680));
+    assert!(reports <= 4 * 20, "{reports}");
+}
+
+/// Guards against a fleet that shrinks for its hosts a quarter of an hour after their start: hosts of
+/// other cells report elsewhere, and were forgotten as silent.
+#[test]
+fn hosts_of_other_cells_are_not_forgotten() {
+    let mut host = listed_host(1, 90);
+    for _ in 0..17 {
+        host.wait(Duration::from_mins(1));
+        host.prove();
+        host.tick();
+    }
+    let is_reported_to = (0..20).any(|_| {
+        host.wait(Duration::from_millis(100));
+        let fx = host.tick();
+        fx.iter().any(|effect| {
+            matches!(effect, Effect::SendReport { to, report }
+                if !to.is_empty() && report.whole.as_ref().is_some_and(|it| it.cell_callers.is_some()))
+        })
+    });
+    assert!(is_reported_to);
+}
+
+/// Guards against a removed backend server that comes back with a late report because the fleet has
+/// so many that none of the removed ones is remembered.
+#[test]
+fn a_removed_entry_is_remembered_beside_thousands() {
+    let mut host = started_host(0);
+    let late = host.next_point();
+    host.list_entries(engines(6_000));
+    host.remove_entry("engine-7");
+    let record = record("engine-7", ENGINES, 9);
+    let change = EntryChange::Stated {
+        record,
+        point: late,
+    };
+    host.apply(Event::BackendChanged(change));
+    assert!(!host.router.still_accepts("engine-7", host.now));
+}
+
+/// Guards against changes that a host passes on incompletely to another that reads through it.
+#[test]
+fn changes_since_a_point_include_removed_entries() {
+    let mut host = started_host(0);
+    host.list_entries(engines(3));
+    let point = host.next_point();
+    assert!(!host.router.has_entry_changes_since(point));
+    host.remove_entry("engine-1");
+    host.set_entry(record("engine-9", ENGINES, 9));
+    assert!(host.router.has_entry_changes_since(point));
+    let changes = host.router.entry_changes_since(point).expect("all changes");
+    let ids: BTreeSet<_> = changes.iter().map(|it| it.id().to_string()).collect();
+    assert_eq!(
+        ids,
+        BTreeSet::from(["engine-1".to_owned(), "engine-9".to_owned()])
+    );
+    let former = StorePoint::new(0, 500);
+    assert_eq!(host.router.entry_changes_since(former), None);
+}
