--- a/crates/jaypin_entry/src/peers/mod.rs
+++ b/crates/jaypin_entry/src/peers/mod.rs
@@ -5,12 +5,13 @@
 
 mod live_peers;
 mod snapshot;
+mod snapshot_client;
 mod wire;
 
 pub use live_peers::LivePeers;
-pub use snapshot::{
-    PeerConfiguration, fetch_configuration, fetch_entries, serve_snapshots, watch_configuration,
-    watch_entries,
+pub use snapshot::serve_snapshots;
+pub use snapshot_client::{
+    PeerConfiguration, fetch_configuration, fetch_entries, watch_configuration, watch_entries,
 };
 pub use wire::{
     ConfigurationSnapshot, Datagram, EntryChanges, WireError, decode_configuration,
--- a/crates/jaypin_router/src/router/mod.rs
+++ b/crates/jaypin_router/src/router/mod.rs
@@ -9,6 +9,7 @@
 mod load_reporting;
 mod missing_entries;
 mod placing;
+mod relays;
 mod reporting;
 mod rollouts;
 mod snapshot;
--- a/crates/jaypin_router/src/router/watching.rs
+++ b/crates/jaypin_router/src/router/watching.rs
@@ -1,20 +1,16 @@
 //! Which hosts watch the store, and what the others learn of it from reports.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use jaypin_core::{HostId, score};
 
 use super::Router;
-use crate::{BackendStatus, BootTime, EntryChange, LEAD_CELLS, Report, cell_of};
+use crate::{BackendStatus, BootTime, EntryChange, Report, cell_of};
 
 /// Number of hosts in a cell that watch the store and report to the others. With two of them,
 /// one can fail without leaving the store unwatched.
-const WATCHERS: usize = 2;
-/// Number of further hosts that are asked for what the watchers of a cell read: they watch in place
-/// of one that is gone.
-const SPARE_WATCHERS: usize = 1;
+pub(super) const WATCHERS: usize = 2;
 /// Age of the newest proof from which a host reads the store itself, and from which a peer no
 /// longer counts as a watcher. A proof is a time at which the configuration was known to be the
 /// newest.
@@ -35,7 +31,7 @@
 /// although peers precede it. If both watchers of a cell fail, others replace them in less time.
 const MAX_UNWATCHED: Duration = Duration::from_millis(1_500);
 /// Key of the hash order in which hosts become watchers.
-const WATCH_RANK_KEY: &str = "watch";
+pub(super) const WATCH_RANK_KEY: &str = "watch";
 
 /// State of the store as peers report it, where it may differ from this host's state.
 #[derive(Debug, Default)]
@@ -150,36 +146,11 @@
         live.count() + joining.count() < WATCHERS || self.lacks_watcher(now)
     }
 
-    /// Returns whether this host reads and watches the store for others.
-    #[must_use]
-    pub fn is_store_watcher(&self, now: Instant) -> bool {
-        !self.is_relay() && self.is_watcher(now) && !self.last_store_call_failed
-    }
-
-    /// Returns whether this host watches the store through the watchers of another cell.
-    #[must_use]
-    pub fn is_relay(&self) -> bool {
-        self.cell >= LEAD_CELLS
-    }
-
-    /// Returns the addresses of the hosts that probably watch the store: the first by rank in each
-    /// cell that reads it.
-    #[must_use]
-    pub fn probable_watchers(&self) -> Vec<SocketAddr> {
-        let mut by_cell: BTreeMap<u32, Vec<(u64, SocketAddr)>> = BTreeMap::new();
-        for (host, address) in self.report_state.registered_hosts() {
-            let cell = cell_of(host, self.cells);
-            if cell < LEAD_CELLS {
-                let ranked = by_cell.entry(cell).or_default();
-                ranked.push((score(WATCH_RANK_KEY, host), address));
-            }
-        }
-        let first = by_cell.into_values().flat_map(|mut ranked| {
-            ranked.sort_unstable_by(|a, b| b.cmp(a));
-            ranked.truncate(WATCHERS + SPARE_WATCHERS);
-            ranked
-        });
-        first.map(|(_, address)| address).collect()
+    /// Returns whether a peer has reported that it has a configuration. One that has none yet can't
+    /// state that it may watch the store, although it will.
+    fn has_configuration(&self, host: &str) -> bool {
+        let peer = self.fleet.peer(host);
+        peer.is_some_and(|peer| peer.version > 0)
     }
 
     /// Returns whether a host is in the cell of this one and becomes a watcher before it.
