Bound what is kept for urgent routes also against the level of the whole fleet

The reserve for an account's more urgent routes is bounded by 0.4 of what may be used at once where a cell's share decides, and was not where the fleet's level does: the requests of one host, taken for those of 986, kept all of a quota. The explanation of a refusal states the fleet's level.

--- a/crates/jaypin_router/src/decision_inputs.rs
+++ b/crates/jaypin_router/src/decision_inputs.rs
@@ -5,7 +5,7 @@
 
 use jaypin_core::AccountId;
 
-use crate::{QuotaLevel, SoftwareVersion};
+use crate::{FleetLevel, QuotaLevel, SoftwareVersion};
 
 /// The inputs of one decision, as they were when it was made.
 #[derive(Debug, Clone, PartialEq)]
@@ -27,8 +27,10 @@
         units: f64,
         /// Units that are reserved for the account's more urgent requests.
         reserved: f64,
-        /// What the account has left; absent if it is not limited.
+        /// What the account has left of the share of this host's cell; absent if it is not limited.
         level: Option<QuotaLevel>,
+        /// What it has left in the whole fleet.
+        fleet: FleetLevel,
     },
     /// Backend servers crashed while running the same content.
     Crashes {
@@ -97,11 +99,15 @@
                 units,
                 reserved,
                 level,
+                fleet,
             } => {
                 write!(f, "{units:.0} units for `{account}`")?;
                 if *reserved >= 1.0 {
                     write!(f, ", {reserved:.0} kept for more urgent requests")?;
                 }
+                if let FleetLevel::Low(left) = fleet {
+                    write!(f, ", {left:.0} left in all cells")?;
+                }
                 level.map_or(Ok(()), |it| {
                     let QuotaLevel {
                         left,
--- a/crates/jaypin_router/src/quota.rs
+++ b/crates/jaypin_router/src/quota.rs
@@ -161,18 +161,13 @@
             usage.own += units;
             return Ok(());
         }
+        let most = usage.quota.most_at_once(slack);
         if let FleetLevel::Low(level) = fleet {
-            let most = usage.quota.most_at_once(slack);
-            usage.quota.wait_for(units.min(most) + reserved - level)?;
+            usage
+                .quota
+                .wait_for(needed(units, reserved, most) - level)?;
         }
-        // A request for more than may ever be used at once passes when nothing was used.
-        let most = usage.quota.most_at_once(slack) * live_fraction;
-        let needed = units.min(most);
-        // Reserving more would refuse such a request forever.
-        let needed = needed
-            + reserved
-                .min(most * MAX_RESERVED_FRACTION)
-                .min(most - needed);
+        let needed = needed(units, reserved, most * live_fraction);
         let excess = usage.total() + needed - usage.quota.allowed(window, slack) * live_fraction;
         if excess > 0.0 {
             let wait = usage.time_until_free(excess, window / PARTS);
@@ -257,6 +252,13 @@
     }
 }
 
+/// Returns the units that must be left for a request, where `most` may ever be used at once.
+fn needed(units: f64, reserved: f64, most: f64) -> f64 {
+    // A request for more passes when nothing was used, and reserving more would refuse it forever.
+    let units = units.min(most);
+    units + reserved.min(most * MAX_RESERVED_FRACTION).min(most - units)
+}
+
 impl Quota {
     /// Returns the units allowed in a window: a full level, and the rate.
     fn allowed(self, window: Duration, slack: f64) -> f64 {
--- a/crates/jaypin_router/src/router/arrival.rs
+++ b/crates/jaypin_router/src/router/arrival.rs
@@ -11,8 +11,8 @@
 use crate::request::{Admitted, Request, Waiting};
 use crate::retry_after::{LEAVING_RETRY_AFTER, MAX_QUARANTINE_RETRY_AFTER, NOT_READY_RETRY_AFTER};
 use crate::{
-    Account, Arrival, DecisionInputs, QuotaUnit, Rank, RequestNumber, Requester, Route, RouteTable,
-    service_key,
+    Account, Arrival, DecisionInputs, FleetLevel, QuotaUnit, Rank, RequestNumber, Requester, Route,
+    RouteTable, service_key,
 };
 
 /// Time for which a draining host still accepts requests. Callers learn within a few seconds
@@ -31,6 +31,8 @@
     wait: Duration,
     /// Units reserved for more urgent requests of the account.
     reserved: f64,
+    /// What the account has left in the whole fleet.
+    fleet: FleetLevel,
 }
 
 impl Router {
@@ -159,6 +161,7 @@
                 units: admitted.units,
                 reserved: over.reserved,
                 level,
+                fleet: over.fleet,
             };
             return fx.push(refuse(number, requester, refusal, inputs));
         }
@@ -205,7 +208,11 @@
         let charged = self
             .quota
             .take_with_reserve(account, units, reserved, fleet, now);
-        charged.map_err(|wait| OverQuota { wait, reserved })?;
+        charged.map_err(|wait| OverQuota {
+            wait,
+            reserved,
+            fleet,
+        })?;
         self.record_granted(account, units);
         Ok(())
     }
