Let other hosts add up an account's use where those that did are gone

If both hosts that add up an account's use were lost for good, nobody would tell that little is left, and the account had no limit. Hosts that are silent in the own cell, or that a cell no longer reports among its hosts, are left out of the choice, which is made anew every 2 s.

Test: an_account_whose_use_nobody_adds_up_any_more_keeps_to_its_quota.

--- a/crates/jaypin_router/src/fleet.rs
+++ b/crates/jaypin_router/src/fleet.rs
@@ -1,7 +1,7 @@
 //! The other hosts, as their reports show them.
 
-use std::collections::{BTreeMap, HashMap};
-use std::net::SocketAddr;
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::net::{IpAddr, SocketAddr};
 use std::time::{Duration, Instant};
 
 use jaypin_core::{AccountId, FailureDomain, HostId, Incarnation};
@@ -27,6 +27,10 @@
 /// a fleet of many cells, from most of them within this time.
 const CELL_TIMEOUT: Duration = Duration::from_secs(4);
 
+/// Time for which the hosts of another cell count as those that it reported last: nearly all cells of
+/// a large fleet report again within it.
+const CELL_MEMORY: Duration = Duration::from_secs(15);
+
 /// Number of reports of a run within which a host has hardly granted anything.
 const FIRST_REPORTS: u64 = 8;
 
@@ -217,6 +221,18 @@
         live.flat_map(|cell| cell.callers.iter().copied())
     }
 
+    /// Returns the cells that reported recently, and the IP addresses of the hosts there to which
+    /// callers may connect.
+    #[must_use]
+    pub fn hosts_of_other_cells(&self, now: Instant) -> (BTreeSet<CellIndex>, HashSet<IpAddr>) {
+        let is_recent =
+            |cell: &OtherCell| now.saturating_duration_since(cell.last_report_at) < CELL_MEMORY;
+        let recent = self.other_cells.iter().filter(|(_, cell)| is_recent(cell));
+        let hosts = recent.clone().flat_map(|(_, cell)| &cell.callers);
+        let hosts = hosts.map(SocketAddr::ip).collect();
+        (recent.map(|(index, _)| *index).collect(), hosts)
+    }
+
     /// Iterates over the addresses of hosts in other cells that reported this version of the
     /// configuration, or a newer one, a short time ago.
     pub fn other_cell_holders(
--- a/crates/jaypin_router/src/router/fleet_quota.rs
+++ b/crates/jaypin_router/src/router/fleet_quota.rs
@@ -1,7 +1,7 @@
 //! Quotas over all cells: the use of each account goes to the hosts that add it up, and what they
 //! have left comes back where it is little.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -15,6 +15,9 @@
 const ADDING_HOSTS: usize = 2;
 /// Pause between two reports of granted units.
 const USE_PAUSE: Duration = Duration::from_millis(50);
+/// Time for which the hosts that add up the use of an account are kept before they are chosen anew
+/// among the hosts that are not gone.
+const ADDING_HOSTS_TIME: Duration = Duration::from_secs(2);
 /// Fraction of this host's cell that must be live so that its share of quotas does not apply. Below
 /// it, hosts that add up the use may be gone, or this host may be cut off from them.
 const MIN_LIVE_FRACTION: f64 = 0.85;
@@ -29,6 +32,9 @@
     last_sent: Option<Instant>,
     /// Addresses of the hosts that add up the use of an account.
     adding_hosts: HashMap<AccountId, Vec<SocketAddr>>,
+    /// Hosts that can't add up anything: they are gone, or callers are not sent to them.
+    gone: HashSet<SocketAddr>,
+    chosen_at: Option<Instant>,
     /// Fraction of this host's cell that is live.
     cell_live_fraction: f64,
 }
@@ -129,6 +135,26 @@
     pub(super) fn refresh_fleet_quota(&mut self, now: Instant, fx: &mut Vec<Effect>) {
         self.fleet_quota.levels.expire(now);
         self.report_levels(now, fx);
+        let chosen_at = self.fleet_quota.chosen_at;
+        let is_due = |at: Instant| now.saturating_duration_since(at) >= ADDING_HOSTS_TIME;
+        if self.cells > 1 && chosen_at.is_none_or(is_due) {
+            self.fleet_quota.chosen_at = Some(now);
+            self.fleet_quota.gone = self.gone_hosts(now);
+            self.fleet_quota.forget_hosts();
+        }
+    }
+
+    /// Returns the known hosts of this cell that are silent, and those of other cells that these no
+    /// longer report. A cell that has not reported for long may have all its hosts.
+    fn gone_hosts(&self, now: Instant) -> HashSet<SocketAddr> {
+        let (cells, listed) = self.fleet.hosts_of_other_cells(now);
+        let silent: HashSet<_> = self.fleet.silent_addresses(now).collect();
+        let known = self.report_state.known_hosts();
+        let gone = known.filter(|(host, address)| {
+            let cell = cell_of(host, self.cells);
+            silent.contains(address) || (cells.contains(&cell) && !listed.contains(&address.ip()))
+        });
+        gone.map(|(_, address)| address).collect()
     }
 
     fn add_up(&mut self, granted: &[(AccountId, f64)], now: Instant, fx: &mut Vec<Effect>) {
@@ -200,14 +226,16 @@
         }
     }
 
-    /// Returns the addresses of the hosts that add up the use of an account. All hosts that know the
-    /// same hosts choose the same ones.
+    /// Returns the addresses of the hosts that add up the use of an account. Hosts that know the same
+    /// hosts choose the same ones.
     fn adding_hosts(&mut self, account: &AccountId) -> Vec<SocketAddr> {
         if let Some(known) = self.fleet_quota.adding_hosts.get(account) {
             return known.clone();
         }
         let own = (self.cfg.host.clone(), self.cfg.peer_address);
         let all = self.report_state.known_hosts().chain([own]);
+        let gone = &self.fleet_quota.gone;
+        let all = all.filter(|(_, address)| !gone.contains(address));
         let mut ranked: Vec<_> = all
             .map(|(host, address)| (score(account, &host), address))
             .collect();
--- a/crates/jaypin_router/tests/common/fleet.rs
+++ b/crates/jaypin_router/tests/common/fleet.rs
@@ -4,7 +4,7 @@
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -17,7 +17,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use super::common::{address, bounds};
+use super::common::bounds;
 
 /// Time that one simulation step advances.
 const STEP: Duration = Duration::from_millis(10);
@@ -190,7 +190,7 @@
         let boot_time = self.hosts[n].boot_time;
         self.hosts[n] = host(n, seed, &self.bounds);
         self.hosts[n].boot_time = boot_time;
-        let all = (0..self.hosts.len()).map(|it| (name(it), address(7_000 + port(it))));
+        let all = (0..self.hosts.len()).map(|it| (name(it), peer_address(it)));
         let all = all.collect();
         self.apply(n, Event::HostsListed(all));
         let table = Arc::new(RouteTable::new(self.configuration.clone()));
@@ -355,6 +355,17 @@
     format!("host-{n}").as_str().into()
 }
 
+/// Returns the IP address of a host, which no other host has.
+fn ip(n: usize) -> IpAddr {
+    let [high, low] = port(n).to_be_bytes();
+    Ipv4Addr::new(127, 1, high, low).into()
+}
+
+/// Returns the address at which a host receives reports; its port identifies the host.
+pub fn peer_address(n: usize) -> SocketAddr {
+    SocketAddr::new(ip(n), 7_000 + port(n))
+}
+
 fn port(n: usize) -> u16 {
     u16::try_from(n).expect("few hosts") + 1
 }
@@ -364,8 +375,8 @@
         router: Router::new(RouterConfig {
             host: name(n),
             incarnation: seed ^ (u64::from(port(n)) << 32),
-            peer_address: address(7_000 + port(n)),
-            caller_address: address(8_000 + port(n)),
+            peer_address: peer_address(n),
+            caller_address: SocketAddr::new(ip(n), 8_000 + port(n)),
             failure_domain: "a".into(),
             seed,
             bounds: bounds.clone(),
--- a/crates/jaypin_router/tests/quota_cells.rs
+++ b/crates/jaypin_router/tests/quota_cells.rs
@@ -9,7 +9,7 @@
 
 use common::{PLAIN, configuration, record, token_quota};
 use fleet::{Answer, BackendModel, Call, Fleet};
-use jaypin_core::BackendId;
+use jaypin_core::{BackendId, score};
 use jaypin_router::{BackendSignals, Bounds};
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
@@ -127,3 +127,24 @@
     let most = most_in_window(&fleet);
     assert!(most < allowed, "{most} of {allowed}");
 }
+
+/// Guards against an account without a limit because the hosts that add up its use are gone for good:
+/// others must take their place.
+#[test]
+fn an_account_whose_use_nobody_adds_up_any_more_keeps_to_its_quota() {
+    let mut fleet = fleet_of(84, 9);
+    run(&mut fleet, 0.2, Duration::from_secs(4));
+    let mut adding: Vec<_> = (0..84)
+        .map(|n| (score("farm", &format!("host-{n}")), n))
+        .collect();
+    adding.sort_unstable();
+    for (_, n) in &adding[82..] {
+        fleet.hosts[*n].is_up = false;
+    }
+    run(&mut fleet, 0.2, Duration::from_secs(24));
+    fleet.sent.clear();
+    run(&mut fleet, 6.0, Duration::from_secs(36));
+    let allowed = (RATE * 8.0 + RATE) * 1.1 + SLACK;
+    let most = most_in_window(&fleet);
+    assert!(most < allowed, "{most} of {allowed}");
+}
