Leave watching to two hosts a cell also while a large fleet starts

Log of a start of 195 hosts: 85 listed the entries 0.35 s after the list of hosts, most with none in it, because they took themselves for watchers: peers without a configuration report that they may not watch, and counted neither as watchers nor as hosts yet to be heard. Such peers now count as hosts that will watch. And the time without a watcher counts from the list of hosts, not from the start: a list that takes a second and a half left no time to hear of one.

--- a/crates/jaypin_router/src/router/joining.rs
+++ b/crates/jaypin_router/src/router/joining.rs
@@ -56,10 +56,15 @@
     /// have reported yet.
     #[must_use]
     pub fn is_joining(&self, now: Instant) -> bool {
-        let since = self.join.listed_at.or(self.started_at).unwrap_or(now);
+        let since = self.joined_at().unwrap_or(now);
         now.saturating_duration_since(since) < JOIN_TIME
     }
 
+    /// Returns when this host first listed the registered hosts; before that, when it started.
+    pub(super) fn joined_at(&self) -> Option<Instant> {
+        self.join.listed_at.or(self.started_at)
+    }
+
     /// Returns whether this host has just started and leaves it to others to read the store.
     ///
     /// Guards against a store that is called by all hosts of a large fleet which start together:
--- a/crates/jaypin_router/src/router/watching.rs
+++ b/crates/jaypin_router/src/router/watching.rs
@@ -142,7 +142,7 @@
         let joining = self
             .report_state
             .recently_discovered(now)
-            .filter(|host| is_joining && self.fleet.peer(host).is_none() && precedes(host));
+            .filter(|host| is_joining && !self.has_configuration(host) && precedes(host));
         live.count() + joining.count() < WATCHERS || self.lacks_watcher(now)
     }
 
@@ -165,7 +165,7 @@
     /// while it grows: the peers that a host relies on may rely on watchers that report to another
     /// cell, and the host would learn of no change.
     fn lacks_watcher(&self, now: Instant) -> bool {
-        let since = self.reported_store.watched_at.max(self.started_at);
+        let since = self.reported_store.watched_at.max(self.joined_at());
         now.saturating_duration_since(since.unwrap_or(now)) >= MAX_UNWATCHED
     }
 
--- a/crates/jaypin_router/tests/watching.rs
+++ b/crates/jaypin_router/tests/watching.rs
@@ -300,6 +300,39 @@
     assert!(!host.router.awaits_peers(host.now));
 }
 
+/// Guards against a store that all hosts of a starting fleet watch: peers that have no configuration
+/// yet report that they may not watch.
+#[test]
+fn peers_without_a_configuration_are_expected_to_watch() {
+    let mut host = listed_host(1, 12);
+    for peer in 2..=12 {
+        let mut whole = common::whole_report(peer);
+        whole.store.version = 0;
+        whole.store.may_watch = false;
+        host.receive_report(common::report(1, whole));
+    }
+    let watches = store_watchers(12).contains(&1);
+    assert_eq!(host.router.is_watcher(host.now), watches);
+    assert!(!watches, "the test needs a host that is no watcher");
+}
+
+/// Guards against a store that all hosts of a starting fleet watch: the list of hosts takes them a
+/// second, the watchers then read the store, and nobody has reported yet that it watches.
+#[test]
+fn hosts_that_list_the_others_late_leave_watching_to_two() {
+    let watching = (1..=90).filter(|own| {
+        let mut host = TestHost::unconfigured_as(*own);
+        host.tick();
+        host.wait(Duration::from_millis(1_400));
+        let others = (1..=90).filter(|it| it != own).map(common::whole_report);
+        let listed = others.map(|it| (it.host, it.address)).collect();
+        host.apply(Event::HostsListed(listed));
+        host.wait(Duration::from_millis(500));
+        host.router.is_watcher(host.now)
+    });
+    assert_eq!(watching.count(), 2 * 4);
+}
+
 #[test]
 fn a_starting_host_of_a_small_fleet_reads_the_store_itself() {
     let host = listed_host(1, 12);
