Fetch entries from a peer again while many of them change

A host of a large fleet that differed from the watchers again within 3 s of a transfer read all entries from the store: 15 pages of 3,000 backend servers at full price. It now fetches them from a peer up to four times in a row, and watchers count as sources also while no peer has exactly their entries. Hosts of one cell read the store as before.

--- a/crates/jaypin_entry/src/store/backends.rs
+++ b/crates/jaypin_entry/src/store/backends.rs
@@ -22,6 +22,32 @@
 /// Time after entries were fetched from a peer within which this host should have the same
 /// entries as the watchers; after it the store is read.
 const SNAPSHOT_GRACE: Duration = Duration::from_secs(3);
+/// Number of such transfers in a row after which a host of a large fleet reads the store.
+const MAX_FETCHES: u32 = 4;
+
+/// Transfers of entries from peers that followed each other closely.
+#[derive(Debug, Default)]
+struct Fetches {
+    count: u32,
+    last: Option<Instant>,
+}
+
+impl Fetches {
+    fn record(&mut self) {
+        self.count += 1;
+        self.last = Some(Instant::now());
+    }
+
+    /// Returns whether the entries are fetched from a peer once more before the store is read. While
+    /// many change, a host of a large fleet differs from the watchers again and again.
+    fn may_fetch(&mut self, is_large_fleet: bool) -> bool {
+        if self.last.is_none_or(|at| at.elapsed() >= SNAPSHOT_GRACE) {
+            self.count = 0;
+        }
+        let max = if is_large_fleet { MAX_FETCHES } else { 1 };
+        self.count < max
+    }
+}
 
 /// Follows the backend servers until the task is dropped: by watches if this host is a watcher,
 /// else by its peers' reports. If its entries differ from a watcher's for too long, it reads all
@@ -30,11 +56,11 @@
     let mut client = StoreClient::new(&host);
     let mut retries = Retries::default();
     let mut freshness = Freshness::AllowStale;
-    let mut fetched_at: Option<Instant> = None;
+    let mut fetches = Fetches::default();
     if fetch_at_start(&host).await {
         retries.record_success();
         freshness = Freshness::Newest;
-        fetched_at = Some(Instant::now());
+        fetches.record();
     }
     loop {
         if retries.has_succeeded() {
@@ -42,9 +68,11 @@
                 follows_store(router) || router.has_diverging_entries(now())
             })
             .await;
-            let is_recently_fetched = fetched_at.is_some_and(|at| at.elapsed() < SNAPSHOT_GRACE);
-            if !host.read(follows_store) && !is_recently_fetched && fetch_from_peer(&host).await {
-                fetched_at = Some(Instant::now());
+            if !host.read(follows_store)
+                && fetches.may_fetch(host.read(Router::is_of_many_cells))
+                && fetch_from_peer(&host).await
+            {
+                fetches.record();
                 continue;
             }
         }
--- a/crates/jaypin_router/src/fleet.rs
+++ b/crates/jaypin_router/src/fleet.rs
@@ -49,6 +49,8 @@
     pub is_ready: bool,
     /// Whether it may be relied on to watch the store.
     pub may_watch: bool,
+    /// Whether it watches the store.
+    pub is_watching: bool,
     /// Version of its configuration; 0 before it has one.
     pub version: u64,
     /// Digest of all entries of backend servers that it knows.
@@ -59,8 +61,9 @@
     earlier_run: Option<Incarnation>,
     /// Number of the newest report.
     sequence: Option<u64>,
-    /// Whether reports were received from the beginning of the run.
-    is_known_from_start: bool,
+    /// What counts as the use of an account before its first total; none if reports were received
+    /// only long after the run began.
+    first_usage: Option<f64>,
     last_report_at: Instant,
     usage: HashMap<AccountId, f64>,
     arrivals: HashMap<(ServiceKey, Rank), u32>,
@@ -186,7 +189,8 @@
         if known.is_none_or(|peer| peer.run != report.run) {
             let earlier_run = known.map(|peer| peer.run);
             let mut peer = Peer::new(report.run, earlier_run, whole, now);
-            peer.is_known_from_start = earlier_run.is_some() || report.sequence <= FIRST_REPORTS;
+            let is_known_from_start = earlier_run.is_some() || report.sequence <= FIRST_REPORTS;
+            peer.first_usage = is_known_from_start.then_some(0.0);
             self.runs.insert(report.run, host.clone());
             self.peers.insert(host.clone(), peer);
         }
@@ -298,12 +302,13 @@
             failure_domain: whole.failure_domain.clone(),
             is_ready: false,
             may_watch: false,
+            is_watching: false,
             version: 0,
             digest: 0,
             clock: PeerClock::default(),
             earlier_run,
             sequence: None,
-            is_known_from_start: false,
+            first_usage: None,
             last_report_at: now,
             usage: HashMap::new(),
             arrivals: HashMap::new(),
@@ -322,6 +327,7 @@
         let mut update = PeerUpdate::default();
         if let Some(whole) = report.whole {
             self.may_watch = whole.store.may_watch;
+            self.is_watching = whole.store.is_watching;
             self.version = whole.store.version;
             self.digest = whole.store.digest;
             update.crash_counts = whole.crash_counts;
@@ -338,7 +344,7 @@
         for (account, used) in report.usage {
             let before = self.usage.insert(account.clone(), used);
             // A total that was first received long after the run began says nothing of recent use.
-            if let Some(before) = before.or(self.is_known_from_start.then_some(0.0)) {
+            if let Some(before) = before.or(self.first_usage) {
                 update.usage.push((account, used - before));
             }
         }
--- a/crates/jaypin_router/src/router/joining.rs
+++ b/crates/jaypin_router/src/router/joining.rs
@@ -75,8 +75,13 @@
         let Some(listed_at) = self.join.listed_at else {
             return age(self.started_at.unwrap_or(now)) < MAX_LIST_TIME;
         };
-        let is_large = cell_count(self.report_state.host_count()) > 1;
-        is_large && age(listed_at) < JOIN_TIME && !self.is_watcher(now)
+        self.is_of_many_cells() && age(listed_at) < JOIN_TIME && !self.is_watcher(now)
+    }
+
+    /// Returns whether the known hosts form more than one cell.
+    #[must_use]
+    pub fn is_of_many_cells(&self) -> bool {
+        cell_count(self.report_state.host_count()) > 1
     }
 
     fn has_ready_listed_peer(&self, now: Instant) -> bool {
--- a/crates/jaypin_router/src/router/snapshot.rs
+++ b/crates/jaypin_router/src/router/snapshot.rs
@@ -28,11 +28,13 @@
             .collect()
     }
 
-    /// Returns the addresses of peers that know the same entries as the watchers of the store.
+    /// Returns the addresses of peers that watch the store, or know the same entries as one that does.
     #[must_use]
     pub fn entry_holders(&self, now: Instant) -> Vec<SocketAddr> {
         let watched = self.watched_digest().filter(|digest| *digest != NO_ENTRIES);
-        self.holders(now, |peer| watched == Some(peer.digest))
+        self.holders(now, |peer| {
+            watched.is_some() && (peer.is_watching || watched == Some(peer.digest))
+        })
     }
 
     /// Returns the addresses of live peers that the store lists. Other senders of reports are
