--- a/crates/jaypin_router/tests/common/fleet.rs
+++ b/crates/jaypin_router/tests/common/fleet.rs
@@ -23,6 +23,8 @@
 const STEP: Duration = Duration::from_millis(10);
 /// Delay of a report between hosts, and of an answer that declines a request.
 const NETWORK_DELAY: Duration = Duration::from_millis(10);
+/// Time after which a call that gets no answer would end, longer than any simulation.
+const NEVER: Duration = Duration::from_hours(1);
 /// Interval between the proofs that a host gets from the store.
 const PROOF_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -31,6 +33,8 @@
 pub struct Call {
     /// Index of the host that sent it.
     pub host: usize,
+    /// Fingerprint of the request's content.
+    pub content: u64,
     /// The backend server that receives it.
     pub backend: BackendId,
     /// When it was sent.
@@ -65,6 +69,26 @@
         }
     }
 
+    /// Returns a call on which nothing arrives until [`Fleet::lose_calls`] ends it.
+    pub fn none() -> Self {
+        Self {
+            signals: BackendSignals::default(),
+            backoff: None,
+            header_after: NEVER,
+            end_after: NEVER,
+            outcome: AttemptOutcome::TimedOut,
+        }
+    }
+
+    /// Returns a failed connection.
+    pub fn unreached(after: Duration) -> Self {
+        Self {
+            end_after: after,
+            outcome: AttemptOutcome::Unreached,
+            ..Self::none()
+        }
+    }
+
     /// Returns an answer that declines the request and requests backoff.
     pub fn declined(backoff: Duration) -> Self {
         Self {
@@ -95,6 +119,15 @@
     End(RequestNumber, AttemptOutcome),
 }
 
+impl Delivery {
+    fn is_answer_to(&self, request: RequestNumber) -> bool {
+        match self {
+            Self::Header(number, ..) | Self::End(number, _) => *number == request,
+            Self::Report(_) | Self::AccountUse(_) => false,
+        }
+    }
+}
+
 /// A simulated host.
 pub struct Host {
     /// Router of the host.
@@ -136,6 +169,10 @@
     configuration: Configuration,
     bounds: Bounds,
     next: RequestNumber,
+    next_revision: u64,
+    contents: HashMap<RequestNumber, u64>,
+    /// Calls that have not ended.
+    calls: HashMap<RequestNumber, (usize, BackendId)>,
 }
 
 impl<B: BackendModel> Fleet<B> {
@@ -177,6 +214,9 @@
             configuration,
             bounds,
             next: 1,
+            next_revision: 10,
+            contents: HashMap::new(),
+            calls: HashMap::new(),
         };
         for n in 0..hosts {
             fleet.start_host(n);
@@ -199,12 +239,47 @@
         for record in self.records.clone() {
             let change = EntryChange::Stated {
                 record,
-                point: StorePoint::new(1, 10),
+                point: StorePoint::new(1, self.next_revision),
             };
             self.apply(n, Event::BackendChanged(change));
         }
     }
 
+    /// Replaces the entry of a backend server by that of its next process, on all hosts.
+    pub fn restart_backend(&mut self, id: &BackendId) {
+        self.next_revision += 1;
+        let point = StorePoint::new(1, self.next_revision);
+        let known = self.records.iter_mut().find(|it| it.id == *id);
+        let record = known.expect("a known backend server");
+        record.started += 1;
+        let record = record.clone();
+        for n in 0..self.hosts.len() {
+            let record = record.clone();
+            let change = EntryChange::Stated { record, point };
+            self.apply(n, Event::BackendChanged(change));
+        }
+    }
+
+    /// Ends the calls that these hosts have on a backend server.
+    pub fn lose_calls(
+        &mut self,
+        backend: &BackendId,
+        hosts: &[usize],
+        after: Duration,
+        outcome: AttemptOutcome,
+    ) {
+        let at = self.now + after;
+        let lost = |_: &RequestNumber, call: &mut (usize, BackendId)| {
+            call.1 == *backend && hosts.contains(&call.0)
+        };
+        let lost: Vec<_> = self.calls.extract_if(lost).collect();
+        for (number, (n, _)) in lost {
+            let deliveries = &mut self.hosts[n].deliveries;
+            deliveries.retain(|(_, it)| !it.is_answer_to(number));
+            deliveries.push((at, Delivery::End(number, outcome)));
+        }
+    }
+
     /// Returns the time since the start.
     pub fn since_start(&self) -> Duration {
         self.now - self.start
@@ -249,8 +324,10 @@
     }
 
     fn serve(&mut self, n: usize, number: RequestNumber, backend: BackendId) {
+        self.calls.insert(number, (n, backend.clone()));
         let call = Call {
             host: n,
+            content: self.contents[&number],
             backend: backend.clone(),
             at: self.now,
         };
@@ -312,6 +389,7 @@
                     }
                 }
                 Delivery::End(number, outcome) => {
+                    self.calls.remove(&number);
                     self.apply(n, Event::AttemptEnded { number, outcome });
                 }
             }
@@ -324,8 +402,14 @@
     }
 
     fn arrive(&mut self, n: usize) {
+        self.arrive_content(n, self.next);
+    }
+
+    /// Lets a request with this content arrive at a host, and returns its number.
+    pub fn arrive_content(&mut self, n: usize, content: u64) -> RequestNumber {
         let number = self.next;
         self.next += 1;
+        self.contents.insert(number, content);
         self.arrived.insert(number, self.prompt_tokens);
         let arrival = Arrival {
             number,
@@ -335,11 +419,12 @@
             tokens: Some((self.prompt_tokens, 30)),
             expected_answer: None,
             timeout: None,
-            fingerprint: number,
+            fingerprint: content,
             received_at: self.now,
             boot_time: self.hosts[n].boot_time,
         };
         self.apply(n, Event::Arrived(arrival));
+        number
     }
 
     /// Runs until a time since the start and calls `act` before each step.
