--- a/crates/jaypin_entry/src/callers/request_task.rs
+++ b/crates/jaypin_entry/src/callers/request_task.rs
@@ -159,6 +159,7 @@
         let first_ms = first.unwrap_or_default().as_millis();
         let pause_ms = self.times.longest_pause.as_millis();
         let tokens = self.received.header.tokens.unwrap_or_default();
-        log::info!(id, outcome, backend, account, rank, ms, first_ms, pause_ms, tokens:?, why:% = inputs; "request");
+        let content = format!("{:016x}", self.received.fingerprint);
+        log::info!(id, content, outcome, backend, account, rank, ms, first_ms, pause_ms, tokens:?, why:% = inputs; "request");
     }
 }
