Unite the crashes that hosts noticed instead of merging their counts

Cause: each host counted the crashes that it saw, judged suspects by its own lost calls alone, and peers kept the greater count. Crashes seen by different hosts did not add up, a crash with several suspects never raised a count to the limit, a server that was back at once or crashed after a first event left no count.

Change: evidence is a set of crashes, each one run of a backend server with the contents lost in it. Sets are united, so loss, repetition and order of reports don't matter. A crash counts once the run is known to have ended, or was unreachable while another backend server answered; an answer of the run refutes it everywhere, and a content that was served completely is cleared. A host that is cut off from all backend servers thus counts nothing. Each placement looks at the content, also from the queue and after a decline.

Report bytes: the wire of whole reports changed.

--- /dev/null
+++ b/crates/jaypin_entry/src/peers/wire/crashes.rs
@@ -0,0 +1,54 @@
+//! Wire format of crashes of backend servers.
+
+use std::time::Duration;
+
+use jaypin_router::{BackendRun, CompletedContent, Crash, RunEnd};
+
+use super::{WireError, milliseconds};
+
+/// Key of the backend server, start time of its process, state from 0 to 2, age in milliseconds,
+/// contents.
+pub type WireCrash = (u32, u64, u8, u64, Vec<u64>);
+/// Content, age in milliseconds.
+pub type WireCompletion = (u64, u64);
+
+const SUSPECTED: u8 = 0;
+const REFUTED: u8 = 1;
+const CONFIRMED: u8 = 2;
+
+pub fn wire_crash(crash: &Crash) -> WireCrash {
+    let state = match crash.end {
+        RunEnd::Suspected => SUSPECTED,
+        RunEnd::Refuted => REFUTED,
+        RunEnd::Confirmed => CONFIRMED,
+    };
+    let BackendRun { key, started } = crash.run;
+    let age = milliseconds(crash.age);
+    (key, started, state, age, crash.contents.clone())
+}
+
+pub fn read_crash((key, started, state, age, contents): WireCrash) -> Result<Crash, WireError> {
+    let end = match state {
+        SUSPECTED => RunEnd::Suspected,
+        REFUTED => RunEnd::Refuted,
+        CONFIRMED => RunEnd::Confirmed,
+        _ => return Err(WireError::Crash { state }),
+    };
+    Ok(Crash {
+        run: BackendRun { key, started },
+        end,
+        age: Duration::from_millis(age),
+        contents,
+    })
+}
+
+pub fn wire_completion(completed: &CompletedContent) -> WireCompletion {
+    (completed.content, milliseconds(completed.age))
+}
+
+pub fn read_completion((content, age): WireCompletion) -> CompletedContent {
+    CompletedContent {
+        content,
+        age: Duration::from_millis(age),
+    }
+}
--- a/crates/jaypin_entry/src/peers/wire/mod.rs
+++ b/crates/jaypin_entry/src/peers/wire/mod.rs
@@ -2,7 +2,7 @@
 
 mod account_use;
 mod configuration;
-
+mod crashes;
 mod entries;
 mod rollout;
 
@@ -18,14 +18,17 @@
 
 use jaypin_core::{AccountId, FailureDomain, HostId};
 use jaypin_router::{
-    AccountUse, ArrivalCount, BackendLoad, BackendSamples, BackendSignals, CrashCount, Rank,
-    Report, SignalReport, StoreView, WholeReport,
+    AccountUse, ArrivalCount, BackendLoad, BackendSamples, BackendSignals, Rank, Report,
+    SignalReport, StoreView, WholeReport,
 };
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use snafu::{ResultExt, Snafu};
 
 use account_use::{WireAccountUse, read_account_use};
+use crashes::{
+    WireCompletion, WireCrash, read_completion, read_crash, wire_completion, wire_crash,
+};
 use entries::{WireChange, read_change, wire_change};
 use rollout::{WireRollout, read_rollout, wire_rollout};
 
@@ -56,6 +59,12 @@
         "a number in a report is not finite, or negative where at least 0 is expected"
     ))]
     Number,
+    /// The state of a crash is unknown.
+    #[snafu(display("expected the state of a crash from 0 to 2, found {state}"))]
+    Crash {
+        /// The number found in its place.
+        state: u8,
+    },
     /// The state of a rollout order is unknown.
     #[snafu(display("expected a rollout state from 0 to 4, found {state}"))]
     State {
@@ -102,7 +111,8 @@
     WireSender,
     WireView,
     Vec<(String, f64)>,
-    Vec<(u64, u32)>,
+    Vec<WireCrash>,
+    Vec<WireCompletion>,
     Option<Vec<String>>,
     Vec<WireArrivals>,
     Vec<WireRollout>,
@@ -202,15 +212,13 @@
             view.digest,
             view.era,
         );
-        let crash_counts = whole.crash_counts.iter();
         let callers = whole.cell_callers.as_ref();
         Self(
             sender,
             wire_view,
             whole.low_levels.iter().map(wire_units).collect(),
-            crash_counts
-                .map(|it| (it.fingerprint, it.crash_count))
-                .collect(),
+            whole.crashes.iter().map(wire_crash).collect(),
+            whole.completed.iter().map(wire_completion).collect(),
             callers.map(|it| it.iter().map(ToString::to_string).collect()),
             whole.arrivals.iter().map(wire_arrivals).collect(),
             whole.rollouts.iter().map(wire_rollout).collect(),
@@ -260,8 +268,16 @@
     type Error = WireError;
 
     fn try_from(wire: WireWhole) -> Result<Self, WireError> {
-        let WireWhole(sender, view, low_levels, crash_counts, cell_callers, arrivals, rollouts) =
-            wire;
+        let WireWhole(
+            sender,
+            view,
+            low_levels,
+            crashes,
+            completed,
+            cell_callers,
+            arrivals,
+            rollouts,
+        ) = wire;
         let (host, address, callers, failure_domain, cell) = sender;
         let (version, proved_at, sent_at, may_watch, is_watching, digest, era) = view;
         // A negative level is a debt, and valid.
@@ -269,7 +285,6 @@
         if !are_levels_valid {
             return Err(WireError::Number);
         }
-        let crash_counts = crash_counts.into_iter();
         let cell_callers = cell_callers.map(|it| it.iter().map(|it| read_address(it)).collect());
         Ok(Self {
             host: HostId::from(host),
@@ -292,12 +307,11 @@
                 .into_iter()
                 .map(read_rollout)
                 .collect::<Result<_, _>>()?,
-            crash_counts: crash_counts
-                .map(|(fingerprint, crash_count)| CrashCount {
-                    fingerprint,
-                    crash_count,
-                })
-                .collect(),
+            crashes: crashes
+                .into_iter()
+                .map(read_crash)
+                .collect::<Result<_, _>>()?,
+            completed: completed.into_iter().map(read_completion).collect(),
             cell_callers: cell_callers.transpose()?,
         })
     }
--- a/crates/jaypin_entry/tests/report_bytes.rs
+++ b/crates/jaypin_entry/tests/report_bytes.rs
@@ -9,10 +9,10 @@
     encode_configuration, encode_entries, encode_entry_changes, encode_report,
 };
 use jaypin_router::{
-    AccountUse, ArrivalCount, BackendLoad, BackendRecord, BackendSamples, BackendSignals,
-    BackendStatus, CrashCount, EntryChange, OutcomeCounts, Rank, Report, RolloutOrder,
-    RolloutReport, RolloutState, RouteOutcomes, SignalReport, StorePoint, StoreView,
-    VersionOutcomes, WholeReport,
+    AccountUse, ArrivalCount, BackendLoad, BackendRecord, BackendRun, BackendSamples,
+    BackendSignals, BackendStatus, CompletedContent, Crash, EntryChange, OutcomeCounts, Rank,
+    Report, RolloutOrder, RolloutReport, RolloutState, RouteOutcomes, RunEnd, SignalReport,
+    StorePoint, StoreView, VersionOutcomes, WholeReport,
 };
 use rand::RngExt;
 use rand::SeedableRng;
@@ -99,9 +99,18 @@
             },
             requests: 88,
         }],
-        crash_counts: vec![CrashCount {
-            fingerprint: 99,
-            crash_count: 2,
+        crashes: vec![Crash {
+            run: BackendRun {
+                key: 7,
+                started: 1_700_000_000_123,
+            },
+            end: RunEnd::Confirmed,
+            age: Duration::from_millis(1_500),
+            contents: vec![99, u64::MAX],
+        }],
+        completed: vec![CompletedContent {
+            content: 98,
+            age: Duration::from_millis(20),
         }],
         rollouts: vec![rollout()],
         cell_callers: Some(vec![([127, 0, 0, 1], 8_002).into()]),
--- a/crates/jaypin_router/src/decision_inputs.rs
+++ b/crates/jaypin_router/src/decision_inputs.rs
@@ -35,7 +35,7 @@
     /// Backend servers crashed while running the same content.
     Crashes {
         /// Number of backend servers that crashed.
-        crash_count: u32,
+        crash_count: usize,
     },
     /// The best backend server that was found.
     Place {
--- a/crates/jaypin_router/src/fleet.rs
+++ b/crates/jaypin_router/src/fleet.rs
@@ -6,9 +6,7 @@
 
 use jaypin_core::{AccountId, FailureDomain, HostId, Incarnation};
 
-use crate::{
-    ArrivalCount, BootTime, CellIndex, CrashCount, PeerClock, Rank, Report, ServiceKey, WholeReport,
-};
+use crate::{ArrivalCount, BootTime, CellIndex, PeerClock, Rank, Report, ServiceKey, WholeReport};
 
 /// Time without a report after which a host no longer counts as live.
 ///
@@ -100,8 +98,6 @@
     pub low_levels: Vec<(AccountId, f64)>,
     /// Requests that callers sent it since the previous report.
     pub arrivals: Vec<ArrivalCount>,
-    /// Contents that crashed backend servers.
-    pub crash_counts: Vec<CrashCount>,
 }
 
 /// All known peers, and the other cells.
@@ -175,10 +171,7 @@
             let other = self.other_cells.entry(whole.cell);
             let other = other.or_insert_with(|| OtherCell::new(now));
             other.apply(&report, whole, callers, now);
-            return PeerUpdate {
-                crash_counts: whole.crash_counts.clone(),
-                ..PeerUpdate::default()
-            };
+            return PeerUpdate::default();
         }
         let host = whole.host.clone();
         let known = self.peers.get(&host);
@@ -330,7 +323,6 @@
             self.is_watching = whole.store.is_watching;
             self.version = whole.store.version;
             self.digest = whole.store.digest;
-            update.crash_counts = whole.crash_counts;
             update.low_levels = whole.low_levels;
             for count in whole.arrivals {
                 let key = (count.service, count.rank);
--- a/crates/jaypin_router/src/lib.rs
+++ b/crates/jaypin_router/src/lib.rs
@@ -12,6 +12,7 @@
 mod backend_table;
 mod cell;
 mod configuration;
+mod crash_evidence;
 mod decision_inputs;
 mod entries;
 mod event_rate;
@@ -49,6 +50,7 @@
 pub use configuration::{
     Account, CallerLimits, Configuration, Engine, Quota, QuotaUnit, Repeat, Route, Service, Target,
 };
+pub use crash_evidence::{BackendRun, CompletedContent, Crash, CrashEvidence, Fingerprint, RunEnd};
 pub use decision_inputs::DecisionInputs;
 pub use entries::{Entries, EntryChange};
 pub use event_rate::EventRate;
@@ -62,8 +64,7 @@
 pub use rank::Rank;
 pub use rate::DecayedRate;
 pub use report::{
-    BackendLoad, BackendSamples, CrashCount, Report, RolloutReport, SignalReport, StoreView,
-    WholeReport,
+    BackendLoad, BackendSamples, Report, RolloutReport, SignalReport, StoreView, WholeReport,
 };
 pub use request::{Arrival, AttemptOutcome, Requester};
 pub use resend_budget::ResendBudget;
--- a/crates/jaypin_router/src/report.rs
+++ b/crates/jaypin_router/src/report.rs
@@ -7,8 +7,8 @@
 use jaypin_core::{AccountId, FailureDomain, HostId, Incarnation};
 
 use crate::{
-    ArrivalCount, BackendKey, BackendSignals, BootTime, CellIndex, EntryChange, HostKey,
-    RolloutOrder, StoreEra, VersionOutcomes,
+    ArrivalCount, BackendKey, BackendSignals, BootTime, CellIndex, CompletedContent, Crash,
+    EntryChange, HostKey, RolloutOrder, StoreEra, VersionOutcomes,
 };
 
 /// What one host has running and has observed.
@@ -63,8 +63,10 @@
     pub low_levels: Vec<(AccountId, f64)>,
     /// Requests that callers sent it, as totals of this run.
     pub arrivals: Vec<ArrivalCount>,
-    /// Contents that crashed backend servers.
-    pub crash_counts: Vec<CrashCount>,
+    /// Crashes of backend servers, with the contents that were lost in them.
+    pub crashes: Vec<Crash>,
+    /// Contents of these that were served completely elsewhere.
+    pub completed: Vec<CompletedContent>,
     /// Rollouts of new versions of services that are in progress or have just ended.
     pub rollouts: Vec<RolloutReport>,
     /// In reports to other cells: the addresses at which callers of the sender's cell may
@@ -151,15 +153,6 @@
     pub age: Duration,
 }
 
-/// A content that crashed backend servers.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct CrashCount {
-    /// Fingerprint of the content, salted by its caller.
-    pub fingerprint: u64,
-    /// Number of backend servers that crashed while running it.
-    pub crash_count: u32,
-}
-
 impl BackendLoad {
     /// Returns the load of a host that has nothing running there.
     #[must_use]
--- a/crates/jaypin_router/src/request.rs
+++ b/crates/jaypin_router/src/request.rs
@@ -5,7 +5,7 @@
 
 use jaypin_core::{AccountId, BackendId, ServiceId};
 
-use crate::{BootTime, Rank, RequestNumber, Route};
+use crate::{BackendRun, BootTime, Rank, RequestNumber, Route};
 
 /// A request that was read whole, as input for decisions.
 #[derive(Debug, Clone, PartialEq)]
@@ -164,6 +164,8 @@
 pub struct Sent {
     /// The backend server.
     pub backend: BackendId,
+    /// Run of the backend server.
+    pub run: BackendRun,
     /// Time at which it was sent.
     pub at: Instant,
     /// Prompt tokens that the backend server had to read first.
--- a/crates/jaypin_router/src/router/arrival.rs
+++ b/crates/jaypin_router/src/router/arrival.rs
@@ -9,7 +9,7 @@
 use super::{Effect, Router};
 use crate::limits::queue_time_limit;
 use crate::request::{Admitted, Request, Waiting};
-use crate::retry_after::{LEAVING_RETRY_AFTER, MAX_QUARANTINE_RETRY_AFTER, NOT_READY_RETRY_AFTER};
+use crate::retry_after::{LEAVING_RETRY_AFTER, NOT_READY_RETRY_AFTER};
 use crate::{
     Account, Arrival, DecisionInputs, FleetLevel, QuotaUnit, Rank, RequestNumber, Requester, Route,
     RouteTable, service_key,
@@ -138,16 +138,8 @@
             let refusal = Refusal::not_run(Reason::Draining).retry_after(LEAVING_RETRY_AFTER);
             return fx.push(refuse(number, requester, refusal, DecisionInputs::Leaving));
         }
-        if let Some(left) = self.quarantined_for(admitted.fingerprint, now) {
-            let refusal = Refusal::not_run(Reason::Quarantined);
-            let refusal = refusal.retry_after(left.min(MAX_QUARANTINE_RETRY_AFTER));
-            let crash_count = self.quarantine.crash_count(admitted.fingerprint);
-            return fx.push(refuse(
-                number,
-                requester,
-                refusal,
-                DecisionInputs::Crashes { crash_count },
-            ));
+        if self.is_quarantined(admitted.fingerprint, now) {
+            return self.refuse_quarantined(now, &request, fx);
         }
         let key = service_key(&admitted.service);
         self.minimum_shares.record_arrival(key, admitted.rank);
--- a/crates/jaypin_router/src/router/attempt.rs
+++ b/crates/jaypin_router/src/router/attempt.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use jaypin_core::{LostCall, Ran, Reason, Refusal};
+use jaypin_core::{Ran, Reason, Refusal};
 
 use super::arrival::refuse;
 use super::{Effect, Router};
@@ -80,7 +80,10 @@
         self.count_outcome(&request, outcome);
         request.admitted.is_started |= request.state.first_event_at.is_some();
         match outcome {
-            AttemptOutcome::Complete => self.record_hold_time(&request, now),
+            AttemptOutcome::Complete => {
+                self.record_hold_time(&request, now);
+                self.record_completed_content(request.admitted.fingerprint, now);
+            }
             AttemptOutcome::Abandoned => {}
             _ if outcome.is_definitely_not_run() => self.handle_not_run(now, request, outcome, fx),
             _ => {
@@ -108,6 +111,9 @@
         outcome: AttemptOutcome,
         fx: &mut Vec<Effect>,
     ) {
+        if outcome == AttemptOutcome::Replaced {
+            self.record_replaced_backend(&request.state, now);
+        }
         let until = request.admitted.arrived_at + retry_window(&request.admitted);
         let service = request.admitted.service.clone();
         let is_outside_budget = matches!(
@@ -131,21 +137,14 @@
         outcome: AttemptOutcome,
         fx: &mut Vec<Effect>,
     ) {
-        if outcome == AttemptOutcome::Died {
-            let lost = LostCall {
-                fingerprint: request.admitted.fingerprint,
-                had_first_token: request.state.first_event_at.is_some(),
-            };
-            self.quarantine
-                .record_lost_call(now, &request.state.backend, lost);
-        }
+        self.record_lost_call(&request, outcome, now);
         let admitted = &request.admitted;
         let (number, service) = (admitted.number, admitted.service.clone());
         let may_run_again = admitted.route.repeat.may_run_again()
             && admitted.possible_runs < admitted.route.attempts
             && now < admitted.deadline
             && outcome != AttemptOutcome::TimedOut
-            && self.quarantined_for(admitted.fingerprint, now).is_none();
+            && !self.is_quarantined(admitted.fingerprint, now);
         if may_run_again && self.budget(&service, now).take(now) {
             let until = now + retry_window(&request.admitted);
             return self.place(now, request.requeue(until), fx);
--- a/crates/jaypin_router/src/router/backend_signals.rs
+++ b/crates/jaypin_router/src/router/backend_signals.rs
@@ -9,7 +9,10 @@
 use super::Router;
 use crate::backend_subset::{hash, pair_score};
 use crate::throttle::pause_at;
-use crate::{Backend, BackendSignals, DecisionInputs, Report, RequestNumber, SignalTable, cell_of};
+use crate::{
+    Backend, BackendRun, BackendSignals, DecisionInputs, Report, RequestNumber, SignalTable,
+    cell_of,
+};
 
 /// Hosts that share the rate limits of backend servers, as known to this host.
 #[derive(Debug)]
@@ -41,6 +44,7 @@
         if let Some(backoff) = backoff {
             self.signals.record_backoff(&backend.record, backoff, now);
         }
+        let run = BackendRun::of(&backend.record);
         let has_changed = self.signals.record(&backend.record, signals, state.at, now);
         if has_changed {
             self.load_report_state.slot_changed(backend.key);
@@ -48,6 +52,7 @@
         if has_changed || backoff.is_some() {
             self.apply_signals(now);
         }
+        self.record_answer(run, now);
     }
 
     /// Applies the signals of backend servers in a peer's report.
--- a/crates/jaypin_router/src/router/mod.rs
+++ b/crates/jaypin_router/src/router/mod.rs
@@ -3,6 +3,7 @@
 mod arrival;
 mod attempt;
 mod backend_signals;
+mod crashes;
 mod event;
 mod fleet_quota;
 mod joining;
@@ -24,15 +25,15 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use jaypin_core::{HostId, Quarantine, ServiceId};
+use jaypin_core::{HostId, ServiceId};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
 use crate::request::{Request, Sent};
 use crate::{
     AccountArrivals, ArrivalRates, Backend, BackendSignals, BackendSubsets, BackendTable, BootTime,
-    CellIndex, Entries, Fleet, FleetQuota, MinimumShares, PeerLoads, RequestNumber, ResendBudget,
-    Rollouts, RouteTable, SignalTable, Sizes, SlowAnswerDetector, WaitingList,
+    CellIndex, CrashEvidence, Entries, Fleet, FleetQuota, MinimumShares, PeerLoads, RequestNumber,
+    ResendBudget, Rollouts, RouteTable, SignalTable, Sizes, SlowAnswerDetector, WaitingList,
 };
 use fleet_quota::FleetQuotaState;
 use joining::JoinState;
@@ -87,7 +88,7 @@
     arrival_rates: ArrivalRates,
     minimum_shares: MinimumShares,
     account_arrivals: AccountArrivals,
-    quarantine: Quarantine,
+    crash_evidence: CrashEvidence,
     waiting: WaitingList,
     sent: HashMap<RequestNumber, Request<Sent>>,
     report_state: ReportState,
@@ -136,7 +137,7 @@
             arrival_rates: ArrivalRates::default(),
             minimum_shares: MinimumShares::default(),
             account_arrivals: AccountArrivals::default(),
-            quarantine: Quarantine::default(),
+            crash_evidence: CrashEvidence::default(),
             waiting: WaitingList::default(),
             sent: HashMap::new(),
             report_state: ReportState::default(),
@@ -307,7 +308,7 @@
             self.report_state.report_soon();
         }
         self.drop_missing_backends(now);
-        self.update_quarantines(now);
+        self.crash_evidence.expire(now);
         let is_time = |at: Instant| now.saturating_duration_since(at) >= REFRESH_PAUSE;
         if self.refreshed_at.is_none_or(is_time) {
             self.refreshed_at = Some(now);
--- a/crates/jaypin_router/src/router/placing.rs
+++ b/crates/jaypin_router/src/router/placing.rs
@@ -13,7 +13,9 @@
 use crate::placement::{Choice, Demand, choose_backend};
 use crate::request::{Admitted, Request, Sent, Waiting};
 use crate::retry_after::capacity_retry_after;
-use crate::{Backend, DecisionInputs, RequestNumber, VersionRole, reserved_slots, service_key};
+use crate::{
+    Backend, BackendRun, DecisionInputs, RequestNumber, VersionRole, reserved_slots, service_key,
+};
 
 /// Number of reserved slots below which none is reserved, since hardly any urgent requests
 /// arrive.
@@ -32,6 +34,13 @@
     /// Sends a request, keeps it waiting, or gives it up.
     pub(super) fn place(&mut self, now: Instant, request: Request<Waiting>, fx: &mut Vec<Effect>) {
         self.refresh_subsets();
+        // The content may have crashed backend servers while the request was waiting or sent.
+        if self.is_quarantined(request.admitted.fingerprint, now) {
+            if request.admitted.possible_runs == 0 {
+                self.refund_quota(&request.admitted);
+            }
+            return self.refuse_quarantined(now, &request, fx);
+        }
         if now >= request.admitted.deadline {
             return self.give_up(now, &request, Reason::TooLate, DecisionInputs::Deadline, fx);
         }
@@ -258,7 +267,7 @@
         fx.push(Effect::Send {
             number,
             backend: choice.backend.clone(),
-            address: record.address,
+            address: record.address.clone(),
             requester: admitted.requester(),
             repeat: admitted.route.repeat,
             first_event_timeout: first_event_timeout(admitted, &choice),
@@ -268,6 +277,7 @@
         });
         let sent = request.send(Sent {
             backend: choice.backend,
+            run: BackendRun::of(&record),
             at: now,
             tokens_ahead: choice.tokens_ahead,
             had_slot: choice.has_slot,
--- a/crates/jaypin_router/src/router/reporting.rs
+++ b/crates/jaypin_router/src/router/reporting.rs
@@ -9,9 +9,7 @@
 
 use super::{Effect, Router};
 use crate::fleet::PEER_EXPIRY;
-use crate::{
-    BootTime, CrashCount, Report, SignalReport, StoreView, WholeReport, cell_of, host_key,
-};
+use crate::{BootTime, Report, SignalReport, StoreView, WholeReport, cell_of, host_key};
 
 /// Pause between two reports while an urgent change waits to be reported.
 const URGENT_PAUSE: Duration = Duration::from_millis(6);
@@ -35,9 +33,6 @@
 /// Silence after which a host gets no more reports. It is longer than any network partition,
 /// since two parts of a fleet that had both stopped reporting would not find each other again.
 const FORGET_AFTER: Duration = Duration::from_mins(15);
-/// Number of suspected request contents in one report; more would not fit into a datagram.
-const MAX_REPORTED_CONTENTS: usize = 16;
-
 /// Number of whole reports that contain the use of an account after it has changed.
 const REPORTS_PER_USAGE: u32 = 4;
 /// Number of further accounts in each whole report, in turn, for peers that missed all of these.
@@ -232,6 +227,8 @@
         let whole = is_whole.then(|| WholeReport {
             low_levels: self.quota.low_levels(now),
             arrivals: self.arrival_rates.totals().collect(),
+            crashes: self.crash_evidence.crashes_to_report(now),
+            completed: self.crash_evidence.completions_to_report(now),
             ..self.whole_report(now, boot_time)
         });
         let signals = self.signals_to_report(is_whole, now);
@@ -302,14 +299,6 @@
 
     /// Describes this host and its state of the store.
     fn whole_report(&self, now: Instant, boot_time: BootTime) -> WholeReport {
-        let crash_counts = self
-            .quarantine
-            .most_recent(MAX_REPORTED_CONTENTS)
-            .into_iter();
-        let crash_counts = crash_counts.map(|(fingerprint, crash_count)| CrashCount {
-            fingerprint,
-            crash_count,
-        });
         WholeReport {
             host: self.cfg.host.clone(),
             address: self.cfg.peer_address,
@@ -320,7 +309,8 @@
             store: self.store_view(now, boot_time),
             low_levels: Vec::new(),
             arrivals: Vec::new(),
-            crash_counts: crash_counts.collect(),
+            crashes: Vec::new(),
+            completed: Vec::new(),
             rollouts: self.rollouts_to_report(now, false),
             cell_callers: None,
         }
@@ -418,6 +408,8 @@
         callers.extend(self.was_ready.then_some(self.cfg.caller_address));
         let whole = WholeReport {
             cell_callers: Some(callers),
+            crashes: self.crash_evidence.latest_crashes(now),
+            completed: self.crash_evidence.completions_to_report(now),
             rollouts: self.rollouts_to_report(now, true),
             ..self.whole_report(now, boot_time)
         };
--- a/crates/jaypin_router/src/router/updates.rs
+++ b/crates/jaypin_router/src/router/updates.rs
@@ -29,11 +29,6 @@
 const PLACEMENT_TURN: Duration = Duration::from_millis(10);
 /// Number of priorities with such a time of their own; all lower ones share the last.
 const MAX_TURNS: u8 = 3;
-/// Number of backend servers that must crash while running the same request content before it is
-/// quarantined.
-const CRASH_LIMIT: u32 = 3;
-/// Time for which a request content stays quarantined after the last crash.
-const QUARANTINE_TIME: Duration = Duration::from_mins(5);
 
 impl Router {
     /// Applies a configuration, unless the one in use is as new or newer. Reads and watches may
@@ -112,6 +107,7 @@
         self.missing_entries.remove(&record.id);
         self.stable_subsets.invalidate();
         let id = record.id.clone();
+        self.record_replaced_runs(&record, now);
         if let Some(backend) = self.backends.get_mut(&id) {
             backend.update_record(record);
         } else {
@@ -128,6 +124,7 @@
         self.apply_reported_rollouts(&report, now);
         self.apply_reported_signals(&report, now);
         self.apply_reported_loads(&report, now);
+        self.apply_reported_crashes(&report, now);
         let is_whole = report.whole.is_some();
         if let Some(whole) = &report.whole
             && self
@@ -150,10 +147,6 @@
         for arrivals in &update.arrivals {
             self.arrival_rates.record_peer(arrivals, now);
         }
-        for crashes in &update.crash_counts {
-            self.quarantine
-                .record_crash_count(now, crashes.fingerprint, crashes.crash_count);
-        }
     }
 
     /// Applies the load and the samples that a peer reports.
@@ -309,20 +302,4 @@
             ResendBudget::new(bounds.resend_window, ratio, allowance)
         })
     }
-
-    /// Quarantines request contents that crashed too many backend servers, and ends old
-    /// quarantines.
-    pub(super) fn update_quarantines(&mut self, now: Instant) {
-        let quarantined = self.quarantine.evaluate_crashes(now, CRASH_LIMIT);
-        if !quarantined.is_empty() {
-            self.report_state.report_soon();
-        }
-        self.quarantine.expire(now, QUARANTINE_TIME);
-    }
-
-    /// Returns the remaining time for which a request content is quarantined, if it is.
-    pub(super) fn quarantined_for(&self, fingerprint: u64, now: Instant) -> Option<Duration> {
-        self.quarantine
-            .remaining_quarantine(now, fingerprint, CRASH_LIMIT, QUARANTINE_TIME)
-    }
 }
--- a/crates/jaypin_router/tests/common/fleet.rs
+++ b/crates/jaypin_router/tests/common/fleet.rs
@@ -260,6 +260,25 @@
         }
     }
 
+    /// Replaces a backend server by one with another id at the same address, on all hosts.
+    pub fn replace_backend(&mut self, id: &BackendId, by: &BackendId) {
+        self.next_revision += 1;
+        let point = StorePoint::new(1, self.next_revision);
+        let known = self.records.iter_mut().find(|it| it.id == *id);
+        let record = known.expect("a known backend server");
+        record.id = by.clone();
+        record.started += 1;
+        let record = record.clone();
+        for n in 0..self.hosts.len() {
+            let record = record.clone();
+            let change = EntryChange::Stated { record, point };
+            self.apply(n, Event::BackendChanged(change));
+            let id = id.clone();
+            let change = EntryChange::Removed { id, point };
+            self.apply(n, Event::BackendChanged(change));
+        }
+    }
+
     /// Ends the calls that these hosts have on a backend server.
     pub fn lose_calls(
         &mut self,
--- a/crates/jaypin_router/tests/common/mod.rs
+++ b/crates/jaypin_router/tests/common/mod.rs
@@ -162,7 +162,8 @@
         store: StoreView::default(),
         low_levels: Vec::new(),
         arrivals: Vec::new(),
-        crash_counts: Vec::new(),
+        crashes: Vec::new(),
+        completed: Vec::new(),
         rollouts: Vec::new(),
         cell_callers: None,
     }
--- a/crates/jaypin_router/tests/crashing_content.rs
+++ b/crates/jaypin_router/tests/crashing_content.rs
@@ -110,6 +110,8 @@
     noticed_after: Duration,
     /// Time until the backend server runs again.
     down_time: Duration,
+    /// Whether it then has another id.
+    changes_id: bool,
 }
 
 /// A process that refuses connections after its end.
@@ -117,16 +119,27 @@
     outcome: AttemptOutcome::Died,
     noticed_after: Duration::from_millis(15),
     down_time: DOWN_TIME,
+    changes_id: false,
+};
+/// The same, and the next process registers under an id of its own.
+const REPLACED: CrashKind = CrashKind {
+    changes_id: true,
+    ..REFUSING
 };
 /// A process whose successor accepts connections before any host tries one.
 const BACK_AT_ONCE: CrashKind = CrashKind {
     outcome: AttemptOutcome::Lost,
     noticed_after: Duration::from_millis(10),
     down_time: Duration::from_millis(50),
+    changes_id: false,
 };
 
 fn new_fleet(hosts: usize, seed: u64) -> Fleet<Backends> {
-    let ids = (0..BACKENDS).map(|n| record(&format!("engine-{n}"), ENGINES, 9));
+    let ids = (0..BACKENDS).map(|n| {
+        let mut record = record(&format!("engine-{n}"), ENGINES, 9);
+        record.address = format!("127.0.0.1:{}", 3_000 + n);
+        record
+    });
     let mut fleet = Fleet::new(
         hosts,
         seed,
@@ -159,7 +172,12 @@
     let is_back = |_: &BackendId, until: &mut Instant| *until <= now;
     let back: Vec<_> = fleet.backends.down_until.extract_if(is_back).collect();
     for (id, _) in back {
-        fleet.restart_backend(&id);
+        if kind.changes_id {
+            let next = BackendId::from(format!("{id}'").as_str());
+            fleet.replace_backend(&id, &next);
+        } else {
+            fleet.restart_backend(&id);
+        }
     }
 }
 
@@ -237,6 +255,10 @@
     crashes_after_the_first_event_are_added_up: SEEDS, 13, REFUSING, 1, SHORT, |fleet| {
         fleet.backends.crashes_late = true;
     };
+    crashes_of_backend_servers_that_come_back_under_other_ids_are_added_up: SEEDS, 13, REPLACED, 1, SHORT, |_| {};
+    crashes_are_added_up_in_a_fleet_with_little_traffic: SEEDS, 13, REFUSING, 1, SHORT, |fleet| {
+        fleet.rate = 5.0;
+    };
     crashes_of_backend_servers_that_are_back_at_once_are_added_up: SEEDS, 13, BACK_AT_ONCE, 1, SHORT, |_| {};
 }
 
