Report no failed connections as failures of a backend server

Cause: a host reports failed calls of a backend server as samples, and peers raise their own failure rate of it. A call that can't be connected says nothing of the server: the path from that host may have failed. Eight hosts that fail at once put all servers on cooldown on the five others, which then count no free slot and refuse all but the most urgent.

Change: `Unreached` and `Died` no longer count in reported samples; they still start the cooldown of the host that saw them. Hosts learn of an exited process by their own first call, or by its entry.

--- a/crates/jaypin_router/src/backend.rs
+++ b/crates/jaypin_router/src/backend.rs
@@ -298,7 +298,9 @@
                 self.cooldowns = 0;
                 self.record_outcome(false, now);
             }
-            AttemptOutcome::Unreached | AttemptOutcome::Died | AttemptOutcome::Replaced => {
+            // Peers may reach it: only the network path from this host may have failed.
+            AttemptOutcome::Unreached | AttemptOutcome::Died => self.start_cooldown(now),
+            AttemptOutcome::Replaced => {
                 self.totals.bad += 1;
                 self.start_cooldown(now);
             }
