Pass requests on to a peer while this host is cut off from backend servers

Cause: such a host stays listed and ready, since both depend on the configuration's proof and on draining only, and has no other way to a backend server: calls fail, then requests are refused.

Change: a host that can't open connections to five backend servers in a row passes requests on to a peer that does not report the same, once and only while they can't have run here; the peer treats them like a caller's. It is left out of the address list while others are in it. Connections are probed until one succeeds, which ends the cooldowns of the cut. A connection that is reset at once counts as failed.

Why it works: the path from callers to the peer, by the host that is cut off, exists from the first second on; the decision needs no store and no peer's consent beyond its last report.

--- a/crates/jaypin_entry/src/callers/attempt.rs
+++ b/crates/jaypin_entry/src/callers/attempt.rs
@@ -6,17 +6,17 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_ENCODING, HeaderName, HeaderValue};
-use hyper::{Request, Response, Uri};
+use hyper::{HeaderMap, Request, Response, Uri};
+use jaypin_core::BackendId;
 use jaypin_http::EventReader;
 use jaypin_router::{AttemptOutcome, BackendSignals, BackendStatus, Event};
 use tokio::time::{Instant, sleep_until, timeout};
 
 use super::delivery::{Delivery, forward_response};
 use super::event_timing::EventRate;
+use super::read_request::PASSED_ON;
 use super::request_task::RequestTask;
-use crate::calls::{
-    CallError, Connection, DEFAULT_TIMEOUTS, SendOrder, connect, event_id, read_response,
-};
+use crate::calls::{CallError, Connection, Recipient, SendOrder, event_id, read_response};
 use crate::ports::{BackendResponse, ForwardContext};
 
 /// Header with which a stream is resumed, as defined for server-sent events.
@@ -34,20 +34,15 @@
         match outcome {
             // An exited process refuses connections; one that only failed to respond accepts
             // them.
-            AttemptOutcome::Lost if !self.is_reachable(order).await => AttemptOutcome::Died,
+            AttemptOutcome::Lost if self.is_unreachable(order).await => AttemptOutcome::Died,
             other => other,
         }
     }
 
-    /// Checks whether the backend server accepts a connection.
-    async fn is_reachable(&self, order: &SendOrder) -> bool {
-        match connect(&order.address, DEFAULT_TIMEOUTS).await {
-            Ok(connection) => {
-                self.host.connections.release(connection);
-                true
-            }
-            Err(_) => false,
-        }
+    /// Checks whether a backend server no longer accepts connections.
+    async fn is_unreachable(&self, order: &SendOrder) -> bool {
+        let is_backend = matches!(order.recipient, Recipient::Backend(_));
+        is_backend && !self.host.connections.probe(&order.address).await
     }
 
     /// Calls the backend server and forwards its response.
@@ -60,11 +55,13 @@
             let Ok(mut connection) = acquired else {
                 return AttemptOutcome::Unreached;
             };
-            if !self.host.may_send_to(&order.backend) {
+            if let Recipient::Backend(backend) = &order.recipient
+                && !self.host.may_send_to(backend)
+            {
                 self.host.connections.release(connection);
                 return AttemptOutcome::Withheld;
             }
-            let req = self.backend_request(order);
+            let req = self.outgoing_request(order);
             let limit = order
                 .first_event_timeout
                 .filter(|_| !delivery.is_streaming());
@@ -84,6 +81,14 @@
         };
         connection.update_expiry(response.headers());
         let status = response.status();
+        let Recipient::Backend(backend) = &order.recipient else {
+            return self
+                .relay_response(order, connection, response, delivery)
+                .await;
+        };
+        if !connection.is_reused {
+            self.host.apply(Event::BackendReached);
+        }
         let backend_head = self
             .host
             .platform
@@ -91,7 +96,7 @@
         if let Some(outcome) = self.reject_foreign_response(&backend_head, &response) {
             return outcome;
         }
-        self.apply_signals(order, &backend_head);
+        self.apply_signals(backend, &backend_head);
         if backend_head.is_not_run {
             return self
                 .finish_not_run(connection, response, &backend_head)
@@ -107,8 +112,7 @@
 
     /// Passes the rate limit, the leaving state and the backoff in a backend server's response
     /// headers to the reducer, and logs a change of the first two.
-    fn apply_signals(&self, order: &SendOrder, head: &BackendResponse) {
-        let backend = &order.backend;
+    fn apply_signals(&self, backend: &BackendId, head: &BackendResponse) {
         // The responding server is not the one that is registered under this id.
         if head.is_misdirected {
             return;
@@ -186,6 +190,31 @@
         }
     }
 
+    /// Relays the response of a peer, whatever its status.
+    async fn relay_response(
+        &mut self,
+        order: &SendOrder,
+        connection: Connection,
+        response: Response<Incoming>,
+        delivery: &mut Delivery,
+    ) -> AttemptOutcome {
+        if response.status().is_success() && order.repeat.is_stream() {
+            return self
+                .forward_stream(order, connection, response, delivery)
+                .await;
+        }
+        let read = tokio::select! {
+            read = read_response(response) => read,
+            () = delivery.caller_disconnected() => return AttemptOutcome::Abandoned,
+        };
+        let Some(response) = read else {
+            return AttemptOutcome::Lost;
+        };
+        self.host.connections.release(connection);
+        delivery.send_response(forward_response(response));
+        AttemptOutcome::Complete
+    }
+
     /// Reads the whole response and sends it to the caller. A server error is kept instead,
     /// since another attempt may succeed.
     async fn forward_whole(
@@ -280,27 +309,38 @@
         AttemptOutcome::Complete
     }
 
-    /// Returns the request as it is sent to a backend server.
-    fn backend_request(&self, order: &SendOrder) -> Request<Full<Bytes>> {
-        let time_left = order.deadline.saturating_duration_since(Instant::now());
-        let forward = ForwardContext {
-            backend: &order.backend,
-            account: order.requester.account.as_ref(),
-            time_left,
-        };
+    /// Returns the request as it is sent to the recipient.
+    fn outgoing_request(&self, order: &SendOrder) -> Request<Full<Bytes>> {
         let mut req = Request::new(Full::new(self.received.body.clone()));
         *req.method_mut() = self.received.method.clone();
         *req.uri_mut() = origin_form(&self.received.uri);
-        *req.headers_mut() = self
-            .host
-            .platform
-            .forwarded_headers(&self.received.headers, &forward);
+        *req.headers_mut() = self.outgoing_headers(order);
         if let Some(id) = self.last_id {
             let value = HeaderValue::from(id);
             req.headers_mut().insert(LAST_EVENT_ID, value);
         }
         req
     }
+
+    fn outgoing_headers(&self, order: &SendOrder) -> HeaderMap {
+        let (platform, received) = (&self.host.platform, &self.received.headers);
+        let time_left = order.deadline.saturating_duration_since(Instant::now());
+        match &order.recipient {
+            Recipient::Backend(backend) => {
+                let forward = ForwardContext {
+                    backend,
+                    account: order.requester.account.as_ref(),
+                    time_left,
+                };
+                platform.forwarded_headers(received, &forward)
+            }
+            Recipient::Peer(_) => {
+                let mut headers = platform.passed_on_headers(received, time_left);
+                headers.insert(PASSED_ON, HeaderValue::from_static("1"));
+                headers
+            }
+        }
+    }
 }
 
 /// Returns the path and query of a URI: a request target that a caller sent in absolute form
--- a/crates/jaypin_entry/src/callers/read_request.rs
+++ b/crates/jaypin_entry/src/callers/read_request.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
+use hyper::header::HeaderName;
 use hyper::{HeaderMap, Method, Request, StatusCode, Uri};
 use snafu::Snafu;
 use tokio::time::{Instant, timeout};
@@ -18,6 +19,12 @@
 /// Time for a caller to send its body if the request states no timeout.
 const DEFAULT_BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Header of a request that a host passes on to another one, which never passes it on again.
+///
+/// A caller that sends it gains nothing: its requests are served like others, unless the host is
+/// cut off.
+pub const PASSED_ON: HeaderName = HeaderName::from_static("jaypin-passed-on");
+
 /// Why a request was rejected before it reached the reducer.
 #[derive(Debug, Snafu)]
 pub enum ReadError {
@@ -70,6 +77,8 @@
     pub header: CallerRequest,
     /// Hash of path, credential and body.
     pub fingerprint: u64,
+    /// Whether a peer passed it on, which is cut off from the backend servers.
+    pub is_passed_on: bool,
     /// Time at which the headers were read.
     pub received_at: Instant,
 }
@@ -80,7 +89,8 @@
 /// Fails if a header is invalid, or if the body is too large or does not arrive in time.
 pub async fn read(host: &Host, req: Request<Incoming>) -> Result<ReceivedRequest, ReadError> {
     let received_at = Instant::now();
-    let (head, body) = req.into_parts();
+    let (mut head, body) = req.into_parts();
+    let is_passed_on = head.headers.remove(&PASSED_ON).is_some();
     let header = host.platform.parse_caller_request(&head.headers);
     let header = header.map_err(|error| ReadError::Header {
         message: error.message,
@@ -106,6 +116,7 @@
         body,
         header,
         fingerprint,
+        is_passed_on,
         received_at,
     })
 }
--- a/crates/jaypin_entry/src/callers/request_task.rs
+++ b/crates/jaypin_entry/src/callers/request_task.rs
@@ -103,6 +103,7 @@
             expected_answer: header.expected_answer_tokens,
             timeout: header.timeout,
             fingerprint: self.received.fingerprint,
+            is_passed_on: self.received.is_passed_on,
             received_at: self.received.received_at.into_std(),
             boot_time: boot_time(),
         }
@@ -149,7 +150,7 @@
         requester: Option<&Requester>,
         inputs: &dyn std::fmt::Display,
     ) {
-        let backend = order.map_or("", |order| &order.backend);
+        let backend = order.map_or("", |order| order.recipient.name());
         let account = requester.and_then(|it| it.account.as_deref());
         let rank = requester.map(|it| it.rank.to_string()).unwrap_or_default();
         let account = account.unwrap_or_default();
--- a/crates/jaypin_entry/src/calls/connection_pool.rs
+++ b/crates/jaypin_entry/src/calls/connection_pool.rs
@@ -11,7 +11,7 @@
 use hyper::{HeaderMap, Request, Response};
 use jaypin_http::{ConnectError, ConnectTimeouts, Sender};
 use tokio::task::spawn_local;
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep};
 
 /// Timeouts of a connection to a backend server.
 ///
@@ -29,6 +29,8 @@
 /// Time by which a stated idle timeout is reduced: the backend server counts from the end of
 /// its response, and the next request takes some milliseconds to arrive.
 const IDLE_MARGIN: Duration = Duration::from_millis(400);
+/// Time in which a connection that is reset at once has been reset.
+const SETTLE_TIME: Duration = Duration::from_millis(15);
 /// Header that states the idle timeout of a connection.
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
@@ -113,6 +115,18 @@
         connect(address, DEFAULT_TIMEOUTS).await
     }
 
+    /// Opens a connection, and keeps it for later calls. Returns whether it was still open a moment
+    /// later: some network devices accept a connection and then reset it.
+    pub async fn probe(&self, address: &str) -> bool {
+        let Ok(connection) = connect(address, DEFAULT_TIMEOUTS).await else {
+            return false;
+        };
+        sleep(SETTLE_TIME).await;
+        let is_open = connection.is_open();
+        self.release(connection);
+        is_open
+    }
+
     fn take_idle(&self, address: &str) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
         let same_address = idle.get_mut(address)?;
--- a/crates/jaypin_entry/src/calls/mod.rs
+++ b/crates/jaypin_entry/src/calls/mod.rs
@@ -11,16 +11,35 @@
 
 use std::time::Duration;
 
-use jaypin_core::BackendId;
+use jaypin_core::{BackendId, HostId};
 use jaypin_router::{DecisionInputs, Repeat, Requester};
 use tokio::time::Instant;
 
-/// Where and how a request is sent to a backend server.
+/// What a request is sent to.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Recipient {
+    /// A backend server.
+    Backend(BackendId),
+    /// A peer, which sends it to a backend server.
+    Peer(HostId),
+}
+
+impl Recipient {
+    /// Returns the name of the recipient, for logs.
+    pub fn name(&self) -> &str {
+        match self {
+            Self::Backend(id) => id,
+            Self::Peer(host) => host,
+        }
+    }
+}
+
+/// Where and how a request is sent.
 #[derive(Debug, Clone)]
 pub struct SendOrder {
-    /// The selected backend server.
-    pub backend: BackendId,
-    /// Address of the backend server.
+    /// The selected recipient.
+    pub recipient: Recipient,
+    /// Address of the recipient.
     pub address: String,
     /// Client account and rank of the request; the account is sent to the backend server.
     pub requester: Requester,
--- a/crates/jaypin_entry/src/host.rs
+++ b/crates/jaypin_entry/src/host.rs
@@ -12,7 +12,7 @@
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::time::{Instant, sleep_until};
 
-use crate::calls::{ConnectionPool, SendOrder};
+use crate::calls::{ConnectionPool, Recipient, SendOrder};
 use crate::peers::PeerSocket;
 use crate::ports::{HostSettings, Object, Platform};
 use crate::watch_progress::WatchProgress;
@@ -20,7 +20,7 @@
 /// The next step of a request, sent by the reducer to the task of the request.
 #[derive(Debug)]
 pub enum Directive {
-    /// Send the request to a backend server.
+    /// Send the request to a backend server or a peer.
     Send(SendOrder),
     /// Respond that the configuration has no route or no such credential.
     Reject(Unrouted, DecisionInputs),
@@ -187,7 +187,7 @@
                 inputs,
             } => {
                 let order = SendOrder {
-                    backend,
+                    recipient: Recipient::Backend(backend),
                     address,
                     requester: asked_by,
                     repeat,
@@ -198,6 +198,27 @@
                 };
                 self.send_directive(number, Directive::Send(order));
             }
+            Effect::PassOn {
+                number,
+                peer,
+                address,
+                requester,
+                repeat,
+                deadline,
+                inputs,
+            } => {
+                let order = SendOrder {
+                    recipient: Recipient::Peer(peer),
+                    address: address.to_string(),
+                    requester,
+                    repeat,
+                    first_event_timeout: None,
+                    stall_timeout: None,
+                    deadline: deadline.into(),
+                    inputs,
+                };
+                self.send_directive(number, Directive::Send(order));
+            }
             Effect::Reject {
                 number,
                 reason,
--- a/crates/jaypin_entry/src/lib.rs
+++ b/crates/jaypin_entry/src/lib.rs
@@ -4,6 +4,7 @@
 //! [`serve`] runs a host. The formats of settings, headers and stored objects are those of
 //! the platform and come from an adapter that implements [`Platform`].
 
+mod backend_probe;
 mod boot_clock;
 mod callers;
 mod calls;
--- a/crates/jaypin_entry/src/peers/wire/mod.rs
+++ b/crates/jaypin_entry/src/peers/wire/mod.rs
@@ -18,7 +18,7 @@
 
 use jaypin_core::{AccountId, FailureDomain, HostId};
 use jaypin_router::{
-    AccountUse, ArrivalCount, BackendLoad, BackendSamples, BackendSignals, Rank, Report,
+    AccountUse, ArrivalCount, BackendLoad, BackendSamples, BackendSignals, Contact, Rank, Report,
     SignalReport, StoreView, WholeReport,
 };
 use serde::de::DeserializeOwned;
@@ -97,6 +97,7 @@
     u64,
     u64,
     bool,
+    bool,
     Vec<WireLoad>,
     Vec<WireSamples>,
     Vec<(String, f64)>,
@@ -183,6 +184,7 @@
             report.run,
             report.sequence,
             report.is_ready,
+            report.contact == Contact::CutOff,
             report.loads.iter().map(wire_load).collect(),
             report.samples.iter().map(wire_samples).collect(),
             usage.map(wire_units).collect(),
@@ -235,6 +237,7 @@
             run,
             sequence,
             is_ready,
+            is_cut_off,
             loads,
             samples,
             usage,
@@ -254,6 +257,11 @@
             run,
             sequence,
             is_ready,
+            contact: if is_cut_off {
+                Contact::CutOff
+            } else {
+                Contact::Reaching
+            },
             loads: loads.into_iter().map(read_load).collect(),
             samples: samples.into_iter().map(read_samples).collect(),
             usage: usage.map(read_units).collect(),
--- a/crates/jaypin_entry/src/ports.rs
+++ b/crates/jaypin_entry/src/ports.rs
@@ -203,6 +203,10 @@
     /// Returns the headers for a backend server, derived from the caller's headers.
     fn forwarded_headers(&self, headers: &HeaderMap, forward: &ForwardContext<'_>) -> HeaderMap;
 
+    /// Returns the headers for a peer to which the request is passed on with the time that is left
+    /// for the response.
+    fn passed_on_headers(&self, headers: &HeaderMap, time_left: Duration) -> HeaderMap;
+
     /// Parses the head of a backend server's response.
     fn parse_backend_response(&self, status: StatusCode, headers: &HeaderMap) -> BackendResponse;
 
--- a/crates/jaypin_entry/src/serve.rs
+++ b/crates/jaypin_entry/src/serve.rs
@@ -13,6 +13,7 @@
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::{Instant, sleep};
 
+use crate::backend_probe::probe_backends;
 use crate::boot_clock::boot_time;
 use crate::callers::{DrainPhase, listen, serve_callers, serve_queries};
 use crate::host::Host;
@@ -124,6 +125,7 @@
     spawn_local(receive_reports(host.clone()));
     spawn_local(serve_snapshots(host.clone(), snapshots));
     spawn_local(run_timer(host.clone()));
+    spawn_local(probe_backends(host.clone()));
     spawn_local(serve_queries(host.clone(), readiness));
     spawn_local(serve_queries(host.clone(), directory));
     if let Some(listener) = metrics_listener {
--- a/crates/jaypin_entry/tests/report_bytes.rs
+++ b/crates/jaypin_entry/tests/report_bytes.rs
@@ -10,8 +10,8 @@
 };
 use jaypin_router::{
     AccountUse, ArrivalCount, BackendLoad, BackendRecord, BackendRun, BackendSamples,
-    BackendSignals, BackendStatus, CompletedContent, Crash, EntryChange, OutcomeCounts, Rank,
-    Report, RolloutOrder, RolloutReport, RolloutState, RouteOutcomes, RunEnd, SignalReport,
+    BackendSignals, BackendStatus, CompletedContent, Contact, Crash, EntryChange, OutcomeCounts,
+    Rank, Report, RolloutOrder, RolloutReport, RolloutState, RouteOutcomes, RunEnd, SignalReport,
     StorePoint, StoreView, VersionOutcomes, WholeReport,
 };
 use rand::RngExt;
@@ -35,6 +35,7 @@
         run: u64::MAX,
         sequence: 7,
         is_ready: true,
+        contact: Contact::CutOff,
         loads: vec![BackendLoad {
             key: u32::MAX,
             running: 3,
--- a/crates/jaypin_router/src/backend.rs
+++ b/crates/jaypin_router/src/backend.rs
@@ -368,6 +368,12 @@
         }
     }
 
+    /// Ends the cooldown, whose cause has gone.
+    pub fn end_cooldown(&mut self) {
+        self.cooldown_until = None;
+        self.cooldowns = 0;
+    }
+
     /// Starts a cooldown. A process that has exited refuses connections at once and, having no
     /// load, would attract all requests.
     fn start_cooldown(&mut self, now: Instant) {
--- a/crates/jaypin_router/src/decision_inputs.rs
+++ b/crates/jaypin_router/src/decision_inputs.rs
@@ -37,6 +37,11 @@
         /// Number of backend servers that crashed.
         crash_count: usize,
     },
+    /// This host can't connect to backend servers, and a peer can.
+    CutOff {
+        /// Backend servers to which connections failed in a row.
+        unreached: usize,
+    },
     /// The best backend server that was found.
     Place {
         /// Estimated time to the first event there.
@@ -120,6 +125,9 @@
             Self::Crashes { crash_count } => {
                 write!(f, "{crash_count} backend servers died under it")
             }
+            Self::CutOff { unreached } => {
+                write!(f, "{unreached} backend servers unreachable in a row")
+            }
             Self::Place {
                 first_event,
                 limit,
--- a/crates/jaypin_router/src/fleet.rs
+++ b/crates/jaypin_router/src/fleet.rs
@@ -6,7 +6,9 @@
 
 use jaypin_core::{AccountId, FailureDomain, HostId, Incarnation};
 
-use crate::{ArrivalCount, BootTime, CellIndex, PeerClock, Rank, Report, ServiceKey, WholeReport};
+use crate::{
+    ArrivalCount, BootTime, CellIndex, Contact, PeerClock, Rank, Report, ServiceKey, WholeReport,
+};
 
 /// Time without a report after which a host no longer counts as live.
 ///
@@ -45,6 +47,8 @@
     pub failure_domain: FailureDomain,
     /// Whether callers should be sent to it.
     pub is_ready: bool,
+    /// Whether it can open connections to backend servers.
+    pub contact: Contact,
     /// Whether it may be relied on to watch the store.
     pub may_watch: bool,
     /// Whether it watches the store.
@@ -294,6 +298,7 @@
             callers: whole.callers,
             failure_domain: whole.failure_domain.clone(),
             is_ready: false,
+            contact: Contact::Reaching,
             may_watch: false,
             is_watching: false,
             version: 0,
@@ -317,6 +322,7 @@
         self.sequence = Some(report.sequence);
         self.last_report_at = now;
         self.is_ready = report.is_ready;
+        self.contact = report.contact;
         let mut update = PeerUpdate::default();
         if let Some(whole) = report.whole {
             self.may_watch = whole.store.may_watch;
--- a/crates/jaypin_router/src/report.rs
+++ b/crates/jaypin_router/src/report.rs
@@ -7,8 +7,8 @@
 use jaypin_core::{AccountId, FailureDomain, HostId, Incarnation};
 
 use crate::{
-    ArrivalCount, BackendKey, BackendSignals, BootTime, CellIndex, CompletedContent, Crash,
-    EntryChange, HostKey, RolloutOrder, StoreEra, VersionOutcomes,
+    ArrivalCount, BackendKey, BackendSignals, BootTime, CellIndex, CompletedContent, Contact,
+    Crash, EntryChange, HostKey, RolloutOrder, StoreEra, VersionOutcomes,
 };
 
 /// What one host has running and has observed.
@@ -25,6 +25,8 @@
     pub sequence: u64,
     /// Whether callers should be sent to the sender.
     pub is_ready: bool,
+    /// Whether the sender can open connections to backend servers.
+    pub contact: Contact,
     /// Load of the sender on backend servers, where it changed or was not reported for a while;
     /// for hosts that use the same backend servers.
     pub loads: Vec<BackendLoad>,
--- a/crates/jaypin_router/src/request.rs
+++ b/crates/jaypin_router/src/request.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use jaypin_core::{AccountId, BackendId, ServiceId};
+use jaypin_core::{AccountId, BackendId, HostId, ServiceId};
 
 use crate::{BackendRun, BootTime, Rank, RequestNumber, Route};
 
@@ -27,6 +27,8 @@
     pub timeout: Option<Duration>,
     /// Fingerprint of path, caller and body.
     pub fingerprint: u64,
+    /// Whether a peer passed it on, which is cut off from the backend servers.
+    pub is_passed_on: bool,
     /// Time at which its header was read.
     pub received_at: Instant,
     /// The current time, on the clock that counts suspended time.
@@ -130,6 +132,10 @@
     pub possible_runs: u32,
     /// Whether part of its answer was passed on to the caller.
     pub is_started: bool,
+    /// Whether a peer passed it on to this host.
+    pub is_passed_on: bool,
+    /// Peers to which this host passed it on, or tried to.
+    pub tried_peers: Vec<HostId>,
 }
 
 impl Admitted {
@@ -176,6 +182,10 @@
     pub first_event_at: Option<Instant>,
 }
 
+/// State of a request that was passed on to a peer.
+#[derive(Debug)]
+pub struct PassedOn;
+
 /// A request in one of its states. Sending it consumes the waiting one.
 #[derive(Debug)]
 pub struct Request<S> {
@@ -205,3 +215,13 @@
         }
     }
 }
+
+impl Request<PassedOn> {
+    /// Makes the request wait again after it could not be passed on.
+    pub fn requeue(self, until: Instant) -> Request<Waiting> {
+        Request {
+            admitted: self.admitted,
+            state: Waiting { until },
+        }
+    }
+}
--- a/crates/jaypin_router/src/router/arrival.rs
+++ b/crates/jaypin_router/src/router/arrival.rs
@@ -103,6 +103,8 @@
             attempted: Vec::new(),
             possible_runs: 0,
             is_started: false,
+            is_passed_on: arrival.is_passed_on,
+            tried_peers: Vec::new(),
             route: route.clone(),
         };
         let until = arrival.received_at + queue_time_limit(route);
@@ -141,6 +143,10 @@
         if self.is_quarantined(admitted.fingerprint, now) {
             return self.refuse_quarantined(now, &request, fx);
         }
+        if let Some(peer) = self.peer_for(&request.admitted, now) {
+            return self.pass_on(request, peer, fx);
+        }
+        let admitted = &request.admitted;
         let key = service_key(&admitted.service);
         self.minimum_shares.record_arrival(key, admitted.rank);
         if let Some(account) = &admitted.account
--- a/crates/jaypin_router/src/router/attempt.rs
+++ b/crates/jaypin_router/src/router/attempt.rs
@@ -70,9 +70,15 @@
         outcome: AttemptOutcome,
         fx: &mut Vec<Effect>,
     ) {
+        if let Some(request) = self.passed_on.remove(&number) {
+            return self.handle_passed_on_end(now, request, outcome, fx);
+        }
         let Some(mut request) = self.sent.remove(&number) else {
             return;
         };
+        if matches!(outcome, AttemptOutcome::Unreached | AttemptOutcome::Died) {
+            self.record_unreached(&request.state.backend);
+        }
         if let Some(backend) = self.backends.get_mut(&request.state.backend) {
             backend.record_end(number, outcome, now);
             self.load_report_state.slot_changed(backend.key);
@@ -122,6 +128,9 @@
         );
         let has_too_many_declines = request.admitted.attempted.len() >= MAX_DECLINES;
         let request = request.requeue(until);
+        if self.is_cut_off() && self.peer_for(&request.admitted, now).is_some() {
+            return self.place(now, request, fx);
+        }
         if has_too_many_declines || !(is_outside_budget || self.budget(&service, now).take(now)) {
             let inputs = call_inputs(&request.admitted);
             return self.give_up(now, &request, Reason::Shed, inputs, fx);
--- a/crates/jaypin_router/src/router/event.rs
+++ b/crates/jaypin_router/src/router/event.rs
@@ -119,6 +119,10 @@
         /// How it ended.
         outcome: AttemptOutcome,
     },
+    /// A new connection to a backend server was opened, and answered or stayed open.
+    BackendReached,
+    /// A new connection to this backend server could not be opened.
+    BackendUnreached(BackendId),
     /// The caller of a request that was not sent to a backend server disconnected.
     CallerDisconnected(RequestNumber),
     /// The list of all registered hosts was read, each with the address at which it receives
@@ -168,6 +172,23 @@
         /// Inputs of the choice, for logs and explanations.
         inputs: DecisionInputs,
     },
+    /// Pass the request on to a peer, and relay its response.
+    PassOn {
+        /// The request.
+        number: RequestNumber,
+        /// The peer.
+        peer: HostId,
+        /// Address at which the peer accepts requests.
+        address: SocketAddr,
+        /// Account and rank of the request.
+        requester: Requester,
+        /// Whether its response is a stream.
+        repeat: crate::Repeat,
+        /// Time at which the complete response is due.
+        deadline: Instant,
+        /// Inputs of the choice, for logs and explanations.
+        inputs: DecisionInputs,
+    },
     /// Reject a request that the configuration does not allow.
     Reject {
         /// The request.
--- a/crates/jaypin_router/src/router/mod.rs
+++ b/crates/jaypin_router/src/router/mod.rs
@@ -9,6 +9,7 @@
 mod joining;
 mod load_reporting;
 mod missing_entries;
+mod passing_on;
 mod placing;
 mod relays;
 mod reporting;
@@ -29,11 +30,12 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
-use crate::request::{Request, Sent};
+use crate::request::{PassedOn, Request, Sent};
 use crate::{
-    AccountArrivals, ArrivalRates, Backend, BackendSignals, BackendSubsets, BackendTable, BootTime,
-    CellIndex, CrashEvidence, Entries, Fleet, FleetQuota, MinimumShares, PeerLoads, RequestNumber,
-    ResendBudget, Rollouts, RouteTable, SignalTable, Sizes, SlowAnswerDetector, WaitingList,
+    AccountArrivals, ArrivalRates, Backend, BackendContact, BackendSignals, BackendSubsets,
+    BackendTable, BootTime, CellIndex, Contact, CrashEvidence, Entries, Fleet, FleetQuota,
+    MinimumShares, PeerLoads, RequestNumber, ResendBudget, Rollouts, RouteTable, SignalTable,
+    Sizes, SlowAnswerDetector, WaitingList,
 };
 use fleet_quota::FleetQuotaState;
 use joining::JoinState;
@@ -75,6 +77,7 @@
     slow_answers: SlowAnswerDetector,
     backends: BackendTable,
     signals: SignalTable,
+    contact: BackendContact,
     missing_entries: MissingEntries,
     era: KnownEra,
     join: JoinState,
@@ -91,6 +94,7 @@
     crash_evidence: CrashEvidence,
     waiting: WaitingList,
     sent: HashMap<RequestNumber, Request<Sent>>,
+    passed_on: HashMap<RequestNumber, Request<PassedOn>>,
     report_state: ReportState,
     load_report_state: LoadReportState,
     /// Time of the last refresh of peers, cells and loads.
@@ -124,6 +128,7 @@
             slow_answers: SlowAnswerDetector::default(),
             backends: BackendTable::default(),
             signals: SignalTable::default(),
+            contact: BackendContact::default(),
             missing_entries: MissingEntries::default(),
             era: KnownEra::default(),
             join: JoinState::default(),
@@ -140,6 +145,7 @@
             crash_evidence: CrashEvidence::default(),
             waiting: WaitingList::default(),
             sent: HashMap::new(),
+            passed_on: HashMap::new(),
             report_state: ReportState::default(),
             load_report_state: LoadReportState::default(),
             refreshed_at: None,
@@ -183,6 +189,8 @@
             Event::AttemptEnded { number, outcome } => {
                 self.handle_attempt_end(now, number, outcome, &mut fx);
             }
+            Event::BackendReached => self.record_reached(),
+            Event::BackendUnreached(backend) => self.record_unreached(&backend),
             Event::CallerDisconnected(number) => self.handle_caller_disconnect(number),
             Event::HostsListed(hosts) => self.apply_host_list(hosts, now),
             Event::ReportReceived { report, boot_time } => {
@@ -223,7 +231,7 @@
         let backends = self.backends.values();
         RouterCounts {
             waiting: self.waiting.len(),
-            running: self.sent.len(),
+            running: self.sent.len() + self.passed_on.len(),
             hosts: self.fleet.size(now),
             limited_backends: backends.clone().filter(|it| self.is_limited(it)).count(),
             backends: backends.filter(|it| it.accepts_requests(now)).count(),
@@ -259,15 +267,21 @@
     }
 
     /// Returns the addresses to which callers may connect now: those of ready live peers, of
-    /// other cells, and of this host if it is ready.
+    /// other cells, and of this host if it is ready. Hosts that are cut off from the backend servers
+    /// are left out as long as there are others.
     #[must_use]
     pub fn caller_addresses(&self, now: Instant, boot_time: BootTime) -> Vec<SocketAddr> {
-        let ready = self.fleet.live_peers(now).filter(|(_, peer)| peer.is_ready);
-        let mut addresses: Vec<_> = ready.map(|(_, peer)| peer.callers).collect();
-        if self.is_ready(boot_time) {
-            addresses.push(self.cfg.caller_address);
-        }
+        let peers = self.fleet.live_peers(now).filter(|(_, peer)| peer.is_ready);
+        let peers = peers.map(|(_, peer)| (peer.callers, peer.contact));
+        let own = (self.cfg.caller_address, self.contact());
+        let own = self.is_ready(boot_time).then_some(own);
+        let ready: Vec<_> = peers.chain(own).collect();
+        let reaching = ready.iter().filter(|it| it.1 == Contact::Reaching);
+        let mut addresses: Vec<_> = reaching.map(|it| it.0).collect();
         addresses.extend(self.fleet.other_cell_callers(now));
+        if addresses.is_empty() {
+            addresses.extend(ready.iter().map(|it| it.0));
+        }
         addresses.sort_unstable();
         addresses.dedup();
         addresses
@@ -283,7 +297,7 @@
     /// Returns whether no request is waiting or running.
     #[must_use]
     pub fn is_idle(&self) -> bool {
-        self.waiting.is_empty() && self.sent.is_empty()
+        self.waiting.is_empty() && self.sent.is_empty() && self.passed_on.is_empty()
     }
 
     /// Returns the route table of the configuration in use; none before the first configuration.
@@ -317,6 +331,8 @@
             self.refresh_cells();
             self.refresh_own_loads(now);
             self.refresh_signals(now);
+            let backends = &self.backends;
+            self.contact.retain(|id| backends.get(id).is_some());
             self.evaluate_rollouts(now, boot_time, fx);
             self.refresh_fleet_quota(now, fx);
         }
--- a/crates/jaypin_router/src/router/placing.rs
+++ b/crates/jaypin_router/src/router/placing.rs
@@ -41,6 +41,11 @@
             }
             return self.refuse_quarantined(now, &request, fx);
         }
+        if let Some(peer) = self.peer_for(&request.admitted, now) {
+            // The peer charges the quota.
+            self.refund_quota(&request.admitted);
+            return self.pass_on(request, peer, fx);
+        }
         if now >= request.admitted.deadline {
             return self.give_up(now, &request, Reason::TooLate, DecisionInputs::Deadline, fx);
         }
--- a/crates/jaypin_router/src/router/reporting.rs
+++ b/crates/jaypin_router/src/router/reporting.rs
@@ -250,6 +250,7 @@
             run: self.cfg.incarnation,
             sequence: self.report_state.sequence,
             is_ready: self.was_ready,
+            contact: self.contact(),
             loads: Vec::new(),
             samples: Vec::new(),
             usage: Vec::new(),
--- a/crates/jaypin_router/tests/common/fleet.rs
+++ b/crates/jaypin_router/tests/common/fleet.rs
@@ -14,6 +14,7 @@
     Configuration, Effect, EntryChange, Event, Report, RequestNumber, RouteTable, Router,
     RouterConfig, StorePoint,
 };
+use rand::seq::IndexedRandom;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -25,6 +26,10 @@
 const NETWORK_DELAY: Duration = Duration::from_millis(10);
 /// Time after which a call that gets no answer would end, longer than any simulation.
 const NEVER: Duration = Duration::from_hours(1);
+/// Interval between a host's probes of connections.
+const PROBE_INTERVAL: Duration = Duration::from_millis(100);
+/// Number of connections that a host probes at once.
+const PROBED: usize = 3;
 /// Interval between the proofs that a host gets from the store.
 const PROOF_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -106,6 +111,11 @@
     /// Answers a request.
     fn answer(&mut self, call: &Call, rng: &mut ChaCha8Rng) -> Answer;
 
+    /// Returns whether a host can connect to a backend server.
+    fn is_reachable(&self, _host: usize, _backend: &BackendId, _at: Instant) -> bool {
+        true
+    }
+
     /// Records that an answer's header has reached a host.
     fn header_received(&mut self, host: usize, backend: &BackendId, answer: &Answer, at: Instant);
 }
@@ -117,13 +127,14 @@
     AccountUse(Box<AccountUse>),
     Header(RequestNumber, BackendId, Answer),
     End(RequestNumber, AttemptOutcome),
+    PassedOn(RequestNumber),
 }
 
 impl Delivery {
     fn is_answer_to(&self, request: RequestNumber) -> bool {
         match self {
             Self::Header(number, ..) | Self::End(number, _) => *number == request,
-            Self::Report(_) | Self::AccountUse(_) => false,
+            Self::Report(_) | Self::AccountUse(_) | Self::PassedOn(_) => false,
         }
     }
 }
@@ -171,6 +182,9 @@
     next: RequestNumber,
     next_revision: u64,
     contents: HashMap<RequestNumber, u64>,
+    paths: HashMap<RequestNumber, &'static str>,
+    /// Requests that were passed on, with the host that did so.
+    passed_on: HashMap<RequestNumber, usize>,
     /// Calls that have not ended.
     calls: HashMap<RequestNumber, (usize, BackendId)>,
 }
@@ -216,6 +230,8 @@
             next: 1,
             next_revision: 10,
             contents: HashMap::new(),
+            paths: HashMap::new(),
+            passed_on: HashMap::new(),
             calls: HashMap::new(),
         };
         for n in 0..hosts {
@@ -326,11 +342,32 @@
                 self.sent.push((self.since_start(), number));
                 self.serve(n, number, backend);
             }
-            Effect::Refuse { number, .. } => self.refused.push(number),
+            Effect::Refuse { number, .. } => {
+                self.refused.push(number);
+                self.end_at_origin(number);
+            }
+            Effect::PassOn {
+                number, address, ..
+            } => {
+                let peer = usize::from(address.port() - 8_001);
+                self.passed_on.insert(number, n);
+                let at = self.now + NETWORK_DELAY;
+                let deliveries = &mut self.hosts[peer].deliveries;
+                deliveries.push((at, Delivery::PassedOn(number)));
+            }
             _ => {}
         }
     }
 
+    /// Delivers the response of a peer to the host that passed the request on.
+    fn end_at_origin(&mut self, number: RequestNumber) {
+        if let Some(origin) = self.passed_on.remove(&number) {
+            let at = self.now + NETWORK_DELAY;
+            let end = Delivery::End(number, AttemptOutcome::Complete);
+            self.hosts[origin].deliveries.push((at, end));
+        }
+    }
+
     fn send(&mut self, to: &[SocketAddr], delivery: impl Fn() -> Delivery) {
         for address in to {
             if self.rng.random_range(0.0..1.0) < self.report_loss {
@@ -387,6 +424,7 @@
         let due: Vec<_> = host.deliveries.extract_if(.., |it| it.0 <= now).collect();
         for (_, delivery) in due {
             match delivery {
+                Delivery::PassedOn(number) => self.arrive_as(n, number, true),
                 Delivery::Report(report) => {
                     self.apply(n, Event::ReportReceived { report, boot_time });
                 }
@@ -395,6 +433,7 @@
                 }
                 Delivery::Header(number, backend, answer) => {
                     self.backends.header_received(n, &backend, &answer, now);
+                    self.apply(n, Event::BackendReached);
                     self.apply(
                         n,
                         Event::HeaderReceived {
@@ -409,11 +448,17 @@
                 }
                 Delivery::End(number, outcome) => {
                     self.calls.remove(&number);
+                    if outcome == AttemptOutcome::Complete {
+                        self.end_at_origin(number);
+                    }
                     self.apply(n, Event::AttemptEnded { number, outcome });
                 }
             }
         }
         let since = now - self.start;
+        if since.as_millis().is_multiple_of(PROBE_INTERVAL.as_millis()) {
+            self.probe(n);
+        }
         if since.as_millis().is_multiple_of(PROOF_INTERVAL.as_millis()) {
             self.apply(n, Event::ConfigurationProved(boot_time));
         }
@@ -424,26 +469,45 @@
         self.arrive_content(n, self.next);
     }
 
+    fn probe(&mut self, n: usize) {
+        let targets = self.hosts[n].router.probe_targets();
+        let chosen: Vec<_> = targets.sample(&mut self.rng, PROBED).cloned().collect();
+        for (id, _) in chosen {
+            let event = if self.backends.is_reachable(n, &id, self.now) {
+                Event::BackendReached
+            } else {
+                Event::BackendUnreached(id)
+            };
+            self.apply(n, event);
+        }
+    }
+
     /// Lets a request with this content arrive at a host, and returns its number.
     pub fn arrive_content(&mut self, n: usize, content: u64) -> RequestNumber {
         let number = self.next;
         self.next += 1;
         self.contents.insert(number, content);
+        self.paths.insert(number, self.path);
         self.arrived.insert(number, self.prompt_tokens);
+        self.arrive_as(n, number, false);
+        number
+    }
+
+    fn arrive_as(&mut self, n: usize, number: RequestNumber, is_passed_on: bool) {
         let arrival = Arrival {
             number,
             host: "api.example".to_owned(),
-            path: self.path.to_owned(),
+            path: self.paths[&number].to_owned(),
             credential: Some("key".to_owned()),
-            tokens: Some((self.prompt_tokens, 30)),
+            tokens: Some((self.arrived[&number], 30)),
             expected_answer: None,
             timeout: None,
-            fingerprint: content,
+            fingerprint: self.contents[&number],
+            is_passed_on,
             received_at: self.now,
             boot_time: self.hosts[n].boot_time,
         };
         self.apply(n, Event::Arrived(arrival));
-        number
     }
 
     /// Runs until a time since the start and calls `act` before each step.
--- a/crates/jaypin_router/tests/common/mod.rs
+++ b/crates/jaypin_router/tests/common/mod.rs
@@ -9,7 +9,7 @@
 use jaypin_core::{BackendId, Refusal};
 use jaypin_router::{
     Account, Arrival, AttemptOutcome, BackendRecord, BackendStatus, Bounds, CallerLimits,
-    Configuration, Effect, Engine, EntryChange, Event, Quota, QuotaUnit, Repeat, Report,
+    Configuration, Contact, Effect, Engine, EntryChange, Event, Quota, QuotaUnit, Repeat, Report,
     RequestNumber, Route, RouteTable, Router, RouterConfig, Service, StoreEra, StorePoint,
     StoreView, Target, Unrouted, WholeReport, host_key,
 };
@@ -177,6 +177,7 @@
         run: whole.address.port().into(),
         sequence,
         is_ready: true,
+        contact: Contact::Reaching,
         loads: Vec::new(),
         samples: Vec::new(),
         usage: Vec::new(),
@@ -364,6 +365,7 @@
             expected_answer: None,
             timeout: None,
             fingerprint: number,
+            is_passed_on: false,
             received_at: self.now,
             boot_time: self.boot_time,
         };
--- a/crates/jaypin_router/tests/crashing_content.rs
+++ b/crates/jaypin_router/tests/crashing_content.rs
@@ -98,6 +98,10 @@
         }
     }
 
+    fn is_reachable(&self, host: usize, backend: &BackendId, at: Instant) -> bool {
+        !self.down_until.contains_key(backend) && !self.is_cut_off(host, at)
+    }
+
     fn header_received(&mut self, _: usize, _: &BackendId, _: &Answer, _: Instant) {}
 }
 
--- a/crates/jaypin_router/tests/cut_off_hosts.rs
+++ b/crates/jaypin_router/tests/cut_off_hosts.rs
@@ -51,6 +51,10 @@
         Answer::good(BackendSignals::default(), rng)
     }
 
+    fn is_reachable(&self, host: usize, _: &BackendId, at: Instant) -> bool {
+        !self.is_cut_off(host, at)
+    }
+
     fn header_received(&mut self, _: usize, _: &BackendId, _: &Answer, _: Instant) {}
 }
 
--- a/crates/jaypin_router/tests/rollout_fleet/fleet.rs
+++ b/crates/jaypin_router/tests/rollout_fleet/fleet.rs
@@ -329,6 +329,7 @@
             expected_answer: None,
             timeout: None,
             fingerprint: number,
+            is_passed_on: false,
             received_at: self.now,
             boot_time: self.boot_time(n),
         };
