Keep brittle backend servers from having to reject requests

Callers' side: backend servers may state `Server-Brittle` = N: one that has to reject more than N requests in a second for lack of room crashes (LIMIT). The statement was not read.

Change: one more signal beside the rate limit, decoded in platform/, told to the cell like it. All backend servers of a service count as brittle when one states it. A request that has waited is sent only to a slot that belongs to its host by rendezvous hashing; one that has just arrived also where at most 0.6 of the slots are taken. Each rejection is told to the peers within 6 ms, and none sends there for 3/N s (0.1 to 1.2 s). Queues, resends and requests that a peer passed on pass the same choice. Hosts that are cut off own no slots, and no part of a rate limit.

--- a/crates/jaypin_entry/src/callers/attempt.rs
+++ b/crates/jaypin_entry/src/callers/attempt.rs
@@ -137,8 +137,16 @@
             let ms = backoff.as_millis();
             log::info!(backend, ms; "a backend server requested backoff");
         }
+        let rejection_limit = match &head.rejection_limit {
+            Ok(limit) => *limit,
+            Err(error) => {
+                log::warn!(backend, error:%; "invalid rejection limit from a backend server; keeping the previous one");
+                before.rejection_limit
+            }
+        };
         let signals = BackendSignals {
             rate_limit,
+            rejection_limit,
             is_leaving: head.status == BackendStatus::Leaving,
         };
         self.host.apply(Event::HeaderReceived {
--- a/crates/jaypin_entry/src/peers/wire/mod.rs
+++ b/crates/jaypin_entry/src/peers/wire/mod.rs
@@ -79,9 +79,9 @@
 /// seconds; good and bad calls.
 type WireSamples = (u32, [f64; 5], u32, u32);
 
-/// Key of the backend server, start time of its process, rate limit in requests per second,
-/// whether it is leaving, age in milliseconds.
-type WireSignals = (u32, u64, Option<f64>, bool, u64);
+/// Key of the backend server, start time of its process, rate limit and rejection limit in requests
+/// per second, whether it is leaving, age and age of the last rejection in milliseconds.
+type WireSignals = (u32, u64, Option<f64>, Option<u32>, bool, u64, Option<u64>);
 
 /// Key of the service, rank of the account and of the route, requests.
 type WireArrivals = (u32, u8, u8, u32);
@@ -378,21 +378,32 @@
 fn wire_signals(report: &SignalReport) -> WireSignals {
     let BackendSignals {
         rate_limit,
+        rejection_limit,
         is_leaving,
     } = report.signals;
-    let age = milliseconds(report.age);
-    (report.key, report.started, rate_limit, is_leaving, age)
+    (
+        report.key,
+        report.started,
+        rate_limit,
+        rejection_limit,
+        is_leaving,
+        milliseconds(report.age),
+        report.rejection_age.map(milliseconds),
+    )
 }
 
-fn read_signals((key, started, rate_limit, is_leaving, age): WireSignals) -> SignalReport {
+fn read_signals(signals: WireSignals) -> SignalReport {
+    let (key, started, rate_limit, rejection_limit, is_leaving, age, rejection_age) = signals;
     SignalReport {
         key,
         started,
         signals: BackendSignals {
             rate_limit,
+            rejection_limit,
             is_leaving,
         },
         age: Duration::from_millis(age),
+        rejection_age: rejection_age.map(Duration::from_millis),
     }
 }
 
--- a/crates/jaypin_entry/src/ports.rs
+++ b/crates/jaypin_entry/src/ports.rs
@@ -170,6 +170,9 @@
     pub is_misdirected: bool,
     /// Requests per second that the backend server accepts from all hosts together, if stated.
     pub rate_limit: Result<Option<f64>, DecodeError>,
+    /// Number of requests per second that the backend server may have to reject, for lack of room,
+    /// before its process crashes, if stated.
+    pub rejection_limit: Result<Option<u32>, DecodeError>,
     /// Whether the backend server states that it accepts new requests.
     pub status: BackendStatus,
     /// Time for which the backend server asks this host to send nothing, if it rejected the
--- a/crates/jaypin_entry/tests/report_bytes.rs
+++ b/crates/jaypin_entry/tests/report_bytes.rs
@@ -54,7 +54,9 @@
         signals: vec![SignalReport {
             key: 7,
             started: 1_790_000_000_000,
+            rejection_age: Some(Duration::from_millis(30)),
             signals: BackendSignals {
+                rejection_limit: Some(6),
                 rate_limit: Some(2.4),
                 is_leaving: true,
             },
--- a/crates/jaypin_router/src/backend.rs
+++ b/crates/jaypin_router/src/backend.rs
@@ -5,6 +5,7 @@
 
 use jaypin_core::{BackendId, FailureDomain, ServiceId};
 
+use crate::rejection_guard::RejectionGuard;
 use crate::throttle::Throttle;
 use crate::{
     AttemptOutcome, BackendKey, BackendLoad, BackendSamples, EventRate, PrefillRate, RequestNumber,
@@ -90,6 +91,8 @@
     is_leaving: bool,
     /// Spacing of this host's requests, where the backend server states a rate limit.
     throttle: Option<Throttle>,
+    /// Protection against rejections that it can't bear.
+    rejection_guard: Option<RejectionGuard>,
 }
 
 /// Load that the peers have on a backend server, with an estimate of how much of their prompts is
@@ -164,6 +167,7 @@
             backoff_until: None,
             is_leaving: false,
             throttle: None,
+            rejection_guard: None,
         }
     }
 
@@ -208,7 +212,7 @@
     #[must_use]
     pub fn accepts_requests(&self, now: Instant) -> bool {
         let may_send = self.throttle.as_ref().is_none_or(|it| it.allows(now));
-        self.is_ready() && may_send && !self.is_backing_off(now)
+        self.is_ready() && may_send && !self.is_pausing(now) && !self.is_backing_off(now)
     }
 
     /// Returns whether it asked this host to back off and the time for that has not passed.
@@ -353,6 +357,33 @@
         throttle.set_pause(pause, now);
     }
 
+    /// Returns whether requests are kept from it because it has rejected one.
+    #[must_use]
+    pub fn is_pausing(&self, now: Instant) -> bool {
+        let guard = self.rejection_guard.as_ref();
+        guard.is_some_and(|it| it.is_pausing(now))
+    }
+
+    /// Returns whether it may get a request without a risk of rejections that it can't bear.
+    #[must_use]
+    pub fn has_room(&self, has_waited: bool) -> bool {
+        let own = u32::try_from(self.calls.len()).unwrap_or(u32::MAX);
+        let (running, slots) = (self.running(), self.record.slots);
+        let guard = self.rejection_guard.as_ref();
+        guard.is_none_or(|it| it.has_room(own, running, slots, has_waited))
+    }
+
+    /// Returns whether it is protected against rejections.
+    #[must_use]
+    pub fn is_guarded(&self) -> bool {
+        self.rejection_guard.is_some()
+    }
+
+    /// Sets the protection against rejections, or removes it.
+    pub fn set_rejection_guard(&mut self, guard: Option<RejectionGuard>) {
+        self.rejection_guard = guard;
+    }
+
     /// Removes the spacing of this host's requests.
     pub fn stop_throttling(&mut self) {
         self.throttle = None;
--- a/crates/jaypin_router/src/lib.rs
+++ b/crates/jaypin_router/src/lib.rs
@@ -27,6 +27,7 @@
 mod quota;
 mod rank;
 mod rate;
+mod rejection_guard;
 mod report;
 mod request;
 mod resend_budget;
--- a/crates/jaypin_router/src/placement.rs
+++ b/crates/jaypin_router/src/placement.rs
@@ -45,6 +45,8 @@
     pub events: Option<f64>,
     /// Time after which the whole answer is worth nothing.
     pub time_left: Duration,
+    /// Whether it has waited for a slot.
+    pub has_waited: bool,
 }
 
 /// A chosen backend server, with the estimates for the request there.
@@ -81,8 +83,10 @@
     mut tie_break: impl FnMut() -> f64,
     now: Instant,
 ) -> Option<Choice> {
-    let usable =
-        backends.filter(|it| it.accepts_requests(now) && !attempted.contains(&it.record.id));
+    let usable = backends.filter(|it| {
+        let accepts = it.accepts_requests(now) && it.has_room(demand.has_waited);
+        accepts && !attempted.contains(&it.record.id)
+    });
     let scored = usable.map(|backend| {
         let choice = estimate(backend, demand, now);
         let penalty = if serves(backend, &choice) {
--- a/crates/jaypin_router/src/report.rs
+++ b/crates/jaypin_router/src/report.rs
@@ -153,6 +153,8 @@
     pub signals: BackendSignals,
     /// Time since the answer arrived.
     pub age: Duration,
+    /// Time since it last rejected a request for lack of room, if it did.
+    pub rejection_age: Option<Duration>,
 }
 
 impl BackendLoad {
--- a/crates/jaypin_router/src/router/attempt.rs
+++ b/crates/jaypin_router/src/router/attempt.rs
@@ -117,6 +117,9 @@
         outcome: AttemptOutcome,
         fx: &mut Vec<Effect>,
     ) {
+        if outcome == AttemptOutcome::NotRun {
+            self.record_rejection(&request.state.backend, now);
+        }
         if outcome == AttemptOutcome::Replaced {
             self.record_replaced_backend(&request.state, now);
         }
--- a/crates/jaypin_router/src/router/backend_signals.rs
+++ b/crates/jaypin_router/src/router/backend_signals.rs
@@ -1,17 +1,18 @@
 //! Effects of the signals of backend servers on this host: which of them get no new requests,
 //! and which part of a rate limit this host may use.
 
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::time::{Duration, Instant};
 
 use jaypin_core::ServiceId;
 
 use super::Router;
 use crate::backend_subset::{hash, pair_score};
+use crate::rejection_guard::RejectionGuard;
 use crate::throttle::pause_at;
 use crate::{
-    Backend, BackendRun, BackendSignals, DecisionInputs, Report, RequestNumber, SignalTable,
-    cell_of,
+    Backend, BackendRun, BackendSignals, Contact, DecisionInputs, Report, RequestNumber,
+    SignalTable, cell_of,
 };
 
 /// Hosts that share the rate limits of backend servers, as known to this host.
@@ -83,8 +84,9 @@
     /// pause between two requests of this host.
     pub(super) fn apply_signals(&mut self, now: Instant) {
         let sharers = self.sharers(now);
+        let limits = self.rejection_limits();
         for backend in self.backends.values_mut() {
-            if apply(&self.signals, backend, &sharers, now) {
+            if apply(&self.signals, backend, &sharers, &limits, now) {
                 self.stable_subsets.invalidate();
             }
         }
@@ -96,14 +98,43 @@
             return;
         }
         let sharers = self.sharers(now);
+        let limits = self.rejection_limits();
         let Some(backend) = self.backends.get_mut(id) else {
             return;
         };
-        if apply(&self.signals, backend, &sharers, now) {
+        if apply(&self.signals, backend, &sharers, &limits, now) {
             self.stable_subsets.invalidate();
         }
     }
 
+    /// Returns the smallest rejection limit that a backend server states, by service. One that has
+    /// just started, and has not answered yet, is as brittle as the others.
+    fn rejection_limits(&self) -> HashMap<ServiceId, u32> {
+        let mut limits = HashMap::new();
+        if !self.signals.has_limits() {
+            return limits;
+        }
+        for backend in self.backends.values() {
+            if let Some(limit) = self.signals.of(&backend.record).rejection_limit {
+                let known = limits.entry(backend.record.service.clone());
+                let known = known.or_insert(limit);
+                *known = (*known).min(limit);
+            }
+        }
+        limits
+    }
+
+    /// Records that a backend server rejected a request for lack of room. If that can harm it, the
+    /// other hosts are told at once.
+    pub(super) fn record_rejection(&mut self, id: &str, now: Instant) {
+        let Some(backend) = self.backends.get(id).filter(|it| it.is_guarded()) else {
+            return;
+        };
+        self.signals.record_rejection(&backend.record, now);
+        self.load_report_state.slot_changed(backend.key);
+        self.apply_signals(now);
+    }
+
     /// Returns the time until a backend server of a service accepts requests again; zero if one
     /// does now.
     pub(super) fn backoff_left(&self, service: &ServiceId, now: Instant) -> Duration {
@@ -127,10 +158,10 @@
     /// Returns the hosts to which callers are sent; if there are none, all live hosts.
     fn sharers(&self, now: Instant) -> LimitSharers {
         let live = self.fleet.live_peers(now);
-        let ready = live.filter(|(_, peer)| peer.is_ready);
+        let ready = live.filter(|(_, it)| it.is_ready && it.contact == Contact::Reaching);
         let mut others: Vec<_> = ready.map(|(host, _)| hash(host)).collect();
         others.extend(self.ready_in_other_cells(now));
-        let is_included = self.was_ready || others.is_empty();
+        let is_included = (self.was_ready && !self.is_cut_off()) || others.is_empty();
         if others.is_empty() && !self.was_ready {
             let live = self.fleet.live_peers(now);
             others = live.map(|(host, _)| hash(host)).collect();
@@ -159,9 +190,16 @@
     signals: &SignalTable,
     backend: &mut Backend,
     sharers: &LimitSharers,
+    limits: &HashMap<ServiceId, u32>,
     now: Instant,
 ) -> bool {
     let stated = signals.of(&backend.record);
+    let rejected_at = signals.rejected_at(&backend.record);
+    let guard = limits.get(&backend.record.service).map(|limit| {
+        let own_slots = sharers.own_slots(backend);
+        RejectionGuard::new(*limit, rejected_at, own_slots)
+    });
+    backend.set_rejection_guard(guard);
     backend.set_backoff_until(signals.backoff_until(&backend.record));
     match stated.rate_limit {
         Some(rate) => backend.set_throttle(sharers.pause(backend, rate), now),
@@ -175,6 +213,21 @@
 }
 
 impl LimitSharers {
+    /// Returns the number of slots of a backend server that belong to this host.
+    fn own_slots(&self, backend: &Backend) -> u32 {
+        if !self.is_included {
+            return 0;
+        }
+        let id = hash(&backend.record.id);
+        let is_own = |slot: &u32| {
+            let slot = pair_score(id, u64::from(*slot));
+            let own = pair_score(self.own, slot);
+            self.others.iter().all(|it| pair_score(*it, slot) < own)
+        };
+        let own = (0..backend.record.slots).filter(is_own).count();
+        u32::try_from(own).unwrap_or(u32::MAX)
+    }
+
     fn pause(&self, backend: &Backend, rate: f64) -> Option<Duration> {
         if !self.is_included {
             return None;
--- a/crates/jaypin_router/src/router/mod.rs
+++ b/crates/jaypin_router/src/router/mod.rs
@@ -249,12 +249,12 @@
     }
 
     /// Returns whether a request that was already assigned to a backend server may still be sent
-    /// there. The backend server may have announced that it leaves, or requested a backoff,
-    /// since the assignment.
+    /// there. The backend server may have announced that it leaves, requested a backoff, or rejected
+    /// a request that it had no room for, since the assignment.
     #[must_use]
     pub fn still_accepts(&self, backend: &str, now: Instant) -> bool {
         let backend = self.backends.get(backend);
-        backend.is_some_and(|it| it.is_ready() && !it.is_backing_off(now))
+        backend.is_some_and(|it| it.is_ready() && !it.is_backing_off(now) && !it.is_pausing(now))
     }
 
     fn is_limited(&self, backend: &Backend) -> bool {
--- a/crates/jaypin_router/src/router/placing.rs
+++ b/crates/jaypin_router/src/router/placing.rs
@@ -20,6 +20,8 @@
 /// Number of reserved slots below which none is reserved, since hardly any urgent requests
 /// arrive.
 const MIN_RESERVED_SLOTS: f64 = 0.1;
+/// Time from the arrival of a request to its first placement attempt.
+const ARRIVAL_TIME: Duration = Duration::from_millis(5);
 /// Pause between two placement attempts of waiting requests while no slot is reported to be
 /// free.
 const PLACEMENT_RETRY_PAUSE: Duration = Duration::from_millis(20);
@@ -160,6 +162,7 @@
             hold_time: self.hold_time_of(&admitted.service),
             events: admitted.expected_events,
             time_left: admitted.deadline.saturating_duration_since(now),
+            has_waited: now > admitted.arrived_at + ARRIVAL_TIME,
         }
     }
 
--- a/crates/jaypin_router/src/signals.rs
+++ b/crates/jaypin_router/src/signals.rs
@@ -23,6 +23,9 @@
     /// Requests per second that it accepts from all hosts together; absent if it accepts as many
     /// as it can.
     pub rate_limit: Option<f64>,
+    /// Number of requests per second that it may have to reject, for lack of room, before its
+    /// process crashes; absent if rejections don't harm it.
+    pub rejection_limit: Option<u32>,
     /// Whether it finishes the requests that it has and exits. Its process never withdraws that.
     pub is_leaving: bool,
 }
@@ -41,6 +44,8 @@
     /// Processes that stated to the store that they are leaving, and when this host learned of
     /// it.
     left: HashMap<BackendKey, (u64, Instant)>,
+    /// When a process last rejected a request for lack of room.
+    rejections: HashMap<BackendKey, (u64, Instant)>,
 }
 
 /// Signals, with the process that gave them and the time.
@@ -80,10 +85,13 @@
             return false;
         }
         let before = known.map(|it| it.signals).unwrap_or_default();
-        let overtaken = known.filter(|it| signals.rate_limit.is_none() && sent_at < it.at);
+        let is_withdrawal = signals.rate_limit.is_none() && signals.rejection_limit.is_none();
+        let overtaken = known.filter(|it| is_withdrawal && sent_at < it.at);
         let received = ReceivedSignals {
             signals: BackendSignals {
                 rate_limit: overtaken.map_or(signals.rate_limit, |it| it.signals.rate_limit),
+                rejection_limit: overtaken
+                    .map_or(signals.rejection_limit, |it| it.signals.rejection_limit),
                 is_leaving: before.is_leaving || signals.is_leaving,
             },
             started: record.started,
@@ -118,6 +126,13 @@
     /// Applies a peer's report unless something newer is known; returns whether it differs from
     /// what was known.
     pub fn apply_peer_report(&mut self, report: &SignalReport, now: Instant) -> bool {
+        let rejected = report.rejection_age.and_then(|age| now.checked_sub(age));
+        let is_new =
+            rejected.is_some_and(|at| self.record_rejection_at(report.key, report.started, at));
+        self.apply_peer_signals(report, now) || is_new
+    }
+
+    fn apply_peer_signals(&mut self, report: &SignalReport, now: Instant) -> bool {
         let Some(at) = now.checked_sub(report.age) else {
             return false;
         };
@@ -130,7 +145,8 @@
         match known {
             Some(known) if known.started == report.started => {
                 received.signals.is_leaving |= known.signals.is_leaving;
-                let is_same = known.signals.rate_limit == report.signals.rate_limit;
+                let is_same = known.signals.rate_limit == report.signals.rate_limit
+                    && known.signals.rejection_limit == report.signals.rejection_limit;
                 let margin = if is_same {
                     RELAY_MARGIN
                 } else {
@@ -138,6 +154,7 @@
                 };
                 if at <= known.at + margin {
                     received.signals.rate_limit = known.signals.rate_limit;
+                    received.signals.rejection_limit = known.signals.rejection_limit;
                     received.at = known.at;
                 }
             }
@@ -148,6 +165,28 @@
         known.is_none_or(|it| it.signals != received.signals || it.started != received.started)
     }
 
+    /// Records that a backend server has rejected a request for lack of room.
+    pub fn record_rejection(&mut self, record: &BackendRecord, now: Instant) {
+        self.record_rejection_at(backend_key(&record.id), record.started, now);
+    }
+
+    /// Returns whether the rejection is later than the one that was known.
+    fn record_rejection_at(&mut self, key: BackendKey, started: u64, at: Instant) -> bool {
+        let known = self.rejections.get(&key).filter(|it| it.0 == started);
+        let is_later = known.is_none_or(|it| it.1 < at);
+        if is_later {
+            self.rejections.insert(key, (started, at));
+        }
+        is_later
+    }
+
+    /// Returns when the current process of a backend server last rejected a request.
+    #[must_use]
+    pub fn rejected_at(&self, record: &BackendRecord) -> Option<Instant> {
+        let rejection = self.rejections.get(&backend_key(&record.id))?;
+        (rejection.0 == record.started).then_some(rejection.1)
+    }
+
     /// Returns the signals of a backend server's current process.
     #[must_use]
     pub fn of(&self, record: &BackendRecord) -> BackendSignals {
@@ -174,24 +213,24 @@
         self.received.is_empty() && self.backoffs.is_empty() && self.left.is_empty()
     }
 
-    /// Returns whether any backend server states a rate limit.
+    /// Returns whether any backend server states a limit.
     #[must_use]
     pub fn has_limits(&self) -> bool {
-        let mut received = self.received.values();
-        received.any(|it| it.signals.rate_limit.is_some())
+        let mut signals = self.received.values().map(|it| it.signals);
+        signals.any(|it| it.rate_limit.is_some() || it.rejection_limit.is_some())
     }
 
     /// Returns what peers should know of a backend server.
     #[must_use]
     pub fn report_of(&self, key: BackendKey, now: Instant) -> Option<SignalReport> {
         let received = self.received.get(&key)?;
-        Some(received.report(key, now))
+        Some(self.report(received, key, now))
     }
 
     /// Iterates over what peers should know of all backend servers.
     pub fn reports(&self, now: Instant) -> impl Iterator<Item = SignalReport> {
         let all = self.received.iter();
-        all.map(move |(key, received)| received.report(*key, now))
+        all.map(move |(key, received)| self.report(received, *key, now))
     }
 
     /// Removes signals that were withdrawn long ago, and those of backend servers that no longer
@@ -200,6 +239,7 @@
         self.backoffs.retain(|_, backoff| now < backoff.until);
         let is_old = |at: Instant| now.saturating_duration_since(at) >= RETENTION;
         self.left.retain(|_, (_, at)| !is_old(*at));
+        self.rejections.retain(|_, (_, at)| !is_old(*at));
         self.received.retain(|key, received| {
             let is_old = is_old(received.at);
             !is_old || (is_known(*key) && !received.signals.is_none())
@@ -207,13 +247,16 @@
     }
 }
 
-impl ReceivedSignals {
-    fn report(&self, key: BackendKey, now: Instant) -> SignalReport {
+impl SignalTable {
+    fn report(&self, received: &ReceivedSignals, key: BackendKey, now: Instant) -> SignalReport {
+        let rejected = self.rejections.get(&key);
+        let rejected = rejected.filter(|it| it.0 == received.started);
         SignalReport {
             key,
-            started: self.started,
-            signals: self.signals,
-            age: now.saturating_duration_since(self.at),
+            started: received.started,
+            signals: received.signals,
+            age: now.saturating_duration_since(received.at),
+            rejection_age: rejected.map(|it| now.saturating_duration_since(it.1)),
         }
     }
 }
--- a/crates/jaypin_router/tests/leaving_backends.rs
+++ b/crates/jaypin_router/tests/leaving_backends.rs
@@ -14,6 +14,7 @@
 use rand_chacha::ChaCha8Rng;
 
 const LEAVING: BackendSignals = BackendSignals {
+    rejection_limit: None,
     rate_limit: None,
     is_leaving: true,
 };
@@ -119,6 +120,7 @@
         started: 1,
         signals: LEAVING,
         age: Duration::from_millis(5),
+        rejection_age: None,
     });
     host.receive_report(report);
     assert!(!chosen_backends(&mut host).contains(&"engine-1".to_owned()));
