Let connections to backend servers outlive a silent second

On Linux the user timeout also decides when keep-alive gives up, whatever the number of probes: with 1.5 s an idle connection closed at the second probe, 2 s after the last packet, although the comment said that one probe may be lost; a silence of 1.1 s that began 0.9 s after a packet ended the call.

Change: connections to backend servers have 2.5 s, which a constant assertion ties to the probes; those to peers and the store keep 1.5 s, since proofs depend on noticing a dead one. The meaning is stated where it is set.

--- a/crates/jaypin_entry/src/calls/connection_pool.rs
+++ b/crates/jaypin_entry/src/calls/connection_pool.rs
@@ -13,7 +13,7 @@
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep};
 
-/// Timeouts of a connection to a backend server.
+/// Timeouts of a connection to a peer or the store.
 ///
 /// Three network delays at the largest distance within a fleet take 20 ms. A lost SYN packet
 /// is retransmitted only after a second; another backend server is connected to sooner.
@@ -21,6 +21,15 @@
     connect: Duration::from_millis(300),
     unacknowledged: ACK_TIMEOUT,
 };
+/// Timeouts of a connection to a backend server.
+///
+/// A sound backend server may fall silent for a second or more, in which a keep-alive probe stays
+/// unanswered.
+pub const BACKEND_TIMEOUTS: ConnectTimeouts = ConnectTimeouts {
+    unacknowledged: Duration::from_millis(2_500),
+    ..DEFAULT_TIMEOUTS
+};
+const _: () = assert!(BACKEND_TIMEOUTS.tolerates_a_lost_probe());
 /// Time without an acknowledgement after which a connection is closed. Lost bytes are
 /// retransmitted several times within it.
 const ACK_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -112,13 +121,13 @@
         if let Some(connection) = self.take_idle(address) {
             return Ok(connection);
         }
-        connect(address, DEFAULT_TIMEOUTS).await
+        connect(address, BACKEND_TIMEOUTS).await
     }
 
     /// Opens a connection, and keeps it for later calls. Returns whether it was still open a moment
     /// later: some network devices accept a connection and then reset it.
     pub async fn probe(&self, address: &str) -> bool {
-        let Ok(connection) = connect(address, DEFAULT_TIMEOUTS).await else {
+        let Ok(connection) = connect(address, BACKEND_TIMEOUTS).await else {
             return false;
         };
         sleep(SETTLE_TIME).await;
--- a/crates/jaypin_http/src/connect.rs
+++ b/crates/jaypin_http/src/connect.rs
@@ -17,7 +17,8 @@
 /// This is the shortest interval that the system accepts. An idle connection sends one packet
 /// per second.
 const PROBE_INTERVAL: Duration = Duration::from_secs(1);
-/// Number of probes without a response after which a connection is closed. One probe may be lost.
+/// Number of probes without a response after which a connection is closed, on systems where
+/// [`ConnectTimeouts::unacknowledged`] does not decide that.
 const PROBES: u32 = 2;
 
 /// Handle that sends requests on a connection.
@@ -31,9 +32,21 @@
     /// Timeout of opening the connection.
     pub connect: Duration,
     /// Time for which sent bytes may stay unacknowledged before the connection is closed.
+    ///
+    /// On Linux it also decides when unanswered keep-alive probes close an idle connection,
+    /// whatever their number: at the first probe that is due this long after the last packet of
+    /// the other side.
     pub unacknowledged: Duration,
 }
 
+impl ConnectTimeouts {
+    /// Returns whether an idle connection outlives the loss of one keep-alive probe.
+    #[must_use]
+    pub const fn tolerates_a_lost_probe(&self) -> bool {
+        self.unacknowledged.as_millis() > 2 * PROBE_INTERVAL.as_millis()
+    }
+}
+
 /// Why a connection could not be opened. No byte of a request was sent.
 #[derive(Debug, Snafu)]
 pub enum ConnectError {
@@ -73,6 +86,19 @@
     address: &str,
     limits: ConnectTimeouts,
 ) -> Result<(Sender, Driver), ConnectError> {
+    let stream = open_stream(address, limits).await?;
+    let made = handshake(TokioIo::new(stream)).await;
+    Ok(made.map_err(io::Error::other)?)
+}
+
+/// Opens a stream with the options that [`connect`] sets.
+///
+/// # Errors
+/// Fails if the connection is refused, not established in time, or fails otherwise.
+pub async fn open_stream(
+    address: &str,
+    limits: ConnectTimeouts,
+) -> Result<TcpStream, ConnectError> {
     let opened = timeout(limits.connect, TcpStream::connect(address)).await;
     let stream = opened.map_err(|_| ConnectError::TimedOut)??;
     stream.set_nodelay(true)?;
@@ -83,6 +109,5 @@
         .with_interval(PROBE_INTERVAL)
         .with_retries(PROBES);
     socket.set_tcp_keepalive(&keepalive)?;
-    let made = handshake(TokioIo::new(stream)).await;
-    Ok(made.map_err(io::Error::other)?)
+    Ok(stream)
 }
--- a/crates/jaypin_http/src/lib.rs
+++ b/crates/jaypin_http/src/lib.rs
@@ -7,5 +7,5 @@
 mod connect;
 mod event_reader;
 
-pub use connect::{ConnectError, ConnectTimeouts, Driver, Sender, connect};
+pub use connect::{ConnectError, ConnectTimeouts, Driver, Sender, connect, open_stream};
 pub use event_reader::EventReader;
