--- a/crates/jaypin_core/src/quarantine.rs
+++ b/crates/jaypin_core/src/quarantine.rs
@@ -164,18 +164,6 @@
         updated
     }
 
-    /// Returns the `max` fingerprints with the most recent crashes, latest first, with
-    /// their crash counts, for peers.
-    #[must_use]
-    pub fn most_recent(&self, max: usize) -> Vec<(u64, u32)> {
-        let mut all: Vec<_> = self.suspects.iter().collect();
-        all.sort_unstable_by_key(|(_, suspect)| std::cmp::Reverse(suspect.last_crash_at));
-        let most_recent = all.into_iter().take(max);
-        most_recent
-            .map(|(fingerprint, suspect)| (*fingerprint, suspect.crash_count))
-            .collect()
-    }
-
     /// Removes suspects whose last crash is at least `hold` ago.
     pub fn expire(&mut self, now: Instant, hold: Duration) {
         self.suspects
