--- a/crates/jaypin_router/src/router/passing_on.rs
+++ b/crates/jaypin_router/src/router/passing_on.rs
@@ -13,6 +13,7 @@
 use super::arrival::refuse;
 use super::{Effect, Router};
 use crate::request::{Admitted, PassedOn, Request, Waiting};
+use crate::retry_after::capacity_retry_after;
 use crate::{AttemptOutcome, Contact, DecisionInputs};
 
 /// Number of peers to which a request may be passed on until one can be connected.
@@ -139,6 +140,22 @@
         self.passed_on.insert(number, passed_on);
     }
 
+    /// Passes a request on to another peer, after one could not be reached. Its quota is charged by
+    /// the peer, so this host refuses it if there is no other.
+    fn pass_on_again(&mut self, now: Instant, request: Request<PassedOn>, fx: &mut Vec<Effect>) {
+        if let Some(peer) = self.peer_for(&request.admitted, now) {
+            return self.pass_on(request.requeue(now), peer, fx);
+        }
+        let admitted = &request.admitted;
+        let delay = capacity_retry_after(&admitted.route, &mut self.rng);
+        let refusal = Refusal::not_run(Reason::NoBackend).retry_after(delay);
+        let inputs = DecisionInputs::CutOff {
+            unreached: self.contact.failure_count(),
+        };
+        let requester = Some(admitted.requester());
+        fx.push(refuse(admitted.number, requester, refusal, inputs));
+    }
+
     /// Handles the end of a request at a peer. A request that did not reach the peer goes
     /// elsewhere; whatever became of any other is known only to the peer.
     pub(super) fn handle_passed_on_end(
@@ -150,10 +167,7 @@
     ) {
         let reason = match outcome {
             AttemptOutcome::Complete | AttemptOutcome::Abandoned => return,
-            AttemptOutcome::Unreached => {
-                let until = now;
-                return self.place(now, request.requeue(until), fx);
-            }
+            AttemptOutcome::Unreached => return self.pass_on_again(now, request, fx),
             AttemptOutcome::TimedOut => Reason::TooLate,
             _ => Reason::BackendLost,
         };
