Look for contact when a call is lost, and refute crashes by later requests only

A lost call counts when another backend server answers within 0.7 s. An answer refuted a crash by the time at which it was read. A host that was suspended reads an answer from before the crash after it has heard of it: an_answer_to_a_request_from_before_a_crash_does_not_refute_it failed with Refuted. Now the request must have been sent 0.1 s after the crash or later.

The simulated backend servers of the router's tests have a file of their own.

--- a/crates/jaypin_entry/src/backend_probe.rs
+++ b/crates/jaypin_entry/src/backend_probe.rs
@@ -1,4 +1,4 @@
-//! Probes of connections to backend servers while this host may be cut off from them.
+//! Probes of connections to backend servers, which show whether this host is cut off from them.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -7,7 +7,7 @@
 use jaypin_router::{Event, Router};
 use rand::seq::IndexedRandom;
 use tokio::task::JoinSet;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 use crate::host::Host;
 
@@ -21,7 +21,8 @@
     let mut was_cut_off = false;
     loop {
         sleep(PAUSE).await;
-        let targets = host.read(Router::probe_targets);
+        let now = Instant::now().into_std();
+        let targets = host.read(|router| router.probe_targets(now));
         let mut probes = JoinSet::new();
         for (id, address) in targets.sample(&mut rand::rng(), MAX_PROBED) {
             probes.spawn_local(probe(host.clone(), id.clone(), address.clone()));
@@ -37,7 +38,7 @@
 
 async fn probe(host: Rc<Host>, id: BackendId, address: String) {
     let event = if host.connections.probe(&address).await {
-        Event::BackendReached
+        Event::BackendReached(id)
     } else {
         Event::BackendUnreached(id)
     };
--- a/crates/jaypin_entry/src/callers/attempt.rs
+++ b/crates/jaypin_entry/src/callers/attempt.rs
@@ -16,7 +16,9 @@
 use super::event_timing::EventRate;
 use super::read_request::PASSED_ON;
 use super::request_task::RequestTask;
-use crate::calls::{CallError, Connection, Recipient, SendOrder, event_id, read_response};
+use crate::calls::{
+    BufferedResponse, CallError, Connection, Recipient, SendOrder, event_id, read_response,
+};
 use crate::ports::{BackendResponse, ForwardContext};
 
 /// Header with which a stream is resumed, as defined for server-sent events.
@@ -87,7 +89,7 @@
                 .await;
         };
         if !connection.is_reused {
-            self.host.apply(Event::BackendReached);
+            self.host.apply(Event::BackendReached(backend.clone()));
         }
         let backend_head = self
             .host
@@ -211,16 +213,29 @@
                 .forward_stream(order, connection, response, delivery)
                 .await;
         }
+        match self.read_whole(connection, response, delivery).await {
+            Ok(response) => {
+                delivery.send_response(forward_response(response));
+                AttemptOutcome::Complete
+            }
+            Err(outcome) => outcome,
+        }
+    }
+
+    /// Reads the whole response, so that its connection can be reused.
+    async fn read_whole(
+        &self,
+        connection: Connection,
+        response: Response<Incoming>,
+        delivery: &mut Delivery,
+    ) -> Result<BufferedResponse, AttemptOutcome> {
         let read = tokio::select! {
             read = read_response(response) => read,
-            () = delivery.caller_disconnected() => return AttemptOutcome::Abandoned,
-        };
-        let Some(response) = read else {
-            return AttemptOutcome::Lost;
+            () = delivery.caller_disconnected() => return Err(AttemptOutcome::Abandoned),
         };
+        let response = read.ok_or(AttemptOutcome::Lost)?;
         self.host.connections.release(connection);
-        delivery.send_response(forward_response(response));
-        AttemptOutcome::Complete
+        Ok(response)
     }
 
     /// Reads the whole response and sends it to the caller. A server error is kept instead,
@@ -231,14 +246,10 @@
         response: Response<Incoming>,
         delivery: &mut Delivery,
     ) -> AttemptOutcome {
-        let read = tokio::select! {
-            read = read_response(response) => read,
-            () = delivery.caller_disconnected() => return AttemptOutcome::Abandoned,
-        };
-        let Some(response) = read else {
-            return AttemptOutcome::Lost;
+        let response = match self.read_whole(connection, response, delivery).await {
+            Ok(response) => response,
+            Err(outcome) => return outcome,
         };
-        self.host.connections.release(connection);
         if response.status.is_server_error() {
             self.failure = Some(response);
             return AttemptOutcome::Failed;
--- a/crates/jaypin_router/src/crash_evidence.rs
+++ b/crates/jaypin_router/src/crash_evidence.rs
@@ -11,7 +11,7 @@
 use std::time::{Duration, Instant};
 
 use crate::{BackendKey, BackendRecord, backend_key};
-use answered_runs::AnsweredRuns;
+use answered_runs::{AnsweredRuns, CONTACT_TIME};
 use pending_loss::PendingLosses;
 
 /// Number of crashes under the same content from which on the content is quarantined.
@@ -24,8 +24,8 @@
 const MAX_CRASHES: usize = 512;
 /// Maximum number of contents that are remembered of one crash.
 const MAX_CONTENTS: usize = 64;
-/// Time after a crash in which an answer may still arrive that was sent before it.
-const ANSWER_DELAY: Duration = Duration::from_millis(150);
+/// Uncertainty of the time of a crash that a peer reports.
+const REPORT_DELAY: Duration = Duration::from_millis(100);
 /// Time after a crash in which no process can have taken the place of the one that ended.
 const RESTART_TIME: Duration = Duration::from_millis(1_500);
 /// Number of whole reports that contain new evidence.
@@ -159,12 +159,29 @@
         self.evaluate_pending()
     }
 
-    /// Records an answer of a run; returns whether that changed what is known.
-    pub fn record_answer(&mut self, run: BackendRun, now: Instant) -> bool {
+    /// Records that this host has reached a run; returns whether that changed what is known.
+    pub fn record_contact(&mut self, run: BackendRun, now: Instant) -> bool {
+        self.answered.record(run, now);
+        self.evaluate_pending()
+    }
+
+    /// Returns whether calls were lost with a backend server that could not be reached, and it is
+    /// not known whether this host reaches others.
+    #[must_use]
+    pub fn needs_contact(&self, now: Instant) -> bool {
+        self.pending.has_unreachable_since(now, CONTACT_TIME)
+    }
+
+    /// Records an answer of a run to a request that was sent at `sent_at`; returns whether that
+    /// changed what is known.
+    ///
+    /// Only a request that was sent after the supposed end of the run shows that it goes on: a host
+    /// that was suspended reads earlier answers late.
+    pub fn record_answer(&mut self, run: BackendRun, sent_at: Instant, now: Instant) -> bool {
         self.answered.record(run, now);
         let survived = |it: &&mut KnownCrash| {
-            let age = now.saturating_duration_since(it.at);
-            it.end == RunEnd::Suspected && (ANSWER_DELAY..RESTART_TIME).contains(&age)
+            let is_later = sent_at >= it.at + REPORT_DELAY;
+            it.end == RunEnd::Suspected && is_later && now < it.at + RESTART_TIME
         };
         let refuted = self.crashes.get_mut(&run).filter(survived);
         let is_refuted = refuted.is_some();
--- a/crates/jaypin_router/src/crash_evidence/answered_runs.rs
+++ b/crates/jaypin_router/src/crash_evidence/answered_runs.rs
@@ -1,14 +1,14 @@
-//! The last backend servers that answered this host.
+//! The last backend servers that this host reached.
 
 use std::time::{Duration, Instant};
 
 use super::BackendRun;
 
-/// Time after a lost call in which an answer of another backend server shows that this host was
+/// Time after a lost call in which reaching another backend server shows that this host was
 /// not cut off from all of them.
-const CONTACT_TIME: Duration = Duration::from_millis(700);
+pub const CONTACT_TIME: Duration = Duration::from_millis(700);
 
-/// The last two runs that answered, with the times of their last answers.
+/// The last two runs that this host reached, and when.
 #[derive(Debug, Default)]
 pub struct AnsweredRuns {
     last: Option<(BackendRun, Instant)>,
@@ -16,7 +16,7 @@
 }
 
 impl AnsweredRuns {
-    /// Records an answer.
+    /// Records that a run was reached.
     pub fn record(&mut self, run: BackendRun, now: Instant) {
         if self.last.is_some_and(|it| it.0 != run) {
             self.before = self.last;
@@ -24,10 +24,10 @@
         self.last = Some((run, now));
     }
 
-    /// Returns whether another run than this one answered shortly after `at`.
+    /// Returns whether another run than this one was reached shortly after `at`.
     pub fn has_other_after(&self, run: BackendRun, at: Instant) -> bool {
-        let answers = [self.last, self.before];
-        let mut others = answers.into_iter().flatten().filter(|it| it.0 != run);
-        others.any(|(_, answered)| answered > at && answered <= at + CONTACT_TIME)
+        let reached = [self.last, self.before];
+        let mut others = reached.into_iter().flatten().filter(|it| it.0 != run);
+        others.any(|(_, reached)| reached > at && reached <= at + CONTACT_TIME)
     }
 }
--- a/crates/jaypin_router/src/crash_evidence/pending_loss.rs
+++ b/crates/jaypin_router/src/crash_evidence/pending_loss.rs
@@ -51,6 +51,13 @@
         self.losses.is_empty()
     }
 
+    /// Returns whether a backend server could not be reached after a call was lost there, no longer
+    /// ago than `age`.
+    pub fn has_unreachable_since(&self, now: Instant, age: Duration) -> bool {
+        let mut recent = self.losses.iter().rev();
+        recent.any(|it| it.is_unreachable && now.saturating_duration_since(it.at) < age)
+    }
+
     /// Removes and returns the contents of the calls that were lost with a run.
     pub fn take(&mut self, run: BackendRun) -> Vec<Fingerprint> {
         let taken = self.losses.extract_if(.., |it| it.run == run);
--- a/crates/jaypin_router/src/router/backend_signals.rs
+++ b/crates/jaypin_router/src/router/backend_signals.rs
@@ -11,8 +11,7 @@
 use crate::rejection_guard::RejectionGuard;
 use crate::throttle::pause_at;
 use crate::{
-    Backend, BackendRun, BackendSignals, Contact, DecisionInputs, Report, RequestNumber,
-    SignalTable, cell_of,
+    Backend, BackendSignals, Contact, DecisionInputs, Report, RequestNumber, SignalTable, cell_of,
 };
 
 /// Hosts that share the rate limits of backend servers, as known to this host.
@@ -45,7 +44,7 @@
         if let Some(backoff) = backoff {
             self.signals.record_backoff(&backend.record, backoff, now);
         }
-        let run = BackendRun::of(&backend.record);
+        let (run, sent_at) = (state.run, state.at);
         let has_changed = self.signals.record(&backend.record, signals, state.at, now);
         if has_changed {
             self.load_report_state.slot_changed(backend.key);
@@ -53,7 +52,7 @@
         if has_changed || backoff.is_some() {
             self.apply_signals(now);
         }
-        self.record_answer(run, now);
+        self.record_answer(run, sent_at, now);
     }
 
     /// Applies the signals of backend servers in a peer's report.
--- a/crates/jaypin_router/src/router/crashes.rs
+++ b/crates/jaypin_router/src/router/crashes.rs
@@ -3,7 +3,7 @@
 
 use std::time::Instant;
 
-use jaypin_core::{Reason, Refusal};
+use jaypin_core::{BackendId, Reason, Refusal};
 
 use super::arrival::refuse;
 use super::{Effect, Router};
@@ -32,8 +32,17 @@
         self.report_evidence(is_new);
     }
 
-    pub(super) fn record_answer(&mut self, run: BackendRun, now: Instant) {
-        let is_new = self.crash_evidence.record_answer(run, now);
+    pub(super) fn record_answer(&mut self, run: BackendRun, sent_at: Instant, now: Instant) {
+        let is_new = self.crash_evidence.record_answer(run, sent_at, now);
+        self.report_evidence(is_new);
+    }
+
+    pub(super) fn record_contact(&mut self, backend: &BackendId, now: Instant) {
+        let Some(backend) = self.backends.get(backend) else {
+            return;
+        };
+        let run = BackendRun::of(&backend.record);
+        let is_new = self.crash_evidence.record_contact(run, now);
         self.report_evidence(is_new);
     }
 
--- a/crates/jaypin_router/src/router/event.rs
+++ b/crates/jaypin_router/src/router/event.rs
@@ -119,8 +119,8 @@
         /// How it ended.
         outcome: AttemptOutcome,
     },
-    /// A new connection to a backend server was opened, and answered or stayed open.
-    BackendReached,
+    /// A new connection to this backend server was opened, and answered or stayed open.
+    BackendReached(BackendId),
     /// A new connection to this backend server could not be opened.
     BackendUnreached(BackendId),
     /// The caller of a request that was not sent to a backend server disconnected.
--- a/crates/jaypin_router/src/router/mod.rs
+++ b/crates/jaypin_router/src/router/mod.rs
@@ -189,7 +189,7 @@
             Event::AttemptEnded { number, outcome } => {
                 self.handle_attempt_end(now, number, outcome, &mut fx);
             }
-            Event::BackendReached => self.record_reached(),
+            Event::BackendReached(backend) => self.record_reached(&backend, now),
             Event::BackendUnreached(backend) => self.record_unreached(&backend),
             Event::CallerDisconnected(number) => self.handle_caller_disconnect(number),
             Event::HostsListed(hosts) => self.apply_host_list(hosts, now),
@@ -322,7 +322,6 @@
             self.report_state.report_soon();
         }
         self.drop_missing_backends(now);
-        self.crash_evidence.expire(now);
         let is_time = |at: Instant| now.saturating_duration_since(at) >= REFRESH_PAUSE;
         if self.refreshed_at.is_none_or(is_time) {
             self.refreshed_at = Some(now);
@@ -331,6 +330,7 @@
             self.refresh_cells();
             self.refresh_own_loads(now);
             self.refresh_signals(now);
+            self.crash_evidence.expire(now);
             let backends = &self.backends;
             self.contact.retain(|id| backends.get(id).is_some());
             self.evaluate_rollouts(now, boot_time, fx);
--- a/crates/jaypin_router/src/router/passing_on.rs
+++ b/crates/jaypin_router/src/router/passing_on.rs
@@ -39,10 +39,10 @@
     }
 
     /// Returns backend servers, with their addresses, to some of which connections should be opened
-    /// to find out whether this host is cut off, or still is.
+    /// to find out whether this host is cut off, still is, or was when it lost calls.
     #[must_use]
-    pub fn probe_targets(&self) -> Vec<(BackendId, String)> {
-        if !self.contact.is_suspicious() {
+    pub fn probe_targets(&self, now: Instant) -> Vec<(BackendId, String)> {
+        if !self.contact.is_suspicious() && !self.crash_evidence.needs_contact(now) {
             return Vec::new();
         }
         let is_cut_off = self.is_cut_off();
@@ -65,7 +65,8 @@
     ///
     /// The cooldowns of a host that was cut off end with the cut: they say nothing of the backend
     /// servers.
-    pub(super) fn record_reached(&mut self) {
+    pub(super) fn record_reached(&mut self, backend: &BackendId, now: Instant) {
+        self.record_contact(backend, now);
         let was_cut_off = self.is_cut_off();
         self.contact.record_success();
         if was_cut_off {
--- a/crates/jaypin_router/tests/common/fleet.rs
+++ b/crates/jaypin_router/tests/common/fleet.rs
@@ -10,22 +10,24 @@
 
 use jaypin_core::{BackendId, HostId};
 use jaypin_router::{
-    AccountUse, Arrival, AttemptOutcome, BackendRecord, BackendSignals, BootTime, Bounds,
-    Configuration, Effect, EntryChange, Event, Report, RequestNumber, RouteTable, Router,
-    RouterConfig, StorePoint,
+    AccountUse, Arrival, AttemptOutcome, BackendRecord, BootTime, Bounds, Configuration, Effect,
+    EntryChange, Event, Report, RequestNumber, RouteTable, Router, RouterConfig, StorePoint,
 };
 use rand::seq::IndexedRandom;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+#[path = "backend_model.rs"]
+mod backend_model;
+
 use super::common::bounds;
 
+pub use backend_model::{Answer, BackendModel, Call};
+
 /// Time that one simulation step advances.
 const STEP: Duration = Duration::from_millis(10);
 /// Delay of a report between hosts, and of an answer that declines a request.
 const NETWORK_DELAY: Duration = Duration::from_millis(10);
-/// Time after which a call that gets no answer would end, longer than any simulation.
-const NEVER: Duration = Duration::from_hours(1);
 /// Interval between a host's probes of connections.
 const PROBE_INTERVAL: Duration = Duration::from_millis(100);
 /// Number of connections that a host probes at once.
@@ -33,93 +35,6 @@
 /// Interval between the proofs that a host gets from the store.
 const PROOF_INTERVAL: Duration = Duration::from_millis(500);
 
-/// A request that reaches a backend server.
-#[derive(Debug, Clone)]
-pub struct Call {
-    /// Index of the host that sent it.
-    pub host: usize,
-    /// Fingerprint of the request's content.
-    pub content: u64,
-    /// The backend server that receives it.
-    pub backend: BackendId,
-    /// When it was sent.
-    pub at: Instant,
-}
-
-/// How a backend server answers.
-#[derive(Debug, Clone, Copy)]
-pub struct Answer {
-    /// What the answer's header states.
-    pub signals: BackendSignals,
-    /// Backoff that the backend server requests of the host.
-    pub backoff: Option<Duration>,
-    /// Time from the request to the answer's header.
-    pub header_after: Duration,
-    /// Time from the request to the end of the answer.
-    pub end_after: Duration,
-    /// How the attempt ends.
-    pub outcome: AttemptOutcome,
-}
-
-impl Answer {
-    /// Returns a complete answer with ordinary timing.
-    pub fn good(signals: BackendSignals, rng: &mut ChaCha8Rng) -> Self {
-        let first = Duration::from_millis(rng.random_range(25..60));
-        Self {
-            signals,
-            backoff: None,
-            header_after: first,
-            end_after: first * 6,
-            outcome: AttemptOutcome::Complete,
-        }
-    }
-
-    /// Returns a call on which nothing arrives until [`Fleet::lose_calls`] ends it.
-    pub fn none() -> Self {
-        Self {
-            signals: BackendSignals::default(),
-            backoff: None,
-            header_after: NEVER,
-            end_after: NEVER,
-            outcome: AttemptOutcome::TimedOut,
-        }
-    }
-
-    /// Returns a failed connection.
-    pub fn unreached(after: Duration) -> Self {
-        Self {
-            end_after: after,
-            outcome: AttemptOutcome::Unreached,
-            ..Self::none()
-        }
-    }
-
-    /// Returns an answer that declines the request and requests backoff.
-    pub fn declined(backoff: Duration) -> Self {
-        Self {
-            signals: BackendSignals::default(),
-            backoff: Some(backoff),
-            header_after: NETWORK_DELAY,
-            end_after: NETWORK_DELAY,
-            outcome: AttemptOutcome::NotRun,
-        }
-    }
-}
-
-/// Behaviour of the simulated backend servers.
-pub trait BackendModel {
-    /// Answers a request.
-    fn answer(&mut self, call: &Call, rng: &mut ChaCha8Rng) -> Answer;
-
-    /// Returns whether a host can connect to a backend server.
-    fn is_reachable(&self, _host: usize, _backend: &BackendId, _at: Instant) -> bool {
-        true
-    }
-
-    /// Records that an answer's header has reached a host.
-    fn header_received(&mut self, host: usize, backend: &BackendId, answer: &Answer, at: Instant);
-}
-
 /// A message or an answer that has yet to reach a host.
 #[derive(Debug)]
 enum Delivery {
@@ -433,7 +348,7 @@
                 }
                 Delivery::Header(number, backend, answer) => {
                     self.backends.header_received(n, &backend, &answer, now);
-                    self.apply(n, Event::BackendReached);
+                    self.apply(n, Event::BackendReached(backend));
                     self.apply(
                         n,
                         Event::HeaderReceived {
@@ -470,11 +385,11 @@
     }
 
     fn probe(&mut self, n: usize) {
-        let targets = self.hosts[n].router.probe_targets();
+        let targets = self.hosts[n].router.probe_targets(self.now);
         let chosen: Vec<_> = targets.sample(&mut self.rng, PROBED).cloned().collect();
         for (id, _) in chosen {
             let event = if self.backends.is_reachable(n, &id, self.now) {
-                Event::BackendReached
+                Event::BackendReached(id)
             } else {
                 Event::BackendUnreached(id)
             };
--- a/crates/jaypin_router/tests/crashing_content.rs
+++ b/crates/jaypin_router/tests/crashing_content.rs
@@ -8,10 +8,10 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
-use common::{ENGINES, configuration, record};
+use common::{ENGINES, TestHost, configuration, record, report, whole_report};
 use fleet::{Answer, BackendModel, Call, Fleet};
 use jaypin_core::BackendId;
-use jaypin_router::{AttemptOutcome, BackendSignals};
+use jaypin_router::{AttemptOutcome, BackendRun, BackendSignals, Crash, Effect, Event, RunEnd};
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
 
@@ -130,6 +130,11 @@
     changes_id: true,
     ..REFUSING
 };
+/// A process that is never replaced.
+const GONE: CrashKind = CrashKind {
+    down_time: Duration::from_hours(1),
+    ..REFUSING
+};
 /// A process whose successor accepts connections before any host tries one.
 const BACK_AT_ONCE: CrashKind = CrashKind {
     outcome: AttemptOutcome::Lost,
@@ -260,6 +265,9 @@
         fleet.backends.crashes_late = true;
     };
     crashes_of_backend_servers_that_come_back_under_other_ids_are_added_up: SEEDS, 13, REPLACED, 1, SHORT, |_| {};
+    crashes_are_added_up_in_a_fleet_without_other_traffic: SEEDS, 13, GONE, 1, SHORT, |fleet| {
+        fleet.rate = 0.0;
+    };
     crashes_are_added_up_in_a_fleet_with_little_traffic: SEEDS, 13, REFUSING, 1, SHORT, |fleet| {
         fleet.rate = 5.0;
     };
@@ -322,3 +330,41 @@
         }
     }
 }
+
+/// Guards against a crash that all hosts take for refuted, because a host that was suspended reads
+/// an answer from before the crash after it has heard of the crash.
+#[test]
+fn an_answer_to_a_request_from_before_a_crash_does_not_refute_it() {
+    let mut host = TestHost::with_backends();
+    let (before, decision) = host.arrive("/ask/x", (100, 100));
+    let id = decision.backend().to_owned();
+    let crash = |age| Crash {
+        run: BackendRun::of(&record(&id, ENGINES, 9)),
+        end: RunEnd::Suspected,
+        age,
+        contents: vec![BAD],
+    };
+    host.wait(Duration::from_secs(1));
+    let mut whole = whole_report(2);
+    whole.crashes = vec![crash(Duration::from_millis(400))];
+    let mut fx = host.receive_report(report(1, whole));
+    fx.extend(host.apply(Event::HeaderReceived {
+        number: before,
+        signals: BackendSignals::default(),
+        backoff: None,
+    }));
+    host.wait(Duration::from_secs(1));
+    fx.extend(host.tick());
+    let reports = fx.iter().filter_map(|effect| match effect {
+        Effect::SendReport { report, .. } => report.whole.as_ref(),
+        _ => None,
+    });
+    let ends: Vec<_> = reports
+        .flat_map(|it| &it.crashes)
+        .map(|it| it.end)
+        .collect();
+    assert!(
+        !ends.is_empty() && ends.iter().all(|it| *it == RunEnd::Suspected),
+        "{ends:?}"
+    );
+}
