Let a refuted crash be followed by a real one

While the links of a host go down one after the other, it loses a call and still reaches another backend server, so it counts a crash that peers refute; the run's real crash later counted nothing until its successor registered.

Change: a refutation has the time of the request that was answered. A loss after it opens the crash again, with the contents lost then; reports in any order lead to the same. The end of a run revives what was lost in a refuted crash only within 10 s, or a release would count what an earlier cut had lost.

--- a/crates/jaypin_router/src/crash_evidence.rs
+++ b/crates/jaypin_router/src/crash_evidence.rs
@@ -12,7 +12,7 @@
 
 use crate::{BackendKey, BackendRecord, backend_key};
 use answered_runs::{AnsweredRuns, CONTACT_TIME};
-use pending_loss::PendingLosses;
+use pending_loss::{LIFETIME as LOSS_LIFETIME, PendingLosses};
 
 /// Number of crashes under the same content from which on the content is quarantined.
 const CRASH_LIMIT: usize = 3;
@@ -59,8 +59,9 @@
     }
 }
 
-/// Whether a run has ended. Where hosts disagree, the later variant holds.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+/// Whether a run has ended. Where hosts disagree, an end that is confirmed holds; otherwise what
+/// happened later.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RunEnd {
     /// A host that reached other backend servers could not reach this one.
     Suspected,
@@ -77,7 +78,7 @@
     pub run: BackendRun,
     /// Whether it has ended.
     pub end: RunEnd,
-    /// Time since the crash.
+    /// Time since the crash, or since the request whose answer refuted it.
     pub age: Duration,
     /// Contents that were lost with it.
     pub contents: Vec<Fingerprint>,
@@ -95,6 +96,7 @@
 #[derive(Debug)]
 struct KnownCrash {
     end: RunEnd,
+    /// Time of the crash, or of the request whose answer refuted it.
     at: Instant,
     contents: BTreeSet<Fingerprint>,
     /// Number of whole reports that contained it.
@@ -187,6 +189,7 @@
         let is_refuted = refuted.is_some();
         if let Some(crash) = refuted {
             crash.end = RunEnd::Refuted;
+            crash.at = sent_at;
             crash.times_reported = 0;
         }
         self.evaluate_pending() || is_refuted
@@ -209,7 +212,13 @@
     /// is known.
     pub fn record_end(&mut self, run: BackendRun, now: Instant) -> bool {
         let contents = self.pending.take(run);
-        if contents.is_empty() && !self.crashes.contains_key(&run) {
+        // What was lost long before the end was not lost with it.
+        let is_recent = |it: &KnownCrash| {
+            let age = now.saturating_duration_since(it.at);
+            it.end != RunEnd::Refuted || age < LOSS_LIFETIME
+        };
+        let known = self.crashes.get(&run);
+        if contents.is_empty() && !known.is_some_and(is_recent) {
             return false;
         }
         self.unite(run, RunEnd::Confirmed, now, contents, 0)
@@ -325,15 +334,13 @@
             return false;
         }
         let (answered, crashes) = (&self.answered, &self.crashes);
-        let is_evidence = |run: BackendRun, is_unreachable: bool, at: Instant| {
-            let known = crashes.get(&run).map(|it| it.end);
-            match known {
-                Some(RunEnd::Confirmed) => true,
-                Some(RunEnd::Suspected) if is_unreachable => true,
-                Some(RunEnd::Refuted) => false,
+        let is_evidence =
+            |run: BackendRun, is_unreachable: bool, at: Instant| match crashes.get(&run) {
+                Some(it) if it.end == RunEnd::Confirmed => true,
+                Some(it) if it.end == RunEnd::Suspected && is_unreachable => true,
+                Some(it) if it.end == RunEnd::Refuted && at <= it.at => false,
                 _ => is_unreachable && answered.has_other_after(run, at),
-            }
-        };
+            };
         let losses = self.pending.take_where(is_evidence);
         let mut has_changed = false;
         for loss in losses {
@@ -363,9 +370,16 @@
             contents: BTreeSet::new(),
             times_reported,
         });
-        let mut has_changed = is_new || crash.end < end;
-        crash.end = crash.end.max(end);
-        crash.at = crash.at.min(at);
+        let update = crash.update(end, at);
+        if update == Update::Outdated {
+            return false;
+        }
+        let mut has_changed = is_new || update != Update::Same;
+        if update == Update::Reopened {
+            for content in std::mem::take(&mut crash.contents) {
+                remove_run(&mut self.runs, content, run);
+            }
+        }
         for content in contents {
             if crash.contents.len() < MAX_CONTENTS && crash.contents.insert(content) {
                 has_changed = true;
@@ -396,17 +410,60 @@
             return;
         };
         for content in crash.contents {
-            if let Some(runs) = self.runs.get_mut(&content) {
-                runs.remove(&run);
-                if runs.is_empty() {
-                    self.runs.remove(&content);
-                }
-            }
+            remove_run(&mut self.runs, content, run);
         }
     }
 }
 
+fn remove_run(
+    runs: &mut HashMap<Fingerprint, BTreeSet<BackendRun>>,
+    content: Fingerprint,
+    run: BackendRun,
+) {
+    if let Some(of_content) = runs.get_mut(&content) {
+        of_content.remove(&run);
+        if of_content.is_empty() {
+            runs.remove(&content);
+        }
+    }
+}
+
+/// How new evidence of a run relates to what is known.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Update {
+    /// It says the same.
+    Same,
+    /// It replaces what is known, except for the contents.
+    Changed,
+    /// The run crashed after an earlier crash was refuted, so other contents were lost.
+    Reopened,
+    /// Something later is known.
+    Outdated,
+}
+
 impl KnownCrash {
+    /// Applies new evidence.
+    fn update(&mut self, end: RunEnd, at: Instant) -> Update {
+        let update = match (self.end, end) {
+            (RunEnd::Suspected, RunEnd::Suspected) | (RunEnd::Confirmed, RunEnd::Confirmed) => {
+                self.at = self.at.min(at);
+                return Update::Same;
+            }
+            (RunEnd::Refuted, RunEnd::Refuted) => {
+                self.at = self.at.max(at);
+                return Update::Same;
+            }
+            (RunEnd::Confirmed, _) => return Update::Same,
+            (_, RunEnd::Confirmed) => Update::Changed,
+            (RunEnd::Suspected, RunEnd::Refuted) if at > self.at => Update::Changed,
+            (RunEnd::Refuted, RunEnd::Suspected) if at > self.at => Update::Reopened,
+            _ => return Update::Outdated,
+        };
+        self.end = end;
+        self.at = at;
+        update
+    }
+
     fn report(&self, run: BackendRun, now: Instant) -> Crash {
         Crash {
             run,
--- a/crates/jaypin_router/src/crash_evidence/pending_loss.rs
+++ b/crates/jaypin_router/src/crash_evidence/pending_loss.rs
@@ -5,7 +5,7 @@
 use super::{BackendRun, Fingerprint};
 
 /// Time for which a lost call is kept. A backend server that has restarted registers within it.
-const LIFETIME: Duration = Duration::from_secs(10);
+pub const LIFETIME: Duration = Duration::from_secs(10);
 /// Maximum number of lost calls; further ones are ignored.
 const MAX_LOSSES: usize = 1_024;
 
