Log from whom a host learned that a backend server leaves

Change: the router gives a log effect, with what the entry says (stated or removed) and from whom the host has it (store, report, transfer). The error of a call that timed out states for how long the store was silent. No logic changes.

Ruled out: a line for each changed entry. At 1,000 hosts a roll-out of hundreds of backend servers would write as many lines on each host for entries that don't matter here; leaves are rarer.

Evidence: each_source_of_a_leave_is_logged (new; it can't be compiled on the code before).

--- a/crates/jaypin_entry/src/host.rs
+++ b/crates/jaypin_entry/src/host.rs
@@ -237,6 +237,13 @@
                 self.send_directive(number, Directive::ForwardFailure);
             }
             Effect::WriteRollout(write) => self.queue_rollout_write(write),
+            Effect::BackendLeft {
+                backend,
+                state,
+                source,
+            } => {
+                log::info!(backend, state:?, source:?; "backend server leaves; sending it no further requests");
+            }
             Effect::SendReport { to, report } => self.peers.send(&to, &report),
             Effect::SendStreamMessage { to, message } => {
                 self.peers.send_stream_message(&to, &message);
--- a/crates/jaypin_entry/src/store/client.rs
+++ b/crates/jaypin_entry/src/store/client.rs
@@ -29,8 +29,11 @@
     #[snafu(display("the connection to the store failed"))]
     ConnectionFailed,
     /// The store did not respond in time.
-    #[snafu(display("the store did not respond in time"))]
-    TimedOut,
+    #[snafu(display("the store did not respond within {} ms", limit.as_millis()))]
+    TimedOut {
+        /// Time for which the response was waited for.
+        limit: Duration,
+    },
     /// The response has a status other than success.
     #[snafu(display("expected a success, found status {status}"))]
     Status {
@@ -58,7 +61,7 @@
     fn as_str(&self) -> &'static str {
         match self {
             Self::ConnectionFailed => "unreached",
-            Self::TimedOut => "timed-out",
+            Self::TimedOut { .. } => "timed-out",
             Self::Status { .. } => "status",
             Self::OutdatedEra { .. } => "former-era",
             Self::Decode { .. } => "unreadable",
@@ -68,7 +71,7 @@
     /// Returns whether the store does not serve this host. Other statuses are valid responses.
     fn is_outage(&self) -> bool {
         match self {
-            Self::ConnectionFailed | Self::TimedOut | Self::OutdatedEra { .. } => true,
+            Self::ConnectionFailed | Self::TimedOut { .. } | Self::OutdatedEra { .. } => true,
             Self::Status { status } => {
                 status.is_server_error() || *status == StatusCode::TOO_MANY_REQUESTS
             }
@@ -204,7 +207,7 @@
         let exchange = self.exchange(method, path, body);
         let response = match timeout(limit, exchange).await {
             Ok(response) => response,
-            Err(_) => Err(StoreError::TimedOut),
+            Err(_) => Err(StoreError::TimedOut { limit }),
         };
         let response = response.and_then(|response| self.check_era(response));
         let outcome = response
--- a/crates/jaypin_router/src/entries.rs
+++ b/crates/jaypin_router/src/entries.rs
@@ -35,6 +35,26 @@
     },
 }
 
+/// From whom a host learned of a change of an entry.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EntrySource {
+    /// A response of the store to this host.
+    Store,
+    /// A peer's report.
+    Report,
+    /// All entries of a peer.
+    Transfer,
+}
+
+/// Why a backend server gets no further requests, as its entry says.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LeaveState {
+    /// The entry states that it leaves.
+    Stated,
+    /// The entry was removed.
+    Removed,
+}
+
 impl EntryChange {
     /// Returns the id of the backend server.
     #[must_use]
--- a/crates/jaypin_router/src/lib.rs
+++ b/crates/jaypin_router/src/lib.rs
@@ -57,7 +57,7 @@
 };
 pub use crash_evidence::{BackendRun, CompletedContent, Crash, CrashEvidence, Fingerprint, RunEnd};
 pub use decision_inputs::DecisionInputs;
-pub use entries::{Entries, EntryChange};
+pub use entries::{Entries, EntryChange, EntrySource, LeaveState};
 pub use event_rate::EventRate;
 pub use fleet::{Fleet, Peer};
 pub use minimum_share::MinimumShares;
--- a/crates/jaypin_router/src/router/event.rs
+++ b/crates/jaypin_router/src/router/event.rs
@@ -8,8 +8,8 @@
 
 use crate::{
     AccountUse, Arrival, AttemptOutcome, BackendRecord, BackendSignals, BootTime, DecisionInputs,
-    EntryChange, Report, RequestNumber, Requester, RolloutOrder, RolloutWrite, RouteTable,
-    SoftwareVersion, StoreEra, StorePoint, StreamMessage, Unrouted,
+    EntryChange, EntrySource, LeaveState, Report, RequestNumber, Requester, RolloutOrder,
+    RolloutWrite, RouteTable, SoftwareVersion, StoreEra, StorePoint, StreamMessage, Unrouted,
 };
 
 /// Limits and budgets that the operators of the fleet set.
@@ -223,6 +223,16 @@
     /// Write the state of an order to the store, provided that the store has the order's
     /// revision.
     WriteRollout(RolloutWrite),
+    /// A backend server has begun to leave or is gone, as its entry says; it gets no further
+    /// requests. Only for logs.
+    BackendLeft {
+        /// The backend server.
+        backend: BackendId,
+        /// What its entry says.
+        state: LeaveState,
+        /// From whom this host learned it.
+        source: EntrySource,
+    },
     /// Send a report to these hosts.
     SendReport {
         /// Addresses at which they receive reports.
--- a/crates/jaypin_router/src/router/mod.rs
+++ b/crates/jaypin_router/src/router/mod.rs
@@ -81,6 +81,8 @@
     signals: SignalTable,
     contact: BackendContact,
     missing_entries: MissingEntries,
+    /// Backend servers whose entries said during the current event that they leave.
+    leaves: Vec<Effect>,
     era: KnownEra,
     join: JoinState,
     fleet: Fleet,
@@ -136,6 +138,7 @@
             signals: SignalTable::default(),
             contact: BackendContact::default(),
             missing_entries: MissingEntries::default(),
+            leaves: Vec::new(),
             era: KnownEra::default(),
             join: JoinState::default(),
             fleet: Fleet::default(),
@@ -215,6 +218,7 @@
             Event::Drain => self.start_draining(now, &mut fx),
             Event::Tick(boot_time) => self.tick(now, boot_time, &mut fx),
         }
+        fx.append(&mut self.leaves);
         self.send_report(now, false, &mut fx);
         self.send_load_reports(now, &mut fx);
         self.send_granted(now, &mut fx);
--- a/crates/jaypin_router/src/router/snapshot.rs
+++ b/crates/jaypin_router/src/router/snapshot.rs
@@ -7,7 +7,7 @@
 use std::time::Instant;
 
 use super::Router;
-use crate::{EntryChange, Peer, StorePoint};
+use crate::{EntryChange, EntrySource, Peer, StorePoint};
 
 /// Digest of a host that knows no entries: there is nothing to transfer from it.
 const NO_ENTRIES: u64 = 0;
@@ -95,7 +95,7 @@
 
     pub(super) fn apply_entry_snapshot(&mut self, entries: Vec<EntryChange>, now: Instant) {
         for change in entries {
-            self.apply_entry_change(change, now);
+            self.apply_entry_change(change, EntrySource::Transfer, now);
         }
         self.reported_store.record_read_all();
         self.version_history.record_complete(now);
--- a/crates/jaypin_router/src/router/updates.rs
+++ b/crates/jaypin_router/src/router/updates.rs
@@ -11,8 +11,8 @@
 
 use super::Router;
 use crate::{
-    Backend, BackendRecord, BootTime, EntryChange, LoadChange, LoadUpdate, Report, ResendBudget,
-    RouteTable, StorePoint, SubsetKind, VersionRole, cell_count, cell_of,
+    Backend, BackendRecord, BootTime, EntryChange, EntrySource, LeaveState, LoadChange, LoadUpdate,
+    Report, ResendBudget, RouteTable, StorePoint, SubsetKind, VersionRole, cell_count, cell_of,
 };
 
 /// Fraction of the revocation limit within which the configuration must be proved. The remainder
@@ -82,12 +82,13 @@
             };
             self.entries.apply(&removed);
             self.entries.queue(removed);
+            self.record_leave(&id, LeaveState::Removed, EntrySource::Store);
             self.handle_missing_entry(id, now);
         }
         for (record, point) in entries {
             let change = EntryChange::Stated { record, point };
             if is_first {
-                self.apply_entry_change(change, now);
+                self.apply_entry_change(change, EntrySource::Store, now);
             } else {
                 self.apply_store_change(change, now);
             }
@@ -98,7 +99,7 @@
 
     /// Applies a change that this host read from the store, and reports it to its cell.
     pub(super) fn apply_store_change(&mut self, change: EntryChange, now: Instant) {
-        if self.apply_entry_change(change.clone(), now) {
+        if self.apply_entry_change(change.clone(), EntrySource::Store, now) {
             self.entries.queue(change);
             self.report_state.report_soon();
         }
--- a/crates/jaypin_router/src/router/watching.rs
+++ b/crates/jaypin_router/src/router/watching.rs
@@ -3,10 +3,10 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use jaypin_core::{HostId, score};
+use jaypin_core::{BackendId, HostId, score};
 
-use super::Router;
-use crate::{BackendStatus, BootTime, EntryChange, Report, cell_of};
+use super::{Effect, Router};
+use crate::{BackendStatus, BootTime, EntryChange, EntrySource, LeaveState, Report, cell_of};
 
 /// Number of hosts in a cell that watch the store and report to the others. With two of them,
 /// one can fail without leaving the store unwatched.
@@ -292,7 +292,7 @@
         boot_time: BootTime,
     ) {
         for change in &report.changes {
-            self.apply_entry_change(change.clone(), now);
+            self.apply_entry_change(change.clone(), EntrySource::Report, now);
         }
         let Some(whole) = &report.whole else {
             return;
@@ -340,20 +340,45 @@
         }
     }
 
-    /// Applies a change of an entry from any source. Returns whether the entry changed.
-    pub(super) fn apply_entry_change(&mut self, change: EntryChange, now: Instant) -> bool {
+    /// Applies a change of an entry. Returns whether the entry changed.
+    pub(super) fn apply_entry_change(
+        &mut self,
+        change: EntryChange,
+        source: EntrySource,
+        now: Instant,
+    ) -> bool {
         if !self.entries.apply(&change) {
             return false;
         }
         match change {
             EntryChange::Stated { record, .. } => {
                 if record.status == BackendStatus::Leaving {
+                    self.record_leave(&record.id, LeaveState::Stated, source);
                     self.signals.record_leaving(&record, now);
                 }
                 self.update_backend(record, now);
             }
-            EntryChange::Removed { id, .. } => self.handle_removed_entry(&id, now),
+            EntryChange::Removed { id, .. } => {
+                self.record_leave(&id, LeaveState::Removed, source);
+                self.handle_removed_entry(&id, now);
+            }
         }
         true
     }
+
+    /// Records that a known backend server leaves, for logs.
+    pub(super) fn record_leave(
+        &mut self,
+        backend: &BackendId,
+        state: LeaveState,
+        source: EntrySource,
+    ) {
+        if self.backends.get(backend).is_some() {
+            self.leaves.push(Effect::BackendLeft {
+                backend: backend.clone(),
+                state,
+                source,
+            });
+        }
+    }
 }
--- a/crates/jaypin_router/tests/entry_expiry.rs
+++ b/crates/jaypin_router/tests/entry_expiry.rs
@@ -6,7 +6,7 @@
 
 use common::{Decision, ENGINES, TestHost, record};
 use jaypin_core::Reason;
-use jaypin_router::{BackendStatus, Event, StorePoint};
+use jaypin_router::{BackendStatus, Effect, EntryChange, EntrySource, Event, StorePoint};
 
 fn host_with_engines(engines: usize) -> (TestHost, Vec<String>) {
     let mut host = TestHost::new(common::configuration(1));
@@ -114,7 +114,6 @@
 /// is leaving; another, which lags behind, reports its earlier state.
 #[test]
 fn an_older_state_of_an_entry_changes_nothing() {
-    use jaypin_router::EntryChange;
     let (mut host, _) = host_with_engines(1);
     let mut leaving = record("engine-000", ENGINES, 9);
     leaving.status = BackendStatus::Leaving;
@@ -128,3 +127,35 @@
     }));
     assert!(!is_served(&mut host));
 }
+
+/// Returns from whom a host says in its log that it learned of leaves.
+fn logged_sources(fx: Vec<Effect>) -> Vec<EntrySource> {
+    let logged = fx.into_iter().filter_map(|effect| match effect {
+        Effect::BackendLeft { source, .. } => Some(source),
+        _ => None,
+    });
+    logged.collect()
+}
+
+/// Guards against a host that logs nothing when it learns that a backend server leaves, so that the
+/// cause of a late request can't be found.
+#[test]
+fn each_source_of_a_leave_is_logged() {
+    let leave = |host: &mut TestHost| EntryChange::Removed {
+        id: "engine-000".into(),
+        point: host.next_point(),
+    };
+    let (mut host, _) = host_with_engines(2);
+    let change = leave(&mut host);
+    let fx = host.apply(Event::BackendChanged(change));
+    assert_eq!(logged_sources(fx), [EntrySource::Store]);
+    let (mut host, _) = host_with_engines(2);
+    let change = leave(&mut host);
+    let fx = host.apply(Event::EntriesTransferred(vec![change]));
+    assert_eq!(logged_sources(fx), [EntrySource::Transfer]);
+    let (mut host, _) = host_with_engines(2);
+    let mut report = common::report(1, common::whole_report(2));
+    report.changes = vec![leave(&mut host)];
+    let fx = host.receive_report(report);
+    assert_eq!(logged_sources(fx), [EntrySource::Report]);
+}
