Count the grace of a missing entry from the last proof of the entries

Cause: a backend server whose entry is missing, after a failed call or beside others, was used for 1.7 s from when the host noticed. The notice may be late by itself, and the time that operators allow was not read from the settings. Class: two bounds that each fit alone and are added.

Change: the time that operators allow after a leave is a setting that the platform states. The entry existed when the entries were last proved, so the grace ends 0.8 of that time after that proof, however late a host noticed. Only after the store was away for the whole cell (proofs of the configuration old for 0.4 s while this host ran), or was restored from a copy, the grace is the two seconds in which entries come back.

Why it works: the last proof is no later than the removal, so no part of the time is counted twice. New router tests: grace from the last proof, the return of the store, and a host that stood still, which must not take that for an outage.

--- a/crates/jaypin_entry/src/serve.rs
+++ b/crates/jaypin_entry/src/serve.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use jaypin_router::{Event, Router, RouterConfig};
+use jaypin_router::{Event, MAX_NOTICE_TIME, Router, RouterConfig};
 use rand::RngExt;
 use tokio::runtime::Builder;
 use tokio::signal::unix::{Signal, SignalKind, signal};
@@ -112,6 +112,11 @@
         bounds: settings.bounds.clone(),
     });
     log::info!(host:% = settings.host, run = incarnation, callers:% = settings.caller_address; "started");
+    if settings.bounds.leave_limit < MAX_NOTICE_TIME {
+        let limit_ms = settings.bounds.leave_limit.as_millis();
+        let notice_ms = MAX_NOTICE_TIME.as_millis();
+        log::warn!(limit_ms, notice_ms; "the time that is allowed after a leave is shorter than hosts may take to learn of it");
+    }
     let (rollout_writes, rollout_orders) = mpsc::unbounded_channel();
     let host = Host::new(platform, settings, router, peers, rollout_writes);
     let host = Rc::new(host);
--- a/crates/jaypin_router/src/lib.rs
+++ b/crates/jaypin_router/src/lib.rs
@@ -85,7 +85,8 @@
 pub use signals::{BackendSignals, SignalTable};
 pub use size::Sizes;
 pub use store_freshness::{
-    LAG_TOLERANCE, MAX_PROOF_AGE, PROOF_INTERVAL, Proofs, RESPONSE_TIME, StoreFreshness, WATCH_LAG,
+    LAG_TOLERANCE, MAX_NOTICE_TIME, MAX_PROOF_AGE, PROOF_INTERVAL, Proofs, RESPONSE_TIME,
+    StoreFreshness, WATCH_LAG,
 };
 pub use store_point::{StoreEra, StorePoint};
 pub use stream_origins::{
--- a/crates/jaypin_router/src/router/event.rs
+++ b/crates/jaypin_router/src/router/event.rs
@@ -29,6 +29,8 @@
     pub resend_allowance: f64,
     /// Time within which a new configuration must be in use on all hosts.
     pub convergence_limit: Duration,
+    /// Time after a backend server began to leave from which no request may reach it.
+    pub leave_limit: Duration,
     /// Time that a host has to finish its requests after a drain is requested.
     pub shutdown_grace: Duration,
     /// Limit on the requests to a canary version. Without it all versions are treated alike.
--- a/crates/jaypin_router/src/router/missing_entries.rs
+++ b/crates/jaypin_router/src/router/missing_entries.rs
@@ -8,12 +8,6 @@
 use super::Router;
 use crate::Backend;
 
-/// Time for which a backend server is still used after its entry may have expired.
-///
-/// The leases of backend servers expire while the store is unavailable, and their entries
-/// reappear within two seconds of its return. A backend server that leaves without an
-/// announcement keeps serving for two seconds, so nothing is lost by using it for slightly less.
-const EXPIRY_GRACE: Duration = Duration::from_millis(1_700);
 /// Time after a failure of the store during which entries missing from a list count as expired.
 const STORE_FAILURE_WINDOW: Duration = Duration::from_secs(3);
 /// Time within which entries that disappear count as having disappeared together.
@@ -27,11 +21,20 @@
 pub struct MissingEntries {
     /// When each backend server with a missing entry is dropped.
     due: BTreeMap<BackendId, Instant>,
-    /// Backend servers that were dropped recently, oldest first, and when.
-    dropped: VecDeque<(Instant, Backend)>,
+    /// Backend servers that were dropped recently, oldest first.
+    dropped: VecDeque<Dropped>,
     store_failed_at: Option<Instant>,
 }
 
+/// A backend server that was dropped because its entry was removed.
+#[derive(Debug)]
+struct Dropped {
+    at: Instant,
+    /// Until when it may be used if its entry has only expired.
+    grace_until: Instant,
+    backend: Backend,
+}
+
 impl MissingEntries {
     /// Records that the store failed.
     pub fn record_store_failure(&mut self, now: Instant) {
@@ -41,7 +44,7 @@
     /// Records that an entry exists again.
     pub fn remove(&mut self, id: &BackendId) {
         self.due.remove(id);
-        self.dropped.retain(|(_, backend)| backend.record.id != *id);
+        self.dropped.retain(|it| it.backend.record.id != *id);
     }
 
     /// Returns when the next backend server is dropped.
@@ -63,10 +66,8 @@
         let known = self.backends.get(&id);
         let was_ready = known.is_some_and(Backend::is_ready);
         if was_ready && self.missing_entries.has_store_failed_recently(now) {
-            self.missing_entries
-                .due
-                .entry(id)
-                .or_insert(now + EXPIRY_GRACE);
+            let until = self.expiry_grace_until(now);
+            self.missing_entries.due.entry(id).or_insert(until);
         } else {
             self.remove_backend(&id, now);
         }
@@ -79,7 +80,12 @@
         };
         self.missing_entries.due.remove(id);
         if backend.is_ready() {
-            self.missing_entries.dropped.push_back((now, backend));
+            let grace_until = self.expiry_grace_until(now);
+            self.missing_entries.dropped.push_back(Dropped {
+                at: now,
+                grace_until,
+                backend,
+            });
             self.restore_expired(now);
         }
     }
@@ -91,16 +97,15 @@
     /// have nowhere to send requests although every backend server is running.
     fn restore_expired(&mut self, now: Instant) {
         let dropped = &mut self.missing_entries.dropped;
-        let is_old =
-            |it: &(Instant, Backend)| now.saturating_duration_since(it.0) >= SIMULTANEOUS_WINDOW;
+        let is_old = |it: &Dropped| now.saturating_duration_since(it.at) >= SIMULTANEOUS_WINDOW;
         while dropped.front().is_some_and(is_old) {
             dropped.pop_front();
         }
-        let Some((_, newest)) = dropped.back() else {
+        let Some(newest) = dropped.back() else {
             return;
         };
-        let service = newest.record.service.clone();
-        let is_of_service = |it: &&(Instant, Backend)| it.1.record.service == service;
+        let service = newest.backend.record.service.clone();
+        let is_of_service = |it: &&Dropped| it.backend.record.service == service;
         let removed = dropped.iter().filter(is_of_service).count();
         let left = self.backends.values();
         let left = left.filter(|it| it.record.service == service).count();
@@ -109,16 +114,22 @@
         if removed < 2 || is_plausible {
             return;
         }
-        for (at, backend) in std::mem::take(dropped) {
-            let id = backend.record.id.clone();
-            self.missing_entries
-                .due
-                .insert(id.clone(), at + EXPIRY_GRACE);
-            self.backends.insert(backend);
+        let restored = std::mem::take(dropped);
+        for dropped in restored.into_iter().filter(|it| now < it.grace_until) {
+            let id = dropped.backend.record.id.clone();
+            self.missing_entries.due.insert(id, dropped.grace_until);
+            self.backends.insert(dropped.backend);
             self.stable_subsets.invalidate();
         }
     }
 
+    /// Returns until when a backend server may be used whose entry is found missing now.
+    fn expiry_grace_until(&self, now: Instant) -> Instant {
+        let boot_time = self.last_boot_time.unwrap_or_default();
+        let limit = self.cfg.bounds.leave_limit;
+        now + self.freshness.expiry_grace(limit, boot_time)
+    }
+
     pub(super) fn drop_missing_backends(&mut self, now: Instant) {
         let due = self.missing_entries.due.extract_if(.., |_, at| now >= *at);
         let due: Vec<_> = due.map(|(id, _)| id).collect();
--- a/crates/jaypin_router/src/router/mod.rs
+++ b/crates/jaypin_router/src/router/mod.rs
@@ -333,6 +333,7 @@
         self.last_boot_time = Some(boot_time);
         let is_watcher = self.is_watcher(now);
         self.freshness.record_role(is_watcher, boot_time);
+        self.freshness.refresh(boot_time);
         self.compare_with_peers(now);
         let is_ready = self.is_ready(boot_time);
         if is_ready != self.was_ready {
--- a/crates/jaypin_router/src/router/store_era.rs
+++ b/crates/jaypin_router/src/router/store_era.rs
@@ -49,6 +49,8 @@
     fn handle_era_change(&mut self, before: Option<StoreEra>, now: Instant) {
         if before.is_some() && before != self.store_era() {
             self.missing_entries.record_store_failure(now);
+            self.freshness
+                .record_restore(self.last_boot_time.unwrap_or_default());
             self.report_state.report_whole_at_once();
         }
     }
--- a/crates/jaypin_router/src/store_freshness.rs
+++ b/crates/jaypin_router/src/store_freshness.rs
@@ -21,6 +21,14 @@
 /// Time by which a watch may lag behind writes: before a store drops its history, watches may return
 /// nothing for up to a second.
 pub const WATCH_LAG: Duration = Duration::from_millis(1_200);
+/// Time to read a change over a new connection, and to report it to the cell.
+const REPORT_TIME: Duration = Duration::from_millis(100);
+/// Longest time until the hosts of a cell know of a change, if the watches that should return it are
+/// silent: another watch responds or is repeated, its response shows the lag, and the change is read.
+pub const MAX_NOTICE_TIME: Duration = PROOF_INTERVAL
+    .saturating_add(RESPONSE_TIME)
+    .saturating_add(LAG_TOLERANCE)
+    .saturating_add(REPORT_TIME);
 /// Age of a proof from which a host reads the store itself, and from which a peer no longer counts as
 /// a watcher.
 ///
@@ -33,6 +41,19 @@
 /// covers watches that lag by up to a second.
 const REVOCATION_FRACTION: f64 = 0.8;
 
+/// Shortest time that operators allow after a leave.
+const SHORTEST_LEAVE_LIMIT: Duration = Duration::from_secs(2);
+const _: () = assert!(MAX_NOTICE_TIME.as_millis() * 10 <= SHORTEST_LEAVE_LIMIT.as_millis() * 8);
+/// Fraction of the time that operators allow after a leave within which the last request reaches the
+/// backend server. The remainder covers a host that runs late.
+const LEAVE_FRACTION: f64 = 0.8;
+/// Time after the store's return within which backend servers whose leases expired meanwhile have
+/// written their entries again.
+const RETURN_TIME: Duration = Duration::from_secs(2);
+
+/// Time in which a host that runs reads the reports that its peers have sent.
+const REPORTS_TIME: Duration = Duration::from_millis(400);
+
 /// The newest proofs of one collection.
 #[derive(Debug, Default, Clone, Copy)]
 pub struct Proofs {
@@ -93,6 +114,11 @@
     pub last_call_failed: bool,
     /// Since when this host has been a watcher of its cell.
     watcher_since: Option<BootTime>,
+    /// When the store was last away for all hosts of the cell, or restored from an older copy.
+    away_at: Option<BootTime>,
+    /// Since when only old proofs of the configuration are known, while this host ran.
+    stale_since: Option<BootTime>,
+    refreshed_at: Option<BootTime>,
 }
 
 impl StoreFreshness {
@@ -105,6 +131,44 @@
         }
     }
 
+    /// Records that the store was restored from an older copy, which may lack recent entries.
+    pub fn record_restore(&mut self, now: BootTime) {
+        self.away_at = Some(now);
+    }
+
+    /// Updates whether the store is away for all hosts of the cell. Peers report their proofs, so a host
+    /// that has only old ones is not alone with that, unless it has just stood still: then it has yet to
+    /// read their reports.
+    pub fn refresh(&mut self, now: BootTime) {
+        let previous = self.refreshed_at.replace(now);
+        let stood_still = previous.is_none_or(|at| now.saturating_sub(at) >= REPORTS_TIME);
+        if self.configuration.latest().is_none() || !self.configuration.are_stale(now) {
+            self.stale_since = None;
+            return;
+        }
+        if stood_still {
+            self.stale_since = Some(now);
+        }
+        let stale_since = *self.stale_since.get_or_insert(now);
+        if now.saturating_sub(stale_since) >= REPORTS_TIME {
+            self.away_at = Some(now);
+        }
+    }
+
+    /// Returns for how long a backend server may be used from now on whose entry is missing, where
+    /// operators allow `limit` after a leave.
+    ///
+    /// Leases expire while the store is away, and backend servers then write their entries again. If
+    /// the store was not away, the entry is that of a backend server that leaves: it existed when the
+    /// entries were last proved, so the time counts from there, however late this host learned of it.
+    #[must_use]
+    pub fn expiry_grace(&self, limit: Duration, now: BootTime) -> Duration {
+        let since_away = self.away_at.map(|at| now.saturating_sub(at));
+        let until_back = RETURN_TIME.saturating_sub(since_away.unwrap_or(RETURN_TIME));
+        let known_for = self.entries.age(now).unwrap_or(limit);
+        until_back.max(limit.mul_f64(LEAVE_FRACTION).saturating_sub(known_for))
+    }
+
     /// Returns whether the configuration suffices to accept credentials, where operators allow
     /// `limit` until a revoked one is no longer accepted.
     #[must_use]
--- a/crates/jaypin_router/tests/common/mod.rs
+++ b/crates/jaypin_router/tests/common/mod.rs
@@ -197,6 +197,7 @@
         resend_ratio: 0.2,
         resend_allowance: 113.0,
         convergence_limit: Duration::from_secs(2),
+        leave_limit: Duration::from_secs(2),
         shutdown_grace: Duration::from_secs(8),
         exposure: None,
     }
--- a/crates/jaypin_router/tests/entry_expiry.rs
+++ b/crates/jaypin_router/tests/entry_expiry.rs
@@ -159,3 +159,68 @@
     let fx = host.receive_report(report);
     assert_eq!(logged_sources(fx), [EntrySource::Report]);
 }
+
+/// Removes the entries of all engines, and returns for how long requests are still sent to one.
+fn used_after_removal(host: &mut TestHost, ids: &[String]) -> Duration {
+    let removed_at = host.now;
+    for id in ids {
+        host.remove_entry(id);
+    }
+    while host.router.still_accepts(&ids[0], host.now) {
+        host.wait(Duration::from_millis(50));
+        host.tick();
+    }
+    host.now - removed_at
+}
+
+/// Lets time pass while the host runs.
+fn run(host: &mut TestHost, time: Duration) {
+    let until = host.now + time;
+    while host.now < until {
+        host.wait(Duration::from_millis(50));
+        host.tick();
+    }
+}
+
+/// Guards against a backend server that is used for longer than operators allow because the time that
+/// an expired entry may be missing was added to the time in which the host had not learned of it.
+#[test]
+fn the_time_for_a_missing_entry_counts_from_the_last_proof() {
+    for age in [0, 500, 1_000, 1_500, 2_000] {
+        let (mut host, ids) = host_with_engines(4);
+        host.prove();
+        let age = Duration::from_millis(age);
+        run(&mut host, age);
+        let used = used_after_removal(&mut host, &ids);
+        assert!(
+            age + used <= Duration::from_millis(1_650).max(age),
+            "{age:?} {used:?}"
+        );
+    }
+}
+
+/// Guards against a fleet without backend servers for the two seconds after an outage of the store in
+/// which they write their entries again, although the last proof is old then.
+#[test]
+fn entries_that_expired_while_the_store_was_away_are_used_until_they_are_back() {
+    let (mut host, ids) = host_with_engines(4);
+    run(&mut host, Duration::from_secs(8));
+    host.apply(Event::ConfigurationProved(host.boot_time));
+    let used = used_after_removal(&mut host, &ids);
+    assert!(used >= Duration::from_millis(1_850), "{used:?}");
+    assert!(used <= Duration::from_millis(2_050), "{used:?}");
+}
+
+/// Guards against a host that takes its own standstill for an outage of the store, and goes on using
+/// backend servers that left meanwhile.
+#[test]
+fn a_host_that_stood_still_takes_the_store_for_available() {
+    let (mut host, ids) = host_with_engines(4);
+    run(&mut host, Duration::from_secs(1));
+    host.wait(Duration::from_secs(8));
+    host.tick();
+    host.prove();
+    host.apply(Event::ConfigurationProved(host.boot_time));
+    run(&mut host, Duration::from_millis(1_700));
+    assert_eq!(used_after_removal(&mut host, &ids), Duration::ZERO);
+}
