Let a host that stood still learn which backend servers left before it sends

Cause: a host that was suspended finds requests and reports in its sockets and sends the requests first. Where its socket buffer was full, the reports of the leave are gone, and it learns of them when its digest has differed from a watcher's for 0.7 s. Class: a decision is carried out after a pause on what was known before it.

Change: a host that stood still for half the time that operators allow after a leave sends nothing to backend servers until a watcher's report that was sent since has the same digest, or the store answered a request sent since, for a second at most. If the digest differs then, it fetches the entries at once. The check is the last one before a request is sent. Hosts pass requests on as before.

Ruled out: a check of the age of proofs alone. A proof is one to two seconds old in calm, so half of a two-second limit can't be told by it.

Why it works: a watcher's digest at the time of its report covers all leaves before; the peer's clock tells reports that waited in the buffer from later ones.

--- a/crates/jaypin_entry/src/callers/attempt.rs
+++ b/crates/jaypin_entry/src/callers/attempt.rs
@@ -54,11 +54,15 @@
             let Ok(mut connection) = acquired else {
                 return AttemptOutcome::Unreached;
             };
-            if let Recipient::Backend(backend) = &order.recipient
-                && !self.host.may_send_to(backend)
-            {
-                self.host.connections.release(connection);
-                return AttemptOutcome::Withheld;
+            if let Recipient::Backend(backend) = &order.recipient {
+                tokio::select! {
+                    () = self.host.catch_up() => {}
+                    () = delivery.caller_disconnected() => return AttemptOutcome::Abandoned,
+                }
+                if !self.host.may_send_to(backend) {
+                    self.host.connections.release(connection);
+                    return AttemptOutcome::Withheld;
+                }
             }
             let req = self.outgoing_request(order);
             let limit = order
--- a/crates/jaypin_entry/src/host.rs
+++ b/crates/jaypin_entry/src/host.rs
@@ -3,6 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
+use std::time::Duration;
 
 use jaypin_core::Refusal;
 use jaypin_router::{
@@ -10,13 +11,17 @@
 };
 use tokio::sync::Notify;
 use tokio::sync::mpsc::UnboundedSender;
-use tokio::time::{Instant, sleep_until};
+use tokio::time::{Instant, sleep, sleep_until};
 
+use crate::boot_clock::boot_time;
 use crate::calls::{ConnectionPool, Recipient, SendOrder};
 use crate::peers::PeerSocket;
 use crate::ports::{HostSettings, Object, Platform};
 use crate::watch_progress::WatchProgress;
 
+/// Time between two checks whether a host that stood still knows the current entries.
+const CATCH_UP_INTERVAL: Duration = Duration::from_millis(20);
+
 /// The next step of a request, sent by the reducer to the task of the request.
 #[derive(Debug)]
 pub enum Directive {
@@ -153,6 +158,20 @@
         read(&self.router.borrow())
     }
 
+    /// Waits while this host may lack leaves of backend servers because it stood still.
+    ///
+    /// Guards against a host that runs late: it finds requests and reports in its sockets, and would
+    /// send the requests before it reads in the reports that their backend servers left.
+    pub async fn catch_up(&self) {
+        let time = boot_time();
+        if self.read(|router| router.is_tick_overdue(time)) {
+            self.apply(Event::Tick(time));
+        }
+        while self.read(Router::is_catching_up) {
+            sleep(CATCH_UP_INTERVAL).await;
+        }
+    }
+
     /// Checks whether a request that was assigned to a backend server may still be sent there.
     pub fn may_send_to(&self, backend: &str) -> bool {
         let now = Instant::now().into_std();
--- a/crates/jaypin_router/src/router/mod.rs
+++ b/crates/jaypin_router/src/router/mod.rs
@@ -171,7 +171,7 @@
         match event {
             Event::ConfigurationLoaded(table) => self.apply_configuration(table, now),
             Event::ConfigurationProved(at) => self.record_proof(at),
-            Event::EntriesProved(at) => self.freshness.entries.record_from_store(at),
+            Event::EntriesProved(at) => self.record_entries_proof(at),
             Event::ConfirmedByPeer(at) => self.record_peer_confirmation(at),
             Event::StoreCallFailed => self.record_store_failure(now),
             Event::BackendsListed { entries, point } => {
@@ -333,7 +333,8 @@
         self.last_boot_time = Some(boot_time);
         let is_watcher = self.is_watcher(now);
         self.freshness.record_role(is_watcher, boot_time);
-        self.freshness.refresh(boot_time);
+        self.freshness
+            .refresh(self.cfg.bounds.leave_limit, boot_time);
         self.compare_with_peers(now);
         let is_ready = self.is_ready(boot_time);
         if is_ready != self.was_ready {
--- a/crates/jaypin_router/src/router/watching.rs
+++ b/crates/jaypin_router/src/router/watching.rs
@@ -197,7 +197,9 @@
     #[must_use]
     pub fn has_diverging_entries(&self, now: Instant) -> bool {
         let since = self.reported_store.diverged_since;
-        since.is_some_and(|at| now.saturating_duration_since(at) >= MAX_DIVERGENCE)
+        since.is_some_and(|at| {
+            self.is_catching_up() || now.saturating_duration_since(at) >= MAX_DIVERGENCE
+        })
     }
 
     /// Returns whether peers may rely on this host to watch the store.
@@ -219,6 +221,26 @@
         self.report_state.report_whole_at_once();
     }
 
+    /// Records that this host knew all entries at a time, by a response of the store.
+    pub(super) fn record_entries_proof(&mut self, at: BootTime) {
+        self.freshness.entries.record_from_store(at);
+        self.freshness.record_current_entries(at);
+    }
+
+    /// Returns whether the tick is late by so much that this host may have stood still for long.
+    #[must_use]
+    pub fn is_tick_overdue(&self, boot_time: BootTime) -> bool {
+        let since = self.last_boot_time.map(|at| boot_time.saturating_sub(at));
+        since.is_some_and(|it| it >= self.cfg.bounds.leave_limit / 2)
+    }
+
+    /// Returns whether this host stood still for long, and does not know yet whether backend servers
+    /// have left meanwhile.
+    #[must_use]
+    pub fn is_catching_up(&self) -> bool {
+        self.freshness.is_catching_up()
+    }
+
     /// Records that a peer confirmed the configuration of this host over a connection.
     pub(super) fn record_peer_confirmation(&mut self, at: BootTime) {
         self.advance_proof(at);
@@ -314,9 +336,16 @@
         };
         let proved_at = view.proved_at.and_then(to_past);
         let entries_proved_at = view.entries_proved_at.and_then(to_past);
+        let sent_at = to_past(whole.sent_at);
         if let Some(at) = proved_at.filter(|_| view.version == self.version()) {
             self.advance_proof(at);
         }
+        if view.is_watching
+            && view.digest == self.entries.digest()
+            && let Some(sent_at) = sent_at
+        {
+            self.freshness.record_current_entries(sent_at);
+        }
         if let Some(at) = entries_proved_at.filter(|_| view.digest == self.entries.digest()) {
             self.freshness.entries.record_from_peer(at);
         }
--- a/crates/jaypin_router/src/store_freshness.rs
+++ b/crates/jaypin_router/src/store_freshness.rs
@@ -54,6 +54,10 @@
 /// Time in which a host that runs reads the reports that its peers have sent.
 const REPORTS_TIME: Duration = Duration::from_millis(400);
 
+/// Longest time for which a host that stood still waits to hear whether its entries are current: peers
+/// report it twice in this time.
+const MAX_CATCH_UP_TIME: Duration = Duration::from_secs(1);
+
 /// The newest proofs of one collection.
 #[derive(Debug, Default, Clone, Copy)]
 pub struct Proofs {
@@ -119,6 +123,8 @@
     /// Since when only old proofs of the configuration are known, while this host ran.
     stale_since: Option<BootTime>,
     refreshed_at: Option<BootTime>,
+    /// When this host ran again after a standstill, until its entries are known to be current.
+    resumed_at: Option<BootTime>,
 }
 
 impl StoreFreshness {
@@ -136,12 +142,33 @@
         self.away_at = Some(now);
     }
 
-    /// Updates whether the store is away for all hosts of the cell. Peers report their proofs, so a host
+    /// Records that this host knew all entries at a time.
+    pub fn record_current_entries(&mut self, at: BootTime) {
+        self.resumed_at.take_if(|resumed| at >= *resumed);
+    }
+
+    /// Returns whether this host stood still for so long that backend servers may have left, and has yet
+    /// to hear of it. It sends nothing to them meanwhile. If it hears nothing, the store is away, and it
+    /// goes on with what it knows.
+    #[must_use]
+    pub fn is_catching_up(&self) -> bool {
+        self.resumed_at.is_some()
+    }
+
+    /// Updates what depends on time: whether this host stood still, for a considerable part of the time
+    /// `limit` that operators allow after a leave, and whether the store is away for all hosts of the
+    /// cell. Peers report their proofs, so a host
     /// that has only old ones is not alone with that, unless it has just stood still: then it has yet to
     /// read their reports.
-    pub fn refresh(&mut self, now: BootTime) {
+    pub fn refresh(&mut self, limit: Duration, now: BootTime) {
         let previous = self.refreshed_at.replace(now);
-        let stood_still = previous.is_none_or(|at| now.saturating_sub(at) >= REPORTS_TIME);
+        let standstill = previous.map_or(Duration::MAX, |at| now.saturating_sub(at));
+        let stood_still = standstill >= REPORTS_TIME;
+        if previous.is_some() && standstill >= limit / 2 {
+            self.resumed_at = Some(now);
+        }
+        self.resumed_at
+            .take_if(|at| now.saturating_sub(*at) >= MAX_CATCH_UP_TIME);
         if self.configuration.latest().is_none() || !self.configuration.are_stale(now) {
             self.stale_since = None;
             return;
