State the age of the entries in the log of a leave and in a metric

Since the entries have proofs, logs can tell a late notice from an immediate one: the line of a leave states since when the host knew all entries, and jaypin_entries_age_seconds shows it all the time.

Evidence: the_log_of_a_leave_states_the_age_of_the_entries (new). The metric's value on a running host was not looked at.

--- a/crates/jaypin_entry/src/host.rs
+++ b/crates/jaypin_entry/src/host.rs
@@ -260,8 +260,10 @@
                 backend,
                 state,
                 source,
+                known_age,
             } => {
-                log::info!(backend, state:?, source:?; "backend server leaves; sending it no further requests");
+                let known_ms = known_age.map(|it| it.as_millis());
+                log::info!(backend, state:?, source:?, known_ms:?; "backend server leaves; sending it no further requests");
             }
             Effect::SendReport { to, report } => self.peers.send(&to, &report),
             Effect::SendStreamMessage { to, message } => {
--- a/crates/jaypin_entry/src/metrics.rs
+++ b/crates/jaypin_entry/src/metrics.rs
@@ -40,6 +40,7 @@
     version: Gauge<u64>,
     streams: Gauge<u64>,
     dropped_streams: Gauge<u64>,
+    entries_age: Gauge<f64>,
     ready: Gauge<u64>,
     // Dropping the provider would stop the instruments.
     _provider: SdkMeterProvider,
@@ -78,6 +79,7 @@
         version: meter.u64_gauge("jaypin.configuration.version").build(),
         streams: meter.u64_gauge("jaypin.streams.remembered").build(),
         dropped_streams: meter.u64_gauge("jaypin.streams.forgotten_early").build(),
+        entries_age: meter.f64_gauge("jaypin.entries.age").with_unit("s").build(),
         ready: meter.u64_gauge("jaypin.ready").build(),
         registry,
         _provider: provider,
@@ -130,7 +132,11 @@
 }
 
 /// Returns all metrics in the text format of Prometheus, or `None` if [`start`] was not called.
-pub fn render(counts: RouterCounts, is_ready: bool) -> Option<String> {
+pub fn render(
+    counts: RouterCounts,
+    entries_age: Option<Duration>,
+    is_ready: bool,
+) -> Option<String> {
     let all = INSTRUMENTS.get()?;
     let wide = |count: usize| u64::try_from(count).unwrap_or(u64::MAX);
     all.waiting.record(wide(counts.waiting), &[]);
@@ -142,6 +148,9 @@
     all.version.record(counts.version, &[]);
     all.streams.record(wide(counts.streams), &[]);
     all.dropped_streams.record(counts.dropped_streams, &[]);
+    if let Some(age) = entries_age {
+        all.entries_age.record(age.as_secs_f64(), &[]);
+    }
     all.ready.record(u64::from(is_ready), &[]);
     let mut buf = Vec::new();
     if let Err(error) = TextEncoder::new().encode(&all.registry.gather(), &mut buf) {
--- a/crates/jaypin_router/src/router/event.rs
+++ b/crates/jaypin_router/src/router/event.rs
@@ -236,6 +236,8 @@
         state: LeaveState,
         /// From whom this host learned it.
         source: EntrySource,
+        /// Time since this host was last known to have all entries; none if it never was.
+        known_age: Option<Duration>,
     },
     /// Send a report to these hosts.
     SendReport {
--- a/crates/jaypin_router/src/router/watching.rs
+++ b/crates/jaypin_router/src/router/watching.rs
@@ -411,10 +411,12 @@
         source: EntrySource,
     ) {
         if self.backends.get(backend).is_some() {
+            let now = self.last_boot_time.unwrap_or_default();
             self.leaves.push(Effect::BackendLeft {
                 backend: backend.clone(),
                 state,
                 source,
+                known_age: self.freshness.entries.age(now),
             });
         }
     }
--- a/crates/jaypin_router/tests/entry_expiry.rs
+++ b/crates/jaypin_router/tests/entry_expiry.rs
@@ -224,3 +224,20 @@
     run(&mut host, Duration::from_millis(1_700));
     assert_eq!(used_after_removal(&mut host, &ids), Duration::ZERO);
 }
+
+/// Guards against a log that can't tell a leave that a host learned of at once from one that it learned
+/// of late.
+#[test]
+fn the_log_of_a_leave_states_the_age_of_the_entries() {
+    let (mut host, _) = host_with_engines(2);
+    host.prove();
+    run(&mut host, Duration::from_millis(700));
+    let id = "engine-000".into();
+    let point = host.next_point();
+    let fx = host.apply(Event::BackendChanged(EntryChange::Removed { id, point }));
+    let age = fx.into_iter().find_map(|effect| match effect {
+        Effect::BackendLeft { known_age, .. } => known_age,
+        _ => None,
+    });
+    assert_eq!(age, Some(Duration::from_millis(700)));
+}
