--- a/crates/jaypin_router/tests/common/mod.rs
+++ b/crates/jaypin_router/tests/common/mod.rs
@@ -224,6 +224,12 @@
         Self::with(number, bounds())
     }
 
+    /// Creates the numbered host as a process that was started again, with a run that no other one
+    /// has.
+    pub fn restarted_as(number: u16, run: u64) -> Self {
+        Self::with_run(number, (run << 16) | u64::from(number), bounds())
+    }
+
     /// Creates the only host of a fleet, with changed bounds and nothing else known.
     pub fn with_bounds(change: impl FnOnce(&mut Bounds)) -> Self {
         let mut bounds = bounds();
@@ -234,9 +240,13 @@
     }
 
     fn with(number: u16, bounds: Bounds) -> Self {
+        Self::with_run(number, number.into(), bounds)
+    }
+
+    fn with_run(number: u16, run: u64, bounds: Bounds) -> Self {
         let router = Router::new(RouterConfig {
             host: format!("host-{number}").as_str().into(),
-            incarnation: number.into(),
+            incarnation: run,
             peer_address: address(7_000 + number),
             caller_address: address(8_000 + number),
             failure_domain: "a".into(),
