--- a/crates/jaypin_entry/tests/report_bytes.rs
+++ b/crates/jaypin_entry/tests/report_bytes.rs
@@ -186,6 +186,7 @@
     assert_eq!(removed, Some(Value::from(88_000)));
     let mut earlier = Vec::new();
     ciborium::into_writer(&value, &mut earlier).expect("bytes");
+    println!("{} bytes of {}", bytes.len() - earlier.len(), bytes.len());
     let mut expected = full();
     expected
         .whole
