Prove entries as of the time of a request only

Cause: a watch of entries waits up to 4 s, and its response was taken for a proof of 1.2 s before it was read. On a host that runs late, it may have been made long before it is read, so the proof is too young. Class: a time is counted from when something is read, not from when it was true.

Change: the time of the request is the proof. An expired grace no longer keeps a backend server until the next tick, and the two checks of a standstill are one function.

Evidence: by reading; no test shows it. entry_expiry, watching, standstill, store_eras and proof pass.

--- a/crates/jaypin_entry/src/store/backends.rs
+++ b/crates/jaypin_entry/src/store/backends.rs
@@ -8,7 +8,6 @@
 use tokio::time::{Instant, sleep};
 
 use super::client::{StoreClient, StoreError};
-use super::request_time::RequestTime;
 use super::{
     CHECK_INTERVAL, RELAY_FALLBACK_TIME, Retries, WATCH_PAUSE, follows_store, now, wait_until,
 };
@@ -197,7 +196,7 @@
         |router: &Router| router.is_relay() && listed_at.elapsed() >= RELAY_FALLBACK_TIME;
     host.watches.set_entries_point(Some(point));
     while host.read(|router| follows_store(router) && !is_fallback_over(router)) {
-        let requested = RequestTime::now();
+        let requested_at = boot_time();
         let watched = tokio::select! {
             watched = client.watch(Collection::Backends, point, WATCH_TIMEOUT) => watched?,
             () = host.watches.entries_overdue() => {
@@ -215,7 +214,7 @@
         }
         point = updates.point;
         host.watches.set_entries_point(Some(point));
-        host.apply(Event::EntriesProved(requested.proved_at()));
+        host.apply(Event::EntriesProved(requested_at));
         if !updates.changes.is_empty() {
             sleep(WATCH_PAUSE).await;
         }
--- a/crates/jaypin_entry/src/store/mod.rs
+++ b/crates/jaypin_entry/src/store/mod.rs
@@ -5,7 +5,6 @@
 mod client;
 mod configuration;
 mod hosts;
-mod request_time;
 mod rollouts;
 
 pub use backends::follow_backends;
--- a/crates/jaypin_router/src/lib.rs
+++ b/crates/jaypin_router/src/lib.rs
@@ -86,7 +86,7 @@
 pub use size::Sizes;
 pub use store_freshness::{
     LAG_TOLERANCE, MAX_NOTICE_TIME, MAX_PROOF_AGE, PROOF_INTERVAL, Proofs, RESPONSE_TIME,
-    StoreFreshness, WATCH_LAG,
+    StoreFreshness,
 };
 pub use store_point::{StoreEra, StorePoint};
 pub use stream_origins::{
--- a/crates/jaypin_router/src/router/missing_entries.rs
+++ b/crates/jaypin_router/src/router/missing_entries.rs
@@ -65,8 +65,8 @@
     pub(super) fn handle_missing_entry(&mut self, id: BackendId, now: Instant) {
         let known = self.backends.get(&id);
         let was_ready = known.is_some_and(Backend::is_ready);
-        if was_ready && self.missing_entries.has_store_failed_recently(now) {
-            let until = self.expiry_grace_until(now);
+        let until = self.expiry_grace_until(now);
+        if was_ready && until > now && self.missing_entries.has_store_failed_recently(now) {
             self.missing_entries.due.entry(id).or_insert(until);
         } else {
             self.remove_backend(&id, now);
--- a/crates/jaypin_router/src/router/watching.rs
+++ b/crates/jaypin_router/src/router/watching.rs
@@ -6,6 +6,7 @@
 use jaypin_core::{BackendId, HostId, score};
 
 use super::{Effect, Router};
+use crate::store_freshness::is_long_standstill;
 use crate::{BackendStatus, BootTime, EntryChange, EntrySource, LeaveState, Report, cell_of};
 
 /// Number of hosts in a cell that watch the store and report to the others. With two of them,
@@ -231,7 +232,7 @@
     #[must_use]
     pub fn is_tick_overdue(&self, boot_time: BootTime) -> bool {
         let since = self.last_boot_time.map(|at| boot_time.saturating_sub(at));
-        since.is_some_and(|it| it >= self.cfg.bounds.leave_limit / 2)
+        since.is_some_and(|it| is_long_standstill(it, self.cfg.bounds.leave_limit))
     }
 
     /// Returns whether this host stood still for long, and does not know yet whether backend servers
--- a/crates/jaypin_router/src/store_freshness.rs
+++ b/crates/jaypin_router/src/store_freshness.rs
@@ -18,9 +18,6 @@
 /// Time for which a copy of a collection may lag behind the store, as another response shows it,
 /// before its changes are read over another connection.
 pub const LAG_TOLERANCE: Duration = Duration::from_millis(200);
-/// Time by which a watch may lag behind writes: before a store drops its history, watches may return
-/// nothing for up to a second.
-pub const WATCH_LAG: Duration = Duration::from_millis(1_200);
 /// Time to read a change over a new connection, and to report it to the cell.
 const REPORT_TIME: Duration = Duration::from_millis(100);
 /// Longest time until the hosts of a cell know of a change, if the watches that should return it are
@@ -88,12 +85,6 @@
         self.latest
     }
 
-    /// Returns the newest proof in a response of the store to this host.
-    #[must_use]
-    pub fn from_store(&self) -> Option<BootTime> {
-        self.from_store
-    }
-
     /// Returns the time since the newest proof; none if there is none.
     #[must_use]
     pub fn age(&self, now: BootTime) -> Option<Duration> {
@@ -155,16 +146,16 @@
         self.resumed_at.is_some()
     }
 
-    /// Updates what depends on time: whether this host stood still, for a considerable part of the time
-    /// `limit` that operators allow after a leave, and whether the store is away for all hosts of the
-    /// cell. Peers report their proofs, so a host
-    /// that has only old ones is not alone with that, unless it has just stood still: then it has yet to
-    /// read their reports.
+    /// Updates whether this host stood still, where operators allow `limit` after a leave, and whether the
+    /// store is away for all hosts of the cell.
+    ///
+    /// Peers report their proofs, so a host that has only old ones is not alone with that, unless it has
+    /// just stood still: then it has yet to read their reports.
     pub fn refresh(&mut self, limit: Duration, now: BootTime) {
         let previous = self.refreshed_at.replace(now);
         let standstill = previous.map_or(Duration::MAX, |at| now.saturating_sub(at));
         let stood_still = standstill >= REPORTS_TIME;
-        if previous.is_some() && standstill >= limit / 2 {
+        if previous.is_some() && is_long_standstill(standstill, limit) {
             self.resumed_at = Some(now);
         }
         self.resumed_at
@@ -226,6 +217,13 @@
     }
 }
 
+/// Returns whether a host stood still for so long that it can't go on with what it knew before, where
+/// operators allow `limit` after a leave.
+#[must_use]
+pub fn is_long_standstill(time: Duration, limit: Duration) -> bool {
+    time >= limit / 2
+}
+
 fn is_stale(proof: Option<BootTime>, now: BootTime) -> bool {
     proof.is_none_or(|at| now.saturating_sub(at) >= MAX_PROOF_AGE)
 }
