Report an entry that a listing lacks at once

Cause: a host that finds by a listing that an entry is gone queues the change, and sends it with the next heartbeat, up to 0.25 s later.

Change: it is reported soon, as a change that a watch brings.

Evidence: an_entry_that_a_listing_lacks_is_reported_at_once fails before and passes after; the other 26 tests of watching pass.

--- a/crates/jaypin_router/src/router/updates.rs
+++ b/crates/jaypin_router/src/router/updates.rs
@@ -82,6 +82,7 @@
             };
             self.entries.apply(&removed);
             self.entries.queue(removed);
+            self.report_state.report_soon();
             self.record_leave(&id, LeaveState::Removed, EntrySource::Store);
             self.handle_missing_entry(id, now);
         }
--- a/crates/jaypin_router/tests/watching.rs
+++ b/crates/jaypin_router/tests/watching.rs
@@ -224,6 +224,29 @@
     assert!(reported[0].contains("engine-200"));
 }
 
+/// Guards against a removed entry that the other hosts learn of a heartbeat late because a listing showed
+/// it.
+#[test]
+fn an_entry_that_a_listing_lacks_is_reported_at_once() {
+    let mut host = started_host(3);
+    host.list_entries(engines(3));
+    reported_changes(&mut host);
+    host.wait(Duration::from_millis(60));
+    host.tick();
+    host.wait(Duration::from_millis(60));
+    let mut fx = Vec::new();
+    let records = engines(2);
+    let point = host.next_point();
+    let entries = records.into_iter().map(|it| (it, point)).collect();
+    fx.extend(host.apply(Event::BackendsListed { entries, point }));
+    host.wait(Duration::from_millis(60));
+    fx.extend(host.tick());
+    let reported = fx.into_iter().any(
+        |effect| matches!(effect, Effect::SendReport { report, .. } if !report.changes.is_empty()),
+    );
+    assert!(reported);
+}
+
 /// Guards against requests to backend servers that leave together: with hundreds of changes to
 /// report, the last ones waited until the first had been reported three times.
 #[test]
