Keep the ages from which a host asks others beside the proofs

No change of logic: two constants move from watching.rs to store_freshness.rs, a binding no longer hides another, and a comment says for how long a host that stood still waits.

--- a/crates/jaypin_router/src/router/missing_entries.rs
+++ b/crates/jaypin_router/src/router/missing_entries.rs
@@ -115,10 +115,10 @@
             return;
         }
         let restored = std::mem::take(dropped);
-        for dropped in restored.into_iter().filter(|it| now < it.grace_until) {
-            let id = dropped.backend.record.id.clone();
-            self.missing_entries.due.insert(id, dropped.grace_until);
-            self.backends.insert(dropped.backend);
+        for it in restored.into_iter().filter(|it| now < it.grace_until) {
+            let id = it.backend.record.id.clone();
+            self.missing_entries.due.insert(id, it.grace_until);
+            self.backends.insert(it.backend);
             self.stable_subsets.invalidate();
         }
     }
--- a/crates/jaypin_router/src/router/watching.rs
+++ b/crates/jaypin_router/src/router/watching.rs
@@ -6,22 +6,16 @@
 use jaypin_core::{BackendId, HostId, score};
 
 use super::{Effect, Router};
-use crate::store_freshness::is_long_standstill;
+use crate::store_freshness::{MAX_DIVERGENCE, MAX_UNWATCHED, is_long_standstill};
 use crate::{BackendStatus, BootTime, EntryChange, EntrySource, LeaveState, Report, cell_of};
 
 /// Number of hosts in a cell that watch the store and report to the others. With two of them,
 /// one can fail without leaving the store unwatched.
 pub(super) const WATCHERS: usize = 2;
-/// Time for which a host may know other entries than a watcher before it reads all of them.
-/// Changes in transit arrive in less time.
-const MAX_DIVERGENCE: Duration = Duration::from_millis(700);
 /// Time after a host has listed the registered hosts during which it assumes that they are live
 /// although they have not reported. Hosts that start together receive each other's reports within a
 /// third of this time. Without the assumption, each host of a starting fleet would begin to watch.
 pub(super) const JOIN_TIME: Duration = Duration::from_millis(1_500);
-/// Time without a report of a preceding peer that watches the store, after which a host watches it
-/// although peers precede it. If both watchers of a cell fail, others replace them in less time.
-const MAX_UNWATCHED: Duration = Duration::from_millis(1_500);
 /// Key of the hash order in which hosts become watchers.
 pub(super) const WATCH_RANK_KEY: &str = "watch";
 
--- a/crates/jaypin_router/src/store_freshness.rs
+++ b/crates/jaypin_router/src/store_freshness.rs
@@ -34,6 +34,12 @@
 /// answering both watchers, the other hosts notice this 1.4 s after its last response and read
 /// the store 0.2 s later. That is within the two seconds in which a change must be in use.
 pub const MAX_PROOF_AGE: Duration = Duration::from_millis(2_600);
+/// Time for which a host may know other entries than a watcher before it reads all of them.
+/// Changes in transit arrive in less time.
+pub const MAX_DIVERGENCE: Duration = Duration::from_millis(700);
+/// Time without a report of a preceding peer that watches the store, after which a host watches it
+/// although peers precede it. If both watchers of a cell fail, others replace them in less time.
+pub const MAX_UNWATCHED: Duration = Duration::from_millis(1_500);
 /// Fraction of the revocation limit within which the configuration must be proved. The remainder
 /// covers watches that lag by up to a second.
 const REVOCATION_FRACTION: f64 = 0.8;
@@ -139,8 +145,8 @@
     }
 
     /// Returns whether this host stood still for so long that backend servers may have left, and has yet
-    /// to hear of it. It sends nothing to them meanwhile. If it hears nothing, the store is away, and it
-    /// goes on with what it knows.
+    /// to hear of it. It sends nothing to them meanwhile, for a second at most: while the
+    /// store is away, nobody can tell.
     #[must_use]
     pub fn is_catching_up(&self) -> bool {
         self.resumed_at.is_some()
