--- a/crates/jaypin_entry/src/host.rs
+++ b/crates/jaypin_entry/src/host.rs
@@ -19,7 +19,7 @@
 use crate::ports::{HostSettings, Object, Platform};
 use crate::watch_progress::WatchProgress;
 
-/// Time between two checks whether a host that stood still knows the current entries.
+/// Time between two checks whether a host that was stalled knows the current entries.
 const CATCH_UP_INTERVAL: Duration = Duration::from_millis(20);
 
 /// The next step of a request, sent by the reducer to the task of the request.
@@ -158,10 +158,10 @@
         read(&self.router.borrow())
     }
 
-    /// Waits while this host may lack leaves of backend servers because it stood still.
+    /// Waits while this host may lack leaves of backend servers because it was stalled.
     ///
     /// Guards against a host that runs late: it finds requests and reports in its sockets, and would
-    /// send the requests before it reads in the reports that their backend servers left.
+    /// send requests to backend servers before it reads the reports of their leaves.
     pub async fn catch_up(&self) {
         let time = boot_time();
         if self.read(|router| router.is_tick_overdue(time)) {
--- a/crates/jaypin_router/src/router/watching.rs
+++ b/crates/jaypin_router/src/router/watching.rs
@@ -6,7 +6,7 @@
 use jaypin_core::{BackendId, HostId, score};
 
 use super::{Effect, Router};
-use crate::store_freshness::{MAX_DIVERGENCE, MAX_UNWATCHED, is_long_standstill};
+use crate::store_freshness::{MAX_DIVERGENCE, MAX_UNWATCHED, is_long_stall};
 use crate::{BackendStatus, BootTime, EntryChange, EntrySource, LeaveState, Report, cell_of};
 
 /// Number of hosts in a cell that watch the store and report to the others. With two of them,
@@ -222,14 +222,14 @@
         self.freshness.record_current_entries(at);
     }
 
-    /// Returns whether the tick is late by so much that this host may have stood still for long.
+    /// Returns whether the tick is late by so much that this host may have been stalled for long.
     #[must_use]
     pub fn is_tick_overdue(&self, boot_time: BootTime) -> bool {
         let since = self.last_boot_time.map(|at| boot_time.saturating_sub(at));
-        since.is_some_and(|it| is_long_standstill(it, self.cfg.bounds.leave_limit))
+        since.is_some_and(|it| is_long_stall(it, self.cfg.bounds.leave_limit))
     }
 
-    /// Returns whether this host stood still for long, and does not know yet whether backend servers
+    /// Returns whether this host was stalled for long, and does not know yet whether backend servers
     /// have left meanwhile.
     #[must_use]
     pub fn is_catching_up(&self) -> bool {
--- a/crates/jaypin_router/src/store_freshness.rs
+++ b/crates/jaypin_router/src/store_freshness.rs
@@ -57,7 +57,7 @@
 /// Time in which a host that runs reads the reports that its peers have sent.
 const REPORTS_TIME: Duration = Duration::from_millis(400);
 
-/// Longest time for which a host that stood still waits to hear whether its entries are current: peers
+/// Longest time for which a host that was stalled waits to hear whether its entries are current: peers
 /// report it twice in this time.
 const MAX_CATCH_UP_TIME: Duration = Duration::from_secs(1);
 
@@ -120,7 +120,7 @@
     /// Since when only old proofs of the configuration are known, while this host ran.
     stale_since: Option<BootTime>,
     refreshed_at: Option<BootTime>,
-    /// When this host ran again after a standstill, until its entries are known to be current.
+    /// When this host ran again after a stall, until its entries are known to be current.
     resumed_at: Option<BootTime>,
 }
 
@@ -144,7 +144,7 @@
         self.resumed_at.take_if(|resumed| at >= *resumed);
     }
 
-    /// Returns whether this host stood still for so long that backend servers may have left, and has yet
+    /// Returns whether this host was stalled for so long that backend servers may have left, and has yet
     /// to hear of it. It sends nothing to them meanwhile, for a second at most: while the
     /// store is away, nobody can tell.
     #[must_use]
@@ -152,16 +152,16 @@
         self.resumed_at.is_some()
     }
 
-    /// Updates whether this host stood still, where operators allow `limit` after a leave, and whether the
+    /// Updates whether this host was stalled, where operators allow `limit` after a leave, and whether the
     /// store is away for all hosts of the cell.
     ///
     /// Peers report their proofs, so a host that has only old ones is not alone with that, unless it has
-    /// just stood still: then it has yet to read their reports.
+    /// just been stalled: then it has yet to read their reports.
     pub fn refresh(&mut self, limit: Duration, now: BootTime) {
         let previous = self.refreshed_at.replace(now);
-        let standstill = previous.map_or(Duration::MAX, |at| now.saturating_sub(at));
-        let stood_still = standstill >= REPORTS_TIME;
-        if previous.is_some() && is_long_standstill(standstill, limit) {
+        let stall = previous.map_or(Duration::MAX, |at| now.saturating_sub(at));
+        let was_stalled = stall >= REPORTS_TIME;
+        if previous.is_some() && is_long_stall(stall, limit) {
             self.resumed_at = Some(now);
         }
         self.resumed_at
@@ -170,7 +170,7 @@
             self.stale_since = None;
             return;
         }
-        if stood_still {
+        if was_stalled {
             self.stale_since = Some(now);
         }
         let stale_since = *self.stale_since.get_or_insert(now);
@@ -223,10 +223,10 @@
     }
 }
 
-/// Returns whether a host stood still for so long that it can't go on with what it knew before, where
+/// Returns whether a host was stalled for so long that it can't go on with what it knew before, where
 /// operators allow `limit` after a leave.
 #[must_use]
-pub fn is_long_standstill(time: Duration, limit: Duration) -> bool {
+pub fn is_long_stall(time: Duration, limit: Duration) -> bool {
     time >= limit / 2
 }
 
--- a/crates/jaypin_router/tests/entry_delay_fleet/fleet.rs
+++ b/crates/jaypin_router/tests/entry_delay_fleet/fleet.rs
@@ -23,9 +23,9 @@
 const WATCH_PAUSE: Duration = Duration::from_millis(300);
 /// Time after entries were fetched from a peer in which they are not fetched again.
 const SNAPSHOT_GRACE: Duration = Duration::from_secs(3);
-/// Number of reports that wait for a host that stands still; later ones are dropped.
+/// Number of reports that wait for a host that is stalled; later ones are dropped.
 const SOCKET_BUFFER: usize = 120;
-/// Time after a standstill or a start from which a host must act like the others.
+/// Time after a stall or a start from which a host must act like the others.
 const CONTACT_TIME: Duration = Duration::from_secs(3);
 const CONFIGURATION: u64 = 1;
 /// Backend servers of the only service.
@@ -55,8 +55,8 @@
     /// Until when its watch of entries returns nothing.
     silent_until: Option<Instant>,
     fetched_at: Option<Instant>,
-    /// Until when it stands still, and the reports that wait for it meanwhile.
-    late_until: Option<Instant>,
+    /// Until when it is stalled, and the reports that wait for it meanwhile.
+    stalled_until: Option<Instant>,
     waiting: VecDeque<Box<Report>>,
     /// Since when it has run without a fault.
     calm_since: Instant,
@@ -124,19 +124,23 @@
         for n in 0..self.members.len() {
             let member = &mut self.members[n];
             member.host.wait(STEP);
-            if member.late_until.take_if(|until| *until <= now).is_some() {
+            if member
+                .stalled_until
+                .take_if(|until| *until <= now)
+                .is_some()
+            {
                 member.calm_since = now;
                 self.resume(n);
             }
             let member = &self.members[n];
-            if member.starts_at <= now && member.late_until.is_none() {
+            if member.starts_at <= now && member.stalled_until.is_none() {
                 self.run_tasks(n);
             }
         }
         let due: Vec<_> = self.in_transit.extract_if(.., |it| it.0 <= now).collect();
         for (_, n, report) in due {
             let member = &mut self.members[n];
-            if member.late_until.is_some() {
+            if member.stalled_until.is_some() {
                 if member.waiting.len() < SOCKET_BUFFER {
                     member.waiting.push_back(report);
                 }
@@ -154,7 +158,7 @@
         self.carry_out(n, fx);
     }
 
-    /// Lets a host that stood still send what waits, and then read the reports that wait.
+    /// Lets a host that was stalled send what waits, and then read the reports that wait.
     fn resume(&mut self, n: usize) {
         let fx = self.members[n].host.tick();
         self.carry_out(n, fx);
@@ -177,7 +181,7 @@
         let now = self.now;
         let member = &mut self.members[n];
         let router = &member.host.router;
-        let runs = member.is_started && member.late_until.is_none();
+        let runs = member.is_started && member.stalled_until.is_none();
         let is_used = (0..count).any(|n| router.still_accepts(&id(n), now));
         if runs && is_used && !router.is_catching_up() {
             member.last_sent_at = Some(now);
@@ -400,9 +404,9 @@
         self.members[n] = Member::new(host, self.now + restart_after);
     }
 
-    /// Lets a host stand still for a time.
-    pub fn hold_up(&mut self, n: usize, time: Duration) {
-        self.members[n].late_until = Some(self.now + time);
+    /// Lets a host stall for a time.
+    pub fn stall(&mut self, n: usize, time: Duration) {
+        self.members[n].stalled_until = Some(self.now + time);
     }
 
     /// Lets backend servers leave.
@@ -448,7 +452,7 @@
             watches_at: starts_at,
             silent_until: None,
             fetched_at: None,
-            late_until: None,
+            stalled_until: None,
             waiting: VecDeque::new(),
             calm_since: starts_at,
             last_sent_at: None,
--- a/crates/jaypin_router/tests/entry_delay_fleet/main.rs
+++ b/crates/jaypin_router/tests/entry_delay_fleet/main.rs
@@ -87,7 +87,7 @@
         let late: Vec<_> = all.sample(&mut fleet.rng, count).copied().collect();
         for n in late {
             let time = millis(&mut fleet.rng, 200..3_500);
-            fleet.hold_up(n, time);
+            fleet.stall(n, time);
         }
         names.push("hosts late");
     }
--- a/crates/jaypin_router/tests/entry_expiry.rs
+++ b/crates/jaypin_router/tests/entry_expiry.rs
@@ -211,10 +211,10 @@
     assert!(used <= Duration::from_millis(2_050), "{used:?}");
 }
 
-/// Guards against a host that takes its own standstill for an outage of the store, and goes on using
+/// Guards against a host that takes its own stall for an outage of the store, and goes on using
 /// backend servers that left meanwhile.
 #[test]
-fn a_host_that_stood_still_takes_the_store_for_available() {
+fn a_stalled_host_takes_the_store_for_available() {
     let (mut host, ids) = host_with_engines(4);
     run(&mut host, Duration::from_secs(1));
     host.wait(Duration::from_secs(8));
--- a/crates/jaypin_router/tests/standstill.rs
+++ b/crates/jaypin_router/tests/stalled_host.rs
@@ -1,4 +1,4 @@
-//! A host that stood still, and has yet to learn which backend servers left meanwhile.
+//! A host that was stalled, and has yet to learn which backend servers left meanwhile.
 
 mod common;
 
@@ -11,14 +11,14 @@
 const CLOCK_OFFSET: Duration = Duration::from_secs(500);
 
 /// A host with an engine, and a watcher with the same entries that reports to it.
-struct Standstill {
+struct StalledHost {
     host: TestHost,
     digest: u64,
     sequence: u64,
 }
 
-impl Standstill {
-    /// Lets the host run for a second, and then stand still for a time.
+impl StalledHost {
+    /// Lets the host run for a second, and then be stalled for a time.
     fn new(time: Duration) -> Self {
         let mut host = TestHost::unconfigured();
         let peer = common::whole_report(2);
@@ -69,12 +69,12 @@
 }
 
 macro_rules! catches_up {
-    ($($name:ident: after $standstill:expr, $act:expr => $expected:expr;)*) => {
+    ($($name:ident: after $stall:expr, $act:expr => $expected:expr;)*) => {
         $(
             #[test]
             fn $name() {
-                let mut state = Standstill::new(Duration::from_millis($standstill));
-                let act: fn(&mut Standstill) = $act;
+                let mut state = StalledHost::new(Duration::from_millis($stall));
+                let act: fn(&mut StalledHost) = $act;
                 act(&mut state);
                 assert_eq!(state.host.router.is_catching_up(), $expected);
             }
@@ -84,11 +84,11 @@
 
 const LATE: Duration = Duration::from_millis(200);
 
-// Guards against a host that sends requests to backend servers that left while it stood still: it must
+// Guards against a host that sends requests to backend servers that left while it was stalled: it must
 // first hear from a watcher, after that, that its entries are current.
 catches_up! {
-    a_short_standstill_is_none: after 800, |_| {} => false;
-    a_host_that_stood_still_catches_up: after 1_500, |_| {} => true;
+    a_short_stall_is_none: after 800, |_| {} => false;
+    a_stalled_host_catches_up: after 1_500, |_| {} => true;
     a_later_report_with_the_same_entries_suffices: after 1_500, |it| {
         it.wait(LATE);
         it.receive_report(Duration::ZERO, true);
@@ -114,11 +114,11 @@
 }
 
 /// Guards against a host that fetches the entries of a peer only after the time in which changes are in
-/// transit, although it stood still for longer than that.
+/// transit, although it was stalled for longer than that.
 #[test]
-fn a_host_that_stood_still_fetches_other_entries_at_once() {
-    for (standstill, expected) in [(1_500, true), (800, false)] {
-        let mut it = Standstill::new(Duration::from_millis(standstill));
+fn a_stalled_host_fetches_other_entries_at_once() {
+    for (stall, expected) in [(1_500, true), (800, false)] {
+        let mut it = StalledHost::new(Duration::from_millis(stall));
         it.wait(LATE);
         it.receive_report(Duration::ZERO, false);
         assert_eq!(it.host.router.has_diverging_entries(it.host.now), expected);
