Let a proof of the configuration suffice to write states of orders

Callers would have seen orders that nobody ends where all watchers lack a proof of the entries.

Cause: whether a host may write an order's state was asked as whether peers may rely on it as a watcher, which now needs a proof of the entries too. Class: one answer for two questions.

Change: writing needs that the store answers this host, as before this change; watching needs the entries as well.

--- a/crates/jaypin_router/src/router/rollouts.rs
+++ b/crates/jaypin_router/src/router/rollouts.rs
@@ -113,7 +113,7 @@
         if has_changed {
             self.handle_role_change();
         }
-        if !self.may_watch(boot_time) {
+        if self.draining_since.is_some() || !self.freshness.suffices_for_writing(boot_time) {
             return;
         }
         let preceding = self.writers_before(now);
--- a/crates/jaypin_router/src/store_freshness.rs
+++ b/crates/jaypin_router/src/store_freshness.rs
@@ -207,19 +207,23 @@
         !is_stale(self.entries.from_store, now)
     }
 
-    /// Returns whether the store answers this host, as far as is known, so that peers may rely on it
-    /// as a watcher. A watcher without a proof of the entries is none: the configuration's proof comes
-    /// over another connection and says nothing of them.
+    /// Returns whether the store answers this host, as far as is known, so that it may write to it.
     #[must_use]
-    pub fn suffices_for_watching(&self, now: BootTime) -> bool {
+    pub fn suffices_for_writing(&self, now: BootTime) -> bool {
         let configuration = self.configuration.from_store;
-        let watches_for_long = self
-            .watcher_since
-            .is_some_and(|since| now.saturating_sub(since) >= MAX_PROOF_AGE);
         !self.last_call_failed
             && !self.configuration.are_stale(now)
             && (configuration.is_none() || !is_stale(configuration, now))
-            && (!watches_for_long || self.watches_entries(now))
+    }
+
+    /// Returns whether peers may rely on this host as a watcher. A watcher without a proof of the entries
+    /// is none: the configuration's proof comes over another connection and says nothing of them.
+    #[must_use]
+    pub fn suffices_for_watching(&self, now: BootTime) -> bool {
+        let watches_for_long = self
+            .watcher_since
+            .is_some_and(|since| now.saturating_sub(since) >= MAX_PROOF_AGE);
+        self.suffices_for_writing(now) && (!watches_for_long || self.watches_entries(now))
     }
 }
 
