--- a/crates/jaypin_core/src/reducer/mod.rs
+++ b/crates/jaypin_core/src/reducer/mod.rs
@@ -6,6 +6,7 @@
 mod keys;
 mod knowledge;
 mod limits;
+mod members;
 mod messages;
 mod poison;
 mod succession;
--- a/crates/jaypin_core/src/scheduler/mod.rs
+++ b/crates/jaypin_core/src/scheduler/mod.rs
@@ -3,6 +3,7 @@
 mod estimate;
 mod grants;
 mod limits;
+mod placement;
 mod queue;
 mod report;
 mod running;
