--- a/crates/jaypin_entry/src/callers/attempt.rs
+++ b/crates/jaypin_entry/src/callers/attempt.rs
@@ -1,7 +1,5 @@
 //! One attempt of a request: a call to a backend server whose response is forwarded.
 
-use std::time::Duration;
-
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -10,12 +8,13 @@
 use jaypin_core::BackendId;
 use jaypin_http::EventReader;
 use jaypin_router::{AttemptOutcome, BackendSignals, BackendStatus, Event};
-use tokio::time::{Instant, sleep_until, timeout};
+use tokio::time::{Instant, sleep_until};
 
 use super::delivery::{Delivery, forward_response};
 use super::event_timing::EventRate;
 use super::read_request::{LAST_EVENT_ID, PASSED_ON};
 use super::request_task::RequestTask;
+use super::silence::{Silence, within};
 use crate::calls::{
     BufferedResponse, CallError, Connection, Recipient, SendOrder, event_id, read_response,
 };
@@ -69,17 +68,17 @@
                 .first_event_timeout
                 .filter(|_| !delivery.is_streaming());
             let sent = tokio::select! {
-                sent = with_timeout(limit, connection.call(req)) => sent,
+                sent = within(limit, connection.call(req)) => sent,
                 () = delivery.caller_disconnected() => return AttemptOutcome::Abandoned,
             };
             match sent {
-                None => return AttemptOutcome::Silent,
-                Some(Ok(response)) => break (connection, response),
+                Err(silence) => return self.end_silent_call(order, silence),
+                Ok(Ok(response)) => break (connection, response),
                 // The backend server closed the connection while it was idle. Only a new one
                 // shows whether the server can be reached.
-                Some(Err(CallError::NotSent)) if connection.is_reused => {}
-                Some(Err(CallError::NotSent)) => return AttemptOutcome::Unreached,
-                Some(Err(CallError::Interrupted)) => return AttemptOutcome::Lost,
+                Ok(Err(CallError::NotSent)) if connection.is_reused => {}
+                Ok(Err(CallError::NotSent)) => return AttemptOutcome::Unreached,
+                Ok(Err(CallError::Interrupted)) => return AttemptOutcome::Lost,
             }
         };
         connection.update_expiry(response.headers());
@@ -282,14 +281,14 @@
                     .map(|it| it.saturating_sub(sent_at.elapsed()))
             };
             let frame = tokio::select! {
-                frame = with_timeout(limit, body.frame()) => frame,
+                frame = within(limit, body.frame()) => frame,
                 () = delivery.caller_disconnected() => return AttemptOutcome::Abandoned,
             };
             let bytes = match frame {
-                None => return AttemptOutcome::Silent,
-                Some(None) => break,
-                Some(Some(Err(_))) => return AttemptOutcome::Lost,
-                Some(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
+                Err(silence) => return self.end_silent_call(order, silence),
+                Ok(None) => break,
+                Ok(Some(Err(_))) => return AttemptOutcome::Lost,
+                Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
             };
             if !reader.push(&bytes) {
                 return AttemptOutcome::Lost;
@@ -336,6 +335,15 @@
         AttemptOutcome::Complete
     }
 
+    /// Ends a call on which nothing arrived for too long.
+    fn end_silent_call(&self, order: &SendOrder, silence: Silence) -> AttemptOutcome {
+        let (id, backend) = (&self.received.header.id, order.recipient.name());
+        let silent_ms = silence.time.as_millis();
+        let late_ms = silence.lateness.as_millis();
+        log::info!(id, backend, silent_ms, late_ms; "nothing arrives from a backend server; ending the call");
+        AttemptOutcome::Silent
+    }
+
     /// Returns whether the caller has events of the stream from an earlier call or attempt, so that
     /// nothing but its end may be left.
     fn has_earlier_events(&self) -> bool {
@@ -388,11 +396,3 @@
     let path = uri.path_and_query().cloned();
     path.map(Uri::from).unwrap_or_default()
 }
-
-/// Awaits a future, with a time limit if there is one. Returns `None` on timeout.
-async fn with_timeout<T>(limit: Option<Duration>, future: impl Future<Output = T>) -> Option<T> {
-    match limit {
-        Some(limit) => timeout(limit, future).await.ok(),
-        None => Some(future.await),
-    }
-}
--- a/crates/jaypin_entry/src/callers/mod.rs
+++ b/crates/jaypin_entry/src/callers/mod.rs
@@ -7,6 +7,7 @@
 mod read_request;
 mod request_task;
 mod response;
+mod silence;
 
 pub use directory::{serve_queries, serve_responses};
 pub use response::{HttpResponse, bytes_response, empty_response};
