Read what arrived during a stall before a call is taken for silent

What callers saw: streams that were cut off (one attempt) or ran twice (two attempts) after their host had stood still, although their engines never paused.

Cause: the timer of a silence is set by the last byte that the host read. A host that was suspended, or whose event loop stood still, finds the timer expired, and the task of the stream is polled before the one that reads the connection. So it ended the call with the bytes in the socket.

Change: when the limit of a silence has passed, the call is read on until the host has run for 20 ms without a stall of 30 ms or more; only then it is silent. Reading goes on meanwhile, and each byte ends the silence. The time doesn't depend on how long the stall was.

--- a/crates/jaypin_entry/src/callers/silence.rs
+++ b/crates/jaypin_entry/src/callers/silence.rs
@@ -2,7 +2,12 @@
 
 use std::time::Duration;
 
-use tokio::time::{Instant, sleep_until};
+use tokio::time::{Instant, sleep, sleep_until};
+
+/// Time for which this host must have run before it takes a call for silent.
+const SETTLE_TIME: Duration = Duration::from_millis(20);
+/// Lateness of a timer from which on this host has stood still.
+const STALL_LATENESS: Duration = Duration::from_millis(30);
 
 /// Time for which nothing arrived on a call until it was given up.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -21,14 +26,31 @@
     let Some(limit) = limit else {
         return Ok(step.await);
     };
-    let start = Instant::now();
     tokio::select! {
         biased;
         done = step => Ok(done),
-        () = sleep_until(start + limit) => {
-            let time = start.elapsed();
-            let lateness = time.saturating_sub(limit);
-            Err(Silence { time, lateness })
+        silence = silence_after(limit) => Err(silence),
+    }
+}
+
+async fn silence_after(limit: Duration) -> Silence {
+    let start = Instant::now();
+    sleep_until(start + limit).await;
+    let lateness = start.elapsed().saturating_sub(limit);
+    settle().await;
+    let time = start.elapsed();
+    Silence { time, lateness }
+}
+
+/// Waits until this host has run for a moment without a stall.
+///
+/// A host that was suspended notices expired timers before it has read what arrived meanwhile.
+async fn settle() {
+    loop {
+        let start = Instant::now();
+        sleep(SETTLE_TIME).await;
+        if start.elapsed() < SETTLE_TIME + STALL_LATENESS {
+            return;
         }
     }
 }
