Send a request that left a silent backend server elsewhere although it is late

What callers saw: a request whose backend server accepts it and never speaks was refused (502) after about twice its latency target, although another backend server was sound and free.

Cause: the call is given up after one and a half latency targets or more. Then the request is placed by the rule for new requests, whose first event has to come within 0.7 of the target since the arrival (1.6 of it as a last resort). No place can meet that any more, so each of these moves took from the resend budget and ended as a refusal.

Change: a request that left a silent backend server goes on wherever it ends before its deadline, as a stream does that has begun. It waits for a slot no longer than before, and reserved slots stay reserved.

--- a/crates/jaypin_router/src/limits.rs
+++ b/crates/jaypin_router/src/limits.rs
@@ -53,8 +53,7 @@
 /// Returns the time that the first event may take from now; the request's own prefill takes
 /// `own_prefill`.
 pub fn first_event_limit(admitted: &Admitted, own_prefill: Duration, now: Instant) -> Duration {
-    if admitted.stream_version.is_some() {
-        // A stream that broke off may continue anywhere, since the alternative is to lose it.
+    if admitted.may_be_late() {
         return admitted.deadline.saturating_duration_since(now);
     }
     let spent = now.saturating_duration_since(admitted.arrived_at);
--- a/crates/jaypin_router/src/request.rs
+++ b/crates/jaypin_router/src/request.rs
@@ -146,6 +146,8 @@
     pub attempted: Vec<BackendId>,
     /// Number of backend servers that may have run it.
     pub possible_runs: u32,
+    /// Number of calls that it left because nothing arrived on them.
+    pub silent_calls: u32,
     /// Identifies its stream over all attempts of its caller.
     pub stream: StreamKey,
     /// Whether its caller has received the beginning of its stream in an earlier attempt.
@@ -161,6 +163,18 @@
 }
 
 impl Admitted {
+    /// Records a call on which it may have run.
+    pub fn record_possible_run(&mut self, outcome: AttemptOutcome) {
+        self.possible_runs += 1;
+        self.silent_calls += u32::from(outcome == AttemptOutcome::Silent);
+    }
+
+    /// Returns whether it may go on anywhere, since the alternative is to lose it.
+    #[must_use]
+    pub fn may_be_late(&self) -> bool {
+        self.stream_version.is_some() || self.silent_calls > 0
+    }
+
     /// Returns where its stream began, if it has and its caller may resume it.
     #[must_use]
     pub fn stream_origin(&self) -> Option<StreamOrigin> {
--- a/crates/jaypin_router/src/router/arrival.rs
+++ b/crates/jaypin_router/src/router/arrival.rs
@@ -103,6 +103,7 @@
             deadline: arrival.received_at + timeout.min(route.timeout),
             attempted: Vec::new(),
             possible_runs: 0,
+            silent_calls: 0,
             stream: StreamKey {
                 account: account_key(account.map(|it| &*it.name)),
                 attempt: named.flatten().unwrap_or(arrival.attempt),
--- a/crates/jaypin_router/src/router/attempt.rs
+++ b/crates/jaypin_router/src/router/attempt.rs
@@ -115,7 +115,7 @@
             AttemptOutcome::Abandoned => {}
             _ if outcome.is_definitely_not_run() => self.handle_not_run(now, request, outcome, fx),
             _ => {
-                request.admitted.possible_runs += 1;
+                request.admitted.record_possible_run(outcome);
                 self.handle_failure(now, request, outcome, fx);
             }
         }
