End a silent call only if its request can go on elsewhere at once

What callers saw: beside a change of the configuration, and at other times too, a stream that had begun got neither an answer nor a refusal; its connection ended. Its engine was sound, silent for a second or so, and would have gone on.

Cause: a timer decided what only the state of the alternatives can decide. A silence of three allowed pauses ended each resumable stream, whether or not an attempt was left, the resend budget allowed it, or an engine took it; a refusal after the head of a stream aborts its connection. The second attempt of a stream had the same timer and nothing left. Before the first event only the attempts were looked at.

Change: a silence is a question. The request's task goes on reading and asks the reducer (`Router::silent_call`), which looks at the runs and the time left, quarantine, the resend budget (without taking from it), whether this host is cut off, and whether a backend server would take the request now, by the same choice that places it. Only if so the call ends, and the end is the reducer's next event: there is no await in between. Otherwise the task asks again after an allowed pause. A stream leaves an engine that accepts connections after 1.8 s or three pauses, whichever is longer, and one that does not after three pauses; several calls share one probe in 0.4 s. The time before the first event keeps its limit, and the call itself is no longer dropped by it.

Kept: `Silent` still counts as a failed call of the backend server, for a canary's comparison, and as a lost call for the evidence of crashes; commands and requests at peers have no limit; connections that break are handled as before.

--- a/crates/jaypin_entry/src/callers/attempt.rs
+++ b/crates/jaypin_entry/src/callers/attempt.rs
@@ -14,7 +14,7 @@
 use super::event_timing::EventRate;
 use super::read_request::{LAST_EVENT_ID, PASSED_ON};
 use super::request_task::RequestTask;
-use super::silence::{Silence, within};
+use super::silence::{Silence, SilenceWatch};
 use crate::calls::{
     BufferedResponse, CallError, Connection, Recipient, SendOrder, event_id, read_response,
 };
@@ -45,6 +45,7 @@
 
     /// Calls the backend server and forwards its response.
     async fn call_backend(&mut self, order: &SendOrder, delivery: &mut Delivery) -> AttemptOutcome {
+        let mut watch = SilenceWatch::new(self, order);
         let (mut connection, response) = loop {
             let acquired = tokio::select! {
                 acquired = self.host.connections.acquire(&order.address) => acquired,
@@ -64,11 +65,9 @@
                 }
             }
             let req = self.outgoing_request(order);
-            let limit = order
-                .first_event_timeout
-                .filter(|_| !delivery.is_streaming());
+            watch.restart(order.first_event_timeout);
             let sent = tokio::select! {
-                sent = within(limit, connection.call(req)) => sent,
+                sent = watch.next(connection.call(req)) => sent,
                 () = delivery.caller_disconnected() => return AttemptOutcome::Abandoned,
             };
             match sent {
@@ -85,7 +84,7 @@
         let status = response.status();
         let Recipient::Backend(backend) = &order.recipient else {
             return self
-                .relay_response(order, connection, response, delivery)
+                .relay_response(order, connection, response, watch, delivery)
                 .await;
         };
         if !connection.is_reused {
@@ -106,7 +105,7 @@
         }
         if status.is_success() && order.repeat.is_stream() {
             return self
-                .forward_stream(order, connection, response, delivery)
+                .forward_stream(order, connection, response, watch, delivery)
                 .await;
         }
         self.forward_whole(connection, response, delivery).await
@@ -206,11 +205,12 @@
         order: &SendOrder,
         connection: Connection,
         response: Response<Incoming>,
+        watch: SilenceWatch<'_>,
         delivery: &mut Delivery,
     ) -> AttemptOutcome {
         if response.status().is_success() && order.repeat.is_stream() {
             return self
-                .forward_stream(order, connection, response, delivery)
+                .forward_stream(order, connection, response, watch, delivery)
                 .await;
         }
         match self.read_whole(connection, response, delivery).await {
@@ -265,23 +265,20 @@
         order: &SendOrder,
         connection: Connection,
         response: Response<Incoming>,
+        mut watch: SilenceWatch<'_>,
         delivery: &mut Delivery,
     ) -> AttemptOutcome {
         let (parts, mut body) = response.into_parts();
         let mut reader = EventReader::default();
         let mut rate = EventRate::default();
-        let sent_at = Instant::now();
         let mut has_first_event = false;
+        watch.restart(order.first_event_timeout);
         loop {
-            let limit = if has_first_event {
-                order.stall_timeout
-            } else {
-                order
-                    .first_event_timeout
-                    .map(|it| it.saturating_sub(sent_at.elapsed()))
-            };
+            if has_first_event {
+                watch.restart(order.stall_timeout);
+            }
             let frame = tokio::select! {
-                frame = within(limit, body.frame()) => frame,
+                frame = watch.next(body.frame()) => frame,
                 () = delivery.caller_disconnected() => return AttemptOutcome::Abandoned,
             };
             let bytes = match frame {
@@ -340,7 +337,8 @@
         let (id, backend) = (&self.received.header.id, order.recipient.name());
         let silent_ms = silence.time.as_millis();
         let late_ms = silence.lateness.as_millis();
-        log::info!(id, backend, silent_ms, late_ms; "nothing arrives from a backend server; ending the call");
+        let accepts = silence.accepts_connections;
+        log::info!(id, backend, silent_ms, late_ms, accepts; "nothing arrives from a backend server; ending the call");
         AttemptOutcome::Silent
     }
 
--- a/crates/jaypin_entry/src/callers/delivery.rs
+++ b/crates/jaypin_entry/src/callers/delivery.rs
@@ -39,11 +39,6 @@
         }
     }
 
-    /// Returns whether the head of a stream was sent.
-    pub fn is_streaming(&self) -> bool {
-        matches!(self, Self::Streaming(_))
-    }
-
     /// Sends a whole response. A stream whose head was sent is aborted instead, so that no
     /// caller takes a part of a response for the whole.
     pub fn send_response(&mut self, response: HttpResponse) {
--- a/crates/jaypin_entry/src/callers/silence.rs
+++ b/crates/jaypin_entry/src/callers/silence.rs
@@ -1,45 +1,115 @@
 //! Silence of the recipient of a call.
 
+use std::future::pending;
+use std::rc::Rc;
 use std::time::Duration;
 
+use jaypin_router::{RequestNumber, SilentCall, StayReason};
 use tokio::time::{Instant, sleep, sleep_until};
 
+use super::request_task::RequestTask;
+use crate::calls::SendOrder;
+use crate::host::Host;
+
 /// Time for which this host must have run before it takes a call for silent.
 const SETTLE_TIME: Duration = Duration::from_millis(20);
 /// Lateness of a timer from which on this host has stood still.
 const STALL_LATENESS: Duration = Duration::from_millis(30);
 
-/// Time for which nothing arrived on a call until it was given up.
+/// A silence that ended a call.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) struct Silence {
-    /// The whole time.
+    /// Time for which nothing arrived.
     pub(super) time: Duration,
-    /// Time by which this host noticed the end of the limit late.
+    /// Time by which this host noticed the silence late.
     pub(super) lateness: Duration,
+    /// Whether the backend server accepted new connections.
+    pub(super) accepts_connections: bool,
 }
 
-/// Awaits a step of a call, with a time limit if there is one.
-pub(super) async fn within<T>(
+/// Watches a call for silences, and has the reducer decide what becomes of a silent call.
+#[derive(Debug)]
+pub(super) struct SilenceWatch<'a> {
+    host: Rc<Host>,
+    number: RequestNumber,
+    id: String,
+    order: &'a SendOrder,
+    since: Instant,
     limit: Option<Duration>,
-    step: impl Future<Output = T>,
-) -> Result<T, Silence> {
-    let Some(limit) = limit else {
-        return Ok(step.await);
-    };
-    tokio::select! {
-        biased;
-        done = step => Ok(done),
-        silence = silence_after(limit) => Err(silence),
-    }
 }
 
-async fn silence_after(limit: Duration) -> Silence {
-    let start = Instant::now();
-    sleep_until(start + limit).await;
-    let lateness = start.elapsed().saturating_sub(limit);
-    settle().await;
-    let time = start.elapsed();
-    Silence { time, lateness }
+impl<'a> SilenceWatch<'a> {
+    pub(super) fn new(task: &RequestTask, order: &'a SendOrder) -> Self {
+        Self {
+            host: task.host.clone(),
+            number: task.number,
+            id: task.received.header.id.clone(),
+            order,
+            since: Instant::now(),
+            limit: None,
+        }
+    }
+
+    /// Begins a new wait, which is a silence from `limit` on, if there is one.
+    pub(super) fn restart(&mut self, limit: Option<Duration>) {
+        self.since = Instant::now();
+        self.limit = limit;
+    }
+
+    /// Awaits the next step of the call. Only a silence after which the request can go on elsewhere
+    /// ends the wait, and the caller has to end the call without another await.
+    pub(super) async fn next<T>(&self, step: impl Future<Output = T>) -> Result<T, Silence> {
+        tokio::select! {
+            biased;
+            done = step => Ok(done),
+            silence = self.ending_silence() => Err(silence),
+        }
+    }
+
+    async fn ending_silence(&self) -> Silence {
+        let Some(limit) = self.limit else {
+            return pending().await;
+        };
+        let mut due = self.since + limit;
+        let mut known_reason = StayReason::Short;
+        loop {
+            sleep_until(due).await;
+            let lateness = due.elapsed();
+            let connections = &self.host.connections;
+            let accepts_connections = connections.accepts_connections(&self.order.address).await;
+            settle().await;
+            let time = self.since.elapsed();
+            let decision = self
+                .host
+                .silent_call(self.number, time, accepts_connections);
+            match decision {
+                SilentCall::Ends => {
+                    return Silence {
+                        time,
+                        lateness,
+                        accepts_connections,
+                    };
+                }
+                SilentCall::GoesOn {
+                    reason,
+                    ask_again_after,
+                } => {
+                    if reason != known_reason {
+                        known_reason = reason;
+                        self.log_stay(reason, time);
+                    }
+                    due = Instant::now() + ask_again_after;
+                }
+            }
+        }
+    }
+
+    fn log_stay(&self, reason: StayReason, time: Duration) {
+        let backend = self.order.recipient.name();
+        let (id, why) = (&self.id, reason.as_str());
+        let silent_ms = time.as_millis();
+        log::info!(id, backend, silent_ms, why; "nothing arrives from a backend server; waiting on");
+    }
 }
 
 /// Waits until this host has run for a moment without a stall.
--- a/crates/jaypin_entry/src/calls/connection_pool.rs
+++ b/crates/jaypin_entry/src/calls/connection_pool.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -10,6 +11,7 @@
 use hyper::header::{CONNECTION, HeaderName};
 use hyper::{HeaderMap, Request, Response};
 use jaypin_http::{ConnectError, ConnectTimeouts, Sender};
+use tokio::sync::OnceCell;
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep};
 
@@ -40,6 +42,8 @@
 const IDLE_MARGIN: Duration = Duration::from_millis(400);
 /// Time in which a connection that is reset at once has been reset.
 const SETTLE_TIME: Duration = Duration::from_millis(15);
+/// Time after its begin for which the result of a probe is used.
+const PROBE_VALIDITY: Duration = Duration::from_millis(400);
 /// Header that states the idle timeout of a connection.
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
@@ -110,6 +114,14 @@
 #[derive(Debug, Default)]
 pub struct ConnectionPool {
     idle: RefCell<HashMap<String, Vec<Connection>>>,
+    probes: RefCell<HashMap<String, Probe>>,
+}
+
+/// A probe of an address, whose result several calls use.
+#[derive(Debug, Clone)]
+struct Probe {
+    started_at: Instant,
+    is_open: Rc<OnceCell<bool>>,
 }
 
 impl ConnectionPool {
@@ -136,6 +148,28 @@
         is_open
     }
 
+    /// Returns whether an address accepts connections, by a probe that began a moment ago or begins
+    /// now. Many calls fall silent together, and one probe serves them all.
+    pub async fn accepts_connections(&self, address: &str) -> bool {
+        let is_open = self.recent_probe(address);
+        *is_open.get_or_init(|| self.probe(address)).await
+    }
+
+    fn recent_probe(&self, address: &str) -> Rc<OnceCell<bool>> {
+        let mut probes = self.probes.borrow_mut();
+        let recent = probes.get(address);
+        if let Some(probe) = recent.filter(|it| it.started_at.elapsed() < PROBE_VALIDITY) {
+            return probe.is_open.clone();
+        }
+        let probe = Probe {
+            started_at: Instant::now(),
+            is_open: Rc::default(),
+        };
+        let is_open = probe.is_open.clone();
+        probes.insert(address.to_owned(), probe);
+        is_open
+    }
+
     fn take_idle(&self, address: &str) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
         let same_address = idle.get_mut(address)?;
@@ -160,9 +194,11 @@
         }
     }
 
-    /// Closes connections that have been idle for too long.
+    /// Closes connections that have been idle for too long, and forgets old probes.
     pub fn close_expired(&self) {
         let now = Instant::now();
+        let mut probes = self.probes.borrow_mut();
+        probes.retain(|_, it| it.started_at.elapsed() < PROBE_VALIDITY);
         self.idle.borrow_mut().retain(|_, same_address| {
             same_address
                 .retain(|it| it.expires_at.is_none_or(|at| now < at) && !it.sender.is_closed());
--- a/crates/jaypin_entry/src/calls/mod.rs
+++ b/crates/jaypin_entry/src/calls/mod.rs
@@ -47,9 +47,9 @@
     pub requester: Requester,
     /// Whether the request may run again, and whether its response is a stream.
     pub repeat: Repeat,
-    /// Time after which a call without a first event is abandoned; `None` if it never is.
+    /// Time after which a call without a first event is silent; `None` if it never is.
     pub first_event_timeout: Option<Duration>,
-    /// Time between two events after which a stream is abandoned; `None` if it never is.
+    /// Time between two events after which a stream is silent; `None` if it never is.
     pub stall_timeout: Option<Duration>,
     /// Time at which the whole response is due.
     pub deadline: Instant,
--- a/crates/jaypin_entry/src/host.rs
+++ b/crates/jaypin_entry/src/host.rs
@@ -7,7 +7,8 @@
 
 use jaypin_core::Refusal;
 use jaypin_router::{
-    DecisionInputs, Effect, Event, RequestNumber, Requester, RolloutWrite, Router, Unrouted,
+    DecisionInputs, Effect, Event, RequestNumber, Requester, RolloutWrite, Router, SilentCall,
+    Unrouted,
 };
 use tokio::sync::Notify;
 use tokio::sync::mpsc::UnboundedSender;
@@ -178,6 +179,19 @@
         self.router.borrow().still_accepts(backend, now)
     }
 
+    /// Decides what becomes of a call on which nothing arrives. If it ends, its end has to be
+    /// applied before any other event.
+    pub fn silent_call(
+        &self,
+        number: RequestNumber,
+        silence: Duration,
+        accepts_connections: bool,
+    ) -> SilentCall {
+        let now = Instant::now().into_std();
+        let mut router = self.router.borrow_mut();
+        router.silent_call(now, number, silence, accepts_connections)
+    }
+
     /// Assigns a number to a new request and opens its mailbox.
     pub fn open_mailbox(&self) -> (RequestNumber, Rc<Mailbox>) {
         let number = self.next_number.get();
--- a/crates/jaypin_router/src/lib.rs
+++ b/crates/jaypin_router/src/lib.rs
@@ -81,7 +81,10 @@
     VersionRole, VersionTest,
 };
 pub use route_table::{RouteTable, Unrouted};
-pub use router::{Bounds, Effect, Event, ExposureBound, Router, RouterConfig, RouterCounts};
+pub use router::{
+    Bounds, Effect, Event, ExposureBound, Router, RouterConfig, RouterCounts, SilentCall,
+    StayReason,
+};
 pub use signals::{BackendSignals, SignalTable};
 pub use size::Sizes;
 pub use store_freshness::{
--- a/crates/jaypin_router/src/limits.rs
+++ b/crates/jaypin_router/src/limits.rs
@@ -36,14 +36,18 @@
 /// Fraction of the latency target up to which a request is worth sending although its first event
 /// is late, if a slot is free.
 const LATE_FRACTION: f64 = 1.6;
-/// Number of allowed pauses without an event after which a stream is given up: one event is
-/// missed when the engine reads a long prompt beside it.
+/// Number of allowed pauses without an event after which a stream is silent: one event is missed
+/// when the engine reads a long prompt beside it.
 const SILENT_PAUSES: u32 = 3;
 /// Number of allowed pauses for which a stream that has begun waits for a backend server. Together
 /// with [`SILENT_PAUSES`], callers still wait for it then.
 const WAITING_PAUSES: u32 = 2;
 /// The allowed pause, where a route states none.
-const DEFAULT_PAUSE: Duration = Duration::from_millis(500);
+pub const DEFAULT_PAUSE: Duration = Duration::from_millis(500);
+/// Time for which a sound engine may fall silent. It is shorter than any caller's patience.
+const SOUND_SILENCE: Duration = Duration::from_millis(1_800);
+/// Shortest time between two checks of a silent call.
+const MIN_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Returns the time for which a request may wait for a backend server.
 pub fn queue_time_limit(route: &Route) -> Duration {
@@ -91,26 +95,39 @@
     choice.has_slot && choice.first_event <= limit.saturating_sub(spent)
 }
 
-/// Returns the time without a first event after which a call is given up, if its request may be
-/// sent again: the backend server accepted the call and hangs, or the connection is dead.
+/// Returns the time without a first event after which a call is silent, if its request may be sent
+/// again: the backend server accepted the call and hangs, or the connection is dead.
 pub fn first_event_timeout(admitted: &Admitted, choice: &Choice) -> Option<Duration> {
-    let is_left = admitted.possible_runs + 1 < admitted.route.attempts;
-    let may_run_again = admitted.route.repeat.may_run_again() && is_left;
+    let may_run_again = admitted.may_run_after(1);
     may_run_again.then(|| choice.first_event * 3 + admitted.route.latency_target.mul_f64(1.5))
 }
 
-/// Returns the pause after which a stream is given up, if another backend server may continue it:
-/// its engine hangs, or the connection is dead. Callers give up after eight of the pauses that
-/// they allow, so there is time for another backend server.
-pub fn stall_timeout(route: &Route) -> Option<Duration> {
-    let allowed = route.longest_pause.unwrap_or(DEFAULT_PAUSE);
-    let may_move = route.repeat == Repeat::ResumableStream;
-    may_move.then(|| allowed * SILENT_PAUSES)
+/// Returns the pause after which a stream is silent, if another backend server may continue it: its
+/// engine pauses or hangs, or the connection is dead. Callers give up after eight of the pauses
+/// that they allow, so there is time for another backend server.
+pub fn stall_timeout(admitted: &Admitted) -> Option<Duration> {
+    let route = &admitted.route;
+    let may_move = route.repeat == Repeat::ResumableStream && admitted.may_run_after(1);
+    may_move.then(|| allowed_pause(route) * SILENT_PAUSES)
+}
+
+/// Returns the pause up to which a stream stays at an engine that accepts connections.
+pub fn longest_sound_silence(route: &Route) -> Duration {
+    SOUND_SILENCE.max(allowed_pause(route) * SILENT_PAUSES)
+}
+
+/// Returns the time between two checks of a silent call.
+pub fn silence_check_interval(route: &Route) -> Duration {
+    allowed_pause(route).max(MIN_CHECK_INTERVAL)
 }
 
 /// Returns the time for which a stream that has begun may wait for a backend server.
 pub fn longest_wait_in_stream(route: &Route) -> Duration {
-    route.longest_pause.unwrap_or(DEFAULT_PAUSE) * WAITING_PAUSES
+    allowed_pause(route) * WAITING_PAUSES
+}
+
+fn allowed_pause(route: &Route) -> Duration {
+    route.longest_pause.unwrap_or(DEFAULT_PAUSE)
 }
 
 /// Returns the time after its begin in which a stream may be resumed. Callers take it up within the
--- a/crates/jaypin_router/src/request.rs
+++ b/crates/jaypin_router/src/request.rs
@@ -163,6 +163,12 @@
 }
 
 impl Admitted {
+    /// Returns whether it may run once more after that many further calls on which it may have run.
+    #[must_use]
+    pub fn may_run_after(&self, calls: u32) -> bool {
+        self.route.repeat.may_run_again() && self.possible_runs + calls < self.route.attempts
+    }
+
     /// Records a call on which it may have run.
     pub fn record_possible_run(&mut self, outcome: AttemptOutcome) {
         self.possible_runs += 1;
--- a/crates/jaypin_router/src/resend_budget.rs
+++ b/crates/jaypin_router/src/resend_budget.rs
@@ -46,22 +46,32 @@
     /// Takes a resend from the budget; returns whether one was left.
     pub fn take(&mut self, now: Instant) -> bool {
         self.remove_old(now);
-        let requests = f64::from(u32::try_from(self.firsts.len()).unwrap_or(u32::MAX));
-        let used = f64::from(u32::try_from(self.resends.len()).unwrap_or(u32::MAX));
-        let is_left = used + 1.0 <= requests * self.ratio + self.allowance;
+        let is_left = self.is_left(now);
         if is_left {
             self.resends.push_back(now);
         }
         is_left
     }
 
+    /// Returns whether a resend is left.
+    #[must_use]
+    pub fn is_left(&self, now: Instant) -> bool {
+        let within_window = |times: &VecDeque<Instant>| {
+            let old = times.partition_point(|at| self.is_old(*at, now));
+            f64::from(u32::try_from(times.len() - old).unwrap_or(u32::MAX))
+        };
+        let (requests, used) = (within_window(&self.firsts), within_window(&self.resends));
+        used + 1.0 <= requests * self.ratio + self.allowance
+    }
+
+    fn is_old(&self, at: Instant, now: Instant) -> bool {
+        now.saturating_duration_since(at) >= self.window
+    }
+
     fn remove_old(&mut self, now: Instant) {
-        let is_old = |at: &Instant| now.saturating_duration_since(*at) >= self.window;
-        while self.firsts.front().is_some_and(is_old) {
-            self.firsts.pop_front();
-        }
-        while self.resends.front().is_some_and(is_old) {
-            self.resends.pop_front();
-        }
+        let old_firsts = self.firsts.partition_point(|at| self.is_old(*at, now));
+        self.firsts.drain(..old_firsts);
+        let old_resends = self.resends.partition_point(|at| self.is_old(*at, now));
+        self.resends.drain(..old_resends);
     }
 }
--- a/crates/jaypin_router/src/router/attempt.rs
+++ b/crates/jaypin_router/src/router/attempt.rs
@@ -174,8 +174,7 @@
         self.record_lost_call(&request, outcome, now);
         let admitted = &request.admitted;
         let (number, service) = (admitted.number, admitted.service.clone());
-        let may_run_again = admitted.route.repeat.may_run_again()
-            && admitted.possible_runs < admitted.route.attempts
+        let may_run_again = admitted.may_run_after(0)
             && now < admitted.deadline
             && outcome != AttemptOutcome::TimedOut
             && !self.is_quarantined(admitted.fingerprint, now);
--- a/crates/jaypin_router/src/router/event.rs
+++ b/crates/jaypin_router/src/router/event.rs
@@ -174,11 +174,11 @@
         /// Whether the request may run again, and whether its response is a stream that another
         /// backend server can resume.
         repeat: crate::Repeat,
-        /// Time without a first event after which the call is abandoned; none if the request may
-        /// not be sent again.
+        /// Time without a first event after which the call is silent; none if the request may not
+        /// be sent again. What becomes of it then is up to [`Router::silent_call`](crate::Router::silent_call).
         first_event_timeout: Option<Duration>,
-        /// Pause between two events after which the stream is abandoned; none if no other
-        /// backend server can resume it.
+        /// Pause between two events after which the call is silent; none if no other backend server
+        /// can resume the stream.
         stall_timeout: Option<Duration>,
         /// Time at which the complete response is due.
         deadline: Instant,
--- a/crates/jaypin_router/src/router/mod.rs
+++ b/crates/jaypin_router/src/router/mod.rs
@@ -15,6 +15,7 @@
 mod reporting;
 mod resuming;
 mod rollouts;
+mod silence;
 mod snapshot;
 mod store_era;
 mod stream_versions;
@@ -22,6 +23,7 @@
 mod watching;
 
 pub use event::{Bounds, Effect, Event, ExposureBound, RouterConfig, RouterCounts};
+pub use silence::{SilentCall, StayReason};
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
--- a/crates/jaypin_router/src/router/placing.rs
+++ b/crates/jaypin_router/src/router/placing.rs
@@ -56,7 +56,7 @@
         }
         let is_wait_over = now >= request.state.until;
         let shortage = self.slot_shortage(&request.admitted, now);
-        let stable = self.choose(&request.admitted, shortage.as_ref(), now);
+        let stable = self.choose_at_random(&request.admitted, shortage.as_ref(), now);
         if let Some(choice) = self.canary_place(&request.admitted, stable.as_ref(), now) {
             let limit = self.first_event_limit_of(&request.admitted, &choice, now);
             let inputs = self.placement_inputs(&choice, limit, slot_wait_limit(&request.admitted));
@@ -113,15 +113,38 @@
         }
     }
 
-    fn choose(
+    /// Returns whether a request that can't stay where it is would be sent to a backend server now.
+    pub(super) fn has_place(&self, admitted: &Admitted, now: Instant) -> bool {
+        let shortage = self.slot_shortage(admitted, now);
+        let choice = self.choose(admitted, shortage.as_ref(), || 0.0, now);
+        choice.is_some_and(|it| {
+            let limit = self.first_event_limit_of(admitted, &it, now);
+            let has_room = shortage.is_none_or(|shortage| shortage.allows(&it));
+            has_room && is_in_time(&it, limit, slot_wait_limit(admitted))
+        })
+    }
+
+    fn choose_at_random(
         &mut self,
         admitted: &Admitted,
         shortage: Option<&SlotShortage>,
         now: Instant,
     ) -> Option<Choice> {
-        let demand = self.demand(admitted, now);
         let mut rng = self.rng.clone();
-        let mut random = || rng.random_range(0.0..1.0);
+        let random = || rng.random_range(0.0..1.0);
+        let choice = self.choose(admitted, shortage, random, now);
+        self.rng = rng;
+        choice
+    }
+
+    fn choose(
+        &self,
+        admitted: &Admitted,
+        shortage: Option<&SlotShortage>,
+        mut random: impl FnMut() -> f64,
+        now: Instant,
+    ) -> Option<Choice> {
+        let demand = self.demand(admitted, now);
         let slot_limit = slot_wait_limit(admitted);
         let serves = |backend: &Backend, choice: &Choice| {
             let limit = first_event_limit_on(backend, admitted, now);
@@ -129,7 +152,7 @@
         };
         let subset = self.subset_backends(&admitted.service);
         let subset = subset.filter(|it| self.fits_stream(admitted, it));
-        let choice = choose_backend(
+        choose_backend(
             subset,
             &demand,
             &admitted.attempted,
@@ -155,9 +178,7 @@
                 &mut random,
                 now,
             )
-        });
-        self.rng = rng;
-        choice
+        })
     }
 
     /// Returns what a request requires of a backend server.
@@ -288,7 +309,7 @@
             requester: admitted.requester(),
             repeat: admitted.route.repeat,
             first_event_timeout: first_event_timeout(admitted, &choice),
-            stall_timeout: stall_timeout(&admitted.route),
+            stall_timeout: stall_timeout(admitted),
             deadline: admitted.deadline,
             inputs,
         });
--- a/crates/jaypin_router/src/router/updates.rs
+++ b/crates/jaypin_router/src/router/updates.rs
@@ -294,6 +294,12 @@
         BUDGET_FRACTION * self.cfg.bounds.resend_allowance / f64::from(hosts)
     }
 
+    /// Returns whether the budget of a service has a resend left.
+    pub(super) fn has_resend_left(&self, service: &jaypin_core::ServiceId, now: Instant) -> bool {
+        let budget = self.budgets.get(service);
+        budget.is_none_or(|it| it.is_left(now))
+    }
+
     pub(super) fn budget(
         &mut self,
         service: &jaypin_core::ServiceId,
