Let open connections of callers follow the idle time of the configuration in use

Cause: the idle time was read once, when a connection was accepted.

Change: the timer that the HTTP library gets looks up the idle time in use when it would end, and goes on if that is longer. A shorter one acts from the next request on.

Why it works: a connection is closed only by that timer or by a drain, and the timer can't end before the idle time that is in force at its end.

--- a/crates/jaypin_entry/src/callers/mod.rs
+++ b/crates/jaypin_entry/src/callers/mod.rs
@@ -4,11 +4,13 @@
 mod delivery;
 mod directory;
 mod event_timing;
+mod idle_time;
 mod read_request;
 mod request_task;
 mod response;
 
 pub use directory::{serve_queries, serve_responses};
+pub use idle_time::IdleTime;
 pub use response::{HttpResponse, bytes_response, empty_response};
 
 use std::convert::Infallible;
@@ -21,25 +23,18 @@
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use socket2::{Domain, Socket, TcpKeepalive, Type};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::spawn_local;
 
 use crate::host::Host;
+use idle_time::MIN_IDLE_TIME;
 use response::with_connection_close;
 
 /// Length of the queue of connections that wait to be accepted.
 const BACKLOG: i32 = 1_024;
-/// Shortest timeout of a connection without a request, whatever the configuration states.
-///
-/// The same timer bounds a request header that never ends and the idle time between two
-/// requests, and callers reuse connections for most of the configured idle time.
-const MIN_IDLE_TIME: Duration = Duration::from_secs(20);
-/// Factor on the configured idle time, so that no request is sent while this host closes the
-/// connection.
-const IDLE_FACTOR: f64 = 1.3;
 /// Largest request header before a configuration is known, in bytes.
 const DEFAULT_MAX_HEADER_BYTES: usize = 16 * 1024;
 /// Smallest buffer that the HTTP library accepts, in bytes.
@@ -103,15 +98,16 @@
 }
 
 async fn serve(host: Rc<Host>, stream: TcpStream, mut phase: watch::Receiver<DrainPhase>) {
-    let (header_bytes, idle) = limits(&host);
+    let header_bytes = max_header_bytes(&host);
+    let idle_timer = host.idle_time.timer();
     let response_phase = phase.clone();
     let service = service_fn(move |req| {
         let (host, phase) = (host.clone(), response_phase.clone());
         async move { Ok::<_, Infallible>(respond(host, req, &phase).await) }
     });
     let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(idle)
+        .timer(idle_timer)
+        .header_read_timeout(MIN_IDLE_TIME)
         .max_buf_size(header_bytes.max(MIN_BUFFER_BYTES))
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
@@ -123,14 +119,13 @@
     let _ = connection.await;
 }
 
-fn limits(host: &Host) -> (usize, Duration) {
-    let limits = host.read(|router| {
-        let table = router.table()?;
-        let limits = &table.configuration().limits;
-        Some((limits.header_bytes, limits.idle_time.mul_f64(IDLE_FACTOR)))
-    });
-    let (header_bytes, idle) = limits.unwrap_or((DEFAULT_MAX_HEADER_BYTES, MIN_IDLE_TIME));
-    (header_bytes, idle.max(MIN_IDLE_TIME))
+fn max_header_bytes(host: &Host) -> usize {
+    host.read(|router| {
+        let table = router.table();
+        table.map_or(DEFAULT_MAX_HEADER_BYTES, |it| {
+            it.configuration().limits.header_bytes
+        })
+    })
 }
 
 async fn respond(
--- a/crates/jaypin_entry/src/host.rs
+++ b/crates/jaypin_entry/src/host.rs
@@ -14,6 +14,7 @@
 use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::boot_clock::boot_time;
+use crate::callers::IdleTime;
 use crate::calls::{ConnectionPool, Recipient, SendOrder};
 use crate::peers::PeerSocket;
 use crate::ports::{HostSettings, Object, Platform};
@@ -72,6 +73,8 @@
     pub peers: PeerSocket,
     /// How far the watches of the store have come.
     pub watches: WatchProgress,
+    /// How long callers' connections may be without a request.
+    pub idle_time: IdleTime,
     router: RefCell<Router>,
     /// The store's object of the configuration in use, which is served to peers.
     configuration: RefCell<Option<Rc<Object>>>,
@@ -97,6 +100,7 @@
             connections: ConnectionPool::default(),
             peers,
             watches: WatchProgress::default(),
+            idle_time: IdleTime::default(),
             router: RefCell::new(router),
             configuration: RefCell::default(),
             mailboxes: RefCell::default(),
