Let a draining host exit only once its callers' connections are closed

Cause: a host exits once the reducer knows of no request. For the reducer a request ends when its answer was handed over, which up to sixteen events and a whole answer of 4 MiB are long before a slow caller has read them. Class: the end of a request for one part of the program taken for its end.

Change: once idle connections are closed, the host listens no more and waits, within its grace as before, until no connection is left. Each holds a receiver of the drain's phase, whose sender waits for them. A caller that sends the first part of a header and no more can hold the host until 0.96 of its grace, where it exited 3 s after SIGTERM before.

Why it works: a connection's task ends only after the library has shut the connection down, with all bytes in the socket; the system still sends those after the exit.

--- a/crates/jaypin_entry/src/callers/mod.rs
+++ b/crates/jaypin_entry/src/callers/mod.rs
@@ -78,14 +78,20 @@
     CloseIdle,
 }
 
-/// Accepts callers' connections until the task is dropped.
+/// Accepts callers' connections until idle connections are closed.
+///
+/// Each connection holds a receiver of the phase until its last response is written.
 pub async fn serve_callers(
     host: Rc<Host>,
     listener: TcpListener,
-    phase: watch::Receiver<DrainPhase>,
+    mut phase: watch::Receiver<DrainPhase>,
 ) {
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = phase.wait_for(|it| *it == DrainPhase::CloseIdle) => return,
+        };
+        match accepted {
             Ok((stream, _)) => {
                 spawn_local(serve(host.clone(), stream, phase.clone()));
             }
--- a/crates/jaypin_entry/src/serve.rs
+++ b/crates/jaypin_entry/src/serve.rs
@@ -11,7 +11,7 @@
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{mpsc, watch};
 use tokio::task::{LocalSet, spawn_local};
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::backend_probe::probe_backends;
 use crate::boot_clock::boot_time;
@@ -30,8 +30,6 @@
 /// Shortest time that a drain takes, also without requests: callers that do not know yet that
 /// the host drains get a response instead of a refused connection.
 const MIN_DRAIN_TIME: Duration = Duration::from_secs(3);
-/// Time between two checks whether all requests have ended.
-const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Fraction of the grace period after which the host exits with requests unfinished.
 const GRACE_FRACTION: f64 = 0.96;
 /// Least number of file descriptors that is requested from the system: those that files need.
@@ -189,11 +187,8 @@
     sleep(MIN_DRAIN_TIME).await;
     phase.send_replace(DrainPhase::CloseIdle);
     let grace = host.settings.bounds.shutdown_grace.mul_f64(GRACE_FRACTION);
-    while !host.read(Router::is_idle) && since.elapsed() < grace {
-        sleep(DRAIN_CHECK_INTERVAL).await;
-    }
-    // The last responses are still being written to their callers.
-    sleep(DRAIN_CHECK_INTERVAL).await;
+    // A request has ended for the reducer before its response is written to a slow caller.
+    let are_closed = timeout_at(since + grace, phase.closed()).await.is_ok();
     let counts = host.read(|router| router.counts(Instant::now().into_std()));
-    log::info!(unfinished = counts.running + counts.waiting; "drain ended; exiting");
+    log::info!(are_closed, unfinished = counts.running + counts.waiting; "drain ended; exiting");
 }
