Apply the header limit of the configuration in use to open connections

Cause: the limit was the size of the connection's buffer, which the HTTP library fixes when it is accepted.

Change: a connection's buffer may grow to 64 KiB or the limit at its opening, whichever is larger, and the limit in use is checked for each request. As before, it counts the request line, and 8 KiB are always accepted. Open: a limit raised beyond 64 KiB still applies to new connections only.

Why it works: buffers grow only where callers fill them, so the larger bound changes nothing for short requests; what the library lets through is compared with the limit that is in force at that moment.

--- a/crates/jaypin_entry/src/callers/mod.rs
+++ b/crates/jaypin_entry/src/callers/mod.rs
@@ -35,10 +35,9 @@
 
 /// Length of the queue of connections that wait to be accepted.
 const BACKLOG: i32 = 1_024;
-/// Largest request header before a configuration is known, in bytes.
-const DEFAULT_MAX_HEADER_BYTES: usize = 16 * 1024;
-/// Smallest buffer that the HTTP library accepts, in bytes.
-const MIN_BUFFER_BYTES: usize = 8 * 1024;
+/// Smallest size, in bytes, to which the buffer of a connection may grow. It is fixed when the
+/// connection is accepted, so larger header limits of later configurations apply up to this size.
+const MIN_BUFFER_BYTES: usize = 64 * 1024;
 /// Pause after a failed accept, in which file descriptors may become free.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(5);
 /// Time without an acknowledgement after which a caller's connection is closed.
@@ -104,7 +103,7 @@
 }
 
 async fn serve(host: Rc<Host>, stream: TcpStream, mut phase: watch::Receiver<DrainPhase>) {
-    let header_bytes = max_header_bytes(&host);
+    let header_bytes = read_request::max_header_bytes(&host);
     let idle_timer = host.idle_time.timer();
     let response_phase = phase.clone();
     let service = service_fn(move |req| {
@@ -125,15 +124,6 @@
     let _ = connection.await;
 }
 
-fn max_header_bytes(host: &Host) -> usize {
-    host.read(|router| {
-        let table = router.table();
-        table.map_or(DEFAULT_MAX_HEADER_BYTES, |it| {
-            it.configuration().limits.header_bytes
-        })
-    })
-}
-
 async fn respond(
     host: Rc<Host>,
     req: Request<Incoming>,
--- a/crates/jaypin_entry/src/callers/read_request.rs
+++ b/crates/jaypin_entry/src/callers/read_request.rs
@@ -6,6 +6,7 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::header::HeaderName;
+use hyper::http::request::Parts;
 use hyper::{HeaderMap, Method, Request, StatusCode, Uri};
 use jaypin_router::{ResumedStream, attempt_key};
 use snafu::Snafu;
@@ -15,6 +16,14 @@
 use crate::host::Host;
 use crate::ports::CallerRequest;
 
+/// Largest header before a configuration is known, in bytes.
+const DEFAULT_MAX_HEADER_BYTES: usize = 16 * 1024;
+/// Header size that is always accepted, in bytes.
+const ACCEPTED_HEADER_BYTES: usize = 8 * 1024;
+/// Bytes of a header line besides its name and value.
+const HEADER_LINE_BYTES: usize = ": \r\n".len();
+/// Bytes of the request line besides method and target, and of the empty line after the header.
+const REQUEST_LINE_BYTES: usize = "  HTTP/1.1\r\n\r\n".len();
 /// Largest body before a configuration is known, in bytes.
 const DEFAULT_MAX_BODY_BYTES: usize = 1024 * 1024;
 /// Time for a caller to send its body if the request states no timeout.
@@ -38,6 +47,9 @@
         /// Which header is invalid, and why.
         message: String,
     },
+    /// The header is larger than the configured limit.
+    #[snafu(display("the request header is larger than the configured limit"))]
+    HeaderTooLarge,
     /// The body is larger than the configured limit.
     #[snafu(display("the request body is larger than the configured limit"))]
     TooLarge,
@@ -51,6 +63,7 @@
     pub fn status(&self) -> StatusCode {
         match self {
             Self::Header { .. } => StatusCode::BAD_REQUEST,
+            Self::HeaderTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::Incomplete => StatusCode::REQUEST_TIMEOUT,
         }
@@ -60,6 +73,7 @@
     pub fn reason(&self) -> &'static str {
         match self {
             Self::Header { .. } => "header",
+            Self::HeaderTooLarge => "header-too-large",
             Self::TooLarge => "too-large",
             Self::Incomplete => "body-cut",
         }
@@ -106,11 +120,15 @@
 /// Reads a request completely.
 ///
 /// # Errors
-/// Fails if a header is invalid, or if the body is too large or does not arrive in time.
+/// Fails if a header is invalid, or if header or body are too large or the body does not arrive in
+/// time.
 pub async fn read(host: &Host, req: Request<Incoming>) -> Result<ReceivedRequest, ReadError> {
     let received_at = Instant::now();
     let (mut head, body) = req.into_parts();
     let is_passed_on = head.headers.remove(&PASSED_ON).is_some();
+    if header_bytes(&head) > max_header_bytes(host) {
+        return Err(ReadError::HeaderTooLarge);
+    }
     let header = host.platform.parse_caller_request(&head.headers);
     let header = header.map_err(|error| ReadError::Header {
         message: error.message,
@@ -141,6 +159,25 @@
     })
 }
 
+/// Returns the largest header that a caller may send, in bytes.
+pub fn max_header_bytes(host: &Host) -> usize {
+    let limit = host.read(|router| {
+        let table = router.table();
+        table.map_or(DEFAULT_MAX_HEADER_BYTES, |it| {
+            it.configuration().limits.header_bytes
+        })
+    });
+    limit.max(ACCEPTED_HEADER_BYTES)
+}
+
+/// Returns the size of a request line and header.
+fn header_bytes(head: &Parts) -> usize {
+    let target = head.uri.path_and_query().map_or(0, |it| it.as_str().len());
+    let lines = head.headers.iter();
+    let lines = lines.map(|(name, value)| name.as_str().len() + value.len() + HEADER_LINE_BYTES);
+    REQUEST_LINE_BYTES + head.method.as_str().len() + target + lines.sum::<usize>()
+}
+
 /// Returns a hash of a request. The credential is part of it, so that no caller can cause
 /// another caller's requests to be refused.
 fn fingerprint(uri: &Uri, credential: Option<&str>, body: &[u8]) -> u64 {
