End a request whose caller leaves when it has just been assigned

Cause: the reducer assigns a waiting request to a backend server, and in the same turn of the event loop its task learns that the caller has left. The task then reports that the caller left and ends, without the call that the reducer waits for. Only requests that wait were ended by that report, so the slot stayed taken until the host exited.

Change: the report also ends a request that is assigned to a backend server or a peer, as a call that its caller abandoned. Its quota stays charged, as for calls that were sent.

Why it works: the report is the last that a task says of its request, so whatever state the request is in then, it is ended by it.

--- a/crates/jaypin_router/src/router/event.rs
+++ b/crates/jaypin_router/src/router/event.rs
@@ -127,7 +127,7 @@
     BackendReached(BackendId),
     /// A new connection to this backend server could not be opened.
     BackendUnreached(BackendId),
-    /// The caller of a request that was not sent to a backend server disconnected.
+    /// The caller of a request left, and no call for it has begun or will.
     CallerDisconnected(RequestNumber),
     /// The list of all registered hosts was read, each with the address at which it receives
     /// reports. Some of them may have exited.
--- a/crates/jaypin_router/src/router/mod.rs
+++ b/crates/jaypin_router/src/router/mod.rs
@@ -197,7 +197,9 @@
             }
             Event::BackendReached(backend) => self.record_reached(&backend, now),
             Event::BackendUnreached(backend) => self.record_unreached(&backend),
-            Event::CallerDisconnected(number) => self.handle_caller_disconnect(number),
+            Event::CallerDisconnected(number) => {
+                self.handle_caller_disconnect(now, number, &mut fx);
+            }
             Event::HostsListed(hosts) => self.apply_host_list(hosts, now),
             Event::ReportReceived { report, boot_time } => {
                 self.handle_report(now, *report, boot_time);
--- a/crates/jaypin_router/src/router/placing.rs
+++ b/crates/jaypin_router/src/router/placing.rs
@@ -14,7 +14,8 @@
 use crate::request::{Admitted, Request, Sent, Waiting};
 use crate::retry_after::capacity_retry_after;
 use crate::{
-    Backend, BackendRun, DecisionInputs, RequestNumber, VersionRole, reserved_slots, service_key,
+    AttemptOutcome, Backend, BackendRun, DecisionInputs, RequestNumber, VersionRole,
+    reserved_slots, service_key,
 };
 
 /// Number of reserved slots below which none is reserved, since hardly any urgent requests
@@ -333,10 +334,19 @@
         }
     }
 
-    pub(super) fn handle_caller_disconnect(&mut self, number: RequestNumber) {
+    /// Ends a request whose caller left before its call began.
+    pub(super) fn handle_caller_disconnect(
+        &mut self,
+        now: Instant,
+        number: RequestNumber,
+        fx: &mut Vec<Effect>,
+    ) {
         let waiting = self.waiting.remove(number).map(|it| it.admitted);
         if let Some(admitted) = waiting.or_else(|| self.remove_resuming(number)) {
             self.refund_quota(&admitted);
+        } else {
+            // The request was assigned to a backend server at the moment at which its caller left.
+            self.handle_attempt_end(now, number, AttemptOutcome::Abandoned, fx);
         }
     }
 }
