--- a/crates/jaypin_entry/src/callers/read_request.rs
+++ b/crates/jaypin_entry/src/callers/read_request.rs
@@ -20,6 +20,11 @@
 /// Time for a caller to send its body if the request states no timeout.
 const DEFAULT_BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Maximum number of parts of a prompt that a log line names.
+const MAX_NAMED_PARTS: usize = 8;
+/// Maximum number of characters of a part's id in a log line.
+const MAX_PART_NAME: usize = 16;
+
 /// Header of a request that a host passes on to another one, which never passes it on again.
 ///
 /// A caller that sends it gains nothing: its requests are served like others, unless the host is
@@ -93,6 +98,14 @@
         self.headers.get(LAST_EVENT_ID)?.to_str().ok()
     }
 
+    /// Returns the ids of the parts of the prompt for a log line, separated by spaces.
+    pub fn prompt_part_names(&self) -> String {
+        let parts = self.header.prompt_parts.iter().take(MAX_NAMED_PARTS);
+        // Ids are ASCII.
+        let names: Vec<_> = parts.map(|id| &id[..id.len().min(MAX_PART_NAME)]).collect();
+        names.join(" ")
+    }
+
     /// Returns what the request resumes, if it resumes a stream.
     pub fn resumes(&self) -> Option<ResumedStream> {
         let named = self.header.resumed_id.as_deref();
--- a/crates/jaypin_entry/src/callers/request_task.rs
+++ b/crates/jaypin_entry/src/callers/request_task.rs
@@ -172,6 +172,7 @@
         let pause_ms = self.times.longest_pause.as_millis();
         let tokens = self.received.header.tokens.unwrap_or_default();
         let content = format!("{:016x}", self.received.fingerprint);
-        log::info!(id, content, outcome, backend, version, resumes, after, last_id, account, rank, ms, first_ms, pause_ms, tokens:?, why:% = inputs; "request");
+        let parts = self.received.prompt_part_names();
+        log::info!(id, content, parts, outcome, backend, version, resumes, after, last_id, account, rank, ms, first_ms, pause_ms, tokens:?, why:% = inputs; "request");
     }
 }
--- a/crates/jaypin_entry/src/ports.rs
+++ b/crates/jaypin_entry/src/ports.rs
@@ -146,6 +146,8 @@
     pub tokens: Option<(u32, u32)>,
     /// Number of answer tokens that the caller expects.
     pub expected_answer_tokens: Option<u32>,
+    /// Ids of the parts of the prompt, in order; the last part is the request's own.
+    pub prompt_parts: Vec<String>,
 }
 
 /// Values that are sent to a backend server in addition to the caller's headers.
