--- a/crates/jaypin_entry/src/callers/read_request.rs
+++ b/crates/jaypin_entry/src/callers/read_request.rs
@@ -20,6 +20,8 @@
 /// Time for a caller to send its body if the request states no timeout.
 const DEFAULT_BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Maximum number of parts of a prompt that are passed to the reducer.
+const MAX_SHARED_PARTS: usize = 16;
 /// Maximum number of parts of a prompt that a log line names.
 const MAX_NAMED_PARTS: usize = 8;
 /// Maximum number of characters of a part's id in a log line.
@@ -106,6 +108,14 @@
         names.join(" ")
     }
 
+    /// Returns hashes of the parts of the prompt that other requests may share: of all but the last.
+    pub fn shared_parts(&self) -> Vec<u64> {
+        let parts = self.header.prompt_parts.split_last();
+        let shared = parts.map_or(&[][..], |(_own, shared)| shared);
+        let shared = shared.iter().take(MAX_SHARED_PARTS);
+        shared.map(|id| part_fingerprint(id)).collect()
+    }
+
     /// Returns what the request resumes, if it resumes a stream.
     pub fn resumes(&self) -> Option<ResumedStream> {
         let named = self.header.resumed_id.as_deref();
@@ -165,3 +175,11 @@
     hash.update(body);
     hash.digest()
 }
+
+/// Returns a hash of a part of a prompt, which differs from those of whole requests.
+fn part_fingerprint(id: &str) -> u64 {
+    let mut hash = Xxh3Default::new();
+    hash.update(b"part\n\n");
+    hash.update(id.as_bytes());
+    hash.digest()
+}
--- a/crates/jaypin_entry/src/callers/request_task.rs
+++ b/crates/jaypin_entry/src/callers/request_task.rs
@@ -105,6 +105,7 @@
             expected_answer: header.expected_answer_tokens,
             timeout: header.timeout,
             fingerprint: self.received.fingerprint,
+            shared_parts: self.received.shared_parts(),
             is_passed_on: self.received.is_passed_on,
             received_at: self.received.received_at.into_std(),
             boot_time: boot_time(),
--- a/crates/jaypin_router/src/request.rs
+++ b/crates/jaypin_router/src/request.rs
@@ -36,6 +36,8 @@
     pub timeout: Option<Duration>,
     /// Fingerprint of path, caller and body.
     pub fingerprint: u64,
+    /// Fingerprints of the parts of its prompt, without the last one, which is its own.
+    pub shared_parts: Vec<u64>,
     /// Whether a peer passed it on, which is cut off from the backend servers.
     pub is_passed_on: bool,
     /// Time at which its header was read.
@@ -138,6 +140,8 @@
     pub units: f64,
     /// Fingerprint of path, caller and body.
     pub fingerprint: u64,
+    /// Fingerprints of the parts of its prompt, without the last one, which is its own.
+    pub shared_parts: Vec<u64>,
     /// Time at which it arrived.
     pub arrived_at: Instant,
     /// Time at which the whole answer is due.
--- a/crates/jaypin_router/src/router/arrival.rs
+++ b/crates/jaypin_router/src/router/arrival.rs
@@ -99,6 +99,7 @@
             answer_tokens,
             units: units(account, arrival.tokens),
             fingerprint: arrival.fingerprint,
+            shared_parts: arrival.shared_parts.clone(),
             arrived_at: arrival.received_at,
             deadline: arrival.received_at + timeout.min(route.timeout),
             attempted: Vec::new(),
--- a/crates/jaypin_router/tests/common/backend_model.rs
+++ b/crates/jaypin_router/tests/common/backend_model.rs
@@ -17,6 +17,8 @@
     pub host: usize,
     /// Fingerprint of the request's content.
     pub content: u64,
+    /// Fingerprints of the parts of its prompt that others may share.
+    pub parts: Vec<u64>,
     /// The backend server that receives it.
     pub backend: BackendId,
     /// When it was sent.
@@ -34,6 +36,8 @@
     pub header_after: Duration,
     /// Time from the request to the end of the answer.
     pub end_after: Duration,
+    /// Whether events arrive all the time from the header to the end.
+    pub is_streamed: bool,
     /// How the attempt ends.
     pub outcome: AttemptOutcome,
 }
@@ -47,6 +51,7 @@
             backoff: None,
             header_after: first,
             end_after: first * 6,
+            is_streamed: false,
             outcome: AttemptOutcome::Complete,
         }
     }
@@ -58,6 +63,7 @@
             backoff: None,
             header_after: NEVER,
             end_after: NEVER,
+            is_streamed: false,
             outcome: AttemptOutcome::TimedOut,
         }
     }
@@ -78,6 +84,7 @@
             backoff: Some(backoff),
             header_after: super::NETWORK_DELAY,
             end_after: super::NETWORK_DELAY,
+            is_streamed: false,
             outcome: AttemptOutcome::NotRun,
         }
     }
--- a/crates/jaypin_router/tests/common/fleet.rs
+++ b/crates/jaypin_router/tests/common/fleet.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use jaypin_core::{BackendId, HostId};
+use jaypin_core::{BackendId, HostId, Reason};
 use jaypin_router::{
     AccountUse, Arrival, AttemptOutcome, BackendRecord, BootTime, Bounds, Configuration, Effect,
     EntryChange, Event, Report, RequestNumber, ResumedStream, RouteTable, Router, RouterConfig,
@@ -33,6 +33,8 @@
 const PROBE_INTERVAL: Duration = Duration::from_millis(100);
 /// Number of connections that a host probes at once.
 const PROBED: usize = 3;
+/// Interval between two reports of a stream's events.
+const EVENTS_INTERVAL: Duration = Duration::from_millis(150);
 /// Interval between the proofs that a host gets from the store.
 const PROOF_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -43,6 +45,7 @@
     AccountUse(Box<AccountUse>),
     Stream(SocketAddr, StreamMessage),
     Header(RequestNumber, BackendId, Answer),
+    Streamed(RequestNumber, Duration),
     End(RequestNumber, AttemptOutcome),
     PassedOn(RequestNumber),
 }
@@ -50,7 +53,9 @@
 impl Delivery {
     fn is_answer_to(&self, request: RequestNumber) -> bool {
         match self {
-            Self::Header(number, ..) | Self::End(number, _) => *number == request,
+            Self::Header(number, ..) | Self::Streamed(number, _) | Self::End(number, _) => {
+                *number == request
+            }
             Self::Report(_) | Self::AccountUse(_) | Self::Stream(..) | Self::PassedOn(_) => false,
         }
     }
@@ -91,6 +96,8 @@
     pub sent: Vec<(Duration, RequestNumber)>,
     /// Requests that were refused.
     pub refused: Vec<RequestNumber>,
+    /// Those that were refused because of crashes of backend servers.
+    pub quarantined: Vec<RequestNumber>,
     /// Messages about the versions of streams, one for each receiver.
     pub stream_messages: usize,
     /// The backend server from which the answer of each request first arrived.
@@ -103,6 +110,7 @@
     next: RequestNumber,
     next_revision: u64,
     contents: HashMap<RequestNumber, u64>,
+    parts: HashMap<RequestNumber, Vec<u64>>,
     paths: HashMap<RequestNumber, &'static str>,
     /// The attempts that began the streams which requests resume.
     resumed: HashMap<RequestNumber, RequestNumber>,
@@ -146,6 +154,7 @@
             arrived: HashMap::new(),
             sent: Vec::new(),
             refused: Vec::new(),
+            quarantined: Vec::new(),
             stream_messages: 0,
             begun: HashMap::new(),
             rng: ChaCha8Rng::seed_from_u64(seed),
@@ -155,6 +164,7 @@
             next: 1,
             next_revision: 10,
             contents: HashMap::new(),
+            parts: HashMap::new(),
             paths: HashMap::new(),
             resumed: HashMap::new(),
             passed_on: HashMap::new(),
@@ -309,8 +319,13 @@
                 self.sent.push((self.since_start(), number));
                 self.serve(n, number, backend);
             }
-            Effect::Refuse { number, .. } => {
+            Effect::Refuse {
+                number, refusal, ..
+            } => {
                 self.refused.push(number);
+                if refusal.reason == Reason::Quarantined {
+                    self.quarantined.push(number);
+                }
                 self.end_at_origin(number);
             }
             Effect::PassOn {
@@ -351,6 +366,7 @@
         let call = Call {
             host: n,
             content: self.contents[&number],
+            parts: self.parts.get(&number).cloned().unwrap_or_default(),
             backend: backend.clone(),
             at: self.now,
         };
@@ -358,6 +374,14 @@
         let deliveries = &mut self.hosts[n].deliveries;
         let header = Delivery::Header(number, backend, answer);
         deliveries.push((self.now + answer.header_after, header));
+        if answer.is_streamed {
+            let mut after = answer.header_after + EVENTS_INTERVAL;
+            while after <= answer.end_after {
+                let streamed = Delivery::Streamed(number, EVENTS_INTERVAL);
+                deliveries.push((self.now + after, streamed));
+                after += EVENTS_INTERVAL;
+            }
+        }
         let end = Delivery::End(number, answer.outcome);
         deliveries.push((self.now + answer.end_after, end));
     }
@@ -417,6 +441,17 @@
                         self.apply(n, Event::ResponseStarted(number));
                     }
                 }
+                Delivery::Streamed(number, time) => {
+                    let events = 4;
+                    self.apply(
+                        n,
+                        Event::Streamed {
+                            number,
+                            events,
+                            time,
+                        },
+                    );
+                }
                 Delivery::End(number, outcome) => {
                     self.calls.remove(&number);
                     if outcome == AttemptOutcome::Complete {
@@ -465,6 +500,13 @@
         number
     }
 
+    /// Lets a request whose prompt has these parts, and one of its own, arrive at a host, and returns
+    /// its number.
+    pub fn arrive_with_parts(&mut self, n: usize, parts: Vec<u64>) -> RequestNumber {
+        self.parts.insert(self.next, parts);
+        self.arrive_content(n, self.next)
+    }
+
     /// Lets a caller resume the stream that an earlier attempt began at a host, and returns the
     /// number of the new attempt.
     pub fn resume(&mut self, n: usize, first: RequestNumber) -> RequestNumber {
@@ -486,6 +528,7 @@
             expected_answer: None,
             timeout: None,
             fingerprint: self.contents[&number],
+            shared_parts: self.parts.get(&number).cloned().unwrap_or_default(),
             is_passed_on,
             received_at: self.now,
             boot_time: self.hosts[n].boot_time,
--- a/crates/jaypin_router/tests/rollout_fleet/fleet.rs
+++ b/crates/jaypin_router/tests/rollout_fleet/fleet.rs
@@ -331,6 +331,7 @@
             expected_answer: None,
             timeout: None,
             fingerprint: number,
+            shared_parts: Vec::new(),
             is_passed_on: false,
             received_at: self.now,
             boot_time: self.boot_time(n),
