Find the prompt part that crashes engines, and clear what is sound

Cause: evidence was keyed by one reading of what the cause is, the whole content. No two requests with the part are alike, so nothing was ever lost twice, and each request was repeated at a second engine.

Change: a lost call names a set of suspects, its content and its parts but the last. What was answered completely or written on for half a second is sound, also before any crash, and hosts tell it when they hear of it as a suspect. An answer that ended with its connection clears nothing.

Why it works: a part at fault is in each crash and never completes, every other part completes or is written on somewhere within seconds, and what is rare is not lost again and again.

--- a/crates/jaypin_entry/src/callers/attempt.rs
+++ b/crates/jaypin_entry/src/callers/attempt.rs
@@ -247,6 +247,7 @@
         response: Response<Incoming>,
         delivery: &mut Delivery,
     ) -> AttemptOutcome {
+        let states_its_end = states_its_end(response.headers());
         let response = match self.read_whole(connection, response, delivery).await {
             Ok(response) => response,
             Err(outcome) => return outcome,
@@ -255,9 +256,10 @@
             self.failure = Some(response);
             return AttemptOutcome::Failed;
         }
+        let is_verified = states_its_end && response.status.is_success();
         self.host.apply(Event::ResponseStarted(self.number));
         delivery.send_response(forward_response(response));
-        AttemptOutcome::Complete
+        complete(is_verified)
     }
 
     /// Forwards the events of a stream to the caller until the stream ends.
@@ -333,7 +335,7 @@
         }
         delivery.end_stream().await;
         self.host.connections.release(connection);
-        AttemptOutcome::Complete
+        complete(states_its_end(&parts.headers))
     }
 
     /// Returns whether the caller has events of the stream from an earlier call or attempt, so that
@@ -382,6 +384,15 @@
     headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
 }
 
+/// Returns the outcome of an answer that was passed on whole, as far as can be told.
+fn complete(is_verified: bool) -> AttemptOutcome {
+    if is_verified {
+        AttemptOutcome::Complete
+    } else {
+        AttemptOutcome::Unverified
+    }
+}
+
 /// Returns the path and query of a URI: a request target that a caller sent in absolute form
 /// is sent to the backend server in origin form.
 fn origin_form(uri: &Uri) -> Uri {
--- a/crates/jaypin_entry/src/peers/wire/crashes.rs
+++ b/crates/jaypin_entry/src/peers/wire/crashes.rs
@@ -2,14 +2,14 @@
 
 use std::time::Duration;
 
-use jaypin_router::{BackendRun, CompletedContent, Crash, RunEnd};
+use jaypin_router::{BackendRun, ClearedSuspect, Crash, RunEnd};
 
 use super::{WireError, milliseconds};
 
 /// Key of the backend server, start time of its process, state from 0 to 2, age in milliseconds,
-/// contents.
+/// fingerprints of contents and parts of prompts.
 pub type WireCrash = (u32, u64, u8, u64, Vec<u64>);
-/// Content, age in milliseconds.
+/// Fingerprint of a content or part, age in milliseconds.
 pub type WireCompletion = (u64, u64);
 
 const SUSPECTED: u8 = 0;
@@ -24,10 +24,10 @@
     };
     let BackendRun { key, started } = crash.run;
     let age = milliseconds(crash.age);
-    (key, started, state, age, crash.contents.clone())
+    (key, started, state, age, crash.suspects.clone())
 }
 
-pub fn read_crash((key, started, state, age, contents): WireCrash) -> Result<Crash, WireError> {
+pub fn read_crash((key, started, state, age, suspects): WireCrash) -> Result<Crash, WireError> {
     let end = match state {
         SUSPECTED => RunEnd::Suspected,
         REFUTED => RunEnd::Refuted,
@@ -38,17 +38,17 @@
         run: BackendRun { key, started },
         end,
         age: Duration::from_millis(age),
-        contents,
+        suspects,
     })
 }
 
-pub fn wire_completion(completed: &CompletedContent) -> WireCompletion {
-    (completed.content, milliseconds(completed.age))
+pub fn wire_completion(completed: &ClearedSuspect) -> WireCompletion {
+    (completed.suspect, milliseconds(completed.age))
 }
 
-pub fn read_completion((content, age): WireCompletion) -> CompletedContent {
-    CompletedContent {
-        content,
+pub fn read_completion((suspect, age): WireCompletion) -> ClearedSuspect {
+    ClearedSuspect {
+        suspect,
         age: Duration::from_millis(age),
     }
 }
--- a/crates/jaypin_entry/tests/report_bytes.rs
+++ b/crates/jaypin_entry/tests/report_bytes.rs
@@ -11,7 +11,7 @@
 };
 use jaypin_router::{
     AccountUse, ArrivalCount, BackendLoad, BackendRecord, BackendRun, BackendSamples,
-    BackendSignals, BackendStatus, CompletedContent, Contact, Crash, EntryChange, OutcomeCounts,
+    BackendSignals, BackendStatus, ClearedSuspect, Contact, Crash, EntryChange, OutcomeCounts,
     Rank, Report, RolloutOrder, RolloutReport, RolloutState, RouteOutcomes, RunEnd, SignalReport,
     StorePoint, StoreView, StreamAnswer, StreamKey, StreamMessage, StreamOrigin, StreamQuery,
     VersionOutcomes, VersionsSeen, WholeReport,
@@ -112,10 +112,10 @@
             },
             end: RunEnd::Confirmed,
             age: Duration::from_millis(1_500),
-            contents: vec![99, u64::MAX],
+            suspects: vec![99, u64::MAX],
         }],
-        completed: vec![CompletedContent {
-            content: 98,
+        completed: vec![ClearedSuspect {
+            suspect: 98,
             age: Duration::from_millis(20),
         }],
         rollouts: vec![rollout()],
--- a/crates/jaypin_router/src/backend.rs
+++ b/crates/jaypin_router/src/backend.rs
@@ -297,7 +297,7 @@
     pub fn record_end(&mut self, number: RequestNumber, outcome: AttemptOutcome, now: Instant) {
         let call = self.calls.remove(&number);
         match outcome {
-            AttemptOutcome::Complete => {
+            AttemptOutcome::Complete | AttemptOutcome::Unverified => {
                 let held = call.map_or(Duration::ZERO, |call| now - call.sent_at);
                 self.record_hold_time(held);
                 self.totals.hold_seconds += held.as_secs_f64();
--- a/crates/jaypin_router/src/crash_evidence/pending_loss.rs
+++ b/crates/jaypin_router/src/crash_evidence/pending_loss.rs
@@ -6,19 +6,35 @@
 
 /// Time for which a lost call is kept. A backend server that has restarted registers within it.
 pub const LIFETIME: Duration = Duration::from_secs(10);
-/// Maximum number of lost calls; further ones are ignored.
+/// Maximum number of suspects of lost calls; further ones are ignored.
 const MAX_LOSSES: usize = 1_024;
 
-/// A call that ended without an answer.
+/// A content or part of a call that ended without an answer.
 #[derive(Debug, Clone, Copy)]
 pub struct PendingLoss {
     /// The run to which it was sent.
     pub run: BackendRun,
-    /// The content of its request.
-    pub content: Fingerprint,
+    /// The content of its request, or a part of its prompt.
+    pub suspect: Fingerprint,
     /// When its end was noticed.
     pub at: Instant,
-    is_unreachable: bool,
+    /// Whether a new connection failed afterwards.
+    pub is_unreachable: bool,
+    /// Whether an answer arrived that may be complete.
+    pub may_be_complete: bool,
+}
+
+impl PendingLoss {
+    /// Creates the loss of a call to a run that can be reached.
+    pub fn new(run: BackendRun, suspect: Fingerprint, at: Instant) -> Self {
+        Self {
+            run,
+            suspect,
+            at,
+            is_unreachable: false,
+            may_be_complete: false,
+        }
+    }
 }
 
 /// Lost calls that are no evidence yet.
@@ -28,21 +44,10 @@
 }
 
 impl PendingLosses {
-    /// Adds a lost call. `is_unreachable` states that a new connection failed afterwards.
-    pub fn add(
-        &mut self,
-        run: BackendRun,
-        content: Fingerprint,
-        is_unreachable: bool,
-        at: Instant,
-    ) {
+    /// Adds a lost call.
+    pub fn add(&mut self, loss: PendingLoss) {
         if self.losses.len() < MAX_LOSSES {
-            self.losses.push(PendingLoss {
-                run,
-                content,
-                at,
-                is_unreachable,
-            });
+            self.losses.push(loss);
         }
     }
 
@@ -58,19 +63,16 @@
         recent.any(|it| it.is_unreachable && now.saturating_duration_since(it.at) < age)
     }
 
-    /// Removes and returns the contents of the calls that were lost with a run.
+    /// Removes and returns the suspects of the calls that were lost with a run.
     pub fn take(&mut self, run: BackendRun) -> Vec<Fingerprint> {
-        let taken = self.losses.extract_if(.., |it| it.run == run);
-        taken.map(|it| it.content).collect()
+        let is_lost = |it: &mut PendingLoss| it.run == run && !it.may_be_complete;
+        let taken = self.losses.extract_if(.., is_lost);
+        taken.map(|it| it.suspect).collect()
     }
 
-    /// Removes and returns the calls for whose run, reachability and time the condition holds.
-    pub fn take_where(
-        &mut self,
-        condition: impl Fn(BackendRun, bool, Instant) -> bool,
-    ) -> Vec<PendingLoss> {
-        let is_due = |it: &mut PendingLoss| condition(it.run, it.is_unreachable, it.at);
-        self.losses.extract_if(.., is_due).collect()
+    /// Removes and returns the calls that fulfil the condition.
+    pub fn take_where(&mut self, condition: impl Fn(&PendingLoss) -> bool) -> Vec<PendingLoss> {
+        self.losses.extract_if(.., |it| condition(it)).collect()
     }
 
     /// Removes the calls that were lost long ago.
--- a/crates/jaypin_router/src/decision_inputs.rs
+++ b/crates/jaypin_router/src/decision_inputs.rs
@@ -32,7 +32,7 @@
         /// What it has left in the whole fleet.
         fleet: FleetLevel,
     },
-    /// Backend servers crashed while running the same content.
+    /// Backend servers crashed while running the same content, or the same part of a prompt.
     Crashes {
         /// Number of backend servers that crashed.
         crash_count: usize,
--- a/crates/jaypin_router/src/lib.rs
+++ b/crates/jaypin_router/src/lib.rs
@@ -56,7 +56,7 @@
 pub use configuration::{
     Account, CallerLimits, Configuration, Engine, Quota, QuotaUnit, Repeat, Route, Service, Target,
 };
-pub use crash_evidence::{BackendRun, CompletedContent, Crash, CrashEvidence, Fingerprint, RunEnd};
+pub use crash_evidence::{BackendRun, ClearedSuspect, Crash, CrashEvidence, Fingerprint, RunEnd};
 pub use decision_inputs::DecisionInputs;
 pub use entries::{Entries, EntryChange, EntrySource, LeaveState};
 pub use event_rate::EventRate;
--- a/crates/jaypin_router/src/report.rs
+++ b/crates/jaypin_router/src/report.rs
@@ -7,8 +7,8 @@
 use jaypin_core::{AccountId, FailureDomain, HostId, Incarnation};
 
 use crate::{
-    ArrivalCount, BackendKey, BackendSignals, BootTime, CellIndex, CompletedContent, Contact,
-    Crash, EntryChange, HostKey, RolloutOrder, StoreEra, VersionOutcomes,
+    ArrivalCount, BackendKey, BackendSignals, BootTime, CellIndex, ClearedSuspect, Contact, Crash,
+    EntryChange, HostKey, RolloutOrder, StoreEra, VersionOutcomes,
 };
 
 /// What one host has running and has observed.
@@ -67,8 +67,8 @@
     pub arrivals: Vec<ArrivalCount>,
     /// Crashes of backend servers, with the contents that were lost in them.
     pub crashes: Vec<Crash>,
-    /// Contents of these that were served completely elsewhere.
-    pub completed: Vec<CompletedContent>,
+    /// Suspects of such crashes that are known to be sound.
+    pub completed: Vec<ClearedSuspect>,
     /// Rollouts of new versions of services that are in progress or have just ended.
     pub rollouts: Vec<RolloutReport>,
     /// In reports to other cells: the addresses at which callers of the sender's cell may
--- a/crates/jaypin_router/src/request.rs
+++ b/crates/jaypin_router/src/request.rs
@@ -12,6 +12,9 @@
     StreamQuery, VersionKey, VersionsSeen,
 };
 
+/// Time of writing after which the parts of a prompt are known to be sound.
+const WRITTEN_TIME: Duration = Duration::from_millis(500);
+
 /// A request that was read whole, as input for decisions.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Arrival {
@@ -58,6 +61,9 @@
 pub enum AttemptOutcome {
     /// The whole answer was passed on to the caller.
     Complete,
+    /// An answer was passed on that does not show that the request was run to its end: it ended with
+    /// its connection, or states a failure.
+    Unverified,
     /// No connection could be made; no byte of the request was sent.
     Unreached,
     /// Nothing was sent, since the backend server had meanwhile stated that it wants no requests.
@@ -93,14 +99,14 @@
     /// Returns whether nothing is left to be decided.
     #[must_use]
     pub fn is_final(self) -> bool {
-        matches!(self, Self::Complete | Self::Abandoned)
+        matches!(self, Self::Complete | Self::Unverified | Self::Abandoned)
     }
 
     /// Returns the name of the outcome.
     #[must_use]
     pub fn as_str(self) -> &'static str {
         match self {
-            Self::Complete => "complete",
+            Self::Complete | Self::Unverified => "complete",
             Self::Unreached => "unreached",
             Self::Withheld => "withheld",
             Self::NotRun => "not-run",
@@ -237,6 +243,17 @@
     pub had_slot: bool,
     /// Time at which its first event or its answer arrived.
     pub first_event_at: Option<Instant>,
+    /// Time for which the backend server wrote events after the first one.
+    pub written_for: Duration,
+}
+
+impl Sent {
+    /// Returns whether the backend server wrote for so long that no part of the prompt can have
+    /// crashed it: one that crashes does so when it begins to write.
+    #[must_use]
+    pub fn is_long_written(&self) -> bool {
+        self.written_for >= WRITTEN_TIME
+    }
 }
 
 /// State of a request that was passed on to a peer.
@@ -282,6 +299,22 @@
 }
 
 impl Request<Sent> {
+    /// Returns the content and the parts of its prompt that may have crashed the backend server if
+    /// its answer was cut off.
+    pub fn suspects(&self) -> impl Iterator<Item = u64> {
+        let parts = self.suspect_parts().iter().copied();
+        std::iter::once(self.admitted.fingerprint).chain(parts)
+    }
+
+    /// Returns the same of the parts of its prompt.
+    #[must_use]
+    pub fn suspect_parts(&self) -> &[u64] {
+        if self.state.is_long_written() {
+            return &[];
+        }
+        &self.admitted.shared_parts
+    }
+
     /// Makes the request wait again after a call that did not succeed.
     pub fn requeue(self, until: Instant) -> Request<Waiting> {
         Request {
--- a/crates/jaypin_router/src/router/arrival.rs
+++ b/crates/jaypin_router/src/router/arrival.rs
@@ -148,7 +148,7 @@
             let refusal = Refusal::not_run(Reason::Draining).retry_after(LEAVING_RETRY_AFTER);
             return fx.push(refuse(number, requester, refusal, DecisionInputs::Leaving));
         }
-        if self.is_quarantined(admitted.fingerprint, now) {
+        if self.is_quarantined(admitted, now) {
             return self.refuse_quarantined(now, &request, fx);
         }
         if let Some(peer) = self.peer_for(&request.admitted, now) {
--- a/crates/jaypin_router/src/router/attempt.rs
+++ b/crates/jaypin_router/src/router/attempt.rs
@@ -67,10 +67,20 @@
 
     pub(super) fn handle_stream_events(
         &mut self,
+        now: Instant,
         number: RequestNumber,
         events: u32,
         time: Duration,
     ) {
+        let Some(request) = self.sent.get_mut(&number) else {
+            return;
+        };
+        let was_long_written = request.state.is_long_written();
+        request.state.written_for += time;
+        if request.state.is_long_written() && !was_long_written {
+            let parts = request.admitted.shared_parts.clone();
+            self.record_sound_parts(&parts, now);
+        }
         let Some(request) = self.sent.get(&number) else {
             return;
         };
@@ -110,7 +120,11 @@
         match outcome {
             AttemptOutcome::Complete => {
                 self.record_hold_time(&request, now);
-                self.record_completed_content(request.admitted.fingerprint, now);
+                self.record_completion(&request.admitted, now);
+            }
+            AttemptOutcome::Unverified => {
+                self.record_hold_time(&request, now);
+                self.record_unverified_answer(&request, now);
             }
             AttemptOutcome::Abandoned => {}
             _ if outcome.is_definitely_not_run() => self.handle_not_run(now, request, outcome, fx),
@@ -178,7 +192,8 @@
             && admitted.possible_runs < admitted.route.attempts
             && now < admitted.deadline
             && outcome != AttemptOutcome::TimedOut
-            && !self.is_quarantined(admitted.fingerprint, now);
+            && !self.is_quarantined(admitted, now)
+            && !self.may_crash_others(&request);
         if may_run_again && self.budget(&service, now).take(now) {
             let until = retry_until(&request.admitted, now, now);
             return self.place(now, request.requeue(until), fx);
--- a/crates/jaypin_router/src/router/crashes.rs
+++ b/crates/jaypin_router/src/router/crashes.rs
@@ -1,13 +1,13 @@
 //! Crashes of backend servers: what is evidence of them, and what happens to requests whose
-//! content caused them.
+//! content, or a part of whose prompt, caused them.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use jaypin_core::{BackendId, Reason, Refusal};
 
 use super::arrival::refuse;
 use super::{Effect, Router};
-use crate::request::{Request, Sent, Waiting};
+use crate::request::{Admitted, Request, Sent, Waiting};
 use crate::retry_after::MAX_QUARANTINE_RETRY_AFTER;
 use crate::{AttemptOutcome, BackendRecord, BackendRun, DecisionInputs, Fingerprint, Report};
 
@@ -24,14 +24,56 @@
             AttemptOutcome::Lost | AttemptOutcome::Silent => false,
             _ => return,
         };
-        let content = request.admitted.fingerprint;
-        let run = request.state.run;
-        let is_new = self
-            .crash_evidence
-            .record_lost_call(run, content, is_unreachable, now);
+        let mut is_new = false;
+        for suspect in request.suspects() {
+            is_new |= self.crash_evidence.record_lost_call(
+                request.state.run,
+                suspect,
+                is_unreachable,
+                now,
+            );
+        }
+        self.report_evidence(is_new);
+    }
+
+    /// Records an answer that ended with its connection, or states a failure: neither shows that
+    /// its request is sound.
+    pub(super) fn record_unverified_answer(&mut self, request: &Request<Sent>, now: Instant) {
+        let mut is_new = false;
+        if !request.state.is_long_written() {
+            let run = request.state.run;
+            for suspect in request.suspects() {
+                is_new |= self.crash_evidence.record_possible_cut(run, suspect, now);
+            }
+        }
+        self.report_evidence(is_new);
+    }
+
+    /// Records that a request was run to its end.
+    pub(super) fn record_completion(&mut self, admitted: &Admitted, now: Instant) {
+        let content = admitted.fingerprint;
+        let is_new = self.crash_evidence.record_completion(content, now);
+        self.report_evidence(is_new);
+        self.record_sound_parts(&admitted.shared_parts, now);
+    }
+
+    /// Records that an answer on these parts was written for a while or to its end.
+    pub(super) fn record_sound_parts(&mut self, parts: &[Fingerprint], now: Instant) {
+        let mut is_new = false;
+        for part in parts {
+            is_new |= self.crash_evidence.record_completion(*part, now);
+        }
         self.report_evidence(is_new);
     }
 
+    /// Returns whether another backend server crashed under a part of a lost request's prompt, which
+    /// is not known to be sound.
+    pub(super) fn may_crash_others(&self, request: &Request<Sent>) -> bool {
+        let run = request.state.run;
+        let mut parts = request.suspect_parts().iter();
+        parts.any(|it| self.crash_evidence.has_other_crash(*it, run))
+    }
+
     pub(super) fn record_answer(&mut self, run: BackendRun, sent_at: Instant, now: Instant) {
         let is_new = self.crash_evidence.record_answer(run, sent_at, now);
         self.report_evidence(is_new);
@@ -46,11 +88,6 @@
         self.report_evidence(is_new);
     }
 
-    pub(super) fn record_completed_content(&mut self, content: Fingerprint, now: Instant) {
-        let is_new = self.crash_evidence.record_completion(content, now);
-        self.report_evidence(is_new);
-    }
-
     /// Records that another process answered at the address of the one that was called.
     pub(super) fn record_replaced_backend(&mut self, call: &Sent, now: Instant) {
         let is_new = self.crash_evidence.record_end(call.run, now);
@@ -82,22 +119,36 @@
         let Some(whole) = &report.whole else {
             return;
         };
+        let mut knows_better = false;
         for crash in &whole.crashes {
-            self.crash_evidence.apply_crash(crash, now);
+            knows_better |= self.crash_evidence.apply_crash(crash, now);
         }
         for completed in &whole.completed {
             self.crash_evidence.apply_completion(completed, now);
         }
+        self.report_evidence(knows_better);
+    }
+
+    /// Returns whether requests with the content of this one, or with a part of its prompt, are
+    /// refused.
+    pub(super) fn is_quarantined(&self, admitted: &Admitted, now: Instant) -> bool {
+        self.quarantine(admitted, now).is_some()
     }
 
-    /// Returns whether requests with this content are refused.
-    pub(super) fn is_quarantined(&self, content: Fingerprint, now: Instant) -> bool {
-        self.crash_evidence
-            .remaining_quarantine(content, now)
-            .is_some()
+    /// Returns what is quarantined of a request, and for how long.
+    fn quarantine(&self, admitted: &Admitted, now: Instant) -> Option<(Fingerprint, Duration)> {
+        let evidence = &self.crash_evidence;
+        let content = admitted.fingerprint;
+        let of_content = evidence.remaining_quarantine(content, now);
+        let parts = admitted.shared_parts.iter();
+        let mut of_parts =
+            parts.filter_map(|it| Some((*it, evidence.remaining_part_quarantine(*it, now)?)));
+        of_content
+            .map(|left| (content, left))
+            .or_else(|| of_parts.next())
     }
 
-    /// Ends a request whose content is quarantined.
+    /// Ends a request whose content, or a part of whose prompt, is quarantined.
     pub(super) fn refuse_quarantined(
         &mut self,
         now: Instant,
@@ -108,12 +159,12 @@
         if admitted.possible_runs > 0 {
             return fx.push(Effect::ForwardFailure(admitted.number));
         }
-        let content = admitted.fingerprint;
-        let left = self.crash_evidence.remaining_quarantine(content, now);
-        let left = left.unwrap_or_default().min(MAX_QUARANTINE_RETRY_AFTER);
+        let quarantine = self.quarantine(admitted, now);
+        let (suspect, left) = quarantine.unwrap_or((admitted.fingerprint, Duration::ZERO));
+        let left = left.min(MAX_QUARANTINE_RETRY_AFTER);
         let refusal = Refusal::not_run(Reason::Quarantined).retry_after(left);
         let inputs = DecisionInputs::Crashes {
-            crash_count: self.crash_evidence.crash_count(content),
+            crash_count: self.crash_evidence.crash_count(suspect),
         };
         let requester = Some(admitted.requester());
         fx.push(refuse(admitted.number, requester, refusal, inputs));
--- a/crates/jaypin_router/src/router/mod.rs
+++ b/crates/jaypin_router/src/router/mod.rs
@@ -191,7 +191,7 @@
                 number,
                 events,
                 time,
-            } => self.handle_stream_events(number, events, time),
+            } => self.handle_stream_events(now, number, events, time),
             Event::AttemptEnded { number, outcome } => {
                 self.handle_attempt_end(now, number, outcome, &mut fx);
             }
--- a/crates/jaypin_router/src/router/passing_on.rs
+++ b/crates/jaypin_router/src/router/passing_on.rs
@@ -167,7 +167,9 @@
         fx: &mut Vec<Effect>,
     ) {
         let reason = match outcome {
-            AttemptOutcome::Complete | AttemptOutcome::Abandoned => return,
+            AttemptOutcome::Complete | AttemptOutcome::Unverified | AttemptOutcome::Abandoned => {
+                return;
+            }
             AttemptOutcome::Unreached => return self.pass_on_again(now, request, fx),
             AttemptOutcome::TimedOut => Reason::TooLate,
             _ => Reason::BackendLost,
--- a/crates/jaypin_router/src/router/placing.rs
+++ b/crates/jaypin_router/src/router/placing.rs
@@ -36,8 +36,8 @@
     /// Sends a request, keeps it waiting, or gives it up.
     pub(super) fn place(&mut self, now: Instant, request: Request<Waiting>, fx: &mut Vec<Effect>) {
         self.refresh_subsets();
-        // The content may have crashed backend servers while the request was waiting or sent.
-        if self.is_quarantined(request.admitted.fingerprint, now) {
+        // The content, or a part of the prompt, may have crashed backend servers while the request was waiting or sent.
+        if self.is_quarantined(&request.admitted, now) {
             if request.admitted.possible_runs == 0 {
                 self.refund_quota(&request.admitted);
             }
@@ -300,6 +300,7 @@
             tokens_ahead: choice.tokens_ahead,
             had_slot: choice.has_slot,
             first_event_at: None,
+            written_for: Duration::ZERO,
         });
         self.sent.insert(number, sent);
     }
--- a/crates/jaypin_router/src/router/reporting.rs
+++ b/crates/jaypin_router/src/router/reporting.rs
@@ -413,7 +413,7 @@
         let whole = WholeReport {
             cell_callers: Some(callers),
             crashes: self.crash_evidence.latest_crashes(now),
-            completed: self.crash_evidence.completions_to_report(now),
+            completed: self.crash_evidence.latest_completions(now),
             rollouts: self.rollouts_to_report(now, true),
             ..self.whole_report(now, boot_time)
         };
--- a/crates/jaypin_router/src/router/rollouts.rs
+++ b/crates/jaypin_router/src/router/rollouts.rs
@@ -248,7 +248,7 @@
         let route = route_key(&request.admitted.route.name);
         let is_canary = role == VersionRole::Canary;
         let outcome = match outcome {
-            AttemptOutcome::Complete => {
+            AttemptOutcome::Complete | AttemptOutcome::Unverified => {
                 let first_event_time = request.state.first_event_at;
                 let first_event_time =
                     first_event_time.map(|at| at.saturating_duration_since(request.state.at));
--- a/crates/jaypin_router/tests/crash_evidence.rs
+++ b/crates/jaypin_router/tests/crash_evidence.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use jaypin_router::{BackendRun, CompletedContent, Crash, CrashEvidence, RunEnd};
+use jaypin_router::{BackendRun, ClearedSuspect, Crash, CrashEvidence, RunEnd};
 
 const BAD: u64 = 7;
 const MS: Duration = Duration::from_millis(1);
@@ -31,7 +31,7 @@
         run: run(1),
         end,
         age,
-        contents: vec![BAD],
+        suspects: vec![BAD],
     }
 }
 
@@ -85,7 +85,7 @@
     }
     assert!(evidence.remaining_quarantine(BAD, now).is_some());
     let age = 10 * MS;
-    evidence.apply_completion(&CompletedContent { content: BAD, age }, now);
+    evidence.apply_completion(&ClearedSuspect { suspect: BAD, age }, now);
     assert!(evidence.remaining_quarantine(BAD, now).is_none());
 }
 
--- a/crates/jaypin_router/tests/crashing_content.rs
+++ b/crates/jaypin_router/tests/crashing_content.rs
@@ -342,7 +342,7 @@
         run: BackendRun::of(&record(&id, ENGINES, 9)),
         end: RunEnd::Suspected,
         age,
-        contents: vec![BAD],
+        suspects: vec![BAD],
     };
     host.wait(Duration::from_secs(1));
     let mut whole = whole_report(2);
