Try prompt parts that can't be told apart separately

Suspects whose crashes differ by less than three are now one group. One second after the last crash, requests with some but not all parts of a group are sent again, and each of them tells the parts apart: its answer clears a part, a crash gives the other part a lead.

Not covered: a part that leads all others by three crashes is not tried.

--- a/crates/jaypin_router/src/crash_evidence.rs
+++ b/crates/jaypin_router/src/crash_evidence.rs
@@ -75,10 +75,17 @@
         remaining(self.verdicts.last_crash_of_content(content)?, now)
     }
 
-    /// Returns the remaining time for which a part of prompts is quarantined, if it is.
+    /// Returns the remaining time for which a part of prompts is quarantined for a request that has
+    /// these contents and parts, if it is.
     #[must_use]
-    pub fn remaining_part_quarantine(&self, part: Fingerprint, now: Instant) -> Option<Duration> {
-        remaining(self.verdicts.last_crash_of_part(part)?, now)
+    pub fn remaining_part_quarantine(
+        &self,
+        part: Fingerprint,
+        suspects: &[Fingerprint],
+        now: Instant,
+    ) -> Option<Duration> {
+        let last = self.verdicts.last_crash_of_part(part, suspects, now)?;
+        remaining(last, now)
     }
 
     /// Records that a call ended without an answer. It becomes evidence once it is known that the
--- a/crates/jaypin_router/src/crash_evidence/verdicts.rs
+++ b/crates/jaypin_router/src/crash_evidence/verdicts.rs
@@ -17,14 +17,40 @@
 /// same parts with them.
 const PART_SPREAD: Duration = Duration::from_millis(150);
 
+/// Number of crashes by which two suspects must differ so that they can be told apart.
+const CLEAR_LEAD: usize = 3;
+/// Time after the last crash from which on requests are sent that have some, but not all, of the
+/// suspects that can't be told apart. Each such request tells them apart, by its answer or a crash.
+const TRIAL_DELAY: Duration = Duration::from_secs(1);
+
 /// The crashes that a suspect explains.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug)]
 struct Explained {
     count: usize,
     first: Instant,
     last: Instant,
+    /// Whether it was lost in all crashes that this group of suspects explains.
+    is_in_all: bool,
+    /// The other suspects of the group.
+    rivals: Vec<Fingerprint>,
+}
+
+impl Explained {
+    fn of(crashes: &Crashes, of_group: &Crashes, rivals: Vec<Fingerprint>) -> Option<Self> {
+        let times = of_group.iter().map(|it| it.1);
+        Some(Self {
+            count: crashes.intersection(of_group).count(),
+            first: times.clone().min()?,
+            last: times.max()?,
+            is_in_all: crashes.is_superset(of_group),
+            rivals,
+        })
+    }
 }
 
+/// Crashes with their times.
+type Crashes = BTreeSet<(BackendRun, Instant)>;
+
 /// The suspects that explain the crashes. Crashes that one of them explains count for no other.
 #[derive(Debug, Default)]
 pub struct Verdicts {
@@ -33,8 +59,8 @@
 }
 
 impl Verdicts {
-    /// Takes, again and again, the suspect with the most crashes that are not yet explained. Those
-    /// that were lost in exactly the same crashes can't be told apart.
+    /// Takes, again and again, the suspect with the most crashes that are not yet explained,
+    /// together with those that can't be told apart from it.
     pub fn of(log: &CrashLog, cleared: &Cleared) -> Self {
         let mut verdicts = Self::default();
         let frequent = log.suspects().filter(|it| it.1 >= CONTENT_LIMIT);
@@ -46,14 +72,21 @@
         loop {
             let left = candidates.iter().map(|it| verdicts.unexplained(log, *it));
             let left: Vec<_> = left.collect();
-            let most = left.iter().max_by_key(|runs| runs.len()).cloned();
-            let Some(most) = most.filter(|runs| runs.len() >= CONTENT_LIMIT) else {
+            let most = left.iter().max_by_key(|crashes| crashes.len());
+            let Some(most) = most.filter(|crashes| crashes.len() >= CONTENT_LIMIT) else {
                 return verdicts;
             };
-            for (suspect, runs) in candidates.iter().zip(&left) {
-                if *runs == most {
-                    verdicts.explain(*suspect, &most);
-                }
+            let group = candidates.iter().zip(&left);
+            let group = group.filter(|(_, crashes)| {
+                let common = crashes.intersection(most).count();
+                common >= CONTENT_LIMIT && most.len() - common < CLEAR_LEAD
+            });
+            let group: Vec<_> = group.collect();
+            for (suspect, crashes) in &group {
+                let rivals = group.iter().map(|it| *it.0).filter(|it| it != *suspect);
+                let explained = Explained::of(crashes, most, rivals.collect());
+                let by_suspect = &mut verdicts.by_suspect;
+                by_suspect.extend(explained.map(|it| (**suspect, it)));
             }
             verdicts.explained.extend(most.iter().map(|it| it.0));
             let by_suspect = &verdicts.by_suspect;
@@ -61,22 +94,13 @@
         }
     }
 
-    fn unexplained(&self, log: &CrashLog, suspect: Fingerprint) -> BTreeSet<(BackendRun, Instant)> {
+    fn unexplained(&self, log: &CrashLog, suspect: Fingerprint) -> Crashes {
         let crashes = log.crashes_under(suspect);
         crashes
             .filter(|(run, _)| !self.explained.contains(run))
             .collect()
     }
 
-    fn explain(&mut self, suspect: Fingerprint, crashes: &BTreeSet<(BackendRun, Instant)>) {
-        let times = crashes.iter().map(|it| it.1);
-        if let (Some(first), Some(last)) = (times.clone().min(), times.max()) {
-            let count = crashes.len();
-            let explained = Explained { count, first, last };
-            self.by_suspect.insert(suspect, explained);
-        }
-    }
-
     /// Returns whether a crash is explained by one of the suspects.
     pub fn is_explained(&self, run: BackendRun) -> bool {
         self.explained.contains(&run)
@@ -85,13 +109,23 @@
     /// Returns the time of the last crash under a content, if it is the cause.
     pub fn last_crash_of_content(&self, content: Fingerprint) -> Option<Instant> {
         let explained = self.by_suspect.get(&content)?;
-        (explained.count >= CONTENT_LIMIT).then_some(explained.last)
+        let is_cause = explained.count >= CONTENT_LIMIT && explained.is_in_all;
+        is_cause.then_some(explained.last)
     }
 
-    /// Returns the time of the last crash under a part of prompts, if it is the cause.
-    pub fn last_crash_of_part(&self, part: Fingerprint) -> Option<Instant> {
+    /// Returns the time of the last crash under a part of prompts, if it is held to be the cause for
+    /// a request that has these suspects.
+    pub fn last_crash_of_part(
+        &self,
+        part: Fingerprint,
+        suspects: &[Fingerprint],
+        now: Instant,
+    ) -> Option<Instant> {
         let explained = self.by_suspect.get(&part)?;
         let is_spread = explained.last >= explained.first + PART_SPREAD;
-        (explained.count >= PART_LIMIT && is_spread).then_some(explained.last)
+        let has_all = explained.rivals.iter().all(|it| suspects.contains(it));
+        let is_trial = !has_all && now >= explained.last + TRIAL_DELAY;
+        let is_cause = explained.count >= PART_LIMIT && is_spread && !is_trial;
+        is_cause.then_some(explained.last)
     }
 }
--- a/crates/jaypin_router/src/router/crashes.rs
+++ b/crates/jaypin_router/src/router/crashes.rs
@@ -140,12 +140,15 @@
         let evidence = &self.crash_evidence;
         let content = admitted.fingerprint;
         let of_content = evidence.remaining_quarantine(content, now);
-        let parts = admitted.shared_parts.iter();
-        let mut of_parts =
-            parts.filter_map(|it| Some((*it, evidence.remaining_part_quarantine(*it, now)?)));
-        of_content
-            .map(|left| (content, left))
-            .or_else(|| of_parts.next())
+        if let Some(left) = of_content {
+            return Some((content, left));
+        }
+        let mut suspects = admitted.shared_parts.clone();
+        suspects.push(content);
+        admitted.shared_parts.iter().find_map(|part| {
+            let left = evidence.remaining_part_quarantine(*part, &suspects, now)?;
+            Some((*part, left))
+        })
     }
 
     /// Ends a request whose content, or a part of whose prompt, is quarantined.
--- a/crates/jaypin_router/tests/common/fleet.rs
+++ b/crates/jaypin_router/tests/common/fleet.rs
@@ -436,7 +436,11 @@
                             backoff: answer.backoff,
                         },
                     );
-                    if answer.outcome == AttemptOutcome::Complete {
+                    let is_answer = matches!(
+                        answer.outcome,
+                        AttemptOutcome::Complete | AttemptOutcome::Unverified
+                    );
+                    if is_answer {
                         self.begun.entry(number).or_insert(backend);
                         self.apply(n, Event::ResponseStarted(number));
                     }
@@ -454,7 +458,7 @@
                 }
                 Delivery::End(number, outcome) => {
                     self.calls.remove(&number);
-                    if outcome == AttemptOutcome::Complete {
+                    if outcome.is_final() {
                         self.end_at_origin(number);
                     }
                     self.apply(n, Event::AttemptEnded { number, outcome });
--- a/crates/jaypin_router/tests/crashing_prompt_parts/main.rs
+++ b/crates/jaypin_router/tests/crashing_prompt_parts/main.rs
@@ -13,7 +13,9 @@
 use jaypin_core::BackendId;
 use jaypin_router::{AttemptOutcome, RequestNumber};
 use rand::RngExt;
-use scenario::{AFTER_EVENTS, BACK_AT_ONCE, LATE_CALLS, Position, REFUSING, REPLACED, Scenario};
+use scenario::{
+    AFTER_EVENTS, BACK_AT_ONCE, LATE_CALLS, LOOKS_COMPLETE, Position, REFUSING, REPLACED, Scenario,
+};
 
 const SEEDS: Range<u64> = 1..6;
 /// A seed for large fleets, which take long to simulate.
@@ -61,11 +63,46 @@
     prompt_part_is_found_beside_ordinary_crashes: SEEDS, 13, REFUSING, |it| {
         it.ordinary_crashes = [4, 6, 9, 12].map(Duration::from_secs).to_vec();
     };
+    prompt_part_is_found_where_cut_answers_look_complete: SEEDS, 13, LOOKS_COMPLETE, |_| {};
+    prompt_part_is_found_where_answers_state_no_length: SEEDS, 13, REFUSING, |it| {
+        it.fleet.backends.outcome = AttemptOutcome::Unverified;
+    };
+    prompt_part_is_found_where_answers_are_short: SEEDS, 13, REFUSING, |it| {
+        it.fleet.backends.writing_ms = 20..400;
+    };
+    prompt_part_is_found_beside_few_sound_requests: SEEDS, 13, REFUSING, |it| it.rates.0 = 4.0;
     prompt_part_of_rare_requests_is_found: SEEDS, 13, REFUSING, |it| it.rates.1 = 1.5;
     prompt_part_is_found_over_cells: ONE_SEED, 42, REFUSING, |_| {};
     prompt_part_is_found_by_145_hosts: ONE_SEED, 145, REFUSING, |it| it.end = Duration::from_secs(14);
 }
 
+/// Guards against a common first part that is refused for minutes with the bad one, because no answer
+/// had been written on it before the first crash, so that the two can't be told apart.
+#[test]
+fn prompt_part_is_found_from_the_first_request_on() {
+    let cases = [
+        (1, Position::Middle, (30.0, 8.0)),
+        (1, Position::Middle, (4.0, 8.0)),
+        (1, Position::Middle, (30.0, 30.0)),
+        (1, Position::Middle, (10.0, 20.0)),
+        (1, Position::First, (30.0, 30.0)),
+        (40, Position::Middle, (30.0, 8.0)),
+    ];
+    for (first_parts, position, rates) in cases {
+        for seed in 1..9 {
+            let mut scenario = Scenario::new(13, seed, REFUSING);
+            scenario.first_parts = first_parts;
+            scenario.position = position;
+            scenario.rates = rates;
+            scenario.bad_from = Duration::ZERO;
+            let counts = scenario.run();
+            println!("{first_parts} {position:?} {rates:?}, seed {seed}: {counts:?}");
+            assert!(counts.late_calls <= LATE_CALLS, "seed {seed}: {counts:?}");
+            assert!(counts.begun_after >= 0.5, "seed {seed}: {counts:?}");
+        }
+    }
+}
+
 /// Guards against parts of sound prompts that are refused because they were lost in crashes that have
 /// another cause.
 #[test]
--- a/crates/jaypin_router/tests/crashing_prompt_parts/scenario.rs
+++ b/crates/jaypin_router/tests/crashing_prompt_parts/scenario.rs
@@ -25,7 +25,7 @@
 const RECOVERY_TIME: Duration = Duration::from_secs(6);
 /// Number of different parts in the middle of prompts.
 const MIDDLE_PARTS: u64 = 30;
-/// When requests with the bad part begin to arrive, and when the simulation ends.
+/// When requests with the bad part begin to arrive, and when all cease to.
 const BAD_FROM: Duration = Duration::from_secs(5);
 pub const END: Duration = Duration::from_secs(20);
 /// Time after the end for answers that are still being written.
@@ -36,6 +36,8 @@
 pub struct CrashKind {
     /// Whether the first event arrives before the crash.
     has_events: bool,
+    /// Whether the answer then ends with its connection, as if it were complete.
+    looks_complete: bool,
     /// How the lost calls end.
     outcome: AttemptOutcome,
     /// Time until the hosts notice.
@@ -49,6 +51,7 @@
 /// A process that refuses connections after its end and starts again under its id.
 pub const REFUSING: CrashKind = CrashKind {
     has_events: false,
+    looks_complete: false,
     outcome: AttemptOutcome::Died,
     noticed_after: Duration::from_millis(15),
     down_time: Duration::from_secs(2),
@@ -59,7 +62,12 @@
     has_events: true,
     ..REFUSING
 };
-/// The same, and the next process registers under an id of its own.
+/// The same, where the answer seems to end there.
+pub const LOOKS_COMPLETE: CrashKind = CrashKind {
+    looks_complete: true,
+    ..AFTER_EVENTS
+};
+/// A process that refuses connections after its end, and the next one registers under another id.
 pub const REPLACED: CrashKind = CrashKind {
     changes_id: true,
     ..REFUSING
@@ -90,6 +98,9 @@
     pub crashed_at: Vec<Instant>,
     /// When calls with the bad part reached an engine.
     pub bad_calls: Vec<Instant>,
+    /// How answers to sound requests end, and for how long they are written, in ms.
+    pub outcome: AttemptOutcome,
+    pub writing_ms: Range<u64>,
     /// Until when no host reaches any engine.
     pub cut_until: Option<Instant>,
 }
@@ -103,6 +114,8 @@
             replaced: HashSet::new(),
             crashed_at: Vec::new(),
             bad_calls: Vec::new(),
+            outcome: AttemptOutcome::Complete,
+            writing_ms: 200..3_000,
             cut_until: None,
         }
     }
@@ -139,18 +152,28 @@
             if !self.kind.has_events {
                 return Answer::none();
             }
+            let header_after = Duration::from_millis(30);
+            if self.kind.looks_complete {
+                return Answer {
+                    header_after,
+                    end_after: CRASH_DELAY.mul_f64(0.9),
+                    outcome: AttemptOutcome::Unverified,
+                    ..Answer::none()
+                };
+            }
             return Answer {
-                header_after: Duration::from_millis(30),
+                header_after,
                 outcome: AttemptOutcome::Complete,
                 ..Answer::none()
             };
         }
         let first = Duration::from_millis(rng.random_range(40..110));
-        let writing = Duration::from_millis(rng.random_range(200..3_000));
+        let writing = Duration::from_millis(rng.random_range(self.writing_ms.clone()));
         Answer {
             header_after: first,
             end_after: first + writing,
             is_streamed: true,
+            outcome: self.outcome,
             ..Answer::good(BackendSignals::default(), rng)
         }
     }
@@ -174,6 +197,8 @@
     pub at_once: usize,
     /// When a quarter of the engines ends at once, for another cause.
     pub ordinary_crashes: Vec<Duration>,
+    /// When requests with the bad part begin to arrive.
+    pub bad_from: Duration,
     /// When requests cease to arrive.
     pub end: Duration,
     pub sound: Vec<(Duration, RequestNumber)>,
@@ -211,6 +236,7 @@
             rates: (30.0 * scale, 8.0),
             at_once: 1,
             ordinary_crashes: Vec::new(),
+            bad_from: BAD_FROM,
             end: END,
             sound: Vec::new(),
         }
@@ -247,7 +273,7 @@
             sound -= 50.0;
         }
         let rate = self.rates.1 / f64::from(u32::try_from(self.at_once).expect("few hosts"));
-        if at >= BAD_FROM && self.is_due(rate) {
+        if at >= self.bad_from && self.is_due(rate) {
             for _ in 0..self.at_once {
                 let parts = match self.position {
                     Position::First => vec![BAD, self.middle_part()],
