Keep room for lost calls beside answers that may be cut off

Where all answers end with their connection, each one waited ten seconds for a crash that may have cut it off, and 1,024 of them left no room for calls that were lost. The last 256 wait now.

Test: answers_that_may_be_cut_off_leave_room_for_lost_calls in crash_suspects; it fails without the limit.

--- a/crates/jaypin_router/src/crash_evidence/pending_loss.rs
+++ b/crates/jaypin_router/src/crash_evidence/pending_loss.rs
@@ -8,6 +8,8 @@
 pub const LIFETIME: Duration = Duration::from_secs(10);
 /// Maximum number of suspects of lost calls; further ones are ignored.
 const MAX_LOSSES: usize = 1_024;
+/// Maximum number of these whose answers may be complete.
+const MAX_POSSIBLE_CUTS: usize = 256;
 
 /// A content or part of a call that ended without an answer.
 #[derive(Debug, Clone, Copy)]
@@ -46,11 +48,25 @@
 impl PendingLosses {
     /// Adds a lost call.
     pub fn add(&mut self, loss: PendingLoss) {
+        if loss.may_be_complete {
+            self.make_room_for_cut();
+        }
         if self.losses.len() < MAX_LOSSES {
             self.losses.push(loss);
         }
     }
 
+    /// Removes the oldest answer that may be complete if there are many. Where all answers end with
+    /// their connection, they would leave no room for lost calls.
+    fn make_room_for_cut(&mut self) {
+        let cuts = self.losses.iter().filter(|it| it.may_be_complete);
+        if cuts.count() >= MAX_POSSIBLE_CUTS
+            && let Some(oldest) = self.losses.iter().position(|it| it.may_be_complete)
+        {
+            self.losses.remove(oldest);
+        }
+    }
+
     /// Returns whether no call is pending.
     pub fn is_empty(&self) -> bool {
         self.losses.is_empty()
--- a/crates/jaypin_router/tests/crash_suspects.rs
+++ b/crates/jaypin_router/tests/crash_suspects.rs
@@ -163,6 +163,25 @@
     }
 }
 
+/// Guards against lost calls that don't count, because answers that end with their connection fill
+/// the memory of what is not yet evidence.
+#[test]
+fn answers_that_may_be_cut_off_leave_room_for_lost_calls() {
+    let mut evidence = CrashEvidence::default();
+    let now = Instant::now();
+    let run = |key| BackendRun { key, started: 1 };
+    let run_of = |content| run(100 + content % 50);
+    for content in 1_000..5_000_u32 {
+        evidence.record_possible_cut(run_of(content), content.into(), now);
+    }
+    evidence.record_lost_call(run(2), BAD, true, now);
+    evidence.record_contact(run(3), now + 10 * MS);
+    assert_eq!(evidence.crash_count(BAD), 1);
+    let last = crash(run_of(4_999).key, Duration::ZERO, &[]);
+    evidence.apply_crash(&last, now + 20 * MS);
+    assert_eq!(evidence.crash_count(4_999), 1);
+}
+
 /// Guards against a memory that grows with each request.
 #[test]
 fn what_is_sound_is_forgotten_when_there_is_too_much() {
