--- a/crates/jaypin_router/tests/crashing_prompt_parts/main.rs
+++ b/crates/jaypin_router/tests/crashing_prompt_parts/main.rs
@@ -10,8 +10,9 @@
 use std::ops::Range;
 use std::time::Duration;
 
+use common::{Decision, TestHost, report, whole_report};
 use jaypin_core::BackendId;
-use jaypin_router::{AttemptOutcome, RequestNumber};
+use jaypin_router::{AttemptOutcome, BackendRun, Crash, RequestNumber, RunEnd};
 use rand::RngExt;
 use scenario::{
     AFTER_EVENTS, BACK_AT_ONCE, LATE_CALLS, LOOKS_COMPLETE, Position, REFUSING, REPLACED, Scenario,
@@ -165,3 +166,28 @@
         assert_eq!(quarantined, 0, "seed {seed}");
     }
 }
+
+/// Guards against a lost request that crashes a second engine, although another crash under a part of
+/// its prompt is known.
+#[test]
+fn a_lost_request_with_a_suspected_part_is_not_repeated() {
+    for (crashed, is_repeated) in [(vec![], true), (vec![8], true), (vec![7], false)] {
+        let mut host = TestHost::with_backends();
+        let mut whole = whole_report(2);
+        whole.crashes = vec![Crash {
+            run: BackendRun { key: 1, started: 1 },
+            end: RunEnd::Confirmed,
+            age: Duration::from_secs(1),
+            suspects: crashed,
+        }];
+        host.receive_report(report(1, whole));
+        let mut number = 0;
+        host.arrive_all(|arrival| {
+            number = arrival.number;
+            arrival.shared_parts = vec![7];
+        });
+        let decision = host.ended(number, AttemptOutcome::Died);
+        let is_sent = matches!(decision, Decision::Sent(_));
+        assert_eq!(is_sent, is_repeated, "{decision:?}");
+    }
+}
