Don't repeat a lost request whose part itself explains the crashes

From the third crash on a part explains its crashes, but it is refused only from the fourth. A request lost meanwhile was repeated at a second engine: crashes that are explained did not count, not even for the part that explains them. They count for it now.

--- a/crates/jaypin_router/src/crash_evidence.rs
+++ b/crates/jaypin_router/src/crash_evidence.rs
@@ -66,7 +66,7 @@
             return false;
         }
         let mut crashes = self.log.crashes_under(suspect);
-        crashes.any(|(it, _)| it != run && !self.verdicts.is_explained(it))
+        crashes.any(|(it, _)| it != run && !self.verdicts.is_explained_by_others(it, suspect))
     }
 
     /// Returns the remaining time for which a content is quarantined, if it is.
--- a/crates/jaypin_router/src/crash_evidence/verdicts.rs
+++ b/crates/jaypin_router/src/crash_evidence/verdicts.rs
@@ -101,9 +101,9 @@
             .collect()
     }
 
-    /// Returns whether a crash is explained by one of the suspects.
-    pub fn is_explained(&self, run: BackendRun) -> bool {
-        self.explained.contains(&run)
+    /// Returns whether a crash is explained, and by others than this suspect.
+    pub fn is_explained_by_others(&self, run: BackendRun, suspect: Fingerprint) -> bool {
+        self.explained.contains(&run) && !self.by_suspect.contains_key(&suspect)
     }
 
     /// Returns the time of the last crash under a content, if it is the cause.
--- a/crates/jaypin_router/src/report.rs
+++ b/crates/jaypin_router/src/report.rs
@@ -65,7 +65,7 @@
     pub low_levels: Vec<(AccountId, f64)>,
     /// Requests that callers sent it, as totals of this run.
     pub arrivals: Vec<ArrivalCount>,
-    /// Crashes of backend servers, with the contents that were lost in them.
+    /// Crashes of backend servers, with the contents and parts of prompts that were lost in them.
     pub crashes: Vec<Crash>,
     /// Suspects of such crashes that are known to be sound.
     pub completed: Vec<ClearedSuspect>,
--- a/crates/jaypin_router/tests/crashing_prompt_parts/main.rs
+++ b/crates/jaypin_router/tests/crashing_prompt_parts/main.rs
@@ -171,15 +171,22 @@
 /// its prompt is known.
 #[test]
 fn a_lost_request_with_a_suspected_part_is_not_repeated() {
-    for (crashed, is_repeated) in [(vec![], true), (vec![8], true), (vec![7], false)] {
+    let cases = [
+        (vec![], 0, true),
+        (vec![8], 1, true),
+        (vec![7], 1, false),
+        (vec![7], 3, false),
+    ];
+    for (crashed, crashes, is_repeated) in cases {
         let mut host = TestHost::with_backends();
         let mut whole = whole_report(2);
-        whole.crashes = vec![Crash {
-            run: BackendRun { key: 1, started: 1 },
+        let crash = |key| Crash {
+            run: BackendRun { key, started: 1 },
             end: RunEnd::Confirmed,
             age: Duration::from_secs(1),
-            suspects: crashed,
-        }];
+            suspects: crashed.clone(),
+        };
+        whole.crashes = (0..crashes).map(crash).collect();
         host.receive_report(report(1, whole));
         let mut number = 0;
         host.arrive_all(|arrival| {
