--- a/crates/jaypin_entry/src/callers/request_task.rs
+++ b/crates/jaypin_entry/src/callers/request_task.rs
@@ -105,6 +105,7 @@
             expected_answer: header.expected_answer_tokens,
             timeout: header.timeout,
             fingerprint: self.received.fingerprint,
+            shared_parts: self.received.shared_parts(),
             is_passed_on: self.received.is_passed_on,
             received_at: self.received.received_at.into_std(),
             boot_time: boot_time(),
@@ -172,6 +173,7 @@
         let pause_ms = self.times.longest_pause.as_millis();
         let tokens = self.received.header.tokens.unwrap_or_default();
         let content = format!("{:016x}", self.received.fingerprint);
-        log::info!(id, content, outcome, backend, version, resumes, after, last_id, account, rank, ms, first_ms, pause_ms, tokens:?, why:% = inputs; "request");
+        let parts = self.received.prompt_part_names();
+        log::info!(id, content, parts, outcome, backend, version, resumes, after, last_id, account, rank, ms, first_ms, pause_ms, tokens:?, why:% = inputs; "request");
     }
 }
