--- a/crates/jaypin_router/src/router/silence.rs
+++ b/crates/jaypin_router/src/router/silence.rs
@@ -108,7 +108,7 @@
         if now >= admitted.deadline {
             return Some(StayReason::NoTimeLeft);
         }
-        if self.is_quarantined(admitted.fingerprint, now) {
+        if self.is_quarantined(&admitted, now) {
             return Some(StayReason::Quarantined);
         }
         if self.is_cut_off() {
