Keep a silent call whose request would not be repeated for a suspected part

What callers would see: a stream at a silent engine is cut off although the engine goes on, if another engine has crashed under a part of its prompt.

Cause: the join of two fixes. A silence ends a call only if the request can be sent elsewhere at once, and a lost request whose part is suspected is not repeated; the question did not ask for the latter.

Why it works: the question now makes every check that the end of the call makes.

--- a/crates/jaypin_router/src/router/silence.rs
+++ b/crates/jaypin_router/src/router/silence.rs
@@ -34,7 +34,7 @@
     NoTimeLeft,
     /// The budget of the service for resends is used up.
     NoResendLeft,
-    /// Requests with this content are refused.
+    /// Backend servers may have crashed under its content or a part of its prompt.
     Quarantined,
     /// This host can't open connections to backend servers.
     CutOff,
@@ -100,7 +100,8 @@
     /// Returns why a request would not be sent elsewhere at once if its call ended now, if that is
     /// so.
     fn reason_to_stay(&self, now: Instant, number: RequestNumber) -> Option<StayReason> {
-        let mut admitted = self.sent.get(&number)?.admitted.clone();
+        let request = self.sent.get(&number)?;
+        let mut admitted = request.admitted.clone();
         admitted.record_possible_run(AttemptOutcome::Silent);
         if !admitted.may_run_after(0) {
             return Some(StayReason::NoRunLeft);
@@ -108,7 +109,7 @@
         if now >= admitted.deadline {
             return Some(StayReason::NoTimeLeft);
         }
-        if self.is_quarantined(&admitted, now) {
+        if self.is_quarantined(&admitted, now) || self.may_crash_others(request) {
             return Some(StayReason::Quarantined);
         }
         if self.is_cut_off() {
--- a/crates/jaypin_router/tests/silent_calls.rs
+++ b/crates/jaypin_router/tests/silent_calls.rs
@@ -4,9 +4,10 @@
 
 use std::time::Duration;
 
-use common::{Decision, ENGINES, PLAIN, TestHost, configuration, record};
+use common::{Decision, ENGINES, PLAIN, TestHost, configuration, record, report, whole_report};
 use jaypin_router::{
-    AttemptOutcome, BackendRecord, BackendStatus, Event, RequestNumber, SilentCall, StayReason,
+    AttemptOutcome, BackendRecord, BackendRun, BackendStatus, Crash, Event, RequestNumber, RunEnd,
+    SilentCall, StayReason,
 };
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -225,3 +226,27 @@
         "{moved} moved, {stayed} stayed"
     );
 }
+
+/// Guards against a stream that a silence cuts off because its request would not be sent elsewhere: an
+/// engine has crashed under a part of its prompt.
+#[test]
+fn a_request_with_a_suspected_part_stays_at_a_silent_engine() {
+    let mut host = host_with(2, 10.0);
+    let part = 7;
+    let (number, decision) = host.arrive_with(|it| it.shared_parts = vec![part]);
+    assert!(matches!(decision, Decision::Sent(_)), "{decision:?}");
+    host.answered(number);
+    let mut whole = whole_report(2);
+    whole.crashes = vec![Crash {
+        run: BackendRun {
+            key: 99,
+            started: 1,
+        },
+        end: RunEnd::Confirmed,
+        age: Duration::ZERO,
+        suspects: vec![part],
+    }];
+    host.receive_report(report(1, whole));
+    let reason = reason_to_stay(&mut host, number);
+    assert_eq!(reason, Some(StayReason::Quarantined));
+}
