Let a host that is starved leave an engine that never speaks again

What callers see: a stream at an engine that accepts connections and is dead stays there until its caller has left, while its host gets too little of a processor.

Cause: a host waits until it has run for 20 ms without a stall before it takes a call for silent, and one that is starved never does.

Change: it waits for such a moment three times at most. A host that was suspended has run once by then, and one that is starved reads in between.

--- a/crates/jaypin_entry/src/callers/silence.rs
+++ b/crates/jaypin_entry/src/callers/silence.rs
@@ -15,6 +15,8 @@
 const SETTLE_TIME: Duration = Duration::from_millis(20);
 /// Lateness of a timer from which on this host has stood still.
 const STALL_LATENESS: Duration = Duration::from_millis(30);
+/// Maximum number of times that it waits for such a moment.
+const MAX_SETTLE_ROUNDS: u32 = 3;
 
 /// A silence that ended a call.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -112,11 +114,13 @@
     }
 }
 
-/// Waits until this host has run for a moment without a stall.
+/// Waits until this host has run for a moment without a stall, so that it has read what arrived
+/// during one.
 ///
-/// A host that was suspended notices expired timers before it has read what arrived meanwhile.
+/// A host that was suspended notices expired timers before it has read what arrived meanwhile. One
+/// that is starved stalls all the time, but reads in between.
 async fn settle() {
-    loop {
+    for _ in 0..MAX_SETTLE_ROUNDS {
         let start = Instant::now();
         sleep(SETTLE_TIME).await;
         if start.elapsed() < SETTLE_TIME + STALL_LATENESS {
