Count no pause of an engine as writing on a part of a prompt

Cause: an answer that is written on for half a second clears the parts of its prompt for ten minutes, and the time was that between events, whatever passed in it.

Change: each event after the first one counts for 100 ms at most, so half a second of writing is at least five events.

--- a/crates/jaypin_router/src/request.rs
+++ b/crates/jaypin_router/src/request.rs
@@ -14,6 +14,9 @@
 
 /// Time of writing after which the parts of a prompt are known to be sound.
 const WRITTEN_TIME: Duration = Duration::from_millis(500);
+/// Longest time before an event in which its backend server may have written it. A longer one is a
+/// pause.
+const MAX_EVENT_TIME: Duration = Duration::from_millis(100);
 
 /// A request that was read whole, as input for decisions.
 #[derive(Debug, Clone, PartialEq)]
@@ -263,11 +266,16 @@
     pub had_slot: bool,
     /// Time at which its first event or its answer arrived.
     pub first_event_at: Option<Instant>,
-    /// Time for which the backend server wrote events after the first one.
+    /// Time for which the backend server wrote events after the first one, without pauses.
     pub written_for: Duration,
 }
 
 impl Sent {
+    /// Records that events arrived after the first one, over this time.
+    pub fn record_writing(&mut self, events: u32, time: Duration) {
+        self.written_for += time.min(MAX_EVENT_TIME * events);
+    }
+
     /// Returns whether the backend server wrote for so long that no part of the prompt can have
     /// crashed it: one that crashes does so when it begins to write.
     #[must_use]
--- a/crates/jaypin_router/src/router/attempt.rs
+++ b/crates/jaypin_router/src/router/attempt.rs
@@ -76,7 +76,7 @@
             return;
         };
         let was_long_written = request.state.is_long_written();
-        request.state.written_for += time;
+        request.state.record_writing(events, time);
         if request.state.is_long_written() && !was_long_written {
             let parts = request.admitted.shared_parts.clone();
             self.record_sound_parts(&parts, now);
--- a/crates/jaypin_router/tests/crash_suspects.rs
+++ b/crates/jaypin_router/tests/crash_suspects.rs
@@ -112,6 +112,19 @@
     assert!(trials <= 3, "{trials} trials");
 }
 
+/// Guards against a part that goes on crashing backend servers in requests that are sent to tell it
+/// apart from something that was lost in fewer crashes, such as the content of a repeated request.
+#[test]
+fn a_part_that_was_lost_in_more_crashes_than_its_rivals_is_not_tried() {
+    let repeated = vec![BAD, COMMON, CONTENT];
+    let mut crashes = vec![repeated; 3];
+    crashes.extend([vec![BAD, 21], vec![BAD, 22]]);
+    let (evidence, now) = evidence_of(&crashes);
+    let later = now + Duration::from_secs(3);
+    assert!(is_refused(&evidence, &[BAD, 23], later));
+    assert!(!is_refused(&evidence, &[COMMON, 23], later));
+}
+
 /// Guards against reports that grow with each call that was lost beside the bad one.
 #[test]
 fn reports_leave_out_what_is_sound() {
