Send no request to try a part that was lost in more crashes than its rivals

What callers see: after a part was found, further requests with it crash engines, one after the other, until it leads all rivals by three crashes.

Cause: suspects whose crashes differ by less than three are held to be the cause together, and requests with some but not all of them are sent to tell them apart. That also holds for the one that was lost in all crashes, where a rival, such as the content of a request that its caller repeats, was lost in three of five.

Change: a request with the suspect that leads is never a trial. Equal ones are tried as before, and each trial ends the tie.

--- a/crates/jaypin_router/src/crash_evidence/verdicts.rs
+++ b/crates/jaypin_router/src/crash_evidence/verdicts.rs
@@ -20,7 +20,8 @@
 /// Number of crashes by which two suspects must differ so that they can be told apart.
 const CLEAR_LEAD: usize = 3;
 /// Time after the last crash from which on requests are sent that have some, but not all, of the
-/// suspects that can't be told apart. Each such request tells them apart, by its answer or a crash.
+/// suspects that can't be told apart, unless they have the one that was lost in more crashes than the
+/// others. Each such request tells them apart, by its answer or a crash.
 const TRIAL_DELAY: Duration = Duration::from_secs(1);
 
 /// The crashes that a suspect explains.
@@ -31,6 +32,8 @@
     last: Instant,
     /// Whether it was lost in all crashes that this group of suspects explains.
     is_in_all: bool,
+    /// Whether it was, and no other suspect of the group.
+    leads: bool,
     /// The other suspects of the group.
     rivals: Vec<Fingerprint>,
 }
@@ -43,6 +46,7 @@
             first: times.clone().min()?,
             last: times.max()?,
             is_in_all: crashes.is_superset(of_group),
+            leads: false,
             rivals,
         })
     }
@@ -82,9 +86,14 @@
                 common >= CONTENT_LIMIT && most.len() - common < CLEAR_LEAD
             });
             let group: Vec<_> = group.collect();
+            let in_all = group.iter().filter(|it| it.1.is_superset(most)).count();
             for (suspect, crashes) in &group {
                 let rivals = group.iter().map(|it| *it.0).filter(|it| it != *suspect);
                 let explained = Explained::of(crashes, most, rivals.collect());
+                let explained = explained.map(|it| Explained {
+                    leads: it.is_in_all && in_all == 1,
+                    ..it
+                });
                 let by_suspect = &mut verdicts.by_suspect;
                 by_suspect.extend(explained.map(|it| (**suspect, it)));
             }
@@ -124,7 +133,7 @@
         let explained = self.by_suspect.get(&part)?;
         let is_spread = explained.last >= explained.first + PART_SPREAD;
         let has_all = explained.rivals.iter().all(|it| suspects.contains(it));
-        let is_trial = !has_all && now >= explained.last + TRIAL_DELAY;
+        let is_trial = !has_all && !explained.leads && now >= explained.last + TRIAL_DELAY;
         let is_cause = explained.count >= PART_LIMIT && is_spread && !is_trial;
         is_cause.then_some(explained.last)
     }
