Take a backend server that resets new connections for one that accepts them

What callers see: a stream leaves a sound engine, silent for 1.3 s, after three allowed pauses, because the engine has all its connections and resets further ones.

Cause: the probe of a silent call took a connection that is reset a moment later for none, as a host does that is cut off. A process that has exited refuses connections.

There is no test of it yet.

Change: a connection that is established counts.

--- a/crates/jaypin_entry/src/calls/connection_pool.rs
+++ b/crates/jaypin_entry/src/calls/connection_pool.rs
@@ -121,7 +121,7 @@
 #[derive(Debug, Clone)]
 struct Probe {
     started_at: Instant,
-    is_open: Rc<OnceCell<bool>>,
+    is_accepted: Rc<OnceCell<bool>>,
 }
 
 impl ConnectionPool {
@@ -150,24 +150,28 @@
 
     /// Returns whether an address accepts connections, by a probe that began a moment ago or begins
     /// now. Many calls fall silent together, and one probe serves them all.
+    ///
+    /// The probe's connection is closed at once: a sound backend server limits the number of
+    /// connections, and resets those beyond it.
     pub async fn accepts_connections(&self, address: &str) -> bool {
-        let is_open = self.recent_probe(address);
-        *is_open.get_or_init(|| self.probe(address)).await
+        let is_accepted = self.recent_probe(address);
+        let probe = || async { connect(address, BACKEND_TIMEOUTS).await.is_ok() };
+        *is_accepted.get_or_init(probe).await
     }
 
     fn recent_probe(&self, address: &str) -> Rc<OnceCell<bool>> {
         let mut probes = self.probes.borrow_mut();
         let recent = probes.get(address);
         if let Some(probe) = recent.filter(|it| it.started_at.elapsed() < PROBE_VALIDITY) {
-            return probe.is_open.clone();
+            return probe.is_accepted.clone();
         }
         let probe = Probe {
             started_at: Instant::now(),
-            is_open: Rc::default(),
+            is_accepted: Rc::default(),
         };
-        let is_open = probe.is_open.clone();
+        let is_accepted = probe.is_accepted.clone();
         probes.insert(address.to_owned(), probe);
-        is_open
+        is_accepted
     }
 
     fn take_idle(&self, address: &str) -> Option<Connection> {
