Let a request return to the silent backend server that it left

What callers see: a stream is cut off, or a read fails as lost, although its backend server was only silent for a while: it had left it for another one that declined it.

Cause: a silent call ends if another backend server would take the request, as far as this host knows. That one may decline, be out of reach or leave, and the first one was excluded for good; a stream then counted as without an engine of its version.

Change: once others have not run the request and none has a place, it may go back to the backend server that it left, also a late or unhealthy one. A call ends only if two resends are left: one to leave, one to return.

--- a/crates/jaypin_router/src/limits.rs
+++ b/crates/jaypin_router/src/limits.rs
@@ -88,11 +88,13 @@
 }
 
 /// Returns whether a request may be sent although nothing better is left: to get a late first
-/// event, or to an unhealthy backend server that may have recovered.
+/// event, or to an unhealthy backend server that may have recovered. One that would be lost may be
+/// sent however late it is.
 pub fn is_last_resort(admitted: &Admitted, choice: &Choice, now: Instant) -> bool {
     let spent = now.saturating_duration_since(admitted.arrived_at);
     let limit = admitted.route.latency_target.mul_f64(LATE_FRACTION);
-    choice.has_slot && choice.first_event <= limit.saturating_sub(spent)
+    let is_worth_sending = choice.first_event <= limit.saturating_sub(spent);
+    choice.has_slot && (is_worth_sending || admitted.may_be_late())
 }
 
 /// Returns the time without a first event after which a call is silent, if its request may be sent
--- a/crates/jaypin_router/src/request.rs
+++ b/crates/jaypin_router/src/request.rs
@@ -161,6 +161,8 @@
     pub possible_runs: u32,
     /// Number of calls that it left because nothing arrived on them.
     pub silent_calls: u32,
+    /// Backend server of the last of these calls, which may go on.
+    pub silent_backend: Option<BackendId>,
     /// Identifies its stream over all attempts of its caller.
     pub stream: StreamKey,
     /// Whether its caller has received the beginning of its stream in an earlier attempt.
@@ -182,10 +184,20 @@
         self.route.repeat.may_run_again() && self.possible_runs + calls < self.route.attempts
     }
 
-    /// Records a call on which it may have run.
-    pub fn record_possible_run(&mut self, outcome: AttemptOutcome) {
+    /// Records a call to a backend server on which it may have run.
+    pub fn record_possible_run(&mut self, backend: &BackendId, outcome: AttemptOutcome) {
         self.possible_runs += 1;
-        self.silent_calls += u32::from(outcome == AttemptOutcome::Silent);
+        if outcome == AttemptOutcome::Silent {
+            self.silent_calls += 1;
+            self.silent_backend = Some(backend.clone());
+        }
+    }
+
+    /// Allows it to return to the backend server of the last call on which nothing arrived.
+    pub fn allow_return(&mut self) {
+        if let Some(silent) = self.silent_backend.take() {
+            self.attempted.retain(|it| *it != silent);
+        }
     }
 
     /// Returns whether it may go on anywhere, since the alternative is to lose it.
--- a/crates/jaypin_router/src/resend_budget.rs
+++ b/crates/jaypin_router/src/resend_budget.rs
@@ -46,22 +46,22 @@
     /// Takes a resend from the budget; returns whether one was left.
     pub fn take(&mut self, now: Instant) -> bool {
         self.remove_old(now);
-        let is_left = self.is_left(now);
+        let is_left = self.has_left(1, now);
         if is_left {
             self.resends.push_back(now);
         }
         is_left
     }
 
-    /// Returns whether a resend is left.
+    /// Returns whether so many resends are left.
     #[must_use]
-    pub fn is_left(&self, now: Instant) -> bool {
+    pub fn has_left(&self, resends: u32, now: Instant) -> bool {
         let within_window = |times: &VecDeque<Instant>| {
             let old = times.partition_point(|at| self.is_old(*at, now));
             f64::from(u32::try_from(times.len() - old).unwrap_or(u32::MAX))
         };
         let (requests, used) = (within_window(&self.firsts), within_window(&self.resends));
-        used + 1.0 <= requests * self.ratio + self.allowance
+        used + f64::from(resends) <= requests * self.ratio + self.allowance
     }
 
     fn is_old(&self, at: Instant, now: Instant) -> bool {
--- a/crates/jaypin_router/src/router/arrival.rs
+++ b/crates/jaypin_router/src/router/arrival.rs
@@ -105,6 +105,7 @@
             attempted: Vec::new(),
             possible_runs: 0,
             silent_calls: 0,
+            silent_backend: None,
             stream: StreamKey {
                 account: account_key(account.map(|it| &*it.name)),
                 attempt: named.flatten().unwrap_or(arrival.attempt),
--- a/crates/jaypin_router/src/router/attempt.rs
+++ b/crates/jaypin_router/src/router/attempt.rs
@@ -129,7 +129,9 @@
             AttemptOutcome::Abandoned => {}
             _ if outcome.is_definitely_not_run() => self.handle_not_run(now, request, outcome, fx),
             _ => {
-                request.admitted.record_possible_run(outcome);
+                request
+                    .admitted
+                    .record_possible_run(&request.state.backend, outcome);
                 self.handle_failure(now, request, outcome, fx);
             }
         }
@@ -159,14 +161,23 @@
         if outcome == AttemptOutcome::Replaced {
             self.record_replaced_backend(&request.state, now);
         }
-        let until = retry_until(&request.admitted, request.admitted.arrived_at, now);
+        // A request that has left a silent call may have passed its latency target.
+        let since = match request.admitted.silent_calls {
+            0 => request.admitted.arrived_at,
+            _ => now,
+        };
+        let until = retry_until(&request.admitted, since, now);
         let service = request.admitted.service.clone();
         let is_outside_budget = matches!(
             outcome,
             AttemptOutcome::Unreached | AttemptOutcome::Withheld
         );
-        let has_too_many_declines = request.admitted.attempted.len() >= MAX_DECLINES;
-        let request = request.requeue(until);
+        let mut request = request.requeue(until);
+        let has_too_many_declines = |admitted: &Admitted| admitted.attempted.len() >= MAX_DECLINES;
+        if has_too_many_declines(&request.admitted) || !self.has_place(&request.admitted, now) {
+            request.admitted.allow_return();
+        }
+        let has_too_many_declines = has_too_many_declines(&request.admitted);
         if self.is_cut_off() && self.peer_for(&request.admitted, now).is_some() {
             return self.place(now, request, fx);
         }
--- a/crates/jaypin_router/src/router/silence.rs
+++ b/crates/jaypin_router/src/router/silence.rs
@@ -9,6 +9,10 @@
 use crate::limits::{DEFAULT_PAUSE, longest_sound_silence, silence_check_interval};
 use crate::{AttemptOutcome, RequestNumber};
 
+/// Number of resends that must be left for a request to leave a silent call: one to send it elsewhere,
+/// and one to return if it is declined there.
+const RESENDS: u32 = 2;
+
 /// What becomes of a call on which nothing arrives.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SilentCall {
@@ -102,7 +106,7 @@
     fn reason_to_stay(&self, now: Instant, number: RequestNumber) -> Option<StayReason> {
         let request = self.sent.get(&number)?;
         let mut admitted = request.admitted.clone();
-        admitted.record_possible_run(AttemptOutcome::Silent);
+        admitted.record_possible_run(&request.state.backend, AttemptOutcome::Silent);
         if !admitted.may_run_after(0) {
             return Some(StayReason::NoRunLeft);
         }
@@ -115,7 +119,7 @@
         if self.is_cut_off() {
             return Some(StayReason::CutOff);
         }
-        if !self.has_resend_left(&admitted.service, now) {
+        if !self.has_resends_left(RESENDS, &admitted.service, now) {
             return Some(StayReason::NoResendLeft);
         }
         if !self.has_place(&admitted, now) {
--- a/crates/jaypin_router/src/router/updates.rs
+++ b/crates/jaypin_router/src/router/updates.rs
@@ -295,9 +295,14 @@
     }
 
     /// Returns whether the budget of a service has a resend left.
-    pub(super) fn has_resend_left(&self, service: &jaypin_core::ServiceId, now: Instant) -> bool {
+    pub(super) fn has_resends_left(
+        &self,
+        resends: u32,
+        service: &jaypin_core::ServiceId,
+        now: Instant,
+    ) -> bool {
         let budget = self.budgets.get(service);
-        budget.is_none_or(|it| it.is_left(now))
+        budget.is_none_or(|it| it.has_left(resends, now))
     }
 
     pub(super) fn budget(
--- a/crates/jaypin_router/tests/silent_calls.rs
+++ b/crates/jaypin_router/tests/silent_calls.rs
@@ -184,7 +184,7 @@
     let (mut moved, mut stayed) = (0, 0);
     for seed in 0..2_000 {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
-        let mut host = host_with(rng.random_range(1..4), f64::from(rng.random_range(0..6)));
+        let mut host = host_with(rng.random_range(1..4), f64::from(rng.random_range(0..8)));
         let mut numbers = Vec::new();
         for n in 0..rng.random_range(1..30) {
             let path = ["/ask", "/read", "/command"][rng.random_range(0..3)];
@@ -250,3 +250,38 @@
     let reason = reason_to_stay(&mut host, number);
     assert_eq!(reason, Some(StayReason::Quarantined));
 }
+
+macro_rules! declined_elsewhere {
+    ($($name:ident: $path:expr, engines $engines:expr, $outcome:ident;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                let mut host = host_with(2, 8.0);
+                for n in 2..$engines {
+                    host.set_entry(record(&format!("engine-{n}{n}{n}"), ENGINES, 9));
+                }
+                let (number, backend) = send(&mut host, $path);
+                assert_eq!(reason_to_stay(&mut host, number), None);
+                let mut decision = host.ended(number, AttemptOutcome::Silent);
+                for _ in 0..10 {
+                    host.wait(Duration::from_millis(5));
+                    if decision.backend() == backend {
+                        return;
+                    }
+                    decision = host.ended(number, AttemptOutcome::$outcome);
+                }
+                panic!("{decision:?}");
+            }
+        )*
+    };
+}
+
+// Guards against an answer that is lost because its request has left a silent backend server, which would
+// have gone on, for others that do not run it.
+declined_elsewhere! {
+    a_stream_that_another_engine_declines_returns: "/ask/1", engines 2, NotRun;
+    a_stream_that_does_not_reach_another_engine_returns: "/ask/1", engines 2, Unreached;
+    a_stream_that_is_withheld_from_another_engine_returns: "/ask/1", engines 2, Withheld;
+    a_stream_that_many_engines_decline_returns: "/ask/1", engines 7, NotRun;
+    a_read_that_another_server_declines_returns: "/read/1", engines 2, NotRun;
+}
