--- a/crates/jaypin_router/tests/silent_calls.rs
+++ b/crates/jaypin_router/tests/silent_calls.rs
@@ -252,12 +252,12 @@
 }
 
 macro_rules! declined_elsewhere {
-    ($($name:ident: $path:expr, engines $engines:expr, $outcome:ident;)*) => {
+    ($($name:ident: $path:expr, more engines $more:expr, $outcome:ident;)*) => {
         $(
             #[test]
             fn $name() {
                 let mut host = host_with(2, 8.0);
-                for n in 2..$engines {
+                for n in (2..).take($more) {
                     host.set_entry(record(&format!("engine-{n}{n}{n}"), ENGINES, 9));
                 }
                 let (number, backend) = send(&mut host, $path);
@@ -279,9 +279,9 @@
 // Guards against an answer that is lost because its request has left a silent backend server, which would
 // have gone on, for others that do not run it.
 declined_elsewhere! {
-    a_stream_that_another_engine_declines_returns: "/ask/1", engines 2, NotRun;
-    a_stream_that_does_not_reach_another_engine_returns: "/ask/1", engines 2, Unreached;
-    a_stream_that_is_withheld_from_another_engine_returns: "/ask/1", engines 2, Withheld;
-    a_stream_that_many_engines_decline_returns: "/ask/1", engines 7, NotRun;
-    a_read_that_another_server_declines_returns: "/read/1", engines 2, NotRun;
+    a_stream_that_another_engine_declines_returns: "/ask/1", more engines 0, NotRun;
+    a_stream_that_does_not_reach_another_engine_returns: "/ask/1", more engines 0, Unreached;
+    a_stream_that_is_withheld_from_another_engine_returns: "/ask/1", more engines 0, Withheld;
+    a_stream_that_many_engines_decline_returns: "/ask/1", more engines 5, NotRun;
+    a_read_that_another_server_declines_returns: "/read/1", more engines 0, NotRun;
 }
