Let starting hosts of a few cells list the entries of backend servers themselves

Four checks in a row of 150 ms each passed first, and the two watchers of a cell then sent all entries to each of its hosts at once. 1,000 requests were refused meanwhile. Change: in a fleet of several cells in which each has watchers of its own, a starting host lists the entries from a copy of the store, and checks each 20 ms while it joins. Tests: watching.rs, 23 passed.

--- a/crates/jaypin_entry/src/store/backends.rs
+++ b/crates/jaypin_entry/src/store/backends.rs
@@ -9,7 +9,7 @@
 
 use super::client::{StoreClient, StoreError};
 use super::{
-    CHECK_INTERVAL, RELAY_FALLBACK_TIME, Retries, WATCH_PAUSE, follows_store, now, wait_until,
+    RELAY_FALLBACK_TIME, Retries, WATCH_PAUSE, check_interval, follows_store, now, wait_until,
 };
 use crate::boot_clock::boot_time;
 use crate::host::Host;
@@ -93,10 +93,14 @@
 }
 
 /// Waits after the start of this host until it watches the store or a peer has the entries, which it
-/// then fetches. Returns whether it did; if not, it reads the store.
+/// then fetches. Returns whether it did; if not, it reads the store. A host of a fleet of a few cells
+/// reads it at once.
 async fn fetch_at_start(host: &Host) -> bool {
     while host.read(|router| router.awaits_peers(now())) {
-        sleep(CHECK_INTERVAL).await;
+        if host.read(|router| router.lists_entries_at_start(now())) {
+            return false;
+        }
+        sleep(host.read(check_interval)).await;
         let is_held = host.read(|router| !router.entry_holders(now()).is_empty());
         if is_held && fetch_from_peer(host).await {
             return true;
--- a/crates/jaypin_entry/src/store/mod.rs
+++ b/crates/jaypin_entry/src/store/mod.rs
@@ -56,11 +56,26 @@
 
 /// Time between two checks whether the store has to be called.
 const CHECK_INTERVAL: Duration = Duration::from_millis(150);
+/// The same for a host that has just started in a fleet of several cells: it refuses all requests until
+/// it has a configuration and entries, each of which takes two such checks in a row.
+const JOIN_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Waits until a condition on the reducer's state holds.
 async fn wait_until(host: &Host, holds: impl Fn(&Router) -> bool) {
     while !host.read(&holds) {
-        sleep(CHECK_INTERVAL).await;
+        sleep(host.read(check_interval)).await;
+    }
+}
+
+/// Returns the time until the next check whether the store has to be called.
+///
+/// In a fleet of one cell, frequent checks would make each starting host read the store before the
+/// first ones can report what they have read.
+fn check_interval(router: &Router) -> Duration {
+    if router.is_of_many_cells() && router.is_joining(now()) {
+        JOIN_CHECK_INTERVAL
+    } else {
+        CHECK_INTERVAL
     }
 }
 
--- a/crates/jaypin_router/src/router/joining.rs
+++ b/crates/jaypin_router/src/router/joining.rs
@@ -4,7 +4,7 @@
 
 use super::Router;
 use super::watching::JOIN_TIME;
-use crate::cell_count;
+use crate::{LEAD_CELLS, cell_count};
 
 /// Longest time after its start for which a host waits for the list of hosts before it reads
 /// anything else: a copy of the store that lags contains its registration only after seconds.
@@ -78,6 +78,20 @@
         self.is_of_many_cells() && age(listed_at) < JOIN_TIME && !self.is_watcher(now)
     }
 
+    /// Returns whether this host has just started and reads the entries of backend servers from a copy
+    /// of the store, instead of waiting for a peer that has them.
+    ///
+    /// Guards against a second without service after a common restart: the two watchers of a cell would
+    /// send all entries to each of its hosts at the same time. A fleet in which each cell has watchers
+    /// of its own is small enough for one inexpensive call a host. The entries may be seconds old;
+    /// reports of watchers show what they lack.
+    #[must_use]
+    pub fn lists_entries_at_start(&self, now: Instant) -> bool {
+        let hosts = self.report_state.host_count();
+        let is_listed = self.join.listed_at.is_some();
+        is_listed && self.awaits_peers(now) && cell_count(hosts) <= LEAD_CELLS
+    }
+
     /// Returns whether the known hosts form more than one cell.
     #[must_use]
     pub fn is_of_many_cells(&self) -> bool {
--- a/crates/jaypin_router/tests/watching.rs
+++ b/crates/jaypin_router/tests/watching.rs
@@ -226,6 +226,32 @@
     assert!(!host.router.awaits_peers(host.now));
 }
 
+/// Guards against a second without service after a common restart: without the listing, the two
+/// watchers of a cell send all entries to each of its hosts at the same time.
+#[test]
+fn a_starting_host_of_a_few_cells_lists_the_entries_itself() {
+    for hosts in [41, 146] {
+        let host = listed_host(1, hosts);
+        let awaits_peers = host.router.awaits_peers(host.now);
+        assert_eq!(host.router.lists_entries_at_start(host.now), awaits_peers);
+    }
+    let listing = (1..=90).filter(|own| {
+        let host = listed_host(*own, 90);
+        host.router.lists_entries_at_start(host.now)
+    });
+    assert_eq!(listing.count(), 90 - 2 * 4);
+}
+
+/// Guards against calls to the store that grow with a fleet whose cells read it through others, and
+/// against a listing by a host that does not know yet how large the fleet is.
+#[test]
+fn a_starting_host_of_many_cells_leaves_the_entries_to_its_peers() {
+    let host = listed_host(1, 340);
+    assert!(!host.router.lists_entries_at_start(host.now));
+    let host = TestHost::unconfigured();
+    assert!(!host.router.lists_entries_at_start(host.now));
+}
+
 /// Guards against a store that all hosts of a starting fleet watch: peers that have no configuration
 /// yet report that they may not watch.
 #[test]
