Reserve quota units by the share of urgent units and the use of the rate

Cause: each host extrapolated the urgent units of an account from its own few requests by the number of hosts, with a memory of 4 s. One prompt of 50,000 units at one of 70 hosts reserved 875,000 units per second of the account (calculated), and the reserve also applied to accounts below their rate.

Change: the reserve is the share of urgent units, estimated with a prior of three requests and a memory of 15 s, times the rate in 1 s. It begins where an account used 0.7 of its rate in the last 2 s, and is complete from 0.9. A cell compares its part of the reserve with its part of the level. The log line of a refusal states the share and the use. units_to_reserve is gone; its test checks urgent_share in the same way. The text of a_refusal_names_the_reserved_units changed because the reserve is another one and its reasons are named.

--- a/crates/jaypin_router/src/decision_inputs.rs
+++ b/crates/jaypin_router/src/decision_inputs.rs
@@ -5,7 +5,7 @@
 
 use jaypin_core::AccountId;
 
-use crate::{FleetLevel, QuotaLevel, SoftwareVersion};
+use crate::{FleetLevel, QuotaLevel, QuotaReserve, SoftwareVersion};
 
 /// The inputs of one decision, as they were when it was made.
 #[derive(Debug, Clone, PartialEq)]
@@ -26,7 +26,7 @@
         /// Units that the request needs.
         units: f64,
         /// Units that are reserved for the account's more urgent requests.
-        reserved: f64,
+        reserved: QuotaReserve,
         /// What the account has left of the share of this host's cell; absent if it is not limited.
         level: Option<QuotaLevel>,
         /// What it has left in the whole fleet.
@@ -109,8 +109,8 @@
                 fleet,
             } => {
                 write!(f, "{units:.0} units for `{account}`")?;
-                if *reserved >= 1.0 {
-                    write!(f, ", {reserved:.0} kept for more urgent requests")?;
+                if reserved.units >= 1.0 {
+                    write!(f, ", {reserved}")?;
                 }
                 if let FleetLevel::Low(left) = fleet {
                     write!(f, ", {left:.0} left in all cells")?;
--- a/crates/jaypin_router/src/lib.rs
+++ b/crates/jaypin_router/src/lib.rs
@@ -25,6 +25,7 @@
 mod placement;
 mod prefill_rate;
 mod quota;
+mod quota_reserve;
 mod rank;
 mod rate;
 mod rejection_guard;
@@ -67,6 +68,7 @@
 pub use placement::{Choice, Demand, choose_backend};
 pub use prefill_rate::PrefillRate;
 pub use quota::{FleetLevel, FleetQuota, QuotaLevel};
+pub use quota_reserve::QuotaReserve;
 pub use rank::Rank;
 pub use rate::DecayedRate;
 pub use report::{
--- a/crates/jaypin_router/src/quota.rs
+++ b/crates/jaypin_router/src/quota.rs
@@ -14,7 +14,7 @@
 
 use jaypin_core::AccountId;
 
-use crate::{Account, Quota};
+use crate::{Account, DecayedRate, Quota};
 
 /// Number of parts of the window; use is forgotten one part at a time.
 const PARTS: u32 = 16;
@@ -39,6 +39,12 @@
 /// whose urgent work alone exceeds its rate still gets the other part for its remaining requests
 /// after a calm second or two.
 const MAX_RESERVED_FRACTION: f64 = 0.4;
+/// Time after which the weight of granted units in the recent use of an account falls to 1/e: short
+/// enough to notice a spike of three seconds, and as long as hundreds of small requests take.
+const RECENT: Duration = Duration::from_secs(2);
+/// Greatest recent use that is remembered, as a fraction of the rate. The units that a peer granted
+/// during a partition arrive in one report, and a spike must not count for long after its end.
+const MAX_RATE_USE: f64 = 1.25;
 /// Longest wait that is stated to an account over its quota.
 const MAX_WAIT: Duration = Duration::from_secs(30);
 /// Shortest such wait.
@@ -59,6 +65,8 @@
     /// Use by part of the window, the oldest first.
     parts: VecDeque<f64>,
     newest_since: Instant,
+    /// Units granted lately, by all hosts that this one hears.
+    recent: DecayedRate,
     /// Units that may be used at once; a negative number is a debt.
     level: f64,
     /// Greatest fraction of the fleet's first level that was added to `level`.
@@ -132,7 +140,8 @@
         self.take_with_reserve(account, units, 0.0, FleetLevel::Unknown, now)
     }
 
-    /// Takes units from an account's quota if `reserved` units remain after that.
+    /// Takes units from an account's quota if `reserved` units remain after that: that many in the
+    /// whole fleet, and the share of this host's cell in its part.
     ///
     /// An account at its limit thus gives the last units of its quota to its urgent requests. If
     /// enough of the quota is known to be left in the whole fleet, the share of this host's cell
@@ -156,6 +165,7 @@
         usage.fill(live_fraction, slack, now);
         if fleet == FleetLevel::Ample && usage.is_settled(now) {
             usage.add(units);
+            usage.count_recent(units, live_fraction, now);
             // Other cells may use the share of this one, so it owes nothing.
             usage.level = usage.level.max(0.0);
             usage.own += units;
@@ -167,7 +177,7 @@
                 .quota
                 .wait_for(needed(units, reserved, most) - level)?;
         }
-        let needed = needed(units, reserved, most * live_fraction);
+        let needed = needed(units, reserved * live_fraction, most * live_fraction);
         let excess = usage.total() + needed - usage.quota.allowed(window, slack) * live_fraction;
         if excess > 0.0 {
             let wait = usage.time_until_free(excess, window / PARTS);
@@ -177,6 +187,7 @@
         // the caller may retry at, and will soon receive the others' reports.
         usage.quota.wait_for(needed - usage.level)?;
         usage.add(units);
+        usage.count_recent(units, live_fraction, now);
         usage.own += units;
         Ok(())
     }
@@ -185,6 +196,7 @@
     pub fn give_back(&mut self, account: &AccountId, units: f64) {
         if let Some(usage) = self.accounts.get_mut(account) {
             usage.add(-units);
+            usage.recent.take_back(units);
             usage.own -= units;
         }
     }
@@ -196,6 +208,7 @@
             usage.drop_old_parts(part, now);
             usage.fill(live_fraction, slack, now);
             usage.add(units);
+            usage.count_recent(units, live_fraction, now);
         }
     }
 
@@ -214,6 +227,17 @@
         }
     }
 
+    /// Returns the recent use of an account by the hosts that this one hears, as a fraction of their
+    /// part of its rate. It is 0 without observations.
+    #[must_use]
+    pub fn rate_use(&self, account: &AccountId, now: Instant) -> f64 {
+        let used = self.accounts.get(account).map(|usage| {
+            let rate = usage.quota.rate * self.live_fraction;
+            usage.recent.at(now) / rate.max(f64::MIN_POSITIVE)
+        });
+        used.map_or(0.0, |it| it.min(MAX_RATE_USE))
+    }
+
     /// Returns the quota of an account; nothing if it is not limited.
     #[must_use]
     pub fn quota_of(&self, account: &AccountId) -> Option<Quota> {
@@ -291,6 +315,7 @@
             quota,
             parts: (0..PARTS).map(|_| 0.0).collect(),
             newest_since: now,
+            recent: DecayedRate::new(RECENT, now),
             level: 0.0,
             opened_fraction: 0.0,
             filled_at: now,
@@ -339,6 +364,12 @@
         }
     }
 
+    fn count_recent(&mut self, units: f64, live_fraction: f64, now: Instant) {
+        self.recent.count(units, now);
+        let most = self.quota.rate * live_fraction * MAX_RATE_USE;
+        self.recent.limit(most, now);
+    }
+
     fn total(&self) -> f64 {
         self.parts.iter().sum()
     }
--- a/crates/jaypin_router/src/rate.rs
+++ b/crates/jaypin_router/src/rate.rs
@@ -27,6 +27,17 @@
         self.at = now;
     }
 
+    /// Takes back `amount` that was counted lately.
+    pub fn take_back(&mut self, amount: f64) {
+        self.per_second = (self.per_second - amount / self.memory.as_secs_f64()).max(0.0);
+    }
+
+    /// Lowers the rate to `most` per second if it is higher.
+    pub fn limit(&mut self, most: f64, now: Instant) {
+        self.per_second = self.at(now).min(most);
+        self.at = now;
+    }
+
     /// Returns the rate per second.
     #[must_use]
     pub fn at(&self, now: Instant) -> f64 {
--- a/crates/jaypin_router/src/router/arrival.rs
+++ b/crates/jaypin_router/src/router/arrival.rs
@@ -7,12 +7,13 @@
 use rand::RngExt;
 
 use super::{Effect, Router};
+use crate::account_arrivals::RouteRank;
 use crate::limits::queue_time_limit;
 use crate::request::{Admitted, Request, Waiting};
 use crate::retry_after::{LEAVING_RETRY_AFTER, NOT_READY_RETRY_AFTER};
 use crate::{
-    Account, Arrival, DecisionInputs, FleetLevel, QuotaUnit, Rank, RequestNumber, Requester, Route,
-    RouteTable, StreamKey, account_key, service_key,
+    Account, Arrival, DecisionInputs, FleetLevel, QuotaReserve, QuotaUnit, Rank, RequestNumber,
+    Requester, Route, RouteTable, StreamKey, account_key, service_key,
 };
 
 /// Time for which a draining host still accepts requests. Callers learn within a few seconds
@@ -30,7 +31,7 @@
     /// Time after which the quota would allow the request.
     wait: Duration,
     /// Units reserved for more urgent requests of the account.
-    reserved: f64,
+    reserved: QuotaReserve,
     /// What the account has left in the whole fleet.
     fleet: FleetLevel,
 }
@@ -208,17 +209,14 @@
         }
         let is_below_minimum = self.minimum_shares.is_behind(route.0, admitted.rank);
         let reserved = if is_below_minimum || units <= 0.0 {
-            0.0
+            QuotaReserve::default()
         } else {
-            let hosts = u32::try_from(self.fleet.size(now)).unwrap_or(u32::MAX);
-            let hosts = f64::from(hosts) * f64::from(self.cells);
-            self.account_arrivals
-                .units_to_reserve(account, route, hosts, now)
+            self.quota_reserve(account, route, now)
         };
         let fleet = self.fleet_level(account, now);
         let charged = self
             .quota
-            .take_with_reserve(account, units, reserved, fleet, now);
+            .take_with_reserve(account, units, reserved.units, fleet, now);
         charged.map_err(|wait| OverQuota {
             wait,
             reserved,
@@ -228,6 +226,15 @@
         Ok(())
     }
 
+    /// Returns the units that are withheld from an account's requests on a route.
+    fn quota_reserve(&self, account: &AccountId, route: RouteRank, now: Instant) -> QuotaReserve {
+        let Some(quota) = self.quota.quota_of(account) else {
+            return QuotaReserve::default();
+        };
+        let urgent_share = self.account_arrivals.urgent_share(account, route, now);
+        QuotaReserve::new(urgent_share, self.quota.rate_use(account, now), quota.rate)
+    }
+
     fn choose_service(&mut self, route: &Route) -> ServiceId {
         let total: u32 = route.targets.iter().map(|it| it.weight).sum();
         let mut drawn = self.rng.random_range(0..total.max(1));
