Count refusals for reserved quota units, and keep the use of the rate over a partition

Cause: operators could not see how many requests only the reserve refuses. When peers fell silent, the recent use of the whole fleet was compared with the rate of the small part that was still heard, so an account at 0.6 of its rate counted as one at its limit.

Change: RouterCounts::reserve_refusals counts requests over a quota that would have been within it without the reserve. Use is kept as a fraction of the part of the rate that it was granted from.

--- a/crates/jaypin_router/src/quota.rs
+++ b/crates/jaypin_router/src/quota.rs
@@ -41,7 +41,7 @@
 const MAX_RESERVED_FRACTION: f64 = 0.4;
 /// Time after which the weight of granted units in the recent use of an account falls to 1/e: short
 /// enough to notice a spike of three seconds, and as long as hundreds of small requests take.
-const RECENT: Duration = Duration::from_secs(2);
+const USE_MEMORY: Duration = Duration::from_secs(2);
 /// Greatest recent use that is remembered, as a fraction of the rate. The units that a peer granted
 /// during a partition arrive in one report, and a spike must not count for long after its end.
 const MAX_RATE_USE: f64 = 1.25;
@@ -65,8 +65,8 @@
     /// Use by part of the window, the oldest first.
     parts: VecDeque<f64>,
     newest_since: Instant,
-    /// Units granted lately, by all hosts that this one hears.
-    recent: DecayedRate,
+    /// Units granted lately by the hosts that this one hears, as a fraction of their part of the rate.
+    rate_use: DecayedRate,
     /// Units that may be used at once; a negative number is a debt.
     level: f64,
     /// Greatest fraction of the fleet's first level that was added to `level`.
@@ -165,38 +165,33 @@
         usage.fill(live_fraction, slack, now);
         if fleet == FleetLevel::Ample && usage.is_settled(now) {
             usage.add(units);
-            usage.count_recent(units, live_fraction, now);
+            usage.count_use(units, live_fraction, now);
             // Other cells may use the share of this one, so it owes nothing.
             usage.level = usage.level.max(0.0);
             usage.own += units;
             return Ok(());
         }
-        let most = usage.quota.most_at_once(slack);
-        if let FleetLevel::Low(level) = fleet {
-            usage
-                .quota
-                .wait_for(needed(units, reserved, most) - level)?;
-        }
-        let needed = needed(units, reserved * live_fraction, most * live_fraction);
-        let excess = usage.total() + needed - usage.quota.allowed(window, slack) * live_fraction;
-        if excess > 0.0 {
-            let wait = usage.time_until_free(excess, window / PARTS);
-            return Err(wait.min(MAX_WAIT));
-        }
-        // This uses the rate of the whole fleet: a host that grants only a part is one of many that
-        // the caller may retry at, and will soon receive the others' reports.
-        usage.quota.wait_for(needed - usage.level)?;
+        usage.check(units, reserved, fleet, (window, slack, live_fraction))?;
         usage.add(units);
-        usage.count_recent(units, live_fraction, now);
+        usage.count_use(units, live_fraction, now);
         usage.own += units;
         Ok(())
     }
 
+    /// Returns whether an account's quota has so many units, as of the last attempt to take some.
+    #[must_use]
+    pub fn allows(&self, account: &AccountId, units: f64, fleet: FleetLevel) -> bool {
+        let bounds = (self.window, self.slack, self.live_fraction);
+        let usage = self.accounts.get(account);
+        usage.is_none_or(|it| it.check(units, 0.0, fleet, bounds).is_ok())
+    }
+
     /// Returns units that were taken for a request which did not run.
     pub fn give_back(&mut self, account: &AccountId, units: f64) {
         if let Some(usage) = self.accounts.get_mut(account) {
             usage.add(-units);
-            usage.recent.take_back(units);
+            let part = usage.rate_fraction(units, self.live_fraction);
+            usage.rate_use.take_back(part);
             usage.own -= units;
         }
     }
@@ -208,7 +203,7 @@
             usage.drop_old_parts(part, now);
             usage.fill(live_fraction, slack, now);
             usage.add(units);
-            usage.count_recent(units, live_fraction, now);
+            usage.count_use(units, live_fraction, now);
         }
     }
 
@@ -231,11 +226,8 @@
     /// part of its rate. It is 0 without observations.
     #[must_use]
     pub fn rate_use(&self, account: &AccountId, now: Instant) -> f64 {
-        let used = self.accounts.get(account).map(|usage| {
-            let rate = usage.quota.rate * self.live_fraction;
-            usage.recent.at(now) / rate.max(f64::MIN_POSITIVE)
-        });
-        used.map_or(0.0, |it| it.min(MAX_RATE_USE))
+        let usage = self.accounts.get(account);
+        usage.map_or(0.0, |it| it.rate_use.at(now))
     }
 
     /// Returns the quota of an account; nothing if it is not limited.
@@ -315,7 +307,7 @@
             quota,
             parts: (0..PARTS).map(|_| 0.0).collect(),
             newest_since: now,
-            recent: DecayedRate::new(RECENT, now),
+            rate_use: DecayedRate::new(USE_MEMORY, now),
             level: 0.0,
             opened_fraction: 0.0,
             filled_at: now,
@@ -324,6 +316,29 @@
         }
     }
 
+    /// Returns the time after which `units` may be taken as an error, if too few are left now.
+    fn check(
+        &self,
+        units: f64,
+        reserved: f64,
+        fleet: FleetLevel,
+        (window, slack, live_fraction): (Duration, f64, f64),
+    ) -> Result<(), Duration> {
+        let most = self.quota.most_at_once(slack);
+        if let FleetLevel::Low(level) = fleet {
+            self.quota.wait_for(needed(units, reserved, most) - level)?;
+        }
+        let needed = needed(units, reserved * live_fraction, most * live_fraction);
+        let excess = self.total() + needed - self.quota.allowed(window, slack) * live_fraction;
+        if excess > 0.0 {
+            let wait = self.time_until_free(excess, window / PARTS);
+            return Err(wait.min(MAX_WAIT));
+        }
+        // This uses the rate of the whole fleet: a host that grants only a part is one of many that
+        // the caller may retry at, and will soon receive the others' reports.
+        self.quota.wait_for(needed - self.level)
+    }
+
     fn is_settled(&self, now: Instant) -> bool {
         now.saturating_duration_since(self.started_at) >= SETTLING_TIME
     }
@@ -364,10 +379,16 @@
         }
     }
 
-    fn count_recent(&mut self, units: f64, live_fraction: f64, now: Instant) {
-        self.recent.count(units, now);
-        let most = self.quota.rate * live_fraction * MAX_RATE_USE;
-        self.recent.limit(most, now);
+    fn count_use(&mut self, units: f64, live_fraction: f64, now: Instant) {
+        let part = self.rate_fraction(units, live_fraction);
+        self.rate_use.count(part, now);
+        self.rate_use.limit(MAX_RATE_USE, now);
+    }
+
+    /// Returns units as a fraction of the units that a part of the fleet may use in a second.
+    fn rate_fraction(&self, units: f64, live_fraction: f64) -> f64 {
+        let rate = self.quota.rate * live_fraction;
+        units / rate.max(f64::MIN_POSITIVE)
     }
 
     fn total(&self) -> f64 {
--- a/crates/jaypin_router/src/router/arrival.rs
+++ b/crates/jaypin_router/src/router/arrival.rs
@@ -217,11 +217,15 @@
         let charged = self
             .quota
             .take_with_reserve(account, units, reserved.units, fleet, now);
-        charged.map_err(|wait| OverQuota {
-            wait,
-            reserved,
-            fleet,
-        })?;
+        if let Err(wait) = charged {
+            let is_for_reserve = self.quota.allows(account, units, fleet);
+            self.reserve_refusals += u64::from(is_for_reserve);
+            return Err(OverQuota {
+                wait,
+                reserved,
+                fleet,
+            });
+        }
         self.record_granted(account, units);
         Ok(())
     }
--- a/crates/jaypin_router/src/router/event.rs
+++ b/crates/jaypin_router/src/router/event.rs
@@ -281,4 +281,7 @@
     pub streams: usize,
     /// Streams that it forgot early, for lack of room.
     pub dropped_streams: u64,
+    /// Requests over a quota that would have been within it without the units reserved for more
+    /// urgent ones.
+    pub reserve_refusals: u64,
 }
--- a/crates/jaypin_router/src/router/mod.rs
+++ b/crates/jaypin_router/src/router/mod.rs
@@ -92,6 +92,8 @@
     arrival_rates: ArrivalRates,
     minimum_shares: MinimumShares,
     account_arrivals: AccountArrivals,
+    /// Requests refused for units that are reserved for more urgent requests of their accounts.
+    reserve_refusals: u64,
     crash_evidence: CrashEvidence,
     stream_origins: StreamOrigins,
     version_history: VersionHistory,
@@ -146,6 +148,7 @@
             arrival_rates: ArrivalRates::default(),
             minimum_shares: MinimumShares::default(),
             account_arrivals: AccountArrivals::default(),
+            reserve_refusals: 0,
             crash_evidence: CrashEvidence::default(),
             stream_origins: StreamOrigins::default(),
             version_history: VersionHistory::default(),
@@ -253,6 +256,7 @@
             version: self.version(),
             streams: self.stream_origins.len(),
             dropped_streams: self.stream_origins.dropped(),
+            reserve_refusals: self.reserve_refusals,
         }
     }
 
--- a/crates/jaypin_router/tests/quota_order.rs
+++ b/crates/jaypin_router/tests/quota_order.rs
@@ -165,6 +165,21 @@
     assert!(reserved(255) > reserved(2));
 }
 
+/// Guards against a metric that counts requests which are over the quota with or without a reserve,
+/// so that operators can't see what the reserve costs.
+#[test]
+fn only_refusals_for_the_reserve_are_counted_as_such() {
+    let mut host = host_with_quota();
+    for _ in 0..5 {
+        complete_request(&mut host, "/urgent/1", Some((3_500, 500)));
+    }
+    assert_eq!(host.router.counts(host.now).reserve_refusals, 0);
+    complete_request(&mut host, "/label/1", Some((300, 50)));
+    assert_eq!(host.router.counts(host.now).reserve_refusals, 1);
+    complete_request(&mut host, "/label/1", Some((3_000, 500)));
+    assert_eq!(host.router.counts(host.now).reserve_refusals, 1);
+}
+
 /// Guards against a refusal that hides its cause: the log must show why a deferrable request was
 /// over the quota although units were left.
 #[test]
--- a/crates/jaypin_router/tests/quota_reserve.rs
+++ b/crates/jaypin_router/tests/quota_reserve.rs
@@ -264,6 +264,44 @@
     assert!(reserve.units < f64::EPSILON, "{reserve:?}");
 }
 
+/// Guards against a partition at whose begin the use of the whole fleet is compared with the rate of
+/// the small part that this host still hears.
+#[test]
+fn a_partition_does_not_raise_the_use_of_the_rate() {
+    let mut now = Instant::now();
+    let mut quota = FleetQuota::new(WINDOW, 0.0);
+    quota.configure(&[account()], now);
+    quota.set_live_fraction(1.0);
+    for _ in 0..200 {
+        now += Duration::from_millis(50);
+        quota.record_peer_usage(&farm(), 0.6 * RATE * 0.05, now);
+    }
+    for step in 0..120 {
+        // The partition lasts for 3 s.
+        let live_fraction = if step < 60 { 0.1 } else { 1.0 };
+        quota.set_live_fraction(live_fraction);
+        now += Duration::from_millis(50);
+        quota.record_peer_usage(&farm(), 0.6 * RATE * live_fraction * 0.05, now);
+        let reserve = QuotaReserve::new(1.0, quota.rate_use(&farm(), now), RATE);
+        assert!(reserve.units < f64::EPSILON, "{reserve:?}");
+    }
+}
+
+/// Guards against units of requests that did not run and count as use of the rate.
+#[test]
+fn returned_units_are_no_use_of_the_rate() {
+    let mut now = Instant::now();
+    let mut quota = FleetQuota::new(WINDOW, 0.0);
+    quota.configure(&[account()], now);
+    for _ in 0..100 {
+        now += Duration::from_millis(20);
+        assert_eq!(quota.take(&farm(), 0.1 * RATE, now), Ok(()));
+        quota.give_back(&farm(), 0.1 * RATE);
+    }
+    let rate_use = quota.rate_use(&farm(), now);
+    assert!(rate_use < 0.01, "{rate_use}");
+}
+
 fn account() -> Account {
     Account {
         name: farm(),
