--- a/crates/jaypin_router/tests/quota_order.rs
+++ b/crates/jaypin_router/tests/quota_order.rs
@@ -159,12 +159,27 @@
     ] {
         arrivals.record(&farm(), route, units, now);
     }
-    let reserved = |rank| arrivals.units_to_reserve(&farm(), (engines, rank), 2.0, now);
+    let reserved = |rank| arrivals.urgent_share(&farm(), (engines, rank), now);
     assert!(reserved(0) < f64::EPSILON);
     assert!(reserved(1) > 0.0 && (reserved(1) - reserved(2)).abs() < f64::EPSILON);
     assert!(reserved(255) > reserved(2));
 }
 
+/// Guards against a metric that counts requests which are over the quota with or without a reserve,
+/// so that operators can't see what the reserve costs.
+#[test]
+fn only_refusals_for_the_reserve_are_counted_as_such() {
+    let mut host = host_with_quota();
+    for _ in 0..5 {
+        complete_request(&mut host, "/urgent/1", Some((3_500, 500)));
+    }
+    assert_eq!(host.router.counts(host.now).reserve_refusals, 0);
+    complete_request(&mut host, "/label/1", Some((300, 50)));
+    assert_eq!(host.router.counts(host.now).reserve_refusals, 1);
+    complete_request(&mut host, "/label/1", Some((3_000, 500)));
+    assert_eq!(host.router.counts(host.now).reserve_refusals, 1);
+}
+
 /// Guards against a refusal that hides its cause: the log must show why a deferrable request was
 /// over the quota although units were left.
 #[test]
@@ -177,6 +192,6 @@
     let inputs = common::refusal_inputs(&fx);
     insta::assert_snapshot!(
         inputs,
-        @"350 units for `farm`, 5000 kept for more urgent requests, 1000 left, 16000 of 97000 used"
+        @"350 units for `farm`, 3276 kept for more urgent requests (66% of its units urgent, 80% of its rate used), 1000 left, 16000 of 97000 used"
     );
 }
