Scale the slot reserve by hold time, and count slots that become free in time

The reserve against a less urgent request was counted in requests: one that holds a slot for 70 ms left as many slots free as one that holds it for 700 ms.

HoldTimes learns mean hold times by service and rank of the route from completed requests of the host. The reserve is multiplied by the request's expected hold time relative to that of the more urgent arrivals, at most 1. Unknown hold times count as equal. In services without an engine, slots that become free within the accepted wait reduce the reserve gradually.

--- a/crates/jaypin_router/src/arrivals.rs
+++ b/crates/jaypin_router/src/arrivals.rs
@@ -67,12 +67,17 @@
         self.sum(service, ..=rank, now)
     }
 
+    /// Iterates over the arrival rates of a service's ranks, in requests per second.
+    pub fn by_rank(&self, service: ServiceKey, now: Instant) -> impl Iterator<Item = (Rank, f64)> {
+        let of_service = self.rates.get(&service);
+        let of_service = of_service.into_iter().flatten();
+        of_service.map(move |(rank, rate)| (*rank, rate.at(now)))
+    }
+
     fn sum(&self, service: ServiceKey, ranks: impl RangeBounds<Rank>, now: Instant) -> f64 {
-        let Some(of_service) = self.rates.get(&service) else {
-            return 0.0;
-        };
-        let of_ranks = of_service.range(ranks);
-        of_ranks.map(|(_, rate)| rate.at(now)).sum()
+        let of_ranks = self.by_rank(service, now);
+        let of_ranks = of_ranks.filter(|(rank, _)| ranks.contains(rank));
+        of_ranks.map(|(_, rate)| rate).sum()
     }
 
     fn count(&mut self, service: ServiceKey, rank: Rank, requests: u32, now: Instant) {
--- a/crates/jaypin_router/src/decision_inputs.rs
+++ b/crates/jaypin_router/src/decision_inputs.rs
@@ -5,7 +5,7 @@
 
 use jaypin_core::AccountId;
 
-use crate::{FleetLevel, QuotaLevel, SoftwareVersion};
+use crate::{FleetLevel, QuotaLevel, SlotReserve, SoftwareVersion};
 
 /// The inputs of one decision, as they were when it was made.
 #[derive(Debug, Clone, PartialEq)]
@@ -69,7 +69,7 @@
         /// Free slots of the service.
         free: u32,
         /// Reserved slots.
-        reserved: f64,
+        reserve: SlotReserve,
     },
     /// No backend server of the service accepts requests now.
     NoUsableBackend {
@@ -160,12 +160,7 @@
                     .as_ref()
                     .map_or(Ok(()), |it| write!(f, ", trial of version {it}"))
             }
-            Self::Reserved { free, reserved } => {
-                write!(
-                    f,
-                    "{free} slots free, {reserved:.1} kept for more urgent requests"
-                )
-            }
+            Self::Reserved { free, reserve } => write!(f, "{free} slots free, {reserve}"),
             Self::NoUsableBackend {
                 limited,
                 backing_off,
--- a/crates/jaypin_router/src/lib.rs
+++ b/crates/jaypin_router/src/lib.rs
@@ -18,6 +18,7 @@
 mod entries;
 mod event_rate;
 mod fleet;
+mod hold_times;
 mod limits;
 mod minimum_share;
 mod peer_clock;
@@ -61,6 +62,7 @@
 pub use entries::{Entries, EntryChange, EntrySource, LeaveState};
 pub use event_rate::EventRate;
 pub use fleet::{Fleet, Peer};
+pub use hold_times::HoldTimes;
 pub use minimum_share::MinimumShares;
 pub use peer_clock::PeerClock;
 pub use peer_loads::{LoadChange, LoadUpdate, PeerLoads};
@@ -74,7 +76,7 @@
 };
 pub use request::{Arrival, AttemptOutcome, Requester, ResumedStream};
 pub use resend_budget::ResendBudget;
-pub use reserved_slots::reserved_slots;
+pub use reserved_slots::{SlotReserve, reserved_slots, slots_freed_in_time};
 pub use rollout::{
     Evidence, ExposureBudget, Outcome, OutcomeCounts, Rollout, RolloutOrder, RolloutState,
     RolloutWrite, Rollouts, RouteKey, RouteOutcomes, SlowAnswerDetector, VersionOutcomes,
--- a/crates/jaypin_router/src/limits.rs
+++ b/crates/jaypin_router/src/limits.rs
@@ -81,6 +81,12 @@
     admitted.route.latency_target.mul_f64(fraction)
 }
 
+/// Returns the wait for a slot that every rank accepts on a route with this latency target.
+pub fn accepted_slot_wait(latency_target: Duration) -> Duration {
+    let (urgent, other) = SLOT_WAIT_FRACTIONS;
+    latency_target.mul_f64(urgent.min(other))
+}
+
 /// Returns whether a request holds its slot for so long that others of its rank are preferred
 /// where slots are scarce.
 pub fn is_long(admitted: &Admitted) -> bool {
--- a/crates/jaypin_router/src/request.rs
+++ b/crates/jaypin_router/src/request.rs
@@ -145,6 +145,8 @@
     pub expected_events: Option<f64>,
     /// Time for which it holds a slot, relative to the baseline of 1.
     pub size: f64,
+    /// Time for which it holds a slot, relative to the mean of its rank.
+    pub size_in_rank: f64,
     /// Quota units that it needs.
     pub units: f64,
     /// Fingerprint of path, caller and body.
--- a/crates/jaypin_router/src/router/arrival.rs
+++ b/crates/jaypin_router/src/router/arrival.rs
@@ -91,6 +91,9 @@
         let admitted = Admitted {
             number: arrival.number,
             size,
+            size_in_rank: self
+                .sizes
+                .relative_to_rank(&service, rank, prompt_tokens, expected),
             expected_events: self.expected_events(&service, expected),
             service,
             account: account.map(|account| account.name.clone()),
@@ -183,7 +186,7 @@
         } else {
             INITIAL_PLAIN_HOLD_TIME
         };
-        self.hold_times
+        self.service_hold_times
             .entry(service.clone())
             .or_insert(initial_hold_time);
         self.budget(&service, now).record_request(now);
--- a/crates/jaypin_router/src/router/attempt.rs
+++ b/crates/jaypin_router/src/router/attempt.rs
@@ -9,7 +9,7 @@
 use crate::limits::longest_wait_in_stream;
 use crate::prefill_rate::CALL_OVERHEAD;
 use crate::request::{Admitted, Request, Sent};
-use crate::{AttemptOutcome, DecisionInputs, RequestNumber};
+use crate::{AttemptOutcome, DecisionInputs, RequestNumber, service_key};
 
 /// Number of backend servers that may decline one request before it is refused.
 const MAX_DECLINES: usize = 4;
@@ -140,7 +140,11 @@
 
     fn record_hold_time(&mut self, request: &Request<Sent>, now: Instant) {
         let hold_time = now.saturating_duration_since(request.state.at);
-        if let Some(mean) = self.hold_times.get_mut(&request.admitted.service) {
+        let admitted = &request.admitted;
+        let service = service_key(&admitted.service);
+        self.hold_times
+            .record(service, admitted.rank.route, hold_time);
+        if let Some(mean) = self.service_hold_times.get_mut(&admitted.service) {
             let previous = mean.mul_f64(1.0 - HOLD_TIME_WEIGHT);
             *mean = previous + hold_time.mul_f64(HOLD_TIME_WEIGHT);
         }
--- a/crates/jaypin_router/src/router/mod.rs
+++ b/crates/jaypin_router/src/router/mod.rs
@@ -38,8 +38,9 @@
 use crate::{
     AccountArrivals, ArrivalRates, Backend, BackendContact, BackendSignals, BackendSubsets,
     BackendTable, BootTime, CellIndex, Contact, CrashEvidence, Entries, Fleet, FleetQuota,
-    MinimumShares, PeerLoads, RequestNumber, ResendBudget, Rollouts, RouteTable, SignalTable,
-    Sizes, SlowAnswerDetector, StoreFreshness, StreamOrigins, VersionHistory, WaitingList,
+    HoldTimes, MinimumShares, PeerLoads, RequestNumber, ResendBudget, Rollouts, RouteTable,
+    SignalTable, Sizes, SlowAnswerDetector, StoreFreshness, StreamOrigins, VersionHistory,
+    WaitingList,
 };
 use fleet_quota::FleetQuotaState;
 use joining::JoinState;
@@ -87,7 +88,9 @@
     quota: FleetQuota,
     fleet_quota: FleetQuotaState,
     budgets: HashMap<ServiceId, ResendBudget>,
-    hold_times: HashMap<ServiceId, Duration>,
+    /// Mean slot hold time of each service.
+    service_hold_times: HashMap<ServiceId, Duration>,
+    hold_times: HoldTimes,
     sizes: Sizes,
     arrival_rates: ArrivalRates,
     minimum_shares: MinimumShares,
@@ -141,7 +144,8 @@
             quota: FleetQuota::new(cfg.bounds.quota_window, cfg.bounds.quota_slack),
             fleet_quota: FleetQuotaState::default(),
             budgets: HashMap::new(),
-            hold_times: HashMap::new(),
+            service_hold_times: HashMap::new(),
+            hold_times: HoldTimes::default(),
             sizes: Sizes::default(),
             arrival_rates: ArrivalRates::default(),
             minimum_shares: MinimumShares::default(),
--- a/crates/jaypin_router/src/router/placing.rs
+++ b/crates/jaypin_router/src/router/placing.rs
@@ -8,14 +8,15 @@
 use super::arrival::{INITIAL_PLAIN_HOLD_TIME, refuse};
 use super::{Effect, Router};
 use crate::limits::{
-    first_event_limit, first_event_timeout, is_last_resort, is_long, slot_wait_limit, stall_timeout,
+    accepted_slot_wait, first_event_limit, first_event_timeout, is_last_resort, is_long,
+    slot_wait_limit, stall_timeout,
 };
 use crate::placement::{Choice, Demand, choose_backend};
 use crate::request::{Admitted, Request, Sent, Waiting};
 use crate::retry_after::capacity_retry_after;
 use crate::{
-    AttemptOutcome, Backend, BackendRun, DecisionInputs, RequestNumber, VersionRole,
-    reserved_slots, service_key,
+    AttemptOutcome, Backend, BackendRun, DecisionInputs, RequestNumber, SlotReserve, VersionRole,
+    reserved_slots, service_key, slots_freed_in_time,
 };
 
 /// Number of reserved slots below which none is reserved, since hardly any urgent requests
@@ -78,10 +79,11 @@
         let is_last_resort_place =
             is_wait_over && has_room && is_last_resort(&request.admitted, &choice, now);
         let inputs = match shortage {
-            Some(it) => DecisionInputs::Reserved {
+            Some(it) if !it.has_unreserved() => DecisionInputs::Reserved {
                 free: it.free,
-                reserved: it.reserved,
+                reserve: it.reserve,
             },
+            Some(it) => self.placement_inputs(&choice, limit, slot_limit.min(it.short_interval)),
             None => self.placement_inputs(&choice, limit, slot_limit),
         };
         if is_in_time || is_last_resort_place {
@@ -211,21 +213,67 @@
         } else {
             self.arrival_rates.rate_above(service, admitted.rank, now)
         };
-        let reserved = reserved_slots(of_cell * self.arrival_share(&admitted.service));
-        if reserved < MIN_RESERVED_SLOTS {
+        let needed = reserved_slots(of_cell * self.arrival_share(&admitted.service));
+        if needed < MIN_RESERVED_SLOTS {
             return None;
         }
         let free = self.free_slots(&admitted.service, now);
-        let short_interval = self
-            .shortest_latency_target(admitted)
-            .mul_f64(SHORT_INTERVAL_FRACTION);
-        (f64::from(free) <= reserved).then_some(SlotShortage {
+        if f64::from(free) > needed {
+            return None;
+        }
+        let shortest_target = self.shortest_latency_target(admitted);
+        Some(SlotShortage {
             free,
-            reserved,
-            short_interval,
+            reserve: SlotReserve {
+                needed,
+                freed: self.freed_slots(&admitted.service, shortest_target, now),
+                hold_ratio: self.hold_ratio(admitted, now),
+            },
+            short_interval: shortest_target.mul_f64(SHORT_INTERVAL_FRACTION),
         })
     }
 
+    /// Returns the slots of a service that become free for more urgent requests in time.
+    ///
+    /// None count for engines, whose slots are held for longer than the latency target.
+    fn freed_slots(&self, service: &ServiceId, shortest_target: Duration, now: Instant) -> f64 {
+        let table = self.table.as_ref();
+        let has_engine = table
+            .and_then(|it| it.service(service))
+            .is_none_or(|it| it.engine.is_some());
+        if has_engine {
+            return 0.0;
+        }
+        let wait = accepted_slot_wait(shortest_target);
+        let freed_at = |backend: &Backend| {
+            let hold_time = backend.hold_time().filter(|it| !it.is_zero())?;
+            let busy = f64::from(backend.running().min(backend.record.slots));
+            let per_second = busy / hold_time.as_secs_f64();
+            let queued = backend.running().saturating_sub(backend.record.slots);
+            Some(slots_freed_in_time(per_second, wait) - f64::from(queued))
+        };
+        let usable = self.usable_subset(service, now);
+        usable.filter_map(freed_at).map(|it| it.max(0.0)).sum()
+    }
+
+    /// Returns how long a request is expected to hold its slot, relative to the requests for which
+    /// slots are reserved against it; at most 1.
+    fn hold_ratio(&self, admitted: &Admitted, now: Instant) -> f64 {
+        let service = service_key(&admitted.service);
+        let rank = admitted.rank;
+        // Unknown hold times count as equal, so the whole reserve applies.
+        let Some(of_rank) = self.hold_times.of_rank(service, rank.route) else {
+            return 1.0;
+        };
+        // Sizes are estimates, so none below the mean of its rank gives precedence.
+        let own = of_rank.mul_f64(admitted.size_in_rank.max(1.0));
+        let is_long = is_long(admitted);
+        let arrivals = self.arrival_rates.by_rank(service, now);
+        let ahead = arrivals.filter(|(it, _)| *it < rank || (is_long && *it == rank));
+        let ahead = ahead.map(|(rank, rate)| (rank.route, rate));
+        self.hold_times.ratio(service, own, ahead)
+    }
+
     /// Returns the shortest latency target of all routes to the service of a request.
     fn shortest_latency_target(&self, admitted: &Admitted) -> Duration {
         let own_target = admitted.route.latency_target;
@@ -240,17 +288,22 @@
         subset.filter_map(|id| self.backends.get(id))
     }
 
+    /// Returns those of them that are healthy and accept requests now.
+    fn usable_subset(&self, service: &ServiceId, now: Instant) -> impl Iterator<Item = &Backend> {
+        let subset = self.subset_backends(service);
+        subset.filter(move |it| it.accepts_requests(now) && !it.is_unhealthy(now))
+    }
+
     /// Returns the number of free slots on the backend servers of a service that this host uses.
     fn free_slots(&self, service: &ServiceId, now: Instant) -> u32 {
-        let usable = self.subset_backends(service);
-        let usable = usable.filter(|it| it.accepts_requests(now) && !it.is_unhealthy(now));
+        let usable = self.usable_subset(service, now);
         usable
             .map(|it| it.record.slots.saturating_sub(it.running()))
             .sum()
     }
 
     fn hold_time_of(&self, service: &ServiceId) -> Duration {
-        let known = self.hold_times.get(service);
+        let known = self.service_hold_times.get(service);
         known.copied().unwrap_or(INITIAL_PLAIN_HOLD_TIME)
     }
 
@@ -378,16 +431,23 @@
 struct SlotShortage {
     free: u32,
     /// Slots reserved for these requests.
-    reserved: f64,
+    reserve: SlotReserve,
     /// Time within which a backend server must free a slot so that no slot is reserved there.
     short_interval: Duration,
 }
 
 impl SlotShortage {
-    /// Returns whether the chosen backend server frees slots so fast that none is reserved
-    /// there.
+    /// Returns whether the chosen backend server has a slot that is not reserved, or frees slots so
+    /// fast that none is reserved there.
     fn allows(&self, choice: &Choice) -> bool {
-        choice.slot_interval <= self.short_interval && choice.slot_wait <= self.short_interval
+        (choice.has_slot && self.has_unreserved())
+            || (choice.slot_interval <= self.short_interval
+                && choice.slot_wait <= self.short_interval)
+    }
+
+    /// Returns whether more slots are free than are reserved.
+    fn has_unreserved(&self) -> bool {
+        f64::from(self.free) > self.reserve.slots()
     }
 }
 
--- a/crates/jaypin_router/src/size.rs
+++ b/crates/jaypin_router/src/size.rs
@@ -37,11 +37,29 @@
         prompt_tokens: u32,
         answer_tokens: u32,
     ) -> f64 {
-        let size = f64::from(answer_tokens) + f64::from(prompt_tokens) / PROMPT_TOKENS_PER_STEP;
+        let size = steps(prompt_tokens, answer_tokens);
         let of_service = update_mean(&mut self.of_service, service.clone(), size);
         let of_rank = update_mean(&mut self.of_rank, (service.clone(), rank), size);
         size / of_service.max(of_rank).max(1.0)
     }
+
+    /// Returns the size of a request relative to the mean of its rank in the service.
+    #[must_use]
+    pub fn relative_to_rank(
+        &self,
+        service: &ServiceId,
+        rank: Rank,
+        prompt_tokens: u32,
+        answer_tokens: u32,
+    ) -> f64 {
+        let of_rank = self.of_rank.get(&(service.clone(), rank));
+        let size = steps(prompt_tokens, answer_tokens);
+        of_rank.map_or(1.0, |mean| size / mean.max(1.0))
+    }
+}
+
+fn steps(prompt_tokens: u32, answer_tokens: u32) -> f64 {
+    f64::from(answer_tokens) + f64::from(prompt_tokens) / PROMPT_TOKENS_PER_STEP
 }
 
 fn update_mean<K: std::hash::Hash + Eq>(means: &mut HashMap<K, f64>, key: K, size: f64) -> f64 {
