--- a/crates/jaypin_entry/src/metrics.rs
+++ b/crates/jaypin_entry/src/metrics.rs
@@ -40,6 +40,8 @@
     version: Gauge<u64>,
     streams: Gauge<u64>,
     dropped_streams: Gauge<u64>,
+    reserve_sent: Gauge<u64>,
+    reserve_refused: Gauge<u64>,
     entries_age: Gauge<f64>,
     ready: Gauge<u64>,
     // Dropping the provider would stop the instruments.
@@ -79,6 +81,8 @@
         version: meter.u64_gauge("jaypin.configuration.version").build(),
         streams: meter.u64_gauge("jaypin.streams.remembered").build(),
         dropped_streams: meter.u64_gauge("jaypin.streams.forgotten_early").build(),
+        reserve_sent: meter.u64_gauge("jaypin.reserved_slots.sent").build(),
+        reserve_refused: meter.u64_gauge("jaypin.reserved_slots.refused").build(),
         entries_age: meter.f64_gauge("jaypin.entries.age").with_unit("s").build(),
         ready: meter.u64_gauge("jaypin.ready").build(),
         registry,
@@ -148,6 +152,8 @@
     all.version.record(counts.version, &[]);
     all.streams.record(wide(counts.streams), &[]);
     all.dropped_streams.record(counts.dropped_streams, &[]);
+    all.reserve_sent.record(counts.reserve.sent, &[]);
+    all.reserve_refused.record(counts.reserve.refused, &[]);
     if let Some(age) = entries_age {
         all.entries_age.record(age.as_secs_f64(), &[]);
     }
--- a/crates/jaypin_router/src/lib.rs
+++ b/crates/jaypin_router/src/lib.rs
@@ -84,8 +84,8 @@
 };
 pub use route_table::{RouteTable, Unrouted};
 pub use router::{
-    Bounds, Effect, Event, ExposureBound, Router, RouterConfig, RouterCounts, SilentCall,
-    StayReason,
+    Bounds, Effect, Event, ExposureBound, ReserveCounts, Router, RouterConfig, RouterCounts,
+    SilentCall, StayReason,
 };
 pub use signals::{BackendSignals, SignalTable};
 pub use size::Sizes;
--- a/crates/jaypin_router/src/router/event.rs
+++ b/crates/jaypin_router/src/router/event.rs
@@ -262,6 +262,16 @@
     },
 }
 
+/// Requests that found no more slots free than more urgent arrivals need, since the host's start.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct ReserveCounts {
+    /// Requests that were sent to one of these slots: they hold it for a short time, or others
+    /// become free in time.
+    pub sent: u64,
+    /// Requests that were refused because these slots are reserved.
+    pub refused: u64,
+}
+
 /// Counts for metrics and the status page.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct RouterCounts {
@@ -281,4 +291,6 @@
     pub streams: usize,
     /// Streams that it forgot early, for lack of room.
     pub dropped_streams: u64,
+    /// Use of reserved slots.
+    pub reserve: ReserveCounts,
 }
--- a/crates/jaypin_router/src/router/mod.rs
+++ b/crates/jaypin_router/src/router/mod.rs
@@ -22,7 +22,7 @@
 mod updates;
 mod watching;
 
-pub use event::{Bounds, Effect, Event, ExposureBound, RouterConfig, RouterCounts};
+pub use event::{Bounds, Effect, Event, ExposureBound, ReserveCounts, RouterConfig, RouterCounts};
 pub use silence::{SilentCall, StayReason};
 
 use std::collections::{BTreeMap, HashMap};
@@ -91,6 +91,7 @@
     /// Mean slot hold time of each service.
     service_hold_times: HashMap<ServiceId, Duration>,
     hold_times: HoldTimes,
+    reserve_counts: ReserveCounts,
     sizes: Sizes,
     arrival_rates: ArrivalRates,
     minimum_shares: MinimumShares,
@@ -146,6 +147,7 @@
             budgets: HashMap::new(),
             service_hold_times: HashMap::new(),
             hold_times: HoldTimes::default(),
+            reserve_counts: ReserveCounts::default(),
             sizes: Sizes::default(),
             arrival_rates: ArrivalRates::default(),
             minimum_shares: MinimumShares::default(),
@@ -257,6 +259,7 @@
             version: self.version(),
             streams: self.stream_origins.len(),
             dropped_streams: self.stream_origins.dropped(),
+            reserve: self.reserve_counts,
         }
     }
 
--- a/crates/jaypin_router/src/router/placing.rs
+++ b/crates/jaypin_router/src/router/placing.rs
@@ -73,6 +73,7 @@
         };
         let limit = self.first_event_limit_of(&request.admitted, &choice, now);
         let slot_limit = slot_wait_limit(&request.admitted);
+        let uses_reserve = shortage.as_ref().is_some_and(|it| it.is_relaxed(&choice));
         let shortage = shortage.filter(|it| !it.allows(&choice));
         let has_room = shortage.is_none();
         let is_in_time = has_room && is_in_time(&choice, limit, slot_limit);
@@ -87,8 +88,11 @@
             None => self.placement_inputs(&choice, limit, slot_limit),
         };
         if is_in_time || is_last_resort_place {
+            self.reserve_counts.sent += u64::from(uses_reserve);
             self.send(now, request, choice, inputs, fx);
         } else if is_wait_over {
+            let is_reserved = matches!(inputs, DecisionInputs::Reserved { .. });
+            self.reserve_counts.refused += u64::from(is_reserved);
             self.give_up(now, &request, Reason::Shed, inputs, fx);
         } else {
             self.keep_waiting(request, now);
@@ -440,9 +444,17 @@
     /// Returns whether the chosen backend server has a slot that is not reserved, or frees slots so
     /// fast that none is reserved there.
     fn allows(&self, choice: &Choice) -> bool {
-        (choice.has_slot && self.has_unreserved())
-            || (choice.slot_interval <= self.short_interval
-                && choice.slot_wait <= self.short_interval)
+        self.is_relaxed(choice) || self.frees_fast(choice)
+    }
+
+    /// Returns whether the chosen backend server has a slot that is free only because the reserve
+    /// is reduced for this request.
+    fn is_relaxed(&self, choice: &Choice) -> bool {
+        choice.has_slot && self.has_unreserved() && !self.frees_fast(choice)
+    }
+
+    fn frees_fast(&self, choice: &Choice) -> bool {
+        choice.slot_interval <= self.short_interval && choice.slot_wait <= self.short_interval
     }
 
     /// Returns whether more slots are free than are reserved.
--- a/crates/jaypin_router/tests/slot_reserve.rs
+++ b/crates/jaypin_router/tests/slot_reserve.rs
@@ -8,7 +8,7 @@
 use common::{Decision, ENGINES, PLAIN, RouteExt, TestHost, record};
 use jaypin_router::{
     ArrivalCount, AttemptOutcome, BackendLoad, BackendSamples, Effect, Event, HoldTimes, Rank,
-    Repeat, RequestNumber, SlotReserve, backend_key, reserved_slots, service_key,
+    Repeat, RequestNumber, ReserveCounts, SlotReserve, backend_key, reserved_slots, service_key,
     slots_freed_in_time,
 };
 
@@ -162,6 +162,52 @@
     );
 }
 
+/// Guards against a reserve whose effect no metric shows: an operator compares the requests that
+/// were refused for it with those that were sent because it was reduced.
+#[test]
+fn the_use_of_the_reserve_is_counted() {
+    let mut host = host_with_hold_times(700, 350);
+    take_slots(&mut host, 2);
+    let (_, decision) = host.arrive("/label/1", (600, 20));
+    assert!(matches!(decision, Decision::Sent(_)), "{decision:?}");
+    let (_, decision) = host.arrive("/label/1", (600, 20));
+    assert_eq!(decision, Decision::Queued);
+    host.wait(millis(60));
+    host.tick();
+    let expected = ReserveCounts {
+        sent: 1,
+        refused: 1,
+    };
+    assert_eq!(host.router.counts(host.now).reserve, expected);
+}
+
+/// Guards against hold times of a process that has ended: a host that has just started keeps the
+/// whole reserve, and so does one that lost its peers' reports while hold times are unknown.
+#[test]
+fn a_host_that_has_just_started_keeps_the_whole_reserve() {
+    let mut host = host_with_engines();
+    take_slots(&mut host, 2);
+    host.arrive("/label/1", (600, 20));
+    host.wait(millis(60));
+    let inputs = common::refusal_inputs(&host.tick());
+    insta::assert_snapshot!(inputs, @"2 slots free, 3.3 kept for more urgent requests");
+}
+
+/// Guards against a reserve that outlives the reports behind it: three seconds after the last
+/// report of a peer, its urgent arrivals have faded and a free slot is used.
+#[test]
+fn a_host_without_reports_for_three_seconds_uses_its_own_counts() {
+    let mut host = host_with_hold_times(700, 700);
+    take_slots(&mut host, 2);
+    for _ in 0..30 {
+        host.wait(millis(100));
+        host.prove();
+        host.tick();
+    }
+    let (_, decision) = host.arrive("/label/1", (600, 20));
+    assert!(matches!(decision, Decision::Sent(_)), "{decision:?}");
+}
+
 /// Returns the decision about a less urgent request to a plain service of three servers, where 17
 /// of 18 slots are taken and requests hold their slots for `held`.
 fn decision_of_plain_service(held: Duration) -> Decision {
