--- a/crates/jaypin_router/src/router/event.rs
+++ b/crates/jaypin_router/src/router/event.rs
@@ -262,6 +262,16 @@
     },
 }
 
+/// Requests that found no more slots free than more urgent arrivals need, since the host's start.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct ReserveCounts {
+    /// Requests that were sent to one of these slots: they hold it for a short time, or others
+    /// become free in time.
+    pub sent: u64,
+    /// Requests that were refused because these slots are reserved.
+    pub refused: u64,
+}
+
 /// Counts for metrics and the status page.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct RouterCounts {
@@ -284,4 +294,6 @@
     /// Requests over a quota that would have been within it without the units reserved for more
     /// urgent ones.
     pub reserve_refusals: u64,
+    /// Use of reserved slots.
+    pub reserve: ReserveCounts,
 }
--- a/crates/jaypin_router/src/router/mod.rs
+++ b/crates/jaypin_router/src/router/mod.rs
@@ -22,7 +22,7 @@
 mod updates;
 mod watching;
 
-pub use event::{Bounds, Effect, Event, ExposureBound, RouterConfig, RouterCounts};
+pub use event::{Bounds, Effect, Event, ExposureBound, ReserveCounts, RouterConfig, RouterCounts};
 pub use silence::{SilentCall, StayReason};
 
 use std::collections::{BTreeMap, HashMap};
@@ -38,8 +38,9 @@
 use crate::{
     AccountArrivals, ArrivalRates, Backend, BackendContact, BackendSignals, BackendSubsets,
     BackendTable, BootTime, CellIndex, Contact, CrashEvidence, Entries, Fleet, FleetQuota,
-    MinimumShares, PeerLoads, RequestNumber, ResendBudget, Rollouts, RouteTable, SignalTable,
-    Sizes, SlowAnswerDetector, StoreFreshness, StreamOrigins, VersionHistory, WaitingList,
+    HoldTimes, MinimumShares, PeerLoads, RequestNumber, ResendBudget, Rollouts, RouteTable,
+    SignalTable, Sizes, SlowAnswerDetector, StoreFreshness, StreamOrigins, VersionHistory,
+    WaitingList,
 };
 use fleet_quota::FleetQuotaState;
 use joining::JoinState;
@@ -87,7 +88,10 @@
     quota: FleetQuota,
     fleet_quota: FleetQuotaState,
     budgets: HashMap<ServiceId, ResendBudget>,
-    hold_times: HashMap<ServiceId, Duration>,
+    /// Mean slot hold time of each service.
+    service_hold_times: HashMap<ServiceId, Duration>,
+    hold_times: HoldTimes,
+    reserve_counts: ReserveCounts,
     sizes: Sizes,
     arrival_rates: ArrivalRates,
     minimum_shares: MinimumShares,
@@ -143,7 +147,9 @@
             quota: FleetQuota::new(cfg.bounds.quota_window, cfg.bounds.quota_slack),
             fleet_quota: FleetQuotaState::default(),
             budgets: HashMap::new(),
-            hold_times: HashMap::new(),
+            service_hold_times: HashMap::new(),
+            hold_times: HoldTimes::default(),
+            reserve_counts: ReserveCounts::default(),
             sizes: Sizes::default(),
             arrival_rates: ArrivalRates::default(),
             minimum_shares: MinimumShares::default(),
@@ -257,6 +263,7 @@
             streams: self.stream_origins.len(),
             dropped_streams: self.stream_origins.dropped(),
             reserve_refusals: self.reserve_refusals,
+            reserve: self.reserve_counts,
         }
     }
 
