Place streams by the risk that their answer is late or cut off

Cause: an engine of unknown event rate counted as fast, pauses were not counted by engine, and expected lengths were taken as exact. Long answers therefore went to engines where they pause or reach their timeout.

Change: the score has a probability of a late or cut answer in place of the expected overrun. Pauses are counted by the speed of the engine and by engine, lengths relative to the expectation by service and rank of the route. A request whose answer can hardly end is no longer sent as a last resort. Callers report the longest pause of a group of events, and the last group of a stream.

--- a/crates/jaypin_entry/src/callers/attempt.rs
+++ b/crates/jaypin_entry/src/callers/attempt.rs
@@ -11,7 +11,7 @@
 use tokio::time::{Instant, sleep_until};
 
 use super::delivery::{Delivery, forward_response};
-use super::event_timing::EventRate;
+use super::event_timing::{EventGroup, EventRate};
 use super::read_request::{LAST_EVENT_ID, PASSED_ON};
 use super::request_task::RequestTask;
 use super::silence::{Silence, SilenceWatch};
@@ -306,13 +306,8 @@
                 }
                 self.last_id = id.or(self.last_id);
                 self.times.record_event();
-                if let Some((events, time)) = rate.record_event() {
-                    let number = self.number;
-                    self.host.apply(Event::Streamed {
-                        number,
-                        events,
-                        time,
-                    });
+                if let Some(group) = rate.record_event() {
+                    self.report_events(group);
                 }
                 if !delivery.send_event(event).await {
                     return AttemptOutcome::Abandoned;
@@ -329,11 +324,23 @@
             self.host.apply(Event::ResponseStarted(self.number));
             delivery.begin_stream(parts.status, &parts.headers);
         }
+        if let Some(group) = rate.take_rest() {
+            self.report_events(group);
+        }
         delivery.end_stream().await;
         self.host.connections.release(connection);
         complete(states_its_end(&parts.headers))
     }
 
+    fn report_events(&self, group: EventGroup) {
+        self.host.apply(Event::Streamed {
+            number: self.number,
+            events: group.events,
+            time: group.time,
+            longest_pause: group.longest_pause,
+        });
+    }
+
     /// Ends a call on which nothing arrived for too long.
     fn end_silent_call(&self, order: &SendOrder, silence: Silence) -> AttemptOutcome {
         let (id, backend) = (&self.received.header.id, order.recipient.name());
--- a/crates/jaypin_entry/src/callers/event_timing.rs
+++ b/crates/jaypin_entry/src/callers/event_timing.rs
@@ -35,24 +35,39 @@
 #[derive(Debug, Default)]
 pub struct EventRate {
     last: Option<Instant>,
-    events: u32,
-    time: Duration,
+    group: EventGroup,
+}
+
+/// Events that are reported to the reducer together.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct EventGroup {
+    /// Number of events.
+    pub events: u32,
+    /// Time over which they arrived.
+    pub time: Duration,
+    /// The longest time before one of them. A pause of [`REPORT_TIME`] ends the group, so it holds one
+    /// such pause at most.
+    pub longest_pause: Duration,
 }
 
 impl EventRate {
-    /// Records the arrival of an event. Returns the number of events since the last report and
-    /// the time between them once a report is due.
-    pub fn record_event(&mut self) -> Option<(u32, Duration)> {
+    /// Records the arrival of an event. Returns the events since the last report once a report is
+    /// due.
+    pub fn record_event(&mut self) -> Option<EventGroup> {
         let now = Instant::now();
         let last = self.last.replace(now)?;
-        self.events += 1;
-        self.time += now - last;
-        let is_due = self.events >= REPORT_EVENTS || self.time >= REPORT_TIME;
-        is_due.then(|| {
-            (
-                std::mem::take(&mut self.events),
-                std::mem::take(&mut self.time),
-            )
-        })
+        let pause = now - last;
+        let group = &mut self.group;
+        group.events += 1;
+        group.time += pause;
+        group.longest_pause = group.longest_pause.max(pause);
+        let is_due = group.events >= REPORT_EVENTS || group.time >= REPORT_TIME;
+        is_due.then(|| std::mem::take(group))
+    }
+
+    /// Returns the events since the last report, if there are any. Without them, the reducer would
+    /// know nothing of the length of short streams.
+    pub fn take_rest(&mut self) -> Option<EventGroup> {
+        (self.group.events > 0).then(|| std::mem::take(&mut self.group))
     }
 }
--- a/crates/jaypin_router/src/backend.rs
+++ b/crates/jaypin_router/src/backend.rs
@@ -8,8 +8,8 @@
 use crate::rejection_guard::RejectionGuard;
 use crate::throttle::Throttle;
 use crate::{
-    AttemptOutcome, BackendKey, BackendLoad, BackendSamples, EventRate, PrefillRate, RequestNumber,
-    SoftwareVersion,
+    AttemptOutcome, BackendKey, BackendLoad, BackendSamples, EventRate, PauseTally, PrefillRate,
+    RequestNumber, SoftwareVersion,
 };
 
 /// Cooldown after the first call that could not reach the backend server; it doubles with each
@@ -76,6 +76,8 @@
     pub prefill_rate: PrefillRate,
     /// How fast it produces the events of a stream.
     pub event_rate: EventRate,
+    /// Pauses in its streams, by the longest pause that their routes allow.
+    pauses: BTreeMap<Duration, PauseTally>,
     /// Load that the peers have there.
     peer_load: PeerLoad,
     calls: BTreeMap<RequestNumber, Call>,
@@ -160,6 +162,7 @@
             key,
             prefill_rate: PrefillRate::default(),
             event_rate: EventRate::default(),
+            pauses: BTreeMap::new(),
             peer_load: PeerLoad::default(),
             calls: BTreeMap::new(),
             totals: BackendSamples::none(key),
@@ -293,6 +296,27 @@
         self.totals.event_seconds += seconds;
     }
 
+    /// Records how many events of a stream came after more than the longest pause that its route
+    /// allows.
+    pub fn record_pauses(
+        &mut self,
+        longest_pause: Duration,
+        events: f64,
+        pauses: f64,
+        now: Instant,
+    ) {
+        let tally = self.pauses.entry(longest_pause).or_default();
+        tally.record(events, pauses, now);
+    }
+
+    /// Returns what this host observed of pauses there, in streams of routes with this longest
+    /// pause.
+    #[must_use]
+    pub fn pauses(&self, longest_pause: Duration) -> PauseTally {
+        let tally = self.pauses.get(&longest_pause);
+        tally.copied().unwrap_or_default()
+    }
+
     /// Records the end of a call.
     pub fn record_end(&mut self, number: RequestNumber, outcome: AttemptOutcome, now: Instant) {
         let call = self.calls.remove(&number);
--- a/crates/jaypin_router/src/decision_inputs.rs
+++ b/crates/jaypin_router/src/decision_inputs.rs
@@ -59,6 +59,9 @@
         /// Fraction of the time for the whole answer that it is expected to take; absent if
         /// unknown.
         time_fraction: Option<f64>,
+        /// Probability that the answer is late because of a pause, or cut off at its timeout; absent if
+        /// nothing is known of its length.
+        late_risk: Option<f64>,
         /// Whether it was unreachable, failing or overdue with an answer.
         is_unhealthy: bool,
         /// Its version, if that is a canary version.
@@ -138,6 +141,7 @@
                 running,
                 tokens_ahead,
                 time_fraction: part_of_time,
+                late_risk,
                 is_unhealthy: is_in_trouble,
                 version,
             } => {
@@ -151,10 +155,13 @@
                     Some(part) => format!(", answer in {:.0}% of its time", part * 100.0),
                     None => String::new(),
                 };
+                let risk = late_risk.map_or(String::new(), |it| {
+                    format!(", late or cut with {:.0}%", it * 100.0)
+                });
                 let trouble = if *is_in_trouble { ", in trouble" } else { "" };
                 write!(
                     f,
-                    "first event in {first} ms of {limit}{slot}, {running} running, {tokens_ahead} tokens ahead{answer}{trouble}"
+                    "first event in {first} ms of {limit}{slot}, {running} running, {tokens_ahead} tokens ahead{answer}{risk}{trouble}"
                 )?;
                 version
                     .as_ref()
--- a/crates/jaypin_router/src/lib.rs
+++ b/crates/jaypin_router/src/lib.rs
@@ -6,6 +6,8 @@
 
 mod account_arrivals;
 mod account_totals;
+mod answer_length;
+mod answer_risk;
 mod arrivals;
 mod backend;
 mod backend_contact;
@@ -20,6 +22,7 @@
 mod fleet;
 mod limits;
 mod minimum_share;
+mod pause_risk;
 mod peer_clock;
 mod peer_loads;
 mod placement;
@@ -36,6 +39,7 @@
 mod rollout;
 mod route_table;
 mod router;
+mod service_speed;
 mod signals;
 mod size;
 mod store_freshness;
@@ -47,6 +51,8 @@
 
 pub use account_arrivals::AccountArrivals;
 pub use account_totals::{AccountTotals, AccountUse, FleetLevels};
+pub use answer_length::{AnswerLengthTable, AnswerLengths};
+pub use answer_risk::{AnswerDemand, AnswerRisk};
 pub use arrivals::{ArrivalCount, ArrivalRates};
 pub use backend::{Backend, BackendRecord, BackendStatus};
 pub use backend_contact::{BackendContact, Contact};
@@ -62,6 +68,7 @@
 pub use event_rate::EventRate;
 pub use fleet::{Fleet, Peer};
 pub use minimum_share::MinimumShares;
+pub use pause_risk::{PauseTally, ServicePauses, pause_risk};
 pub use peer_clock::PeerClock;
 pub use peer_loads::{LoadChange, LoadUpdate, PeerLoads};
 pub use placement::{Choice, Demand, choose_backend};
@@ -85,6 +92,7 @@
     Bounds, Effect, Event, ExposureBound, Router, RouterConfig, RouterCounts, SilentCall,
     StayReason,
 };
+pub use service_speed::ServiceSpeed;
 pub use signals::{BackendSignals, SignalTable};
 pub use size::Sizes;
 pub use store_freshness::{
--- a/crates/jaypin_router/src/limits.rs
+++ b/crates/jaypin_router/src/limits.rs
@@ -5,6 +5,7 @@
 
 use std::time::{Duration, Instant};
 
+use crate::answer_risk::is_cut_off;
 use crate::placement::Choice;
 use crate::request::Admitted;
 use crate::{Repeat, Route};
@@ -89,12 +90,14 @@
 
 /// Returns whether a request may be sent although nothing better is left: to get a late first
 /// event, or to an unhealthy backend server that may have recovered. One that would be lost may be
-/// sent however late it is.
+/// sent however late it is. Otherwise an answer that can hardly end before its timeout is not sent: it
+/// would hold a slot for nothing.
 pub fn is_last_resort(admitted: &Admitted, choice: &Choice, now: Instant) -> bool {
     let spent = now.saturating_duration_since(admitted.arrived_at);
     let limit = admitted.route.latency_target.mul_f64(LATE_FRACTION);
     let is_worth_sending = choice.first_event <= limit.saturating_sub(spent);
-    choice.has_slot && (is_worth_sending || admitted.may_be_late())
+    let is_useful = is_worth_sending && !is_cut_off(choice);
+    choice.has_slot && (is_useful || admitted.may_be_late())
 }
 
 /// Returns the time without a first event after which a call is silent, if its request may be sent
--- a/crates/jaypin_router/src/placement.rs
+++ b/crates/jaypin_router/src/placement.rs
@@ -5,6 +5,7 @@
 use jaypin_core::BackendId;
 
 use crate::Backend;
+use crate::answer_risk::{AnswerDemand, AnswerRisk};
 use crate::prefill_rate::CALL_OVERHEAD;
 
 /// Weight of the fill level against the time to the first event: a full batch counts as much as
@@ -21,17 +22,15 @@
 /// other.
 const UNHEALTHY_COST: f64 = 50.0;
 
-/// Fraction of the time for an answer that the answer may be expected to take, so that most
-/// answers end in time: half of them take longer than expected, some twice as long.
-const SAFE_TIME_FRACTION: f64 = 0.4;
-/// Weight of what an answer is expected to take beyond that fraction.
-const OVERRUN_WEIGHT: f64 = 1.5;
+/// Cost of an answer that is surely late or cut off, in latency targets: its caller loses as much by
+/// it as by a first event that comes one latency target after the request.
+const RISK_WEIGHT: f64 = 1.0;
 /// Cost of a backend server that does not serve the request, in latency targets; less than that
 /// of an unhealthy one.
 const NOT_SERVING_COST: f64 = 10.0;
 
 /// What a request needs from a backend server.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub struct Demand {
     /// Tokens of its prompt.
     pub prompt_tokens: u32,
@@ -41,8 +40,8 @@
     pub longest_pause: Option<Duration>,
     /// Slot hold time of a request of the service, used where none was observed.
     pub hold_time: Duration,
-    /// Number of events that its answer is expected to have; absent if unknown.
-    pub events: Option<f64>,
+    /// What is known of its answer, if that is a stream; absent if its length is unknown.
+    pub answer: Option<AnswerDemand>,
     /// Time after which the whole answer is worth nothing.
     pub time_left: Duration,
     /// Whether it has waited for a slot.
@@ -58,6 +57,8 @@
     pub first_event: Duration,
     /// Fraction of the time for the whole answer that it is estimated to take; absent if unknown.
     pub time_fraction: Option<f64>,
+    /// Risks of the answer there; absent if nothing is known of its length.
+    pub risk: Option<AnswerRisk>,
     /// Estimated wait for a slot.
     pub slot_wait: Duration,
     /// Mean time between two slots becoming free there, while all are taken.
@@ -115,14 +116,18 @@
     let tokens = f64::from(tokens_ahead) + f64::from(demand.prompt_tokens);
     let prefill = backend.prefill_rate.seconds_for(tokens);
     let first_event = CALL_OVERHEAD + Duration::from_secs_f64((slot_wait + prefill).min(3_600.0));
-    let answer = demand
-        .events
-        .and_then(|it| backend.event_rate.seconds_for(it));
+    let answer = demand.answer.as_ref();
+    let answer_seconds = answer.and_then(|it| {
+        let per_event = it.seconds_per_event(backend)?;
+        Some(it.expected_events * per_event)
+    });
     let time_left = demand.time_left.as_secs_f64().max(0.001);
+    let seconds_left = time_left - first_event.as_secs_f64();
     Choice {
         backend: backend.record.id.clone(),
         first_event,
-        time_fraction: answer.map(|it| (first_event.as_secs_f64() + it) / time_left),
+        time_fraction: answer_seconds.map(|it| (first_event.as_secs_f64() + it) / time_left),
+        risk: answer.map(|it| it.risk(backend, seconds_left, now)),
         slot_wait: Duration::from_secs_f64(slot_wait.min(3_600.0)),
         slot_interval,
         tokens_ahead,
@@ -142,8 +147,7 @@
         let excess = backend.prefill_rate.seconds_for(tokens) / longest - 1.0;
         score += PAUSE_WEIGHT * running * excess.max(0.0);
     }
-    let overrun = choice.time_fraction.unwrap_or_default() - SAFE_TIME_FRACTION;
-    score += OVERRUN_WEIGHT * overrun.max(0.0);
+    score += RISK_WEIGHT * choice.risk.unwrap_or_default().total();
     if choice.is_unhealthy {
         score += UNHEALTHY_COST;
     }
--- a/crates/jaypin_router/src/prefill_rate.rs
+++ b/crates/jaypin_router/src/prefill_rate.rs
@@ -43,6 +43,12 @@
         self.seconds = self.seconds * keep + seconds.max(MIN_SECONDS);
     }
 
+    /// Returns whether a prefill was observed.
+    #[must_use]
+    pub fn is_observed(&self) -> bool {
+        *self != Self::default()
+    }
+
     /// Returns the rate in tokens per second.
     #[must_use]
     pub fn rate(&self) -> f64 {
--- a/crates/jaypin_router/src/request.rs
+++ b/crates/jaypin_router/src/request.rs
@@ -143,6 +143,8 @@
     pub answer_tokens: u32,
     /// Number of events that its answer is expected to have, if it is a stream of an engine.
     pub expected_events: Option<f64>,
+    /// Number of its events that this host has received.
+    pub received_events: u32,
     /// Time for which it holds a slot, relative to the baseline of 1.
     pub size: f64,
     /// Quota units that it needs.
--- a/crates/jaypin_router/src/router/arrival.rs
+++ b/crates/jaypin_router/src/router/arrival.rs
@@ -91,7 +91,8 @@
         let admitted = Admitted {
             number: arrival.number,
             size,
-            expected_events: self.expected_events(&service, expected),
+            expected_events: self.events_of(&service, expected),
+            received_events: 0,
             service,
             account: account.map(|account| account.name.clone()),
             rank,
@@ -126,7 +127,7 @@
 
     /// Returns the number of events that carry so many tokens, for the stream of an engine's
     /// service.
-    fn expected_events(&self, service: &ServiceId, tokens: u32) -> Option<f64> {
+    pub(super) fn events_of(&self, service: &ServiceId, tokens: u32) -> Option<f64> {
         let engine = self.table.as_ref()?.service(service)?.engine.as_ref()?;
         let events = f64::from(tokens) / f64::from(engine.tokens_per_event.max(1));
         (tokens > 0).then_some(events)
--- a/crates/jaypin_router/src/router/attempt.rs
+++ b/crates/jaypin_router/src/router/attempt.rs
@@ -16,6 +16,16 @@
 /// Factor by which an engine's events must slow down in one update so that peers receive a
 /// report at once.
 const REPORTED_SLOWDOWN: f64 = 4.0 / 3.0;
+/// Events of a stream that were received together.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct EventGroup {
+    pub events: u32,
+    /// Time over which they arrived.
+    pub time: Duration,
+    /// The longest time before one of them.
+    pub longest_pause: Duration,
+}
+
 /// Weight of one request in the moving average of slot hold times.
 const HOLD_TIME_WEIGHT: f64 = 0.05;
 
@@ -35,6 +45,7 @@
         }
         state.first_event_at = Some(now);
         let admitted = &mut request.admitted;
+        admitted.received_events += 1;
         if admitted.route.repeat.is_stream() {
             admitted.stream_version.get_or_insert(state.version);
         }
@@ -69,18 +80,20 @@
         &mut self,
         now: Instant,
         number: RequestNumber,
-        events: u32,
-        time: Duration,
+        group: EventGroup,
     ) {
+        let EventGroup { events, time, .. } = group;
         let Some(request) = self.sent.get_mut(&number) else {
             return;
         };
         let was_long_written = request.state.is_long_written();
         request.state.record_writing(events, time);
+        request.admitted.received_events += events;
         if request.state.is_long_written() && !was_long_written {
             let parts = request.admitted.shared_parts.clone();
             self.record_sound_parts(&parts, now);
         }
+        self.record_pauses(number, group, now);
         let Some(request) = self.sent.get(&number) else {
             return;
         };
@@ -95,6 +108,46 @@
         }
     }
 
+    /// Counts the pauses among events of a stream, at the speed that its engine had before them. A
+    /// group ends with the first long pause, so it holds one at most.
+    fn record_pauses(&mut self, number: RequestNumber, group: EventGroup, now: Instant) {
+        let Some(request) = self.sent.get(&number) else {
+            return;
+        };
+        let admitted = &request.admitted;
+        let Some(longest_pause) = admitted.route.longest_pause else {
+            return;
+        };
+        let is_pause = group.longest_pause > longest_pause;
+        let (events, pauses) = (f64::from(group.events), f64::from(u8::from(is_pause)));
+        if let Some(backend) = self.backends.get_mut(&request.state.backend) {
+            backend.record_pauses(longest_pause, events, pauses, now);
+            let seconds_per_event = backend.event_rate.seconds_for(1.0);
+            let key = (admitted.service.clone(), longest_pause);
+            let of_service = self.pauses.entry(key).or_default();
+            of_service.record(seconds_per_event, events, pauses, now);
+        }
+    }
+
+    /// Learns from a stream that has ended how long such answers are.
+    fn record_answer_length(&mut self, admitted: &Admitted, outcome: AttemptOutcome) {
+        let Some(expected) = admitted.expected_events else {
+            return;
+        };
+        // This host has seen only a part of a stream that began at another one.
+        if admitted.received_events == 0 || admitted.is_resumed {
+            return;
+        }
+        let rank = admitted.rank.route;
+        let lengths = self.answer_lengths.get_mut(&admitted.service, rank);
+        let ratio = f64::from(admitted.received_events) / expected.max(1.0);
+        match outcome {
+            AttemptOutcome::Complete => lengths.record_complete(ratio),
+            AttemptOutcome::TimedOut | AttemptOutcome::Abandoned => lengths.record_cut(ratio),
+            _ => {}
+        }
+    }
+
     pub(super) fn handle_attempt_end(
         &mut self,
         now: Instant,
@@ -116,6 +169,7 @@
             self.load_report_state.slot_changed(backend.key);
         }
         self.count_outcome(&request, outcome);
+        self.record_answer_length(&request.admitted, outcome);
         request.admitted.is_started |= request.state.first_event_at.is_some();
         match outcome {
             AttemptOutcome::Complete => {
--- a/crates/jaypin_router/src/router/event.rs
+++ b/crates/jaypin_router/src/router/event.rs
@@ -115,6 +115,8 @@
         events: u32,
         /// Time over which they arrived.
         time: Duration,
+        /// The longest time before one of them.
+        longest_pause: Duration,
     },
     /// A call to a backend server ended.
     AttemptEnded {
--- a/crates/jaypin_router/src/router/mod.rs
+++ b/crates/jaypin_router/src/router/mod.rs
@@ -36,11 +36,13 @@
 
 use crate::request::{PassedOn, Request, Resuming, Sent};
 use crate::{
-    AccountArrivals, ArrivalRates, Backend, BackendContact, BackendSignals, BackendSubsets,
-    BackendTable, BootTime, CellIndex, Contact, CrashEvidence, Entries, Fleet, FleetQuota,
-    MinimumShares, PeerLoads, RequestNumber, ResendBudget, Rollouts, RouteTable, SignalTable,
-    Sizes, SlowAnswerDetector, StoreFreshness, StreamOrigins, VersionHistory, WaitingList,
+    AccountArrivals, AnswerLengthTable, ArrivalRates, Backend, BackendContact, BackendSignals,
+    BackendSubsets, BackendTable, BootTime, CellIndex, Contact, CrashEvidence, Entries, Fleet,
+    FleetQuota, MinimumShares, PeerLoads, RequestNumber, ResendBudget, Rollouts, RouteTable,
+    ServicePauses, SignalTable, Sizes, SlowAnswerDetector, StoreFreshness, StreamOrigins,
+    VersionHistory, WaitingList,
 };
+use attempt::EventGroup;
 use fleet_quota::FleetQuotaState;
 use joining::JoinState;
 use load_reporting::LoadReportState;
@@ -89,6 +91,9 @@
     budgets: HashMap<ServiceId, ResendBudget>,
     hold_times: HashMap<ServiceId, Duration>,
     sizes: Sizes,
+    answer_lengths: AnswerLengthTable,
+    /// Pauses of the engines of each service, by the longest pause that routes allow.
+    pauses: HashMap<(ServiceId, Duration), ServicePauses>,
     arrival_rates: ArrivalRates,
     minimum_shares: MinimumShares,
     account_arrivals: AccountArrivals,
@@ -143,6 +148,8 @@
             budgets: HashMap::new(),
             hold_times: HashMap::new(),
             sizes: Sizes::default(),
+            answer_lengths: AnswerLengthTable::default(),
+            pauses: HashMap::new(),
             arrival_rates: ArrivalRates::default(),
             minimum_shares: MinimumShares::default(),
             account_arrivals: AccountArrivals::default(),
@@ -193,7 +200,15 @@
                 number,
                 events,
                 time,
-            } => self.handle_stream_events(now, number, events, time),
+                longest_pause,
+            } => {
+                let group = EventGroup {
+                    events,
+                    time,
+                    longest_pause,
+                };
+                self.handle_stream_events(now, number, group);
+            }
             Event::AttemptEnded { number, outcome } => {
                 self.handle_attempt_end(now, number, outcome, &mut fx);
             }
--- a/crates/jaypin_router/src/router/placing.rs
+++ b/crates/jaypin_router/src/router/placing.rs
@@ -7,6 +7,7 @@
 
 use super::arrival::{INITIAL_PLAIN_HOLD_TIME, refuse};
 use super::{Effect, Router};
+use crate::answer_risk::is_cut_off;
 use crate::limits::{
     first_event_limit, first_event_timeout, is_last_resort, is_long, slot_wait_limit, stall_timeout,
 };
@@ -14,8 +15,8 @@
 use crate::request::{Admitted, Request, Sent, Waiting};
 use crate::retry_after::capacity_retry_after;
 use crate::{
-    AttemptOutcome, Backend, BackendRun, DecisionInputs, RequestNumber, VersionRole,
-    reserved_slots, service_key,
+    AnswerDemand, AttemptOutcome, Backend, BackendRun, DecisionInputs, RequestNumber, ServiceSpeed,
+    VersionRole, reserved_slots, service_key,
 };
 
 /// Number of reserved slots below which none is reserved, since hardly any urgent requests
@@ -189,12 +190,31 @@
             latency_target: admitted.route.latency_target,
             longest_pause: admitted.route.longest_pause,
             hold_time: self.hold_time_of(&admitted.service),
-            events: admitted.expected_events,
+            answer: self.answer_demand(admitted),
             time_left: admitted.deadline.saturating_duration_since(now),
             has_waited: now > admitted.arrived_at + ARRIVAL_TIME,
         }
     }
 
+    fn answer_demand(&self, admitted: &Admitted) -> Option<AnswerDemand> {
+        let expected_events = admitted.expected_events?;
+        let service = &admitted.service;
+        let max_events = self.events_of(service, admitted.answer_tokens);
+        let pauses = admitted.route.longest_pause.map(|longest_pause| {
+            let key = (service.clone(), longest_pause);
+            let pauses = self.pauses.get(&key);
+            (longest_pause, pauses.copied().unwrap_or_default())
+        });
+        Some(AnswerDemand {
+            expected_events,
+            max_events: max_events.unwrap_or(f64::INFINITY),
+            received_events: f64::from(admitted.received_events),
+            lengths: self.answer_lengths.get(service, admitted.rank.route),
+            pauses,
+            speed: ServiceSpeed::of(self.subset_backends(service)),
+        })
+    }
+
     /// Returns the shortage of slots, if so few are free that more urgent requests need them
     /// all.
     fn slot_shortage(&self, admitted: &Admitted, now: Instant) -> Option<SlotShortage> {
@@ -277,6 +297,7 @@
             running: backend.map_or(0, Backend::running),
             tokens_ahead: choice.tokens_ahead,
             time_fraction: choice.time_fraction,
+            late_risk: choice.risk.map(|it| it.total()),
             is_unhealthy: choice.is_unhealthy,
             version: backend.and_then(|it| self.canary_version(&it.record)),
         }
@@ -396,6 +417,7 @@
         && choice.first_event <= limit
         && choice.slot_wait <= slot_limit
         && choice.time_fraction.is_none_or(|it| it <= 1.0)
+        && !is_cut_off(choice)
 }
 
 /// Returns the time that the first event may take on a backend server.
--- a/crates/jaypin_router/tests/answer_time.rs
+++ b/crates/jaypin_router/tests/answer_time.rs
@@ -42,6 +42,7 @@
         number,
         events,
         time,
+        longest_pause: time / events,
     })
 }
 
--- a/crates/jaypin_router/tests/common/fleet.rs
+++ b/crates/jaypin_router/tests/common/fleet.rs
@@ -453,6 +453,7 @@
                             number,
                             events,
                             time,
+                            longest_pause: time / events,
                         },
                     );
                 }
--- a/crates/jaypin_router/tests/sound_parts.rs
+++ b/crates/jaypin_router/tests/sound_parts.rs
@@ -21,6 +21,7 @@
         number,
         events,
         time,
+        longest_pause: time / events,
     });
     host.ended(number, AttemptOutcome::Died);
     let mut whole = whole_report(2);
