Judge what is left of a begun stream, and count the risk of placements

Cause: a stream that moves to another engine was judged by its whole length, and operators could not see the risk of a late or cut answer.

Change: estimates use the remaining events; a stream whose caller has a part of it is never refused for its length. The histogram jaypin.placement.late_risk shows the risk of what was sent and refused.

--- a/crates/jaypin_entry/src/callers/request_task.rs
+++ b/crates/jaypin_entry/src/callers/request_task.rs
@@ -72,6 +72,7 @@
             };
             match directive {
                 Directive::Send(order) => {
+                    metrics::placement(&order.inputs, "sent");
                     let outcome = self.attempt(&order).await;
                     let number = self.number;
                     self.host.apply(Event::AttemptEnded { number, outcome });
@@ -121,6 +122,7 @@
                 rejection_response(reason)
             }
             Directive::Refuse(refused, requester, inputs) => {
+                metrics::placement(&inputs, "refused");
                 self.count_outcome(refused.reason.as_str());
                 self.log_outcome(refused.reason.as_str(), None, requester.as_ref(), &inputs);
                 refusal_response(&refused)
--- a/crates/jaypin_entry/src/metrics.rs
+++ b/crates/jaypin_entry/src/metrics.rs
@@ -6,7 +6,7 @@
 use std::sync::OnceLock;
 use std::time::Duration;
 
-use jaypin_router::RouterCounts;
+use jaypin_router::{DecisionInputs, RouterCounts};
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
@@ -19,6 +19,10 @@
     0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.5, 0.75, 1.0, 2.0, 5.0, 15.0,
 ];
 
+/// Histogram bounds for the probability that an answer is late or cut off: from the risk of packet
+/// loss alone, some hundredths, to that of an answer that is refused, 0.9.
+const RISK_BUCKETS: [f64; 7] = [0.02, 0.05, 0.1, 0.2, 0.4, 0.6, 0.9];
+
 static INSTRUMENTS: OnceLock<Instruments> = OnceLock::new();
 
 /// All instruments of the process.
@@ -32,6 +36,7 @@
     first_event: Histogram<f64>,
     duration: Histogram<f64>,
     pause: Histogram<f64>,
+    late_risk: Histogram<f64>,
     waiting: Gauge<u64>,
     running: Gauge<u64>,
     hosts: Gauge<u64>,
@@ -71,6 +76,10 @@
         first_event: histogram("jaypin.request.first_event"),
         duration: histogram("jaypin.request.duration"),
         pause: histogram("jaypin.stream.longest_pause"),
+        late_risk: meter
+            .f64_histogram("jaypin.placement.late_risk")
+            .with_boundaries(RISK_BUCKETS.to_vec())
+            .build(),
         waiting: meter.u64_gauge("jaypin.requests.waiting").build(),
         running: meter.u64_gauge("jaypin.requests.running").build(),
         hosts: meter.u64_gauge("jaypin.hosts.heard").build(),
@@ -120,6 +129,22 @@
     }
 }
 
+/// Records the probability that the answer of a request is late or cut off on the backend server that
+/// was chosen, where it is known, and what was decided: `sent` or `refused`.
+pub fn placement(inputs: &DecisionInputs, decision: &'static str) {
+    let DecisionInputs::Place {
+        late_risk: Some(risk),
+        ..
+    } = inputs
+    else {
+        return;
+    };
+    if let Some(all) = INSTRUMENTS.get() {
+        let labels = [KeyValue::new("decision", decision)];
+        all.late_risk.record(*risk, &labels);
+    }
+}
+
 /// Counts a call to the platform's store by its kind, `read` or `write`, and its outcome.
 pub fn store_call(kind: &'static str, outcome: &'static str) {
     if let Some(all) = INSTRUMENTS.get() {
--- a/crates/jaypin_router/src/answer_risk.rs
+++ b/crates/jaypin_router/src/answer_risk.rs
@@ -2,10 +2,10 @@
 
 use std::time::{Duration, Instant};
 
+use crate::Backend;
 use crate::answer_length::AnswerLengths;
 use crate::pause_risk::{ServicePauses, pause_risk};
 use crate::service_speed::ServiceSpeed;
-use crate::{Backend, Choice};
 
 /// Probability of an answer that does not end before its timeout above which the request is refused
 /// where no other engine is left. Such a call holds its slot for the whole timeout, in which a slot
@@ -19,6 +19,8 @@
     pub pause: f64,
     /// That it does not end before its timeout.
     pub cut: f64,
+    /// Whether it would hold a slot for nothing, as it can hardly end before its timeout.
+    pub is_futile: bool,
 }
 
 impl AnswerRisk {
@@ -27,12 +29,6 @@
     pub fn total(&self) -> f64 {
         1.0 - (1.0 - self.pause) * (1.0 - self.cut)
     }
-
-    /// Returns whether the answer can hardly end before its timeout.
-    #[must_use]
-    pub fn is_cut_off(&self) -> bool {
-        self.cut > MAX_CUT_RISK
-    }
 }
 
 /// What is known of the length of an answer and of the service that gives it.
@@ -42,6 +38,9 @@
     pub expected_events: f64,
     /// Number of events that the caller allows.
     pub max_events: f64,
+    /// Whether the request may be refused. A stream whose caller has a part of it may not: it would be
+    /// lost.
+    pub may_be_refused: bool,
     /// Number of its events that were received from earlier backend servers.
     pub received_events: f64,
     /// Lengths of such answers, relative to what callers expect.
@@ -55,11 +54,18 @@
 impl AnswerDemand {
     /// Returns the seconds between two events on a backend server; absent if nothing is known of the
     /// service.
-    #[must_use]
-    pub fn seconds_per_event(&self, backend: &Backend) -> Option<f64> {
+    fn seconds_per_event(&self, backend: &Backend) -> Option<f64> {
         self.speed.map(|it| it.seconds_per_event(backend))
     }
 
+    /// Returns the seconds that the rest of the answer is expected to take on a backend server; absent
+    /// if nothing is known of the service.
+    #[must_use]
+    pub fn seconds_on(&self, backend: &Backend) -> Option<f64> {
+        let remaining_events = (self.expected_events - self.received_events).max(0.0);
+        Some(remaining_events * self.seconds_per_event(backend)?)
+    }
+
     /// Returns the risks on a backend server, where the events have `seconds_left` from the first
     /// on.
     #[must_use]
@@ -72,7 +78,11 @@
             pause_risk(share, events)
         });
         let cut = seconds_per_event.map_or(0.0, |it| self.cut_risk(seconds_left.max(0.0) / it));
-        AnswerRisk { pause, cut }
+        AnswerRisk {
+            pause,
+            cut,
+            is_futile: self.may_be_refused && cut > MAX_CUT_RISK,
+        }
     }
 
     /// Returns the probability that the answer has more events than fit into the remaining time.
@@ -86,9 +96,3 @@
             .exceeds(last / expected, self.received_events / expected)
     }
 }
-
-/// Returns whether the answer can hardly end before its timeout on the chosen backend server.
-#[must_use]
-pub fn is_cut_off(choice: &Choice) -> bool {
-    choice.risk.is_some_and(|it| it.is_cut_off())
-}
--- a/crates/jaypin_router/src/decision_inputs.rs
+++ b/crates/jaypin_router/src/decision_inputs.rs
@@ -151,17 +151,11 @@
                     wait if *slot_limit == Duration::MAX => format!(", slot in {wait} ms"),
                     wait => format!(", slot in {wait} ms of {}", slot_limit.as_millis()),
                 };
-                let answer = match part_of_time {
-                    Some(part) => format!(", answer in {:.0}% of its time", part * 100.0),
-                    None => String::new(),
-                };
-                let risk = late_risk.map_or(String::new(), |it| {
-                    format!(", late or cut with {:.0}%", it * 100.0)
-                });
+                let answer = answer_text(*part_of_time, *late_risk);
                 let trouble = if *is_in_trouble { ", in trouble" } else { "" };
                 write!(
                     f,
-                    "first event in {first} ms of {limit}{slot}, {running} running, {tokens_ahead} tokens ahead{answer}{risk}{trouble}"
+                    "first event in {first} ms of {limit}{slot}, {running} running, {tokens_ahead} tokens ahead{answer}{trouble}"
                 )?;
                 version
                     .as_ref()
@@ -202,3 +196,13 @@
         }
     }
 }
+
+fn answer_text(time_fraction: Option<f64>, late_risk: Option<f64>) -> String {
+    let time = time_fraction.map_or(String::new(), |it| {
+        format!(", answer in {:.0}% of its time", it * 100.0)
+    });
+    let risk = late_risk.map_or(String::new(), |it| {
+        format!(", late or cut with {:.0}%", it * 100.0)
+    });
+    time + &risk
+}
--- a/crates/jaypin_router/src/limits.rs
+++ b/crates/jaypin_router/src/limits.rs
@@ -5,7 +5,6 @@
 
 use std::time::{Duration, Instant};
 
-use crate::answer_risk::is_cut_off;
 use crate::placement::Choice;
 use crate::request::Admitted;
 use crate::{Repeat, Route};
@@ -96,7 +95,7 @@
     let spent = now.saturating_duration_since(admitted.arrived_at);
     let limit = admitted.route.latency_target.mul_f64(LATE_FRACTION);
     let is_worth_sending = choice.first_event <= limit.saturating_sub(spent);
-    let is_useful = is_worth_sending && !is_cut_off(choice);
+    let is_useful = is_worth_sending && !choice.is_futile();
     choice.has_slot && (is_useful || admitted.may_be_late())
 }
 
--- a/crates/jaypin_router/src/placement.rs
+++ b/crates/jaypin_router/src/placement.rs
@@ -117,10 +117,7 @@
     let prefill = backend.prefill_rate.seconds_for(tokens);
     let first_event = CALL_OVERHEAD + Duration::from_secs_f64((slot_wait + prefill).min(3_600.0));
     let answer = demand.answer.as_ref();
-    let answer_seconds = answer.and_then(|it| {
-        let per_event = it.seconds_per_event(backend)?;
-        Some(it.expected_events * per_event)
-    });
+    let answer_seconds = answer.and_then(|it| it.seconds_on(backend));
     let time_left = demand.time_left.as_secs_f64().max(0.001);
     let seconds_left = time_left - first_event.as_secs_f64();
     Choice {
@@ -136,6 +133,14 @@
     }
 }
 
+impl Choice {
+    /// Returns whether the request would hold a slot for nothing there.
+    #[must_use]
+    pub fn is_futile(&self) -> bool {
+        self.risk.is_some_and(|it| it.is_futile)
+    }
+}
+
 fn score(backend: &Backend, choice: &Choice, demand: &Demand) -> f64 {
     let target = demand.latency_target.as_secs_f64().max(0.001);
     let running = f64::from(backend.running());
--- a/crates/jaypin_router/src/router/placing.rs
+++ b/crates/jaypin_router/src/router/placing.rs
@@ -7,7 +7,6 @@
 
 use super::arrival::{INITIAL_PLAIN_HOLD_TIME, refuse};
 use super::{Effect, Router};
-use crate::answer_risk::is_cut_off;
 use crate::limits::{
     first_event_limit, first_event_timeout, is_last_resort, is_long, slot_wait_limit, stall_timeout,
 };
@@ -208,6 +207,7 @@
         Some(AnswerDemand {
             expected_events,
             max_events: max_events.unwrap_or(f64::INFINITY),
+            may_be_refused: !admitted.may_be_late(),
             received_events: f64::from(admitted.received_events),
             lengths: self.answer_lengths.get(service, admitted.rank.route),
             pauses,
@@ -417,7 +417,7 @@
         && choice.first_event <= limit
         && choice.slot_wait <= slot_limit
         && choice.time_fraction.is_none_or(|it| it <= 1.0)
-        && !is_cut_off(choice)
+        && !choice.is_futile()
 }
 
 /// Returns the time that the first event may take on a backend server.
--- a/crates/jaypin_router/tests/answer_risk.rs
+++ b/crates/jaypin_router/tests/answer_risk.rs
@@ -127,7 +127,7 @@
         pauses.record(Some(0.1), 30.0, 0.3, at);
         pauses.record(Some(0.025), 240.0, 0.24, at);
     }
-    let now = now + Duration::from_secs(60);
+    let now = now + Duration::from_mins(1);
     let risk = |seconds| {
         let share = pauses.share(PauseTally::default(), seconds, now);
         pause_risk(share, f64::from(MEAN_EVENTS))
@@ -176,7 +176,7 @@
     let slow = samples(SLOW, None, 17.0);
     let engines = [(known, "engine-333", 4), (slow, SLOW, 0)];
     let mut host = host_with(&engines, |route| {
-        route.latency_target = Duration::from_secs(2)
+        route.latency_target = Duration::from_secs(2);
     });
     // At 25 ms per event it takes 3 s, and at 100 ms 12 s of the 10 s that it has.
     assert_eq!(send(&mut host, 120).1.backend(), "engine-333");
@@ -304,3 +304,50 @@
     answer(&mut host, number, times, AttemptOutcome::Complete);
     assert_eq!(send(&mut host, MEAN_EVENTS).1.backend(), SLOW);
 }
+
+/// Guards against a host that forgets what it has seen of slow engines while it hears no peer for 3 s,
+/// and against one that trusts a report that arrives late: the older totals say nothing new.
+#[test]
+fn a_host_without_reports_keeps_its_own_observations() {
+    let mut host = fast_and_slow(0, 0);
+    host.wait(Duration::from_secs(3));
+    host.tick();
+    assert_eq!(send(&mut host, MEAN_EVENTS).1.backend(), FAST);
+    let mut stale = common::report(0, common::whole_report(2));
+    let fast = samples(SLOW, Some(FAST_INTERVAL / 25), 70.0);
+    stale.samples.push(fast);
+    host.receive_report(stale);
+    assert_eq!(send(&mut host, MEAN_EVENTS).1.backend(), FAST);
+}
+
+/// Guards against answers that are refused on a restarted host for what it does not know: without any
+/// event rate, an answer of any length has a place.
+#[test]
+fn a_restarted_host_refuses_nothing_for_its_length() {
+    let mut host = TestHost::with_backends();
+    for expected in [2, 35, 350, 3_500] {
+        let (_, decision) = send(&mut host, expected);
+        assert!(matches!(decision, Decision::Sent(_)), "{decision:?}");
+    }
+}
+
+/// Guards against a part of a stream that is lost to it because the rest looks too long: its caller has
+/// the beginning, so it goes on wherever there is a slot.
+#[test]
+fn a_stream_that_has_begun_goes_on_at_a_slow_engine() {
+    let mut host = fast_and_slow(0, 4);
+    let (number, decision) = send(&mut host, 200);
+    assert_eq!(decision.backend(), FAST);
+    host.answered(number);
+    host.wait(Duration::from_secs(8));
+    let decision = host.ended(number, AttemptOutcome::Died);
+    let decision = match decision {
+        Decision::Queued => {
+            host.wait(Duration::from_millis(1_001));
+            host.prove();
+            common::decision_for(&host.tick(), number)
+        }
+        other => other,
+    };
+    assert_eq!(decision.backend(), SLOW);
+}
