--- a/crates/jaypin_router/src/decision_inputs.rs
+++ b/crates/jaypin_router/src/decision_inputs.rs
@@ -59,6 +59,9 @@
         /// Fraction of the time for the whole answer that it is expected to take; absent if
         /// unknown.
         time_fraction: Option<f64>,
+        /// Probability that the answer is late because of a pause, or cut off at its timeout; absent if
+        /// nothing is known of its length.
+        late_risk: Option<f64>,
         /// Whether it was unreachable, failing or overdue with an answer.
         is_unhealthy: bool,
         /// Its version, if that is a canary version.
@@ -138,6 +141,7 @@
                 running,
                 tokens_ahead,
                 time_fraction: part_of_time,
+                late_risk,
                 is_unhealthy: is_in_trouble,
                 version,
             } => {
@@ -147,10 +151,7 @@
                     wait if *slot_limit == Duration::MAX => format!(", slot in {wait} ms"),
                     wait => format!(", slot in {wait} ms of {}", slot_limit.as_millis()),
                 };
-                let answer = match part_of_time {
-                    Some(part) => format!(", answer in {:.0}% of its time", part * 100.0),
-                    None => String::new(),
-                };
+                let answer = answer_text(*part_of_time, *late_risk);
                 let trouble = if *is_in_trouble { ", in trouble" } else { "" };
                 write!(
                     f,
@@ -190,3 +191,13 @@
         }
     }
 }
+
+fn answer_text(time_fraction: Option<f64>, late_risk: Option<f64>) -> String {
+    let time = time_fraction.map_or(String::new(), |it| {
+        format!(", answer in {:.0}% of its time", it * 100.0)
+    });
+    let risk = late_risk.map_or(String::new(), |it| {
+        format!(", late or cut with {:.0}%", it * 100.0)
+    });
+    time + &risk
+}
--- a/crates/jaypin_router/src/router/mod.rs
+++ b/crates/jaypin_router/src/router/mod.rs
@@ -36,12 +36,13 @@
 
 use crate::request::{PassedOn, Request, Resuming, Sent};
 use crate::{
-    AccountArrivals, ArrivalRates, Backend, BackendContact, BackendSignals, BackendSubsets,
-    BackendTable, BootTime, CellIndex, Contact, CrashEvidence, Entries, Fleet, FleetQuota,
-    HoldTimes, MinimumShares, PeerLoads, RequestNumber, ResendBudget, Rollouts, RouteTable,
-    SignalTable, Sizes, SlowAnswerDetector, StoreFreshness, StreamOrigins, VersionHistory,
-    WaitingList,
+    AccountArrivals, AnswerLengthTable, ArrivalRates, Backend, BackendContact, BackendSignals,
+    BackendSubsets, BackendTable, BootTime, CellIndex, Contact, CrashEvidence, Entries, Fleet,
+    FleetQuota, HoldTimes, MinimumShares, PeerLoads, RequestNumber, ResendBudget, Rollouts,
+    RouteTable, ServicePauses, SignalTable, Sizes, SlowAnswerDetector, StoreFreshness,
+    StreamOrigins, VersionHistory, WaitingList,
 };
+use attempt::EventGroup;
 use fleet_quota::FleetQuotaState;
 use joining::JoinState;
 use load_reporting::LoadReportState;
@@ -93,6 +94,9 @@
     hold_times: HoldTimes,
     reserve_counts: ReserveCounts,
     sizes: Sizes,
+    answer_lengths: AnswerLengthTable,
+    /// Pauses of the engines of each service, by the longest pause that routes allow.
+    pauses: HashMap<(ServiceId, Duration), ServicePauses>,
     arrival_rates: ArrivalRates,
     minimum_shares: MinimumShares,
     account_arrivals: AccountArrivals,
@@ -151,6 +155,8 @@
             hold_times: HoldTimes::default(),
             reserve_counts: ReserveCounts::default(),
             sizes: Sizes::default(),
+            answer_lengths: AnswerLengthTable::default(),
+            pauses: HashMap::new(),
             arrival_rates: ArrivalRates::default(),
             minimum_shares: MinimumShares::default(),
             account_arrivals: AccountArrivals::default(),
@@ -202,7 +208,15 @@
                 number,
                 events,
                 time,
-            } => self.handle_stream_events(now, number, events, time),
+                longest_pause,
+            } => {
+                let group = EventGroup {
+                    events,
+                    time,
+                    longest_pause,
+                };
+                self.handle_stream_events(now, number, group);
+            }
             Event::AttemptEnded { number, outcome } => {
                 self.handle_attempt_end(now, number, outcome, &mut fx);
             }
