--- a/crates/jaypin_entry/src/metrics.rs
+++ b/crates/jaypin_entry/src/metrics.rs
@@ -40,6 +40,7 @@
     version: Gauge<u64>,
     streams: Gauge<u64>,
     dropped_streams: Gauge<u64>,
+    reserve_refusals: Gauge<u64>,
     entries_age: Gauge<f64>,
     ready: Gauge<u64>,
     // Dropping the provider would stop the instruments.
@@ -79,6 +80,7 @@
         version: meter.u64_gauge("jaypin.configuration.version").build(),
         streams: meter.u64_gauge("jaypin.streams.remembered").build(),
         dropped_streams: meter.u64_gauge("jaypin.streams.forgotten_early").build(),
+        reserve_refusals: meter.u64_gauge("jaypin.quota.reserve_refusals").build(),
         entries_age: meter.f64_gauge("jaypin.entries.age").with_unit("s").build(),
         ready: meter.u64_gauge("jaypin.ready").build(),
         registry,
@@ -148,6 +150,7 @@
     all.version.record(counts.version, &[]);
     all.streams.record(wide(counts.streams), &[]);
     all.dropped_streams.record(counts.dropped_streams, &[]);
+    all.reserve_refusals.record(counts.reserve_refusals, &[]);
     if let Some(age) = entries_age {
         all.entries_age.record(age.as_secs_f64(), &[]);
     }
