--- a/crates/jaypin_entry/src/metrics.rs
+++ b/crates/jaypin_entry/src/metrics.rs
@@ -47,6 +47,7 @@
     dropped_streams: Gauge<u64>,
     reserve_sent: Gauge<u64>,
     reserve_refused: Gauge<u64>,
+    reserve_refusals: Gauge<u64>,
     entries_age: Gauge<f64>,
     ready: Gauge<u64>,
     // Dropping the provider would stop the instruments.
@@ -92,6 +93,7 @@
         dropped_streams: meter.u64_gauge("jaypin.streams.forgotten_early").build(),
         reserve_sent: meter.u64_gauge("jaypin.reserved_slots.sent").build(),
         reserve_refused: meter.u64_gauge("jaypin.reserved_slots.refused").build(),
+        reserve_refusals: meter.u64_gauge("jaypin.quota.reserve_refusals").build(),
         entries_age: meter.f64_gauge("jaypin.entries.age").with_unit("s").build(),
         ready: meter.u64_gauge("jaypin.ready").build(),
         registry,
@@ -179,6 +181,7 @@
     all.dropped_streams.record(counts.dropped_streams, &[]);
     all.reserve_sent.record(counts.reserve.sent, &[]);
     all.reserve_refused.record(counts.reserve.refused, &[]);
+    all.reserve_refusals.record(counts.reserve_refusals, &[]);
     if let Some(age) = entries_age {
         all.entries_age.record(age.as_secs_f64(), &[]);
     }
