Refuse for the length only with a hint and a recent event rate

Cause: a service whose engines were slow for some seconds would have refused all requests that could show their recovery, and a request without a hint was judged by its greatest length.

--- a/crates/jaypin_router/src/answer_risk.rs
+++ b/crates/jaypin_router/src/answer_risk.rs
@@ -38,8 +38,8 @@
     pub expected_events: f64,
     /// Number of events that the caller allows.
     pub max_events: f64,
-    /// Whether the request may be refused. A stream whose caller has a part of it may not: it would be
-    /// lost.
+    /// Whether the request may be refused for its length. A stream whose caller has a part of it would
+    /// be lost, and without a hint of the caller the length is an upper bound.
     pub may_be_refused: bool,
     /// Number of its events that were received from earlier backend servers.
     pub received_events: f64,
@@ -78,10 +78,11 @@
             pause_risk(share, events)
         });
         let cut = seconds_per_event.map_or(0.0, |it| self.cut_risk(seconds_left.max(0.0) / it));
+        let may_be_futile = self.may_be_refused && backend.has_recent_event_rate(now);
         AnswerRisk {
             pause,
             cut,
-            is_futile: self.may_be_refused && cut > MAX_CUT_RISK,
+            is_futile: may_be_futile && cut > MAX_CUT_RISK,
         }
     }
 
--- a/crates/jaypin_router/src/backend.rs
+++ b/crates/jaypin_router/src/backend.rs
@@ -28,6 +28,10 @@
 const FAILURE_RATE_AFTER_COOLDOWN: f64 = 0.3;
 /// Weight of one request in the moving average of the slot hold time.
 const HOLD_TIME_WEIGHT: f64 = 0.05;
+/// Time for which an observed event rate suffices to refuse a request. Without requests there are no
+/// events, so an engine that was slow for some seconds would be refused requests forever. One trial
+/// in that time costs a slot for at most its timeout.
+const RECENT_EVENTS: Duration = Duration::from_secs(5);
 /// Factor on the estimated time to the first event, and time added to it, after which the first
 /// event is overdue.
 const OVERDUE_AFTER: (f64, Duration) = (3.0, Duration::from_millis(400));
@@ -76,6 +80,8 @@
     pub prefill_rate: PrefillRate,
     /// How fast it produces the events of a stream.
     pub event_rate: EventRate,
+    /// Time at which this host last learned of events there.
+    events_seen_at: Option<Instant>,
     /// Pauses in its streams, by the longest pause that their routes allow.
     pauses: BTreeMap<Duration, PauseTally>,
     /// Load that the peers have there.
@@ -162,6 +168,7 @@
             key,
             prefill_rate: PrefillRate::default(),
             event_rate: EventRate::default(),
+            events_seen_at: None,
             pauses: BTreeMap::new(),
             peer_load: PeerLoad::default(),
             calls: BTreeMap::new(),
@@ -290,8 +297,9 @@
     }
 
     /// Records that `events` events of a stream took `seconds`.
-    pub fn record_events(&mut self, events: f64, seconds: f64) {
+    pub fn record_events(&mut self, events: f64, seconds: f64, now: Instant) {
         self.event_rate.record(events, seconds);
+        self.events_seen_at = Some(now);
         self.totals.events += events;
         self.totals.event_seconds += seconds;
     }
@@ -317,6 +325,16 @@
         tally.copied().unwrap_or_default()
     }
 
+    /// Returns whether its event rate is known and was observed a moment ago.
+    #[must_use]
+    pub fn has_recent_event_rate(&self, now: Instant) -> bool {
+        let age = self
+            .events_seen_at
+            .map(|at| now.saturating_duration_since(at));
+        let is_recent = age.is_some_and(|it| it <= RECENT_EVENTS);
+        is_recent && self.event_rate.seconds_for(1.0).is_some()
+    }
+
     /// Records the end of a call.
     pub fn record_end(&mut self, number: RequestNumber, outcome: AttemptOutcome, now: Instant) {
         let call = self.calls.remove(&number);
@@ -355,6 +373,7 @@
         if samples.events > 0.0 {
             self.event_rate
                 .record(samples.events, samples.event_seconds);
+            self.events_seen_at = Some(now);
         }
         if samples.good > 0 {
             let mean = samples.hold_seconds / f64::from(samples.good);
--- a/crates/jaypin_router/src/router/attempt.rs
+++ b/crates/jaypin_router/src/router/attempt.rs
@@ -99,7 +99,7 @@
         };
         if let Some(backend) = self.backends.get_mut(&request.state.backend) {
             let before = backend.event_rate.seconds_for(1.0);
-            backend.record_events(f64::from(events), time.as_secs_f64());
+            backend.record_events(f64::from(events), time.as_secs_f64(), now);
             let after = backend.event_rate.seconds_for(1.0);
             let slowdown = before.zip(after).map(|(before, after)| after / before);
             if slowdown.is_some_and(|it| it >= REPORTED_SLOWDOWN) {
--- a/crates/jaypin_router/src/router/placing.rs
+++ b/crates/jaypin_router/src/router/placing.rs
@@ -199,6 +199,7 @@
         let expected_events = admitted.expected_events?;
         let service = &admitted.service;
         let max_events = self.events_of(service, admitted.answer_tokens);
+        let max_events = max_events.unwrap_or(f64::INFINITY);
         let pauses = admitted.route.longest_pause.map(|longest_pause| {
             let key = (service.clone(), longest_pause);
             let pauses = self.pauses.get(&key);
@@ -206,8 +207,8 @@
         });
         Some(AnswerDemand {
             expected_events,
-            max_events: max_events.unwrap_or(f64::INFINITY),
-            may_be_refused: !admitted.may_be_late(),
+            max_events,
+            may_be_refused: expected_events < max_events && !admitted.may_be_late(),
             received_events: f64::from(admitted.received_events),
             lengths: self.answer_lengths.get(service, admitted.rank.route),
             pauses,
--- a/crates/jaypin_router/tests/answer_risk.rs
+++ b/crates/jaypin_router/tests/answer_risk.rs
@@ -351,3 +351,38 @@
     };
     assert_eq!(decision.backend(), SLOW);
 }
+
+/// Guards against an engine that is refused all requests forever after some slow seconds: without
+/// requests nothing shows that it is fast again.
+#[test]
+fn a_slow_engine_is_tried_again() {
+    let mut host = fast_and_slow(12, 0);
+    host.wait(Duration::from_secs(6));
+    host.prove();
+    // The fast engine is still full, and nobody has seen an event of the slow one.
+    let mut report = common::report(2, common::whole_report(2));
+    report.loads.push(BackendLoad {
+        running: 12,
+        ..BackendLoad::none(backend_key(FAST))
+    });
+    host.receive_report(report);
+    let (number, decision) = send(&mut host, 500);
+    assert_eq!(decision, Decision::Queued);
+    host.wait(Duration::from_millis(61));
+    let decision = common::decision_for(&host.tick(), number);
+    assert_eq!(decision.backend(), SLOW);
+}
+
+/// Guards against refusals of requests without a hint, whose greatest length is far beyond what most
+/// answers have.
+#[test]
+fn the_greatest_length_alone_refuses_nothing() {
+    let mut host = fast_and_slow(12, 0);
+    let (number, decision) = host.arrive_with(|it| {
+        it.tokens = Some((600, 500 * EVENT_TOKENS));
+    });
+    assert_eq!(decision, Decision::Queued);
+    host.wait(Duration::from_millis(61));
+    let decision = common::decision_for(&host.tick(), number);
+    assert_eq!(decision.backend(), SLOW);
+}
