Withhold requests that a stall kept from being written

Cause: whether a backend server still takes a request is checked before the request is handed to the task of its connection, which writes it some milliseconds later on a busy host. A host that was suspended in between wrote the request when it resumed, to a backend server that had left meanwhile.

Change: the first byte of a request is written only within half of the leave limit after the check, by the clock that counts suspended time. Otherwise nothing is written, and the request is checked again.

--- a/crates/jaypin_entry/src/callers/attempt.rs
+++ b/crates/jaypin_entry/src/callers/attempt.rs
@@ -55,14 +55,15 @@
                 return AttemptOutcome::Unreached;
             };
             if let Recipient::Backend(backend) = &order.recipient {
-                tokio::select! {
-                    () = self.host.catch_up() => {}
+                let checked_at = tokio::select! {
+                    checked_at = self.host.catch_up() => checked_at,
                     () = delivery.caller_disconnected() => return AttemptOutcome::Abandoned,
-                }
+                };
                 if !self.host.may_send_to(backend) {
                     self.host.connections.release(connection);
                     return AttemptOutcome::Withheld;
                 }
+                connection.limit_write(self.host.outdated_at(checked_at));
             }
             let req = self.outgoing_request(order);
             watch.restart(order.first_event_timeout);
@@ -76,6 +77,9 @@
                 // The backend server closed the connection while it was idle. Only a new one
                 // shows whether the server can be reached.
                 Ok(Err(CallError::NotSent)) if connection.is_reused => {}
+                // This host was stalled before the request was written. Whether the backend server
+                // still takes it is checked again.
+                Ok(Err(CallError::Withheld)) => self.log_late_write(order),
                 Ok(Err(CallError::NotSent)) => return AttemptOutcome::Unreached,
                 Ok(Err(CallError::Interrupted)) => return AttemptOutcome::Lost,
             }
@@ -344,6 +348,11 @@
         AttemptOutcome::Silent
     }
 
+    fn log_late_write(&self, order: &SendOrder) {
+        let (id, backend) = (&self.received.header.id, order.recipient.name());
+        log::info!(id, backend; "this host was stalled before it wrote a request; checking again whether to send it");
+    }
+
     /// Returns whether the caller has events of the stream from an earlier call or attempt, so that
     /// nothing but its end may be left.
     fn has_earlier_events(&self) -> bool {
--- a/crates/jaypin_entry/src/calls/connection_pool.rs
+++ b/crates/jaypin_entry/src/calls/connection_pool.rs
@@ -2,19 +2,25 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::io;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
+use hyper::client::conn::http1::handshake;
 use hyper::header::{CONNECTION, HeaderName};
 use hyper::{HeaderMap, Request, Response};
-use jaypin_http::{ConnectError, ConnectTimeouts, Sender};
+use hyper_util::rt::TokioIo;
+use jaypin_http::{ConnectError, ConnectTimeouts, Sender, TimedWriter, WriteLimit, open_stream};
+use jaypin_router::BootTime;
 use tokio::sync::OnceCell;
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep};
 
+use crate::boot_clock::boot_time;
+
 /// Timeouts of a connection to a peer or the store.
 ///
 /// Three network delays at the largest distance within a fleet take 20 ms. A lost SYN packet
@@ -51,6 +57,7 @@
 #[derive(Debug)]
 pub struct Connection {
     sender: Sender,
+    write_limit: WriteLimit,
     address: String,
     expires_at: Option<Instant>,
     /// Whether the connection served a call before.
@@ -62,11 +69,19 @@
 pub enum CallError {
     /// No byte of the request was sent.
     NotSent,
+    /// No byte of the request was sent before the time that [`Connection::limit_write`] set.
+    Withheld,
     /// The connection failed after the request was sent; the request may have arrived.
     Interrupted,
 }
 
 impl Connection {
+    /// Sets the time before which the first byte of the next request has to be written. The task of
+    /// the connection writes it some time after [`Self::call`].
+    pub fn limit_write(&self, before: BootTime) {
+        self.write_limit.set(before);
+    }
+
     /// Sends one request and waits for the head of its response.
     ///
     /// # Errors
@@ -77,6 +92,7 @@
     ) -> Result<Response<Incoming>, CallError> {
         match self.sender.try_send_request(req).await {
             Ok(response) => Ok(response),
+            Err(_) if self.write_limit.is_exceeded() => Err(CallError::Withheld),
             Err(error) if error.message().is_some() => Err(CallError::NotSent),
             Err(_) => Err(CallError::Interrupted),
         }
@@ -216,7 +232,11 @@
 /// # Errors
 /// Fails if the connection can't be opened.
 pub async fn connect(address: &str, limits: ConnectTimeouts) -> Result<Connection, ConnectError> {
-    let (sender, driver) = jaypin_http::connect(address, limits).await?;
+    let stream = open_stream(address, limits).await?;
+    let write_limit = WriteLimit::default();
+    let stream = TimedWriter::new(stream, write_limit.clone(), boot_time);
+    let made = handshake(TokioIo::new(stream)).await;
+    let (sender, driver) = made.map_err(io::Error::other)?;
     spawn_local(async move {
         if let Err(error) = driver.await {
             log::debug!(error:%; "a connection ended with an error");
@@ -224,6 +244,7 @@
     });
     Ok(Connection {
         sender,
+        write_limit,
         address: address.to_owned(),
         expires_at: None,
         is_reused: false,
--- a/crates/jaypin_entry/src/host.rs
+++ b/crates/jaypin_entry/src/host.rs
@@ -7,8 +7,8 @@
 
 use jaypin_core::Refusal;
 use jaypin_router::{
-    DecisionInputs, Effect, Event, RequestNumber, Requester, RolloutWrite, Router, SilentCall,
-    Unrouted,
+    BootTime, DecisionInputs, Effect, Event, RequestNumber, Requester, RolloutWrite, Router,
+    SilentCall, Unrouted,
 };
 use tokio::sync::Notify;
 use tokio::sync::mpsc::UnboundedSender;
@@ -163,20 +163,30 @@
         read(&self.router.borrow())
     }
 
-    /// Waits while this host may lack leaves of backend servers because it was stalled.
+    /// Waits while this host may lack leaves of backend servers because it was stalled. Returns the
+    /// time at which it lacked none.
     ///
     /// Guards against a host that runs late: it finds requests and reports in its sockets, and would
     /// send requests to backend servers before it reads the reports of their leaves.
-    pub async fn catch_up(&self) {
-        let time = boot_time();
-        if self.read(|router| router.is_tick_overdue(time)) {
-            self.apply(Event::Tick(time));
-        }
-        while self.read(Router::is_catching_up) {
+    pub async fn catch_up(&self) -> BootTime {
+        loop {
+            // Read before the check, so that a stall within it counts as one after it.
+            let time = boot_time();
+            if self.read(|router| router.is_tick_overdue(time)) {
+                self.apply(Event::Tick(time));
+            }
+            if !self.read(Router::is_catching_up) {
+                return time;
+            }
             sleep(CATCH_UP_INTERVAL).await;
         }
     }
 
+    /// Returns when a check of this time whether a backend server takes a request is outdated.
+    pub fn outdated_at(&self, checked_at: BootTime) -> BootTime {
+        checked_at.saturating_add(self.read(Router::long_stall))
+    }
+
     /// Checks whether a request that was assigned to a backend server may still be sent there.
     pub fn may_send_to(&self, backend: &str) -> bool {
         let now = Instant::now().into_std();
--- a/crates/jaypin_router/src/router/watching.rs
+++ b/crates/jaypin_router/src/router/watching.rs
@@ -6,7 +6,7 @@
 use jaypin_core::{BackendId, HostId, score};
 
 use super::{Effect, Router};
-use crate::store_freshness::{MAX_DIVERGENCE, MAX_UNWATCHED, is_long_stall};
+use crate::store_freshness::{MAX_DIVERGENCE, MAX_UNWATCHED, long_stall};
 use crate::{BackendStatus, BootTime, EntryChange, EntrySource, LeaveState, Report, cell_of};
 
 /// Number of hosts in a cell that watch the store and report to the others. With two of them,
@@ -226,7 +226,14 @@
     #[must_use]
     pub fn is_tick_overdue(&self, boot_time: BootTime) -> bool {
         let since = self.last_boot_time.map(|at| boot_time.saturating_sub(at));
-        since.is_some_and(|it| is_long_stall(it, self.cfg.bounds.leave_limit))
+        since.is_some_and(|it| it >= self.long_stall())
+    }
+
+    /// Returns the time of a stall from which on this host has to hear whether backend servers have
+    /// left before it sends them requests.
+    #[must_use]
+    pub fn long_stall(&self) -> Duration {
+        long_stall(self.cfg.bounds.leave_limit)
     }
 
     /// Returns whether this host was stalled for long, and does not know yet whether backend servers
--- a/crates/jaypin_router/src/store_freshness.rs
+++ b/crates/jaypin_router/src/store_freshness.rs
@@ -161,7 +161,7 @@
         let previous = self.refreshed_at.replace(now);
         let stall = previous.map_or(Duration::MAX, |at| now.saturating_sub(at));
         let was_stalled = stall >= REPORTS_TIME;
-        if previous.is_some() && is_long_stall(stall, limit) {
+        if previous.is_some() && stall >= long_stall(limit) {
             self.resumed_at = Some(now);
         }
         self.resumed_at
@@ -227,11 +227,11 @@
     }
 }
 
-/// Returns whether a host was stalled for so long that it can't go on with what it knew before, where
+/// Returns the time of a stall from which on a host can't go on with what it knew before, where
 /// operators allow `limit` after a leave.
 #[must_use]
-pub fn is_long_stall(time: Duration, limit: Duration) -> bool {
-    time >= limit / 2
+pub fn long_stall(limit: Duration) -> Duration {
+    limit / 2
 }
 
 fn is_stale(proof: Option<BootTime>, now: BootTime) -> bool {
