Place requests by the prompt segments that engines are assumed to cache

Placement treated every prompt as uncached, so a long shared prefix was read again on each engine. Only the uncached tokens count in the estimate and as load. Engines that are otherwise equal are preferred in a rendezvous order of the prefix, so that hosts that do not hear each other choose alike.

--- a/crates/jaypin_entry/src/callers/read_request.rs
+++ b/crates/jaypin_entry/src/callers/read_request.rs
@@ -8,7 +8,7 @@
 use hyper::header::HeaderName;
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Method, Request, StatusCode, Uri};
-use jaypin_router::{ResumedStream, attempt_key};
+use jaypin_router::{PromptSegment, ResumedStream, attempt_key};
 use snafu::Snafu;
 use tokio::time::{Instant, timeout};
 use xxhash_rust::xxh3::Xxh3Default;
@@ -31,6 +31,9 @@
 
 /// Maximum number of parts of a prompt that are passed to the reducer.
 const MAX_SHARED_PARTS: usize = 16;
+/// Maximum number of segments of a prompt that are passed to the reducer: the shared parts and the
+/// request's own.
+const MAX_SEGMENTS: usize = MAX_SHARED_PARTS + 1;
 /// Maximum number of parts of a prompt that a log line names.
 const MAX_NAMED_PARTS: usize = 8;
 /// Maximum number of characters of a part's id in a log line.
@@ -118,7 +121,9 @@
     pub fn prompt_part_names(&self) -> String {
         let parts = self.header.prompt_parts.iter().take(MAX_NAMED_PARTS);
         // Ids are ASCII.
-        let names: Vec<_> = parts.map(|id| &id[..id.len().min(MAX_PART_NAME)]).collect();
+        let names: Vec<_> = parts
+            .map(|part| &part.id[..part.id.len().min(MAX_PART_NAME)])
+            .collect();
         names.join(" ")
     }
 
@@ -127,7 +132,18 @@
         let parts = self.header.prompt_parts.split_last();
         let shared = parts.map_or(&[][..], |(_own, shared)| shared);
         let shared = shared.iter().take(MAX_SHARED_PARTS);
-        shared.map(|id| part_fingerprint(id)).collect()
+        shared.map(|part| part_fingerprint(&part.id)).collect()
+    }
+
+    /// Returns all parts of the prompt as segments that engines cache. A prompt with more parts than
+    /// are passed to the reducer ends before the first of the others, since engines cache prefixes.
+    pub fn segments(&self) -> Vec<PromptSegment> {
+        let parts = self.header.prompt_parts.iter().take(MAX_SEGMENTS);
+        let segments = parts.map(|part| PromptSegment {
+            id: part_fingerprint(&part.id),
+            tokens: part.tokens,
+        });
+        segments.collect()
     }
 
     /// Returns what the request resumes, if it resumes a stream.
--- a/crates/jaypin_entry/src/callers/request_task.rs
+++ b/crates/jaypin_entry/src/callers/request_task.rs
@@ -106,6 +106,7 @@
             timeout: header.timeout,
             fingerprint: self.received.fingerprint,
             shared_parts: self.received.shared_parts(),
+            segments: self.received.segments(),
             is_passed_on: self.received.is_passed_on,
             received_at: self.received.received_at.into_std(),
             boot_time: boot_time(),
@@ -174,6 +175,7 @@
         let tokens = self.received.header.tokens.unwrap_or_default();
         let content = format!("{:016x}", self.received.fingerprint);
         let parts = self.received.prompt_part_names();
-        log::info!(id, content, parts, outcome, backend, version, resumes, after, last_id, account, rank, ms, first_ms, pause_ms, tokens:?, why:% = inputs; "request");
+        let cached_tokens = order.map_or(0, |order| order.inputs.held_tokens());
+        log::info!(id, content, parts, outcome, backend, version, resumes, after, last_id, account, rank, ms, first_ms, pause_ms, tokens:?, cached_tokens, why:% = inputs; "request");
     }
 }
--- a/crates/jaypin_entry/src/lib.rs
+++ b/crates/jaypin_entry/src/lib.rs
@@ -26,6 +26,6 @@
 };
 pub use ports::{
     BackendResponse, CallerRequest, Collection, DecodeError, ForwardContext, Freshness, HostRecord,
-    HostSettings, Object, ObjectChange, ObjectChanges, ObjectPage, Platform,
+    HostSettings, Object, ObjectChange, ObjectChanges, ObjectPage, Platform, PromptPart,
 };
 pub use serve::{ServeOptions, serve};
--- a/crates/jaypin_entry/src/logs/line.rs
+++ b/crates/jaypin_entry/src/logs/line.rs
@@ -9,6 +9,8 @@
 
 /// Suffix of the names of fields that hold a time. In these a 0 means that there is no time.
 const DURATION_SUFFIX: &str = "_ms";
+/// Suffix of the names of fields that hold a number of tokens. A 0 says nothing in these.
+const TOKENS_SUFFIX: &str = "_tokens";
 
 /// Writes `time`, `level`, `msg`, and the record's key-value pairs.
 pub fn write(buf: &mut Formatter, record: &Record<'_>) -> io::Result<()> {
@@ -44,6 +46,6 @@
 /// nor times of events; without these fields a log has a tenth fewer bytes when most requests are
 /// refused.
 fn is_empty(name: &str, value: &serde_json::Value) -> bool {
-    let is_time = name.ends_with(DURATION_SUFFIX);
-    value.as_str().is_some_and(str::is_empty) || is_time && value.as_u64() == Some(0)
+    let is_empty_at_0 = name.ends_with(DURATION_SUFFIX) || name.ends_with(TOKENS_SUFFIX);
+    value.as_str().is_some_and(str::is_empty) || is_empty_at_0 && value.as_u64() == Some(0)
 }
--- a/crates/jaypin_entry/src/metrics.rs
+++ b/crates/jaypin_entry/src/metrics.rs
@@ -40,6 +40,10 @@
     version: Gauge<u64>,
     streams: Gauge<u64>,
     dropped_streams: Gauge<u64>,
+    held_tokens: Gauge<u64>,
+    sent_elsewhere: Gauge<u64>,
+    refuted_held: Gauge<u64>,
+    held_bytes: Gauge<u64>,
     entries_age: Gauge<f64>,
     ready: Gauge<u64>,
     // Dropping the provider would stop the instruments.
@@ -79,6 +83,13 @@
         version: meter.u64_gauge("jaypin.configuration.version").build(),
         streams: meter.u64_gauge("jaypin.streams.remembered").build(),
         dropped_streams: meter.u64_gauge("jaypin.streams.forgotten_early").build(),
+        held_tokens: meter.u64_gauge("jaypin.cache.expected_tokens").build(),
+        sent_elsewhere: meter.u64_gauge("jaypin.cache.sent_elsewhere").build(),
+        refuted_held: meter.u64_gauge("jaypin.cache.refuted").build(),
+        held_bytes: meter
+            .u64_gauge("jaypin.cache.memory")
+            .with_unit("By")
+            .build(),
         entries_age: meter.f64_gauge("jaypin.entries.age").with_unit("s").build(),
         ready: meter.u64_gauge("jaypin.ready").build(),
         registry,
@@ -148,6 +159,10 @@
     all.version.record(counts.version, &[]);
     all.streams.record(wide(counts.streams), &[]);
     all.dropped_streams.record(counts.dropped_streams, &[]);
+    all.held_tokens.record(counts.held_tokens, &[]);
+    all.sent_elsewhere.record(counts.sent_elsewhere, &[]);
+    all.refuted_held.record(counts.refuted_held, &[]);
+    all.held_bytes.record(wide(counts.held_bytes), &[]);
     if let Some(age) = entries_age {
         all.entries_age.record(age.as_secs_f64(), &[]);
     }
--- a/crates/jaypin_entry/src/ports.rs
+++ b/crates/jaypin_entry/src/ports.rs
@@ -146,8 +146,17 @@
     pub tokens: Option<(u32, u32)>,
     /// Number of answer tokens that the caller expects.
     pub expected_answer_tokens: Option<u32>,
-    /// Ids of the parts of the prompt, in order; the last part is the request's own.
-    pub prompt_parts: Vec<String>,
+    /// The parts of the prompt, in order; the last part is the request's own.
+    pub prompt_parts: Vec<PromptPart>,
+}
+
+/// A part of a prompt, which engines cache as a segment.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PromptPart {
+    /// Its id in lower-case ASCII.
+    pub id: String,
+    /// Its number of tokens; 0 if that can't be read.
+    pub tokens: u32,
 }
 
 /// Values that are sent to a backend server in addition to the caller's headers.
--- a/crates/jaypin_entry/src/serve.rs
+++ b/crates/jaypin_entry/src/serve.rs
@@ -42,6 +42,8 @@
     pub settings: PathBuf,
     /// Port on which metrics are served; without one no metrics are recorded.
     pub metrics_port: Option<u16>,
+    /// Whether placement uses what engines are assumed to cache of a prompt.
+    pub uses_held_parts: bool,
 }
 
 /// Runs a host until it has drained.
@@ -62,13 +64,13 @@
         .enable_all()
         .build()
         .map_err(|error| error.to_string())?;
-    LocalSet::new().block_on(&runtime, run(platform, settings, options.metrics_port))
+    LocalSet::new().block_on(&runtime, run(platform, settings, options))
 }
 
 async fn run(
     platform: Rc<dyn Platform>,
     settings: HostSettings,
-    metrics_port: Option<u16>,
+    options: &ServeOptions,
 ) -> Result<(), String> {
     let callers = open(
         "callers",
@@ -85,8 +87,9 @@
         listen(settings.directory_address),
         settings.directory_address,
     )?;
-    let metrics_listener =
-        metrics_port.map(|port| SocketAddr::new(settings.caller_address.ip(), port));
+    let metrics_listener = options
+        .metrics_port
+        .map(|port| SocketAddr::new(settings.caller_address.ip(), port));
     let metrics_listener =
         metrics_listener.map(|address| open("metrics", listen(address), address));
     let metrics_listener = metrics_listener.transpose()?;
@@ -108,6 +111,7 @@
         failure_domain: settings.failure_domain.clone(),
         seed: incarnation,
         bounds: settings.bounds.clone(),
+        uses_held_parts: options.uses_held_parts,
     });
     log::info!(host:% = settings.host, run = incarnation, callers:% = settings.caller_address; "started");
     if settings.bounds.leave_limit < MAX_NOTICE_TIME {
--- a/crates/jaypin_router/src/backend.rs
+++ b/crates/jaypin_router/src/backend.rs
@@ -8,8 +8,8 @@
 use crate::rejection_guard::RejectionGuard;
 use crate::throttle::Throttle;
 use crate::{
-    AttemptOutcome, BackendKey, BackendLoad, BackendSamples, EventRate, PrefillRate, RequestNumber,
-    SoftwareVersion,
+    AttemptOutcome, BackendKey, BackendLoad, BackendSamples, CacheClock, EngineRun, EventRate,
+    PrefillRate, RequestNumber, SoftwareVersion,
 };
 
 /// Cooldown after the first call that could not reach the backend server; it doubles with each
@@ -76,6 +76,8 @@
     pub prefill_rate: PrefillRate,
     /// How fast it produces the events of a stream.
     pub event_rate: EventRate,
+    /// Tokens that its KV cache has taken up in this run.
+    pub cache_clock: CacheClock,
     /// Load that the peers have there.
     peer_load: PeerLoad,
     calls: BTreeMap<RequestNumber, Call>,
@@ -160,6 +162,7 @@
             key,
             prefill_rate: PrefillRate::default(),
             event_rate: EventRate::default(),
+            cache_clock: CacheClock::default(),
             peer_load: PeerLoad::default(),
             calls: BTreeMap::new(),
             totals: BackendSamples::none(key),
@@ -174,6 +177,14 @@
         }
     }
 
+    /// Returns the key of its run and software version, to which its KV cache is bound.
+    #[must_use]
+    pub fn engine_run(&self) -> EngineRun {
+        let seed = self.version ^ u64::from(self.key);
+        let hash = xxhash_rust::xxh3::xxh3_64_with_seed(&self.record.started.to_le_bytes(), seed);
+        EngineRun::try_from(hash >> 32).unwrap_or_default()
+    }
+
     /// Returns the number of requests that run there, from this host and its peers.
     #[must_use]
     pub fn running(&self) -> u32 {
@@ -192,6 +203,7 @@
     pub fn set_peer_load(&mut self, load: BackendLoad, new_prompt_tokens: u32, now: Instant) {
         self.peer_load
             .update(load, new_prompt_tokens, self.prefill_rate, now);
+        self.cache_clock.advance(new_prompt_tokens.into());
     }
 
     /// Returns the load that this host has there.
--- a/crates/jaypin_router/src/configuration.rs
+++ b/crates/jaypin_router/src/configuration.rs
@@ -72,6 +72,8 @@
     pub priority: u8,
     /// Whether it needs no credential.
     pub is_public: bool,
+    /// Whether its requests state the segments of their prompts.
+    pub has_segments: bool,
 }
 
 /// A service of a route.
--- a/crates/jaypin_router/src/decision_inputs.rs
+++ b/crates/jaypin_router/src/decision_inputs.rs
@@ -61,6 +61,8 @@
         time_fraction: Option<f64>,
         /// Whether it was unreachable, failing or overdue with an answer.
         is_unhealthy: bool,
+        /// Tokens of the prompt that it is assumed to cache, if the request is sent there.
+        held_tokens: u32,
         /// Its version, if that is a canary version.
         version: Option<SoftwareVersion>,
     },
@@ -91,6 +93,24 @@
     },
 }
 
+impl DecisionInputs {
+    /// Returns the tokens of the prompt that the chosen backend server is assumed to cache.
+    #[must_use]
+    pub fn held_tokens(&self) -> u32 {
+        match self {
+            Self::Place { held_tokens, .. } => *held_tokens,
+            _ => 0,
+        }
+    }
+
+    /// Sets these tokens for the choice of a backend server.
+    pub(crate) fn set_held_tokens(&mut self, tokens: u32) {
+        if let Self::Place { held_tokens, .. } = self {
+            *held_tokens = tokens;
+        }
+    }
+}
+
 impl fmt::Display for DecisionInputs {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
@@ -139,6 +159,7 @@
                 tokens_ahead,
                 time_fraction: part_of_time,
                 is_unhealthy: is_in_trouble,
+                held_tokens,
                 version,
             } => {
                 let (first, limit) = (first_event.as_millis(), limit.as_millis());
@@ -147,14 +168,13 @@
                     wait if *slot_limit == Duration::MAX => format!(", slot in {wait} ms"),
                     wait => format!(", slot in {wait} ms of {}", slot_limit.as_millis()),
                 };
-                let answer = match part_of_time {
-                    Some(part) => format!(", answer in {:.0}% of its time", part * 100.0),
-                    None => String::new(),
-                };
-                let trouble = if *is_in_trouble { ", in trouble" } else { "" };
+                let answer = part_of_time
+                    .map(|part| format!(", answer in {:.0}% of its time", part * 100.0));
+                let answer = answer.unwrap_or_default();
+                let notes = place_notes(*is_in_trouble, *held_tokens);
                 write!(
                     f,
-                    "first event in {first} ms of {limit}{slot}, {running} running, {tokens_ahead} tokens ahead{answer}{trouble}"
+                    "first event in {first} ms of {limit}{slot}, {running} running, {tokens_ahead} tokens ahead{answer}{notes}"
                 )?;
                 version
                     .as_ref()
@@ -195,3 +215,12 @@
         }
     }
 }
+
+/// Returns what is not true of every chosen backend server.
+fn place_notes(is_in_trouble: bool, held_tokens: u32) -> String {
+    let trouble = if is_in_trouble { ", in trouble" } else { "" };
+    match held_tokens {
+        0 => trouble.to_owned(),
+        tokens => format!("{trouble}, {tokens} tokens cached"),
+    }
+}
--- a/crates/jaypin_router/src/lib.rs
+++ b/crates/jaypin_router/src/lib.rs
@@ -18,6 +18,7 @@
 mod entries;
 mod event_rate;
 mod fleet;
+mod held_parts;
 mod limits;
 mod minimum_share;
 mod peer_clock;
@@ -61,6 +62,10 @@
 pub use entries::{Entries, EntryChange, EntrySource, LeaveState};
 pub use event_rate::EventRate;
 pub use fleet::{Fleet, Peer};
+pub use held_parts::{
+    CacheClock, ChainKey, EngineOrder, EngineRun, HeldParts, HeldPrefix, HeldPrompt,
+    MAX_BYTES as MAX_HELD_BYTES, PromptChain, PromptSegment,
+};
 pub use minimum_share::MinimumShares;
 pub use peer_clock::PeerClock;
 pub use peer_loads::{LoadChange, LoadUpdate, PeerLoads};
--- a/crates/jaypin_router/src/placement.rs
+++ b/crates/jaypin_router/src/placement.rs
@@ -72,7 +72,8 @@
 
 /// Returns the best backend server for a request, without those in `attempted`.
 ///
-/// One that `serves` the request is preferred to one that does not. The random numbers of
+/// One that `serves` the request is preferred to one that does not. Of the prompt, a backend server
+/// does not have to read the `held_tokens`, which it is assumed to cache. The random numbers of
 /// `tie_break` spread requests over equally good ones, since all hosts see the same loads at
 /// nearly the same time.
 pub fn choose_backend<'a>(
@@ -80,6 +81,7 @@
     demand: &Demand,
     attempted: &[BackendId],
     serves: impl Fn(&Backend, &Choice) -> bool,
+    held_tokens: impl Fn(&Backend) -> u32,
     mut tie_break: impl FnMut() -> f64,
     now: Instant,
 ) -> Option<Choice> {
@@ -88,6 +90,11 @@
         accepts && !attempted.contains(&it.record.id)
     });
     let scored = usable.map(|backend| {
+        let uncached = demand.prompt_tokens.saturating_sub(held_tokens(backend));
+        let demand = &Demand {
+            prompt_tokens: uncached,
+            ..*demand
+        };
         let choice = estimate(backend, demand, now);
         let penalty = if serves(backend, &choice) {
             0.0
--- a/crates/jaypin_router/src/request.rs
+++ b/crates/jaypin_router/src/request.rs
@@ -8,8 +8,8 @@
 
 use crate::limits::resumption_window;
 use crate::{
-    AttemptKey, BackendRun, BootTime, Rank, Repeat, RequestNumber, Route, StreamKey, StreamOrigin,
-    StreamQuery, VersionKey, VersionsSeen,
+    AttemptKey, BackendRun, BootTime, HeldPrefix, PromptChain, PromptSegment, Rank, Repeat,
+    RequestNumber, Route, StreamKey, StreamOrigin, StreamQuery, VersionKey, VersionsSeen,
 };
 
 /// Time of writing after which the parts of a prompt are known to be sound.
@@ -44,6 +44,8 @@
     pub fingerprint: u64,
     /// Fingerprints of the parts of its prompt, without the last one, which is its own.
     pub shared_parts: Vec<u64>,
+    /// All segments of its prompt in order; none if it states none that can be read.
+    pub segments: Vec<PromptSegment>,
     /// Whether a peer passed it on, which is cut off from the backend servers.
     pub is_passed_on: bool,
     /// Time at which its header was read.
@@ -151,6 +153,8 @@
     pub fingerprint: u64,
     /// Fingerprints of the parts of its prompt, without the last one, which is its own.
     pub shared_parts: Vec<u64>,
+    /// The segments of its prompt, if assumptions about them are used for it.
+    pub prompt: PromptChain,
     /// Time at which it arrived.
     pub arrived_at: Instant,
     /// Time at which the whole answer is due.
@@ -274,6 +278,8 @@
     pub at: Instant,
     /// Prompt tokens that the backend server had to read first.
     pub tokens_ahead: u32,
+    /// Prefix of its prompt that the backend server was assumed to cache.
+    pub held: HeldPrefix,
     /// Whether a slot was free there, as far as this host knew.
     pub had_slot: bool,
     /// Time at which its first event or its answer arrived.
--- a/crates/jaypin_router/src/router/arrival.rs
+++ b/crates/jaypin_router/src/router/arrival.rs
@@ -90,6 +90,7 @@
         let named = arrival.resumes.map(|it| it.attempt);
         let admitted = Admitted {
             number: arrival.number,
+            prompt: self.prompt_chain(arrival, route, account),
             size,
             expected_events: self.expected_events(&service, expected),
             service,
--- a/crates/jaypin_router/src/router/attempt.rs
+++ b/crates/jaypin_router/src/router/attempt.rs
@@ -5,6 +5,7 @@
 use jaypin_core::{Ran, Reason, Refusal};
 
 use super::arrival::refuse;
+use super::held_prompts::is_prefill_sample;
 use super::{Effect, Router};
 use crate::limits::longest_wait_in_stream;
 use crate::prefill_rate::CALL_OVERHEAD;
@@ -46,22 +47,33 @@
     }
 
     fn handle_first_event(&mut self, now: Instant, number: RequestNumber) {
-        let Some(request) = self.sent.get(&number) else {
+        let Some(mut request) = self.sent.remove(&number) else {
             return;
         };
+        let elapsed = now.saturating_duration_since(request.state.at);
+        let elapsed = elapsed.saturating_sub(CALL_OVERHEAD);
+        let cached = self.record_held_prompt(&request.admitted, &request.state, elapsed, now);
+        request.state.held.tokens = cached;
+        self.record_prefill_sample(&request, elapsed);
+        self.sent.insert(number, request);
+    }
+
+    fn record_prefill_sample(&mut self, request: &Request<Sent>, elapsed: Duration) {
         let state = &request.state;
         let Some(backend) = self.backends.get_mut(&state.backend) else {
             return;
         };
-        backend.record_first_event(number);
+        backend.record_first_event(request.admitted.number);
         // With all slots taken, the time depends more on when other requests end than on the
         // prefill of this one.
         let is_first = request.admitted.attempted.len() == 1;
         if state.had_slot && is_first && request.admitted.prompt_tokens > 0 {
-            let elapsed = now.saturating_duration_since(state.at);
-            let seconds = elapsed.saturating_sub(CALL_OVERHEAD).as_secs_f64();
-            let tokens = f64::from(state.tokens_ahead) + f64::from(request.admitted.prompt_tokens);
-            backend.record_prefill(tokens, seconds);
+            let cached = state.held.tokens;
+            let uncached = request.admitted.prompt_tokens.saturating_sub(cached);
+            let tokens = f64::from(state.tokens_ahead) + f64::from(uncached);
+            if is_prefill_sample(backend, tokens, cached) {
+                backend.record_prefill(tokens, elapsed.as_secs_f64());
+            }
         }
     }
 
--- a/crates/jaypin_router/src/router/event.rs
+++ b/crates/jaypin_router/src/router/event.rs
@@ -63,6 +63,8 @@
     pub seed: u64,
     /// Limits and budgets of the fleet.
     pub bounds: Bounds,
+    /// Whether placement uses what engines are assumed to cache of a prompt.
+    pub uses_held_parts: bool,
 }
 
 /// An input of [`Router::apply`](crate::Router::apply).
@@ -281,4 +283,12 @@
     pub streams: usize,
     /// Streams that it forgot early, for lack of room.
     pub dropped_streams: u64,
+    /// Prompt tokens that were assumed to be cached at the chosen engines, in total.
+    pub held_tokens: u64,
+    /// Requests sent to an engine although another one was assumed to cache more of their prompt.
+    pub sent_elsewhere: u64,
+    /// Assumptions about cached segments that the time to the first event refuted.
+    pub refuted_held: u64,
+    /// Memory of the assumptions about cached segments, in bytes.
+    pub held_bytes: usize,
 }
--- a/crates/jaypin_router/src/router/mod.rs
+++ b/crates/jaypin_router/src/router/mod.rs
@@ -6,6 +6,7 @@
 mod crashes;
 mod event;
 mod fleet_quota;
+mod held_prompts;
 mod joining;
 mod load_reporting;
 mod missing_entries;
@@ -38,10 +39,12 @@
 use crate::{
     AccountArrivals, ArrivalRates, Backend, BackendContact, BackendSignals, BackendSubsets,
     BackendTable, BootTime, CellIndex, Contact, CrashEvidence, Entries, Fleet, FleetQuota,
-    MinimumShares, PeerLoads, RequestNumber, ResendBudget, Rollouts, RouteTable, SignalTable,
-    Sizes, SlowAnswerDetector, StoreFreshness, StreamOrigins, VersionHistory, WaitingList,
+    HeldParts, MinimumShares, PeerLoads, RequestNumber, ResendBudget, Rollouts, RouteTable,
+    SignalTable, Sizes, SlowAnswerDetector, StoreFreshness, StreamOrigins, VersionHistory,
+    WaitingList,
 };
 use fleet_quota::FleetQuotaState;
+use held_prompts::HeldCounts;
 use joining::JoinState;
 use load_reporting::LoadReportState;
 use missing_entries::MissingEntries;
@@ -93,6 +96,8 @@
     minimum_shares: MinimumShares,
     account_arrivals: AccountArrivals,
     crash_evidence: CrashEvidence,
+    held_parts: HeldParts,
+    held_counts: HeldCounts,
     stream_origins: StreamOrigins,
     version_history: VersionHistory,
     /// Requests that resume a stream whose version other hosts are asked for.
@@ -147,6 +152,8 @@
             minimum_shares: MinimumShares::default(),
             account_arrivals: AccountArrivals::default(),
             crash_evidence: CrashEvidence::default(),
+            held_parts: HeldParts::default(),
+            held_counts: HeldCounts::default(),
             stream_origins: StreamOrigins::default(),
             version_history: VersionHistory::default(),
             resuming: BTreeMap::new(),
@@ -244,7 +251,7 @@
     #[must_use]
     pub fn counts(&self, now: Instant) -> RouterCounts {
         let backends = self.backends.values();
-        RouterCounts {
+        let mut counts = RouterCounts {
             waiting: self.waiting.len() + self.resuming.len(),
             running: self.sent.len() + self.passed_on.len(),
             hosts: self.fleet.size(now),
@@ -253,7 +260,11 @@
             version: self.version(),
             streams: self.stream_origins.len(),
             dropped_streams: self.stream_origins.dropped(),
-        }
+            held_bytes: self.held_parts.bytes(),
+            ..RouterCounts::default()
+        };
+        self.held_counts.add_to(&mut counts);
+        counts
     }
 
     /// Returns the latest signals of a backend server, from response headers to this host or its
@@ -348,7 +359,9 @@
         self.drop_missing_backends(now);
         let is_time = |at: Instant| now.saturating_duration_since(at) >= REFRESH_PAUSE;
         if self.refreshed_at.is_none_or(is_time) {
-            self.refreshed_at = Some(now);
+            let elapsed = self.refreshed_at.replace(now);
+            let elapsed = elapsed.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+            self.age_unseen_caches(elapsed, now);
             self.forget_silent_hosts(now);
             self.refresh_peers(now);
             self.refresh_cells();
--- a/crates/jaypin_router/src/router/placing.rs
+++ b/crates/jaypin_router/src/router/placing.rs
@@ -14,7 +14,7 @@
 use crate::request::{Admitted, Request, Sent, Waiting};
 use crate::retry_after::capacity_retry_after;
 use crate::{
-    AttemptOutcome, Backend, BackendRun, DecisionInputs, RequestNumber, VersionRole,
+    AttemptOutcome, Backend, BackendRun, DecisionInputs, EngineOrder, RequestNumber, VersionRole,
     reserved_slots, service_key,
 };
 
@@ -153,12 +153,21 @@
         };
         let subset = self.subset_backends(&admitted.service);
         let subset = subset.filter(|it| self.fits_stream(admitted, it));
+        let held_tokens = self.held_tokens(admitted, now);
+        let mut subset: Vec<_> = subset.collect();
+        let mut ranks = EngineOrder::ranks();
+        let mut tie_break: &mut dyn FnMut() -> f64 = &mut random;
+        if let Some(order) = self.engine_order(admitted) {
+            order.sort(&mut subset, |it| it.key);
+            tie_break = &mut ranks;
+        }
         choose_backend(
-            subset,
+            subset.into_iter(),
             &demand,
             &admitted.attempted,
             serves,
-            &mut random,
+            &held_tokens,
+            &mut tie_break,
             now,
         )
         // If none of its own backend servers is left, the host uses those of the other
@@ -176,6 +185,7 @@
                 &demand,
                 &admitted.attempted,
                 serves,
+                &held_tokens,
                 &mut random,
                 now,
             )
@@ -235,7 +245,7 @@
     }
 
     /// Returns the backend servers of a service that this host uses.
-    fn subset_backends(&self, service: &ServiceId) -> impl Iterator<Item = &Backend> {
+    pub(super) fn subset_backends(&self, service: &ServiceId) -> impl Iterator<Item = &Backend> {
         let subset = self.stable_subsets.own_subset(service).iter();
         subset.filter_map(|id| self.backends.get(id))
     }
@@ -278,6 +288,7 @@
             tokens_ahead: choice.tokens_ahead,
             time_fraction: choice.time_fraction,
             is_unhealthy: choice.is_unhealthy,
+            held_tokens: 0,
             version: backend.and_then(|it| self.canary_version(&it.record)),
         }
     }
@@ -287,15 +298,21 @@
         now: Instant,
         request: Request<Waiting>,
         choice: Choice,
-        inputs: DecisionInputs,
+        mut inputs: DecisionInputs,
         fx: &mut Vec<Effect>,
     ) {
+        let held = self.count_held(&request.admitted, &choice.backend, now);
+        inputs.set_held_tokens(held.tokens);
         let Some(backend) = self.backends.get_mut(&choice.backend) else {
             return self.give_up(now, &request, Reason::NoBackend, inputs, fx);
         };
         let admitted = &request.admitted;
-        let (number, tokens) = (admitted.number, admitted.prompt_tokens);
-        backend.record_sent(number, tokens, choice.first_event, now);
+        let number = admitted.number;
+        let tokens = admitted.prompt_tokens.saturating_sub(held.tokens);
+        // A call is not overdue if only the assumption was wrong.
+        let saved = backend.prefill_rate.seconds_for(held.tokens.into());
+        let first_event = choice.first_event + Duration::from_secs_f64(saved);
+        backend.record_sent(number, tokens, first_event, now);
         self.load_report_state.slot_changed(backend.key);
         let record = backend.record.clone();
         let backend_version = backend.version;
@@ -320,6 +337,7 @@
             version: backend_version,
             at: now,
             tokens_ahead: choice.tokens_ahead,
+            held,
             had_slot: choice.has_slot,
             first_event_at: None,
             written_for: Duration::ZERO,
--- a/crates/jaypin_router/src/router/rollouts.rs
+++ b/crates/jaypin_router/src/router/rollouts.rs
@@ -209,9 +209,10 @@
         };
         let subset = self.canary_subsets.own_subset(&admitted.service).iter();
         let subset = subset.filter_map(|id| self.backends.get(id));
+        let held_tokens = self.held_tokens(admitted, now);
         let mut rng = self.rng.clone();
         let random = || rng.random_range(0.0..1.0);
-        let choice = choose_backend(subset, &demand, &[], serves, random, now);
+        let choice = choose_backend(subset, &demand, &[], serves, held_tokens, random, now);
         self.rng = rng;
         choice.filter(|choice| {
             let backend = self.backends.get(&choice.backend);
@@ -256,7 +257,9 @@
                 let Some(first_event_time) = first_event_time.filter(|_| is_first_attempt) else {
                     return;
                 };
-                let tokens = request.admitted.prompt_tokens;
+                // Cached tokens are not read, and a new version begins with an empty cache.
+                let cached = request.state.held.tokens;
+                let tokens = request.admitted.prompt_tokens.saturating_sub(cached);
                 let is_baseline = role == VersionRole::Stable;
                 if self
                     .slow_answers
--- a/crates/jaypin_router/tests/common/mod.rs
+++ b/crates/jaypin_router/tests/common/mod.rs
@@ -66,6 +66,7 @@
         attempts: 2,
         priority: 1,
         is_public: false,
+        has_segments: true,
     }
 }
 
@@ -243,7 +244,21 @@
         Self::with_run(number, number.into(), bounds)
     }
 
+    /// Creates the only host of a fleet, whose placement ignores what engines cache of a prompt.
+    pub fn without_held_parts(configuration: Configuration) -> Self {
+        let mut host = Self::with_settings(1, 1, bounds(), false);
+        host.apply(Event::HostsListed(Vec::new()));
+        host.configure(configuration);
+        host.prove();
+        host.tick();
+        host
+    }
+
     fn with_run(number: u16, run: u64, bounds: Bounds) -> Self {
+        Self::with_settings(number, run, bounds, true)
+    }
+
+    fn with_settings(number: u16, run: u64, bounds: Bounds, uses_held_parts: bool) -> Self {
         let router = Router::new(RouterConfig {
             host: format!("host-{number}").as_str().into(),
             incarnation: run,
@@ -252,6 +267,7 @@
             failure_domain: "a".into(),
             seed: 7,
             bounds,
+            uses_held_parts,
         });
         Self {
             router,
@@ -385,6 +401,7 @@
             timeout: None,
             fingerprint: number,
             shared_parts: Vec::new(),
+            segments: Vec::new(),
             is_passed_on: false,
             received_at: self.now,
             boot_time: self.boot_time,
