Report cached prompt prefixes to the hosts that use the same engines

A host of 70 sees one request in seventy, so from its own observations it knows few of the prefixes that an engine caches. Load reports now carry prefixes that save at least 5 ms, at most 8 in a report, and one prefix again only after 10 to 20 s. No report is sent for them alone. A report without them has the same bytes as before, and hosts of the earlier version read the parts that they know.

The test that removes the last field of a whole report now names that part by its place, since it is no longer the last one.

--- a/crates/jaypin_entry/src/peers/wire/mod.rs
+++ b/crates/jaypin_entry/src/peers/wire/mod.rs
@@ -21,8 +21,8 @@
 
 use jaypin_core::{AccountId, FailureDomain, HostId};
 use jaypin_router::{
-    AccountUse, ArrivalCount, BackendLoad, BackendSamples, BackendSignals, Contact, Rank, Report,
-    SignalReport, StoreView, StreamMessage, WholeReport,
+    AccountUse, ArrivalCount, BackendLoad, BackendSamples, BackendSignals, Contact, HeldReport,
+    Rank, Report, SignalReport, StoreView, StreamMessage, WholeReport,
 };
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -89,6 +89,9 @@
 /// per second, whether it is leaving, age and age of the last rejection in milliseconds.
 type WireSignals = (u32, u64, Option<f64>, Option<u32>, bool, u64, Option<u64>);
 
+/// Key of the backend server, key of its run, key of the prefix, its tokens.
+type WireHeld = (u32, u32, u64, u32);
+
 /// Key of the service, rank of the account and of the route, requests.
 type WireArrivals = (u32, u8, u8, u32);
 /// Host name, address for reports, address for callers, failure domain, cell.
@@ -110,6 +113,8 @@
     Vec<WireSignals>,
     Vec<WireChange>,
     Option<WireWhole>,
+    // Reports of earlier versions end before it, and so do those that have none.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")] Vec<WireHeld>,
 );
 
 /// The part that only whole reports have.
@@ -204,6 +209,7 @@
             report.signals.iter().map(wire_signals).collect(),
             report.changes.iter().map(wire_change).collect(),
             report.whole.as_ref().map(WireWhole::from),
+            report.held.iter().map(wire_held).collect(),
         )
     }
 }
@@ -258,6 +264,7 @@
             signals,
             changes,
             whole,
+            held,
         ) = wire;
         let mut sums = samples.iter().flat_map(|it| it.1);
         let are_units_valid = usage.iter().all(|(_, units)| is_valid(*units));
@@ -282,6 +289,7 @@
             signals: signals.into_iter().map(read_signals).collect(),
             changes: changes.into_iter().map(read_change).collect(),
             whole: whole.map(WholeReport::try_from).transpose()?,
+            held: held.into_iter().map(read_held).collect(),
         })
     }
 }
@@ -376,6 +384,19 @@
     }
 }
 
+fn wire_held(held: &HeldReport) -> WireHeld {
+    (held.key, held.run, held.prefix, held.tokens)
+}
+
+fn read_held((key, run, prefix, tokens): WireHeld) -> HeldReport {
+    HeldReport {
+        key,
+        run,
+        prefix,
+        tokens,
+    }
+}
+
 fn wire_load(load: &BackendLoad) -> WireLoad {
     (load.key, load.running, load.unread_tokens)
 }
--- a/crates/jaypin_entry/tests/report_bytes.rs
+++ b/crates/jaypin_entry/tests/report_bytes.rs
@@ -11,10 +11,10 @@
 };
 use jaypin_router::{
     AccountUse, ArrivalCount, BackendLoad, BackendRecord, BackendRun, BackendSamples,
-    BackendSignals, BackendStatus, ClearedSuspect, Contact, Crash, EntryChange, OutcomeCounts,
-    Rank, Report, RolloutOrder, RolloutReport, RolloutState, RouteOutcomes, RunEnd, SignalReport,
-    StorePoint, StoreView, StreamAnswer, StreamKey, StreamMessage, StreamOrigin, StreamQuery,
-    VersionOutcomes, VersionsSeen, WholeReport,
+    BackendSignals, BackendStatus, ClearedSuspect, Contact, Crash, EntryChange, HeldReport,
+    OutcomeCounts, Rank, Report, RolloutOrder, RolloutReport, RolloutState, RouteOutcomes, RunEnd,
+    SignalReport, StorePoint, StoreView, StreamAnswer, StreamKey, StreamMessage, StreamOrigin,
+    StreamQuery, VersionOutcomes, VersionsSeen, WholeReport,
 };
 use rand::RngExt;
 use rand::SeedableRng;
@@ -76,6 +76,12 @@
             },
         ],
         whole: Some(whole()),
+        held: vec![HeldReport {
+            key: u32::MAX,
+            run: u32::MAX,
+            prefix: u64::MAX,
+            tokens: 6_610,
+        }],
     }
 }
 
@@ -181,7 +187,7 @@
     let bytes = encode_report(&full()).expect("bytes");
     let mut value: Value = ciborium::from_reader(&bytes[..]).expect("a value");
     let parts = value.as_array_mut().expect("parts of the report");
-    let whole = parts.last_mut().and_then(Value::as_array_mut);
+    let whole = parts.get_mut(10).and_then(Value::as_array_mut);
     let removed = whole.expect("the whole part").pop();
     assert_eq!(removed, Some(Value::from(88_000)));
     let mut earlier = Vec::new();
@@ -197,6 +203,46 @@
     assert_eq!(decode_report(&earlier).expect("a report"), expected);
 }
 
+/// Guards against hosts of two versions that can't read each other's reports, and against bytes that
+/// deployments without cached prefixes send for them. Reports of the earlier version have 11 parts.
+#[test]
+fn a_report_without_cached_prefixes_is_one_of_the_earlier_version() {
+    use ciborium::Value;
+    /// The parts that a host of the earlier version reads.
+    type Parts = (
+        u32,
+        u64,
+        u64,
+        bool,
+        bool,
+        Value,
+        Value,
+        Value,
+        Value,
+        Value,
+        Value,
+    );
+    let mut report = full();
+    let with = encode_report(&report).expect("bytes");
+    report.held.clear();
+    let without = encode_report(&report).expect("bytes");
+    println!("{} bytes for one prefix", with.len() - without.len());
+    assert!(with.len() - without.len() <= 26);
+    let mut value: Value = ciborium::from_reader(&with[..]).expect("a value");
+    let parts = value.as_array_mut().expect("parts of the report");
+    assert_eq!(parts.len(), 12);
+    parts.pop();
+    let mut earlier = Vec::new();
+    ciborium::into_writer(&value, &mut earlier).expect("bytes");
+    assert_eq!(earlier, without);
+    assert_eq!(decode_report(&earlier).expect("a report"), report);
+    let parts: Parts = ciborium::from_reader(&with[..]).expect("the earlier parts");
+    assert_eq!(
+        (parts.0, parts.1, parts.2),
+        (report.host, report.run, report.sequence)
+    );
+}
+
 /// Guards against a number that is not finite, or negative where it must not be. It would corrupt
 /// every sum that it is added to: an account could use an unlimited quota, or none, on every host
 /// that received it.
--- a/crates/jaypin_router/src/held_parts/mod.rs
+++ b/crates/jaypin_router/src/held_parts/mod.rs
@@ -6,10 +6,12 @@
 
 mod cache_clock;
 mod engine_order;
+mod held_reports;
 mod prompt_chain;
 
 pub use cache_clock::CacheClock;
 pub use engine_order::EngineOrder;
+pub use held_reports::{HeldReport, HeldReports};
 pub use prompt_chain::{ChainKey, PromptChain, PromptSegment};
 
 use std::collections::HashMap;
--- a/crates/jaypin_router/src/lib.rs
+++ b/crates/jaypin_router/src/lib.rs
@@ -63,8 +63,8 @@
 pub use event_rate::EventRate;
 pub use fleet::{Fleet, Peer};
 pub use held_parts::{
-    CacheClock, ChainKey, EngineOrder, EngineRun, HeldParts, HeldPrefix, HeldPrompt,
-    MAX_BYTES as MAX_HELD_BYTES, PromptChain, PromptSegment,
+    CacheClock, ChainKey, EngineOrder, EngineRun, HeldParts, HeldPrefix, HeldPrompt, HeldReport,
+    HeldReports, MAX_BYTES as MAX_HELD_BYTES, PromptChain, PromptSegment,
 };
 pub use minimum_share::MinimumShares;
 pub use peer_clock::PeerClock;
--- a/crates/jaypin_router/src/report.rs
+++ b/crates/jaypin_router/src/report.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     ArrivalCount, BackendKey, BackendSignals, BootTime, CellIndex, ClearedSuspect, Contact, Crash,
-    EntryChange, HostKey, RolloutOrder, StoreEra, VersionOutcomes,
+    EntryChange, HeldReport, HostKey, RolloutOrder, StoreEra, VersionOutcomes,
 };
 
 /// What one host has running and has observed.
@@ -42,6 +42,8 @@
     pub changes: Vec<EntryChange>,
     /// Further parts, in a whole report only.
     pub whole: Option<WholeReport>,
+    /// Prompt prefixes that these backend servers cache, which were not reported shortly before.
+    pub held: Vec<HeldReport>,
 }
 
 /// What a host sends only a few times a second, whatever happens.
--- a/crates/jaypin_router/src/router/held_prompts.rs
+++ b/crates/jaypin_router/src/router/held_prompts.rs
@@ -5,7 +5,7 @@
 use super::{Router, RouterCounts};
 use crate::held_parts::{HeldPrefix, MIN_SAVED_TIME};
 use crate::request::{Admitted, Sent};
-use crate::{Account, Arrival, Backend, EngineOrder, PromptChain, Route, account_key};
+use crate::{Account, Arrival, Backend, EngineOrder, HeldReport, PromptChain, Route, account_key};
 
 /// Saving from which a first event says whether the assumption was right: the time to the first
 /// event varies by less in nine requests of ten.
@@ -154,13 +154,41 @@
         backend.cache_clock.advance(f64::from(taken_up));
         if !admitted.prompt.is_empty() {
             let (run, used_at) = (backend.engine_run(), backend.cache_clock.read());
-            let min_tokens = min_tokens(backend);
+            let (key, min_tokens) = (backend.key, min_tokens(backend));
             self.held_parts
                 .record(&admitted.prompt, run, used_at, min_tokens, now);
+            for link in admitted.prompt.steps(min_tokens) {
+                let report = HeldReport {
+                    key,
+                    run,
+                    prefix: link.key,
+                    tokens: link.end(),
+                };
+                self.held_reports.queue(report, now);
+            }
         }
         cached
     }
 
+    /// Applies what a peer reports of the prefixes that engines cache.
+    pub(super) fn apply_held_reports(&mut self, reports: &[HeldReport], now: Instant) {
+        if !self.cfg.uses_held_parts {
+            return;
+        }
+        for report in reports {
+            let backend = self.backends.by_key(report.key);
+            let Some(backend) = backend.filter(|it| it.engine_run() == report.run) else {
+                continue;
+            };
+            let prefix = HeldPrefix {
+                tokens: report.tokens,
+                used_at: backend.cache_clock.read(),
+            };
+            self.held_parts
+                .record_prefix(report.prefix, report.run, prefix, now);
+        }
+    }
+
     /// Advances the clocks of all engines by what silent peers may have sent them since the last
     /// refresh: their share of what an engine can read.
     pub(super) fn age_unseen_caches(&mut self, elapsed: Duration, now: Instant) {
--- a/crates/jaypin_router/src/router/load_reporting.rs
+++ b/crates/jaypin_router/src/router/load_reporting.rs
@@ -177,6 +177,7 @@
 
     fn load_report(&mut self, keys: &[BackendKey], now: Instant) -> Report {
         let mut report = self.new_report();
+        report.held = self.held_reports.take(keys);
         for backend in keys.iter().filter_map(|key| self.backends.by_key(*key)) {
             let load = backend.own_load();
             let samples = self
@@ -203,6 +204,7 @@
         let backends = &self.backends;
         let is_known = |key| backends.by_key(key).is_some();
         self.load_report_state.retain(is_known);
+        self.held_reports.retain(is_known);
     }
 
     /// Returns the report addresses of the other hosts that use a backend server, except for
--- a/crates/jaypin_router/src/router/mod.rs
+++ b/crates/jaypin_router/src/router/mod.rs
@@ -39,9 +39,9 @@
 use crate::{
     AccountArrivals, ArrivalRates, Backend, BackendContact, BackendSignals, BackendSubsets,
     BackendTable, BootTime, CellIndex, Contact, CrashEvidence, Entries, Fleet, FleetQuota,
-    HeldParts, MinimumShares, PeerLoads, RequestNumber, ResendBudget, Rollouts, RouteTable,
-    SignalTable, Sizes, SlowAnswerDetector, StoreFreshness, StreamOrigins, VersionHistory,
-    WaitingList,
+    HeldParts, HeldReports, MinimumShares, PeerLoads, RequestNumber, ResendBudget, Rollouts,
+    RouteTable, SignalTable, Sizes, SlowAnswerDetector, StoreFreshness, StreamOrigins,
+    VersionHistory, WaitingList,
 };
 use fleet_quota::FleetQuotaState;
 use held_prompts::HeldCounts;
@@ -97,6 +97,7 @@
     account_arrivals: AccountArrivals,
     crash_evidence: CrashEvidence,
     held_parts: HeldParts,
+    held_reports: HeldReports,
     held_counts: HeldCounts,
     stream_origins: StreamOrigins,
     version_history: VersionHistory,
@@ -153,6 +154,7 @@
             account_arrivals: AccountArrivals::default(),
             crash_evidence: CrashEvidence::default(),
             held_parts: HeldParts::default(),
+            held_reports: HeldReports::default(),
             held_counts: HeldCounts::default(),
             stream_origins: StreamOrigins::default(),
             version_history: VersionHistory::default(),
--- a/crates/jaypin_router/src/router/reporting.rs
+++ b/crates/jaypin_router/src/router/reporting.rs
@@ -257,6 +257,7 @@
             signals: Vec::new(),
             changes: Vec::new(),
             whole: None,
+            held: Vec::new(),
         }
     }
 
--- a/crates/jaypin_router/src/router/updates.rs
+++ b/crates/jaypin_router/src/router/updates.rs
@@ -128,6 +128,7 @@
         self.apply_reported_rollouts(&report, now);
         self.apply_reported_signals(&report, now);
         self.apply_reported_loads(&report, now);
+        self.apply_held_reports(&report.held, now);
         self.apply_reported_crashes(&report, now);
         let is_whole = report.whole.is_some();
         if let Some(whole) = &report.whole
--- a/crates/jaypin_router/tests/common/mod.rs
+++ b/crates/jaypin_router/tests/common/mod.rs
@@ -185,6 +185,7 @@
         signals: Vec::new(),
         changes: Vec::new(),
         whole: Some(whole),
+        held: Vec::new(),
     }
 }
 
--- a/crates/jaypin_router/tests/held_prompts.rs
+++ b/crates/jaypin_router/tests/held_prompts.rs
@@ -8,7 +8,7 @@
 use common::{Decision, ENGINES, TestHost, decision_for, record, report, whole_report};
 use jaypin_router::{
     Account, AttemptOutcome, Backend, BackendLoad, Configuration, Demand, Effect, Event,
-    PromptSegment, RequestNumber, backend_key, choose_backend,
+    HeldReport, HeldReports, PromptSegment, RequestNumber, backend_key, choose_backend,
 };
 
 /// Number of engines.
@@ -392,6 +392,106 @@
     }
 }
 
+/// Returns the reports about cached prefixes among effects.
+fn held_reports(fx: &[Effect]) -> Vec<HeldReport> {
+    let reports = fx.iter().filter_map(|it| match it {
+        Effect::SendReport { report, .. } => Some(report.held.iter().copied()),
+        _ => None,
+    });
+    reports.flatten().collect()
+}
+
+/// Serves a request with these segments and returns what is reported to the peer meanwhile and shortly
+/// after.
+fn serve_and_report(
+    host: &mut TestHost,
+    sequence: u64,
+    segments: &[(u64, u32)],
+) -> Vec<HeldReport> {
+    peer_load(host, sequence, &engine(0), 0, 0);
+    host.prove();
+    let sent = send(host, segments);
+    let mut reports = Vec::new();
+    host.wait(prefill_time(10_000));
+    reports.extend(host.apply(Event::ResponseStarted(sent.number)));
+    host.wait(Duration::from_millis(50));
+    let outcome = AttemptOutcome::Complete;
+    reports.extend(host.apply(Event::AttemptEnded {
+        number: sent.number,
+        outcome,
+    }));
+    for _ in 0..10 {
+        host.wait(Duration::from_millis(10));
+        reports.extend(host.tick());
+    }
+    held_reports(&reports)
+}
+
+/// Guards against a host of many that knows only its own few requests, and reads again what another
+/// host's engine caches.
+#[test]
+fn a_peer_follows_reports_of_cached_prefixes() {
+    let (mut one, mut other) = (host(), host());
+    let reports = serve_and_report(&mut one, 1, &[SHARED, (10, 300)]);
+    assert_eq!(reports.len(), 2, "{reports:?}");
+    let mut received = report(1, whole_report(2));
+    received.held.clone_from(&reports);
+    other.receive_report(received.clone());
+    let sent = serve(&mut other, &[SHARED, (11, 300)]);
+    assert_eq!(sent.held, 6_000);
+    assert_eq!(backend_key(&sent.engine), reports[0].key);
+
+    // A report about a run of the engine that has ended meanwhile.
+    let mut late = host();
+    let mut restarted = record(&sent.engine, ENGINES, SLOTS);
+    restarted.started += 1;
+    late.set_entry(restarted);
+    late.receive_report(received.clone());
+    assert_eq!(serve(&mut late, &[SHARED, (11, 300)]).held, 0);
+
+    let mut off = TestHost::without_held_parts(common::configuration(1));
+    add_engines(&mut off);
+    off.receive_report(received);
+    assert_eq!(off.router.counts(off.now).held_bytes, 0);
+}
+
+/// Guards against reports that repeat what peers know, or that grow with the number of requests with
+/// one segment; and against peers that forget a segment which stays in use.
+#[test]
+fn a_prefix_is_reported_again_only_after_a_pause() {
+    let mut host = host();
+    assert_eq!(serve_and_report(&mut host, 1, &[SHARED]).len(), 1);
+    for sequence in 2..6 {
+        assert_eq!(serve_and_report(&mut host, sequence, &[SHARED]), []);
+    }
+    // A session that has grown is new.
+    let grown = (SHARED.0, SHARED.1 + 1_000);
+    assert_eq!(serve_and_report(&mut host, 6, &[grown]).len(), 1);
+    host.wait(Duration::from_secs(11));
+    assert_eq!(serve_and_report(&mut host, 7, &[grown, (2, 100)]), []);
+    host.wait(Duration::from_secs(11));
+    assert_eq!(serve_and_report(&mut host, 8, &[grown]).len(), 1);
+}
+
+/// Guards against reports whose size grows with the number of segments, and against a queue of
+/// prefixes that fills the memory of a host.
+#[test]
+fn the_reported_prefixes_are_bounded() {
+    let (mut reports, now) = (HeldReports::default(), Instant::now());
+    for prefix in 0..100_000 {
+        let report = HeldReport {
+            key: 1,
+            run: 2,
+            prefix,
+            tokens: 4_000,
+        };
+        reports.queue(report, now);
+    }
+    assert_eq!(reports.take(&[1]).len(), 8);
+    assert_eq!(reports.take(&[1]).len(), 8);
+    assert_eq!(reports.take(&[1]), []);
+}
+
 /// Returns whether the cache decides between an engine that caches part of the prompt and one that is
 /// idle.
 fn follows_cache(prompt_tokens: u32, held: u32, tokens_ahead: u32, running: u32) -> bool {
