--- a/crates/jaypin_entry/src/metrics.rs
+++ b/crates/jaypin_entry/src/metrics.rs
@@ -48,6 +48,10 @@
     reserve_sent: Gauge<u64>,
     reserve_refused: Gauge<u64>,
     reserve_refusals: Gauge<u64>,
+    held_tokens: Gauge<u64>,
+    sent_elsewhere: Gauge<u64>,
+    refuted_held: Gauge<u64>,
+    held_bytes: Gauge<u64>,
     entries_age: Gauge<f64>,
     ready: Gauge<u64>,
     // Dropping the provider would stop the instruments.
@@ -94,6 +98,13 @@
         reserve_sent: meter.u64_gauge("jaypin.reserved_slots.sent").build(),
         reserve_refused: meter.u64_gauge("jaypin.reserved_slots.refused").build(),
         reserve_refusals: meter.u64_gauge("jaypin.quota.reserve_refusals").build(),
+        held_tokens: meter.u64_gauge("jaypin.cache.expected_tokens").build(),
+        sent_elsewhere: meter.u64_gauge("jaypin.cache.sent_elsewhere").build(),
+        refuted_held: meter.u64_gauge("jaypin.cache.refuted").build(),
+        held_bytes: meter
+            .u64_gauge("jaypin.cache.memory")
+            .with_unit("By")
+            .build(),
         entries_age: meter.f64_gauge("jaypin.entries.age").with_unit("s").build(),
         ready: meter.u64_gauge("jaypin.ready").build(),
         registry,
@@ -182,6 +193,10 @@
     all.reserve_sent.record(counts.reserve.sent, &[]);
     all.reserve_refused.record(counts.reserve.refused, &[]);
     all.reserve_refusals.record(counts.reserve_refusals, &[]);
+    all.held_tokens.record(counts.held_tokens, &[]);
+    all.sent_elsewhere.record(counts.sent_elsewhere, &[]);
+    all.refuted_held.record(counts.refuted_held, &[]);
+    all.held_bytes.record(wide(counts.held_bytes), &[]);
     if let Some(age) = entries_age {
         all.entries_age.record(age.as_secs_f64(), &[]);
     }
--- a/crates/jaypin_router/src/backend.rs
+++ b/crates/jaypin_router/src/backend.rs
@@ -8,8 +8,8 @@
 use crate::rejection_guard::RejectionGuard;
 use crate::throttle::Throttle;
 use crate::{
-    AttemptOutcome, BackendKey, BackendLoad, BackendSamples, EventRate, PauseTally, PrefillRate,
-    RequestNumber, SoftwareVersion,
+    AttemptOutcome, BackendKey, BackendLoad, BackendSamples, CacheClock, EngineRun, EventRate,
+    PauseTally, PrefillRate, RequestNumber, SoftwareVersion,
 };
 
 /// Cooldown after the first call that could not reach the backend server; it doubles with each
@@ -84,6 +84,10 @@
     events_seen_at: Option<Instant>,
     /// Pauses in its streams, by the longest pause that their routes allow.
     pauses: BTreeMap<Duration, PauseTally>,
+    /// Key of its run and software version, to which its KV cache is bound.
+    pub engine_run: EngineRun,
+    /// Tokens that its KV cache has taken up in this run.
+    pub cache_clock: CacheClock,
     /// Load that the peers have there.
     peer_load: PeerLoad,
     calls: BTreeMap<RequestNumber, Call>,
@@ -150,6 +154,12 @@
     tokens as u32
 }
 
+fn engine_run(record: &BackendRecord) -> EngineRun {
+    let seed = crate::version_key(record) ^ u64::from(crate::backend_key(&record.id));
+    let hash = xxhash_rust::xxh3::xxh3_64_with_seed(&record.started.to_le_bytes(), seed);
+    EngineRun::try_from(hash >> 32).unwrap_or_default()
+}
+
 #[derive(Debug)]
 struct Call {
     tokens: u32,
@@ -164,12 +174,14 @@
         let key = crate::backend_key(&record.id);
         Self {
             version: crate::version_key(&record),
-            record,
             key,
             prefill_rate: PrefillRate::default(),
             event_rate: EventRate::default(),
             events_seen_at: None,
             pauses: BTreeMap::new(),
+            engine_run: engine_run(&record),
+            record,
+            cache_clock: CacheClock::default(),
             peer_load: PeerLoad::default(),
             calls: BTreeMap::new(),
             totals: BackendSamples::none(key),
@@ -202,6 +214,7 @@
     pub fn set_peer_load(&mut self, load: BackendLoad, new_prompt_tokens: u32, now: Instant) {
         self.peer_load
             .update(load, new_prompt_tokens, self.prefill_rate, now);
+        self.cache_clock.advance(new_prompt_tokens.into());
     }
 
     /// Returns the load that this host has there.
@@ -440,6 +453,7 @@
     pub fn update_record(&mut self, record: BackendRecord) {
         if record.started == self.record.started && record.address == self.record.address {
             self.version = crate::version_key(&record);
+            self.engine_run = engine_run(&record);
             self.record = record;
         } else {
             *self = Self::new(record);
--- a/crates/jaypin_router/src/lib.rs
+++ b/crates/jaypin_router/src/lib.rs
@@ -20,6 +20,7 @@
 mod entries;
 mod event_rate;
 mod fleet;
+mod held_parts;
 mod hold_times;
 mod limits;
 mod minimum_share;
@@ -69,6 +70,10 @@
 pub use entries::{Entries, EntryChange, EntrySource, LeaveState};
 pub use event_rate::EventRate;
 pub use fleet::{Fleet, Peer};
+pub use held_parts::{
+    CacheClock, ChainKey, EngineOrder, EngineRun, HeldParts, HeldPrefix, HeldPrompt, HeldReport,
+    HeldReports, MAX_BYTES as MAX_HELD_BYTES, PromptChain, PromptSegment,
+};
 pub use hold_times::HoldTimes;
 pub use minimum_share::MinimumShares;
 pub use pause_risk::{PauseTally, ServicePauses, pause_risk};
--- a/crates/jaypin_router/src/router/arrival.rs
+++ b/crates/jaypin_router/src/router/arrival.rs
@@ -91,6 +91,7 @@
         let named = arrival.resumes.map(|it| it.attempt);
         let admitted = Admitted {
             number: arrival.number,
+            prompt: self.prompt_chain(arrival, route, account),
             size,
             size_in_rank: self
                 .sizes
--- a/crates/jaypin_router/src/router/event.rs
+++ b/crates/jaypin_router/src/router/event.rs
@@ -63,6 +63,8 @@
     pub seed: u64,
     /// Limits and budgets of the fleet.
     pub bounds: Bounds,
+    /// Whether placement uses what engines are assumed to cache of a prompt.
+    pub uses_held_parts: bool,
 }
 
 /// An input of [`Router::apply`](crate::Router::apply).
@@ -298,4 +300,12 @@
     pub reserve_refusals: u64,
     /// Use of reserved slots.
     pub reserve: ReserveCounts,
+    /// Prompt tokens that were assumed to be cached at the chosen engines, in total.
+    pub held_tokens: u64,
+    /// Requests sent to an engine although another one was assumed to cache more of their prompt.
+    pub sent_elsewhere: u64,
+    /// Assumptions about cached segments that the time to the first event refuted.
+    pub refuted_held: u64,
+    /// Memory of the assumptions about cached segments, in bytes.
+    pub held_bytes: usize,
 }
--- a/crates/jaypin_router/src/router/placing.rs
+++ b/crates/jaypin_router/src/router/placing.rs
@@ -15,8 +15,8 @@
 use crate::request::{Admitted, Request, Sent, Waiting};
 use crate::retry_after::capacity_retry_after;
 use crate::{
-    AnswerDemand, AttemptOutcome, Backend, BackendRun, DecisionInputs, RequestNumber, ServiceSpeed,
-    SlotReserve, VersionRole, reserved_slots, service_key, slots_freed_in_time,
+    AnswerDemand, AttemptOutcome, Backend, BackendRun, DecisionInputs, EngineOrder, RequestNumber,
+    ServiceSpeed, SlotReserve, VersionRole, reserved_slots, service_key, slots_freed_in_time,
 };
 
 /// Number of reserved slots below which none is reserved, since hardly any urgent requests
@@ -159,12 +159,20 @@
         };
         let subset = self.subset_backends(&admitted.service);
         let subset = subset.filter(|it| self.fits_stream(admitted, it));
+        let held_tokens = self.held_tokens(admitted, now);
+        let mut subset: Vec<_> = subset.collect();
+        let order = self.engine_order(admitted);
+        if let Some(order) = &order {
+            order.sort(&mut subset, |it| it.key);
+        }
+        let tie_break = EngineOrder::tie_breaks(order.as_ref(), &mut random);
         choose_backend(
-            subset,
+            subset.into_iter(),
             &demand,
             &admitted.attempted,
             serves,
-            &mut random,
+            &held_tokens,
+            tie_break,
             now,
         )
         // If none of its own backend servers is left, the host uses those of the other
@@ -182,6 +190,7 @@
                 &demand,
                 &admitted.attempted,
                 serves,
+                &held_tokens,
                 &mut random,
                 now,
             )
@@ -308,7 +317,7 @@
     }
 
     /// Returns the backend servers of a service that this host uses.
-    fn subset_backends(&self, service: &ServiceId) -> impl Iterator<Item = &Backend> {
+    pub(super) fn subset_backends(&self, service: &ServiceId) -> impl Iterator<Item = &Backend> {
         let subset = self.stable_subsets.own_subset(service).iter();
         subset.filter_map(|id| self.backends.get(id))
     }
@@ -357,6 +366,7 @@
             time_fraction: choice.time_fraction,
             late_risk: choice.risk.map(|it| it.total()),
             is_unhealthy: choice.is_unhealthy,
+            held_tokens: 0,
             version: backend.and_then(|it| self.canary_version(&it.record)),
         }
     }
@@ -366,15 +376,21 @@
         now: Instant,
         request: Request<Waiting>,
         choice: Choice,
-        inputs: DecisionInputs,
+        mut inputs: DecisionInputs,
         fx: &mut Vec<Effect>,
     ) {
+        let held = self.count_held(&request.admitted, &choice.backend, now);
+        inputs.set_held_tokens(held.tokens);
         let Some(backend) = self.backends.get_mut(&choice.backend) else {
             return self.give_up(now, &request, Reason::NoBackend, inputs, fx);
         };
         let admitted = &request.admitted;
-        let (number, tokens) = (admitted.number, admitted.prompt_tokens);
-        backend.record_sent(number, tokens, choice.first_event, now);
+        let number = admitted.number;
+        let tokens = admitted.prompt_tokens.saturating_sub(held.tokens);
+        // A call is not overdue if only the assumption was wrong.
+        let saved = backend.prefill_rate.seconds_for(held.tokens.into());
+        let first_event = choice.first_event + Duration::from_secs_f64(saved);
+        backend.record_sent(number, tokens, first_event, now);
         self.load_report_state.slot_changed(backend.key);
         let record = backend.record.clone();
         let backend_version = backend.version;
@@ -399,6 +415,7 @@
             version: backend_version,
             at: now,
             tokens_ahead: choice.tokens_ahead,
+            held,
             had_slot: choice.has_slot,
             first_event_at: None,
             written_for: Duration::ZERO,
--- a/crates/jaypin_router/tests/common/mod.rs
+++ b/crates/jaypin_router/tests/common/mod.rs
@@ -66,6 +66,7 @@
         attempts: 2,
         priority: 1,
         is_public: false,
+        has_segments: true,
     }
 }
 
@@ -184,6 +185,7 @@
         signals: Vec::new(),
         changes: Vec::new(),
         whole: Some(whole),
+        held: Vec::new(),
     }
 }
 
@@ -243,7 +245,21 @@
         Self::with_run(number, number.into(), bounds)
     }
 
+    /// Creates the only host of a fleet, whose placement ignores what engines cache of a prompt.
+    pub fn without_held_parts(configuration: Configuration) -> Self {
+        let mut host = Self::with_settings(1, 1, bounds(), false);
+        host.apply(Event::HostsListed(Vec::new()));
+        host.configure(configuration);
+        host.prove();
+        host.tick();
+        host
+    }
+
     fn with_run(number: u16, run: u64, bounds: Bounds) -> Self {
+        Self::with_settings(number, run, bounds, true)
+    }
+
+    fn with_settings(number: u16, run: u64, bounds: Bounds, uses_held_parts: bool) -> Self {
         let router = Router::new(RouterConfig {
             host: format!("host-{number}").as_str().into(),
             incarnation: run,
@@ -252,6 +268,7 @@
             failure_domain: "a".into(),
             seed: 7,
             bounds,
+            uses_held_parts,
         });
         Self {
             router,
@@ -385,6 +402,7 @@
             timeout: None,
             fingerprint: number,
             shared_parts: Vec::new(),
+            segments: Vec::new(),
             is_passed_on: false,
             received_at: self.now,
             boot_time: self.boot_time,
@@ -459,3 +477,11 @@
     });
     inputs.next().expect("a refusal among the effects")
 }
+
+/// Returns the CPU time that this thread has used. Unlike elapsed time, it does not depend on other
+/// work on the machine.
+pub fn cpu_time() -> Duration {
+    let text = std::fs::read_to_string("/proc/thread-self/schedstat").expect("statistics");
+    let nanos = text.split_whitespace().next().expect("a time");
+    Duration::from_nanos(nanos.parse().expect("nanoseconds"))
+}
