--- a/crates/jaypin_router/tests/held_parts.rs
+++ b/crates/jaypin_router/tests/held_parts.rs
@@ -158,7 +158,8 @@
         parts.record(&prompt, ENGINE, id, MIN_TOKENS, now);
         assert!(parts.bytes() <= MAX_HELD_BYTES + 1_024, "{}", parts.bytes());
     }
-    let time = (common::cpu_time() - began) / u32::try_from(DISTINCT).expect("a small number");
+    let time =
+        common::cpu_time().saturating_sub(began) / u32::try_from(DISTINCT).expect("a small number");
     println!(
         "{time:?} per request, {} bytes in {} segments",
         parts.bytes(),
--- a/crates/jaypin_router/tests/held_prompts.rs
+++ b/crates/jaypin_router/tests/held_prompts.rs
@@ -556,7 +556,7 @@
         for id in 0..MEASURED {
             serve(&mut host, &[SHARED, (id % 50, 2_000), (1_000 + id, 300)]);
         }
-        (common::cpu_time() - began) / u32::try_from(MEASURED).expect("a small number")
+        common::cpu_time().saturating_sub(began) / u32::try_from(MEASURED).expect("a small number")
     };
     let without = mean_time(TestHost::without_held_parts(common::configuration(1)));
     let with = mean_time(TestHost::new(common::configuration(1)));
