--- a/crates/jaypin_router/src/quota.rs
+++ b/crates/jaypin_router/src/quota.rs
@@ -39,8 +39,10 @@
 /// whose urgent work alone exceeds its rate still gets the other part for its remaining requests
 /// after a calm second or two.
 const MAX_RESERVED_FRACTION: f64 = 0.4;
-/// Time after which the weight of granted units in the recent use of an account falls to 1/e: short
-/// enough to notice a spike of three seconds, and as long as hundreds of small requests take.
+/// Time after which the weight of granted units in the recent use of an account falls to 1/e.
+///
+/// Spikes of three seconds must show. Over one second, the use of an account at its limit varies so
+/// much that its urgent requests lose their reserve.
 const USE_MEMORY: Duration = Duration::from_secs(2);
 /// Greatest recent use that is remembered, as a fraction of the rate. The units that a peer granted
 /// during a partition arrive in one report, and a spike must not count for long after its end.
--- a/crates/jaypin_router/src/quota_reserve.rs
+++ b/crates/jaypin_router/src/quota_reserve.rs
@@ -11,8 +11,8 @@
 /// Fractions of its rate that an account uses at which the reserve begins and is complete.
 ///
 /// An account below its rate gets back more than it uses, so its urgent requests need no reserve.
-/// One at its limit is granted its rate on average; its use of the last seconds varies by a tenth
-/// around that.
+/// One at its limit is granted its rate on average, but the use that is measured over two seconds
+/// varies, so the reserve is complete before that.
 const RATE_USES: (f64, f64) = (0.7, 0.9);
 
 /// Units that are reserved for the more urgent requests of an account, and the reasons.
@@ -27,7 +27,8 @@
 }
 
 impl QuotaReserve {
-    /// Returns the reserve of an account with `rate` units per second.
+    /// Returns the reserve of an account with `rate` units per second, of which it used the fraction
+    /// `rate_use` lately.
     #[must_use]
     pub fn new(urgent_share: f64, rate_use: f64, rate: f64) -> Self {
         let (first, full) = RATE_USES;
