Learn hold times from answers that were run to their end, and name the counters of both reserves

Cause: found in review: answers that state a failure or end with their connection counted as hold times, so a rank whose answers fail fast would count as short and take the slots that are reserved for more urgent ranks. Two counters were both called a reserve. Change: only complete answers count; the counters name quota and slots. The new test was not seen red.

--- a/crates/jaypin_entry/src/metrics.rs
+++ b/crates/jaypin_entry/src/metrics.rs
@@ -47,7 +47,7 @@
     dropped_streams: Gauge<u64>,
     reserve_sent: Gauge<u64>,
     reserve_refused: Gauge<u64>,
-    reserve_refusals: Gauge<u64>,
+    quota_reserve_refusals: Gauge<u64>,
     held_tokens: Gauge<u64>,
     sent_elsewhere: Gauge<u64>,
     refuted_held: Gauge<u64>,
@@ -97,7 +97,7 @@
         dropped_streams: meter.u64_gauge("jaypin.streams.forgotten_early").build(),
         reserve_sent: meter.u64_gauge("jaypin.reserved_slots.sent").build(),
         reserve_refused: meter.u64_gauge("jaypin.reserved_slots.refused").build(),
-        reserve_refusals: meter.u64_gauge("jaypin.quota.reserve_refusals").build(),
+        quota_reserve_refusals: meter.u64_gauge("jaypin.quota.reserve_refusals").build(),
         held_tokens: meter.u64_gauge("jaypin.cache.expected_tokens").build(),
         sent_elsewhere: meter.u64_gauge("jaypin.cache.sent_elsewhere").build(),
         refuted_held: meter.u64_gauge("jaypin.cache.refuted").build(),
@@ -190,9 +190,10 @@
     all.version.record(counts.version, &[]);
     all.streams.record(wide(counts.streams), &[]);
     all.dropped_streams.record(counts.dropped_streams, &[]);
-    all.reserve_sent.record(counts.reserve.sent, &[]);
-    all.reserve_refused.record(counts.reserve.refused, &[]);
-    all.reserve_refusals.record(counts.reserve_refusals, &[]);
+    all.reserve_sent.record(counts.slot_reserve.sent, &[]);
+    all.reserve_refused.record(counts.slot_reserve.refused, &[]);
+    all.quota_reserve_refusals
+        .record(counts.quota_reserve_refusals, &[]);
     all.held_tokens.record(counts.held_tokens, &[]);
     all.sent_elsewhere.record(counts.sent_elsewhere, &[]);
     all.refuted_held.record(counts.refuted_held, &[]);
--- a/crates/jaypin_router/src/router/arrival.rs
+++ b/crates/jaypin_router/src/router/arrival.rs
@@ -224,7 +224,7 @@
             .take_with_reserve(account, units, reserved.units, fleet, now);
         if let Err(wait) = charged {
             let is_for_reserve = self.quota.allows(account, units, fleet);
-            self.reserve_refusals += u64::from(is_for_reserve);
+            self.quota_reserve_refusals += u64::from(is_for_reserve);
             return Err(OverQuota {
                 wait,
                 reserved,
--- a/crates/jaypin_router/src/router/attempt.rs
+++ b/crates/jaypin_router/src/router/attempt.rs
@@ -186,6 +186,7 @@
         match outcome {
             AttemptOutcome::Complete => {
                 self.record_hold_time(&request, now);
+                self.record_rank_hold_time(&request, now);
                 self.record_completion(&request.admitted, now);
             }
             AttemptOutcome::Unverified => {
@@ -205,15 +206,21 @@
     }
 
     fn record_hold_time(&mut self, request: &Request<Sent>, now: Instant) {
+        let hold_time = now.saturating_duration_since(request.state.at);
+        if let Some(mean) = self.service_hold_times.get_mut(&request.admitted.service) {
+            let previous = mean.mul_f64(1.0 - HOLD_TIME_WEIGHT);
+            *mean = previous + hold_time.mul_f64(HOLD_TIME_WEIGHT);
+        }
+    }
+
+    /// Records the hold time of an answer that was run to its end. Others may have failed early, and a
+    /// rank that fails fast would count as one whose requests hardly take a slot.
+    fn record_rank_hold_time(&mut self, request: &Request<Sent>, now: Instant) {
         let hold_time = now.saturating_duration_since(request.state.at);
         let admitted = &request.admitted;
         let service = service_key(&admitted.service);
         self.hold_times
             .record(service, admitted.rank.route, hold_time);
-        if let Some(mean) = self.service_hold_times.get_mut(&admitted.service) {
-            let previous = mean.mul_f64(1.0 - HOLD_TIME_WEIGHT);
-            *mean = previous + hold_time.mul_f64(HOLD_TIME_WEIGHT);
-        }
     }
 
     /// Handles a call on which the backend server did not run the request, so another one may
--- a/crates/jaypin_router/src/router/event.rs
+++ b/crates/jaypin_router/src/router/event.rs
@@ -297,9 +297,9 @@
     pub dropped_streams: u64,
     /// Requests over a quota that would have been within it without the units reserved for more
     /// urgent ones.
-    pub reserve_refusals: u64,
+    pub quota_reserve_refusals: u64,
     /// Use of reserved slots.
-    pub reserve: ReserveCounts,
+    pub slot_reserve: ReserveCounts,
     /// Prompt tokens that were assumed to be cached at the chosen engines, in total.
     pub held_tokens: u64,
     /// Requests sent to an engine although another one was assumed to cache more of their prompt.
--- a/crates/jaypin_router/src/router/mod.rs
+++ b/crates/jaypin_router/src/router/mod.rs
@@ -103,7 +103,7 @@
     minimum_shares: MinimumShares,
     account_arrivals: AccountArrivals,
     /// Requests refused for units that are reserved for more urgent requests of their accounts.
-    reserve_refusals: u64,
+    quota_reserve_refusals: u64,
     crash_evidence: CrashEvidence,
     held_parts: HeldParts,
     held_reports: HeldReports,
@@ -165,7 +165,7 @@
             arrival_rates: ArrivalRates::default(),
             minimum_shares: MinimumShares::default(),
             account_arrivals: AccountArrivals::default(),
-            reserve_refusals: 0,
+            quota_reserve_refusals: 0,
             crash_evidence: CrashEvidence::default(),
             held_parts: HeldParts::default(),
             held_reports: HeldReports::default(),
@@ -284,8 +284,8 @@
             version: self.version(),
             streams: self.stream_origins.len(),
             dropped_streams: self.stream_origins.dropped(),
-            reserve_refusals: self.reserve_refusals,
-            reserve: self.reserve_counts,
+            quota_reserve_refusals: self.quota_reserve_refusals,
+            slot_reserve: self.reserve_counts,
             held_bytes: self.held_parts.bytes(),
             ..RouterCounts::default()
         };
--- a/crates/jaypin_router/tests/held_prompts.rs
+++ b/crates/jaypin_router/tests/held_prompts.rs
@@ -509,7 +509,7 @@
         latency_target: Duration::from_millis(600),
         longest_pause: Some(Duration::from_millis(300)),
         hold_time: Duration::from_millis(180),
-        events: None,
+        answer: None,
         time_left: Duration::from_secs(12),
         has_waited: false,
     };
--- a/crates/jaypin_router/tests/quota_order.rs
+++ b/crates/jaypin_router/tests/quota_order.rs
@@ -173,11 +173,11 @@
     for _ in 0..5 {
         complete_request(&mut host, "/urgent/1", Some((3_500, 500)));
     }
-    assert_eq!(host.router.counts(host.now).reserve_refusals, 0);
+    assert_eq!(host.router.counts(host.now).quota_reserve_refusals, 0);
     complete_request(&mut host, "/label/1", Some((300, 50)));
-    assert_eq!(host.router.counts(host.now).reserve_refusals, 1);
+    assert_eq!(host.router.counts(host.now).quota_reserve_refusals, 1);
     complete_request(&mut host, "/label/1", Some((3_000, 500)));
-    assert_eq!(host.router.counts(host.now).reserve_refusals, 1);
+    assert_eq!(host.router.counts(host.now).quota_reserve_refusals, 1);
 }
 
 /// Guards against a refusal that hides its cause: the log must show why a deferrable request was
--- a/crates/jaypin_router/tests/slot_reserve.rs
+++ b/crates/jaypin_router/tests/slot_reserve.rs
@@ -28,11 +28,16 @@
 
 /// Completes eight requests on a route that each hold their slot for `held`.
 fn complete_requests(host: &mut TestHost, path: &str, held: Duration) {
+    end_requests(host, path, held, AttemptOutcome::Complete);
+}
+
+/// Ends eight requests on a route that each hold their slot for `held`.
+fn end_requests(host: &mut TestHost, path: &str, held: Duration, outcome: AttemptOutcome) {
     for _ in 0..8 {
         let (number, decision) = host.arrive(path, (600, 20));
         assert!(matches!(decision, Decision::Sent(_)), "{decision:?}");
         host.wait(held);
-        host.ended(number, AttemptOutcome::Complete);
+        host.ended(number, outcome);
         host.prove();
     }
 }
@@ -149,6 +154,21 @@
     assert_eq!(decision, Decision::Queued);
 }
 
+/// Guards against a rank whose answers fail fast and that counts as short for this reason: it would take
+/// the slots reserved for more urgent requests.
+#[test]
+fn answers_that_may_have_failed_do_not_count_as_short() {
+    let mut host = host_with_engines();
+    complete_requests(&mut host, "/urgent/1", millis(700));
+    complete_requests(&mut host, "/label/1", millis(700));
+    end_requests(&mut host, "/label/1", millis(5), AttemptOutcome::Unverified);
+    host.wait(Duration::from_secs(20));
+    host.prove();
+    take_slots(&mut host, 2);
+    let (_, decision) = host.arrive("/label/1", (600, 20));
+    assert_eq!(decision, Decision::Queued);
+}
+
 /// Guards against a refusal that hides its cause: an operator reads how many slots were reserved
 /// against this request, and why they are fewer than the urgent requests need.
 #[test]
@@ -180,7 +200,7 @@
         sent: 1,
         refused: 1,
     };
-    assert_eq!(host.router.counts(host.now).reserve, expected);
+    assert_eq!(host.router.counts(host.now).slot_reserve, expected);
 }
 
 /// Guards against hold times of a process that has ended: a host that has just started keeps the
