--- a/crates/jaypin_entry/src/callers/attempt.rs
+++ b/crates/jaypin_entry/src/callers/attempt.rs
@@ -11,7 +11,7 @@
 use tokio::time::{Instant, sleep_until};
 
 use super::delivery::{Delivery, forward_response};
-use super::event_timing::EventRate;
+use super::event_timing::{EventGroup, EventRate};
 use super::read_request::{LAST_EVENT_ID, PASSED_ON};
 use super::request_task::RequestTask;
 use super::silence::{Silence, SilenceWatch};
@@ -55,14 +55,15 @@
                 return AttemptOutcome::Unreached;
             };
             if let Recipient::Backend(backend) = &order.recipient {
-                tokio::select! {
-                    () = self.host.catch_up() => {}
+                let checked_at = tokio::select! {
+                    checked_at = self.host.catch_up() => checked_at,
                     () = delivery.caller_disconnected() => return AttemptOutcome::Abandoned,
-                }
+                };
                 if !self.host.may_send_to(backend) {
                     self.host.connections.release(connection);
                     return AttemptOutcome::Withheld;
                 }
+                connection.limit_write(self.host.outdated_at(checked_at));
             }
             let req = self.outgoing_request(order);
             watch.restart(order.first_event_timeout);
@@ -76,6 +77,9 @@
                 // The backend server closed the connection while it was idle. Only a new one
                 // shows whether the server can be reached.
                 Ok(Err(CallError::NotSent)) if connection.is_reused => {}
+                // This host was stalled before the request was written. Whether the backend server
+                // still takes it is checked again.
+                Ok(Err(CallError::Withheld)) => self.log_late_write(order),
                 Ok(Err(CallError::NotSent)) => return AttemptOutcome::Unreached,
                 Ok(Err(CallError::Interrupted)) => return AttemptOutcome::Lost,
             }
@@ -306,13 +310,8 @@
                 }
                 self.last_id = id.or(self.last_id);
                 self.times.record_event();
-                if let Some((events, time)) = rate.record_event() {
-                    let number = self.number;
-                    self.host.apply(Event::Streamed {
-                        number,
-                        events,
-                        time,
-                    });
+                if let Some(group) = rate.record_event() {
+                    self.report_events(group);
                 }
                 if !delivery.send_event(event).await {
                     return AttemptOutcome::Abandoned;
@@ -329,11 +328,23 @@
             self.host.apply(Event::ResponseStarted(self.number));
             delivery.begin_stream(parts.status, &parts.headers);
         }
+        if let Some(group) = rate.take_rest() {
+            self.report_events(group);
+        }
         delivery.end_stream().await;
         self.host.connections.release(connection);
         complete(states_its_end(&parts.headers))
     }
 
+    fn report_events(&self, group: EventGroup) {
+        self.host.apply(Event::Streamed {
+            number: self.number,
+            events: group.events,
+            time: group.time,
+            longest_pause: group.longest_pause,
+        });
+    }
+
     /// Ends a call on which nothing arrived for too long.
     fn end_silent_call(&self, order: &SendOrder, silence: Silence) -> AttemptOutcome {
         let (id, backend) = (&self.received.header.id, order.recipient.name());
@@ -344,6 +355,11 @@
         AttemptOutcome::Silent
     }
 
+    fn log_late_write(&self, order: &SendOrder) {
+        let (id, backend) = (&self.received.header.id, order.recipient.name());
+        log::info!(id, backend; "this host was stalled before it wrote a request; checking again whether to send it");
+    }
+
     /// Returns whether the caller has events of the stream from an earlier call or attempt, so that
     /// nothing but its end may be left.
     fn has_earlier_events(&self) -> bool {
--- a/crates/jaypin_entry/src/metrics.rs
+++ b/crates/jaypin_entry/src/metrics.rs
@@ -6,7 +6,7 @@
 use std::sync::OnceLock;
 use std::time::Duration;
 
-use jaypin_router::RouterCounts;
+use jaypin_router::{DecisionInputs, RouterCounts};
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
@@ -19,6 +19,10 @@
     0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.5, 0.75, 1.0, 2.0, 5.0, 15.0,
 ];
 
+/// Histogram bounds for the probability that an answer is late or cut off: from the risk of packet
+/// loss alone, some hundredths, to that of an answer that is refused, 0.9.
+const RISK_BUCKETS: [f64; 7] = [0.02, 0.05, 0.1, 0.2, 0.4, 0.6, 0.9];
+
 static INSTRUMENTS: OnceLock<Instruments> = OnceLock::new();
 
 /// All instruments of the process.
@@ -32,6 +36,7 @@
     first_event: Histogram<f64>,
     duration: Histogram<f64>,
     pause: Histogram<f64>,
+    late_risk: Histogram<f64>,
     waiting: Gauge<u64>,
     running: Gauge<u64>,
     hosts: Gauge<u64>,
@@ -40,6 +45,13 @@
     version: Gauge<u64>,
     streams: Gauge<u64>,
     dropped_streams: Gauge<u64>,
+    reserve_sent: Gauge<u64>,
+    reserve_refused: Gauge<u64>,
+    quota_reserve_refusals: Gauge<u64>,
+    held_tokens: Gauge<u64>,
+    sent_elsewhere: Gauge<u64>,
+    refuted_held: Gauge<u64>,
+    held_bytes: Gauge<u64>,
     entries_age: Gauge<f64>,
     ready: Gauge<u64>,
     // Dropping the provider would stop the instruments.
@@ -71,6 +83,10 @@
         first_event: histogram("jaypin.request.first_event"),
         duration: histogram("jaypin.request.duration"),
         pause: histogram("jaypin.stream.longest_pause"),
+        late_risk: meter
+            .f64_histogram("jaypin.placement.late_risk")
+            .with_boundaries(RISK_BUCKETS.to_vec())
+            .build(),
         waiting: meter.u64_gauge("jaypin.requests.waiting").build(),
         running: meter.u64_gauge("jaypin.requests.running").build(),
         hosts: meter.u64_gauge("jaypin.hosts.heard").build(),
@@ -79,6 +95,16 @@
         version: meter.u64_gauge("jaypin.configuration.version").build(),
         streams: meter.u64_gauge("jaypin.streams.remembered").build(),
         dropped_streams: meter.u64_gauge("jaypin.streams.forgotten_early").build(),
+        reserve_sent: meter.u64_gauge("jaypin.reserved_slots.sent").build(),
+        reserve_refused: meter.u64_gauge("jaypin.reserved_slots.refused").build(),
+        quota_reserve_refusals: meter.u64_gauge("jaypin.quota.reserve_refusals").build(),
+        held_tokens: meter.u64_gauge("jaypin.cache.expected_tokens").build(),
+        sent_elsewhere: meter.u64_gauge("jaypin.cache.sent_elsewhere").build(),
+        refuted_held: meter.u64_gauge("jaypin.cache.refuted").build(),
+        held_bytes: meter
+            .u64_gauge("jaypin.cache.memory")
+            .with_unit("By")
+            .build(),
         entries_age: meter.f64_gauge("jaypin.entries.age").with_unit("s").build(),
         ready: meter.u64_gauge("jaypin.ready").build(),
         registry,
@@ -120,6 +146,22 @@
     }
 }
 
+/// Records the probability that the answer of a request is late or cut off on the backend server that
+/// was chosen, where it is known, and what was decided: `sent` or `refused`.
+pub fn placement(inputs: &DecisionInputs, decision: &'static str) {
+    let DecisionInputs::Place {
+        late_risk: Some(risk),
+        ..
+    } = inputs
+    else {
+        return;
+    };
+    if let Some(all) = INSTRUMENTS.get() {
+        let labels = [KeyValue::new("decision", decision)];
+        all.late_risk.record(*risk, &labels);
+    }
+}
+
 /// Counts a call to the platform's store by its kind, `read` or `write`, and its outcome.
 pub fn store_call(kind: &'static str, outcome: &'static str) {
     if let Some(all) = INSTRUMENTS.get() {
@@ -148,6 +190,14 @@
     all.version.record(counts.version, &[]);
     all.streams.record(wide(counts.streams), &[]);
     all.dropped_streams.record(counts.dropped_streams, &[]);
+    all.reserve_sent.record(counts.slot_reserve.sent, &[]);
+    all.reserve_refused.record(counts.slot_reserve.refused, &[]);
+    all.quota_reserve_refusals
+        .record(counts.quota_reserve_refusals, &[]);
+    all.held_tokens.record(counts.held_tokens, &[]);
+    all.sent_elsewhere.record(counts.sent_elsewhere, &[]);
+    all.refuted_held.record(counts.refuted_held, &[]);
+    all.held_bytes.record(wide(counts.held_bytes), &[]);
     if let Some(age) = entries_age {
         all.entries_age.record(age.as_secs_f64(), &[]);
     }
--- a/crates/jaypin_router/src/backend.rs
+++ b/crates/jaypin_router/src/backend.rs
@@ -8,8 +8,8 @@
 use crate::rejection_guard::RejectionGuard;
 use crate::throttle::Throttle;
 use crate::{
-    AttemptOutcome, BackendKey, BackendLoad, BackendSamples, EventRate, PrefillRate, RequestNumber,
-    SoftwareVersion,
+    AttemptOutcome, BackendKey, BackendLoad, BackendSamples, CacheClock, EngineRun, EventRate,
+    PauseTally, PrefillRate, RequestNumber, SoftwareVersion,
 };
 
 /// Cooldown after the first call that could not reach the backend server; it doubles with each
@@ -28,6 +28,10 @@
 const FAILURE_RATE_AFTER_COOLDOWN: f64 = 0.3;
 /// Weight of one request in the moving average of the slot hold time.
 const HOLD_TIME_WEIGHT: f64 = 0.05;
+/// Time for which an observed event rate suffices to refuse a request. Without requests there are no
+/// events, so an engine that was slow for some seconds would be refused requests forever. One trial
+/// in that time costs a slot for at most its timeout.
+const RECENT_EVENTS: Duration = Duration::from_secs(5);
 /// Factor on the estimated time to the first event, and time added to it, after which the first
 /// event is overdue.
 const OVERDUE_AFTER: (f64, Duration) = (3.0, Duration::from_millis(400));
@@ -76,6 +80,14 @@
     pub prefill_rate: PrefillRate,
     /// How fast it produces the events of a stream.
     pub event_rate: EventRate,
+    /// Time at which this host last learned of events there.
+    events_seen_at: Option<Instant>,
+    /// Pauses in its streams, by the longest pause that their routes allow.
+    pauses: BTreeMap<Duration, PauseTally>,
+    /// Key of its run and software version, to which its KV cache is bound.
+    pub engine_run: EngineRun,
+    /// Tokens that its KV cache has taken up in this run.
+    pub cache_clock: CacheClock,
     /// Load that the peers have there.
     peer_load: PeerLoad,
     calls: BTreeMap<RequestNumber, Call>,
@@ -142,6 +154,12 @@
     tokens as u32
 }
 
+fn engine_run(record: &BackendRecord) -> EngineRun {
+    let seed = crate::version_key(record) ^ u64::from(crate::backend_key(&record.id));
+    let hash = xxhash_rust::xxh3::xxh3_64_with_seed(&record.started.to_le_bytes(), seed);
+    EngineRun::try_from(hash >> 32).unwrap_or_default()
+}
+
 #[derive(Debug)]
 struct Call {
     tokens: u32,
@@ -156,10 +174,14 @@
         let key = crate::backend_key(&record.id);
         Self {
             version: crate::version_key(&record),
-            record,
             key,
             prefill_rate: PrefillRate::default(),
             event_rate: EventRate::default(),
+            events_seen_at: None,
+            pauses: BTreeMap::new(),
+            engine_run: engine_run(&record),
+            record,
+            cache_clock: CacheClock::default(),
             peer_load: PeerLoad::default(),
             calls: BTreeMap::new(),
             totals: BackendSamples::none(key),
@@ -192,6 +214,7 @@
     pub fn set_peer_load(&mut self, load: BackendLoad, new_prompt_tokens: u32, now: Instant) {
         self.peer_load
             .update(load, new_prompt_tokens, self.prefill_rate, now);
+        self.cache_clock.advance(new_prompt_tokens.into());
     }
 
     /// Returns the load that this host has there.
@@ -287,12 +310,44 @@
     }
 
     /// Records that `events` events of a stream took `seconds`.
-    pub fn record_events(&mut self, events: f64, seconds: f64) {
+    pub fn record_events(&mut self, events: f64, seconds: f64, now: Instant) {
         self.event_rate.record(events, seconds);
+        self.events_seen_at = Some(now);
         self.totals.events += events;
         self.totals.event_seconds += seconds;
     }
 
+    /// Records how many events of a stream came after more than the longest pause that its route
+    /// allows.
+    pub fn record_pauses(
+        &mut self,
+        longest_pause: Duration,
+        events: f64,
+        pauses: f64,
+        now: Instant,
+    ) {
+        let tally = self.pauses.entry(longest_pause).or_default();
+        tally.record(events, pauses, now);
+    }
+
+    /// Returns what this host observed of pauses there, in streams of routes with this longest
+    /// pause.
+    #[must_use]
+    pub fn pauses(&self, longest_pause: Duration) -> PauseTally {
+        let tally = self.pauses.get(&longest_pause);
+        tally.copied().unwrap_or_default()
+    }
+
+    /// Returns whether its event rate is known and was observed a moment ago.
+    #[must_use]
+    pub fn has_recent_event_rate(&self, now: Instant) -> bool {
+        let age = self
+            .events_seen_at
+            .map(|at| now.saturating_duration_since(at));
+        let is_recent = age.is_some_and(|it| it <= RECENT_EVENTS);
+        is_recent && self.event_rate.seconds_for(1.0).is_some()
+    }
+
     /// Records the end of a call.
     pub fn record_end(&mut self, number: RequestNumber, outcome: AttemptOutcome, now: Instant) {
         let call = self.calls.remove(&number);
@@ -331,6 +386,7 @@
         if samples.events > 0.0 {
             self.event_rate
                 .record(samples.events, samples.event_seconds);
+            self.events_seen_at = Some(now);
         }
         if samples.good > 0 {
             let mean = samples.hold_seconds / f64::from(samples.good);
@@ -397,6 +453,7 @@
     pub fn update_record(&mut self, record: BackendRecord) {
         if record.started == self.record.started && record.address == self.record.address {
             self.version = crate::version_key(&record);
+            self.engine_run = engine_run(&record);
             self.record = record;
         } else {
             *self = Self::new(record);
--- a/crates/jaypin_router/src/decision_inputs.rs
+++ b/crates/jaypin_router/src/decision_inputs.rs
@@ -5,7 +5,7 @@
 
 use jaypin_core::AccountId;
 
-use crate::{FleetLevel, QuotaLevel, SoftwareVersion};
+use crate::{FleetLevel, QuotaLevel, QuotaReserve, SlotReserve, SoftwareVersion};
 
 /// The inputs of one decision, as they were when it was made.
 #[derive(Debug, Clone, PartialEq)]
@@ -26,7 +26,7 @@
         /// Units that the request needs.
         units: f64,
         /// Units that are reserved for the account's more urgent requests.
-        reserved: f64,
+        reserved: QuotaReserve,
         /// What the account has left of the share of this host's cell; absent if it is not limited.
         level: Option<QuotaLevel>,
         /// What it has left in the whole fleet.
@@ -59,8 +59,13 @@
         /// Fraction of the time for the whole answer that it is expected to take; absent if
         /// unknown.
         time_fraction: Option<f64>,
+        /// Probability that the answer is late because of a pause, or cut off at its timeout; absent if
+        /// nothing is known of its length.
+        late_risk: Option<f64>,
         /// Whether it was unreachable, failing or overdue with an answer.
         is_unhealthy: bool,
+        /// Tokens of the prompt that it is assumed to cache, if the request is sent there.
+        held_tokens: u32,
         /// Its version, if that is a canary version.
         version: Option<SoftwareVersion>,
     },
@@ -69,7 +74,7 @@
         /// Free slots of the service.
         free: u32,
         /// Reserved slots.
-        reserved: f64,
+        reserve: SlotReserve,
     },
     /// No backend server of the service accepts requests now.
     NoUsableBackend {
@@ -91,6 +96,24 @@
     },
 }
 
+impl DecisionInputs {
+    /// Returns the tokens of the prompt that the chosen backend server is assumed to cache.
+    #[must_use]
+    pub fn held_tokens(&self) -> u32 {
+        match self {
+            Self::Place { held_tokens, .. } => *held_tokens,
+            _ => 0,
+        }
+    }
+
+    /// Sets these tokens for the choice of a backend server.
+    pub(crate) fn set_held_tokens(&mut self, tokens: u32) {
+        if let Self::Place { held_tokens, .. } = self {
+            *held_tokens = tokens;
+        }
+    }
+}
+
 impl fmt::Display for DecisionInputs {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
@@ -109,8 +132,8 @@
                 fleet,
             } => {
                 write!(f, "{units:.0} units for `{account}`")?;
-                if *reserved >= 1.0 {
-                    write!(f, ", {reserved:.0} kept for more urgent requests")?;
+                if reserved.units >= 1.0 {
+                    write!(f, ", {reserved}")?;
                 }
                 if let FleetLevel::Low(left) = fleet {
                     write!(f, ", {left:.0} left in all cells")?;
@@ -138,7 +161,9 @@
                 running,
                 tokens_ahead,
                 time_fraction: part_of_time,
+                late_risk,
                 is_unhealthy: is_in_trouble,
+                held_tokens,
                 version,
             } => {
                 let (first, limit) = (first_event.as_millis(), limit.as_millis());
@@ -147,25 +172,17 @@
                     wait if *slot_limit == Duration::MAX => format!(", slot in {wait} ms"),
                     wait => format!(", slot in {wait} ms of {}", slot_limit.as_millis()),
                 };
-                let answer = match part_of_time {
-                    Some(part) => format!(", answer in {:.0}% of its time", part * 100.0),
-                    None => String::new(),
-                };
-                let trouble = if *is_in_trouble { ", in trouble" } else { "" };
+                let answer = answer_text(*part_of_time, *late_risk);
+                let notes = place_notes(*is_in_trouble, *held_tokens);
                 write!(
                     f,
-                    "first event in {first} ms of {limit}{slot}, {running} running, {tokens_ahead} tokens ahead{answer}{trouble}"
+                    "first event in {first} ms of {limit}{slot}, {running} running, {tokens_ahead} tokens ahead{answer}{notes}"
                 )?;
                 version
                     .as_ref()
                     .map_or(Ok(()), |it| write!(f, ", trial of version {it}"))
             }
-            Self::Reserved { free, reserved } => {
-                write!(
-                    f,
-                    "{free} slots free, {reserved:.1} kept for more urgent requests"
-                )
-            }
+            Self::Reserved { free, reserve } => write!(f, "{free} slots free, {reserve}"),
             Self::NoUsableBackend {
                 limited,
                 backing_off,
@@ -195,3 +212,22 @@
         }
     }
 }
+
+fn answer_text(time_fraction: Option<f64>, late_risk: Option<f64>) -> String {
+    let time = time_fraction.map_or(String::new(), |it| {
+        format!(", answer in {:.0}% of its time", it * 100.0)
+    });
+    let risk = late_risk.map_or(String::new(), |it| {
+        format!(", late or cut with {:.0}%", it * 100.0)
+    });
+    time + &risk
+}
+
+/// Returns what is not true of every chosen backend server.
+fn place_notes(is_in_trouble: bool, held_tokens: u32) -> String {
+    let trouble = if is_in_trouble { ", in trouble" } else { "" };
+    match held_tokens {
+        0 => trouble.to_owned(),
+        tokens => format!("{trouble}, {tokens} tokens cached"),
+    }
+}
--- a/crates/jaypin_router/src/lib.rs
+++ b/crates/jaypin_router/src/lib.rs
@@ -6,6 +6,8 @@
 
 mod account_arrivals;
 mod account_totals;
+mod answer_length;
+mod answer_risk;
 mod arrivals;
 mod backend;
 mod backend_contact;
@@ -18,13 +20,17 @@
 mod entries;
 mod event_rate;
 mod fleet;
+mod held_parts;
+mod hold_times;
 mod limits;
 mod minimum_share;
+mod pause_risk;
 mod peer_clock;
 mod peer_loads;
 mod placement;
 mod prefill_rate;
 mod quota;
+mod quota_reserve;
 mod rank;
 mod rate;
 mod rejection_guard;
@@ -36,6 +42,7 @@
 mod rollout;
 mod route_table;
 mod router;
+mod service_speed;
 mod signals;
 mod size;
 mod store_freshness;
@@ -47,6 +54,8 @@
 
 pub use account_arrivals::AccountArrivals;
 pub use account_totals::{AccountTotals, AccountUse, FleetLevels};
+pub use answer_length::{AnswerLengthTable, AnswerLengths};
+pub use answer_risk::{AnswerDemand, AnswerRisk};
 pub use arrivals::{ArrivalCount, ArrivalRates};
 pub use backend::{Backend, BackendRecord, BackendStatus};
 pub use backend_contact::{BackendContact, Contact};
@@ -61,12 +70,19 @@
 pub use entries::{Entries, EntryChange, EntrySource, LeaveState};
 pub use event_rate::EventRate;
 pub use fleet::{Fleet, Peer};
+pub use held_parts::{
+    CacheClock, ChainKey, EngineOrder, EngineRun, HeldParts, HeldPrefix, HeldPrompt, HeldReport,
+    HeldReports, MAX_BYTES as MAX_HELD_BYTES, PromptChain, PromptSegment,
+};
+pub use hold_times::HoldTimes;
 pub use minimum_share::MinimumShares;
+pub use pause_risk::{PauseTally, ServicePauses, pause_risk};
 pub use peer_clock::PeerClock;
 pub use peer_loads::{LoadChange, LoadUpdate, PeerLoads};
 pub use placement::{Choice, Demand, choose_backend};
 pub use prefill_rate::PrefillRate;
 pub use quota::{FleetLevel, FleetQuota, QuotaLevel};
+pub use quota_reserve::QuotaReserve;
 pub use rank::Rank;
 pub use rate::DecayedRate;
 pub use report::{
@@ -74,7 +90,7 @@
 };
 pub use request::{Arrival, AttemptOutcome, Requester, ResumedStream};
 pub use resend_budget::ResendBudget;
-pub use reserved_slots::reserved_slots;
+pub use reserved_slots::{SlotReserve, reserved_slots, slots_freed_in_time};
 pub use rollout::{
     Evidence, ExposureBudget, Outcome, OutcomeCounts, Rollout, RolloutOrder, RolloutState,
     RolloutWrite, Rollouts, RouteKey, RouteOutcomes, SlowAnswerDetector, VersionOutcomes,
@@ -82,9 +98,10 @@
 };
 pub use route_table::{RouteTable, Unrouted};
 pub use router::{
-    Bounds, Effect, Event, ExposureBound, Router, RouterConfig, RouterCounts, SilentCall,
-    StayReason,
+    Bounds, Effect, Event, ExposureBound, ReserveCounts, Router, RouterConfig, RouterCounts,
+    SilentCall, StayReason,
 };
+pub use service_speed::ServiceSpeed;
 pub use signals::{BackendSignals, SignalTable};
 pub use size::Sizes;
 pub use store_freshness::{
--- a/crates/jaypin_router/src/router/arrival.rs
+++ b/crates/jaypin_router/src/router/arrival.rs
@@ -7,12 +7,13 @@
 use rand::RngExt;
 
 use super::{Effect, Router};
+use crate::account_arrivals::RouteRank;
 use crate::limits::queue_time_limit;
 use crate::request::{Admitted, Request, Waiting};
 use crate::retry_after::{LEAVING_RETRY_AFTER, NOT_READY_RETRY_AFTER};
 use crate::{
-    Account, Arrival, DecisionInputs, FleetLevel, QuotaUnit, Rank, RequestNumber, Requester, Route,
-    RouteTable, StreamKey, account_key, service_key,
+    Account, Arrival, DecisionInputs, FleetLevel, QuotaReserve, QuotaUnit, Rank, RequestNumber,
+    Requester, Route, RouteTable, StreamKey, account_key, service_key,
 };
 
 /// Time for which a draining host still accepts requests. Callers learn within a few seconds
@@ -30,7 +31,7 @@
     /// Time after which the quota would allow the request.
     wait: Duration,
     /// Units reserved for more urgent requests of the account.
-    reserved: f64,
+    reserved: QuotaReserve,
     /// What the account has left in the whole fleet.
     fleet: FleetLevel,
 }
@@ -90,8 +91,13 @@
         let named = arrival.resumes.map(|it| it.attempt);
         let admitted = Admitted {
             number: arrival.number,
+            prompt: self.prompt_chain(arrival, route, account),
             size,
-            expected_events: self.expected_events(&service, expected),
+            size_in_rank: self
+                .sizes
+                .relative_to_rank(&service, rank, prompt_tokens, expected),
+            expected_events: self.events_of(&service, expected),
+            received_events: 0,
             service,
             account: account.map(|account| account.name.clone()),
             rank,
@@ -126,7 +132,7 @@
 
     /// Returns the number of events that carry so many tokens, for the stream of an engine's
     /// service.
-    fn expected_events(&self, service: &ServiceId, tokens: u32) -> Option<f64> {
+    pub(super) fn events_of(&self, service: &ServiceId, tokens: u32) -> Option<f64> {
         let engine = self.table.as_ref()?.service(service)?.engine.as_ref()?;
         let events = f64::from(tokens) / f64::from(engine.tokens_per_event.max(1));
         (tokens > 0).then_some(events)
@@ -183,7 +189,7 @@
         } else {
             INITIAL_PLAIN_HOLD_TIME
         };
-        self.hold_times
+        self.service_hold_times
             .entry(service.clone())
             .or_insert(initial_hold_time);
         self.budget(&service, now).record_request(now);
@@ -208,26 +214,36 @@
         }
         let is_below_minimum = self.minimum_shares.is_behind(route.0, admitted.rank);
         let reserved = if is_below_minimum || units <= 0.0 {
-            0.0
+            QuotaReserve::default()
         } else {
-            let hosts = u32::try_from(self.fleet.size(now)).unwrap_or(u32::MAX);
-            let hosts = f64::from(hosts) * f64::from(self.cells);
-            self.account_arrivals
-                .units_to_reserve(account, route, hosts, now)
+            self.quota_reserve(account, route, now)
         };
         let fleet = self.fleet_level(account, now);
         let charged = self
             .quota
-            .take_with_reserve(account, units, reserved, fleet, now);
-        charged.map_err(|wait| OverQuota {
-            wait,
-            reserved,
-            fleet,
-        })?;
+            .take_with_reserve(account, units, reserved.units, fleet, now);
+        if let Err(wait) = charged {
+            let is_for_reserve = self.quota.allows(account, units, fleet);
+            self.quota_reserve_refusals += u64::from(is_for_reserve);
+            return Err(OverQuota {
+                wait,
+                reserved,
+                fleet,
+            });
+        }
         self.record_granted(account, units);
         Ok(())
     }
 
+    /// Returns the units that are withheld from an account's requests on a route.
+    fn quota_reserve(&self, account: &AccountId, route: RouteRank, now: Instant) -> QuotaReserve {
+        let Some(quota) = self.quota.quota_of(account) else {
+            return QuotaReserve::default();
+        };
+        let urgent_share = self.account_arrivals.urgent_share(account, route, now);
+        QuotaReserve::new(urgent_share, self.quota.rate_use(account, now), quota.rate)
+    }
+
     fn choose_service(&mut self, route: &Route) -> ServiceId {
         let total: u32 = route.targets.iter().map(|it| it.weight).sum();
         let mut drawn = self.rng.random_range(0..total.max(1));
--- a/crates/jaypin_router/src/router/event.rs
+++ b/crates/jaypin_router/src/router/event.rs
@@ -63,6 +63,8 @@
     pub seed: u64,
     /// Limits and budgets of the fleet.
     pub bounds: Bounds,
+    /// Whether placement uses what engines are assumed to cache of a prompt.
+    pub uses_held_parts: bool,
 }
 
 /// An input of [`Router::apply`](crate::Router::apply).
@@ -115,6 +117,8 @@
         events: u32,
         /// Time over which they arrived.
         time: Duration,
+        /// The longest time before one of them.
+        longest_pause: Duration,
     },
     /// A call to a backend server ended.
     AttemptEnded {
@@ -262,6 +266,16 @@
     },
 }
 
+/// Requests that found no more slots free than more urgent arrivals need, since the host's start.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct ReserveCounts {
+    /// Requests that were sent to one of these slots: they hold it for a short time, or others
+    /// become free in time.
+    pub sent: u64,
+    /// Requests that were refused because these slots are reserved.
+    pub refused: u64,
+}
+
 /// Counts for metrics and the status page.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct RouterCounts {
@@ -281,4 +295,17 @@
     pub streams: usize,
     /// Streams that it forgot early, for lack of room.
     pub dropped_streams: u64,
+    /// Requests over a quota that would have been within it without the units reserved for more
+    /// urgent ones.
+    pub quota_reserve_refusals: u64,
+    /// Use of reserved slots.
+    pub slot_reserve: ReserveCounts,
+    /// Prompt tokens that were assumed to be cached at the chosen engines, in total.
+    pub held_tokens: u64,
+    /// Requests sent to an engine although another one was assumed to cache more of their prompt.
+    pub sent_elsewhere: u64,
+    /// Assumptions about cached segments that the time to the first event refuted.
+    pub refuted_held: u64,
+    /// Memory of the assumptions about cached segments, in bytes.
+    pub held_bytes: usize,
 }
--- a/crates/jaypin_router/src/router/mod.rs
+++ b/crates/jaypin_router/src/router/mod.rs
@@ -6,6 +6,7 @@
 mod crashes;
 mod event;
 mod fleet_quota;
+mod held_prompts;
 mod joining;
 mod load_reporting;
 mod missing_entries;
@@ -22,7 +23,7 @@
 mod updates;
 mod watching;
 
-pub use event::{Bounds, Effect, Event, ExposureBound, RouterConfig, RouterCounts};
+pub use event::{Bounds, Effect, Event, ExposureBound, ReserveCounts, RouterConfig, RouterCounts};
 pub use silence::{SilentCall, StayReason};
 
 use std::collections::{BTreeMap, HashMap};
@@ -36,12 +37,15 @@
 
 use crate::request::{PassedOn, Request, Resuming, Sent};
 use crate::{
-    AccountArrivals, ArrivalRates, Backend, BackendContact, BackendSignals, BackendSubsets,
-    BackendTable, BootTime, CellIndex, Contact, CrashEvidence, Entries, Fleet, FleetQuota,
-    MinimumShares, PeerLoads, RequestNumber, ResendBudget, Rollouts, RouteTable, SignalTable,
-    Sizes, SlowAnswerDetector, StoreFreshness, StreamOrigins, VersionHistory, WaitingList,
+    AccountArrivals, AnswerLengthTable, ArrivalRates, Backend, BackendContact, BackendSignals,
+    BackendSubsets, BackendTable, BootTime, CellIndex, Contact, CrashEvidence, Entries, Fleet,
+    FleetQuota, HeldParts, HeldReports, HoldTimes, MinimumShares, PeerLoads, RequestNumber,
+    ResendBudget, Rollouts, RouteTable, ServicePauses, SignalTable, Sizes, SlowAnswerDetector,
+    StoreFreshness, StreamOrigins, VersionHistory, WaitingList,
 };
+use attempt::EventGroup;
 use fleet_quota::FleetQuotaState;
+use held_prompts::HeldCounts;
 use joining::JoinState;
 use load_reporting::LoadReportState;
 use missing_entries::MissingEntries;
@@ -87,12 +91,23 @@
     quota: FleetQuota,
     fleet_quota: FleetQuotaState,
     budgets: HashMap<ServiceId, ResendBudget>,
-    hold_times: HashMap<ServiceId, Duration>,
+    /// Mean slot hold time of each service.
+    service_hold_times: HashMap<ServiceId, Duration>,
+    hold_times: HoldTimes,
+    reserve_counts: ReserveCounts,
     sizes: Sizes,
+    answer_lengths: AnswerLengthTable,
+    /// Pauses of the engines of each service, by the longest pause that routes allow.
+    pauses: HashMap<(ServiceId, Duration), ServicePauses>,
     arrival_rates: ArrivalRates,
     minimum_shares: MinimumShares,
     account_arrivals: AccountArrivals,
+    /// Requests refused for units that are reserved for more urgent requests of their accounts.
+    quota_reserve_refusals: u64,
     crash_evidence: CrashEvidence,
+    held_parts: HeldParts,
+    held_reports: HeldReports,
+    held_counts: HeldCounts,
     stream_origins: StreamOrigins,
     version_history: VersionHistory,
     /// Requests that resume a stream whose version other hosts are asked for.
@@ -141,12 +156,20 @@
             quota: FleetQuota::new(cfg.bounds.quota_window, cfg.bounds.quota_slack),
             fleet_quota: FleetQuotaState::default(),
             budgets: HashMap::new(),
-            hold_times: HashMap::new(),
+            service_hold_times: HashMap::new(),
+            hold_times: HoldTimes::default(),
+            reserve_counts: ReserveCounts::default(),
             sizes: Sizes::default(),
+            answer_lengths: AnswerLengthTable::default(),
+            pauses: HashMap::new(),
             arrival_rates: ArrivalRates::default(),
             minimum_shares: MinimumShares::default(),
             account_arrivals: AccountArrivals::default(),
+            quota_reserve_refusals: 0,
             crash_evidence: CrashEvidence::default(),
+            held_parts: HeldParts::default(),
+            held_reports: HeldReports::default(),
+            held_counts: HeldCounts::default(),
             stream_origins: StreamOrigins::default(),
             version_history: VersionHistory::default(),
             resuming: BTreeMap::new(),
@@ -193,7 +216,15 @@
                 number,
                 events,
                 time,
-            } => self.handle_stream_events(now, number, events, time),
+                longest_pause,
+            } => {
+                let group = EventGroup {
+                    events,
+                    time,
+                    longest_pause,
+                };
+                self.handle_stream_events(now, number, group);
+            }
             Event::AttemptEnded { number, outcome } => {
                 self.handle_attempt_end(now, number, outcome, &mut fx);
             }
@@ -244,7 +275,7 @@
     #[must_use]
     pub fn counts(&self, now: Instant) -> RouterCounts {
         let backends = self.backends.values();
-        RouterCounts {
+        let mut counts = RouterCounts {
             waiting: self.waiting.len() + self.resuming.len(),
             running: self.sent.len() + self.passed_on.len(),
             hosts: self.fleet.size(now),
@@ -253,7 +284,13 @@
             version: self.version(),
             streams: self.stream_origins.len(),
             dropped_streams: self.stream_origins.dropped(),
-        }
+            quota_reserve_refusals: self.quota_reserve_refusals,
+            slot_reserve: self.reserve_counts,
+            held_bytes: self.held_parts.bytes(),
+            ..RouterCounts::default()
+        };
+        self.held_counts.add_to(&mut counts);
+        counts
     }
 
     /// Returns the latest signals of a backend server, from response headers to this host or its
@@ -348,7 +385,9 @@
         self.drop_missing_backends(now);
         let is_time = |at: Instant| now.saturating_duration_since(at) >= REFRESH_PAUSE;
         if self.refreshed_at.is_none_or(is_time) {
-            self.refreshed_at = Some(now);
+            let elapsed = self.refreshed_at.replace(now);
+            let elapsed = elapsed.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+            self.age_unseen_caches(elapsed, now);
             self.forget_silent_hosts(now);
             self.refresh_peers(now);
             self.refresh_cells();
--- a/crates/jaypin_router/tests/common/fleet.rs
+++ b/crates/jaypin_router/tests/common/fleet.rs
@@ -453,6 +453,7 @@
                             number,
                             events,
                             time,
+                            longest_pause: time / events,
                         },
                     );
                 }
@@ -533,6 +534,7 @@
             timeout: None,
             fingerprint: self.contents[&number],
             shared_parts: self.parts.get(&number).cloned().unwrap_or_default(),
+            segments: Vec::new(),
             is_passed_on,
             received_at: self.now,
             boot_time: self.hosts[n].boot_time,
@@ -578,6 +580,7 @@
             failure_domain: "a".into(),
             seed,
             bounds: bounds.clone(),
+            uses_held_parts: true,
         }),
         boot_time: Duration::from_secs(1_000),
         is_up: true,
