Let a starting host whose listing of entries fails fetch them from a peer

Cause: found in review: a host of a few cells that lists the entries itself asked no peer if the store refused it or was away, and would have served nobody until the store took it again. Change: while all attempts have failed and a peer has the entries, they are fetched there.

--- a/crates/jaypin_entry/src/store/backends.rs
+++ b/crates/jaypin_entry/src/store/backends.rs
@@ -64,6 +64,12 @@
         fetches.record();
     }
     loop {
+        // A store that refuses this host, or is away, must not keep it from serving.
+        if retries.has_only_failed() && has_entry_holder(&host) && fetch_from_peer(&host).await {
+            retries.record_success();
+            freshness = Freshness::Newest;
+            fetches.record();
+        }
         if retries.has_succeeded() {
             wait_until(&host, |router| {
                 follows_store(router) || router.has_diverging_entries(now())
@@ -101,8 +107,7 @@
             return false;
         }
         sleep(host.read(check_interval)).await;
-        let is_held = host.read(|router| !router.entry_holders(now()).is_empty());
-        if is_held && fetch_from_peer(host).await {
+        if has_entry_holder(host) && fetch_from_peer(host).await {
             return true;
         }
     }
@@ -114,6 +119,11 @@
     false
 }
 
+/// Returns whether a peer is known to have the entries.
+fn has_entry_holder(host: &Host) -> bool {
+    host.read(|router| !router.entry_holders(now()).is_empty())
+}
+
 /// Returns whether this host watches the store through the watchers of another cell.
 fn relays_store(router: &Router) -> bool {
     follows_store(router) && router.is_relay()
--- a/crates/jaypin_entry/src/store/mod.rs
+++ b/crates/jaypin_entry/src/store/mod.rs
@@ -128,6 +128,11 @@
         self.has_succeeded
     }
 
+    /// Returns whether attempts were made and all of them failed.
+    fn has_only_failed(&self) -> bool {
+        self.failures > 0 && !self.has_succeeded
+    }
+
     /// Logs a failed call, reports it to the reducer, and waits before the next attempt.
     async fn back_off(&mut self, host: &Host, what: &str, error: &StoreError) {
         host.apply(jaypin_router::Event::StoreCallFailed);
