Review: records say what was sent

Seen: the records of the cases named what was run and answered, and not what was sent.

Adds a line for each request that a client sends, and new records.

--- a/review/standin/entry.rs
+++ b/review/standin/entry.rs
@@ -71,6 +71,7 @@
                     let path = format!("/sum/{client}/{number}");
                     let tokens = Some("2000,384");
                     let call = Call { method: "POST", path: &path, key: "key-1", id: &id, deadline_ms: 15_000, tokens, body: "herd summary" };
+                    record.line(&format!("client {client} sends POST {path} as {id}"));
                     let answer = send(callers, &mut kept, &call);
                     record.line(&format!("client {client} gets {answer:?} for {id}"));
                     answers.lock().unwrap().insert(id, answer);
--- a/review/standin/memory.rs
+++ b/review/standin/memory.rs
@@ -89,10 +89,12 @@
             let callers = host.callers;
             let uploads: Vec<_> = (0..clients)
                 .map(|n| {
-                    let answers = answers.clone();
+                    let (answers, record) = (answers.clone(), record.clone());
                     let id = format!("u{machine}{burst}{n:03}");
                     thread::spawn(move || {
+                        record.line(&format!("a client sends POST /sum/{id} as {id}, {BODY_BYTES} bytes"));
                         let answer = upload(callers, &id);
+                        record.line(&format!("the client gets {answer} for {id}"));
                         *answers.lock().unwrap().entry(answer).or_default() += 1;
                     })
                 })
--- a/review/standin/twice.rs
+++ b/review/standin/twice.rs
@@ -64,6 +64,7 @@
                     let path = format!("{}/{client}/{number}", if is_command { "/cmd" } else { "/read" });
                     let (method, body) = if is_command { ("POST", "reset teat cup") } else { ("GET", "") };
                     let call = Call { method, path: &path, key: "key-1", id: &id, deadline_ms: 1_500, tokens: None, body };
+                    record.line(&format!("client {client} sends {method} {path} as {id}"));
                     let answer = send(callers, &mut kept, &call);
                     record.line(&format!("client {client} gets {answer:?} for {id}"));
                     attempts.lock().unwrap().insert(id, Attempt { is_command, answer });
