--- a/review/standin/common.rs
+++ b/review/standin/common.rs
@@ -22,7 +22,10 @@
 impl Record {
     pub fn create(path: &Path) -> Arc<Self> {
         let file = File::create(path).expect("record.txt");
-        Arc::new(Self { file: Mutex::new(file), start: Instant::now() })
+        Arc::new(Self {
+            file: Mutex::new(file),
+            start: Instant::now(),
+        })
     }
 
     pub fn ms(&self, at: Instant) -> f64 {
@@ -72,7 +75,10 @@
 
 impl Head {
     pub fn get(&self, name: &str) -> Option<&str> {
-        let found = self.headers.iter().find(|it| it.0.eq_ignore_ascii_case(name));
+        let found = self
+            .headers
+            .iter()
+            .find(|it| it.0.eq_ignore_ascii_case(name));
         found.map(|it| it.1.as_str())
     }
 }
@@ -86,7 +92,10 @@
 impl Wire {
     pub fn new(stream: TcpStream) -> Self {
         let _ = stream.set_nodelay(true);
-        Self { stream, rest: Vec::new() }
+        Self {
+            stream,
+            rest: Vec::new(),
+        }
     }
 
     fn fill(&mut self) -> Option<()> {
@@ -107,8 +116,12 @@
                 let mut lines = text.split("\r\n");
                 let first = lines.next()?.to_owned();
                 let headers = lines.filter_map(|it| it.split_once(':'));
-                let headers = headers.map(|(name, value)| (name.trim().to_owned(), value.trim().to_owned()));
-                return Some(Head { first, headers: headers.collect() });
+                let headers =
+                    headers.map(|(name, value)| (name.trim().to_owned(), value.trim().to_owned()));
+                return Some(Head {
+                    first,
+                    headers: headers.collect(),
+                });
             }
             self.fill()?;
         }
@@ -136,7 +149,8 @@
         if head.get("transfer-encoding").is_some() {
             let mut body = Vec::new();
             loop {
-                let size = usize::from_str_radix(self.line()?.split(';').next()?.trim(), 16).ok()?;
+                let size =
+                    usize::from_str_radix(self.line()?.split(';').next()?.trim(), 16).ok()?;
                 if size == 0 {
                     while !self.line()?.is_empty() {}
                     return Some(body);
@@ -145,7 +159,10 @@
                 self.line()?;
             }
         }
-        let length = head.get("content-length").and_then(|it| it.parse().ok()).unwrap_or(0);
+        let length = head
+            .get("content-length")
+            .and_then(|it| it.parse().ok())
+            .unwrap_or(0);
         self.take(length)
     }
 }
@@ -256,7 +273,9 @@
         let path = path.trim_start_matches("/-/objects/");
         let number = |name: &str| {
             let mut pairs = query.split('&').filter_map(|it| it.split_once('='));
-            pairs.find(|it| it.0 == name).and_then(|it| it.1.parse::<u64>().ok())
+            pairs
+                .find(|it| it.0 == name)
+                .and_then(|it| it.1.parse::<u64>().ok())
         };
         match (method, path.split_once('/')) {
             ("GET", None) => match number("watch") {
@@ -264,10 +283,14 @@
                 None => {
                     let state = self.state.lock().unwrap();
                     let of_kind = state.objects.iter().filter(|it| it.0.0 == path);
-                    let items: Vec<_> = of_kind.map(|((_, name), (revision, spec))| object(name, *revision, Some(spec))).collect();
+                    let items: Vec<_> = of_kind
+                        .map(|((_, name), (revision, spec))| object(name, *revision, Some(spec)))
+                        .collect();
                     let mut page = b"{\"items\":[".to_vec();
                     page.extend(items.join(&b","[..]));
-                    page.extend(format!("],\"more\":false,\"as_of\":{}}}", state.revision).into_bytes());
+                    page.extend(
+                        format!("],\"more\":false,\"as_of\":{}}}", state.revision).into_bytes(),
+                    );
                     (200, page)
                 }
             },
@@ -280,7 +303,9 @@
             }
             ("POST" | "PUT", _) => {
                 let text = String::from_utf8_lossy(body).into_owned();
-                let (Some(name), Some(spec)) = (text_field(&text, "name"), object_field(&text, "spec")) else {
+                let (Some(name), Some(spec)) =
+                    (text_field(&text, "name"), object_field(&text, "spec"))
+                else {
                     return (400, b"{}".to_vec());
                 };
                 let kind = path.split('/').next().unwrap_or("");
@@ -307,7 +332,10 @@
             state.config_watch = Some(arrived);
         }
         let events = loop {
-            let newer = state.events.iter().filter(|it| it.0 > since && it.1 == kind);
+            let newer = state
+                .events
+                .iter()
+                .filter(|it| it.0 > since && it.1 == kind);
             let events: Vec<_> = newer.cloned().collect();
             let left = until.saturating_duration_since(Instant::now());
             if !events.is_empty() || left.is_zero() {
@@ -340,7 +368,12 @@
         Some(spec) => state.objects.insert(key, (revision, spec.to_vec())),
         None => state.objects.remove(&key),
     };
-    state.events.push((revision, kind.to_owned(), name.to_owned(), spec.map(<[u8]>::to_vec)));
+    state.events.push((
+        revision,
+        kind.to_owned(),
+        name.to_owned(),
+        spec.map(<[u8]>::to_vec),
+    ));
     revision
 }
 
@@ -429,7 +462,13 @@
         Self::start(id, record, "jaypin-pool", 9, 64)
     }
 
-    fn start(id: &str, record: &Arc<Record>, service: &'static str, slots: u64, events: u32) -> Arc<Self> {
+    fn start(
+        id: &str,
+        record: &Arc<Record>,
+        service: &'static str,
+        slots: u64,
+        events: u32,
+    ) -> Arc<Self> {
         let (listener, address) = listen();
         let seed = u64::from(address.port());
         let worker = Arc::new(Self {
@@ -496,12 +535,17 @@
                 let first = String::from_utf8_lossy(&bytes);
                 let first = first.split("\r\n").next().unwrap_or("").to_owned();
                 let next = head.get("x-attempt-id").unwrap_or("").to_owned();
-                self.record.line(&format!("{} sends an earlier answer a second time ({first}), as {next} arrives", self.id));
+                self.record.line(&format!(
+                    "{} sends an earlier answer a second time ({first}), as {next} arrives",
+                    self.id
+                ));
                 if wire.stream.write_all(&bytes).is_err() {
                     return;
                 }
             }
-            let Some(_body) = wire.body(&head) else { return };
+            let Some(_body) = wire.body(&head) else {
+                return;
+            };
             let answer = self.answer(&head);
             if self.ended.load(Ordering::SeqCst) || wire.stream.write_all(&answer).is_err() {
                 return;
@@ -522,7 +566,8 @@
             thread::sleep(EVENT_PAUSE);
             let text = format!("id: {event}\ndata: piece {event}\n\n");
             let chunk = format!("{:x}\r\n{text}\r\n", text.len());
-            if self.ended.load(Ordering::SeqCst) || wire.stream.write_all(chunk.as_bytes()).is_err() {
+            if self.ended.load(Ordering::SeqCst) || wire.stream.write_all(chunk.as_bytes()).is_err()
+            {
                 is_whole = false;
                 break;
             }
@@ -535,7 +580,10 @@
         let mut words = head.first.split(' ');
         let (_, path) = (words.next(), words.next().unwrap_or("").to_owned());
         let id = head.get("x-attempt-id").unwrap_or("").to_owned();
-        if head.get("x-expect-instance").is_some_and(|it| it != self.id) {
+        if head
+            .get("x-expect-instance")
+            .is_some_and(|it| it != self.id)
+        {
             return format!("HTTP/1.1 421 Misdirected Request\r\nX-Instance-Id: {}\r\nContent-Length: 0\r\n\r\n", self.id).into_bytes();
         }
         let is_full = self.running.load(Ordering::SeqCst) >= self.slots;
@@ -546,7 +594,13 @@
         }
         self.running.fetch_add(1, Ordering::SeqCst);
         let tenant = head.get("x-tenant").map(ToOwned::to_owned);
-        let run = Run { at: Instant::now(), worker: self.id.clone(), id: id.clone(), path, tenant };
+        let run = Run {
+            at: Instant::now(),
+            worker: self.id.clone(),
+            id: id.clone(),
+            path,
+            tenant,
+        };
         self.record.line(&format!("{} runs {id}", self.id));
         self.runs.lock().unwrap().push(run);
         if self.events > 0 {
@@ -557,7 +611,12 @@
             )
             .into_bytes();
         }
-        let work = self.random.lock().unwrap().pause(MEAN_WORK).min(Duration::from_millis(110));
+        let work = self
+            .random
+            .lock()
+            .unwrap()
+            .pause(MEAN_WORK)
+            .min(Duration::from_millis(110));
         thread::sleep(work);
         self.running.fetch_sub(1, Ordering::SeqCst);
         let stamp = self.answers.fetch_add(1, Ordering::SeqCst);
@@ -605,20 +664,38 @@
     };
     let limit = Duration::from_millis(call.deadline_ms + 200);
     let _ = wire.stream.set_read_timeout(Some(limit));
-    let tokens = call.tokens.map(|it| format!("X-Token-Counts: {it}\r\n")).unwrap_or_default();
+    let tokens = call
+        .tokens
+        .map(|it| format!("X-Token-Counts: {it}\r\n"))
+        .unwrap_or_default();
     let text = format!(
         "{} {} HTTP/1.1\r\nHost: farm.example\r\nX-Attempt-Id: {}\r\nX-Deadline-Ms: {}\r\nX-Credential: {}\r\n{tokens}Content-Length: {}\r\n\r\n{}",
-        call.method, call.path, call.id, call.deadline_ms, call.key, call.body.len(), call.body
+        call.method,
+        call.path,
+        call.id,
+        call.deadline_ms,
+        call.key,
+        call.body.len(),
+        call.body
     );
     if wire.stream.write_all(text.as_bytes()).is_err() {
         return Answer::Closed;
     }
-    let Some(head) = wire.head() else { return Answer::Closed };
+    let Some(head) = wire.head() else {
+        return Answer::Closed;
+    };
     if wire.body(&head).is_none() {
         return Answer::Closed;
     }
-    let status = head.first.split(' ').nth(1).and_then(|it| it.parse().ok()).unwrap_or(0);
-    let closes = head.get("connection").is_some_and(|it| it.eq_ignore_ascii_case("close"));
+    let status = head
+        .first
+        .split(' ')
+        .nth(1)
+        .and_then(|it| it.parse().ok())
+        .unwrap_or(0);
+    let closes = head
+        .get("connection")
+        .is_some_and(|it| it.eq_ignore_ascii_case("close"));
     if !closes {
         *kept = Some(wire);
     }
@@ -646,8 +723,11 @@
     /// Starts a host with the bounds of `lanyang-fleet` and waits until it is ready.
     pub fn start(store: &Store, name: &str) -> Result<Self, String> {
         let ports = free_ports(6);
-        let [front, ready, control, directory, peers, metrics] = ports[..] else { return Err("ports".into()) };
-        let folder = std::env::temp_dir().join(format!("jaypin-review-{}-{name}", std::process::id()));
+        let [front, ready, control, directory, peers, metrics] = ports[..] else {
+            return Err("ports".into());
+        };
+        let folder =
+            std::env::temp_dir().join(format!("jaypin-review-{}-{name}", std::process::id()));
         std::fs::create_dir_all(&folder).map_err(|error| error.to_string())?;
         let text = format!(
             r#"node = "{name}"
@@ -733,7 +813,12 @@
             .spawn()
             .map_err(|error| format!("target/release/jaypin: {error}"))?;
         let address = |port: u16| SocketAddr::from(([127, 0, 0, 1], port));
-        let host = Self { callers: address(front), ready: address(ready), process, folder };
+        let host = Self {
+            callers: address(front),
+            ready: address(ready),
+            process,
+            folder,
+        };
         let until = Instant::now() + Duration::from_secs(15);
         while Instant::now() < until {
             if host.is_ready() {
@@ -749,10 +834,16 @@
     }
 
     pub fn is_ready(&self) -> bool {
-        let Ok(stream) = TcpStream::connect_timeout(&self.ready, Duration::from_millis(300)) else { return false };
+        let Ok(stream) = TcpStream::connect_timeout(&self.ready, Duration::from_millis(300)) else {
+            return false;
+        };
         let mut wire = Wire::new(stream);
-        let _ = wire.stream.set_read_timeout(Some(Duration::from_millis(500)));
-        let sent = wire.stream.write_all(b"GET /-/ready HTTP/1.1\r\nHost: h\r\n\r\n");
+        let _ = wire
+            .stream
+            .set_read_timeout(Some(Duration::from_millis(500)));
+        let sent = wire
+            .stream
+            .write_all(b"GET /-/ready HTTP/1.1\r\nHost: h\r\n\r\n");
         sent.is_ok() && wire.head().is_some_and(|it| it.first.contains(" 200"))
     }
 
@@ -766,7 +857,10 @@
     pub fn log_lines(&self, text: &str) -> Vec<String> {
         let log = std::fs::read(self.folder.join("host.log")).unwrap_or_default();
         let log = String::from_utf8_lossy(&log).into_owned();
-        log.lines().filter(|it| it.contains(text)).map(ToOwned::to_owned).collect()
+        log.lines()
+            .filter(|it| it.contains(text))
+            .map(ToOwned::to_owned)
+            .collect()
     }
 }
 
@@ -788,7 +882,12 @@
             format!("{{\"name\":\"{name}\",\"api_keys\":[\"{key}\"],\"priority\":1,\"unit\":\"tokens\",\"plain_tokens\":200,\"rate_per_s\":318630,\"burst\":318630}}")
         })
         .collect();
-    let route = |name: &str, kind: &str, service: &str, timeout_ms: u32, slo_ms: u32, attempts: u32| {
+    let route = |name: &str,
+                 kind: &str,
+                 service: &str,
+                 timeout_ms: u32,
+                 slo_ms: u32,
+                 attempts: u32| {
         format!(
             "{{\"name\":\"r-{name}\",\"host\":\"farm.example\",\"path_prefix\":\"/{name}/\",\"kind\":\"{kind}\",\"timeout_ms\":{timeout_ms},\"slo_ms\":{slo_ms},\"priority\":2,\"service\":\"{service}\",\"attempts\":{attempts},\"public\":false,\"resumable\":false,\"gap_slo_ms\":500}}"
         )
--- a/review/standin/entry.rs
+++ b/review/standin/entry.rs
@@ -25,22 +25,38 @@
 
 /// Entries of another writer.
 const FOREIGN: [(&str, &[u8]); 4] = [
-    ("a text that is no Unicode, written as JSON", b"{\"service\":\"barn-api\",\"zone\":\"\\ud83d\",\"state\":\"ready\"}"),
-    ("bytes that are no text", b"{\"service\":\"barn-api\",\"zone\":\"\xff\xfe\",\"state\":\"ready\"}"),
-    ("a number that is too large", b"{\"service\":\"barn-api\",\"slots\":1e999,\"state\":\"ready\"}"),
+    (
+        "a text that is no Unicode, written as JSON",
+        b"{\"service\":\"barn-api\",\"zone\":\"\\ud83d\",\"state\":\"ready\"}",
+    ),
+    (
+        "bytes that are no text",
+        b"{\"service\":\"barn-api\",\"zone\":\"\xff\xfe\",\"state\":\"ready\"}",
+    ),
+    (
+        "a number that is too large",
+        b"{\"service\":\"barn-api\",\"slots\":1e999,\"state\":\"ready\"}",
+    ),
     ("a text in place of the fields", b"\"moved\""),
 ];
 
 fn main() {
-    let path = std::env::args().nth(1).unwrap_or_else(|| "record.txt".into());
+    let path = std::env::args()
+        .nth(1)
+        .unwrap_or_else(|| "record.txt".into());
     let record = Record::create(Path::new(&path));
     let has_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
-    let variant: usize = std::env::var("ENTRY").ok().and_then(|it| it.parse().ok()).unwrap_or(0);
+    let variant: usize = std::env::var("ENTRY")
+        .ok()
+        .and_then(|it| it.parse().ok())
+        .unwrap_or(0);
     let (what, foreign) = FOREIGN[variant % FOREIGN.len()];
     let store = Store::start();
     let config = configuration(1, &[("farm", "key-1")]);
     store.write("config", "main", Some(config.as_bytes()));
-    let workers: Vec<_> = (1..=6).map(|n| Worker::start_engine(&format!("i-{n}"), &record)).collect();
+    let workers: Vec<_> = (1..=6)
+        .map(|n| Worker::start_engine(&format!("i-{n}"), &record))
+        .collect();
     for worker in &workers {
         worker.register(&store, "ready");
     }
@@ -65,12 +81,22 @@
                 let mut kept = None;
                 let mut number = 0;
                 while !stop.load(Ordering::SeqCst) {
-                    thread::sleep(random.pause(Duration::from_secs_f64(CLIENTS as f64 / PER_SECOND)));
+                    thread::sleep(
+                        random.pause(Duration::from_secs_f64(CLIENTS as f64 / PER_SECOND)),
+                    );
                     number += 1;
                     let id = format!("s{client:02}{number:05}");
                     let path = format!("/sum/{client}/{number}");
                     let tokens = Some("2000,384");
-                    let call = Call { method: "POST", path: &path, key: "key-1", id: &id, deadline_ms: 15_000, tokens, body: "herd summary" };
+                    let call = Call {
+                        method: "POST",
+                        path: &path,
+                        key: "key-1",
+                        id: &id,
+                        deadline_ms: 15_000,
+                        tokens,
+                        body: "herd summary",
+                    };
                     record.line(&format!("client {client} sends POST {path} as {id}"));
                     let answer = send(callers, &mut kept, &call);
                     record.line(&format!("client {client} gets {answer:?} for {id}"));
@@ -83,7 +109,9 @@
     thread::sleep(Duration::from_secs(4));
     if has_trouble {
         store.write("servers", "zz-other", Some(foreign));
-        record.line(&format!("another writer has written the entry zz-other: {what}"));
+        record.line(&format!(
+            "another writer has written the entry zz-other: {what}"
+        ));
     }
     thread::sleep(Duration::from_secs(4));
 
@@ -98,7 +126,10 @@
         let leaver = workers[n].clone();
         leaver.register(&store, "draining");
         let acknowledged = Instant::now();
-        record.line(&format!("the store has acknowledged that {} is draining", leaver.id));
+        record.line(&format!(
+            "the store has acknowledged that {} is draining",
+            leaver.id
+        ));
         leaves.push((leaver.clone(), acknowledged));
         let (store, record) = (store.clone(), record.clone());
         thread::spawn(move || {
@@ -141,18 +172,32 @@
             .map(|n| {
                 let (id, path) = (format!("n{n}"), format!("/sum/n/{n}"));
                 let tokens = Some("2000,384");
-                let call = Call { method: "POST", path: &path, key: "key-1", id: &id, deadline_ms: 15_000, tokens, body: "herd summary" };
+                let call = Call {
+                    method: "POST",
+                    path: &path,
+                    key: "key-1",
+                    id: &id,
+                    deadline_ms: 15_000,
+                    tokens,
+                    body: "herd summary",
+                };
                 send(other.callers, &mut None, &call)
             })
             .collect();
-        let served = answers.iter().filter(|it| **it == Answer::Status(200)).count();
+        let served = answers
+            .iter()
+            .filter(|it| **it == Answer::Status(200))
+            .count();
         at_start = format!("{served} of {}", answers.len());
     }
     for line in host.log_lines("store call failed").iter().take(3) {
         record.line(&format!("the host's log: {line}"));
     }
     let at_new: usize = new.iter().map(|it| it.runs.lock().unwrap().len()).sum();
-    let served = answers.values().filter(|it| **it == Answer::Status(200)).count();
+    let served = answers
+        .values()
+        .filter(|it| **it == Answer::Status(200))
+        .count();
     let text = format!(
         "attempts {}, served {served}, DRAIN {late}, of these streams cut off {lost}, run by the new workers {at_new}; a host that starts afterwards serves {at_start}",
         answers.len()
--- a/review/standin/memory.rs
+++ b/review/standin/memory.rs
@@ -29,7 +29,9 @@
 fn resident_kib(process: u32) -> u64 {
     let status = std::fs::read_to_string(format!("/proc/{process}/status")).unwrap_or_default();
     let line = status.lines().find(|it| it.starts_with("VmRSS:"));
-    line.and_then(|it| it.split_whitespace().nth(1)).and_then(|it| it.parse().ok()).unwrap_or(0)
+    line.and_then(|it| it.split_whitespace().nth(1))
+        .and_then(|it| it.parse().ok())
+        .unwrap_or(0)
 }
 
 /// Sends one request with a large body, and returns its status or what became of its connection.
@@ -52,7 +54,9 @@
         }
         thread::sleep(UPLOAD_TIME / PIECES);
     }
-    let Some(head) = wire.head() else { return "cut".into() };
+    let Some(head) = wire.head() else {
+        return "cut".into();
+    };
     let status = head.first.split(' ').nth(1).unwrap_or("").to_owned();
     if wire.body(&head).is_none() {
         return format!("{status}, cut");
@@ -61,13 +65,21 @@
 }
 
 fn main() {
-    let path = std::env::args().nth(1).unwrap_or_else(|| "record.txt".into());
+    let path = std::env::args()
+        .nth(1)
+        .unwrap_or_else(|| "record.txt".into());
     let record = Record::create(Path::new(&path));
     let has_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let clients = if has_trouble { 34 } else { 10 };
     let store = Store::start();
-    store.write("config", "main", Some(configuration(1, &[("farm", "key-1")]).as_bytes()));
-    let workers: Vec<_> = (1..=10).map(|n| Worker::start_engine(&format!("i-{n}"), &record)).collect();
+    store.write(
+        "config",
+        "main",
+        Some(configuration(1, &[("farm", "key-1")]).as_bytes()),
+    );
+    let workers: Vec<_> = (1..=10)
+        .map(|n| Worker::start_engine(&format!("i-{n}"), &record))
+        .collect();
     for worker in &workers {
         worker.register(&store, "ready");
     }
@@ -83,16 +95,24 @@
                 }
             };
             thread::sleep(Duration::from_secs(2));
-            record.line(&format!("burst {burst} at {name}: {clients} clients send {BODY_BYTES} bytes each in {} ms", UPLOAD_TIME.as_millis()));
+            record.line(&format!(
+                "burst {burst} at {name}: {clients} clients send {BODY_BYTES} bytes each in {} ms",
+                UPLOAD_TIME.as_millis()
+            ));
             let answers: Arc<Mutex<BTreeMap<String, u32>>> = Arc::default();
-            let (done, peak) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicU64::new(0)));
+            let (done, peak) = (
+                Arc::new(AtomicBool::new(false)),
+                Arc::new(AtomicU64::new(0)),
+            );
             let callers = host.callers;
             let uploads: Vec<_> = (0..clients)
                 .map(|n| {
                     let (answers, record) = (answers.clone(), record.clone());
                     let id = format!("u{machine}{burst}{n:03}");
                     thread::spawn(move || {
-                        record.line(&format!("a client sends POST /sum/{id} as {id}, {BODY_BYTES} bytes"));
+                        record.line(&format!(
+                            "a client sends POST /sum/{id} as {id}, {BODY_BYTES} bytes"
+                        ));
                         let answer = upload(callers, &id);
                         record.line(&format!("the client gets {answer} for {id}"));
                         *answers.lock().unwrap().entry(answer).or_default() += 1;
@@ -120,7 +140,9 @@
                 if watched.is_finished() && !is_killed.swap(true, Ordering::SeqCst) {
                     host.signal("KILL");
                     kills[machine] += 1;
-                    record.line(&format!("{name} exceeds memory_mb and is killed by the platform"));
+                    record.line(&format!(
+                        "{name} exceeds memory_mb and is killed by the platform"
+                    ));
                 }
                 thread::sleep(Duration::from_millis(5));
             }
@@ -130,11 +152,18 @@
                 let _ = upload.join();
             }
             let _ = watched.join();
-            record.line(&format!("resident memory at most {} KiB of {MEMORY_KIB}; answers {:?}", peak.load(Ordering::SeqCst), answers.lock().unwrap()));
+            record.line(&format!(
+                "resident memory at most {} KiB of {MEMORY_KIB}; answers {:?}",
+                peak.load(Ordering::SeqCst),
+                answers.lock().unwrap()
+            ));
             thread::sleep(RESTART);
         }
     }
-    let text = format!("processes killed for their memory: {} of front-1, {} of front-2", kills[0], kills[1]);
+    let text = format!(
+        "processes killed for their memory: {} of front-1, {} of front-2",
+        kills[0], kills[1]
+    );
     record.line(&text);
     println!("{text}");
     exit(i32::from(kills.iter().all(|it| *it >= BURSTS)));
--- a/review/standin/twice.rs
+++ b/review/standin/twice.rs
@@ -25,14 +25,18 @@
 }
 
 fn main() {
-    let path = std::env::args().nth(1).unwrap_or_else(|| "record.txt".into());
+    let path = std::env::args()
+        .nth(1)
+        .unwrap_or_else(|| "record.txt".into());
     let record = Record::create(Path::new(&path));
     let trouble = std::env::var("TROUBLE").unwrap_or_else(|_| "1".into());
     let (has_shed, has_extra) = (trouble != "0", trouble != "0" && trouble != "shed");
     let store = Store::start();
     let config = configuration(1, &[("farm", "key-1")]);
     store.write("config", "main", Some(config.as_bytes()));
-    let workers: Vec<_> = (1..=3).map(|n| Worker::start_plain(&format!("i-{n}"), &record)).collect();
+    let workers: Vec<_> = (1..=3)
+        .map(|n| Worker::start_plain(&format!("i-{n}"), &record))
+        .collect();
     for worker in &workers {
         worker.register(&store, "ready");
     }
@@ -57,17 +61,40 @@
                 let mut kept = None;
                 let mut number = 0;
                 while !stop.load(Ordering::SeqCst) {
-                    thread::sleep(random.pause(Duration::from_secs_f64(CLIENTS as f64 / PER_SECOND)));
+                    thread::sleep(
+                        random.pause(Duration::from_secs_f64(CLIENTS as f64 / PER_SECOND)),
+                    );
                     let is_command = random.unit() < COMMAND_SHARE;
                     number += 1;
-                    let id = format!("{}{client:02}{number:05}", if is_command { "c" } else { "r" });
-                    let path = format!("{}/{client}/{number}", if is_command { "/cmd" } else { "/read" });
-                    let (method, body) = if is_command { ("POST", "reset teat cup") } else { ("GET", "") };
-                    let call = Call { method, path: &path, key: "key-1", id: &id, deadline_ms: 1_500, tokens: None, body };
+                    let id = format!(
+                        "{}{client:02}{number:05}",
+                        if is_command { "c" } else { "r" }
+                    );
+                    let path = format!(
+                        "{}/{client}/{number}",
+                        if is_command { "/cmd" } else { "/read" }
+                    );
+                    let (method, body) = if is_command {
+                        ("POST", "reset teat cup")
+                    } else {
+                        ("GET", "")
+                    };
+                    let call = Call {
+                        method,
+                        path: &path,
+                        key: "key-1",
+                        id: &id,
+                        deadline_ms: 1_500,
+                        tokens: None,
+                        body,
+                    };
                     record.line(&format!("client {client} sends {method} {path} as {id}"));
                     let answer = send(callers, &mut kept, &call);
                     record.line(&format!("client {client} gets {answer:?} for {id}"));
-                    attempts.lock().unwrap().insert(id, Attempt { is_command, answer });
+                    attempts
+                        .lock()
+                        .unwrap()
+                        .insert(id, Attempt { is_command, answer });
                 }
             })
         })
@@ -104,24 +131,37 @@
     let mut runs: BTreeMap<String, Vec<String>> = BTreeMap::new();
     for worker in &workers {
         for run in worker.runs.lock().unwrap().iter() {
-            runs.entry(run.id.clone()).or_default().push(run.worker.clone());
+            runs.entry(run.id.clone())
+                .or_default()
+                .push(run.worker.clone());
         }
     }
     let attempts = attempts.lock().unwrap();
     let (mut twice, mut refused, mut served) = (0, 0, 0);
     for (id, attempt) in attempts.iter() {
         served += u32::from(attempt.answer == Answer::Status(200));
-        let Some(of_attempt) = runs.get(id).filter(|_| attempt.is_command) else { continue };
+        let Some(of_attempt) = runs.get(id).filter(|_| attempt.is_command) else {
+            continue;
+        };
         if of_attempt.len() > 1 {
             twice += 1;
-            record.line(&format!("TWICE: {id} ran at {of_attempt:?} and was answered {:?}", attempt.answer));
+            record.line(&format!(
+                "TWICE: {id} ran at {of_attempt:?} and was answered {:?}",
+                attempt.answer
+            ));
         }
         if matches!(attempt.answer, Answer::Status(408 | 421 | 429 | 503)) {
             refused += 1;
-            record.line(&format!("REFUSED: {id} was answered {:?} and ran at {of_attempt:?}", attempt.answer));
+            record.line(&format!(
+                "REFUSED: {id} was answered {:?} and ran at {of_attempt:?}",
+                attempt.answer
+            ));
         }
     }
-    let text = format!("attempts {}, served {served}, TWICE {twice}, REFUSED {refused}", attempts.len());
+    let text = format!(
+        "attempts {}, served {served}, TWICE {twice}, REFUSED {refused}",
+        attempts.len()
+    );
     record.line(&text);
     println!("{text}");
     drop(host);
