Review: choose a host's ports anew if one is taken

Seen: of fifteen runs side by side, one of case 1 exited with 2: another run had taken a port of its host, the host exited, and the other's readiness was taken for its own.

--- a/review/standin/common.rs
+++ b/review/standin/common.rs
@@ -720,8 +720,20 @@
 }
 
 impl Host {
-    /// Starts a host with the bounds of `lanyang-fleet` and waits until it is ready.
+    /// Starts a host with the bounds of `lanyang-fleet` and waits until it is ready. Its ports are chosen
+    /// anew if another program has taken one of them meanwhile.
     pub fn start(store: &Store, name: &str) -> Result<Self, String> {
+        let mut error = String::new();
+        for _ in 0..5 {
+            match Self::start_once(store, name) {
+                Ok(host) => return Ok(host),
+                Err(reason) => error = reason,
+            }
+        }
+        Err(error)
+    }
+
+    fn start_once(store: &Store, name: &str) -> Result<Self, String> {
         let ports = free_ports(6);
         let [front, ready, control, directory, peers, metrics] = ports[..] else {
             return Err("ports".into());
@@ -819,12 +831,17 @@
             process,
             folder,
         };
+        let mut host = host;
         let until = Instant::now() + Duration::from_secs(15);
         while Instant::now() < until {
+            // A host that can't open its ports exits, and another program's may answer there.
+            thread::sleep(Duration::from_millis(150));
+            if !matches!(host.process.try_wait(), Ok(None)) {
+                return Err("the host exited at its start".into());
+            }
             if host.is_ready() {
                 return Ok(host);
             }
-            thread::sleep(Duration::from_millis(50));
         }
         Err("the host did not become ready".into())
     }
