Log by what a response is known to belong to its request, and count connections opened

Adds known_by to the log line of a request, jaypin_backend_responses_total by known_by, and jaypin_backend_connections_total. No decision changes.

--- a/crates/jaypin_entry/src/callers/attempt.rs
+++ b/crates/jaypin_entry/src/callers/attempt.rs
@@ -16,13 +16,16 @@
 use super::request_task::RequestTask;
 use super::silence::{Silence, SilenceWatch};
 use crate::calls::{
-    BufferedResponse, CallError, Connection, Recipient, SendOrder, event_id, read_response,
+    Attribution, BufferedResponse, CallError, Connection, Recipient, SendOrder, event_id,
+    read_response,
 };
+use crate::metrics;
 use crate::ports::{BackendResponse, ForwardContext};
 
 impl RequestTask {
     /// Sends the request as ordered, forwards the response, and returns how the call ended.
     pub(super) async fn attempt(&mut self, order: &SendOrder) -> AttemptOutcome {
+        self.attribution = None;
         let mut delivery = std::mem::replace(&mut self.delivery, Delivery::Done);
         let outcome = tokio::select! {
             outcome = self.call_backend(order, &mut delivery) => outcome,
@@ -98,6 +101,13 @@
             .host
             .platform
             .parse_backend_response(status, response.headers());
+        let attribution = Attribution::of(
+            backend_head.id.as_deref(),
+            &self.received.header.id,
+            connection.is_reused,
+        );
+        self.attribution = Some(attribution);
+        metrics::response(attribution.as_str());
         if let Some(outcome) = self.reject_foreign_response(&backend_head, &response) {
             return outcome;
         }
--- a/crates/jaypin_entry/src/callers/request_task.rs
+++ b/crates/jaypin_entry/src/callers/request_task.rs
@@ -12,7 +12,7 @@
 use super::read_request::ReceivedRequest;
 use super::response::{HttpResponse, refusal_response, rejection_response};
 use crate::boot_clock::boot_time;
-use crate::calls::{BufferedResponse, SendOrder};
+use crate::calls::{Attribution, BufferedResponse, SendOrder};
 use crate::host::{Directive, Host, Mailbox};
 use crate::metrics;
 
@@ -30,6 +30,7 @@
         mailbox,
         delivery: Delivery::Pending(reply),
         failure: None,
+        attribution: None,
         last_id: None,
         times: EventTimes::default(),
     };
@@ -50,6 +51,8 @@
     pub(super) delivery: Delivery,
     /// The error response of a backend server, which is forwarded if no attempt succeeds.
     pub(super) failure: Option<BufferedResponse>,
+    /// By what the response of the current attempt is known to be its own; none before it arrives.
+    pub(super) attribution: Option<Attribution>,
     /// Id of the last event that was forwarded.
     pub(super) last_id: Option<u64>,
     /// Timing of the forwarded events, for the log and metrics.
@@ -169,6 +172,7 @@
         let account = requester.and_then(|it| it.account.as_deref());
         let rank = requester.map(|it| it.rank.to_string()).unwrap_or_default();
         let account = account.unwrap_or_default();
+        let known_by = self.attribution.map_or("", Attribution::as_str);
         let ms = self.received.received_at.elapsed().as_millis();
         let id = &self.received.header.id;
         let first = self.times.first.map(|at| at - self.received.received_at);
@@ -178,6 +182,6 @@
         let content = format!("{:016x}", self.received.fingerprint);
         let parts = self.received.prompt_part_names();
         let cached_tokens = order.map_or(0, |order| order.inputs.held_tokens());
-        log::info!(id, content, parts, outcome, backend, version, resumes, after, last_id, account, rank, ms, first_ms, pause_ms, tokens:?, cached_tokens, why:% = inputs; "request");
+        log::info!(id, content, parts, outcome, known_by, backend, version, resumes, after, last_id, account, rank, ms, first_ms, pause_ms, tokens:?, cached_tokens, why:% = inputs; "request");
     }
 }
--- a/crates/jaypin_entry/src/calls/connection_pool.rs
+++ b/crates/jaypin_entry/src/calls/connection_pool.rs
@@ -20,6 +20,7 @@
 use tokio::time::{Instant, sleep};
 
 use crate::boot_clock::boot_time;
+use crate::metrics;
 
 /// Timeouts of a connection to a peer or the store.
 ///
@@ -149,6 +150,7 @@
         if let Some(connection) = self.take_idle(address) {
             return Ok(connection);
         }
+        metrics::connection();
         connect(address, BACKEND_TIMEOUTS).await
     }
 
--- a/crates/jaypin_entry/src/metrics.rs
+++ b/crates/jaypin_entry/src/metrics.rs
@@ -32,6 +32,8 @@
     requests: Counter<u64>,
     resumptions: Counter<u64>,
     calls: Counter<u64>,
+    responses: Counter<u64>,
+    connections: Counter<u64>,
     store_calls: Counter<u64>,
     first_event: Histogram<f64>,
     duration: Histogram<f64>,
@@ -79,6 +81,8 @@
         requests: meter.u64_counter("jaypin.requests").build(),
         resumptions: meter.u64_counter("jaypin.streams.resumed").build(),
         calls: meter.u64_counter("jaypin.backend.calls").build(),
+        responses: meter.u64_counter("jaypin.backend.responses").build(),
+        connections: meter.u64_counter("jaypin.backend.connections").build(),
         store_calls: meter.u64_counter("jaypin.store.calls").build(),
         first_event: histogram("jaypin.request.first_event"),
         duration: histogram("jaypin.request.duration"),
@@ -138,6 +142,20 @@
     }
 }
 
+/// Counts a response of a backend server by what it is known to belong to its request.
+pub fn response(known_by: &'static str) {
+    if let Some(all) = INSTRUMENTS.get() {
+        all.responses.add(1, &[KeyValue::new("known_by", known_by)]);
+    }
+}
+
+/// Counts a connection that a call opens because none is idle.
+pub fn connection() {
+    if let Some(all) = INSTRUMENTS.get() {
+        all.connections.add(1, &[]);
+    }
+}
+
 /// Records the times of a stream: to its first event, and the longest between two events.
 pub fn stream(first: Duration, pause: Duration) {
     if let Some(all) = INSTRUMENTS.get() {
