Close a connection on which a response without an id came

Seen by callers: commands and streams that may run once ran twice (TWICE), or were answered 503 and ran (REFUSED); and a command got the failure of another one.

Cause: a response without an id on a used connection was taken for the request's own. Rejections bear no id, and a backend server may send a response a second time where the next one is expected. A late copy of an earlier rejection then made a request that ran count as not run.

Changes: callers/response_proof.rs is the one place that says what a response proves: nothing, not run, misdirected or answered. Why it works: a copy bears the id of its original, so a response without an id can only be the request's own on a connection on which none came before. Such a connection is not used again.

--- a/crates/jaypin_entry/src/callers/attempt.rs
+++ b/crates/jaypin_entry/src/callers/attempt.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use hyper::header::{CONTENT_ENCODING, CONTENT_LENGTH, HeaderValue, TRANSFER_ENCODING};
+use hyper::header::{CONTENT_LENGTH, HeaderValue, TRANSFER_ENCODING};
 use hyper::{HeaderMap, Request, Response, Uri};
 use jaypin_core::BackendId;
 use jaypin_http::EventReader;
@@ -14,10 +14,10 @@
 use super::event_timing::{EventGroup, EventRate};
 use super::read_request::{LAST_EVENT_ID, PASSED_ON};
 use super::request_task::RequestTask;
+use super::response_proof::ResponseProof;
 use super::silence::{Silence, SilenceWatch};
 use crate::calls::{
-    Attribution, BufferedResponse, CallError, Connection, Recipient, SendOrder, event_id,
-    read_response,
+    BufferedResponse, CallError, Connection, Recipient, SendOrder, event_id, read_response,
 };
 use crate::metrics;
 use crate::ports::{BackendResponse, ForwardContext};
@@ -101,21 +101,30 @@
             .host
             .platform
             .parse_backend_response(status, response.headers());
-        let attribution = Attribution::of(
-            backend_head.id.as_deref(),
+        let (proof, attribution) = ResponseProof::of(
+            &backend_head,
+            status,
+            response.headers(),
             &self.received.header.id,
-            connection.is_reused,
+            &connection,
         );
+        connection.record_response(backend_head.id.is_some());
         self.attribution = Some(attribution);
         metrics::response(attribution.as_str());
-        if let Some(outcome) = self.reject_foreign_response(&backend_head, &response) {
-            return outcome;
+        if proof != ResponseProof::Nothing {
+            self.apply_signals(backend, &backend_head);
         }
-        self.apply_signals(backend, &backend_head);
-        if backend_head.is_not_run {
-            return self
-                .finish_not_run(connection, response, &backend_head)
-                .await;
+        match proof {
+            ResponseProof::Nothing => return AttemptOutcome::Lost,
+            ResponseProof::NotRun => {
+                self.release_after(connection, response).await;
+                return AttemptOutcome::NotRun;
+            }
+            ResponseProof::Misdirected => {
+                self.release_after(connection, response).await;
+                return AttemptOutcome::Replaced;
+            }
+            ResponseProof::Answered => {}
         }
         if status.is_success() && order.repeat.is_stream() {
             return self
@@ -175,42 +184,11 @@
         }
     }
 
-    /// Rejects a response to another request, a success that lacks the header or the id that
-    /// backend servers add, and an encoded response.
-    ///
-    /// Guards against responses that arrive late or twice: on a reused connection they would
-    /// be taken for the next request's, and one caller would get another's data.
-    fn reject_foreign_response(
-        &self,
-        head: &BackendResponse,
-        response: &Response<Incoming>,
-    ) -> Option<AttemptOutcome> {
-        let is_other = head
-            .id
-            .as_ref()
-            .is_some_and(|id| *id != self.received.header.id);
-        let is_success = response.status().is_success();
-        let is_unmarked = is_success && (!head.is_from_backend || head.id.is_none());
-        let is_encoded = response.headers().contains_key(CONTENT_ENCODING);
-        (is_other || is_unmarked || is_encoded).then_some(AttemptOutcome::Lost)
-    }
-
-    /// Reads a response that declares the request as not run, so that its connection can be
-    /// reused.
-    async fn finish_not_run(
-        &self,
-        connection: Connection,
-        response: Response<Incoming>,
-        head: &BackendResponse,
-    ) -> AttemptOutcome {
+    /// Reads a rejection to its end, so that its connection can be reused.
+    async fn release_after(&self, connection: Connection, response: Response<Incoming>) {
         if read_response(response).await.is_some() {
             self.host.connections.release(connection);
         }
-        if head.is_misdirected {
-            AttemptOutcome::Replaced
-        } else {
-            AttemptOutcome::NotRun
-        }
     }
 
     /// Relays the response of a peer, whatever its status.
--- a/crates/jaypin_entry/src/callers/mod.rs
+++ b/crates/jaypin_entry/src/callers/mod.rs
@@ -8,6 +8,7 @@
 mod read_request;
 mod request_task;
 mod response;
+mod response_proof;
 mod silence;
 
 pub use directory::{serve_queries, serve_responses};
--- a/crates/jaypin_entry/src/callers/request_task.rs
+++ b/crates/jaypin_entry/src/callers/request_task.rs
@@ -11,8 +11,9 @@
 use super::event_timing::EventTimes;
 use super::read_request::ReceivedRequest;
 use super::response::{HttpResponse, refusal_response, rejection_response};
+use super::response_proof::Attribution;
 use crate::boot_clock::boot_time;
-use crate::calls::{Attribution, BufferedResponse, SendOrder};
+use crate::calls::{BufferedResponse, SendOrder};
 use crate::host::{Directive, Host, Mailbox};
 use crate::metrics;
 
--- /dev/null
+++ b/crates/jaypin_entry/src/callers/response_proof.rs
@@ -0,0 +1,91 @@
+//! What a response of a backend server proves of the request for which it was read.
+//!
+//! Guards against responses that come late or twice: on a connection that carried other requests, one
+//! would be taken for the next request's. A caller would get another's answer, or a request that runs
+//! would count as not run and be sent elsewhere or refused. Only [`ResponseProof::NotRun`] and
+//! [`ResponseProof::Misdirected`] allow that, and each response that may belong to another request
+//! is [`ResponseProof::Nothing`].
+
+use hyper::header::CONTENT_ENCODING;
+use hyper::{HeaderMap, StatusCode};
+
+use crate::calls::Connection;
+use crate::ports::BackendResponse;
+
+/// By what a response is known to belong to the request for which it was read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Attribution {
+    /// It bears the id of the request.
+    Id,
+    /// It bears no id, and no other response without one can be due on its connection.
+    Connection,
+    /// It bears no id, and may be a copy of an earlier response on its connection.
+    Unknown,
+    /// It bears the id of another request.
+    OtherRequest,
+}
+
+impl Attribution {
+    fn of(head: &BackendResponse, id: &str, connection: &Connection) -> Self {
+        match head.id.as_deref() {
+            Some(stated) if stated == id => Self::Id,
+            Some(_) => Self::OtherRequest,
+            None if connection.had_unidentified_response() => Self::Unknown,
+            None => Self::Connection,
+        }
+    }
+
+    fn is_own(self) -> bool {
+        matches!(self, Self::Id | Self::Connection)
+    }
+
+    /// Returns the name for logs and metrics.
+    pub(super) fn as_str(self) -> &'static str {
+        match self {
+            Self::Id => "id",
+            Self::Connection => "connection",
+            Self::Unknown => "unknown",
+            Self::OtherRequest => "other-request",
+        }
+    }
+}
+
+/// What a response proves of the request for which it was read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum ResponseProof {
+    /// The backend server did not run the request.
+    NotRun,
+    /// Another backend server has the address, and did not run the request.
+    Misdirected,
+    /// The backend server may have run the request, and this is its response.
+    Answered,
+    /// Nothing: it may belong to another request, or lacks what backend servers add to a success. The
+    /// request may have run.
+    Nothing,
+}
+
+impl ResponseProof {
+    /// Returns what a response proves of the request with the id `id`, and by what it is known to
+    /// belong to it. The connection must not know of the response yet.
+    pub(super) fn of(
+        head: &BackendResponse,
+        status: StatusCode,
+        headers: &HeaderMap,
+        id: &str,
+        connection: &Connection,
+    ) -> (Self, Attribution) {
+        let attribution = Attribution::of(head, id, connection);
+        let is_unmarked = status.is_success() && (!head.is_from_backend || head.id.is_none());
+        let is_encoded = headers.contains_key(CONTENT_ENCODING);
+        let proof = if !attribution.is_own() || is_unmarked || is_encoded {
+            Self::Nothing
+        } else if head.is_misdirected {
+            Self::Misdirected
+        } else if head.is_not_run {
+            Self::NotRun
+        } else {
+            Self::Answered
+        };
+        (proof, attribution)
+    }
+}
--- a/crates/jaypin_entry/src/calls/connection_pool.rs
+++ b/crates/jaypin_entry/src/calls/connection_pool.rs
@@ -63,6 +63,7 @@
     expires_at: Option<Instant>,
     /// Whether the connection served a call before.
     pub is_reused: bool,
+    had_unidentified_response: bool,
 }
 
 /// Why a call got no response.
@@ -104,6 +105,17 @@
         !self.sender.is_closed()
     }
 
+    /// Records whether a response on it bore the id of a request.
+    pub fn record_response(&mut self, is_identified: bool) {
+        self.had_unidentified_response |= !is_identified;
+    }
+
+    /// Returns whether a response without an id came on it. A late copy of it could not be told from
+    /// the response to another request.
+    pub fn had_unidentified_response(&self) -> bool {
+        self.had_unidentified_response
+    }
+
     /// Sets the time until which the other end keeps the connection open, from the headers of
     /// a response.
     pub fn update_expiry(&mut self, headers: &HeaderMap) {
@@ -205,10 +217,13 @@
         None
     }
 
-    /// Returns a connection to the pool after its response was read completely.
+    /// Returns a connection to the pool after its response was read completely. One on which a response
+    /// without an id came is closed, since no further response without one would be known to belong to
+    /// its request.
     pub fn release(&self, mut connection: Connection) {
         let is_unexpired = connection.expires_at.is_none_or(|at| Instant::now() < at);
-        if is_unexpired && !connection.sender.is_closed() {
+        let is_usable = is_unexpired && !connection.had_unidentified_response;
+        if is_usable && !connection.sender.is_closed() {
             connection.is_reused = true;
             let mut idle = self.idle.borrow_mut();
             let address = connection.address.clone();
@@ -250,5 +265,6 @@
         address: address.to_owned(),
         expires_at: None,
         is_reused: false,
+        had_unidentified_response: false,
     })
 }
--- a/crates/jaypin_entry/src/calls/mod.rs
+++ b/crates/jaypin_entry/src/calls/mod.rs
@@ -1,11 +1,9 @@
 //! HTTP calls to backend servers, the store and peers.
 
-mod attribution;
 mod buffered_response;
 mod connection_pool;
 mod event_id;
 
-pub use attribution::Attribution;
 pub use buffered_response::{BufferedResponse, read_response};
 
 pub use connection_pool::{CallError, Connection, ConnectionPool, DEFAULT_TIMEOUTS, connect};
