Forward no status that promises "not run" without the mark

Seen by callers: a command that ran was answered 503, 429 or 408 (REFUSED), which they read as a promise that it did not run, and it may be sent again.

Cause: a backend server's response was forwarded with its status, whatever callers read in it. Only the mark "not executed" states that a request did not run.

Changes: ResponseProof::FalsePromise. Such a response counts as a failure of the backend server; a request that may run again goes elsewhere, another gets 502 with the outcome unknown, without the stamp. Why it works: no other place forwards a backend server's status, and the proof decides by the same list of statuses as this host's own refusals.

--- a/crates/jaypin_entry/src/callers/attempt.rs
+++ b/crates/jaypin_entry/src/callers/attempt.rs
@@ -124,6 +124,10 @@
                 self.release_after(connection, response).await;
                 return AttemptOutcome::Replaced;
             }
+            ResponseProof::FalsePromise => {
+                self.release_after(connection, response).await;
+                return AttemptOutcome::Failed;
+            }
             ResponseProof::Answered => {}
         }
         if status.is_success() && order.repeat.is_stream() {
@@ -184,7 +188,7 @@
         }
     }
 
-    /// Reads a rejection to its end, so that its connection can be reused.
+    /// Reads a response that is not forwarded to its end, so that its connection can be reused.
     async fn release_after(&self, connection: Connection, response: Response<Incoming>) {
         if read_response(response).await.is_some() {
             self.host.connections.release(connection);
--- a/crates/jaypin_entry/src/callers/response.rs
+++ b/crates/jaypin_entry/src/callers/response.rs
@@ -93,6 +93,17 @@
     response
 }
 
+/// Returns whether callers read a status as a promise that the request did not run and never will.
+pub fn promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
 /// Returns the status for a refusal. Callers read some statuses as "not run", which are used
 /// only if the request did not run.
 fn status_of(refusal: &Refusal) -> StatusCode {
--- a/crates/jaypin_entry/src/callers/response_proof.rs
+++ b/crates/jaypin_entry/src/callers/response_proof.rs
@@ -5,10 +5,15 @@
 //! would count as not run and be sent elsewhere or refused. Only [`ResponseProof::NotRun`] and
 //! [`ResponseProof::Misdirected`] allow that, and each response that may belong to another request
 //! is [`ResponseProof::Nothing`].
+//!
+//! Guards also against callers that repeat a request that ran, because its backend server answered with
+//! a status that they read as "not run": that is [`ResponseProof::FalsePromise`], which is not
+//! forwarded.
 
 use hyper::header::CONTENT_ENCODING;
 use hyper::{HeaderMap, StatusCode};
 
+use super::response::promises_not_run;
 use crate::calls::Connection;
 use crate::ports::BackendResponse;
 
@@ -59,6 +64,8 @@
     Misdirected,
     /// The backend server may have run the request, and this is its response.
     Answered,
+    /// The same, but callers would read the status as a promise that the request did not run.
+    FalsePromise,
     /// Nothing: it may belong to another request, or lacks what backend servers add to a success. The
     /// request may have run.
     Nothing,
@@ -83,6 +90,8 @@
             Self::Misdirected
         } else if head.is_not_run {
             Self::NotRun
+        } else if promises_not_run(status) {
+            Self::FalsePromise
         } else {
             Self::Answered
         };
