--- a/crates/jaypin_entry/src/ports.rs
+++ b/crates/jaypin_entry/src/ports.rs
@@ -85,7 +85,7 @@
     pub name: String,
     /// Position of the object's last change in the store's history.
     pub point: StorePoint,
-    /// Content, written by the object's author.
+    /// Content, written by the object's author; null if it can't be read.
     pub content: Value,
     /// Status, written by the fleet.
     pub status: Value,
