Discard the body of a rejection, beside the request

Seen by callers: while backend servers sent rejections whose body had no end, a host used 259 to 263 MiB of 182, which the platform answers with a kill, and its callers got 503 only after up to 4 MiB a call were read.

Cause: the body of a rejection was read whole before the request went elsewhere, although nobody needs it.

Changes: the request goes elsewhere at the head of a rejection. Why it works: nothing waits for the body.

--- a/crates/jaypin_entry/src/callers/attempt.rs
+++ b/crates/jaypin_entry/src/callers/attempt.rs
@@ -2,12 +2,13 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::header::{CONTENT_LENGTH, HeaderValue, TRANSFER_ENCODING};
 use hyper::{HeaderMap, Request, Response, Uri};
 use jaypin_core::BackendId;
 use jaypin_http::EventReader;
 use jaypin_router::{AttemptOutcome, BackendSignals, BackendStatus, Event};
+use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep_until};
 
 use super::delivery::{Delivery, forward_response};
@@ -18,6 +19,7 @@
 use super::silence::{Silence, SilenceWatch};
 use crate::calls::{
     BufferedResponse, CallError, Connection, Recipient, SendOrder, event_id, read_response,
+    skip_body,
 };
 use crate::metrics;
 use crate::ports::{BackendResponse, ForwardContext};
@@ -117,15 +119,15 @@
         match proof {
             ResponseProof::Nothing => return AttemptOutcome::Lost,
             ResponseProof::NotRun => {
-                self.release_after(connection, response).await;
+                self.discard(connection, response);
                 return AttemptOutcome::NotRun;
             }
             ResponseProof::Misdirected => {
-                self.release_after(connection, response).await;
+                self.discard(connection, response);
                 return AttemptOutcome::Replaced;
             }
             ResponseProof::FalsePromise => {
-                self.release_after(connection, response).await;
+                self.discard(connection, response);
                 return AttemptOutcome::Failed;
             }
             ResponseProof::Answered => {}
@@ -188,11 +190,21 @@
         }
     }
 
-    /// Reads a response that is not forwarded to its end, so that its connection can be reused.
-    async fn release_after(&self, connection: Connection, response: Response<Incoming>) {
-        if read_response(response).await.is_some() {
-            self.host.connections.release(connection);
+    /// Discards a response that is not forwarded. Its connection is reused if the body ends soon.
+    ///
+    /// Guards against a body without end, which would keep the request from going elsewhere and take
+    /// memory.
+    fn discard(&self, connection: Connection, response: Response<Incoming>) {
+        let body = response.into_body();
+        if body.is_end_stream() {
+            return self.host.connections.release(connection);
         }
+        let host = self.host.clone();
+        spawn_local(async move {
+            if skip_body(body).await {
+                host.connections.release(connection);
+            }
+        });
     }
 
     /// Relays the response of a peer, whatever its status.
--- a/crates/jaypin_entry/src/calls/mod.rs
+++ b/crates/jaypin_entry/src/calls/mod.rs
@@ -3,11 +3,13 @@
 mod buffered_response;
 mod connection_pool;
 mod event_id;
+mod skipped_body;
 
 pub use buffered_response::{BufferedResponse, read_response};
 
 pub use connection_pool::{CallError, Connection, ConnectionPool, DEFAULT_TIMEOUTS, connect};
 pub use event_id::event_id;
+pub use skipped_body::skip_body;
 
 use std::time::Duration;
 
