Bound the memory that bodies take in a host together

Seen by callers: all requests at a host ended with a closed connection, as the platform killed it for its memory: while 34 callers sent 4 MB each, or while backend servers sent bodies without end.

Cause: each body has a bound (body_bytes of the configuration, 4 MiB for a response), and their sum had none. A body was also held twice while its pieces were joined, and the body of a request that is not sent again until its end.

Changes: body_memory.rs reserves memory for bodies above 16 KiB, of callers and of backend servers alike: 0.3 of the limits.memory_mb that the platform states (256 if it states none). A body that states its length waits for all of it in one go, so that none waits while it holds a part; a caller's for 0.8 s and a quarter of its timeout at most, then the request is refused as not run with a time to come back, and its rest is read and dropped so that the caller can read that. One that states no length takes memory as it arrives, and is given up when there is none. Small bodies never wait. The memory is free when the last copy of the body is dropped, also by a slow caller. Why it works: nothing else in a request's path keeps bytes of a body.

--- a/crates/jaypin_entry/src/callers/attempt.rs
+++ b/crates/jaypin_entry/src/callers/attempt.rs
@@ -1,5 +1,7 @@
 //! One attempt of a request: a call to a backend server whose response is forwarded.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
@@ -18,12 +20,17 @@
 use super::response_proof::ResponseProof;
 use super::silence::{Silence, SilenceWatch};
 use crate::calls::{
-    BufferedResponse, CallError, Connection, Recipient, SendOrder, event_id, read_response,
+    BufferedResponse, CallError, Connection, MAX_RESPONSE_BYTES, Recipient, SendOrder, event_id,
     skip_body,
 };
 use crate::metrics;
 use crate::ports::{BackendResponse, ForwardContext};
 
+/// Largest body, in bytes, that is read only so that its connection can be reused.
+const MAX_SKIPPED_BYTES: usize = 16 * 1024;
+/// Longest time for which such a body is read.
+const SKIP_TIME: Duration = Duration::from_millis(500);
+
 impl RequestTask {
     /// Sends the request as ordered, forwards the response, and returns how the call ended.
     pub(super) async fn attempt(&mut self, order: &SendOrder) -> AttemptOutcome {
@@ -132,12 +139,17 @@
             }
             ResponseProof::Answered => {}
         }
+        if !order.repeat.may_run_again() {
+            // It is not sent again, and may be large.
+            self.received.body = Bytes::new();
+        }
         if status.is_success() && order.repeat.is_stream() {
             return self
                 .forward_stream(order, connection, response, watch, delivery)
                 .await;
         }
-        self.forward_whole(connection, response, delivery).await
+        self.forward_whole(order, connection, response, delivery)
+            .await
     }
 
     /// Passes the rate limit, the leaving state and the backoff in a backend server's response
@@ -201,7 +213,7 @@
         }
         let host = self.host.clone();
         spawn_local(async move {
-            if skip_body(body).await {
+            if skip_body(body, MAX_SKIPPED_BYTES, SKIP_TIME).await {
                 host.connections.release(connection);
             }
         });
@@ -221,7 +233,8 @@
                 .forward_stream(order, connection, response, watch, delivery)
                 .await;
         }
-        match self.read_whole(connection, response, delivery).await {
+        let read = self.read_whole(order, connection, response, delivery);
+        match read.await {
             Ok(response) => {
                 delivery.send_response(forward_response(response));
                 AttemptOutcome::Complete
@@ -233,29 +246,44 @@
     /// Reads the whole response, so that its connection can be reused.
     async fn read_whole(
         &self,
+        order: &SendOrder,
         connection: Connection,
         response: Response<Incoming>,
         delivery: &mut Delivery,
     ) -> Result<BufferedResponse, AttemptOutcome> {
+        let (head, mut body) = response.into_parts();
+        let max_wait = order.deadline.saturating_duration_since(Instant::now());
+        let memory = &self.host.body_memory;
         let read = tokio::select! {
-            read = read_response(response) => read,
+            read = memory.read(&mut body, MAX_RESPONSE_BYTES, max_wait) => read,
             () = delivery.caller_disconnected() => return Err(AttemptOutcome::Abandoned),
         };
-        let response = read.ok_or(AttemptOutcome::Lost)?;
+        let body = read.map_err(|error| {
+            let (id, backend) = (&self.received.header.id, order.recipient.name());
+            log::info!(id, backend, error:%; "reading a response failed; ending the call");
+            metrics::body_failure("response", &error);
+            AttemptOutcome::Lost
+        })?;
         self.host.connections.release(connection);
-        Ok(response)
+        Ok(BufferedResponse {
+            status: head.status,
+            headers: head.headers,
+            body,
+        })
     }
 
     /// Reads the whole response and sends it to the caller. A server error is kept instead,
     /// since another attempt may succeed.
     async fn forward_whole(
         &mut self,
+        order: &SendOrder,
         connection: Connection,
         response: Response<Incoming>,
         delivery: &mut Delivery,
     ) -> AttemptOutcome {
         let states_its_end = states_its_end(response.headers());
-        let response = match self.read_whole(connection, response, delivery).await {
+        let read = self.read_whole(order, connection, response, delivery);
+        let response = match read.await {
             Ok(response) => response,
             Err(outcome) => return outcome,
         };
--- a/crates/jaypin_entry/src/callers/read_request.rs
+++ b/crates/jaypin_entry/src/callers/read_request.rs
@@ -3,17 +3,20 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::header::HeaderName;
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Method, Request, StatusCode, Uri};
 use jaypin_router::{PromptSegment, ResumedStream, attempt_key};
 use snafu::Snafu;
+use tokio::task::spawn_local;
 use tokio::time::{Instant, timeout};
 use xxhash_rust::xxh3::Xxh3Default;
 
+use crate::body_memory::BodyError;
+use crate::calls::skip_body;
 use crate::host::Host;
+use crate::metrics;
 use crate::ports::CallerRequest;
 
 /// Largest header before a configuration is known, in bytes.
@@ -28,6 +31,10 @@
 const DEFAULT_MAX_BODY_BYTES: usize = 1024 * 1024;
 /// Time for a caller to send its body if the request states no timeout.
 const DEFAULT_BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// Longest time for which a body waits for memory.
+const MAX_MEMORY_WAIT: Duration = Duration::from_millis(800);
+/// Time after which a request without memory for its body should come again.
+const MEMORY_RETRY_TIME: Duration = Duration::from_secs(1);
 
 /// Maximum number of parts of a prompt that are passed to the reducer.
 const MAX_SHARED_PARTS: usize = 16;
@@ -66,6 +73,9 @@
     /// The body did not arrive completely in time.
     #[snafu(display("the request body did not arrive completely in time"))]
     Incomplete,
+    /// Other bodies take the memory for bodies.
+    #[snafu(display("other bodies take the memory for bodies"))]
+    NoMemory,
 }
 
 impl ReadError {
@@ -76,6 +86,7 @@
             Self::HeaderTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::Incomplete => StatusCode::REQUEST_TIMEOUT,
+            Self::NoMemory => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 
@@ -86,8 +97,14 @@
             Self::HeaderTooLarge => "header-too-large",
             Self::TooLarge => "too-large",
             Self::Incomplete => "body-cut",
+            Self::NoMemory => "no-memory",
         }
     }
+
+    /// Returns the time after which the caller should send the request again, if it should.
+    pub fn retry_after(&self) -> Option<Duration> {
+        matches!(self, Self::NoMemory).then_some(MEMORY_RETRY_TIME)
+    }
 }
 
 /// A request that was read completely.
@@ -163,7 +180,7 @@
 /// time.
 pub async fn read(host: &Host, req: Request<Incoming>) -> Result<ReceivedRequest, ReadError> {
     let received_at = Instant::now();
-    let (mut head, body) = req.into_parts();
+    let (mut head, mut body) = req.into_parts();
     let is_passed_on = head.headers.remove(&PASSED_ON).is_some();
     if header_bytes(&head) > max_header_bytes(host) {
         return Err(ReadError::HeaderTooLarge);
@@ -179,11 +196,21 @@
             it.configuration().limits.body_bytes
         })
     });
-    let collected = timeout(body_timeout, Limited::new(body, max_bytes).collect()).await;
-    let body = match collected {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => return Err(ReadError::TooLarge),
-        Ok(Err(_)) | Err(_) => return Err(ReadError::Incomplete),
+    let max_wait = MAX_MEMORY_WAIT.min(body_timeout / 4);
+    let read = host.body_memory.read(&mut body, max_bytes, max_wait);
+    let body = match timeout(body_timeout, read).await {
+        Ok(Ok(body)) => body,
+        Ok(Err(BodyError::TooLarge { .. })) => return Err(ReadError::TooLarge),
+        Ok(Err(BodyError::Cut)) | Err(_) => return Err(ReadError::Incomplete),
+        Ok(Err(error @ BodyError::NoMemory)) => {
+            let id = &header.id;
+            log::warn!(id, error:%; "no memory for the body of a request; refusing it");
+            metrics::body_failure("request", &error);
+            // A caller that sends its whole body first could not read the response on a closed
+            // connection.
+            spawn_local(skip_body(body, max_bytes, body_timeout));
+            return Err(ReadError::NoMemory);
+        }
     };
     let fingerprint = fingerprint(&head.uri, header.credential.as_deref(), &body);
     Ok(ReceivedRequest {
--- a/crates/jaypin_entry/src/callers/response.rs
+++ b/crates/jaypin_entry/src/callers/response.rs
@@ -1,6 +1,7 @@
 //! Responses that this host generates.
 
 use std::io;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::combinators::UnsyncBoxBody;
@@ -52,14 +53,18 @@
     };
     let mut response = json(status_of(refusal), &body);
     if let Some(wait) = refusal.retry_after {
-        let seconds = format!("{:.3}", wait.as_secs_f64());
-        if let Ok(value) = HeaderValue::from_str(&seconds) {
-            response.headers_mut().insert(RETRY_AFTER, value);
-        }
+        set_retry_after(&mut response, wait);
     }
     response
 }
 
+fn set_retry_after(response: &mut HttpResponse, wait: Duration) {
+    let seconds = format!("{:.3}", wait.as_secs_f64());
+    if let Ok(value) = HeaderValue::from_str(&seconds) {
+        response.headers_mut().insert(RETRY_AFTER, value);
+    }
+}
+
 /// Returns the response to a request without a route or with an unknown credential.
 pub fn rejection_response(reason: Unrouted) -> HttpResponse {
     let status = match reason {
@@ -75,7 +80,11 @@
 pub fn read_error_response(error: &ReadError) -> HttpResponse {
     let outcome = Ran::NotRun.as_str();
     let reason = error.reason();
-    json(error.status(), &RefusalBody { reason, outcome })
+    let mut response = json(error.status(), &RefusalBody { reason, outcome });
+    if let Some(wait) = error.retry_after() {
+        set_retry_after(&mut response, wait);
+    }
+    response
 }
 
 /// Adds the header that closes the connection after the response.
--- a/crates/jaypin_entry/src/calls/buffered_response.rs
+++ b/crates/jaypin_entry/src/calls/buffered_response.rs
@@ -7,7 +7,7 @@
 
 /// Largest response that is not a stream, in bytes. Services without streams respond with a
 /// few kilobytes; a host has memory for a few hundred responses of this size at once.
-const MAX_RESPONSE_BYTES: usize = 4 * 1024 * 1024;
+pub const MAX_RESPONSE_BYTES: usize = 4 * 1024 * 1024;
 
 /// A response that was read completely.
 #[derive(Debug)]
--- a/crates/jaypin_entry/src/calls/mod.rs
+++ b/crates/jaypin_entry/src/calls/mod.rs
@@ -5,7 +5,7 @@
 mod event_id;
 mod skipped_body;
 
-pub use buffered_response::{BufferedResponse, read_response};
+pub use buffered_response::{BufferedResponse, MAX_RESPONSE_BYTES, read_response};
 
 pub use connection_pool::{CallError, Connection, ConnectionPool, DEFAULT_TIMEOUTS, connect};
 pub use event_id::event_id;
--- a/crates/jaypin_entry/src/calls/skipped_body.rs
+++ b/crates/jaypin_entry/src/calls/skipped_body.rs
@@ -7,16 +7,11 @@
 use hyper::body::Incoming;
 use tokio::time::timeout;
 
-/// Largest body, in bytes, that is read so that its connection can be reused.
-const MAX_SKIPPED_BYTES: usize = 16 * 1024;
-/// Longest time for which such a body is read.
-const SKIP_TIME: Duration = Duration::from_millis(500);
-
-/// Reads a body and keeps nothing of it. Returns whether it ended in time, so that its connection can
-/// be reused.
-pub async fn skip_body(mut body: Incoming) -> bool {
-    let skipped = timeout(SKIP_TIME, async {
-        let mut left = MAX_SKIPPED_BYTES;
+/// Reads a body of at most `max_bytes` and keeps nothing of it. Returns whether it ended within the time
+/// limit, so that its connection can be reused.
+pub async fn skip_body(mut body: Incoming, max_bytes: usize, limit: Duration) -> bool {
+    let skipped = timeout(limit, async {
+        let mut left = max_bytes;
         while let Some(frame) = body.frame().await {
             let Ok(frame) = frame else { return false };
             let length = frame.data_ref().map_or(0, Bytes::len);
--- a/crates/jaypin_entry/src/host.rs
+++ b/crates/jaypin_entry/src/host.rs
@@ -14,6 +14,7 @@
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::time::{Instant, sleep, sleep_until};
 
+use crate::body_memory::BodyMemory;
 use crate::boot_clock::boot_time;
 use crate::callers::IdleTime;
 use crate::calls::{ConnectionPool, Recipient, SendOrder};
@@ -70,6 +71,8 @@
     pub settings: HostSettings,
     /// Pooled connections to backend servers.
     pub connections: ConnectionPool,
+    /// Memory for bodies of requests and responses.
+    pub body_memory: BodyMemory,
     /// Socket for reports to and from peers.
     pub peers: PeerSocket,
     /// How far the watches of the store have come.
@@ -97,6 +100,7 @@
     ) -> Self {
         Self {
             platform,
+            body_memory: BodyMemory::new(settings.max_memory_bytes),
             settings,
             connections: ConnectionPool::default(),
             peers,
--- a/crates/jaypin_entry/src/lib.rs
+++ b/crates/jaypin_entry/src/lib.rs
@@ -5,6 +5,7 @@
 //! the platform and come from an adapter that implements [`Platform`].
 
 mod backend_probe;
+mod body_memory;
 mod boot_clock;
 mod callers;
 mod calls;
--- a/crates/jaypin_entry/src/metrics.rs
+++ b/crates/jaypin_entry/src/metrics.rs
@@ -12,6 +12,8 @@
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
 
+use crate::body_memory::BodyError;
+
 /// Histogram bounds in seconds, for the time to a first event, the time to a whole response and
 /// the longest pause of a stream: around the latency targets of 0.1, 0.5 and 1 second, and up
 /// to the longest deadline.
@@ -34,6 +36,8 @@
     calls: Counter<u64>,
     responses: Counter<u64>,
     connections: Counter<u64>,
+    body_failures: Counter<u64>,
+    held_body_bytes: Gauge<u64>,
     store_calls: Counter<u64>,
     first_event: Histogram<f64>,
     duration: Histogram<f64>,
@@ -83,6 +87,11 @@
         calls: meter.u64_counter("jaypin.backend.calls").build(),
         responses: meter.u64_counter("jaypin.backend.responses").build(),
         connections: meter.u64_counter("jaypin.backend.connections").build(),
+        body_failures: meter.u64_counter("jaypin.bodies.failed").build(),
+        held_body_bytes: meter
+            .u64_gauge("jaypin.bodies.memory")
+            .with_unit("By")
+            .build(),
         store_calls: meter.u64_counter("jaypin.store.calls").build(),
         first_event: histogram("jaypin.request.first_event"),
         duration: histogram("jaypin.request.duration"),
@@ -156,6 +165,17 @@
     }
 }
 
+/// Counts a body of a `request` or a `response` that was not read whole, by the cause.
+pub fn body_failure(of: &'static str, error: &BodyError) {
+    if let Some(all) = INSTRUMENTS.get() {
+        let labels = [
+            KeyValue::new("of", of),
+            KeyValue::new("cause", error.as_str()),
+        ];
+        all.body_failures.add(1, &labels);
+    }
+}
+
 /// Records the times of a stream: to its first event, and the longest between two events.
 pub fn stream(first: Duration, pause: Duration) {
     if let Some(all) = INSTRUMENTS.get() {
@@ -195,6 +215,7 @@
 pub fn render(
     counts: RouterCounts,
     entries_age: Option<Duration>,
+    held_body_bytes: usize,
     is_ready: bool,
 ) -> Option<String> {
     let all = INSTRUMENTS.get()?;
@@ -216,6 +237,7 @@
     all.sent_elsewhere.record(counts.sent_elsewhere, &[]);
     all.refuted_held.record(counts.refuted_held, &[]);
     all.held_bytes.record(wide(counts.held_bytes), &[]);
+    all.held_body_bytes.record(wide(held_body_bytes), &[]);
     if let Some(age) = entries_age {
         all.entries_age.record(age.as_secs_f64(), &[]);
     }
--- a/crates/jaypin_entry/src/ports.rs
+++ b/crates/jaypin_entry/src/ports.rs
@@ -48,6 +48,8 @@
     pub peer_address: SocketAddr,
     /// Address of the platform's store.
     pub store_address: SocketAddr,
+    /// Memory that the process may use, in bytes.
+    pub max_memory_bytes: u64,
     /// Most file descriptors that the process may have open.
     pub max_open_files: u64,
     /// Longest lifetime of a list of addresses that callers receive.
