Take comments of a stream for no event

Seen by callers: a stream of comments without end counted as begun, could go nowhere else, and held its caller until the deadline, while the host read and forwarded the comments as fast as they came.

Cause: each block of lines that an empty line ends counted as an event, also one of comments only.

Changes: callers/stream_events.rs keeps comments until the next event, whose bytes begin with them, and those after the last event until the end. Why it works: a comment neither begins an answer nor ends a silence, and the body that callers get is the same.

--- a/crates/jaypin_entry/src/body_memory.rs
+++ b/crates/jaypin_entry/src/body_memory.rs
@@ -60,7 +60,7 @@
 
 /// Memory of one body, which is free again when this is dropped.
 #[derive(Debug, Default)]
-struct Reservation {
+pub struct Reservation {
     permit: Option<OwnedSemaphorePermit>,
     bytes: usize,
 }
@@ -128,7 +128,7 @@
             let data = frame.into_data().unwrap_or_default();
             let length = buf.len() + data.len();
             snafu::ensure!(length <= max_bytes, TooLargeSnafu { max_bytes });
-            if length > buf.capacity() && length > FREE_BYTES {
+            if length > buf.capacity() {
                 let capacity = (length * 2).min(max_bytes);
                 self.try_reserve(&mut reservation, capacity)?;
                 buf.reserve(capacity - buf.len());
@@ -150,7 +150,18 @@
         Ok(())
     }
 
-    fn try_reserve(&self, reservation: &mut Reservation, bytes: usize) -> Result<(), BodyError> {
+    /// Reserves memory for a body of this size now. One of up to 16 KiB takes none.
+    ///
+    /// # Errors
+    /// Fails if other bodies take the memory.
+    pub fn try_reserve(
+        &self,
+        reservation: &mut Reservation,
+        bytes: usize,
+    ) -> Result<(), BodyError> {
+        if bytes <= FREE_BYTES || bytes <= reservation.bytes {
+            return Ok(());
+        }
         let units = self.missing_units(reservation, bytes);
         let permit = self.units.clone().try_acquire_many_owned(units);
         reservation.add(permit.map_err(|_| BodyError::NoMemory)?, bytes);
--- a/crates/jaypin_entry/src/callers/attempt.rs
+++ b/crates/jaypin_entry/src/callers/attempt.rs
@@ -8,7 +8,6 @@
 use hyper::header::{CONTENT_LENGTH, HeaderValue, TRANSFER_ENCODING};
 use hyper::{HeaderMap, Request, Response, Uri};
 use jaypin_core::BackendId;
-use jaypin_http::EventReader;
 use jaypin_router::{AttemptOutcome, BackendSignals, BackendStatus, Event};
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep_until};
@@ -19,6 +18,7 @@
 use super::request_task::RequestTask;
 use super::response_proof::ResponseProof;
 use super::silence::{Silence, SilenceWatch};
+use super::stream_events::{StreamError, StreamEvents};
 use crate::calls::{
     BufferedResponse, CallError, Connection, MAX_RESPONSE_BYTES, Recipient, SendOrder, event_id,
     skip_body,
@@ -307,7 +307,7 @@
         delivery: &mut Delivery,
     ) -> AttemptOutcome {
         let (parts, mut body) = response.into_parts();
-        let mut reader = EventReader::default();
+        let mut events = StreamEvents::default();
         let mut rate = EventRate::default();
         let mut has_first_event = false;
         watch.restart(order.first_event_timeout);
@@ -325,10 +325,15 @@
                 Ok(Some(Err(_))) => return AttemptOutcome::Lost,
                 Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
             };
-            if !reader.push(&bytes) {
-                return AttemptOutcome::Lost;
+            if let Err(error) = events.push(&bytes) {
+                return self.end_broken_stream(order, &error);
             }
-            while let Some(event) = reader.next_event() {
+            loop {
+                let event = match events.next_event() {
+                    Ok(Some(event)) => event,
+                    Ok(None) => break,
+                    Err(error) => return self.end_broken_stream(order, &error),
+                };
                 let id = event_id(&event);
                 // A stream that is resumed at another backend server may repeat events that
                 // were already forwarded.
@@ -349,8 +354,11 @@
                     return AttemptOutcome::Abandoned;
                 }
             }
+            if let Err(error) = events.reserve(&self.host.body_memory) {
+                return self.end_broken_stream(order, &error);
+            }
         }
-        if reader.has_partial_event() {
+        if events.has_partial_event() {
             return AttemptOutcome::Lost;
         }
         if !has_first_event {
@@ -363,6 +371,10 @@
         if let Some(group) = rate.take_rest() {
             self.report_events(group);
         }
+        let comments = events.take_comments();
+        if !comments.is_empty() && !delivery.send_event(comments).await {
+            return AttemptOutcome::Abandoned;
+        }
         delivery.end_stream().await;
         self.host.connections.release(connection);
         complete(states_its_end(&parts.headers))
@@ -377,6 +389,12 @@
         });
     }
 
+    fn end_broken_stream(&self, order: &SendOrder, error: &StreamError) -> AttemptOutcome {
+        let (id, backend) = (&self.received.header.id, order.recipient.name());
+        log::info!(id, backend, error:%; "a stream is broken; ending the call");
+        AttemptOutcome::Lost
+    }
+
     /// Ends a call on which nothing arrived for too long.
     fn end_silent_call(&self, order: &SendOrder, silence: Silence) -> AttemptOutcome {
         let (id, backend) = (&self.received.header.id, order.recipient.name());
--- a/crates/jaypin_entry/src/callers/mod.rs
+++ b/crates/jaypin_entry/src/callers/mod.rs
@@ -10,6 +10,7 @@
 mod response;
 mod response_proof;
 mod silence;
+mod stream_events;
 
 pub use directory::{serve_queries, serve_responses};
 pub use idle_time::IdleTime;
--- a/crates/jaypin_http/src/event_reader.rs
+++ b/crates/jaypin_http/src/event_reader.rs
@@ -36,6 +36,12 @@
         Some(self.buf.split_to(end).freeze())
     }
 
+    /// Returns the number of bytes that wait for the end of an event.
+    #[must_use]
+    pub fn buffered_bytes(&self) -> usize {
+        self.buf.len()
+    }
+
     /// Returns whether bytes of an incomplete event are left.
     #[must_use]
     pub fn has_partial_event(&self) -> bool {
