--- a/crates/jaypin_entry/src/callers/attempt.rs
+++ b/crates/jaypin_entry/src/callers/attempt.rs
@@ -55,25 +55,48 @@
         is_backend && !self.host.connections.probe(&order.address).await
     }
 
-    /// Calls the backend server and forwards its response.
+    /// Calls the recipient and forwards its response.
     async fn call_backend(&mut self, order: &SendOrder, delivery: &mut Delivery) -> AttemptOutcome {
         let mut watch = SilenceWatch::new(self, order);
-        let (mut connection, response) = loop {
+        let (connection, response) = match self.send(order, &mut watch, delivery).await {
+            Ok(received) => received,
+            Err(outcome) => return outcome,
+        };
+        match &order.recipient {
+            Recipient::Peer(_) => {
+                self.relay_response(order, connection, response, watch, delivery)
+                    .await
+            }
+            Recipient::Backend(backend) => {
+                let received = (connection, response);
+                self.handle_response(order, backend, received, watch, delivery)
+                    .await
+            }
+        }
+    }
+
+    /// Sends the request and waits for the head of its response. Returns how the call ended if there is
+    /// none.
+    async fn send(
+        &self,
+        order: &SendOrder,
+        watch: &mut SilenceWatch<'_>,
+        delivery: &mut Delivery,
+    ) -> Result<(Connection, Response<Incoming>), AttemptOutcome> {
+        loop {
             let acquired = tokio::select! {
                 acquired = self.host.connections.acquire(&order.address) => acquired,
-                () = delivery.caller_disconnected() => return AttemptOutcome::Abandoned,
-            };
-            let Ok(mut connection) = acquired else {
-                return AttemptOutcome::Unreached;
+                () = delivery.caller_disconnected() => return Err(AttemptOutcome::Abandoned),
             };
+            let mut connection = acquired.map_err(|_| AttemptOutcome::Unreached)?;
             if let Recipient::Backend(backend) = &order.recipient {
                 let checked_at = tokio::select! {
                     checked_at = self.host.catch_up() => checked_at,
-                    () = delivery.caller_disconnected() => return AttemptOutcome::Abandoned,
+                    () = delivery.caller_disconnected() => return Err(AttemptOutcome::Abandoned),
                 };
                 if !self.host.may_send_to(backend) {
                     self.host.connections.release(connection);
-                    return AttemptOutcome::Withheld;
+                    return Err(AttemptOutcome::Withheld);
                 }
                 connection.limit_write(self.host.outdated_at(checked_at));
             }
@@ -81,63 +104,53 @@
             watch.restart(order.first_event_timeout);
             let sent = tokio::select! {
                 sent = watch.next(connection.call(req)) => sent,
-                () = delivery.caller_disconnected() => return AttemptOutcome::Abandoned,
+                () = delivery.caller_disconnected() => return Err(AttemptOutcome::Abandoned),
             };
             match sent {
-                Err(silence) => return self.end_silent_call(order, silence),
-                Ok(Ok(response)) => break (connection, response),
+                Err(silence) => return Err(self.end_silent_call(order, silence)),
+                Ok(Ok(response)) => {
+                    connection.update_expiry(response.headers());
+                    return Ok((connection, response));
+                }
                 // The backend server closed the connection while it was idle. Only a new one
                 // shows whether the server can be reached.
                 Ok(Err(CallError::NotSent)) if connection.is_reused => {}
                 // This host was stalled before the request was written. Whether the backend server
                 // still takes it is checked again.
                 Ok(Err(CallError::Withheld)) => self.log_late_write(order),
-                Ok(Err(CallError::NotSent)) => return AttemptOutcome::Unreached,
-                Ok(Err(CallError::Interrupted)) => return AttemptOutcome::Lost,
+                Ok(Err(CallError::NotSent)) => return Err(AttemptOutcome::Unreached),
+                Ok(Err(CallError::Interrupted)) => return Err(AttemptOutcome::Lost),
             }
-        };
-        connection.update_expiry(response.headers());
-        let status = response.status();
-        let Recipient::Backend(backend) = &order.recipient else {
-            return self
-                .relay_response(order, connection, response, watch, delivery)
-                .await;
-        };
+        }
+    }
+
+    /// Forwards the response of a backend server if it is the request's own and may be forwarded.
+    async fn handle_response(
+        &mut self,
+        order: &SendOrder,
+        backend: &BackendId,
+        (mut connection, response): (Connection, Response<Incoming>),
+        watch: SilenceWatch<'_>,
+        delivery: &mut Delivery,
+    ) -> AttemptOutcome {
         if !connection.is_reused {
             self.host.apply(Event::BackendReached(backend.clone()));
         }
-        let backend_head = self
-            .host
-            .platform
-            .parse_backend_response(status, response.headers());
-        let (proof, attribution) = ResponseProof::of(
-            &backend_head,
-            status,
-            response.headers(),
-            &self.received.header.id,
-            &connection,
-        );
-        connection.record_response(backend_head.id.is_some());
+        let (status, headers) = (response.status(), response.headers());
+        let head = self.host.platform.parse_backend_response(status, headers);
+        let id = &self.received.header.id;
+        let (proof, attribution) = ResponseProof::of(&head, status, headers, id, &connection);
+        connection.record_response(head.id.is_some());
         self.attribution = Some(attribution);
         metrics::response(attribution.as_str());
         if proof != ResponseProof::Nothing {
-            self.apply_signals(backend, &backend_head);
+            self.apply_signals(backend, &head);
         }
-        match proof {
-            ResponseProof::Nothing => return AttemptOutcome::Lost,
-            ResponseProof::NotRun => {
+        if let Some(outcome) = outcome_without_answer(proof) {
+            if proof != ResponseProof::Nothing {
                 self.discard(connection, response);
-                return AttemptOutcome::NotRun;
             }
-            ResponseProof::Misdirected => {
-                self.discard(connection, response);
-                return AttemptOutcome::Replaced;
-            }
-            ResponseProof::FalsePromise => {
-                self.discard(connection, response);
-                return AttemptOutcome::Failed;
-            }
-            ResponseProof::Answered => {}
+            return outcome;
         }
         if !order.repeat.may_run_again() {
             // It is not sent again, and may be large.
@@ -450,6 +463,17 @@
     }
 }
 
+/// Returns how a call ends whose response is not forwarded; none if it is.
+fn outcome_without_answer(proof: ResponseProof) -> Option<AttemptOutcome> {
+    match proof {
+        ResponseProof::Nothing => Some(AttemptOutcome::Lost),
+        ResponseProof::NotRun => Some(AttemptOutcome::NotRun),
+        ResponseProof::Misdirected => Some(AttemptOutcome::Replaced),
+        ResponseProof::FalsePromise => Some(AttemptOutcome::Failed),
+        ResponseProof::Answered => None,
+    }
+}
+
 /// Returns whether a body that is cut off can be told from one that has ended: it has a length or
 /// comes in chunks. Others end with their connection.
 fn states_its_end(headers: &HeaderMap) -> bool {
