Apply the last change of each entry in a watch's response

Cause: a removal counts at the point of the whole response, since the object in it may bear an older one; the later entry of the same name in that response then counted as older.

Changes: of several changes of one object in a response only the last is applied. Why it works: points then only order changes of different responses, for which that of the whole response is right.

--- a/crates/jaypin_entry/src/store/backends.rs
+++ b/crates/jaypin_entry/src/store/backends.rs
@@ -1,5 +1,6 @@
 //! Follows the registrations of backend servers.
 
+use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -221,7 +222,7 @@
         let Some(updates) = watched else {
             return Ok(());
         };
-        for change in &updates.changes {
+        for change in last_changes(&updates.changes) {
             let change = entry_change(host, change, updates.point);
             log::info!(change:?; "backend server entry changed");
             host.apply(Event::BackendChanged(change));
@@ -236,6 +237,19 @@
     Ok(())
 }
 
+/// Returns the last change of each object.
+///
+/// Guards against an entry that is removed and written again in one response: its removal counts at the
+/// point of the whole response, and the later entry would be taken for an older one.
+fn last_changes(changes: &[ObjectChange]) -> Vec<&ObjectChange> {
+    let mut seen = HashSet::new();
+    let newest_first = changes.iter().rev();
+    let last = newest_first.filter(|it| seen.insert(it.object.name.as_str()));
+    let mut last: Vec<_> = last.collect();
+    last.reverse();
+    last
+}
+
 /// Converts a change of the store. An invalid entry counts as removed, so that its backend
 /// server is not used.
 fn entry_change(host: &Host, change: &ObjectChange, point: StorePoint) -> EntryChange {
