Log the longest lateness of a silence, not that of its last check

Seen: a_silent_call_is_logged_with_its_silence failed once in 9 runs: the host had stood still for 2.5 s, and its line said late_ms 1 and silent_ms 3066.

Cause: a silence after which the request can't go on elsewhere yet is checked again. The lateness was that of the last check, which came in time.

Changes: the longest lateness of all checks is kept. No decision changes.

--- a/crates/jaypin_entry/src/callers/silence.rs
+++ b/crates/jaypin_entry/src/callers/silence.rs
@@ -23,7 +23,7 @@
 pub(super) struct Silence {
     /// Time for which nothing arrived.
     pub(super) time: Duration,
-    /// Time by which this host noticed the silence late.
+    /// Longest time by which this host checked the silence late.
     pub(super) lateness: Duration,
     /// Whether the backend server accepted new connections.
     pub(super) accepts_connections: bool,
@@ -74,9 +74,10 @@
         };
         let mut due = self.since + limit;
         let mut known_reason = StayReason::Short;
+        let mut lateness = Duration::ZERO;
         loop {
             sleep_until(due).await;
-            let lateness = due.elapsed();
+            lateness = lateness.max(due.elapsed());
             let connections = &self.host.connections;
             let accepts_connections = connections.accepts_connections(&self.order.address).await;
             settle().await;
