--- a/crates/jaypin_entry/src/body_memory.rs
+++ b/crates/jaypin_entry/src/body_memory.rs
@@ -10,13 +10,13 @@
 use tokio::sync::{AcquireError, OwnedSemaphorePermit, Semaphore};
 use tokio::time::timeout;
 
-/// Share of a host's memory for bodies. The rest is for the process itself, for its connections and
-/// for what the system has received for it.
-const BODY_SHARE: f64 = 0.3;
+/// Part of a host's memory that bodies may take, in percent. The process itself, its connections and the
+/// system's receive buffers need the rest.
+const BODY_PERCENT: u64 = 30;
 /// Bytes of a unit in which memory is reserved.
 const UNIT_BYTES: usize = 1024;
-/// Size of a body, in bytes, up to which it takes no reserved memory: the number of connections bounds
-/// the sum of these, and a large body must not hold them up.
+/// Size, in bytes, up to which a body needs no reservation, so that large bodies never delay small ones.
+/// The limit of open connections bounds the sum of these.
 const FREE_BYTES: usize = 16 * 1024;
 
 /// Why a body was not read whole.
@@ -50,8 +50,7 @@
 /// The memory for bodies of callers' requests and backend servers' responses, of all requests of a host
 /// together.
 ///
-/// Guards against a host that is killed for its memory: each body is bounded by itself, and the sum
-/// of those that arrive at once is not.
+/// Guards against a host that is killed because many bodies, each within its own limit, arrive at once.
 #[derive(Debug)]
 pub struct BodyMemory {
     units: Arc<Semaphore>,
@@ -80,15 +79,8 @@
 impl BodyMemory {
     /// Creates the memory for bodies of a host that may use this many bytes.
     pub fn new(max_memory_bytes: u64) -> Self {
-        let units = max_memory_bytes / UNIT_BYTES as u64;
-        // Converting the share back is exact enough for a bound.
-        #[expect(
-            clippy::cast_precision_loss,
-            clippy::cast_sign_loss,
-            clippy::cast_possible_truncation
-        )]
-        let total = (units as f64 * BODY_SHARE) as u32;
-        let total = total.max(1);
+        let units = max_memory_bytes / UNIT_BYTES as u64 * BODY_PERCENT / 100;
+        let total = u32::try_from(units).unwrap_or(u32::MAX).max(1);
         Self {
             units: Arc::new(Semaphore::new(total as usize)),
             total,
--- a/crates/jaypin_entry/src/callers/attempt.rs
+++ b/crates/jaypin_entry/src/callers/attempt.rs
@@ -3,18 +3,17 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
+use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
-use hyper::header::{CONTENT_LENGTH, HeaderValue, TRANSFER_ENCODING};
-use hyper::{HeaderMap, Request, Response, Uri};
+use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use hyper::{HeaderMap, Response};
 use jaypin_core::BackendId;
-use jaypin_router::{AttemptOutcome, BackendSignals, BackendStatus, Event};
+use jaypin_router::{AttemptOutcome, Event};
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep_until};
 
 use super::delivery::{Delivery, forward_response};
 use super::event_timing::{EventGroup, EventRate};
-use super::read_request::{LAST_EVENT_ID, PASSED_ON};
 use super::request_task::RequestTask;
 use super::response_proof::ResponseProof;
 use super::silence::{Silence, SilenceWatch};
@@ -24,7 +23,6 @@
     skip_body,
 };
 use crate::metrics;
-use crate::ports::{BackendResponse, ForwardContext};
 
 /// Largest body, in bytes, that is read only so that its connection can be reused.
 const MAX_SKIPPED_BYTES: usize = 16 * 1024;
@@ -153,7 +151,7 @@
             return outcome;
         }
         if !order.repeat.may_run_again() {
-            // It is not sent again, and may be large.
+            // It is not sent again, so its body need not be kept.
             self.received.body = Bytes::new();
         }
         if status.is_success() && order.repeat.is_stream() {
@@ -165,60 +163,9 @@
             .await
     }
 
-    /// Passes the rate limit, the leaving state and the backoff in a backend server's response
-    /// headers to the reducer, and logs a change of the first two.
-    fn apply_signals(&self, backend: &BackendId, head: &BackendResponse) {
-        // The responding server is not the one that is registered under this id.
-        if head.is_misdirected {
-            return;
-        }
-        let number = self.number;
-        let before = self.host.read(|router| router.signals_of(backend));
-        let rate_limit = match &head.rate_limit {
-            Ok(rate_limit) => *rate_limit,
-            Err(error) => {
-                log::warn!(backend, error:%; "invalid rate limit from a backend server; keeping the previous one");
-                before.rate_limit
-            }
-        };
-        let backoff = match &head.backoff {
-            Ok(backoff) => *backoff,
-            Err(error) => {
-                log::warn!(backend, error:%; "invalid backoff from a backend server; ignored");
-                None
-            }
-        };
-        if let Some(backoff) = backoff {
-            let ms = backoff.as_millis();
-            log::info!(backend, ms; "a backend server requested backoff");
-        }
-        let rejection_limit = match &head.rejection_limit {
-            Ok(limit) => *limit,
-            Err(error) => {
-                log::warn!(backend, error:%; "invalid rejection limit from a backend server; keeping the previous one");
-                before.rejection_limit
-            }
-        };
-        let signals = BackendSignals {
-            rate_limit,
-            rejection_limit,
-            is_leaving: head.status == BackendStatus::Leaving,
-        };
-        self.host.apply(Event::HeaderReceived {
-            number,
-            signals,
-            backoff,
-        });
-        let after = self.host.read(|router| router.signals_of(backend));
-        if before != after {
-            log::info!(backend, before:?, after:?; "signals of a backend server changed");
-        }
-    }
-
     /// Discards a response that is not forwarded. Its connection is reused if the body ends soon.
     ///
-    /// Guards against a body without end, which would keep the request from going elsewhere and take
-    /// memory.
+    /// Guards against a body without end: the request is sent elsewhere without waiting for it.
     fn discard(&self, connection: Connection, response: Response<Incoming>) {
         let body = response.into_body();
         if body.is_end_stream() {
@@ -428,39 +375,6 @@
     fn has_earlier_events(&self) -> bool {
         self.last_id.is_some() || self.received.resumes().is_some()
     }
-
-    /// Returns the request as it is sent to the recipient.
-    fn outgoing_request(&self, order: &SendOrder) -> Request<Full<Bytes>> {
-        let mut req = Request::new(Full::new(self.received.body.clone()));
-        *req.method_mut() = self.received.method.clone();
-        *req.uri_mut() = origin_form(&self.received.uri);
-        *req.headers_mut() = self.outgoing_headers(order);
-        if let Some(id) = self.last_id {
-            let value = HeaderValue::from(id);
-            req.headers_mut().insert(LAST_EVENT_ID, value);
-        }
-        req
-    }
-
-    fn outgoing_headers(&self, order: &SendOrder) -> HeaderMap {
-        let (platform, received) = (&self.host.platform, &self.received.headers);
-        let time_left = order.deadline.saturating_duration_since(Instant::now());
-        match &order.recipient {
-            Recipient::Backend(backend) => {
-                let forward = ForwardContext {
-                    backend,
-                    account: order.requester.account.as_ref(),
-                    time_left,
-                };
-                platform.forwarded_headers(received, &forward)
-            }
-            Recipient::Peer(_) => {
-                let mut headers = platform.passed_on_headers(received, time_left);
-                headers.insert(PASSED_ON, HeaderValue::from_static("1"));
-                headers
-            }
-        }
-    }
 }
 
 /// Returns how a call ends whose response is not forwarded; none if it is.
@@ -488,10 +402,3 @@
         AttemptOutcome::Unverified
     }
 }
-
-/// Returns the path and query of a URI: a request target that a caller sent in absolute form
-/// is sent to the backend server in origin form.
-fn origin_form(uri: &Uri) -> Uri {
-    let path = uri.path_and_query().cloned();
-    path.map(Uri::from).unwrap_or_default()
-}
--- a/crates/jaypin_entry/src/callers/mod.rs
+++ b/crates/jaypin_entry/src/callers/mod.rs
@@ -5,10 +5,12 @@
 mod directory;
 mod event_timing;
 mod idle_time;
+mod outgoing_request;
 mod read_request;
 mod request_task;
 mod response;
 mod response_proof;
+mod response_signals;
 mod silence;
 mod stream_events;
 
--- a/crates/jaypin_entry/src/callers/request_task.rs
+++ b/crates/jaypin_entry/src/callers/request_task.rs
@@ -52,7 +52,7 @@
     pub(super) delivery: Delivery,
     /// The error response of a backend server, which is forwarded if no attempt succeeds.
     pub(super) failure: Option<BufferedResponse>,
-    /// By what the response of the current attempt is known to be its own; none before it arrives.
+    /// How the response of the current attempt was matched to it; none before it arrives.
     pub(super) attribution: Option<Attribution>,
     /// Id of the last event that was forwarded.
     pub(super) last_id: Option<u64>,
--- a/crates/jaypin_entry/src/callers/response_proof.rs
+++ b/crates/jaypin_entry/src/callers/response_proof.rs
@@ -1,14 +1,12 @@
 //! What a response of a backend server proves of the request for which it was read.
 //!
-//! Guards against responses that come late or twice: on a connection that carried other requests, one
-//! would be taken for the next request's. A caller would get another's answer, or a request that runs
-//! would count as not run and be sent elsewhere or refused. Only [`ResponseProof::NotRun`] and
-//! [`ResponseProof::Misdirected`] allow that, and each response that may belong to another request
-//! is [`ResponseProof::Nothing`].
+//! Guards against late and duplicate responses on a reused connection: without a check, the next request
+//! on it would get another caller's answer, or would count as not run although it runs. Only
+//! [`ResponseProof::NotRun`] and [`ResponseProof::Misdirected`] allow a request to be sent elsewhere or
+//! to be refused as not run.
 //!
-//! Guards also against callers that repeat a request that ran, because its backend server answered with
-//! a status that they read as "not run": that is [`ResponseProof::FalsePromise`], which is not
-//! forwarded.
+//! Also guards against a status that callers read as "not run" although the request ran
+//! ([`ResponseProof::FalsePromise`]); it is not forwarded.
 
 use hyper::header::CONTENT_ENCODING;
 use hyper::{HeaderMap, StatusCode};
@@ -17,16 +15,16 @@
 use crate::calls::Connection;
 use crate::ports::BackendResponse;
 
-/// By what a response is known to belong to the request for which it was read.
+/// How a response was matched to the request for which it was read.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Attribution {
-    /// It bears the id of the request.
+    /// It has the id of the request.
     Id,
-    /// It bears no id, and no other response without one can be due on its connection.
+    /// It has no id, and no earlier response on its connection lacked one.
     Connection,
-    /// It bears no id, and may be a copy of an earlier response on its connection.
+    /// It has no id, and may be a copy of an earlier response on its connection.
     Unknown,
-    /// It bears the id of another request.
+    /// It has the id of another request.
     OtherRequest,
 }
 
@@ -72,8 +70,8 @@
 }
 
 impl ResponseProof {
-    /// Returns what a response proves of the request with the id `id`, and by what it is known to
-    /// belong to it. The connection must not know of the response yet.
+    /// Returns what a response proves of the request with the id `id`, and how it was matched to it. The
+    /// response must not have been recorded on its connection yet.
     pub(super) fn of(
         head: &BackendResponse,
         status: StatusCode,
--- a/crates/jaypin_entry/src/callers/stream_events.rs
+++ b/crates/jaypin_entry/src/callers/stream_events.rs
@@ -6,14 +6,13 @@
 
 use crate::body_memory::{BodyMemory, Reservation};
 
-/// Bytes of comments between two events from which on a stream counts as broken. A keep-alive comment
-/// takes a few bytes and comes every few seconds.
+/// Largest size of the comments between two events, in bytes; a stream with more counts as broken.
 const MAX_COMMENT_BYTES: usize = 64 * 1024;
 
 /// Splits a stream into events. Comments are kept until the next event, whose bytes begin with them.
 ///
-/// Guards against comments that count as the begin of an answer or as progress: they say nothing of
-/// the request, and come without end from a backend server in trouble.
+/// Guards against a backend server that sends comments only: they would count as the start of the answer,
+/// after which the stream can't be sent elsewhere.
 #[derive(Debug, Default)]
 pub(super) struct StreamEvents {
     reader: EventReader,
--- a/crates/jaypin_entry/src/calls/connection_pool.rs
+++ b/crates/jaypin_entry/src/calls/connection_pool.rs
@@ -105,13 +105,13 @@
         !self.sender.is_closed()
     }
 
-    /// Records whether a response on it bore the id of a request.
+    /// Records a response, and whether it has the id of a request.
     pub fn record_response(&mut self, is_identified: bool) {
         self.had_unidentified_response |= !is_identified;
     }
 
-    /// Returns whether a response without an id came on it. A late copy of it could not be told from
-    /// the response to another request.
+    /// Returns whether a response without an id was received on it. A late copy of that response could
+    /// not be distinguished from the response to another request.
     pub fn had_unidentified_response(&self) -> bool {
         self.had_unidentified_response
     }
@@ -217,9 +217,8 @@
         None
     }
 
-    /// Returns a connection to the pool after its response was read completely. One on which a response
-    /// without an id came is closed, since no further response without one would be known to belong to
-    /// its request.
+    /// Returns a connection to the pool after its response was read completely. A connection that received
+    /// a response without an id is closed instead: the next such response could not be attributed.
     pub fn release(&self, mut connection: Connection) {
         let is_unexpired = connection.expires_at.is_none_or(|at| Instant::now() < at);
         let is_usable = is_unexpired && !connection.had_unidentified_response;
--- a/crates/jaypin_entry/src/calls/skipped_body.rs
+++ b/crates/jaypin_entry/src/calls/skipped_body.rs
@@ -1,4 +1,4 @@
-//! Bodies that nobody needs.
+//! Reading of bodies whose content is not used.
 
 use std::time::Duration;
 
--- a/crates/jaypin_entry/src/metrics.rs
+++ b/crates/jaypin_entry/src/metrics.rs
@@ -151,7 +151,7 @@
     }
 }
 
-/// Counts a response of a backend server by what it is known to belong to its request.
+/// Counts a response of a backend server by how it was matched to its request.
 pub fn response(known_by: &'static str) {
     if let Some(all) = INSTRUMENTS.get() {
         all.responses.add(1, &[KeyValue::new("known_by", known_by)]);
