Send what may run once on connections without earlier responses

What callers saw: a command or a stream that may run once ran twice (TWICE), or got 503 and ran (REFUSED); a read that ran was refused as not run, and a command got the failure of nobody.

Cause: a response without an id was taken for the request's own if no earlier one on its connection lacked an id. A faulty backend server may send further bytes after a complete response, and these need not be a copy of anything sent there. The belief was still for the position on a connection.

Change: a response without an id is a request's own only if it is the first on its connection, on which nothing can be left over. So a request that may run once is sent on a connection without an earlier response; an idle one is closed in its place, so that their number stays. A request that may run again uses any connection: a rejection without an id on a used one sends it elsewhere like before, but no longer proves that it did not run, so it is then refused as unknown (502) and is not passed on to a peer.

--- a/crates/jaypin_entry/src/callers/attempt.rs
+++ b/crates/jaypin_entry/src/callers/attempt.rs
@@ -19,8 +19,8 @@
 use super::silence::{Silence, SilenceWatch};
 use super::stream_events::{StreamError, StreamEvents};
 use crate::calls::{
-    BufferedResponse, CallError, Connection, MAX_RESPONSE_BYTES, Recipient, SendOrder, event_id,
-    skip_body,
+    BufferedResponse, CallError, Connection, MAX_RESPONSE_BYTES, Recipient, Reuse, SendOrder,
+    event_id, skip_body,
 };
 use crate::metrics;
 
@@ -81,9 +81,11 @@
         watch: &mut SilenceWatch<'_>,
         delivery: &mut Delivery,
     ) -> Result<(Connection, Response<Incoming>), AttemptOutcome> {
+        let connections = &self.host.connections;
+        let reuse = reuse_for(order);
         loop {
             let acquired = tokio::select! {
-                acquired = self.host.connections.acquire(&order.address) => acquired,
+                acquired = connections.acquire(&order.address, reuse) => acquired,
                 () = delivery.caller_disconnected() => return Err(AttemptOutcome::Abandoned),
             };
             let mut connection = acquired.map_err(|_| AttemptOutcome::Unreached)?;
@@ -93,7 +95,7 @@
                     () = delivery.caller_disconnected() => return Err(AttemptOutcome::Abandoned),
                 };
                 if !self.host.may_send_to(backend) {
-                    self.host.connections.release(connection);
+                    connections.release(connection);
                     return Err(AttemptOutcome::Withheld);
                 }
                 connection.limit_write(self.host.outdated_at(checked_at));
@@ -145,7 +147,7 @@
             self.apply_signals(backend, &head);
         }
         if let Some(outcome) = outcome_without_answer(proof) {
-            if proof != ResponseProof::Nothing {
+            if attribution.is_own() {
                 self.discard(connection, response);
             }
             return outcome;
@@ -377,11 +379,21 @@
     }
 }
 
+/// Returns which connections a call may use. What may run once is sent elsewhere, and refused as not run,
+/// after a rejection alone, so that has to be its own.
+fn reuse_for(order: &SendOrder) -> Reuse {
+    match order.recipient {
+        Recipient::Backend(_) if !order.repeat.may_run_again() => Reuse::Unanswered,
+        Recipient::Backend(_) | Recipient::Peer(_) => Reuse::Any,
+    }
+}
+
 /// Returns how a call ends whose response is not forwarded; none if it is.
 fn outcome_without_answer(proof: ResponseProof) -> Option<AttemptOutcome> {
     match proof {
         ResponseProof::Nothing => Some(AttemptOutcome::Lost),
         ResponseProof::NotRun => Some(AttemptOutcome::NotRun),
+        ResponseProof::Unproven => Some(AttemptOutcome::UnprovenRejection),
         ResponseProof::Misdirected => Some(AttemptOutcome::Replaced),
         ResponseProof::FalsePromise => Some(AttemptOutcome::Failed),
         ResponseProof::Answered => None,
--- a/crates/jaypin_entry/src/callers/response_proof.rs
+++ b/crates/jaypin_entry/src/callers/response_proof.rs
@@ -1,9 +1,9 @@
 //! What a response of a backend server proves of the request for which it was read.
 //!
-//! Guards against late and duplicate responses on a reused connection: without a check, the next request
-//! on it would get another caller's answer, or would count as not run although it runs. Only
-//! [`ResponseProof::NotRun`] and [`ResponseProof::Misdirected`] allow a request to be sent elsewhere or
-//! to be refused as not run.
+//! Guards against bytes that follow a response on a reused connection, such as a late or duplicate response:
+//! without a check, the next request on it would get another caller's answer, or would count as not run
+//! although it runs. Only [`ResponseProof::NotRun`] and [`ResponseProof::Misdirected`] allow a request
+//! that may run once to be sent elsewhere, or any to be refused as not run.
 //!
 //! Also guards against a status that callers read as "not run" although the request ran
 //! ([`ResponseProof::FalsePromise`]); it is not forwarded.
@@ -20,9 +20,9 @@
 pub(super) enum Attribution {
     /// It has the id of the request.
     Id,
-    /// It has no id, and no earlier response on its connection lacked one.
+    /// It has no id, and is the first response on its connection.
     Connection,
-    /// It has no id, and may be a copy of an earlier response on its connection.
+    /// It has no id, and may belong to no request or to an earlier one on its connection.
     Unknown,
     /// It has the id of another request.
     OtherRequest,
@@ -33,12 +33,13 @@
         match head.id.as_deref() {
             Some(stated) if stated == id => Self::Id,
             Some(_) => Self::OtherRequest,
-            None if connection.had_unidentified_response() => Self::Unknown,
+            None if connection.had_response() => Self::Unknown,
             None => Self::Connection,
         }
     }
 
-    fn is_own(self) -> bool {
+    /// Returns whether it is the response to the request.
+    pub(super) fn is_own(self) -> bool {
         matches!(self, Self::Id | Self::Connection)
     }
 
@@ -60,6 +61,8 @@
     NotRun,
     /// Another backend server has the address, and did not run the request.
     Misdirected,
+    /// One of the two, if it is the request's own, which it need not be. The request may have run.
+    Unproven,
     /// The backend server may have run the request, and this is its response.
     Answered,
     /// The same, but callers would read the status as a promise that the request did not run.
@@ -82,7 +85,10 @@
         let attribution = Attribution::of(head, id, connection);
         let is_unmarked = status.is_success() && (!head.is_from_backend || head.id.is_none());
         let is_encoded = headers.contains_key(CONTENT_ENCODING);
-        let proof = if !attribution.is_own() || is_unmarked || is_encoded {
+        let is_rejection = head.is_misdirected || head.is_not_run;
+        let proof = if attribution == Attribution::Unknown && is_rejection {
+            Self::Unproven
+        } else if !attribution.is_own() || is_unmarked || is_encoded {
             Self::Nothing
         } else if head.is_misdirected {
             Self::Misdirected
--- a/crates/jaypin_entry/src/calls/connection_pool.rs
+++ b/crates/jaypin_entry/src/calls/connection_pool.rs
@@ -63,9 +63,20 @@
     expires_at: Option<Instant>,
     /// Whether the connection served a call before.
     pub is_reused: bool,
+    /// Whether a response was received on it.
+    had_response: bool,
     had_unidentified_response: bool,
 }
 
+/// Which connections a call may use.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reuse {
+    /// Any.
+    Any,
+    /// Those on which no response was received, so that the next one is left over from no other call.
+    Unanswered,
+}
+
 /// Why a call got no response.
 #[derive(Debug)]
 pub enum CallError {
@@ -107,13 +118,14 @@
 
     /// Records a response, and whether it has the id of a request.
     pub fn record_response(&mut self, is_identified: bool) {
+        self.had_response = true;
         self.had_unidentified_response |= !is_identified;
     }
 
-    /// Returns whether a response without an id was received on it. A late copy of that response could
-    /// not be distinguished from the response to another request.
-    pub fn had_unidentified_response(&self) -> bool {
-        self.had_unidentified_response
+    /// Returns whether a response was received on it. Further bytes may follow that response, and
+    /// without an id they could not be distinguished from the response to another request.
+    pub fn had_response(&self) -> bool {
+        self.had_response
     }
 
     /// Sets the time until which the other end keeps the connection open, from the headers of
@@ -154,12 +166,14 @@
 }
 
 impl ConnectionPool {
-    /// Takes an idle connection from the pool, or opens a new one.
+    /// Takes an idle connection from the pool, or opens a new one. An idle connection that the call may
+    /// not use is closed in its place: a backend server limits the number of connections.
     ///
     /// # Errors
     /// Fails if a new connection can't be opened.
-    pub async fn acquire(&self, address: &str) -> Result<Connection, ConnectError> {
-        if let Some(connection) = self.take_idle(address) {
+    pub async fn acquire(&self, address: &str, reuse: Reuse) -> Result<Connection, ConnectError> {
+        let idle = self.take_idle(address);
+        if let Some(connection) = idle.filter(|it| reuse == Reuse::Any || !it.had_response) {
             return Ok(connection);
         }
         metrics::connection();
@@ -264,6 +278,7 @@
         address: address.to_owned(),
         expires_at: None,
         is_reused: false,
+        had_response: false,
         had_unidentified_response: false,
     })
 }
--- a/crates/jaypin_entry/src/calls/mod.rs
+++ b/crates/jaypin_entry/src/calls/mod.rs
@@ -7,7 +7,9 @@
 
 pub use buffered_response::{BufferedResponse, MAX_RESPONSE_BYTES, read_response};
 
-pub use connection_pool::{CallError, Connection, ConnectionPool, DEFAULT_TIMEOUTS, connect};
+pub use connection_pool::{
+    CallError, Connection, ConnectionPool, DEFAULT_TIMEOUTS, Reuse, connect,
+};
 pub use event_id::event_id;
 pub use skipped_body::skip_body;
 
--- a/crates/jaypin_router/src/backend.rs
+++ b/crates/jaypin_router/src/backend.rs
@@ -367,6 +367,7 @@
                 self.start_cooldown(now);
             }
             AttemptOutcome::NotRun
+            | AttemptOutcome::UnprovenRejection
             | AttemptOutcome::Failed
             | AttemptOutcome::Lost
             | AttemptOutcome::Silent
--- a/crates/jaypin_router/src/request.rs
+++ b/crates/jaypin_router/src/request.rs
@@ -77,6 +77,8 @@
     NotRun,
     /// The answer stated that another backend server has the address; nothing was run.
     Replaced,
+    /// One of the two was answered, but perhaps not to this request, which may have run.
+    UnprovenRejection,
     /// The backend server answered with a failure of its own.
     Failed,
     /// The connection broke or the answer was malformed; the request may have run.
@@ -116,6 +118,7 @@
             Self::Withheld => "withheld",
             Self::NotRun => "not-run",
             Self::Replaced => "replaced",
+            Self::UnprovenRejection => "unproven-rejection",
             Self::Failed => "failed",
             Self::Lost => "lost",
             Self::Died => "died",
@@ -167,6 +170,8 @@
     pub attempted: Vec<BackendId>,
     /// Number of backend servers that may have run it.
     pub possible_runs: u32,
+    /// Number of backend servers that seem to have rejected it, and may have run it.
+    pub unproven_rejections: u32,
     /// Number of calls that it left because nothing arrived on them.
     pub silent_calls: u32,
     /// Backend server of the last of these calls, which may go on.
@@ -192,6 +197,12 @@
         self.route.repeat.may_run_again() && self.possible_runs + calls < self.route.attempts
     }
 
+    /// Returns whether it may have run, so that it can't be refused as not run.
+    #[must_use]
+    pub fn may_have_run(&self) -> bool {
+        self.possible_runs > 0 || self.unproven_rejections > 0
+    }
+
     /// Records a call to a backend server on which it may have run.
     pub fn record_possible_run(&mut self, backend: &BackendId, outcome: AttemptOutcome) {
         self.possible_runs += 1;
--- a/crates/jaypin_router/src/router/arrival.rs
+++ b/crates/jaypin_router/src/router/arrival.rs
@@ -110,6 +110,7 @@
             deadline: arrival.received_at + timeout.min(route.timeout),
             attempted: Vec::new(),
             possible_runs: 0,
+            unproven_rejections: 0,
             silent_calls: 0,
             silent_backend: None,
             stream: StreamKey {
--- a/crates/jaypin_router/src/router/attempt.rs
+++ b/crates/jaypin_router/src/router/attempt.rs
@@ -194,6 +194,10 @@
                 self.record_unverified_answer(&request, now);
             }
             AttemptOutcome::Abandoned => {}
+            AttemptOutcome::UnprovenRejection if request.admitted.route.repeat.may_run_again() => {
+                request.admitted.unproven_rejections += 1;
+                self.handle_not_run(now, request, outcome, fx);
+            }
             _ if outcome.is_definitely_not_run() => self.handle_not_run(now, request, outcome, fx),
             _ => {
                 request
@@ -223,8 +227,8 @@
             .record(service, admitted.rank.route, hold_time);
     }
 
-    /// Handles a call on which the backend server did not run the request, so another one may
-    /// get it.
+    /// Handles a call on which the backend server did not run the request, or seems not to have run one
+    /// that may run again, so another one may get it.
     fn handle_not_run(
         &mut self,
         now: Instant,
@@ -232,7 +236,10 @@
         outcome: AttemptOutcome,
         fx: &mut Vec<Effect>,
     ) {
-        if outcome == AttemptOutcome::NotRun {
+        if matches!(
+            outcome,
+            AttemptOutcome::NotRun | AttemptOutcome::UnprovenRejection
+        ) {
             self.record_rejection(&request.state.backend, now);
         }
         if outcome == AttemptOutcome::Replaced {
--- a/crates/jaypin_router/src/router/crashes.rs
+++ b/crates/jaypin_router/src/router/crashes.rs
@@ -159,7 +159,7 @@
         fx: &mut Vec<Effect>,
     ) {
         let admitted = &request.admitted;
-        if admitted.possible_runs > 0 {
+        if admitted.may_have_run() {
             return fx.push(Effect::ForwardFailure(admitted.number));
         }
         let quarantine = self.quarantine(admitted, now);
--- a/crates/jaypin_router/src/router/passing_on.rs
+++ b/crates/jaypin_router/src/router/passing_on.rs
@@ -91,7 +91,7 @@
         now: Instant,
     ) -> Option<(HostId, SocketAddr)> {
         let may_pass_on = !admitted.is_passed_on
-            && admitted.possible_runs == 0
+            && !admitted.may_have_run()
             && !admitted.is_started
             && admitted.tried_peers.len() < MAX_PEERS_TRIED;
         if !may_pass_on || !self.is_cut_off() {
--- a/crates/jaypin_router/src/router/placing.rs
+++ b/crates/jaypin_router/src/router/placing.rs
@@ -40,7 +40,7 @@
         self.refresh_subsets();
         // The content, or a part of the prompt, may have crashed backend servers while the request was waiting or sent.
         if self.is_quarantined(&request.admitted, now) {
-            if request.admitted.possible_runs == 0 {
+            if !request.admitted.may_have_run() {
                 self.refund_quota(&request.admitted);
             }
             return self.refuse_quarantined(now, &request, fx);
@@ -435,7 +435,7 @@
     ) {
         let admitted = &request.admitted;
         let number = admitted.number;
-        if admitted.possible_runs > 0 {
+        if admitted.may_have_run() {
             return fx.push(Effect::ForwardFailure(number));
         }
         self.refund_quota(admitted);
--- a/crates/jaypin_router/src/router/stream_versions.rs
+++ b/crates/jaypin_router/src/router/stream_versions.rs
@@ -53,7 +53,7 @@
         fx: &mut Vec<Effect>,
     ) {
         let admitted = &request.admitted;
-        let refusal = if admitted.possible_runs > 0 {
+        let refusal = if admitted.may_have_run() {
             Refusal::after_dispatch(reason, Ran::Unknown)
         } else {
             self.refund_quota(admitted);
