Reword comments of the proof of responses

Comments only, in the files that changed: sentences that had to be read twice, and one line that was too long. No code, check or bound changes.

--- a/crates/jaypin_entry/src/callers/attempt.rs
+++ b/crates/jaypin_entry/src/callers/attempt.rs
@@ -379,8 +379,8 @@
     }
 }
 
-/// Returns which connections a call may use. What may run once is sent elsewhere, and refused as not run,
-/// after a rejection alone, so that has to be its own.
+/// Returns which connections a call may use. A request that may run once is sent elsewhere only after a
+/// rejection that is proved to be its own.
 fn reuse_for(order: &SendOrder) -> Reuse {
     match order.recipient {
         Recipient::Backend(_) if !order.repeat.may_run_again() => Reuse::Unanswered,
--- a/crates/jaypin_entry/src/callers/response_proof.rs
+++ b/crates/jaypin_entry/src/callers/response_proof.rs
@@ -61,7 +61,7 @@
     NotRun,
     /// Another backend server has the address, and did not run the request.
     Misdirected,
-    /// One of the two, if it is the request's own, which it need not be. The request may have run.
+    /// Nothing, but it states a rejection: it can't be matched to the request, which may have run.
     Unproven,
     /// The backend server may have run the request, and this is its response.
     Answered,
--- a/crates/jaypin_entry/src/calls/connection_pool.rs
+++ b/crates/jaypin_entry/src/calls/connection_pool.rs
@@ -73,7 +73,7 @@
 pub enum Reuse {
     /// Any.
     Any,
-    /// Those on which no response was received, so that the next one is left over from no other call.
+    /// Those on which no response was received: the next one can't belong to an earlier call.
     Unanswered,
 }
 
--- a/crates/jaypin_router/src/request.rs
+++ b/crates/jaypin_router/src/request.rs
@@ -77,7 +77,7 @@
     NotRun,
     /// The answer stated that another backend server has the address; nothing was run.
     Replaced,
-    /// One of the two was answered, but perhaps not to this request, which may have run.
+    /// The answer stated that nothing was run, but can't be matched to the request, which may have run.
     UnprovenRejection,
     /// The backend server answered with a failure of its own.
     Failed,
@@ -170,7 +170,7 @@
     pub attempted: Vec<BackendId>,
     /// Number of backend servers that may have run it.
     pub possible_runs: u32,
-    /// Number of backend servers that seem to have rejected it, and may have run it.
+    /// Number of calls that ended with [`AttemptOutcome::UnprovenRejection`].
     pub unproven_rejections: u32,
     /// Number of calls that it left because nothing arrived on them.
     pub silent_calls: u32,
--- a/crates/jaypin_router/src/router/attempt.rs
+++ b/crates/jaypin_router/src/router/attempt.rs
@@ -227,8 +227,8 @@
             .record(service, admitted.rank.route, hold_time);
     }
 
-    /// Handles a call on which the backend server did not run the request, or seems not to have run one
-    /// that may run again, so another one may get it.
+    /// Handles a call after which another backend server may get the request: it did not run, or it was
+    /// rejected without proof and may run again.
     fn handle_not_run(
         &mut self,
         now: Instant,
