End listings of the store that don't move on, and use what was read

Cause: `StoreClient::list` trusted the store to move on. It requested the same page again at once, for ever, kept the objects of all pages, and lost all of them when one page failed. The name of an entry with other bytes than text was taken for its cursor with U+FFFF in their place, so that a listing could move back. An empty page that was not the last one counted as the end, so that the entries behind it counted as removed.

Change: `Cursor` continues a listing after the last object with a readable name, never after a name that it had before, and for 100 pages of some hundred objects at most. Each page is reduced to what its collection needs before the next one is read. A listing that can't be continued returns its part, with a warning: its entries are used, other known ones are kept, no order is withdrawn for it, and a configuration must be among what was read. The entries are watched as ever, and listed again after 30 s.

Why it works: each page has to bring a new cursor and their number is bounded, so a listing ends whatever the store returns; and no entry is lost for one that isn't read.

--- a/crates/jaypin_entry/src/store/backends.rs
+++ b/crates/jaypin_entry/src/store/backends.rs
@@ -9,6 +9,7 @@
 use tokio::time::{Instant, sleep};
 
 use super::client::{StoreClient, StoreError};
+use super::listing::Listing;
 use super::{
     RELAY_FALLBACK_TIME, Retries, WATCH_PAUSE, check_interval, follows_store, now, wait_until,
 };
@@ -24,6 +25,8 @@
 /// Time after entries were fetched from a peer within which this host should have the same
 /// entries as the watchers; after it the store is read.
 const SNAPSHOT_GRACE: Duration = Duration::from_secs(3);
+/// Time after an incomplete listing of the entries after which they are listed again.
+const INCOMPLETE_LISTING_TIME: Duration = Duration::from_secs(30);
 /// Number of such transfers in a row after which a host of a large fleet reads the store.
 const MAX_FETCHES: u32 = 4;
 
@@ -196,21 +199,22 @@
         freshness
     };
     let requested_at = boot_time();
-    let (objects, mut point) = client.list(Collection::Backends, freshness).await?;
-    let entries: Vec<_> = objects
-        .iter()
-        .filter_map(|object| Some((parse_entry(host, object)?, object.point)))
-        .collect();
-    log::info!(count = entries.len(), point:?; "backend server entries listed");
-    host.apply(Event::BackendsListed { entries, point });
-    if freshness == Freshness::Newest {
+    let read = |object: Object| Some((parse_entry(host, &object)?, object.point));
+    let listing = client.list(Collection::Backends, freshness, read).await?;
+    let (mut point, is_complete) = (listing.point, listing.is_complete);
+    log::info!(count = listing.items.len(), point:?; "backend server entries listed");
+    apply_listing(host, listing);
+    if is_complete && freshness == Freshness::Newest {
         host.apply(Event::EntriesProved(requested_at));
     }
     let listed_at = Instant::now();
     let is_fallback_over =
         |router: &Router| router.is_relay() && listed_at.elapsed() >= RELAY_FALLBACK_TIME;
+    let is_listing_due = || !is_complete && listed_at.elapsed() >= INCOMPLETE_LISTING_TIME;
     host.watches.set_entries_point(Some(point));
-    while host.read(|router| follows_store(router) && !is_fallback_over(router)) {
+    while host.read(|router| follows_store(router) && !is_fallback_over(router))
+        && !is_listing_due()
+    {
         let requested_at = boot_time();
         let watched = tokio::select! {
             watched = client.watch(Collection::Backends, point, WATCH_TIMEOUT) => watched?,
@@ -237,6 +241,23 @@
     Ok(())
 }
 
+/// Applies the entries of a listing. Other known entries count as removed if it is complete, and are kept
+/// if it is not.
+fn apply_listing(host: &Host, listing: Listing<(BackendRecord, StorePoint)>) {
+    let Listing {
+        items: entries,
+        point,
+        is_complete,
+    } = listing;
+    if is_complete {
+        return host.apply(Event::BackendsListed { entries, point });
+    }
+    for (record, point) in entries {
+        let change = EntryChange::Stated { record, point };
+        host.apply(Event::BackendChanged(change));
+    }
+}
+
 /// Returns the last change of each object.
 ///
 /// Guards against an entry that is removed and written again in one response: its removal counts at the
--- a/crates/jaypin_entry/src/store/client.rs
+++ b/crates/jaypin_entry/src/store/client.rs
@@ -10,11 +10,12 @@
 use snafu::Snafu;
 use tokio::time::timeout;
 
+use super::listing::{Cursor, Listing};
 use crate::admission::HeldBody;
 use crate::calls::{BufferedResponse, Connection, DEFAULT_TIMEOUTS, connect, read_response};
 use crate::host::Host;
 use crate::metrics;
-use crate::ports::{Collection, DecodeError, Freshness, Object, ObjectChanges, ObjectPage};
+use crate::ports::{Collection, DecodeError, Freshness, Object, ObjectChanges};
 
 /// Timeout of a call that does not wait for changes. The store responds within milliseconds,
 /// and within a few hundred when it is slow; a dead connection is detected after this time.
@@ -48,6 +49,9 @@
         /// Newest era that the store stated.
         known: StoreEra,
     },
+    /// A listing ended before an object that has to be read.
+    #[snafu(display("the listing could not be read to its end"))]
+    IncompleteListing,
     /// The response could not be decoded.
     #[snafu(display("{source}"))]
     Decode {
@@ -64,6 +68,7 @@
             Self::TimedOut { .. } => "timed-out",
             Self::Status { .. } => "status",
             Self::OutdatedEra { .. } => "former-era",
+            Self::IncompleteListing => "incomplete",
             Self::Decode { .. } => "unreadable",
         }
     }
@@ -75,9 +80,14 @@
             Self::Status { status } => {
                 status.is_server_error() || *status == StatusCode::TOO_MANY_REQUESTS
             }
-            Self::Decode { .. } => false,
+            Self::IncompleteListing | Self::Decode { .. } => false,
         }
     }
+
+    /// Returns whether the store rejected the request as such, so that it would reject it again.
+    fn is_rejection(&self) -> bool {
+        matches!(self, Self::Status { status } if status.is_client_error()) && !self.is_outage()
+    }
 }
 
 impl From<DecodeError> for StoreError {
@@ -115,35 +125,57 @@
         }
     }
 
-    /// Reads all objects of a collection. Returns them with the point from which to watch.
-    pub async fn list(
+    /// Reads the objects of a collection, page by page, and keeps what `read` returns of each.
+    ///
+    /// A listing that can't be continued returns what was read, without an error: the objects that
+    /// follow are as unknown to a later attempt.
+    pub async fn list<T>(
         &mut self,
         collection: Collection,
         freshness: Freshness,
-    ) -> Result<(Vec<Object>, StorePoint), StoreError> {
-        let mut objects: Vec<Object> = Vec::new();
+        mut read: impl FnMut(Object) -> Option<T>,
+    ) -> Result<Listing<T>, StoreError> {
+        let mut items = Vec::new();
         let mut first_point: Option<StorePoint> = None;
+        let mut cursor = Cursor::default();
         loop {
-            let after = objects.last().map(|it| it.name.clone());
-            let path = self
-                .host
-                .platform
-                .list_path(collection, after.as_deref(), freshness);
-            let StoreResponse { era, body } = self.get(&path, CALL_TIMEOUT).await?;
-            let page: ObjectPage = self.host.platform.parse_page(&body, era)?;
+            let platform = &self.host.platform;
+            let path = platform.list_path(collection, cursor.name(), freshness);
+            let response = self.get(&path, CALL_TIMEOUT).await;
+            if let (Some(point), Err(error)) = (first_point, &response)
+                && error.is_rejection()
+            {
+                log::warn!(collection:?, after = cursor.name(), error:%; "a page of a listing was rejected; using the pages before it");
+                return Ok(Listing {
+                    items,
+                    point,
+                    is_complete: false,
+                });
+            }
+            let StoreResponse { era, body } = response?;
+            let page = self.host.platform.parse_page(&body, era)?;
             // Pages of two histories do not make a consistent listing, so it starts again.
             if first_point.is_some_and(|it| it.era != era) {
-                objects.clear();
+                items.clear();
                 first_point = None;
+                cursor.restart();
                 continue;
             }
-            let is_empty = page.objects.is_empty();
-            objects.extend(page.objects);
             // A watch from the first page's point returns all changes since, also those made
             // while later pages were read.
             let point = *first_point.get_or_insert(page.point);
-            if !page.has_more || is_empty {
-                return Ok((objects, point));
+            let is_complete = !page.has_more;
+            let can_continue = cursor.advance(&page);
+            items.extend(page.objects.into_iter().filter_map(&mut read));
+            if is_complete || !can_continue {
+                if !is_complete {
+                    log::warn!(collection:?, after = cursor.name(); "a listing can't be continued; using the pages that were read");
+                }
+                return Ok(Listing {
+                    items,
+                    point,
+                    is_complete,
+                });
             }
         }
     }
--- a/crates/jaypin_entry/src/store/configuration.rs
+++ b/crates/jaypin_entry/src/store/configuration.rs
@@ -4,7 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use jaypin_router::{BootTime, Event, PROOF_INTERVAL, RouteTable, Router, StorePoint};
+use jaypin_router::{
+    BootTime, Configuration, Event, PROOF_INTERVAL, RouteTable, Router, StorePoint,
+};
 use tokio::time::{Instant, sleep};
 
 use super::client::{StoreClient, StoreError};
@@ -243,15 +245,19 @@
     client: &mut StoreClient<'_>,
 ) -> Result<StorePoint, StoreError> {
     let requested_at = boot_time();
-    let (objects, point) = client
-        .list(Collection::Configuration, Freshness::Newest)
-        .await?;
-    for object in &objects {
-        apply_object(host, object, Source::Store);
+    let read = |object: Object| Some((parse_object(host, &object)?, object));
+    let listing = client.list(Collection::Configuration, Freshness::Newest, read);
+    let listing = listing.await?;
+    // The newest configuration may be among the objects that were not listed.
+    if !listing.is_complete && listing.items.is_empty() {
+        return Err(StoreError::IncompleteListing);
+    }
+    for (configuration, object) in listing.items {
+        apply_configuration(host, configuration, &object, Source::Store);
     }
     host.apply(Event::ConfigurationProved(requested_at));
     host.watches.advance();
-    Ok(point)
+    Ok(listing.point)
 }
 
 /// Returns the time at which a watch's response was certainly the newest state.
@@ -278,26 +284,38 @@
 
 /// Applies an object's configuration if it is newer than the one in use.
 fn apply_object(host: &Host, object: &Object, source: Source) {
+    if let Some(configuration) = parse_object(host, object) {
+        apply_configuration(host, configuration, object, source);
+    }
+}
+
+/// Parses the configuration in an object, and logs one that is invalid.
+fn parse_object(host: &Host, object: &Object) -> Option<Configuration> {
     match host.platform.parse_configuration(object) {
-        Ok(configuration) => {
-            let version = configuration.version;
-            let known = known_version(host);
-            if version > known {
-                let outdated = host.read(|router| router.outdated_for(now()));
-                let outdated_ms = outdated.unwrap_or_default().as_millis();
-                log::info!(version, known, source:?, outdated_ms; "new configuration applied");
-                let table = Arc::new(RouteTable::new(configuration));
-                host.set_configuration(object.clone());
-                host.admission.idle_time.set(&table.configuration().limits);
-                host.apply(Event::ConfigurationLoaded(table));
-            }
-        }
+        Ok(configuration) => Some(configuration),
         Err(error) => {
             log::warn!(name = object.name, error:%; "invalid configuration in the store or from a peer; ignored");
+            None
         }
     }
 }
 
+/// Applies a configuration if it is newer than the one in use.
+fn apply_configuration(host: &Host, configuration: Configuration, object: &Object, source: Source) {
+    let version = configuration.version;
+    let known = known_version(host);
+    if version <= known {
+        return;
+    }
+    let outdated = host.read(|router| router.outdated_for(now()));
+    let outdated_ms = outdated.unwrap_or_default().as_millis();
+    log::info!(version, known, source:?, outdated_ms; "new configuration applied");
+    let table = Arc::new(RouteTable::new(configuration));
+    host.set_configuration(object.clone());
+    host.admission.idle_time.set(&table.configuration().limits);
+    host.apply(Event::ConfigurationLoaded(table));
+}
+
 fn known_version(host: &Host) -> u64 {
     host.read(|router| {
         let table = router.table();
--- a/crates/jaypin_entry/src/store/hosts.rs
+++ b/crates/jaypin_entry/src/store/hosts.rs
@@ -1,9 +1,11 @@
 //! Registers this host and discovers the other hosts.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use hyper::{Method, StatusCode};
+use jaypin_core::HostId;
 use jaypin_router::{Event, Router};
 use rand::RngExt;
 use tokio::time::{Instant, sleep};
@@ -133,10 +135,11 @@
 /// Lists the registered hosts. A listing that lags suffices: it contains all hosts that registered
 /// before this one.
 async fn list_hosts(host: &Host, client: &mut StoreClient<'_>) -> Result<(), StoreError> {
-    let (objects, _) = client
-        .list(Collection::Hosts, Freshness::AllowStale)
-        .await?;
-    record_hosts(host, &objects);
+    let read = |object: Object| parse_host(host, &object);
+    let listing = client.list(Collection::Hosts, Freshness::AllowStale, read);
+    let hosts = listing.await?.items;
+    log::info!(count = hosts.len(); "registered hosts listed");
+    host.apply(Event::HostsListed(hosts));
     Ok(())
 }
 
@@ -168,16 +171,13 @@
     }
 }
 
-/// Passes the listed hosts to the reducer.
-fn record_hosts(host: &Host, objects: &[Object]) {
-    let records = objects.iter().filter_map(|object| {
-        let record = host.platform.parse_host(object);
-        if let Err(error) = &record {
+/// Parses a registration, and logs one that is invalid.
+fn parse_host(host: &Host, object: &Object) -> Option<(HostId, SocketAddr)> {
+    match host.platform.parse_host(object) {
+        Ok(record) => Some((record.host, record.peer_address)),
+        Err(error) => {
             log::warn!(name = object.name, error:%; "invalid host entry in the store; ignored");
+            None
         }
-        record.ok()
-    });
-    let hosts: Vec<_> = records.map(|it| (it.host, it.peer_address)).collect();
-    log::info!(count = hosts.len(); "registered hosts listed");
-    host.apply(Event::HostsListed(hosts));
+    }
 }
--- a/crates/jaypin_entry/src/store/mod.rs
+++ b/crates/jaypin_entry/src/store/mod.rs
@@ -5,6 +5,7 @@
 mod client;
 mod configuration;
 mod hosts;
+mod listing;
 mod rollouts;
 
 pub use backends::follow_backends;
--- a/crates/jaypin_entry/src/store/rollouts.rs
+++ b/crates/jaypin_entry/src/store/rollouts.rs
@@ -37,15 +37,16 @@
 }
 
 async fn follow(host: &Host, client: &mut StoreClient<'_>) -> Result<(), StoreError> {
-    let (objects, mut point) = client.list(Collection::Rollouts, Freshness::Newest).await?;
-    let listed: Vec<_> = objects
-        .iter()
-        .filter_map(|it| parse_order(host, it))
-        .collect();
-    for order in withdrawn_orders(host, &listed, point) {
-        apply_order(host, order);
+    let read = |object: Object| parse_order(host, &object);
+    let listing = client.list(Collection::Rollouts, Freshness::Newest, read);
+    let listing = listing.await?;
+    let mut point = listing.point;
+    if listing.is_complete {
+        for order in withdrawn_orders(host, &listing.items, point) {
+            apply_order(host, order);
+        }
     }
-    for order in listed {
+    for order in listing.items {
         apply_order(host, order);
     }
     while host.read(follows_store) {
