Limit the part of a name from which a listing continues

Cause: the next page is requested with the whole name of the last object. Servers limit the length of requests, and refuse it.

Change: a listing continues after the first 256 bytes of a longer name and the greatest character. That follows all names with this start, which are as long, and precedes all others; no host, service or backend server has such a name. 256 bytes take 768 when each is escaped.

--- a/crates/jaypin_entry/src/store/listing.rs
+++ b/crates/jaypin_entry/src/store/listing.rs
@@ -1,5 +1,6 @@
 //! Progress of a listing, which the store returns in pages.
 
+use std::borrow::Cow;
 use std::collections::HashSet;
 
 use jaypin_router::StorePoint;
@@ -8,6 +9,9 @@
 
 /// Greatest number of pages of a listing. A page has some hundred objects, or a megabyte.
 const MAX_PAGES: usize = 100;
+/// Longest part of a name from which a listing continues, in bytes. A request for the rest of a listing
+/// contains it, escaped, and servers limit the length of requests.
+const MAX_CURSOR_BYTES: usize = 256;
 
 /// What was read of a collection.
 #[derive(Debug)]
@@ -46,7 +50,7 @@
         let Some(last) = page.objects.last() else {
             return false;
         };
-        let name = last.name.clone();
+        let name = cursor_after(&last.name).into_owned();
         let is_new = self.former.insert(name.clone());
         self.name = Some(name);
         is_new && self.pages < MAX_PAGES
@@ -58,3 +62,12 @@
         self.former.clear();
     }
 }
+
+/// Returns a text that follows a name, and precedes all following names that are not as long.
+fn cursor_after(name: &str) -> Cow<'_, str> {
+    if name.len() <= MAX_CURSOR_BYTES {
+        return Cow::Borrowed(name);
+    }
+    let start = &name[..name.floor_char_boundary(MAX_CURSOR_BYTES)];
+    Cow::Owned(format!("{start}{}", char::MAX))
+}
