Tell a store call that can't be built from one that fails

Cause: `exchange` reported a path that is no URI as a failed connection. The host then counted an outage of the store, as if it were away for this host: that keeps missing entries in use and tells peers that it can't watch.

Change: an error of its own (`not-sent` in metrics), which is no outage and is not told to the reducer. The request is built before a connection is opened for it.

--- a/crates/jaypin_entry/src/store/client.rs
+++ b/crates/jaypin_entry/src/store/client.rs
@@ -26,6 +26,12 @@
 /// Why a call to the store failed.
 #[derive(Debug, Snafu)]
 pub enum StoreError {
+    /// The request could not be built, and nothing was sent.
+    #[snafu(display("the request for a path of {length} bytes could not be built"))]
+    InvalidRequest {
+        /// Length of the path and query, in bytes.
+        length: usize,
+    },
     /// The store could not be reached, or the connection failed during the call.
     #[snafu(display("the connection to the store failed"))]
     ConnectionFailed,
@@ -64,6 +70,7 @@
     /// Returns the error as the outcome label of metrics.
     fn as_str(&self) -> &'static str {
         match self {
+            Self::InvalidRequest { .. } => "not-sent",
             Self::ConnectionFailed => "unreached",
             Self::TimedOut { .. } => "timed-out",
             Self::Status { .. } => "status",
@@ -80,10 +87,15 @@
             Self::Status { status } => {
                 status.is_server_error() || *status == StatusCode::TOO_MANY_REQUESTS
             }
-            Self::IncompleteListing | Self::Decode { .. } => false,
+            Self::InvalidRequest { .. } | Self::IncompleteListing | Self::Decode { .. } => false,
         }
     }
 
+    /// Returns whether the call was made, so that its failure says something of the store.
+    pub fn was_sent(&self) -> bool {
+        !matches!(self, Self::InvalidRequest { .. })
+    }
+
     /// Returns whether the store rejected the request as such, so that it would reject it again.
     fn is_rejection(&self) -> bool {
         matches!(self, Self::Status { status } if status.is_client_error()) && !self.is_outage()
@@ -274,13 +286,17 @@
         path: &str,
         body: Bytes,
     ) -> Result<BufferedResponse, StoreError> {
+        let length = path.len();
+        let uri = path
+            .parse()
+            .map_err(|_| StoreError::InvalidRequest { length })?;
+        let mut req = Request::new(HeldBody::from(body));
+        *req.method_mut() = method;
+        *req.uri_mut() = uri;
         let mut connection = match self.connection.take() {
             Some(connection) if connection.is_open() => connection,
             _ => self.connect().await?,
         };
-        let mut req = Request::new(HeldBody::from(body));
-        *req.method_mut() = method;
-        *req.uri_mut() = path.parse().map_err(|_| StoreError::ConnectionFailed)?;
         let headers = req.headers_mut();
         let authority = self.host.settings.store_address.to_string();
         if let Ok(authority) = HeaderValue::from_str(&authority) {
--- a/crates/jaypin_entry/src/store/mod.rs
+++ b/crates/jaypin_entry/src/store/mod.rs
@@ -136,7 +136,9 @@
 
     /// Logs a failed call, reports it to the reducer, and waits before the next attempt.
     async fn back_off(&mut self, host: &Host, what: &str, error: &StoreError) {
-        host.apply(jaypin_router::Event::StoreCallFailed);
+        if error.was_sent() {
+            host.apply(jaypin_router::Event::StoreCallFailed);
+        }
         let mut longest = host.read(max_retry_pause);
         if !self.has_succeeded {
             longest = longest.min(MAX_STARTUP_RETRY_PAUSE);
