Bound the texts of entries that hosts report to each other

Cause: an entry that can be read is reported to the other hosts with all its texts, also one of a service that nobody knows. A report with a text of 70,000 bytes is larger than a datagram and is dropped, with all else that it holds. Orders are in each whole report. The names of entries that can't be read were kept as those of removed ones, 4,096 of any length.

Change: an entry or an order with a text above 256 bytes counts as one that can't be read, and nothing is recorded of a name above that. 24 changes, the most in one report, then take less than half of a datagram.

--- a/crates/jaypin_entry/src/store/backends.rs
+++ b/crates/jaypin_entry/src/store/backends.rs
@@ -11,7 +11,8 @@
 use super::client::{StoreClient, StoreError};
 use super::listing::Listing;
 use super::{
-    RELAY_FALLBACK_TIME, Retries, WATCH_PAUSE, check_interval, follows_store, now, wait_until,
+    RELAY_FALLBACK_TIME, Retries, WATCH_PAUSE, check_interval, check_reported_texts, follows_store,
+    now, wait_until,
 };
 use crate::boot_clock::boot_time;
 use crate::host::Host;
@@ -227,7 +228,9 @@
             return Ok(());
         };
         for change in last_changes(&updates.changes) {
-            let change = entry_change(host, change, updates.point);
+            let Some(change) = entry_change(host, change, updates.point) else {
+                continue;
+            };
             log::info!(change:?; "backend server entry changed");
             host.apply(Event::BackendChanged(change));
         }
@@ -272,24 +275,29 @@
 }
 
 /// Converts a change of the store. An invalid entry counts as removed, so that its backend
-/// server is not used.
-fn entry_change(host: &Host, change: &ObjectChange, point: StorePoint) -> EntryChange {
+/// server is not used; nothing is recorded of a name that no backend server in use has.
+fn entry_change(host: &Host, change: &ObjectChange, point: StorePoint) -> Option<EntryChange> {
     let object = &change.object;
-    match parse_entry(host, object).filter(|_| !change.is_removed) {
-        Some(record) => EntryChange::Stated {
-            record,
-            point: object.point,
-        },
-        None => EntryChange::Removed {
-            id: BackendId::from(object.name.as_str()),
-            point: object.point.max(point),
-        },
+    if let Some(record) = parse_entry(host, object).filter(|_| !change.is_removed) {
+        let point = object.point;
+        return Some(EntryChange::Stated { record, point });
     }
+    check_reported_texts(&[&object.name]).ok()?;
+    Some(EntryChange::Removed {
+        id: BackendId::from(object.name.as_str()),
+        point: object.point.max(point),
+    })
 }
 
 /// Parses an entry, and logs one that is invalid.
 fn parse_entry(host: &Host, object: &Object) -> Option<BackendRecord> {
-    match host.platform.parse_backend(object) {
+    let record = host.platform.parse_backend(object);
+    let checked = record.and_then(|record| {
+        let (domain, version) = (&record.failure_domain, &record.version);
+        check_reported_texts(&[&record.id, &record.service, domain, version])?;
+        Ok(record)
+    });
+    match checked {
         Ok(record) => Some(record),
         Err(error) => {
             log::warn!(name = object.name, error:%; "invalid backend server entry in the store; treated as absent");
--- a/crates/jaypin_entry/src/store/mod.rs
+++ b/crates/jaypin_entry/src/store/mod.rs
@@ -21,6 +21,7 @@
 
 use crate::boot_clock::boot_time;
 use crate::host::Host;
+use crate::ports::DecodeError;
 use client::StoreError;
 
 /// Pause after a failed call, doubled with each further failure.
@@ -61,6 +62,24 @@
 /// it has a configuration and entries, each of which takes two such checks in a row.
 const JOIN_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Longest text of an entry that hosts report to each other, in bytes. A report with the greatest number
+/// of changes fits into a datagram.
+const MAX_REPORTED_TEXT: usize = 256;
+
+/// Checks the texts of an entry that hosts report to each other.
+///
+/// Guards against an entry of another writer that makes reports larger than a datagram: none of them
+/// could be sent, and hosts would take each other for dead.
+fn check_reported_texts(texts: &[&str]) -> Result<(), DecodeError> {
+    let longest = texts.iter().map(|it| it.len()).max().unwrap_or_default();
+    if longest <= MAX_REPORTED_TEXT {
+        return Ok(());
+    }
+    Err(DecodeError::new(format!(
+        "expected texts of {MAX_REPORTED_TEXT} bytes at most, found {longest}"
+    )))
+}
+
 /// Waits until a condition on the reducer's state holds.
 async fn wait_until(host: &Host, holds: impl Fn(&Router) -> bool) {
     while !host.read(&holds) {
--- a/crates/jaypin_entry/src/store/rollouts.rs
+++ b/crates/jaypin_entry/src/store/rollouts.rs
@@ -9,7 +9,7 @@
 use tokio::time::sleep;
 
 use super::client::{StoreClient, StoreError};
-use super::{Retries, WATCH_PAUSE, follows_store, wait_until};
+use super::{Retries, WATCH_PAUSE, check_reported_texts, follows_store, wait_until};
 use crate::host::Host;
 use crate::ports::{Collection, Freshness, Object, ObjectChange};
 
@@ -102,7 +102,12 @@
 
 /// Parses an order, and logs one that is invalid.
 fn parse_order(host: &Host, object: &Object) -> Option<RolloutOrder> {
-    match host.platform.parse_rollout(object) {
+    let order = host.platform.parse_rollout(object);
+    let checked = order.and_then(|order| {
+        check_reported_texts(&[&order.service, &order.to])?;
+        Ok(order)
+    });
+    match checked {
         Ok(order) => Some(order),
         Err(error) => {
             log::warn!(name = object.name, error:%; "invalid rollout order in the store; ignored");
