Take answers with a status that is none for failures

Callers saw: the answer 999, or 600, of a faulty backend server as theirs, and 101 with an empty body as the end of a request that asked for no other protocol.

Cause: hyper's parser passes on any status of three digits from 100 on, and 101 as a final response. Neither proof nor relay looked at it: they passed on every status that wasn't a success without its marks, a promise, or a server error.

Change: a response with a status outside 200 to 599 ends the call as lost, for backend servers and peers alike, and closes its connection. The request goes elsewhere if it may run again, and is answered 502 `unknown` else.

--- a/crates/jaypin_entry/src/callers/attempt.rs
+++ b/crates/jaypin_entry/src/callers/attempt.rs
@@ -5,7 +5,7 @@
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
-use hyper::{HeaderMap, Response};
+use hyper::{HeaderMap, Response, StatusCode};
 use jaypin_core::BackendId;
 use jaypin_router::{AttemptOutcome, Event};
 use tokio::task::spawn_local;
@@ -108,6 +108,9 @@
             };
             match sent {
                 Err(silence) => return Err(self.end_silent_call(order, silence)),
+                Ok(Ok(response)) if !is_final_status(response.status()) => {
+                    return Err(self.end_invalid_response(order, response.status()));
+                }
                 Ok(Ok(response)) => {
                     connection.update_expiry(response.headers());
                     return Ok((connection, response));
@@ -370,6 +373,14 @@
         AttemptOutcome::Silent
     }
 
+    /// Ends a call whose response is none. Its connection is closed: what follows is unknown.
+    fn end_invalid_response(&self, order: &SendOrder, status: StatusCode) -> AttemptOutcome {
+        let (id, backend) = (&self.received.header.id, order.recipient.name());
+        let status = status.as_u16();
+        log::info!(id, backend, status; "the status of a response is not valid; ending the call");
+        AttemptOutcome::Lost
+    }
+
     fn log_late_write(&self, order: &SendOrder) {
         let (id, backend) = (&self.received.header.id, order.recipient.name());
         log::info!(id, backend; "this host was stalled before it wrote a request; checking again whether to send it");
@@ -391,6 +402,12 @@
     }
 }
 
+/// Returns whether a status can be that of a final response (RFC 9110, section 15). No request asks for
+/// another protocol, so that `101` is none.
+fn is_final_status(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Returns how a call ends whose response is not forwarded; none if it is.
 fn outcome_without_answer(proof: ResponseProof) -> Option<AttemptOutcome> {
     match proof {
