Take statuses that are none for failures in `jaypin serve` too

Callers saw: 999 or 101 of a faulty backend server as the answer to a call that may not be repeated.

Change: the check moves to `jaypin_http`, which both ways of running a host use. Such a call is lost: 502 `unknown`.

--- a/crates/jaypin/src/backend_call/mod.rs
+++ b/crates/jaypin/src/backend_call/mod.rs
@@ -18,6 +18,7 @@
 use hyper::header::{CONTENT_TYPE, HOST, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
 use jaypin_core::{CallOutcome, CallProgress, Event, GrantNumber, RequestId};
+use jaypin_http::is_final_status;
 use jaypin_rules::ServiceKind;
 use tokio::sync::watch;
 use tokio::time::{Instant, timeout};
@@ -149,6 +150,9 @@
         Ok(Err(_)) => return Some(buffered::outcome_of_disconnect(cx).await),
         Err(_) => return Some(CallOutcome::Lost),
     };
+    if !is_final_status(response.status()) {
+        return Some(CallOutcome::Lost);
+    }
     if response.status().is_server_error() {
         return Some(CallOutcome::Failed);
     }
--- a/crates/jaypin_entry/src/callers/attempt.rs
+++ b/crates/jaypin_entry/src/callers/attempt.rs
@@ -7,6 +7,7 @@
 use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::{HeaderMap, Response, StatusCode};
 use jaypin_core::BackendId;
+use jaypin_http::is_final_status;
 use jaypin_router::{AttemptOutcome, Event};
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep_until};
@@ -402,12 +403,6 @@
     }
 }
 
-/// Returns whether a status can be that of a final response (RFC 9110, section 15). No request asks for
-/// another protocol, so that `101` is none.
-fn is_final_status(status: StatusCode) -> bool {
-    (200..600).contains(&status.as_u16())
-}
-
 /// Returns how a call ends whose response is not forwarded; none if it is.
 fn outcome_without_answer(proof: ResponseProof) -> Option<AttemptOutcome> {
     match proof {
