Bound the responses that `jaypin serve` reads

Cause: the body of a call, an engine's load report and a response of the platform were collected whole, for as long as their timeouts last.

Change: `read_body` of `jaypin_http` reads a body up to a bound, for both ways of running a host: 4 MiB of a call, 64 KiB of a load report; the platform's client reads 4 MiB, four times its largest value.

--- a/crates/jaypin/src/backend_call/buffered.rs
+++ b/crates/jaypin/src/backend_call/buffered.rs
@@ -2,13 +2,12 @@
 
 use bytes::Bytes;
 use crossbeam::channel::Sender;
-use http_body_util::BodyExt;
 use hyper::Response;
 use hyper::body::Incoming;
 use hyper::header::CONTENT_TYPE;
 use hyper::http::response;
 use jaypin_core::{CallOutcome, CallProgress, Event, MAX_STORED_ANSWER_BYTES, StoredAnswer};
-use jaypin_http::ConnectError;
+use jaypin_http::{ConnectError, read_body};
 use serde::Deserialize;
 use tokio::time::timeout;
 
@@ -16,6 +15,9 @@
 use super::{Call, Cx, Forwarded, copy_content_type};
 use crate::answer::full;
 
+/// Largest response that is not a stream, in bytes.
+const MAX_RESPONSE_BYTES: usize = 4 * 1024 * 1024;
+
 /// Reads the complete body and responds to the caller with it.
 pub async fn forward(
     cx: &Cx<'_>,
@@ -28,12 +30,11 @@
         .outbound
         .response_due_in
         .saturating_sub(cx.started.elapsed());
-    let body = match timeout(remaining, body.collect()).await {
-        Ok(Ok(body)) => body,
-        Ok(Err(_)) => return outcome_of_disconnect(cx).await,
+    let bytes = match timeout(remaining, read_body(body, MAX_RESPONSE_BYTES)).await {
+        Ok(Some(bytes)) => bytes,
+        Ok(None) => return outcome_of_disconnect(cx).await,
         Err(_) => return CallOutcome::Lost,
     };
-    let bytes = body.to_bytes();
     cx.report(CallProgress::FirstToken);
     forwarded.tokens = completion_tokens_in(&bytes);
     if cx.call.outbound.store_answer {
--- a/crates/jaypin/src/backend_call/load.rs
+++ b/crates/jaypin/src/backend_call/load.rs
@@ -3,9 +3,9 @@
 use std::time::Duration;
 
 use crossbeam::channel::Sender;
-use http_body_util::BodyExt;
 use hyper::Method;
 use jaypin_core::{BackendId, Event, LoadReport};
+use jaypin_http::read_body;
 use serde::Deserialize;
 use tokio::time::timeout;
 
@@ -13,6 +13,8 @@
 
 /// Longest time for a backend server to deliver its load report.
 const REPORT_TIMEOUT: Duration = Duration::from_secs(2);
+/// Largest load report, in bytes.
+const MAX_REPORT_BYTES: usize = 64 * 1024;
 
 #[derive(Debug, Deserialize)]
 struct Load {
@@ -27,7 +29,7 @@
 pub async fn poll_load(backend: BackendId, address: String, events: Sender<Event>) {
     let fetch = async {
         let response = request(&address, Method::GET, "/load").await.ok()??;
-        let body = response.into_body().collect().await.ok()?.to_bytes();
+        let body = read_body(response.into_body(), MAX_REPORT_BYTES).await?;
         serde_json::from_slice::<Load>(&body).ok()
     };
     if let Ok(Some(load)) = timeout(REPORT_TIMEOUT, fetch).await {
--- a/crates/jaypin/src/platform.rs
+++ b/crates/jaypin/src/platform.rs
@@ -1,5 +1,6 @@
 //! Client of the platform's object API, with reads, conditional writes and watches.
 
+use std::io::{BufReader, Read};
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
@@ -23,6 +24,8 @@
 const WATCH_WAIT: Duration = Duration::from_secs(4);
 /// Pause after each watch call, also if it failed or returned an old version.
 const WATCH_PAUSE: Duration = Duration::from_millis(250);
+/// Largest response, in bytes. The platform's values have a megabyte at most.
+const MAX_RESPONSE_BYTES: u64 = 4 * 1024 * 1024;
 /// Longest time of a call, added to [`WATCH_WAIT`] for a watch. A call on a connection that
 /// went silent fails after it, and the next call uses a new connection.
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
@@ -82,7 +85,7 @@
             .get("x-version")
             .and_then(|value| value.to_str().ok()?.parse().ok())
             .ok_or("the platform's response has no valid x-version header")?;
-        let value = response.json().map_err(|error| error.to_string())?;
+        let value = read_json(response)?;
         Ok(Some((version, value)))
     }
 
@@ -101,7 +104,7 @@
             .get("x-version")
             .and_then(|value| value.to_str().ok()?.parse().ok())
             .ok_or_else(|| format!("the platform responded with status {}", response.status()))?;
-        let value = response.json().map_err(|error| error.to_string())?;
+        let value = read_json(response)?;
         Ok(Some((version, value)))
     }
 
@@ -127,7 +130,7 @@
                 "the platform responded to a write with status {status}"
             ));
         }
-        let answer: Answer = response.json().map_err(|error| error.to_string())?;
+        let answer: Answer = read_json(response)?;
         Ok(match status {
             200 => PutOutcome::Written(answer.version),
             _ => PutOutcome::Conflict(answer.version),
@@ -135,6 +138,15 @@
     }
 }
 
+/// Reads the value in a response.
+///
+/// Guards against a response without end, which would be kept until the memory is used up.
+fn read_json<T: DeserializeOwned>(response: attohttpc::Response) -> Result<T, String> {
+    let (_, _, reader) = response.split();
+    let reader = BufReader::new(reader.take(MAX_RESPONSE_BYTES));
+    serde_json::from_reader(reader).map_err(|error| error.to_string())
+}
+
 /// Counts a call in the metrics and converts its error to text.
 fn count_call(
     call: PlatformCall,
--- a/crates/jaypin_entry/src/calls/buffered_response.rs
+++ b/crates/jaypin_entry/src/calls/buffered_response.rs
@@ -1,9 +1,9 @@
 //! Responses that are read completely before they are used.
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::{HeaderMap, Response, StatusCode};
+use jaypin_http::read_body;
 
 /// Largest response that is not a stream, in bytes. Services without streams respond with a
 /// few kilobytes; a host has memory for a few hundred responses of this size at once.
@@ -24,13 +24,10 @@
 /// `MAX_RESPONSE_BYTES`.
 pub async fn read_response(response: Response<Incoming>) -> Option<BufferedResponse> {
     let (head, body) = response.into_parts();
-    let body = Limited::new(body, MAX_RESPONSE_BYTES)
-        .collect()
-        .await
-        .ok()?;
+    let body = read_body(body, MAX_RESPONSE_BYTES).await?;
     Some(BufferedResponse {
         status: head.status,
         headers: head.headers,
-        body: body.to_bytes(),
+        body,
     })
 }
--- a/crates/jaypin_http/src/lib.rs
+++ b/crates/jaypin_http/src/lib.rs
@@ -3,7 +3,7 @@
 //! [`connect`] opens a connection that ends with an error if the other side stops responding.
 //! [`EventReader`] splits a stream into complete events, so that the part of a stream that is
 //! forwarded to a caller never ends within an event.
-//! [`is_final_status`] checks responses.
+//! [`read_body`] and [`is_final_status`] check responses.
 //! [`TimedWriter`] withholds a request that could not be written in time.
 
 mod connect;
@@ -13,5 +13,5 @@
 
 pub use connect::{ConnectError, ConnectTimeouts, Driver, Sender, connect, open_stream};
 pub use event_reader::EventReader;
-pub use response::is_final_status;
+pub use response::{is_final_status, read_body};
 pub use timed_writer::{Clock, TimedWriter, WriteLimit};
