--- a/crates/jaypin_entry/src/store/backends.rs
+++ b/crates/jaypin_entry/src/store/backends.rs
@@ -11,8 +11,8 @@
 use super::client::{StoreClient, StoreError};
 use super::listing::Listing;
 use super::{
-    RELAY_FALLBACK_TIME, Retries, WATCH_PAUSE, check_interval, check_reported_texts, follows_store,
-    now, wait_until,
+    RELAY_FALLBACK_TIME, Retries, WATCH_PAUSE, check_interval, check_reported_texts, excerpt,
+    follows_store, now, wait_until,
 };
 use crate::boot_clock::boot_time;
 use crate::host::Host;
@@ -300,7 +300,8 @@
     match checked {
         Ok(record) => Some(record),
         Err(error) => {
-            log::warn!(name = object.name, error:%; "invalid backend server entry in the store; treated as absent");
+            let (name, error) = (excerpt(&object.name), excerpt(&error.to_string()));
+            log::warn!(name, error; "invalid backend server entry in the store; treated as absent");
             None
         }
     }
--- a/crates/jaypin_entry/src/store/configuration.rs
+++ b/crates/jaypin_entry/src/store/configuration.rs
@@ -10,7 +10,7 @@
 use tokio::time::{Instant, sleep};
 
 use super::client::{StoreClient, StoreError};
-use super::{CHECK_INTERVAL, RELAY_FALLBACK_TIME, Retries, WATCH_PAUSE, now, wait_until};
+use super::{CHECK_INTERVAL, RELAY_FALLBACK_TIME, Retries, WATCH_PAUSE, excerpt, now, wait_until};
 use crate::boot_clock::boot_time;
 use crate::host::Host;
 use crate::peers::{PeerConfiguration, fetch_configuration, watch_configuration};
@@ -294,7 +294,8 @@
     match host.platform.parse_configuration(object) {
         Ok(configuration) => Some(configuration),
         Err(error) => {
-            log::warn!(name = object.name, error:%; "invalid configuration in the store or from a peer; ignored");
+            let (name, error) = (excerpt(&object.name), excerpt(&error.to_string()));
+            log::warn!(name, error; "invalid configuration in the store or from a peer; ignored");
             None
         }
     }
--- a/crates/jaypin_entry/src/store/hosts.rs
+++ b/crates/jaypin_entry/src/store/hosts.rs
@@ -10,8 +10,8 @@
 use rand::RngExt;
 use tokio::time::{Instant, sleep};
 
-use super::Retries;
 use super::client::{StoreClient, StoreError};
+use super::{Retries, excerpt};
 use crate::host::Host;
 use crate::ports::{Collection, Freshness, HostRecord, Object};
 
@@ -176,7 +176,8 @@
     match host.platform.parse_host(object) {
         Ok(record) => Some((record.host, record.peer_address)),
         Err(error) => {
-            log::warn!(name = object.name, error:%; "invalid host entry in the store; ignored");
+            let (name, error) = (excerpt(&object.name), excerpt(&error.to_string()));
+            log::warn!(name, error; "invalid host entry in the store; ignored");
             None
         }
     }
--- a/crates/jaypin_entry/src/store/mod.rs
+++ b/crates/jaypin_entry/src/store/mod.rs
@@ -80,6 +80,16 @@
     )))
 }
 
+/// Longest part of a text in the store that is logged, in characters.
+const MAX_LOGGED_CHARS: usize = 200;
+
+/// Returns the beginning of a text that another writer may have written, for logs.
+///
+/// Guards against lines without bound in the queue of a log that nobody reads.
+fn excerpt(text: &str) -> String {
+    text.chars().take(MAX_LOGGED_CHARS).collect()
+}
+
 /// Waits until a condition on the reducer's state holds.
 async fn wait_until(host: &Host, holds: impl Fn(&Router) -> bool) {
     while !host.read(&holds) {
--- a/crates/jaypin_entry/src/store/rollouts.rs
+++ b/crates/jaypin_entry/src/store/rollouts.rs
@@ -9,7 +9,7 @@
 use tokio::time::sleep;
 
 use super::client::{StoreClient, StoreError};
-use super::{Retries, WATCH_PAUSE, check_reported_texts, follows_store, wait_until};
+use super::{Retries, WATCH_PAUSE, check_reported_texts, excerpt, follows_store, wait_until};
 use crate::host::Host;
 use crate::ports::{Collection, Freshness, Object, ObjectChange};
 
@@ -110,7 +110,8 @@
     match checked {
         Ok(order) => Some(order),
         Err(error) => {
-            log::warn!(name = object.name, error:%; "invalid rollout order in the store; ignored");
+            let (name, error) = (excerpt(&object.name), excerpt(&error.to_string()));
+            log::warn!(name, error; "invalid rollout order in the store; ignored");
             None
         }
     }
