Fit a planned stop into any grace period

Cause: a draining host accepted requests for 2.5 s and kept its connections for 3 s, however long its grace period is. With one of 2 s it outlives it.

Change: `DrainTimes` derives all times from the grace period: requests for a third of it and 2.5 s at most, connections for half of it and 3 s at most, exit 0.04 of it and 100 ms at least before its end. With 8 s they are what they were. Accepted requests have two thirds of the period to end.

--- a/crates/jaypin_entry/src/serve.rs
+++ b/crates/jaypin_entry/src/serve.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use jaypin_router::{Event, MAX_NOTICE_TIME, Router, RouterConfig};
+use jaypin_router::{DrainTimes, Event, MAX_NOTICE_TIME, Router, RouterConfig};
 use rand::RngExt;
 use tokio::runtime::Builder;
 use tokio::signal::unix::{Signal, SignalKind, signal};
@@ -28,11 +28,6 @@
 
 /// Time between two sweeps of idle connections.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
-/// Shortest time that a drain takes, also without requests: callers that do not know yet that
-/// the host drains get a response instead of a refused connection.
-const MIN_DRAIN_TIME: Duration = Duration::from_secs(3);
-/// Fraction of the grace period after which the host exits with requests unfinished.
-const GRACE_FRACTION: f64 = 0.96;
 /// Least number of file descriptors that is requested from the system: those that files need.
 const MIN_OPEN_FILES: u64 = 16;
 
@@ -198,11 +193,11 @@
     log::info!("draining");
     host.apply(Event::Drain);
     phase.send_replace(DrainPhase::CloseAfterResponse);
-    sleep(MIN_DRAIN_TIME).await;
+    let times = DrainTimes::new(host.settings.bounds.shutdown_grace);
+    sleep(times.close_idle).await;
     phase.send_replace(DrainPhase::CloseIdle);
-    let grace = host.settings.bounds.shutdown_grace.mul_f64(GRACE_FRACTION);
     // A request has ended for the reducer before its response is written to a slow caller.
-    let are_closed = timeout_at(since + grace, phase.closed()).await.is_ok();
+    let are_closed = timeout_at(since + times.exit, phase.closed()).await.is_ok();
     let counts = host.read(|router| router.counts(Instant::now().into_std()));
     log::info!(are_closed, unfinished = counts.running + counts.waiting; "drain ended; exiting");
 }
--- /dev/null
+++ b/crates/jaypin_router/src/drain_times.rs
@@ -0,0 +1,38 @@
+//! Times of a host's planned stop.
+
+use std::time::Duration;
+
+/// Longest time for which a draining host accepts requests. Callers learn within a few seconds that it
+/// is draining.
+const MAX_ACCEPT_TIME: Duration = Duration::from_millis(2_500);
+/// Longest time for which it keeps idle connections: callers that do not know yet that the host drains
+/// get a response instead of a refused connection.
+const MAX_IDLE_TIME: Duration = Duration::from_secs(3);
+/// Shortest time between the exit of the process and the end of its grace period.
+const MIN_EXIT_MARGIN: Duration = Duration::from_millis(100);
+
+/// Times of a planned stop, counted from its signal. All lie within the grace period, however short it
+/// is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct DrainTimes {
+    /// When the host ceases to accept requests. Those that it accepted have most of the grace period to
+    /// end.
+    pub refuse: Duration,
+    /// When it closes its listener and its idle connections.
+    pub close_idle: Duration,
+    /// When it exits, also with requests unfinished.
+    pub exit: Duration,
+}
+
+impl DrainTimes {
+    /// Returns the times of a host that has this time between the signal and its end.
+    #[must_use]
+    pub fn new(grace: Duration) -> Self {
+        let exit = grace.saturating_sub(MIN_EXIT_MARGIN.max(grace.mul_f64(0.04)));
+        Self {
+            refuse: MAX_ACCEPT_TIME.min(grace / 3),
+            close_idle: MAX_IDLE_TIME.min(grace / 2),
+            exit,
+        }
+    }
+}
--- a/crates/jaypin_router/src/lib.rs
+++ b/crates/jaypin_router/src/lib.rs
@@ -17,6 +17,7 @@
 mod configuration;
 mod crash_evidence;
 mod decision_inputs;
+mod drain_times;
 mod entries;
 mod event_rate;
 mod fleet;
@@ -67,6 +68,7 @@
 };
 pub use crash_evidence::{BackendRun, ClearedSuspect, Crash, CrashEvidence, Fingerprint, RunEnd};
 pub use decision_inputs::DecisionInputs;
+pub use drain_times::DrainTimes;
 pub use entries::{Entries, EntryChange, EntrySource, LeaveState};
 pub use event_rate::EventRate;
 pub use fleet::{Fleet, Peer};
--- a/crates/jaypin_router/src/router/arrival.rs
+++ b/crates/jaypin_router/src/router/arrival.rs
@@ -12,13 +12,10 @@
 use crate::request::{Admitted, Request, Waiting};
 use crate::retry_after::{LEAVING_RETRY_AFTER, NOT_READY_RETRY_AFTER};
 use crate::{
-    Account, Arrival, DecisionInputs, FleetLevel, QuotaReserve, QuotaUnit, Rank, RequestNumber,
-    Requester, Route, RouteTable, StreamKey, account_key, service_key,
+    Account, Arrival, DecisionInputs, DrainTimes, FleetLevel, QuotaReserve, QuotaUnit, Rank,
+    RequestNumber, Requester, Route, RouteTable, StreamKey, account_key, service_key,
 };
 
-/// Time for which a draining host still accepts requests. Callers learn within a few seconds
-/// that it is draining, and the requests that it accepts must end within its shutdown grace.
-const DRAIN_ACCEPT_TIME: Duration = Duration::from_millis(2_500);
 /// Time that a request to an inference engine is assumed to hold its slot before any request has
 /// completed.
 const INITIAL_ENGINE_HOLD_TIME: Duration = Duration::from_millis(1_200);
@@ -153,7 +150,8 @@
         let draining_for = self
             .draining_since
             .map(|since| now.saturating_duration_since(since));
-        if draining_for.is_some_and(|time| time >= DRAIN_ACCEPT_TIME) {
+        let drain = DrainTimes::new(self.cfg.bounds.shutdown_grace);
+        if draining_for.is_some_and(|time| time >= drain.refuse) {
             let refusal = Refusal::not_run(Reason::Draining).retry_after(LEAVING_RETRY_AFTER);
             return fx.push(refuse(number, requester, refusal, DecisionInputs::Leaving));
         }
