Answer requests that a stopping host can't finish

Cause: a request that a draining host accepts kept its own deadline, which may lie behind the end of the process. The process then closed the connection.

Change: requests that arrive while a host drains are due before its exit, so that one that can't be in time is refused as not run and goes elsewhere.

Streams that have begun end without their last event, as before.

--- a/crates/jaypin_entry/src/callers/attempt.rs
+++ b/crates/jaypin_entry/src/callers/attempt.rs
@@ -35,9 +35,11 @@
     pub(super) async fn attempt(&mut self, order: &SendOrder) -> AttemptOutcome {
         self.attribution = None;
         let mut delivery = std::mem::replace(&mut self.delivery, Delivery::Done);
+        let host = self.host.clone();
         let outcome = tokio::select! {
             outcome = self.call_backend(order, &mut delivery) => outcome,
             () = sleep_until(order.deadline) => AttemptOutcome::TimedOut,
+            () = host.requests_end() => AttemptOutcome::TimedOut,
         };
         self.delivery = delivery;
         match outcome {
--- a/crates/jaypin_entry/src/host.rs
+++ b/crates/jaypin_entry/src/host.rs
@@ -10,8 +10,8 @@
     BootTime, DecisionInputs, Effect, Event, RequestNumber, Requester, RolloutWrite, Router,
     SilentCall, Unrouted,
 };
-use tokio::sync::Notify;
 use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::{Notify, watch};
 use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::admission::Admission;
@@ -81,6 +81,8 @@
     configuration: RefCell<Option<Rc<Object>>>,
     mailboxes: RefCell<HashMap<RequestNumber, Rc<Mailbox>>>,
     next_number: Cell<RequestNumber>,
+    /// When the requests that still run are ended, once this host drains.
+    requests_end: watch::Sender<Option<Instant>>,
     planned_tick: Cell<Option<Instant>>,
     tick_rescheduled: Notify,
     rollout_writes: UnboundedSender<RolloutWrite>,
@@ -107,6 +109,7 @@
             configuration: RefCell::default(),
             mailboxes: RefCell::default(),
             next_number: Cell::new(1),
+            requests_end: watch::Sender::new(None),
             planned_tick: Cell::new(None),
             tick_rescheduled: Notify::new(),
             rollout_writes,
@@ -131,6 +134,22 @@
         }
     }
 
+    /// Ends the requests that still run at a time.
+    pub fn end_requests_at(&self, at: Instant) {
+        self.requests_end.send_replace(Some(at));
+    }
+
+    /// Waits until the requests that still run are ended, because this host exits soon.
+    pub async fn requests_end(&self) {
+        let mut end = self.requests_end.subscribe();
+        // The sender is not dropped before the host.
+        let at = end.wait_for(Option::is_some).await.map(|at| *at);
+        match at {
+            Ok(Some(at)) => sleep_until(at).await,
+            Ok(None) | Err(_) => std::future::pending().await,
+        }
+    }
+
     /// Waits until the reducer's next tick is due.
     pub async fn wait_for_tick(&self) {
         loop {
--- a/crates/jaypin_entry/src/serve.rs
+++ b/crates/jaypin_entry/src/serve.rs
@@ -194,6 +194,7 @@
     host.apply(Event::Drain);
     phase.send_replace(DrainPhase::CloseAfterResponse);
     let times = DrainTimes::new(host.settings.bounds.shutdown_grace);
+    host.end_requests_at(since + times.end_requests);
     sleep(times.close_idle).await;
     phase.send_replace(DrainPhase::CloseIdle);
     // A request has ended for the reducer before its response is written to a slow caller.
--- a/crates/jaypin_router/src/drain_times.rs
+++ b/crates/jaypin_router/src/drain_times.rs
@@ -10,6 +10,8 @@
 const MAX_IDLE_TIME: Duration = Duration::from_secs(3);
 /// Shortest time between the exit of the process and the end of its grace period.
 const MIN_EXIT_MARGIN: Duration = Duration::from_millis(100);
+/// Shortest time to write the answers to requests that are ended.
+const MIN_ANSWER_MARGIN: Duration = Duration::from_millis(50);
 
 /// Times of a planned stop, counted from its signal. All lie within the grace period, however short it
 /// is.
@@ -20,7 +22,9 @@
     pub refuse: Duration,
     /// When it closes its listener and its idle connections.
     pub close_idle: Duration,
-    /// When it exits, also with requests unfinished.
+    /// When it ends the requests that still run, and answers them.
+    pub end_requests: Duration,
+    /// When it exits, although connections are open.
     pub exit: Duration,
 }
 
@@ -32,6 +36,7 @@
         Self {
             refuse: MAX_ACCEPT_TIME.min(grace / 3),
             close_idle: MAX_IDLE_TIME.min(grace / 2),
+            end_requests: exit.saturating_sub(MIN_ANSWER_MARGIN.max(grace.mul_f64(0.02))),
             exit,
         }
     }
--- a/crates/jaypin_router/src/router/arrival.rs
+++ b/crates/jaypin_router/src/router/arrival.rs
@@ -85,6 +85,7 @@
         let service = self.choose_service(route);
         let expected = arrival.expected_answer.unwrap_or(answer_tokens);
         let size = self.sizes.relative(&service, rank, prompt_tokens, expected);
+        let deadline = arrival.received_at + timeout.min(route.timeout);
         let named = arrival.resumes.map(|it| it.attempt);
         let admitted = Admitted {
             number: arrival.number,
@@ -104,7 +105,9 @@
             fingerprint: arrival.fingerprint,
             shared_parts: arrival.shared_parts.clone(),
             arrived_at: arrival.received_at,
-            deadline: arrival.received_at + timeout.min(route.timeout),
+            deadline: self
+                .end_of_requests()
+                .map_or(deadline, |end| deadline.min(end)),
             attempted: Vec::new(),
             possible_runs: 0,
             unproven_rejections: 0,
@@ -128,6 +131,12 @@
         }
     }
 
+    /// Returns when a draining host ends the requests that still run.
+    fn end_of_requests(&self) -> Option<Instant> {
+        let drain = DrainTimes::new(self.cfg.bounds.shutdown_grace);
+        self.draining_since.map(|since| since + drain.end_requests)
+    }
+
     /// Returns the number of events that carry so many tokens, for the stream of an engine's
     /// service.
     pub(super) fn events_of(&self, service: &ServiceId, tokens: u32) -> Option<f64> {
