Let no stream go on at a host that may not know its version

Cause: a host that doesn't know a stream asks those that were told, and lets it go on at the only version of its service if nobody knows better. A host that hears from no other for 1.1 s asked nobody, and took its entries for complete for as long as its *configuration* was proved (2.6 s, or any time while it reads that itself). One that stood still asked nobody either, since its peers seemed gone, and took the time of its last tick for now.

Evidence: `hosts_out_of_step`: 4 of its 6 tests fail on the commit before (cut off 1.0 to 2.5 s before; the configuration read, but no entries; stood still for 2.5 s; and for 1.3 s without asking).

Change: what counts is the proof of the entries, at the present time also before an overdue tick. A host that hears from none asks the registered hosts all the same; if nobody answers, it lets the stream go on only if the store has proved the entries to itself, and else sends the caller to another host, as one whose peers don't answer.

After: 6 of 6.

--- a/crates/jaypin_router/src/request.rs
+++ b/crates/jaypin_router/src/request.rs
@@ -270,6 +270,8 @@
     pub query: StreamQuery,
     /// Hosts that were asked and have not answered.
     pub silent: Vec<SocketAddr>,
+    /// Whether hosts were asked from which this host hears.
+    pub has_live_holders: bool,
     /// Whether a host has answered.
     pub has_answer: bool,
     /// Versions of the service that the answers state.
--- a/crates/jaypin_router/src/router/mod.rs
+++ b/crates/jaypin_router/src/router/mod.rs
@@ -68,6 +68,8 @@
     freshness: StoreFreshness,
     /// Latest reading of the boot clock, which also counts time while the host is suspended.
     last_boot_time: Option<BootTime>,
+    /// When the boot clock was read.
+    ticked_at: Option<Instant>,
     reported_store: ReportedStore,
     entries: Entries,
     cell: CellIndex,
@@ -136,6 +138,7 @@
             table: None,
             freshness: StoreFreshness::default(),
             last_boot_time: None,
+            ticked_at: None,
             reported_store: ReportedStore::default(),
             entries: Entries::default(),
             cell: 0,
@@ -370,8 +373,15 @@
         table.map_or(0, |table| table.configuration().version)
     }
 
+    /// Returns the boot time at `now`, also where ticks are overdue because the process stood still.
+    fn boot_time_at(&self, now: Instant) -> BootTime {
+        let since = self.ticked_at.map(|at| now.saturating_duration_since(at));
+        self.last_boot_time.unwrap_or_default() + since.unwrap_or_default()
+    }
+
     fn tick(&mut self, now: Instant, boot_time: BootTime, fx: &mut Vec<Effect>) {
         self.last_boot_time = Some(boot_time);
+        self.ticked_at = Some(now);
         let is_watcher = self.is_watcher(now);
         self.freshness.record_role(is_watcher, boot_time);
         self.freshness
--- a/crates/jaypin_router/src/router/resuming.rs
+++ b/crates/jaypin_router/src/router/resuming.rs
@@ -74,6 +74,15 @@
         scored.into_iter().take(count).map(|it| it.1).collect()
     }
 
+    /// Returns hosts that are registered, for a host that hears from none.
+    ///
+    /// Guards against a host that stood still: it finds requests in its sockets before it has read the
+    /// reports that its peers sent meanwhile, and takes all of them for gone.
+    fn silent_hosts(&self, count: usize) -> Vec<SocketAddr> {
+        let registered = self.report_state.registered_hosts();
+        registered.map(|(_, address)| address).take(count).collect()
+    }
+
     /// Lets a resumed stream go on if its version is known, or else asks other hosts for it.
     pub(super) fn resume(&mut self, now: Instant, request: Request<Waiting>, fx: &mut Vec<Effect>) {
         let admitted = &request.admitted;
@@ -91,9 +100,16 @@
             window: resumption_window(&admitted.route),
         };
         let asked = self.holder_count() * ASKED_PER_HOLDER;
+        let holders = self.stream_holders(&query.stream, asked, now);
+        let has_live_holders = !holders.is_empty();
         let state = Resuming {
             query,
-            silent: self.stream_holders(&query.stream, asked, now),
+            silent: if has_live_holders {
+                holders
+            } else {
+                self.silent_hosts(asked)
+            },
+            has_live_holders,
             has_answer: false,
             seen: VersionsSeen::None,
             ask_at: now,
@@ -205,8 +221,10 @@
         let state = &request.state;
         let seen = self.versions_seen(state.query.service, state.query.window, now);
         let seen = seen.and(state.seen);
-        // Another host may reach those that did not answer this one.
-        let is_out_of_touch = !state.has_answer && !state.silent.is_empty();
+        // Another host may reach those that did not answer this one. Without peers, it counts what this
+        // host reads from the store itself.
+        let watches_entries = self.freshness.watches_entries(self.boot_time_at(now));
+        let is_out_of_touch = !state.has_answer && (state.has_live_holders || !watches_entries);
         let has_one_service = request.admitted.route.targets.len() == 1;
         let request = request.place(now);
         match seen {
@@ -256,9 +274,10 @@
         let of_service = of_service.filter(|it| service_key(&it.record.service) == service);
         let present = of_service.map(|it| it.version);
         let seen = self.version_history.seen(service, present, window, now);
+        let lacks_entries = self.freshness.entries.are_stale(self.boot_time_at(now));
         match seen {
             // This host may not have received entries with other versions.
-            VersionsSeen::One { version, .. } if !self.follows_store() => VersionsSeen::One {
+            VersionsSeen::One { version, .. } if lacks_entries => VersionsSeen::One {
                 version,
                 is_complete: false,
             },
