Bound how often a listing starts again

A listing starts again when the store's history was replaced between two of its pages. By reading, a store that replaces it each time is read without an end or a pause. It is only suspected: `pages_of_ever_new_eras` passes without the change too, since other calls of the host see the newest era and the listing's is then outdated.

Change: after three returns to the first page the listing fails, with the pause of other failures.

--- a/crates/jaypin_bench/tests/odd_answers.rs
+++ b/crates/jaypin_bench/tests/odd_answers.rs
@@ -106,8 +106,7 @@
     a_switch_of_protocols_that_nobody_asked_for: "101";
 }
 
-/// Guards against a host that runs out of memory because a backend server's response has no end, or its
-/// load report.
+/// Guards against a host that runs out of memory because a backend server's response has no end.
 #[tokio::test]
 async fn bodies_without_end_are_bounded() {
     let fleet = fleet_before("HTTP/1.1 200 OK\r\n\r\n", true).await;
--- a/crates/jaypin_entry/src/store/client.rs
+++ b/crates/jaypin_entry/src/store/client.rs
@@ -55,7 +55,7 @@
         /// Newest era that the store stated.
         known: StoreEra,
     },
-    /// A listing ended before an object that has to be read.
+    /// A listing ended before an object that has to be read, or its pages belong to too many histories.
     #[snafu(display("the listing could not be read to its end"))]
     IncompleteListing,
     /// The response could not be decoded.
@@ -168,9 +168,11 @@
             let page = self.host.platform.parse_page(&body, era)?;
             // Pages of two histories do not make a consistent listing, so it starts again.
             if first_point.is_some_and(|it| it.era != era) {
+                if !cursor.restart() {
+                    return Err(StoreError::IncompleteListing);
+                }
                 items.clear();
                 first_point = None;
-                cursor.restart();
                 continue;
             }
             // A watch from the first page's point returns all changes since, also those made
--- a/crates/jaypin_entry/src/store/listing.rs
+++ b/crates/jaypin_entry/src/store/listing.rs
@@ -9,6 +9,8 @@
 
 /// Greatest number of pages of a listing. A page has some hundred objects, or a megabyte.
 const MAX_PAGES: usize = 100;
+/// Number of times that a listing starts again because the store's history was replaced meanwhile.
+const MAX_RESTARTS: usize = 3;
 /// Longest part of a name from which a listing continues, in bytes. A request for the rest of a listing
 /// contains it, escaped, and servers limit the length of requests.
 const MAX_CURSOR_BYTES: usize = 256;
@@ -33,6 +35,7 @@
     name: Option<String>,
     former: HashSet<String>,
     pages: usize,
+    restarts: usize,
 }
 
 impl Cursor {
@@ -56,10 +59,12 @@
         is_new && self.pages < MAX_PAGES
     }
 
-    /// Returns to the first page.
-    pub fn restart(&mut self) {
+    /// Returns to the first page. Returns `false` after too many of such returns.
+    pub fn restart(&mut self) -> bool {
+        self.restarts += 1;
         self.name = None;
         self.former.clear();
+        self.restarts <= MAX_RESTARTS
     }
 }
 
--- a/crates/jaypin_entry/src/store/mod.rs
+++ b/crates/jaypin_entry/src/store/mod.rs
@@ -65,6 +65,8 @@
 /// Longest text of an entry that hosts report to each other, in bytes. A report with the greatest number
 /// of changes fits into a datagram.
 const MAX_REPORTED_TEXT: usize = 256;
+/// Longest part of a text in the store that is logged, in characters.
+const MAX_LOGGED_CHARS: usize = 200;
 
 /// Checks the texts of an entry that hosts report to each other.
 ///
@@ -80,9 +82,6 @@
     )))
 }
 
-/// Longest part of a text in the store that is logged, in characters.
-const MAX_LOGGED_CHARS: usize = 200;
-
 /// Returns the beginning of a text that another writer may have written, for logs.
 ///
 /// Guards against lines without bound in the queue of a log that nobody reads.
