--- a/crates/jaypin_router/src/drain_times.rs
+++ b/crates/jaypin_router/src/drain_times.rs
@@ -2,6 +2,14 @@
 
 use std::time::Duration;
 
+/// Part of the grace period in which a draining host accepts requests, as a divisor.
+const ACCEPT_DIVISOR: u32 = 3;
+/// Part of the grace period in which it keeps idle connections, as a divisor.
+const IDLE_DIVISOR: u32 = 2;
+/// Part of the grace period between the exit of the process and its end.
+const EXIT_MARGIN: f64 = 0.04;
+/// Part of the grace period to write the answers to requests that are ended.
+const ANSWER_MARGIN: f64 = 0.02;
 /// Longest time for which a draining host accepts requests. Callers learn within a few seconds that it
 /// is draining.
 const MAX_ACCEPT_TIME: Duration = Duration::from_millis(2_500);
@@ -32,11 +40,12 @@
     /// Returns the times of a host that has this time between the signal and its end.
     #[must_use]
     pub fn new(grace: Duration) -> Self {
-        let exit = grace.saturating_sub(MIN_EXIT_MARGIN.max(grace.mul_f64(0.04)));
+        let exit = grace.saturating_sub(MIN_EXIT_MARGIN.max(grace.mul_f64(EXIT_MARGIN)));
+        let answer_margin = MIN_ANSWER_MARGIN.max(grace.mul_f64(ANSWER_MARGIN));
         Self {
-            refuse: MAX_ACCEPT_TIME.min(grace / 3),
-            close_idle: MAX_IDLE_TIME.min(grace / 2),
-            end_requests: exit.saturating_sub(MIN_ANSWER_MARGIN.max(grace.mul_f64(0.02))),
+            refuse: MAX_ACCEPT_TIME.min(grace / ACCEPT_DIVISOR),
+            close_idle: MAX_IDLE_TIME.min(grace / IDLE_DIVISOR),
+            end_requests: exit.saturating_sub(answer_margin),
             exit,
         }
     }
