--- a/review/standin-2/fleet.rs
+++ b/review/standin-2/fleet.rs
@@ -7,7 +7,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -88,6 +88,8 @@
     objects: BTreeMap<(String, String), Stored>,
     /// Revision, kind, object, whether it was removed.
     changes: Vec<(u64, String, Json, bool)>,
+    /// Name of each change's object, and when it was made.
+    made: Vec<(String, Instant)>,
 }
 
 /// The platform's store: objects, revisions, listings, watches, conditional writes.
@@ -95,9 +97,8 @@
 pub struct Store {
     pub address: SocketAddr,
     state: Arc<(Mutex<StoreState>, Condvar)>,
-    /// Counts answered watches of the configuration.
-    pub config_watches: Arc<AtomicU64>,
-    is_silent: Arc<AtomicBool>,
+    /// How far the second copy for stale reads is behind, in milliseconds; 0 if there is none.
+    copy_lag_ms: Arc<AtomicU64>,
 }
 
 const STORE_TIME: Duration = Duration::from_millis(4);
@@ -109,8 +110,7 @@
         let store = Self {
             address: listener.local_addr().expect("its address"),
             state: Arc::new((Mutex::new(state), Condvar::new())),
-            config_watches: Arc::default(),
-            is_silent: Arc::default(),
+            copy_lag_ms: Arc::default(),
         };
         let served = store.clone();
         serve(listener, move |stream| {
@@ -119,9 +119,9 @@
         store
     }
 
-    /// While it is silent, the store answers nobody.
-    pub fn set_silent(&self, is_silent: bool) {
-        self.is_silent.store(is_silent, Ordering::SeqCst);
+    /// Lets every second stale read of a connection come from a copy that is this far behind.
+    pub fn set_copy_lag(&self, lag: Duration) {
+        self.copy_lag_ms.store(lag.as_millis() as u64, Ordering::SeqCst);
     }
 
     /// Writes an object, as the operator and workers do. The return is the acknowledgement.
@@ -156,6 +156,7 @@
         let text = object(name, &stored);
         let removed = spec.is_none();
         state.changes.push((revision, kind.to_owned(), text.clone(), removed));
+        state.made.push((name.to_owned(), Instant::now()));
         if removed {
             state.objects.remove(&key);
         } else {
@@ -167,16 +168,17 @@
 
     fn connection(&self, mut stream: TcpStream) -> io::Result<()> {
         let mut reader = BufReader::new(stream.try_clone()?);
+        let mut stale_reads = 0;
         while let Some(request) = http::read_request(&mut reader)? {
-            let (status, body) = self.answer(&request);
+            let lag = Duration::from_millis(self.copy_lag_ms.load(Ordering::SeqCst));
+            let is_stale = request.target().contains("stale_read=1");
+            stale_reads += usize::from(is_stale);
+            let (status, body) = if is_stale && !lag.is_zero() && stale_reads % 2 == 0 {
+                self.answer_from_copy(&request, lag)
+            } else {
+                self.answer(&request)
+            };
             thread::sleep(STORE_TIME);
-            while self.is_silent.load(Ordering::SeqCst) {
-                // A connection on which a response is lost returns nothing further.
-                thread::sleep(Duration::from_millis(200));
-                if !self.is_silent.load(Ordering::SeqCst) {
-                    return Ok(());
-                }
-            }
             let json = [("Content-Type", "application/json")];
             http::respond(&mut stream, status, &json, body.as_bytes())?;
         }
@@ -201,9 +203,6 @@
                 let since = number("watch").unwrap_or_default();
                 let wait = Duration::from_millis(number("wait_ms").unwrap_or_default());
                 let text = self.watch(&kind, since, wait);
-                if kind == "config" {
-                    self.config_watches.fetch_add(1, Ordering::SeqCst);
-                }
                 (200, text)
             }
             ("GET", None) => (200, self.list(&kind)),
@@ -240,6 +239,34 @@
         }
     }
 
+    /// Answers a read as a copy does that is this far behind.
+    fn answer_from_copy(&self, request: &Message, lag: Duration) -> (u16, String) {
+        let path = request.target().split('?').next().unwrap_or_default();
+        let mut parts = path.trim_start_matches("/-/objects/").split('/');
+        let kind = parts.next().unwrap_or_default();
+        let state = self.state.0.lock().unwrap();
+        let mut objects = BTreeMap::new();
+        let mut as_of = 100;
+        for ((revision, of_kind, object, removed), (name, at)) in state.changes.iter().zip(&state.made) {
+            if at.elapsed() < lag {
+                break;
+            }
+            as_of = *revision;
+            if of_kind == kind && *removed {
+                objects.remove(name);
+            } else if of_kind == kind {
+                objects.insert(name.clone(), object.to_string());
+            }
+        }
+        match parts.next() {
+            Some(name) => objects.remove(name).map_or((404, "{}".to_owned()), |it| (200, it)),
+            None => {
+                let items: Vec<_> = objects.into_values().collect();
+                (200, format!("{{\"items\":[{}],\"more\":false,\"as_of\":{as_of}}}", items.join(",")))
+            }
+        }
+    }
+
     fn get(&self, kind: &str, name: &str) -> (u16, String) {
         let state = self.state.0.lock().unwrap();
         let key = (kind.to_owned(), name.to_owned());
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -7,6 +7,7 @@
 mod frozen_watch;
 mod http;
 mod json;
+mod strangers;
 
 use std::path::Path;
 use std::process::exit;
@@ -38,6 +39,7 @@
     });
     let outcome = match case.as_str() {
         "frozen-watch" => frozen_watch::play(&record, &place),
+        "strangers" => strangers::play(&record, &place),
         _ => Err(format!("no such case: {case}")),
     };
     if std::env::var("KEEP").is_err() {
