--- a/review/standin-2/fleet.rs
+++ b/review/standin-2/fleet.rs
@@ -40,7 +40,10 @@
 impl Record {
     pub fn create(path: &Path) -> io::Result<Self> {
         let file = Arc::new(Mutex::new(File::create(path)?));
-        Ok(Self { file, start: Instant::now() })
+        Ok(Self {
+            file,
+            start: Instant::now(),
+        })
     }
 
     pub fn ms(&self) -> f64 {
@@ -57,7 +60,10 @@
 fn free_addresses(ip: &str, count: usize) -> Vec<SocketAddr> {
     let bind = |_| TcpListener::bind((ip, 0)).expect("a free port");
     let listeners: Vec<_> = (0..count).map(bind).collect();
-    listeners.iter().map(|it| it.local_addr().expect("its address")).collect()
+    listeners
+        .iter()
+        .map(|it| it.local_addr().expect("its address"))
+        .collect()
 }
 
 fn serve(listener: TcpListener, handle: impl Fn(TcpStream) + Send + Sync + 'static) {
@@ -106,7 +112,10 @@
 impl Store {
     pub fn start() -> Self {
         let listener = TcpListener::bind(("127.0.0.1", 0)).expect("a free port");
-        let state = StoreState { revision: 100, ..StoreState::default() };
+        let state = StoreState {
+            revision: 100,
+            ..StoreState::default()
+        };
         let store = Self {
             address: listener.local_addr().expect("its address"),
             state: Arc::new((Mutex::new(state), Condvar::new())),
@@ -121,7 +130,8 @@
 
     /// Lets every second stale read of a connection come from a copy that is this far behind.
     pub fn set_copy_lag(&self, lag: Duration) {
-        self.copy_lag_ms.store(lag.as_millis() as u64, Ordering::SeqCst);
+        self.copy_lag_ms
+            .store(lag.as_millis() as u64, Ordering::SeqCst);
     }
 
     /// Writes an object, as the operator and workers do. The return is the acknowledgement.
@@ -134,7 +144,13 @@
         self.write(kind, name, None, None);
     }
 
-    fn write(&self, kind: &str, name: &str, spec: Option<Json>, status: Option<Json>) -> Option<Json> {
+    fn write(
+        &self,
+        kind: &str,
+        name: &str,
+        spec: Option<Json>,
+        status: Option<Json>,
+    ) -> Option<Json> {
         let (state, changed) = &*self.state;
         let mut state = state.lock().unwrap();
         let key = (kind.to_owned(), name.to_owned());
@@ -150,12 +166,19 @@
         let stored = Stored {
             revision,
             created: known.as_ref().map_or(revision, |it| it.created),
-            status: status.or(known.as_ref().map(|it| it.status.clone())).unwrap_or(Json::Null),
-            spec: spec.clone().or(known.map(|it| it.spec)).unwrap_or(Json::Null),
+            status: status
+                .or(known.as_ref().map(|it| it.status.clone()))
+                .unwrap_or(Json::Null),
+            spec: spec
+                .clone()
+                .or(known.map(|it| it.spec))
+                .unwrap_or(Json::Null),
         };
         let text = object(name, &stored);
         let removed = spec.is_none();
-        state.changes.push((revision, kind.to_owned(), text.clone(), removed));
+        state
+            .changes
+            .push((revision, kind.to_owned(), text.clone(), removed));
         state.made.push((name.to_owned(), Instant::now()));
         if removed {
             state.objects.remove(&key);
@@ -188,7 +211,10 @@
     fn answer(&self, request: &Message) -> (u16, String) {
         let target = request.target().to_owned();
         let (path, query) = target.split_once('?').unwrap_or((&target, ""));
-        let query: BTreeMap<&str, &str> = query.split('&').filter_map(|it| it.split_once('=')).collect();
+        let query: BTreeMap<&str, &str> = query
+            .split('&')
+            .filter_map(|it| it.split_once('='))
+            .collect();
         let Some(path) = path.strip_prefix("/-/objects/") else {
             return (404, "{}".to_owned());
         };
@@ -208,10 +234,14 @@
             ("GET", None) => (200, self.list(&kind)),
             ("GET", Some(name)) => self.get(&kind, &name),
             ("POST" | "PUT", name) => {
-                let Some(body) = body else { return (400, "{}".to_owned()) };
+                let Some(body) = body else {
+                    return (400, "{}".to_owned());
+                };
                 let metadata = body.get("metadata");
                 let stated = metadata.and_then(|it| it.get("name")?.text().map(ToOwned::to_owned));
-                let Some(named) = name.clone().or(stated) else { return (400, "{}".to_owned()) };
+                let Some(named) = name.clone().or(stated) else {
+                    return (400, "{}".to_owned());
+                };
                 let revision = metadata.and_then(|it| it.get("revision")?.number());
                 let (code, known) = self.get(&kind, &named);
                 let has_moved = revision.is_some_and(|it| {
@@ -225,7 +255,11 @@
                 if name.is_some() && code == 404 {
                     return (404, "{}".to_owned());
                 }
-                let spec = if is_status { None } else { body.get("spec").cloned() };
+                let spec = if is_status {
+                    None
+                } else {
+                    body.get("spec").cloned()
+                };
                 let spec = spec.or_else(|| Json::parse(&known)?.get("spec").cloned());
                 let status = is_status.then(|| body.get("status").cloned()).flatten();
                 let written = self.write(&kind, &named, spec.or(Some(Json::Null)), status);
@@ -247,7 +281,9 @@
         let state = self.state.0.lock().unwrap();
         let mut objects = BTreeMap::new();
         let mut as_of = 100;
-        for ((revision, of_kind, object, removed), (name, at)) in state.changes.iter().zip(&state.made) {
+        for ((revision, of_kind, object, removed), (name, at)) in
+            state.changes.iter().zip(&state.made)
+        {
             if at.elapsed() < lag {
                 break;
             }
@@ -259,10 +295,18 @@
             }
         }
         match parts.next() {
-            Some(name) => objects.remove(name).map_or((404, "{}".to_owned()), |it| (200, it)),
+            Some(name) => objects
+                .remove(name)
+                .map_or((404, "{}".to_owned()), |it| (200, it)),
             None => {
                 let items: Vec<_> = objects.into_values().collect();
-                (200, format!("{{\"items\":[{}],\"more\":false,\"as_of\":{as_of}}}", items.join(",")))
+                (
+                    200,
+                    format!(
+                        "{{\"items\":[{}],\"more\":false,\"as_of\":{as_of}}}",
+                        items.join(",")
+                    ),
+                )
             }
         }
     }
@@ -279,8 +323,14 @@
     fn list(&self, kind: &str) -> String {
         let state = self.state.0.lock().unwrap();
         let of_kind = state.objects.iter().filter(|it| it.0.0 == kind);
-        let items: Vec<_> = of_kind.map(|(key, it)| object(&key.1, it).to_string()).collect();
-        format!("{{\"items\":[{}],\"more\":false,\"as_of\":{}}}", items.join(","), state.revision)
+        let items: Vec<_> = of_kind
+            .map(|(key, it)| object(&key.1, it).to_string())
+            .collect();
+        format!(
+            "{{\"items\":[{}],\"more\":false,\"as_of\":{}}}",
+            items.join(","),
+            state.revision
+        )
     }
 
     fn watch(&self, kind: &str, since: u64, wait: Duration) -> String {
@@ -288,13 +338,20 @@
         let mut state = state.lock().unwrap();
         let until = Instant::now() + wait;
         loop {
-            let new = state.changes.iter().filter(|it| it.0 > since && it.1 == kind);
+            let new = state
+                .changes
+                .iter()
+                .filter(|it| it.0 > since && it.1 == kind);
             let events: Vec<_> = new
                 .map(|it| format!("{{\"object\":{},\"deleted\":{}}}", it.2, it.3))
                 .collect();
             let left = until.saturating_duration_since(Instant::now());
             if !events.is_empty() || left.is_zero() {
-                return format!("{{\"events\":[{}],\"as_of\":{}}}", events.join(","), state.revision);
+                return format!(
+                    "{{\"events\":[{}],\"as_of\":{}}}",
+                    events.join(","),
+                    state.revision
+                );
             }
             state = changed.wait_timeout(state, left).unwrap().0;
         }
@@ -352,8 +409,14 @@
     fn connection(&self, mut stream: TcpStream, record: &Record, work: Duration) -> io::Result<()> {
         let mut reader = BufReader::new(stream.try_clone()?);
         while let Some(request) = http::read_request(&mut reader)? {
-            let id = request.header("x-attempt-id").unwrap_or_default().to_owned();
-            if request.header("x-expect-instance").is_some_and(|it| it != self.id) {
+            let id = request
+                .header("x-attempt-id")
+                .unwrap_or_default()
+                .to_owned();
+            if request
+                .header("x-expect-instance")
+                .is_some_and(|it| it != self.id)
+            {
                 let headers = [("X-Not-Executed", "1"), ("X-Instance-Id", self.id.as_str())];
                 http::respond(&mut stream, 421, &headers, b"")?;
                 continue;
@@ -362,7 +425,12 @@
             if !id.starts_with("load-") {
                 record.line(&format!("worker {} runs {id} of {tenant}", self.id));
             }
-            let run = Run { at_ms: record.ms(), worker: self.id.clone(), id: id.clone(), request };
+            let run = Run {
+                at_ms: record.ms(),
+                worker: self.id.clone(),
+                id: id.clone(),
+                request,
+            };
             self.runs.lock().unwrap().push(run);
             thread::sleep(work);
             let stamp = format!("{}.{id}", self.id);
@@ -372,7 +440,12 @@
                 ("Keep-Alive", "timeout=5"),
                 ("Content-Type", "application/json"),
             ];
-            http::respond(&mut stream, 200, &headers, format!("answer to {id}").as_bytes())?;
+            http::respond(
+                &mut stream,
+                200,
+                &headers,
+                format!("answer to {id}").as_bytes(),
+            )?;
         }
         Ok(())
     }
@@ -409,7 +482,8 @@
     pub fn new(case: &str) -> io::Result<Self> {
         let root = std::env::var("JAYPIN_ROOT").unwrap_or_else(|_| ".".to_owned());
         let program = Path::new(&root).join("target/release/jaypin");
-        let folder = std::env::temp_dir().join(format!("jaypin-review-{case}-{}", std::process::id()));
+        let folder =
+            std::env::temp_dir().join(format!("jaypin-review-{case}-{}", std::process::id()));
         std::fs::create_dir_all(&folder)?;
         Ok(Self { program, folder })
     }
@@ -451,14 +525,22 @@
             .stdout(log.try_clone()?)
             .stderr(log)
             .spawn()?;
-        Ok(Self { name: name.to_owned(), front, ready, process, settings })
+        Ok(Self {
+            name: name.to_owned(),
+            front,
+            ready,
+            process,
+            settings,
+        })
     }
 
     /// Waits until the platform's check finds it ready.
     pub fn wait_until_ready(&self, limit: Duration) -> bool {
         let until = Instant::now() + limit;
         while Instant::now() < until {
-            let asked = Call::new("GET", "/-/ready").limit(Duration::from_secs(1)).send(self.ready);
+            let asked = Call::new("GET", "/-/ready")
+                .limit(Duration::from_secs(1))
+                .send(self.ready);
             if asked.is_ok_and(|it| it.status() == 200) {
                 return true;
             }
--- a/review/standin-2/frozen_watch.rs
+++ b/review/standin-2/frozen_watch.rs
@@ -27,7 +27,9 @@
 /// Returns the configuration in which this many of the keys were taken away.
 fn configuration(taken: usize) -> String {
     let version = taken + 1;
-    let keys: Vec<_> = (taken..2 * ROUNDS + 1).map(|it| format!("\"key-{it}\"")).collect();
+    let keys: Vec<_> = (taken..2 * ROUNDS + 1)
+        .map(|it| format!("\"key-{it}\""))
+        .collect();
     format!(
         "{{\"version\":{version},\"routes\":[{{\"name\":\"read\",\"host\":\"site.example\",\"path_prefix\":\"/read/\",\"kind\":\"idempotent\",\
          \"timeout_ms\":800,\"slo_ms\":100,\"priority\":2,\"service\":\"barn-api\",\"attempts\":2,\"public\":false}}],\
@@ -53,7 +55,9 @@
     let key = format!("key-{}", 2 * ROUNDS);
     let mut sent = 0;
     while !is_over.load(Ordering::Relaxed) {
-        let Ok(mut stream) = TcpStream::connect(front) else { return };
+        let Ok(mut stream) = TcpStream::connect(front) else {
+            return;
+        };
         let _ = stream.set_nodelay(true);
         let Ok(read) = stream.try_clone() else { return };
         let mut reader = BufReader::new(read);
@@ -61,7 +65,11 @@
             sent += 1;
             let bytes = request(&format!("load-{n}-{sent}"), &key).bytes();
             let is_sent = stream.write_all(&bytes).is_ok();
-            let head = if is_sent { http::read_head(&mut reader) } else { Ok(None) };
+            let head = if is_sent {
+                http::read_head(&mut reader)
+            } else {
+                Ok(None)
+            };
             let Ok(Some(mut message)) = head else { break };
             if http::read_body(&mut reader, &mut message, true).is_err() {
                 break;
@@ -79,9 +87,15 @@
 pub fn play(record: &Record, place: &Place) -> Outcome {
     let store = Store::start();
     let work = Duration::from_millis(15);
-    let workers: Vec<_> = (1..=WORKERS).map(|n| Worker::start(&format!("i-{n}"), record, work)).collect();
+    let workers: Vec<_> = (1..=WORKERS)
+        .map(|n| Worker::start(&format!("i-{n}"), record, work))
+        .collect();
     for worker in &workers {
-        store.put("servers", &worker.id, &worker.entry("barn-api", 10, "ready"));
+        store.put(
+            "servers",
+            &worker.id,
+            &worker.entry("barn-api", 10, "ready"),
+        );
     }
     store.put("config", "main", &configuration(0));
     let host = Host::start(place, &store, "front-1", "127.0.0.1").map_err(|it| it.to_string())?;
@@ -151,10 +165,15 @@
             threads.push(thread::spawn(move || {
                 let id = format!("after-{second}-{n}");
                 let at_ms = record.ms();
-                sent.lock().unwrap().push(Sent { id: id.clone(), at_ms });
+                sent.lock().unwrap().push(Sent {
+                    id: id.clone(),
+                    at_ms,
+                });
                 let answer = request(&id, &format!("key-{second}")).send(front);
                 let answer = answer.map_or_else(|it| it.to_string(), |it| it.status().to_string());
-                record.line(&format!("request {id} with key-{second}, sent at {at_ms:.1}: {answer}"));
+                record.line(&format!(
+                    "request {id} with key-{second}, sent at {at_ms:.1}: {answer}"
+                ));
             }));
         }
         sleep(Duration::from_millis(10));
@@ -164,14 +183,29 @@
     }
     let ran: BTreeSet<String> = workers
         .iter()
-        .flat_map(|it| it.runs.lock().unwrap().iter().map(|run| run.id.clone()).collect::<Vec<_>>())
+        .flat_map(|it| {
+            it.runs
+                .lock()
+                .unwrap()
+                .iter()
+                .map(|run| run.id.clone())
+                .collect::<Vec<_>>()
+        })
         .collect();
     let mut broken = 0;
-    for sent in sent.lock().unwrap().iter().filter(|it| it.at_ms > revoked_ms + REVOKE_MS) {
+    for sent in sent
+        .lock()
+        .unwrap()
+        .iter()
+        .filter(|it| it.at_ms > revoked_ms + REVOKE_MS)
+    {
         if ran.contains(&sent.id) {
             broken += 1;
             let late = sent.at_ms - revoked_ms;
-            record.line(&format!("BROKEN: {} ran, sent {late:.1} ms after its key was taken away", sent.id));
+            record.line(&format!(
+                "BROKEN: {} ran, sent {late:.1} ms after its key was taken away",
+                sent.id
+            ));
         }
     }
     Ok(broken)
--- a/review/standin-2/http.rs
+++ b/review/standin-2/http.rs
@@ -14,7 +14,10 @@
 
 impl Message {
     pub fn header(&self, name: &str) -> Option<&str> {
-        let found = self.headers.iter().find(|it| it.0.eq_ignore_ascii_case(name));
+        let found = self
+            .headers
+            .iter()
+            .find(|it| it.0.eq_ignore_ascii_case(name));
         found.map(|it| it.1.as_str())
     }
 
@@ -46,14 +49,19 @@
     if reader.fill_buf()?.is_empty() {
         return Ok(None);
     }
-    let mut message = Message { start: line(reader)?, ..Message::default() };
+    let mut message = Message {
+        start: line(reader)?,
+        ..Message::default()
+    };
     loop {
         let text = line(reader)?;
         if text.is_empty() {
             return Ok(Some(message));
         }
         if let Some((name, value)) = text.split_once(':') {
-            message.headers.push((name.trim().to_owned(), value.trim().to_owned()));
+            message
+                .headers
+                .push((name.trim().to_owned(), value.trim().to_owned()));
         }
     }
 }
@@ -65,7 +73,9 @@
     message: &mut Message,
     until_close: bool,
 ) -> io::Result<()> {
-    let chunked = message.header("transfer-encoding").is_some_and(|it| it.contains("chunked"));
+    let chunked = message
+        .header("transfer-encoding")
+        .is_some_and(|it| it.contains("chunked"));
     if chunked {
         loop {
             let size = line(reader)?;
@@ -81,7 +91,9 @@
             }
         }
     }
-    let length = message.header("content-length").and_then(|it| it.parse::<usize>().ok());
+    let length = message
+        .header("content-length")
+        .and_then(|it| it.parse::<usize>().ok());
     match length {
         Some(length) => {
             message.body = vec![0; length];
@@ -108,7 +120,10 @@
     headers: &[(&str, &str)],
     body: &[u8],
 ) -> io::Result<()> {
-    let mut text = format!("HTTP/1.1 {status} Status\r\nContent-Length: {}\r\n", body.len());
+    let mut text = format!(
+        "HTTP/1.1 {status} Status\r\nContent-Length: {}\r\n",
+        body.len()
+    );
     for (name, value) in headers {
         text.push_str(&format!("{name}: {value}\r\n"));
     }
--- a/review/standin-2/json.rs
+++ b/review/standin-2/json.rs
@@ -37,7 +37,10 @@
 
     /// Parses a text; `None` if it is no JSON.
     pub fn parse(text: &str) -> Option<Json> {
-        let mut reader = Reader { bytes: text.as_bytes(), at: 0 };
+        let mut reader = Reader {
+            bytes: text.as_bytes(),
+            at: 0,
+        };
         let value = reader.value()?;
         reader.blanks();
         (reader.at == reader.bytes.len()).then_some(value)
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -3,6 +3,8 @@
 //! `case NAME RECORD` plays a case. It exits with 1 if the rule was broken, 0 if it held, and 2 if the
 //! case couldn't run. With `TROUBLE=0` the disruption is left out.
 
+#![allow(dead_code, reason = "each case uses a part of the stand-ins")]
+
 mod fleet;
 mod frozen_watch;
 mod http;
--- a/review/standin-2/strangers.rs
+++ b/review/standin-2/strangers.rs
@@ -35,16 +35,28 @@
         store.set_copy_lag(COPY_LAG);
     }
     let work = Duration::from_millis(15);
-    let workers: Vec<_> = (1..=3).map(|n| Worker::start(&format!("i-{n}"), record, work)).collect();
+    let workers: Vec<_> = (1..=3)
+        .map(|n| Worker::start(&format!("i-{n}"), record, work))
+        .collect();
     for worker in &workers {
         store.put("servers", &worker.id, &worker.entry("barn-api", 6, "ready"));
     }
     store.put("config", "main", &configuration());
     sleep(COPY_LAG + Duration::from_millis(500));
-    let start = |n: usize| Host::start(place, &store, &format!("front-{n}"), &format!("127.0.0.{n}"));
+    let start = |n: usize| {
+        Host::start(
+            place,
+            &store,
+            &format!("front-{n}"),
+            &format!("127.0.0.{n}"),
+        )
+    };
     let hosts: Result<Vec<_>, _> = (1..=2).map(start).collect();
     let hosts = hosts.map_err(|it| it.to_string())?;
-    if !hosts.iter().all(|it| it.wait_until_ready(Duration::from_secs(20))) {
+    if !hosts
+        .iter()
+        .all(|it| it.wait_until_ready(Duration::from_secs(20)))
+    {
         return Err("a host isn't ready".to_owned());
     }
     record.line("both hosts are ready");
@@ -78,16 +90,28 @@
     }
     let sent = sent.lock().unwrap().clone();
     let ran_at = |id: &str| {
-        let runs = workers.iter().flat_map(|it| it.runs.lock().unwrap().clone());
+        let runs = workers
+            .iter()
+            .flat_map(|it| it.runs.lock().unwrap().clone());
         runs.filter(|it| it.id == id).map(|it| it.at_ms).next()
     };
-    let ran: Vec<_> = sent.iter().filter_map(|(id, at)| Some((*at, ran_at(id)?))).collect();
+    let ran: Vec<_> = sent
+        .iter()
+        .filter_map(|(id, at)| Some((*at, ran_at(id)?)))
+        .collect();
     let allowed = (RATE * WINDOW_MS / 1_000.0 + BURST) * (1.0 + TOLERANCE) + SLACK;
     let used_from = |from: f64| {
-        let of_window = ran.iter().filter(|(sent, at)| *sent >= from && *at <= from + WINDOW_MS);
+        let of_window = ran
+            .iter()
+            .filter(|(sent, at)| *sent >= from && *at <= from + WINDOW_MS);
         of_window.map(|_| UNITS).sum::<f64>()
     };
-    let most = ran.iter().map(|(sent, _)| used_from(*sent)).fold(0.0, f64::max);
-    record.line(&format!("most units in a window of 8 s: {most}; allowed: {allowed}"));
+    let most = ran
+        .iter()
+        .map(|(sent, _)| used_from(*sent))
+        .fold(0.0, f64::max);
+    record.line(&format!(
+        "most units in a window of 8 s: {most}; allowed: {allowed}"
+    ));
     Ok(usize::from(most > allowed))
 }
