Let a listing of hosts prove itself

Cause: a host waited until one stale read showed its registration, and listed the hosts by another. The two may come from different copies of the store. Where the listing came from an older copy, each of the two hosts lacked the other, neither ever reported to the other, and each granted quotas as the only host. A copy that never showed the registration was used all the same after 6 s.

Change: a host lists until a listing contains its own registration. Such a listing contains all earlier registrations, so of two hosts the one that registered later lists the other. An older record of the same name doesn't count, nor does a listing with a page that states a point before the registration. After 6 s the host reads the newest state. The point of a listing is that of its oldest page.

A start makes one call to the store less where copies don't lag.

--- a/crates/jaypin_entry/src/store/client.rs
+++ b/crates/jaypin_entry/src/store/client.rs
@@ -148,13 +148,13 @@
         mut read: impl FnMut(Object) -> Option<T>,
     ) -> Result<Listing<T>, StoreError> {
         let mut items = Vec::new();
-        let mut first_point: Option<StorePoint> = None;
+        let mut oldest_point: Option<StorePoint> = None;
         let mut cursor = Cursor::default();
         loop {
             let platform = &self.host.platform;
             let path = platform.list_path(collection, cursor.name(), freshness);
             let response = self.get(&path, CALL_TIMEOUT).await;
-            if let (Some(point), Err(error)) = (first_point, &response)
+            if let (Some(point), Err(error)) = (oldest_point, &response)
                 && error.is_rejection()
             {
                 log::warn!(collection:?, after = cursor.name(), error:%; "a page of a listing was rejected; using the pages before it");
@@ -167,17 +167,18 @@
             let StoreResponse { era, body } = response?;
             let page = self.host.platform.parse_page(&body, era)?;
             // Pages of two histories do not make a consistent listing, so it starts again.
-            if first_point.is_some_and(|it| it.era != era) {
+            if oldest_point.is_some_and(|it| it.era != era) {
                 if !cursor.restart() {
                     return Err(StoreError::IncompleteListing);
                 }
                 items.clear();
-                first_point = None;
+                oldest_point = None;
                 continue;
             }
-            // A watch from the first page's point returns all changes since, also those made
-            // while later pages were read.
-            let point = *first_point.get_or_insert(page.point);
+            // A watch from the point of the oldest page returns all changes since, also those made
+            // while other pages were read, or that a copy lacked from which one of them came.
+            let point = oldest_point.map_or(page.point, |it| it.min(page.point));
+            oldest_point = Some(point);
             let is_complete = !page.has_more;
             let can_continue = cursor.advance(&page);
             items.extend(page.objects.into_iter().filter_map(&mut read));
--- a/crates/jaypin_entry/src/store/hosts.rs
+++ b/crates/jaypin_entry/src/store/hosts.rs
@@ -1,16 +1,15 @@
 //! Registers this host and discovers the other hosts.
 
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use hyper::{Method, StatusCode};
-use jaypin_core::HostId;
-use jaypin_router::{Event, Router};
+use jaypin_router::{Event, Router, StorePoint};
 use rand::RngExt;
 use tokio::time::{Instant, sleep};
 
 use super::client::{StoreClient, StoreError};
+use super::listing::Listing;
 use super::{Retries, excerpt};
 use crate::host::Host;
 use crate::ports::{Collection, Freshness, HostRecord, Object};
@@ -22,12 +21,11 @@
 /// Random factor on the pause: a new host's reports reach its whole cell at once.
 const LIST_SPREAD: std::ops::Range<f64> = 0.3..1.7;
 
-/// Pause before the first check whether a copy of the store contains a new registration, doubled
-/// with each further check.
+/// Pause between a new registration and the first listing, doubled after each listing that lacks it.
 const FIRST_COPY_PAUSE: Duration = Duration::from_millis(200);
-/// Longest pause between two such checks.
+/// Longest pause between two such listings.
 const MAX_COPY_PAUSE: Duration = Duration::from_secs(1);
-/// Longest time for which a copy of the store is waited for.
+/// Time after which a host no longer waits for copies of the store that contain its registration.
 const MAX_COPY_LAG: Duration = Duration::from_secs(6);
 /// Timeout of reading a registration.
 const REGISTRATION_TIMEOUT: Duration = Duration::from_millis(1_200);
@@ -41,15 +39,11 @@
 /// registration, which is then written again.
 ///
 /// No host watches these entries: each host sends reports to the hosts that it lists, and hosts
-/// that register later list it. Of two hosts that start together at least one lists the other,
-/// since both list from copies that contain their own registration.
+/// that register later list it.
 pub async fn join_fleet(host: Rc<Host>) {
     let mut client = StoreClient::new(&host);
     let mut retries = Retries::default();
-    while let Err(error) = ensure_registered(&host, &mut client).await {
-        retries.back_off(&host, "registration", &error).await;
-    }
-    while let Err(error) = list_hosts(&host, &mut client).await {
+    while let Err(error) = join(&host, &mut client).await {
         retries.back_off(&host, "registered hosts", &error).await;
     }
     let joined_at = Instant::now();
@@ -63,17 +57,55 @@
         let before = std::mem::replace(&mut era, host.read(Router::store_era));
         let may_be_lost =
             before.is_some() && before != era && joined_at.elapsed() < REPLICATION_TIME;
-        if may_be_lost && let Err(error) = ensure_registered(&host, &mut client).await {
+        if may_be_lost
+            && let Err(error) = ensure_registered(&host, &mut client, Freshness::AllowStale).await
+        {
             era = before;
             retries.back_off(&host, "registration", &error).await;
             continue;
         }
-        if has_unlisted_peer(&host)
-            && let Err(error) = list_hosts(&host, &mut client).await
-        {
-            log::info!(error:%; "listing the registered hosts failed; retrying after a pause");
+        if has_unlisted_peer(&host) {
+            match list_hosts(&host, &mut client, Freshness::AllowStale).await {
+                Ok(listing) => apply_listing(&host, listing),
+                Err(error) => {
+                    log::info!(error:%; "listing the registered hosts failed; retrying after a pause");
+                }
+            }
+        }
+    }
+}
+
+/// Registers this host, and lists the registered hosts until a listing contains the registration.
+///
+/// Guards against hosts that start together, never hear of each other, and each act as the whole fleet:
+/// reads that may be stale come from different copies of the store, so a listing can lack a
+/// registration that another read has shown. A listing that contains the registration of this host
+/// contains all earlier ones, so of two hosts the one that registered later lists the other. Copies that
+/// never contain it are replaced by the newest state.
+async fn join(host: &Host, client: &mut StoreClient<'_>) -> Result<(), StoreError> {
+    let registration = ensure_registered(host, client, Freshness::AllowStale).await?;
+    let started_at = Instant::now();
+    let mut pause = FIRST_COPY_PAUSE;
+    if registration.is_new {
+        sleep(pause).await;
+    }
+    loop {
+        let listing = list_hosts(host, client, Freshness::AllowStale).await?;
+        if !listing.is_complete || registration.is_in(&listing) {
+            apply_listing(host, listing);
+            return Ok(());
         }
+        if started_at.elapsed() >= MAX_COPY_LAG {
+            break;
+        }
+        sleep(pause).await;
+        pause = (pause * 2).min(MAX_COPY_PAUSE);
     }
+    log::warn!(host:% = registration.record.host; "the store's copies lack the registration of this host; reading the newest state");
+    ensure_registered(host, client, Freshness::Newest).await?;
+    let listing = list_hosts(host, client, Freshness::Newest).await?;
+    apply_listing(host, listing);
+    Ok(())
 }
 
 fn has_unlisted_peer(host: &Host) -> bool {
@@ -81,42 +113,76 @@
     host.read(|router| router.has_unlisted_peer(now))
 }
 
-/// Registers this host if the store has no current registration of it, and waits until the copies
-/// of the store from which hosts are listed contain it. A copy that never does is used all the same
-/// after [`MAX_COPY_LAG`].
-async fn ensure_registered(host: &Host, client: &mut StoreClient<'_>) -> Result<(), StoreError> {
-    let own = HostRecord {
+/// The registration of this host, as the store has it at least.
+#[derive(Debug)]
+struct Registration {
+    record: HostRecord,
+    /// Whether it was written just now.
+    is_new: bool,
+    /// A point that it has reached. An object at an earlier point is a former registration.
+    since: StorePoint,
+}
+
+impl Registration {
+    /// Returns whether each page of a listing was read from a copy that contains this registration.
+    fn is_in(&self, listing: &Listing<RegisteredHost>) -> bool {
+        let mut hosts = listing.items.iter();
+        let own = hosts.find(|it| it.record == self.record && it.point >= self.since);
+        own.is_some_and(|own| own.point <= listing.point)
+    }
+}
+
+/// A registration that was listed.
+#[derive(Debug)]
+struct RegisteredHost {
+    record: HostRecord,
+    /// Point in the store's history at which it was written.
+    point: StorePoint,
+}
+
+/// Registers this host if the store has no current registration of it.
+async fn ensure_registered(
+    host: &Host,
+    client: &mut StoreClient<'_>,
+    freshness: Freshness,
+) -> Result<Registration, StoreError> {
+    let record = HostRecord {
         host: host.settings.host.clone(),
         peer_address: host.settings.peer_address,
     };
-    let known = read_registration(host, client, &own.host).await?;
-    if is_current(host, known.as_ref(), &own) {
-        return Ok(());
-    }
-    register(host, client, &own, known.map(|it| it.point.revision)).await?;
-    let registered_at = Instant::now();
-    let mut pause = FIRST_COPY_PAUSE;
-    while registered_at.elapsed() < MAX_COPY_LAG {
-        sleep(pause).await;
-        pause = (pause * 2).min(MAX_COPY_PAUSE);
-        let copied = read_registration(host, client, &own.host).await?;
-        if is_current(host, copied.as_ref(), &own) {
-            return Ok(());
-        }
+    let known = read_registration(host, client, &record.host, freshness).await?;
+    let is_current = |object: &Object| {
+        let known = host.platform.parse_host(object);
+        known.is_ok_and(|known| known == record)
+    };
+    if let Some(object) = known.as_ref().filter(|it| is_current(it)) {
+        let since = object.point;
+        return Ok(Registration {
+            record,
+            is_new: false,
+            since,
+        });
     }
-    log::warn!(host:% = own.host; "the store's copies lack the registration of this host");
-    Ok(())
+    let replaced = known.map(|it| it.point);
+    register(host, client, &record, replaced.map(|it| it.revision)).await?;
+    let since = replaced.map(|it| StorePoint::new(it.era, it.revision + 1));
+    Ok(Registration {
+        record,
+        is_new: true,
+        since: since.unwrap_or_default(),
+    })
 }
 
-/// Reads the registration of a host from a copy of the store.
+/// Reads the registration of a host.
 async fn read_registration(
     host: &Host,
     client: &mut StoreClient<'_>,
     name: &str,
+    freshness: Freshness,
 ) -> Result<Option<Object>, StoreError> {
     let path = host
         .platform
-        .object_path(Collection::Hosts, name, Freshness::AllowStale);
+        .object_path(Collection::Hosts, name, freshness);
     match client.get(&path, REGISTRATION_TIMEOUT).await {
         Ok(response) => Ok(Some(
             host.platform.parse_object(&response.body, response.era)?,
@@ -126,21 +192,23 @@
     }
 }
 
-/// Returns whether an object is the given registration.
-fn is_current(host: &Host, object: Option<&Object>, own: &HostRecord) -> bool {
-    let record = object.map(|it| host.platform.parse_host(it));
-    record.is_some_and(|record| record.is_ok_and(|record| record == *own))
+/// Lists the registered hosts.
+async fn list_hosts(
+    host: &Host,
+    client: &mut StoreClient<'_>,
+    freshness: Freshness,
+) -> Result<Listing<RegisteredHost>, StoreError> {
+    let read = |object: Object| parse_host(host, &object);
+    let listing = client.list(Collection::Hosts, freshness, read).await?;
+    log::info!(count = listing.items.len(), point:? = listing.point; "registered hosts listed");
+    Ok(listing)
 }
 
-/// Lists the registered hosts. A listing that lags suffices: it contains all hosts that registered
-/// before this one.
-async fn list_hosts(host: &Host, client: &mut StoreClient<'_>) -> Result<(), StoreError> {
-    let read = |object: Object| parse_host(host, &object);
-    let listing = client.list(Collection::Hosts, Freshness::AllowStale, read);
-    let hosts = listing.await?.items;
-    log::info!(count = hosts.len(); "registered hosts listed");
-    host.apply(Event::HostsListed(hosts));
-    Ok(())
+/// Passes the hosts of a listing to the reducer.
+fn apply_listing(host: &Host, listing: Listing<RegisteredHost>) {
+    let hosts = listing.items.into_iter().map(|it| it.record);
+    let hosts = hosts.map(|it| (it.host, it.peer_address));
+    host.apply(Event::HostsListed(hosts.collect()));
 }
 
 /// Writes the registration of this host, and replaces the given revision if there is one.
@@ -172,9 +240,10 @@
 }
 
 /// Parses a registration, and logs one that is invalid.
-fn parse_host(host: &Host, object: &Object) -> Option<(HostId, SocketAddr)> {
+fn parse_host(host: &Host, object: &Object) -> Option<RegisteredHost> {
+    let point = object.point;
     match host.platform.parse_host(object) {
-        Ok(record) => Some((record.host, record.peer_address)),
+        Ok(record) => Some(RegisteredHost { record, point }),
         Err(error) => {
             let (name, error) = (excerpt(&object.name), excerpt(&error.to_string()));
             log::warn!(name, error; "invalid host entry in the store; ignored");
--- a/crates/jaypin_entry/src/store/listing.rs
+++ b/crates/jaypin_entry/src/store/listing.rs
@@ -20,7 +20,7 @@
 pub struct Listing<T> {
     /// What was kept of the objects that were read.
     pub items: Vec<T>,
-    /// Point in the store's history from which to watch the collection.
+    /// Point in the store's history at which the oldest page was read, from which to watch the collection.
     pub point: StorePoint,
     /// Whether the store returned the last page. If not, further objects may exist.
     pub is_complete: bool,
