List the hosts again without a known reason

Callers would see: whatever made two hosts miss each other once, they stayed strangers for as long as both ran, and each granted quotas as if the other didn't exist.

Cause: a host listed the hosts again only for a live peer that wasn't listed, and neither of two strangers has one. A listing of several pages can miss a host although it contains the own registration: its pages may come from different copies of the store. A store can also lose a registration without a new era.

Change: a host lists the hosts once more 8 to 16 s after its first listing, and then each 3.5 to 6.5 min. If its own registration is missing then, it registers again.

--- a/crates/jaypin_entry/src/store/hosts.rs
+++ b/crates/jaypin_entry/src/store/hosts.rs
@@ -21,6 +21,14 @@
 /// Random factor on the pause: a new host's reports reach its whole cell at once.
 const LIST_SPREAD: std::ops::Range<f64> = 0.3..1.7;
 
+/// Mean time after its first listing after which a host lists the hosts once more: copies of the store
+/// then contain all that was written before the first.
+const FIRST_REPEAT: Duration = Duration::from_secs(12);
+/// Mean time between later listings without a known reason.
+const REPEAT_INTERVAL: Duration = Duration::from_mins(5);
+/// Random factor on these times: hosts that start together would list all hosts at the same time.
+const REPEAT_SPREAD: std::ops::Range<f64> = 0.7..1.3;
+
 /// Pause between a new registration and the first listing, doubled after each listing that lacks it.
 const FIRST_COPY_PAUSE: Duration = Duration::from_millis(200);
 /// Longest pause between two such listings.
@@ -39,7 +47,9 @@
 /// registration, which is then written again.
 ///
 /// No host watches these entries: each host sends reports to the hosts that it lists, and hosts
-/// that register later list it.
+/// that register later list it. Hosts are also listed without a known reason, once soon after the start and
+/// seldom from then on. This guards against hosts that never hear of each other: whatever one of them missed
+/// at its start, neither has a reason to list the other.
 pub async fn join_fleet(host: Rc<Host>) {
     let mut client = StoreClient::new(&host);
     let mut retries = Retries::default();
@@ -47,11 +57,14 @@
         retries.back_off(&host, "registered hosts", &error).await;
     }
     let joined_at = Instant::now();
+    let mut repeat_at = joined_at + spread(FIRST_REPEAT, REPEAT_SPREAD);
     let mut era = host.read(Router::store_era);
     loop {
-        let spread = rand::rng().random_range(LIST_SPREAD);
-        sleep(LIST_INTERVAL.mul_f64(spread)).await;
-        while !has_unlisted_peer(&host) && era == host.read(Router::store_era) {
+        sleep(spread(LIST_INTERVAL, LIST_SPREAD)).await;
+        while !has_unlisted_peer(&host)
+            && era == host.read(Router::store_era)
+            && Instant::now() < repeat_at
+        {
             sleep(CHECK_INTERVAL).await;
         }
         let before = std::mem::replace(&mut era, host.read(Router::store_era));
@@ -64,17 +77,46 @@
             retries.back_off(&host, "registration", &error).await;
             continue;
         }
-        if has_unlisted_peer(&host) {
-            match list_hosts(&host, &mut client, Freshness::AllowStale).await {
-                Ok(listing) => apply_listing(&host, listing),
-                Err(error) => {
-                    log::info!(error:%; "listing the registered hosts failed; retrying after a pause");
-                }
-            }
+        let is_repeat = Instant::now() >= repeat_at;
+        if !is_repeat && !has_unlisted_peer(&host) {
+            continue;
+        }
+        let listed = if is_repeat {
+            repeat_listing(&host, &mut client).await
+        } else {
+            let listing = list_hosts(&host, &mut client, Freshness::AllowStale).await;
+            listing.map(|it| apply_listing(&host, it))
+        };
+        if is_repeat {
+            let pause = listed.as_ref().map_or(FIRST_REPEAT, |()| REPEAT_INTERVAL);
+            repeat_at = Instant::now() + spread(pause, REPEAT_SPREAD);
+        }
+        if let Err(error) = listed {
+            log::info!(error:%; "listing the registered hosts failed; retrying after a pause");
         }
     }
 }
 
+/// Returns a random time around a mean.
+fn spread(mean: Duration, factors: std::ops::Range<f64>) -> Duration {
+    mean.mul_f64(rand::rng().random_range(factors))
+}
+
+/// Lists the registered hosts, and registers this host again if the store has lost its registration.
+///
+/// All copies of the store contain the registration by now, if the store has it.
+async fn repeat_listing(host: &Host, client: &mut StoreClient<'_>) -> Result<(), StoreError> {
+    let listing = list_hosts(host, client, Freshness::AllowStale).await?;
+    let own = own_record(host);
+    let is_lost = listing.is_complete && !listing.items.iter().any(|it| it.record == own);
+    apply_listing(host, listing);
+    if is_lost {
+        log::warn!(host:% = own.host; "the store has lost the registration of this host; registering again");
+        ensure_registered(host, client, Freshness::Newest).await?;
+    }
+    Ok(())
+}
+
 /// Registers this host, and lists the registered hosts until a listing contains the registration.
 ///
 /// Guards against hosts that start together, never hear of each other, and each act as the whole fleet:
@@ -140,16 +182,21 @@
     point: StorePoint,
 }
 
+/// Returns the registration that this host writes.
+fn own_record(host: &Host) -> HostRecord {
+    HostRecord {
+        host: host.settings.host.clone(),
+        peer_address: host.settings.peer_address,
+    }
+}
+
 /// Registers this host if the store has no current registration of it.
 async fn ensure_registered(
     host: &Host,
     client: &mut StoreClient<'_>,
     freshness: Freshness,
 ) -> Result<Registration, StoreError> {
-    let record = HostRecord {
-        host: host.settings.host.clone(),
-        peer_address: host.settings.peer_address,
-    };
+    let record = own_record(host);
     let known = read_registration(host, client, &record.host, freshness).await?;
     let is_current = |object: &Object| {
         let known = host.platform.parse_host(object);
