Don't take a cut listing for the whole fleet

Callers would see: where the store refused a page of the list of hosts, or the list could not be read to its end, each host behind the cut granted an account its whole quota. After the store was restored, such a host would accept credentials that were withdrawn since.

Cause: the listing said that it was incomplete, and nobody asked. A start held back its share of quotas only until the first listing, and a host that had listed no other had nobody to compare its configuration with.

Change: `HostsListed` now means all hosts that registered before this one; `HostsFound` is a part. Until the first whole listing a host counts itself and each host that it hears as a 32nd of its cell, as before its first listing, and its configuration is compared only after the time in which peers report.

--- a/crates/jaypin_entry/src/store/hosts.rs
+++ b/crates/jaypin_entry/src/store/hosts.rs
@@ -24,7 +24,8 @@
 /// Mean time after its first listing after which a host lists the hosts once more: copies of the store
 /// then contain all that was written before the first.
 const FIRST_REPEAT: Duration = Duration::from_secs(12);
-/// Mean time between later listings without a known reason.
+/// Mean time between later listings without a known reason. While no listing was complete, the time
+/// doubles up to this one.
 const REPEAT_INTERVAL: Duration = Duration::from_mins(5);
 /// Random factor on these times: hosts that start together would list all hosts at the same time.
 const REPEAT_SPREAD: std::ops::Range<f64> = 0.7..1.3;
@@ -53,17 +54,18 @@
 pub async fn join_fleet(host: Rc<Host>) {
     let mut client = StoreClient::new(&host);
     let mut retries = Retries::default();
-    while let Err(error) = join(&host, &mut client).await {
-        retries.back_off(&host, "registered hosts", &error).await;
-    }
+    let registration = loop {
+        match join(&host, &mut client).await {
+            Ok(registration) => break registration,
+            Err(error) => retries.back_off(&host, "registered hosts", &error).await,
+        }
+    };
     let joined_at = Instant::now();
-    let mut repeat_at = joined_at + spread(FIRST_REPEAT, REPEAT_SPREAD);
+    let mut repeats = Repeats::new();
     let mut era = host.read(Router::store_era);
     loop {
         sleep(spread(LIST_INTERVAL, LIST_SPREAD)).await;
-        while !has_unlisted_peer(&host)
-            && era == host.read(Router::store_era)
-            && Instant::now() < repeat_at
+        while !has_unlisted_peer(&host) && era == host.read(Router::store_era) && !repeats.is_due()
         {
             sleep(CHECK_INTERVAL).await;
         }
@@ -77,19 +79,14 @@
             retries.back_off(&host, "registration", &error).await;
             continue;
         }
-        let is_repeat = Instant::now() >= repeat_at;
+        let is_repeat = repeats.is_due();
         if !is_repeat && !has_unlisted_peer(&host) {
             continue;
         }
-        let listed = if is_repeat {
-            repeat_listing(&host, &mut client).await
-        } else {
-            let listing = list_hosts(&host, &mut client, Freshness::AllowStale).await;
-            listing.map(|it| apply_listing(&host, it))
-        };
+        let listed = list_again(&host, &mut client, &registration, is_repeat).await;
         if is_repeat {
-            let pause = listed.as_ref().map_or(FIRST_REPEAT, |()| REPEAT_INTERVAL);
-            repeat_at = Instant::now() + spread(pause, REPEAT_SPREAD);
+            let is_complete = listed.as_ref().is_ok_and(|it| *it);
+            repeats.schedule(is_complete);
         }
         if let Err(error) = listed {
             log::info!(error:%; "listing the registered hosts failed; retrying after a pause");
@@ -97,24 +94,58 @@
     }
 }
 
+/// When the hosts are listed again without a known reason.
+#[derive(Debug)]
+struct Repeats {
+    pause: Duration,
+    at: Instant,
+}
+
+impl Repeats {
+    fn new() -> Self {
+        Self {
+            pause: FIRST_REPEAT,
+            at: Instant::now() + spread(FIRST_REPEAT, REPEAT_SPREAD),
+        }
+    }
+
+    fn is_due(&self) -> bool {
+        Instant::now() >= self.at
+    }
+
+    /// Schedules the next listing after one that was complete, or failed or was cut.
+    fn schedule(&mut self, is_complete: bool) {
+        self.pause = if is_complete {
+            REPEAT_INTERVAL
+        } else {
+            (self.pause * 2).min(REPEAT_INTERVAL)
+        };
+        self.at = Instant::now() + spread(self.pause, REPEAT_SPREAD);
+    }
+}
+
 /// Returns a random time around a mean.
 fn spread(mean: Duration, factors: std::ops::Range<f64>) -> Duration {
     mean.mul_f64(rand::rng().random_range(factors))
 }
 
-/// Lists the registered hosts, and registers this host again if the store has lost its registration.
-///
-/// All copies of the store contain the registration by now, if the store has it.
-async fn repeat_listing(host: &Host, client: &mut StoreClient<'_>) -> Result<(), StoreError> {
+/// Lists the registered hosts, and returns whether the listing was complete. A repeated listing also shows
+/// whether the store has lost the registration of this host, which is then written again.
+async fn list_again(
+    host: &Host,
+    client: &mut StoreClient<'_>,
+    registration: &Registration,
+    is_repeat: bool,
+) -> Result<bool, StoreError> {
     let listing = list_hosts(host, client, Freshness::AllowStale).await?;
-    let own = own_record(host);
-    let is_lost = listing.is_complete && !listing.items.iter().any(|it| it.record == own);
-    apply_listing(host, listing);
+    let is_complete = listing.is_complete;
+    let is_lost = is_repeat && registration.is_missing_in(&listing);
+    apply_listing(host, listing, registration);
     if is_lost {
-        log::warn!(host:% = own.host; "the store has lost the registration of this host; registering again");
+        log::warn!(host:% = host.settings.host; "the store has lost the registration of this host; registering again");
         ensure_registered(host, client, Freshness::Newest).await?;
     }
-    Ok(())
+    Ok(is_complete)
 }
 
 /// Registers this host, and lists the registered hosts until a listing contains the registration.
@@ -124,7 +155,7 @@
 /// registration that another read has shown. A listing that contains the registration of this host
 /// contains all earlier ones, so of two hosts the one that registered later lists the other. Copies that
 /// never contain it are replaced by the newest state.
-async fn join(host: &Host, client: &mut StoreClient<'_>) -> Result<(), StoreError> {
+async fn join(host: &Host, client: &mut StoreClient<'_>) -> Result<Registration, StoreError> {
     let registration = ensure_registered(host, client, Freshness::AllowStale).await?;
     let started_at = Instant::now();
     let mut pause = FIRST_COPY_PAUSE;
@@ -134,8 +165,8 @@
     loop {
         let listing = list_hosts(host, client, Freshness::AllowStale).await?;
         if !listing.is_complete || registration.is_in(&listing) {
-            apply_listing(host, listing);
-            return Ok(());
+            apply_listing(host, listing, &registration);
+            return Ok(registration);
         }
         if started_at.elapsed() >= MAX_COPY_LAG {
             break;
@@ -144,10 +175,10 @@
         pause = (pause * 2).min(MAX_COPY_PAUSE);
     }
     log::warn!(host:% = registration.record.host; "the store's copies lack the registration of this host; reading the newest state");
-    ensure_registered(host, client, Freshness::Newest).await?;
+    let registration = ensure_registered(host, client, Freshness::Newest).await?;
     let listing = list_hosts(host, client, Freshness::Newest).await?;
-    apply_listing(host, listing);
-    Ok(())
+    apply_listing(host, listing, &registration);
+    Ok(registration)
 }
 
 fn has_unlisted_peer(host: &Host) -> bool {
@@ -166,6 +197,12 @@
 }
 
 impl Registration {
+    /// Returns whether the store has lost this registration, if all its copies have had it.
+    fn is_missing_in(&self, listing: &Listing<RegisteredHost>) -> bool {
+        let mut hosts = listing.items.iter();
+        listing.is_complete && !hosts.any(|it| it.record == self.record)
+    }
+
     /// Returns whether each page of a listing was read from a copy that contains this registration.
     fn is_in(&self, listing: &Listing<RegisteredHost>) -> bool {
         let mut hosts = listing.items.iter();
@@ -251,11 +288,17 @@
     Ok(listing)
 }
 
-/// Passes the hosts of a listing to the reducer.
-fn apply_listing(host: &Host, listing: Listing<RegisteredHost>) {
+/// Passes the hosts of a listing to the reducer, as all hosts that registered before this one if the
+/// listing is complete and contains its registration.
+fn apply_listing(host: &Host, listing: Listing<RegisteredHost>, registration: &Registration) {
+    let has_all = listing.is_complete && registration.is_in(&listing);
     let hosts = listing.items.into_iter().map(|it| it.record);
-    let hosts = hosts.map(|it| (it.host, it.peer_address));
-    host.apply(Event::HostsListed(hosts.collect()));
+    let hosts = hosts.map(|it| (it.host, it.peer_address)).collect();
+    host.apply(if has_all {
+        Event::HostsListed(hosts)
+    } else {
+        Event::HostsFound(hosts)
+    });
 }
 
 /// Writes the registration of this host, and replaces the given revision if there is one.
--- a/crates/jaypin_router/src/router/event.rs
+++ b/crates/jaypin_router/src/router/event.rs
@@ -133,9 +133,12 @@
     BackendUnreached(BackendId),
     /// The caller of a request left, and no call for it has begun or will.
     CallerDisconnected(RequestNumber),
-    /// The list of all registered hosts was read, each with the address at which it receives
-    /// reports. Some of them may have exited.
+    /// All hosts that registered before this one were listed, and maybe others, each with the address
+    /// at which it receives reports. Some of them may have exited.
     HostsListed(Vec<(HostId, SocketAddr)>),
+    /// Some of the registered hosts were listed, in the same form. Any number of others may be
+    /// registered.
+    HostsFound(Vec<(HostId, SocketAddr)>),
     /// A peer's report was received.
     ReportReceived {
         /// The report.
--- a/crates/jaypin_router/src/router/joining.rs
+++ b/crates/jaypin_router/src/router/joining.rs
@@ -47,9 +47,10 @@
             return;
         }
         let waited = now.saturating_duration_since(listed_at);
-        self.join.has_compared = waited >= FIRST_REPORTS_TIME
-            || !self.report_state.has_registered_hosts()
-            || self.has_ready_listed_peer(now);
+        let is_alone =
+            self.report_state.has_whole_host_list() && !self.report_state.has_registered_hosts();
+        self.join.has_compared =
+            waited >= FIRST_REPORTS_TIME || is_alone || self.has_ready_listed_peer(now);
     }
 
     /// Returns whether this host has listed the registered hosts so recently that live ones may not
--- a/crates/jaypin_router/src/router/mod.rs
+++ b/crates/jaypin_router/src/router/mod.rs
@@ -49,7 +49,7 @@
 use joining::JoinState;
 use load_reporting::LoadReportState;
 use missing_entries::MissingEntries;
-use reporting::ReportState;
+use reporting::{HostList, ReportState};
 use store_era::KnownEra;
 use watching::ReportedStore;
 
@@ -236,7 +236,8 @@
             Event::CallerDisconnected(number) => {
                 self.handle_caller_disconnect(now, number, &mut fx);
             }
-            Event::HostsListed(hosts) => self.apply_host_list(hosts, now),
+            Event::HostsListed(hosts) => self.apply_host_list(hosts, HostList::Whole, now),
+            Event::HostsFound(hosts) => self.apply_host_list(hosts, HostList::Partial, now),
             Event::ReportReceived { report, boot_time } => {
                 self.handle_report(now, *report, boot_time);
             }
--- a/crates/jaypin_router/src/router/reporting.rs
+++ b/crates/jaypin_router/src/router/reporting.rs
@@ -54,7 +54,19 @@
     has_changes: bool,
     is_urgent: bool,
     known_hosts: BTreeMap<SocketAddr, KnownHost>,
-    has_host_list: bool,
+    host_list: HostList,
+}
+
+/// What this host has read of the list of registered hosts.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum HostList {
+    /// Nothing.
+    #[default]
+    Unread,
+    /// Some of the hosts. Any number of others may be registered.
+    Partial,
+    /// All hosts that registered before this one.
+    Whole,
 }
 
 /// The last report of an account's use.
@@ -141,15 +153,21 @@
         known.filter_map(|(address, it)| Some((it.host.clone()?, *address)))
     }
 
-    /// Records that the list of registered hosts was read.
-    pub fn mark_host_list_read(&mut self) {
-        self.has_host_list = true;
+    /// Records what was read of the list of registered hosts, unless more was read before.
+    pub fn record_host_list(&mut self, list: HostList) {
+        self.host_list = self.host_list.max(list);
+    }
+
+    /// Returns whether all hosts that registered before this one are known.
+    #[must_use]
+    pub fn has_whole_host_list(&self) -> bool {
+        self.host_list == HostList::Whole
     }
 
-    /// Returns whether the list of registered hosts was read.
+    /// Returns whether registered hosts were listed, or at least a part of them.
     #[must_use]
     pub fn has_host_list(&self) -> bool {
-        self.has_host_list
+        self.host_list != HostList::Unread
     }
 
     /// Returns hosts that were recently discovered or live. They may be running although no
--- a/crates/jaypin_router/src/router/updates.rs
+++ b/crates/jaypin_router/src/router/updates.rs
@@ -10,13 +10,14 @@
 use rand::RngExt;
 
 use super::Router;
+use super::reporting::HostList;
 use crate::{
     Backend, BackendRecord, BootTime, EntryChange, EntrySource, LeaveState, LoadChange, LoadUpdate,
     Report, ResendBudget, RouteTable, StorePoint, SubsetKind, VersionRole, cell_count, cell_of,
 };
 
-/// Share of the quotas of its cell that a host grants until it has read the list of registered
-/// hosts. Cells have at most about thirty hosts on average.
+/// Part of its cell that a host takes itself, and each host that it hears, to be until it has listed all
+/// registered hosts. Cells have at most about thirty hosts on average.
 const INITIAL_FLEET_FRACTION: f64 = 1.0 / 32.0;
 /// Fraction of the fleet's resend budget that hosts use. Hosts count their resends separately,
 /// and must not exceed the budget together while the number of hosts changes.
@@ -216,7 +217,12 @@
         self.apply_load_changes(&expired, now);
     }
 
-    pub(super) fn apply_host_list(&mut self, hosts: Vec<(HostId, SocketAddr)>, now: Instant) {
+    pub(super) fn apply_host_list(
+        &mut self,
+        hosts: Vec<(HostId, SocketAddr)>,
+        list: HostList,
+        now: Instant,
+    ) {
         for (host, address) in hosts {
             if host == self.cfg.host {
                 continue;
@@ -226,7 +232,7 @@
             }
             self.report_state.mark_registered(address);
         }
-        self.report_state.mark_host_list_read();
+        self.report_state.record_host_list(list);
         self.join.record_host_list(now);
         self.refresh_cells();
         self.refresh_quotas(now);
@@ -240,13 +246,17 @@
 
     /// Updates the part of each quota that this host may use, by the part of its cell from which
     /// it receives reports.
+    ///
+    /// Guards against hosts that each grant a whole quota because they couldn't list each other.
     fn refresh_quotas(&mut self, now: Instant) {
-        let fraction = if self.report_state.has_host_list() {
-            let own_cell = |host: &&HostId| cell_of(host, self.cells) == self.cell;
-            let discovered = self.report_state.recently_discovered(now).filter(own_cell);
-            self.fleet.live_fraction(discovered, now)
+        let own_cell = |host: &&HostId| cell_of(host, self.cells) == self.cell;
+        let discovered = self.report_state.recently_discovered(now).filter(own_cell);
+        let live_fraction = self.fleet.live_fraction(discovered, now);
+        let fraction = if self.report_state.has_whole_host_list() {
+            live_fraction
         } else {
-            INITIAL_FLEET_FRACTION
+            let live = u32::try_from(self.fleet.size(now)).unwrap_or(u32::MAX);
+            live_fraction.min(INITIAL_FLEET_FRACTION * f64::from(live))
         };
         self.fleet_quota.set_cell_live_fraction(fraction);
         self.quota
--- a/crates/jaypin_router/tests/proof.rs
+++ b/crates/jaypin_router/tests/proof.rs
@@ -97,6 +97,34 @@
     assert!(matches!(decision, Decision::Sent(_)), "{decision:?}");
 }
 
+/// Returns whether a host that has just started and listed no other host accepts the configuration of a
+/// store that states its era.
+fn accepts_configuration_at_start(listed: Event, waited: Duration) -> bool {
+    let mut host = TestHost::unconfigured();
+    host.apply(Event::StoreEra(2));
+    host.apply(listed);
+    host.configure(configuration(1));
+    host.wait(waited);
+    host.prove();
+    host.tick();
+    let (_, decision) = host.arrive("/ask/1", (10, 10));
+    !matches!(decision, Decision::Refused(it) if it.reason == Reason::Unproven)
+}
+
+/// Guards against a host that could list a part of the hosts only and takes itself for the only one: the
+/// others may have a newer configuration than a restored store.
+#[test]
+fn a_host_that_listed_a_part_of_the_fleet_first_waits_for_reports() {
+    let part = || Event::HostsFound(Vec::new());
+    assert!(!accepts_configuration_at_start(part(), Duration::ZERO));
+    assert!(accepts_configuration_at_start(
+        part(),
+        Duration::from_millis(1_600)
+    ));
+    let all = Event::HostsListed(Vec::new());
+    assert!(accepts_configuration_at_start(all, Duration::ZERO));
+}
+
 /// Guards against a host that starts after such a restore and reads the older version first.
 #[test]
 fn a_host_that_starts_with_an_older_version_refuses_requests() {
--- a/crates/jaypin_router/tests/quota_at_start.rs
+++ b/crates/jaypin_router/tests/quota_at_start.rs
@@ -2,9 +2,11 @@
 
 mod common;
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use common::{Decision, ENGINES, TestHost, record, token_quota};
+use jaypin_core::HostId;
 use jaypin_router::Event;
 
 /// Numbers of the other twelve hosts.
@@ -29,11 +31,15 @@
     host
 }
 
+/// Returns hosts as the store lists them.
+fn listed(others: std::ops::Range<u16>) -> Vec<(HostId, SocketAddr)> {
+    let wholes = others.map(common::whole_report);
+    wholes.map(|it| (it.host, it.address)).collect()
+}
+
 /// Adds hosts that the store lists.
 fn discover_hosts(host: &mut TestHost, others: std::ops::Range<u16>) {
-    let wholes = others.map(common::whole_report);
-    let hosts = wholes.map(|it| (it.host, it.address));
-    host.apply(Event::HostsListed(hosts.collect()));
+    host.apply(Event::HostsListed(listed(others)));
 }
 
 /// Sends more requests than any quota allows and returns the units that were granted.
@@ -66,6 +72,46 @@
     assert!(granted <= RATE * FIRST_SECONDS / 32.0 + UNITS, "{granted}");
 }
 
+/// Guards against a host that takes the part of the hosts which it could list for the whole fleet. The
+/// others are where the listing was cut, and list it no more than it lists them.
+#[test]
+fn a_host_that_listed_a_part_of_the_fleet_grants_a_small_share() {
+    for others in [2..2, 2..4] {
+        let mut host = started_host();
+        host.apply(Event::HostsFound(listed(others)));
+        let granted = saturate(&mut host);
+        assert!(granted <= RATE * FIRST_SECONDS / 32.0 + UNITS, "{granted}");
+    }
+}
+
+/// Guards against a small share for good although the hosts that report make up most of the fleet.
+#[test]
+fn hosts_that_listed_a_part_of_the_fleet_share_more_with_each_peer() {
+    let mut host = started_host();
+    host.apply(Event::HostsFound(listed(OTHERS)));
+    for peer in OTHERS {
+        host.receive_report(common::report(1, common::whole_report(peer)));
+    }
+    host.wait(Duration::from_millis(100));
+    let granted = saturate(&mut host);
+    let share = 13.0 / 32.0;
+    // The rate of the wait comes on top of what is granted at once.
+    let most = RATE * (FIRST_SECONDS + 0.1) * share + UNITS;
+    assert!(granted <= most, "{granted} of {most}");
+    assert!(granted >= RATE * 0.1 * share - UNITS, "{granted}");
+}
+
+/// Guards against a host that forgets that it knew the fleet because a later listing was cut.
+#[test]
+fn a_cut_listing_after_a_whole_one_changes_nothing() {
+    let mut host = started_host();
+    discover_hosts(&mut host, OTHERS);
+    host.apply(Event::HostsFound(listed(2..3)));
+    let granted = saturate(&mut host);
+    let share = 1.0 / 13.0;
+    assert!(granted >= RATE * FIRST_SECONDS * share - UNITS, "{granted}");
+}
+
 /// Guards against quotas that stay reduced: hosts that were discovered but are gone for good must
 /// not keep a share.
 #[test]
