Remove no entries by a listing that may be stale

Callers would see: a backend server that registers beside a common start gets no requests from the whole cell, until it writes its entry again.

Cause: a starting host that doesn't watch lists the entries by reads that may be stale, page by page. An entry that it knew from reports and that the listing lacked counted as removed at the point of the listing, and it reported that. A page may come from an older copy than the stated point, so the removal was newer than the entry.

Change: a stale listing is an event of its own, which adds entries and removes none. What it has too much goes as before: by reports of watchers, or by a transfer from one once the entries differ.

--- a/crates/jaypin_entry/src/store/backends.rs
+++ b/crates/jaypin_entry/src/store/backends.rs
@@ -204,7 +204,7 @@
     let listing = client.list(Collection::Backends, freshness, read).await?;
     let (mut point, is_complete) = (listing.point, listing.is_complete);
     log::info!(count = listing.items.len(), point:?; "backend server entries listed");
-    apply_listing(host, listing);
+    apply_listing(host, listing, freshness);
     if is_complete && freshness == Freshness::Newest {
         host.apply(Event::EntriesProved(requested_at));
     }
@@ -244,19 +244,26 @@
     Ok(())
 }
 
-/// Applies the entries of a listing. Other known entries count as removed if it is complete, and are kept
-/// if it is not.
-fn apply_listing(host: &Host, listing: Listing<(BackendRecord, StorePoint)>) {
+/// Applies the entries of a listing. Other known entries count as removed if it is complete and was not
+/// stale, else they are kept.
+///
+/// Guards against a new backend server that the whole cell takes for removed: the pages of a listing may come from
+/// different copies of the store, so one can lack an entry that is older than another one's point.
+fn apply_listing(host: &Host, listing: Listing<(BackendRecord, StorePoint)>, freshness: Freshness) {
     let Listing {
         items: entries,
         point,
         is_complete,
     } = listing;
-    if is_complete {
+    if is_complete && freshness == Freshness::Newest {
         return host.apply(Event::BackendsListed { entries, point });
     }
-    for (record, point) in entries {
-        let change = EntryChange::Stated { record, point };
+    let stated = entries.into_iter();
+    let stated = stated.map(|(record, point)| EntryChange::Stated { record, point });
+    if is_complete {
+        return host.apply(Event::EntriesCopied(stated.collect()));
+    }
+    for change in stated {
         host.apply(Event::BackendChanged(change));
     }
 }
--- a/crates/jaypin_router/src/router/event.rs
+++ b/crates/jaypin_router/src/router/event.rs
@@ -95,6 +95,8 @@
     BackendChanged(EntryChange),
     /// A peer transferred all entries that it knows.
     EntriesTransferred(Vec<EntryChange>),
+    /// All entries were read from copies of the store, which may lack the newest.
+    EntriesCopied(Vec<EntryChange>),
     /// A request was received completely.
     Arrived(Arrival),
     /// The response header of a call arrived.
--- a/crates/jaypin_router/src/router/mod.rs
+++ b/crates/jaypin_router/src/router/mod.rs
@@ -38,10 +38,10 @@
 use crate::request::{PassedOn, Request, Resuming, Sent};
 use crate::{
     AccountArrivals, AnswerLengthTable, ArrivalRates, Backend, BackendContact, BackendSignals,
-    BackendSubsets, BackendTable, BootTime, CellIndex, Contact, CrashEvidence, Entries, Fleet,
-    FleetQuota, HeldParts, HeldReports, HoldTimes, MinimumShares, PeerLoads, RequestNumber,
-    ResendBudget, Rollouts, RouteTable, ServicePauses, SignalTable, Sizes, SlowAnswerDetector,
-    StoreFreshness, StreamOrigins, VersionHistory, WaitingList,
+    BackendSubsets, BackendTable, BootTime, CellIndex, Contact, CrashEvidence, Entries,
+    EntrySource, Fleet, FleetQuota, HeldParts, HeldReports, HoldTimes, MinimumShares, PeerLoads,
+    RequestNumber, ResendBudget, Rollouts, RouteTable, ServicePauses, SignalTable, Sizes,
+    SlowAnswerDetector, StoreFreshness, StreamOrigins, VersionHistory, WaitingList,
 };
 use attempt::EventGroup;
 use fleet_quota::FleetQuotaState;
@@ -207,7 +207,12 @@
             }
             Event::StoreEra(era) => self.record_stated_era(era, now),
             Event::BackendChanged(change) => self.apply_store_change(change, now),
-            Event::EntriesTransferred(entries) => self.apply_entry_snapshot(entries, now),
+            Event::EntriesTransferred(entries) => {
+                self.apply_entry_snapshot(entries, EntrySource::Transfer, now);
+            }
+            Event::EntriesCopied(entries) => {
+                self.apply_entry_snapshot(entries, EntrySource::Store, now);
+            }
             Event::Arrived(arrival) => self.handle_arrival(now, &arrival, &mut fx),
             Event::HeaderReceived {
                 number,
--- a/crates/jaypin_router/src/router/snapshot.rs
+++ b/crates/jaypin_router/src/router/snapshot.rs
@@ -93,9 +93,15 @@
         is_complete.then(|| self.entry_snapshot().into_iter().filter(is_newer).collect())
     }
 
-    pub(super) fn apply_entry_snapshot(&mut self, entries: Vec<EntryChange>, now: Instant) {
+    /// Applies entries that others keep. They may lack newer ones, so no known entry counts as removed.
+    pub(super) fn apply_entry_snapshot(
+        &mut self,
+        entries: Vec<EntryChange>,
+        source: EntrySource,
+        now: Instant,
+    ) {
         for change in entries {
-            self.apply_entry_change(change, EntrySource::Transfer, now);
+            self.apply_entry_change(change, source, now);
         }
         self.reported_store.record_read_all();
         self.version_history.record_complete(now);
