Watch from listings of the newest entries only

Callers would see: a host goes on sending requests to a backend server that has left, for as long as it runs (DRAIN).

Cause: a starting host that doesn't watch lists the entries by reads that may be stale. Where its cell lost the watchers meanwhile, it watched from the point of that listing. If the store states its newest point with a stale read, what the copy lacked lies before it.

Change: after a stale listing a host that has to watch lists the newest entries first.

--- a/crates/jaypin_entry/src/store/backends.rs
+++ b/crates/jaypin_entry/src/store/backends.rs
@@ -188,7 +188,8 @@
 }
 
 /// Reads all entries, then watches for as long as this host is a watcher. A host that has just
-/// started and does not watch accepts stale entries, and receives later changes from its peers.
+/// started and does not watch accepts stale entries, and receives later changes from its peers; it reads
+/// the newest once it has to watch.
 async fn follow(
     host: &Host,
     client: &mut StoreClient<'_>,
@@ -205,7 +206,12 @@
     let (mut point, is_complete) = (listing.point, listing.is_complete);
     log::info!(count = listing.items.len(), point:?; "backend server entries listed");
     apply_listing(host, listing, freshness);
-    if is_complete && freshness == Freshness::Newest {
+    // A watch from the point of a stale listing misses what its copies lacked, if the store states its own
+    // newest point with them.
+    if freshness == Freshness::AllowStale {
+        return Ok(());
+    }
+    if is_complete {
         host.apply(Event::EntriesProved(requested_at));
     }
     let listed_at = Instant::now();
