Take a response of the store for a proof of its request's time

Cause: a watch's response counted as a proof of 1.2 s before it was read, since the watch times out after 1.3 s. After a stop the response, which came before, and the expired timer are found together. A busy host looks at the response first.

Change: a response proves the time of its request, as for entries since. A watch waits for a second, so in calm its proofs are what they were.

--- a/crates/jaypin_entry/src/store/configuration.rs
+++ b/crates/jaypin_entry/src/store/configuration.rs
@@ -16,10 +16,6 @@
 use crate::peers::{PeerConfiguration, fetch_configuration, watch_configuration};
 use crate::ports::{Collection, Freshness, Object};
 
-/// Time by which a watch may lag behind writes: before a store drops its history, watches may
-/// return nothing for up to a second.
-const WATCH_LAG: Duration = Duration::from_millis(1_200);
-
 /// Bound on the time to apply a configuration below which hosts read the store without
 /// staggering, as soon as their proofs are old.
 const IMMEDIATE_CONVERGENCE: Duration = Duration::from_secs(2);
@@ -101,7 +97,9 @@
     let is_fallback_over =
         |router: &Router| router.is_relay() && read_at.elapsed() >= RELAY_FALLBACK_TIME;
     while host.read(|router| must_watch(router) && !is_fallback_over(router)) {
-        let requested = (boot_time(), Instant::now());
+        // A response proves nothing about the time after its request: it may have arrived long before this
+        // process runs again and reads it. The boot clock also counts time for which the host is suspended.
+        let requested_at = boot_time();
         let Some(updates) = client
             .watch(Collection::Configuration, point, PROOF_INTERVAL)
             .await?
@@ -114,9 +112,9 @@
         point = updates.point;
         // The store's revision counts the changes of all collections.
         if host.watches.compare_entries(point) {
-            host.apply(Event::EntriesProved(requested.0));
+            host.apply(Event::EntriesProved(requested_at));
         }
-        host.apply(Event::ConfigurationProved(proved_at(requested)));
+        host.apply(Event::ConfigurationProved(requested_at));
         host.watches.advance();
         if !updates.changes.is_empty() {
             sleep(WATCH_PAUSE).await;
@@ -260,21 +258,6 @@
     Ok(listing.point)
 }
 
-/// Returns the time at which a watch's response was certainly the newest state.
-///
-/// That is the time of the request, or [`WATCH_LAG`] before the response if that is later. If
-/// the host was suspended meanwhile, it is the time of the request: the response may have
-/// arrived before the suspension, which the steady clock does not count.
-fn proved_at((requested_boot, requested): (BootTime, Instant)) -> BootTime {
-    let waited = requested.elapsed();
-    let now = boot_time();
-    let was_suspended = now.saturating_sub(requested_boot) > waited + WATCH_LAG;
-    if was_suspended {
-        return requested_boot;
-    }
-    requested_boot.max(now.saturating_sub(WATCH_LAG))
-}
-
 /// Where a configuration was read.
 #[derive(Debug, Clone, Copy)]
 enum Source {
