--- a/crates/jaypin_entry/src/store/backends.rs
+++ b/crates/jaypin_entry/src/store/backends.rs
@@ -206,8 +206,7 @@
     let (mut point, is_complete) = (listing.point, listing.is_complete);
     log::info!(count = listing.items.len(), point:?; "backend server entries listed");
     apply_listing(host, listing, freshness);
-    // A watch from the point of a stale listing misses what its copies lacked, if the store states its own
-    // newest point with them.
+    // A store may state its newest point with a stale page. A watch from there misses what the copy lacked.
     if freshness == Freshness::AllowStale {
         return Ok(());
     }
@@ -253,8 +252,8 @@
 /// Applies the entries of a listing. Other known entries count as removed if it is complete and was not
 /// stale, else they are kept.
 ///
-/// Guards against a new backend server that the whole cell takes for removed: the pages of a listing may come from
-/// different copies of the store, so one can lack an entry that is older than another one's point.
+/// Guards against a new backend server that the whole cell takes for removed: the pages of a listing may
+/// come from different copies of the store, so one can lack an entry that is older than another's point.
 fn apply_listing(host: &Host, listing: Listing<(BackendRecord, StorePoint)>, freshness: Freshness) {
     let Listing {
         items: entries,
--- a/crates/jaypin_entry/src/store/hosts.rs
+++ b/crates/jaypin_entry/src/store/hosts.rs
@@ -21,8 +21,8 @@
 /// Random factor on the pause: a new host's reports reach its whole cell at once.
 const LIST_SPREAD: std::ops::Range<f64> = 0.3..1.7;
 
-/// Mean time after its first listing after which a host lists the hosts once more: copies of the store
-/// then contain all that was written before the first.
+/// Mean time from the first listing of the hosts to the second one. All copies of the store then contain
+/// what was written before the first.
 const FIRST_REPEAT: Duration = Duration::from_secs(12);
 /// Mean time between later listings without a known reason. While no listing was complete, the time
 /// doubles up to this one.
@@ -48,9 +48,10 @@
 /// registration, which is then written again.
 ///
 /// No host watches these entries: each host sends reports to the hosts that it lists, and hosts
-/// that register later list it. Hosts are also listed without a known reason, once soon after the start and
-/// seldom from then on. This guards against hosts that never hear of each other: whatever one of them missed
-/// at its start, neither has a reason to list the other.
+/// that register later list it.
+///
+/// The hosts are also listed once soon after the start, and seldom from then on, without a known reason.
+/// This guards against hosts that missed each other at their start: neither would ever hear of the other.
 pub async fn join_fleet(host: Rc<Host>) {
     let mut client = StoreClient::new(&host);
     let mut retries = Retries::default();
@@ -113,7 +114,7 @@
         Instant::now() >= self.at
     }
 
-    /// Schedules the next listing after one that was complete, or failed or was cut.
+    /// Schedules the next listing, sooner if the last one failed or was cut.
     fn schedule(&mut self, is_complete: bool) {
         self.pause = if is_complete {
             REPEAT_INTERVAL
@@ -186,13 +187,13 @@
     host.read(|router| router.has_unlisted_peer(now))
 }
 
-/// The registration of this host, as the store has it at least.
+/// The registration of this host.
 #[derive(Debug)]
 struct Registration {
     record: HostRecord,
     /// Whether it was written just now.
     is_new: bool,
-    /// A point that it has reached. An object at an earlier point is a former registration.
+    /// Point before which an object of the same name is a former registration.
     since: StorePoint,
 }
 
