--- a/crates/jaypin_entry/src/store/client.rs
+++ b/crates/jaypin_entry/src/store/client.rs
@@ -175,8 +175,7 @@
                 oldest_point = None;
                 continue;
             }
-            // A watch from the point of the oldest page returns all changes since, also those made
-            // while other pages were read, or that a copy lacked from which one of them came.
+            // A watch from the point of the oldest page returns all changes that any page lacks.
             let point = oldest_point.map_or(page.point, |it| it.min(page.point));
             oldest_point = Some(point);
             let is_complete = !page.has_more;
--- a/crates/jaypin_router/tests/quota_at_start.rs
+++ b/crates/jaypin_router/tests/quota_at_start.rs
@@ -73,7 +73,7 @@
 }
 
 /// Guards against a host that takes the part of the hosts which it could list for the whole fleet. The
-/// others are where the listing was cut, and list it no more than it lists them.
+/// others may not be able to list it either.
 #[test]
 fn a_host_that_listed_a_part_of_the_fleet_grants_a_small_share() {
     for others in [2..2, 2..4] {
