List the newest entries after a slow start

Callers would see: requests that a host sends to a backend server up to 3.3 s after its leave, where 2 s are allowed.

Cause: a starting host that doesn't watch lists the entries by a read that may be stale, and reports of watchers show what it lacks within a second and a half. A host whose registration the copies lack for seconds starts late, lists from a copy that is as old, and serves at once with what it listed. The log of the soak shows the listing 2.6 s after the start and the transfer that mended it 0.9 s later.

Change: a host uses entries that may be stale in its first two seconds only; later it lists the newest, and once more if a stale listing ends later.

Why it works: what the host serves with is then as new as the request for it, whatever copy answered before.

--- a/crates/jaypin_entry/src/store/backends.rs
+++ b/crates/jaypin_entry/src/store/backends.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use jaypin_core::BackendId;
-use jaypin_router::{BackendRecord, EntryChange, Event, Router, StorePoint};
+use jaypin_router::{BackendRecord, BootTime, EntryChange, Event, Router, StorePoint};
 use tokio::time::{Instant, sleep};
 
 use super::client::{StoreClient, StoreError};
@@ -19,6 +19,9 @@
 use crate::peers::{EntryChanges, fetch_entries, watch_entries};
 use crate::ports::{Collection, Freshness, Object, ObjectChange};
 
+/// Entries with the points of their last changes.
+type EntryListing = Listing<(BackendRecord, StorePoint)>;
+
 /// Time for which one watch waits. It returns at once when something changes. The responses to the
 /// more frequent watches of the configuration show whether the store has changed meanwhile.
 const WATCH_TIMEOUT: Duration = Duration::from_secs(4);
@@ -189,20 +192,13 @@
 
 /// Reads all entries, then watches for as long as this host is a watcher. A host that has just
 /// started and does not watch accepts stale entries, and receives later changes from its peers; it reads
-/// the newest once it has to watch.
+/// the newest once it has to watch, or if its start takes long.
 async fn follow(
     host: &Host,
     client: &mut StoreClient<'_>,
     freshness: Freshness,
 ) -> Result<(), StoreError> {
-    let freshness = if host.read(follows_store) {
-        Freshness::Newest
-    } else {
-        freshness
-    };
-    let requested_at = boot_time();
-    let read = |object: Object| Some((parse_entry(host, &object)?, object.point));
-    let listing = client.list(Collection::Backends, freshness, read).await?;
+    let (listing, freshness, requested_at) = list_entries(host, client, freshness).await?;
     let (mut point, is_complete) = (listing.point, listing.is_complete);
     log::info!(count = listing.items.len(), point:?; "backend server entries listed");
     apply_listing(host, listing, freshness);
@@ -249,12 +245,34 @@
     Ok(())
 }
 
+/// Lists the entries. Returns the listing, how fresh it is, and when it was requested.
+async fn list_entries(
+    host: &Host,
+    client: &mut StoreClient<'_>,
+    mut freshness: Freshness,
+) -> Result<(EntryListing, Freshness, BootTime), StoreError> {
+    let accepts_stale = || host.read(|router| router.accepts_stale_entries(now()));
+    if host.read(follows_store) || !accepts_stale() {
+        freshness = Freshness::Newest;
+    }
+    loop {
+        let requested_at = boot_time();
+        let read = |object: Object| Some((parse_entry(host, &object)?, object.point));
+        let listing = client.list(Collection::Backends, freshness, read).await?;
+        if freshness == Freshness::Newest || accepts_stale() {
+            return Ok((listing, freshness, requested_at));
+        }
+        log::info!("listing of entries that may be stale took too long; listing the newest");
+        freshness = Freshness::Newest;
+    }
+}
+
 /// Applies the entries of a listing. Other known entries count as removed if it is complete and was not
 /// stale, else they are kept.
 ///
 /// Guards against a new backend server that the whole cell takes for removed: the pages of a listing may
 /// come from different copies of the store, so one can lack an entry that is older than another's point.
-fn apply_listing(host: &Host, listing: Listing<(BackendRecord, StorePoint)>, freshness: Freshness) {
+fn apply_listing(host: &Host, listing: EntryListing, freshness: Freshness) {
     let Listing {
         items: entries,
         point,
--- a/crates/jaypin_router/src/router/joining.rs
+++ b/crates/jaypin_router/src/router/joining.rs
@@ -13,6 +13,10 @@
 /// report to a new host within a heartbeat of its first report, and one datagram may be lost.
 const FIRST_REPORTS_TIME: Duration = Duration::from_millis(1_500);
 
+/// Time after its start for which a host uses entries that may be seconds old. Watchers report within a second
+/// what they lack, and operators count on a host from its third second on.
+const STALE_ENTRIES_TIME: Duration = Duration::from_secs(2);
+
 /// Whether this host has compared its configuration with its peers' since its start.
 #[derive(Debug, Default)]
 pub struct JoinState {
@@ -93,6 +97,16 @@
         is_listed && self.awaits_peers(now) && cell_count(hosts) <= LEAD_CELLS
     }
 
+    /// Returns whether this host has started so recently that it may use entries that are seconds old.
+    ///
+    /// Guards against requests to a backend server that has left: a copy of the store that is behind delays
+    /// the start of a host, and then lacks the leave.
+    #[must_use]
+    pub fn accepts_stale_entries(&self, now: Instant) -> bool {
+        let age = now.saturating_duration_since(self.started_at.unwrap_or(now));
+        age < STALE_ENTRIES_TIME
+    }
+
     /// Returns whether the known hosts form more than one cell.
     #[must_use]
     pub fn is_of_many_cells(&self) -> bool {
