--- a/crates/jaypin_router/src/router/joining.rs
+++ b/crates/jaypin_router/src/router/joining.rs
@@ -14,7 +14,7 @@
 const FIRST_REPORTS_TIME: Duration = Duration::from_millis(1_500);
 
 /// Time after its start for which a host uses entries that may be seconds old. Watchers report within a second
-/// what they lack, and operators count on a host from its third second on.
+/// what they lack, and operators count on a host three seconds after its start.
 const STALE_ENTRIES_TIME: Duration = Duration::from_secs(2);
 
 /// Whether this host has compared its configuration with its peers' since its start.
