--- a/crates/jaypin_router/src/router/updates.rs
+++ b/crates/jaypin_router/src/router/updates.rs
@@ -16,8 +16,8 @@
     Report, ResendBudget, RouteTable, StorePoint, SubsetKind, VersionRole, cell_count, cell_of,
 };
 
-/// Part of its cell that a host takes itself, and each host that it hears, to be until it has listed all
-/// registered hosts. Cells have at most about thirty hosts on average.
+/// Assumed share of one host in its cell, until all registered hosts are listed. Cells have at most about
+/// thirty hosts on average.
 const INITIAL_FLEET_FRACTION: f64 = 1.0 / 32.0;
 /// Fraction of the fleet's resend budget that hosts use. Hosts count their resends separately,
 /// and must not exceed the budget together while the number of hosts changes.
